Build, model and the interfaces between modules

Cause: nothing exists yet; every other part needs a shared vocabulary first. Ruled out: mutable state objects (a hollow fleet of 5,900 nodes must share one state) and several delta formats (a whole state is a delta from empty). Change: Maven modules with formatter, Checkstyle and lint in verify; model with versions, resources, deltas, content hash, reference check and composition; interfaces of control, traffic, transport and node; design note 0001.

--- /dev/null
+++ b/umberpath-model/src/main/java/io/umberpath/model/PeerAddress.java
@@ -0,0 +1,37 @@
+package io.umberpath.model;
+
+/**
+ * Where a node listens for other nodes; also the stable identity of a machine's node.
+ *
+ * @param host IP address
+ * @param port TCP port, 1 to 65535
+ */
+public record PeerAddress(String host, int port) implements Comparable<PeerAddress> {
+  @Override
+  public int compareTo(PeerAddress other) {
+    int byHost = host.compareTo(other.host);
+    return byHost != 0 ? byHost : Integer.compare(port, other.port);
+  }
+
+  /**
+   * Parses {@code host:port}.
+   *
+   * @throws IllegalArgumentException if the text has no port or the port is out of range
+   */
+  public static PeerAddress parse(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon <= 0) {
+      throw new IllegalArgumentException("'" + text + "' is not host:port");
+    }
+    int port = Integer.parseInt(text.substring(colon + 1));
+    if (port < 1 || port > 65_535) {
+      throw new IllegalArgumentException("port in '" + text + "' is not between 1 and 65535");
+    }
+    return new PeerAddress(text.substring(0, colon), port);
+  }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
+}
--- /dev/null
+++ b/umberpath-model/src/main/java/io/umberpath/model/PlatformDocument.java
@@ -0,0 +1,57 @@
+package io.umberpath.model;
+
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * What the platform's read-only configuration service publishes. The revision is its total order.
+ *
+ * @param revision rises with each change at the platform; 0 before any was read
+ * @param services service name to its back ends
+ * @param machines live and leaving machines; this list lags and is only a hint
+ */
+public record PlatformDocument(
+    long revision, SortedMap<String, List<BackendAddress>> services, List<Machine> machines) {
+  /** Nothing has been read. */
+  public static final PlatformDocument NONE = new PlatformDocument(0, new TreeMap<>(), List.of());
+
+  /** Copies the collections. */
+  public PlatformDocument {
+    TreeMap<String, List<BackendAddress>> copy = new TreeMap<>();
+    services.forEach((name, backends) -> copy.put(name, List.copyOf(backends)));
+    services = java.util.Collections.unmodifiableSortedMap(copy);
+    machines = List.copyOf(machines);
+  }
+
+  /**
+   * One back end and the node beside it.
+   *
+   * @param id unique back-end id
+   * @param host IP address of the back end
+   * @param port port of the back end
+   * @param zone its zone
+   * @param nodeHost IP address of the node beside it
+   * @param nodeHopPort port where that node takes calls from other nodes
+   */
+  public record BackendAddress(
+      String id, String host, int port, String zone, String nodeHost, int nodeHopPort) {}
+
+  /**
+   * One machine as the platform believes it to be.
+   *
+   * @param control the address of its node
+   * @param zone its zone
+   * @param region its region
+   * @param state live or leaving
+   */
+  public record Machine(PeerAddress control, String zone, String region, MachineState state) {}
+
+  /** The platform's opinion of a machine. */
+  public enum MachineState {
+    /** In service. */
+    LIVE,
+    /** About to go away. */
+    LEAVING
+  }
+}
--- /dev/null
+++ b/umberpath-model/src/main/java/io/umberpath/model/ReferenceCheck.java
@@ -0,0 +1,32 @@
+package io.umberpath.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Checks that every route of an agreed state names a pool and a secret that the state holds. */
+public final class ReferenceCheck {
+  private ReferenceCheck() {}
+
+  /** All dangling references; empty when the state is whole. */
+  public static List<Violation> violations(FleetState state) {
+    List<Violation> found = new ArrayList<>();
+    for (Resource resource : state.resources().values()) {
+      if (resource instanceof Route route) {
+        check(state, route, found);
+      }
+    }
+    return found;
+  }
+
+  private static void check(FleetState state, Route route, List<Violation> found) {
+    String path = "routes[" + route.name() + "]";
+    if (!state.resources().containsKey(new ResourceKey(ResourceKind.POOL, route.pool()))) {
+      found.add(new Violation(path + ".pool", route.pool(), "no pool of this name"));
+    }
+    route
+        .secret()
+        .filter(name -> !state.resources().containsKey(new ResourceKey(ResourceKind.SECRET, name)))
+        .ifPresent(
+            name -> found.add(new Violation(path + ".secret", name, "no secret of this name")));
+  }
+}
--- /dev/null
+++ b/umberpath-model/src/main/java/io/umberpath/model/Version.java
@@ -0,0 +1,38 @@
+package io.umberpath.model;
+
+import java.util.Comparator;
+
+/**
+ * The position of one agreed fleet state, ordered by epoch and then sequence.
+ *
+ * @param epoch the leadership term that ordered the state; 0 before the first leader
+ * @param sequence position in the whole history; rises by one with each proposal, also across
+ *     epochs
+ */
+public record Version(long epoch, long sequence) implements Comparable<Version> {
+  /** The version of a fleet that has agreed on nothing yet. */
+  public static final Version NONE = new Version(0, 0);
+
+  private static final Comparator<Version> ORDER =
+      Comparator.comparingLong(Version::epoch).thenComparingLong(Version::sequence);
+
+  @Override
+  public int compareTo(Version other) {
+    return ORDER.compare(this, other);
+  }
+
+  /** Whether this version is strictly newer than the other. */
+  public boolean isAfter(Version other) {
+    return compareTo(other) > 0;
+  }
+
+  /** The version a leader of the given epoch proposes next after this one. */
+  public Version next(long leaderEpoch) {
+    return new Version(leaderEpoch, sequence + 1);
+  }
+
+  @Override
+  public String toString() {
+    return epoch + "." + sequence;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/platform/PlatformReader.java
@@ -0,0 +1,13 @@
+package io.umberpath.node.platform;
+
+import io.umberpath.model.PlatformDocument;
+import java.util.concurrent.CompletionStage;
+
+/** Reads the platform's configuration service. */
+public interface PlatformReader extends AutoCloseable {
+  /** Reads once; completes exceptionally with a clear message on any fault. Never blocks. */
+  CompletionStage<PlatformDocument> read();
+
+  @Override
+  void close();
+}
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -0,0 +1,64 @@
+package io.umberpath.traffic;
+
+import io.umberpath.model.Tier;
+import io.umberpath.model.Verdict;
+import java.util.List;
+
+/**
+ * Decides at the node beside a back end which requests get one of its slots. Owner synchronizes.
+ * What is refused here certainly did not run.
+ */
+public interface AdmissionController {
+  /**
+   * A request asks for a slot.
+   *
+   * @param id unique per request in this process
+   * @param tenant tenant of the route
+   * @param tier tier of the route
+   * @param deadlineMillis when its caller gives up, on the clock of {@code nowMillis}
+   */
+  record Ask(long id, String tenant, Tier tier, long deadlineMillis) {}
+
+  /** What becomes of a request. */
+  sealed interface Decision {
+    /** The request it is about. */
+    long id();
+
+    /** It has a slot now. */
+    record Admitted(long id) implements Decision {}
+
+    /** It waits; another decision follows. */
+    record Queued(long id) implements Decision {}
+
+    /**
+     * It did not run.
+     *
+     * @param reason overloaded, deadline or draining
+     * @param retryAfterMillis when coming back makes sense; 0 if elsewhere at once
+     */
+    record Refused(long id, Verdict.Reason reason, long retryAfterMillis) implements Decision {}
+  }
+
+  /** Handles an ask; the first decision is its own, others may follow for queued ones. */
+  List<Decision> ask(long nowMillis, Ask ask);
+
+  /** A request that held a slot has ended. */
+  List<Decision> release(long nowMillis, long id, long serviceMicros);
+
+  /** A queued request's caller went away; nothing if it is not queued. */
+  List<Decision> cancel(long nowMillis, long id);
+
+  /** Time has passed: refuses what can no longer be met. */
+  List<Decision> tick(long nowMillis);
+
+  /**
+   * From now on refuses every new ask as draining; queued ones are refused, running ones finish.
+   */
+  List<Decision> drain(long nowMillis);
+
+  /** Requests that hold a slot. */
+  int running();
+
+  /** Requests that wait. */
+  int queued();
+}
