--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/platform/FieldReader.java
@@ -0,0 +1,104 @@
+package io.umberpath.node.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.net.InetAddresses;
+import io.umberpath.model.Violation;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Reads typed fields of a JSON tree and collects every violation with the path and value of its
+ * field. After a violation the returned value is a placeholder of the right type. Not thread-safe.
+ */
+final class FieldReader {
+  private static final int MAX_SHOWN_CHARACTERS = 80;
+  private static final int MAX_TEXT_CHARACTERS = 255;
+  private static final int MAX_PORT = 65_535;
+
+  private final List<Violation> violations = new ArrayList<>();
+
+  List<Violation> violations() {
+    return violations;
+  }
+
+  /** Checks that the node is an object whose fields are exactly the given ones. */
+  boolean hasExactly(JsonNode node, String path, Set<String> names) {
+    if (!node.isObject()) {
+      return refuse(path, node, "must be an object");
+    }
+    int before = violations.size();
+    for (Iterator<String> fields = node.fieldNames(); fields.hasNext(); ) {
+      String name = fields.next();
+      if (!names.contains(name)) {
+        refuse(join(path, name), node.get(name), "unknown field");
+      }
+    }
+    for (String name : names) {
+      if (!node.has(name)) {
+        violations.add(new Violation(join(path, name), "", "missing"));
+      }
+    }
+    return violations.size() == before;
+  }
+
+  boolean isArray(JsonNode node, String path) {
+    return node.isArray() || refuse(path, node, "must be an array");
+  }
+
+  long positive(JsonNode parent, String path, String name) {
+    JsonNode node = parent.get(name);
+    if (node.isIntegralNumber() && node.canConvertToLong() && node.longValue() > 0) {
+      return node.longValue();
+    }
+    refuse(join(path, name), node, "must be an integer of at least 1");
+    return 1;
+  }
+
+  int port(JsonNode parent, String path, String name) {
+    JsonNode node = parent.get(name);
+    if (node.isInt() && node.intValue() >= 1 && node.intValue() <= MAX_PORT) {
+      return node.intValue();
+    }
+    refuse(join(path, name), node, "must be an integer between 1 and " + MAX_PORT);
+    return 1;
+  }
+
+  String text(JsonNode parent, String path, String name) {
+    JsonNode node = parent.get(name);
+    if (isName(node)) {
+      return node.textValue();
+    }
+    refuse(join(path, name), node, "must be a string of 1 to " + MAX_TEXT_CHARACTERS);
+    return "";
+  }
+
+  String ipAddress(JsonNode parent, String path, String name) {
+    JsonNode node = parent.get(name);
+    if (node.isTextual() && InetAddresses.isInetAddress(node.textValue())) {
+      return node.textValue();
+    }
+    refuse(join(path, name), node, "must be an IP address");
+    return "";
+  }
+
+  boolean refuse(String path, JsonNode value, String message) {
+    String shown = value.toString();
+    if (shown.length() > MAX_SHOWN_CHARACTERS) {
+      shown = shown.substring(0, MAX_SHOWN_CHARACTERS) + "...";
+    }
+    violations.add(new Violation(path, shown, message));
+    return false;
+  }
+
+  static String join(String path, String name) {
+    return path.isEmpty() ? name : path + "." + name;
+  }
+
+  private static boolean isName(JsonNode node) {
+    return node.isTextual()
+        && !node.textValue().isBlank()
+        && node.textValue().length() <= MAX_TEXT_CHARACTERS;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/platform/PlatformDocumentCodec.java
@@ -0,0 +1,187 @@
+package io.umberpath.node.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.PlatformDocument;
+import io.umberpath.model.PlatformDocument.BackendAddress;
+import io.umberpath.model.PlatformDocument.Machine;
+import io.umberpath.model.PlatformDocument.MachineState;
+import io.umberpath.model.Violation;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * The JSON form of {@link PlatformDocument}; the contract is {@code
+ * docs/operations/platform-protocol.md}. Parsing is strict: an unknown, missing, repeated or
+ * wrongly typed field refuses the whole document. Thread-safe.
+ */
+public final class PlatformDocumentCodec {
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder()
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private static final Set<String> DOCUMENT_FIELDS = Set.of("revision", "services", "machines");
+  private static final Set<String> BACKEND_FIELDS =
+      Set.of("id", "host", "port", "zone", "nodeHost", "nodeHopPort");
+  private static final Set<String> MACHINE_FIELDS = Set.of("control", "zone", "region", "state");
+
+  private PlatformDocumentCodec() {}
+
+  /** Parses and checks a document; the left side lists every violation found. */
+  public static Either<List<Violation>, PlatformDocument> parse(byte[] json) {
+    JsonNode root;
+    try {
+      root = MAPPER.readTree(json);
+    } catch (JsonProcessingException failure) {
+      return Either.left(List.of(new Violation("document", "", failure.getOriginalMessage())));
+    } catch (IOException failure) {
+      return Either.left(List.of(new Violation("document", "", failure.getMessage())));
+    }
+    FieldReader reader = new FieldReader();
+    PlatformDocument document = PlatformDocument.NONE;
+    if (reader.hasExactly(root, "", DOCUMENT_FIELDS)) {
+      long revision = reader.positive(root, "", "revision");
+      SortedMap<String, List<BackendAddress>> services = services(reader, root.get("services"));
+      List<Machine> machines = machines(reader, root.get("machines"));
+      document = new PlatformDocument(revision, services, machines);
+    }
+    return reader.violations().isEmpty()
+        ? Either.right(document)
+        : Either.left(List.copyOf(reader.violations()));
+  }
+
+  /** Writes a document in the form that {@link #parse} accepts. */
+  public static byte[] write(PlatformDocument document) {
+    ObjectNode root = MAPPER.createObjectNode();
+    root.put("revision", document.revision());
+    ObjectNode services = root.putObject("services");
+    document.services().forEach((name, list) -> writeBackends(services.putArray(name), list));
+    ArrayNode machines = root.putArray("machines");
+    document.machines().forEach(machine -> writeMachine(machines.addObject(), machine));
+    try {
+      return MAPPER.writeValueAsBytes(root);
+    } catch (JsonProcessingException failure) {
+      throw new IllegalStateException("a JSON tree could not be written", failure);
+    }
+  }
+
+  private static SortedMap<String, List<BackendAddress>> services(
+      FieldReader reader, JsonNode map) {
+    SortedMap<String, List<BackendAddress>> services = new TreeMap<>();
+    if (!map.isObject()) {
+      reader.refuse("services", map, "must be an object");
+      return services;
+    }
+    Set<String> ids = new HashSet<>();
+    for (Map.Entry<String, JsonNode> service : map.properties()) {
+      String path = "services." + service.getKey();
+      List<BackendAddress> backends = new ArrayList<>();
+      if (reader.isArray(service.getValue(), path)) {
+        for (JsonNode item : service.getValue()) {
+          backend(reader, item, path + "[" + backends.size() + "]", ids, backends);
+        }
+      }
+      services.put(service.getKey(), backends);
+    }
+    return services;
+  }
+
+  private static void backend(
+      FieldReader reader, JsonNode item, String path, Set<String> ids, List<BackendAddress> into) {
+    if (!reader.hasExactly(item, path, BACKEND_FIELDS)) {
+      return;
+    }
+    String id = reader.text(item, path, "id");
+    if (!ids.add(id)) {
+      reader.refuse(path + ".id", item.get("id"), "must be unique in the document");
+    }
+    into.add(
+        new BackendAddress(
+            id,
+            reader.ipAddress(item, path, "host"),
+            reader.port(item, path, "port"),
+            reader.text(item, path, "zone"),
+            reader.ipAddress(item, path, "nodeHost"),
+            reader.port(item, path, "nodeHopPort")));
+  }
+
+  private static List<Machine> machines(FieldReader reader, JsonNode list) {
+    List<Machine> machines = new ArrayList<>();
+    if (!reader.isArray(list, "machines")) {
+      return machines;
+    }
+    int index = 0;
+    for (JsonNode item : list) {
+      String path = "machines[" + index++ + "]";
+      if (reader.hasExactly(item, path, MACHINE_FIELDS)) {
+        machines.add(
+            new Machine(
+                control(reader, item, path),
+                reader.text(item, path, "zone"),
+                reader.text(item, path, "region"),
+                state(reader, item, path)));
+      }
+    }
+    return machines;
+  }
+
+  private static PeerAddress control(FieldReader reader, JsonNode item, String path) {
+    String text = reader.text(item, path, "control");
+    try {
+      return PeerAddress.parse(text);
+    } catch (IllegalArgumentException failure) {
+      reader.refuse(path + ".control", item.get("control"), "must be host:port");
+      return new PeerAddress("", 1);
+    }
+  }
+
+  private static MachineState state(FieldReader reader, JsonNode item, String path) {
+    String text = reader.text(item, path, "state");
+    for (MachineState state : MachineState.values()) {
+      if (name(state).equals(text)) {
+        return state;
+      }
+    }
+    reader.refuse(path + ".state", item.get("state"), "must be live or leaving");
+    return MachineState.LIVE;
+  }
+
+  private static String name(MachineState state) {
+    return state.name().toLowerCase(Locale.ROOT);
+  }
+
+  private static void writeBackends(ArrayNode array, List<BackendAddress> backends) {
+    for (BackendAddress backend : backends) {
+      ObjectNode item = array.addObject();
+      item.put("id", backend.id());
+      item.put("host", backend.host());
+      item.put("port", backend.port());
+      item.put("zone", backend.zone());
+      item.put("nodeHost", backend.nodeHost());
+      item.put("nodeHopPort", backend.nodeHopPort());
+    }
+  }
+
+  private static void writeMachine(ObjectNode item, Machine machine) {
+    item.put("control", machine.control().toString());
+    item.put("zone", machine.zone());
+    item.put("region", machine.region());
+    item.put("state", name(machine.state()));
+  }
+}
