--- /dev/null
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform stand-in: its document, its lagging machine list and its faults. */
+package io.umberpath.lab.platform;
