Transport: control messages in frames over Grizzly TCP, plain text

Cause: nodes had an interface for messages between them and nothing behind it.

Ruled out: pushing Grizzly's remainder buffers through the filter chain (a length that lies would make it keep the announced size; the decoder here grows with the bytes that arrive) and closing one of two crossing connections at once (what was on its way in it would be lost; both sides now end it with goodbyes).

Change: MessageCodec (strict CBOR), FrameDecoder, a hello in each direction, one connection per pair with a tie-break, bounded send queue per peer, connect timeout, backoff, pings and a silence timeout for half-open connections, a counter per fault. Two threads per transport. The messages of the tests stand in for the control messages until these land.

--- /dev/null
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/FrameDecoder.java
@@ -0,0 +1,118 @@
+package io.umberpath.transport;
+
+import io.vavr.control.Either;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * Cuts the bytes of one connection into frames. Memory grows with the bytes that arrived, not with
+ * the length a peer announces. After an error the decoder must not be used again. Not thread-safe.
+ */
+final class FrameDecoder {
+  private static final int INITIAL_PAYLOAD_BYTES = 4096;
+  private static final byte[] NO_PAYLOAD = {};
+
+  private final ByteBuffer header = ByteBuffer.allocate(Frame.HEADER_BYTES);
+  private int maxFrameBytes;
+  private FrameKind kind;
+  private byte[] payload = NO_PAYLOAD;
+  private int payloadLength;
+  private int filled;
+
+  /**
+   * Creates a decoder.
+   *
+   * @param maxFrameBytes longest frame, header included
+   */
+  FrameDecoder(int maxFrameBytes) {
+    this.maxFrameBytes = maxFrameBytes;
+  }
+
+  /** Changes the limit for the frames that follow. */
+  void limitFrames(int bytes) {
+    maxFrameBytes = bytes;
+  }
+
+  /** Whether some bytes of an unfinished frame have arrived. */
+  boolean isInsideFrame() {
+    return header.position() > 0;
+  }
+
+  /**
+   * Consumes input up to the end of one frame.
+   *
+   * @return the frame, nothing if the input ended first, or the error that ends the connection
+   */
+  Either<TransportError, Optional<Frame>> next(ByteBuffer input) {
+    if (header.hasRemaining()) {
+      fillHeader(input);
+      if (header.hasRemaining()) {
+        return Either.right(Optional.empty());
+      }
+      Optional<TransportError> error = readHeader();
+      if (error.isPresent()) {
+        return Either.left(error.get());
+      }
+    }
+    fillPayload(input);
+    return Either.right(filled < payloadLength ? Optional.empty() : Optional.of(finishFrame()));
+  }
+
+  private void fillHeader(ByteBuffer input) {
+    while (header.hasRemaining() && input.hasRemaining()) {
+      header.put(input.get());
+    }
+  }
+
+  private Optional<TransportError> readHeader() {
+    int length = header.getInt(0);
+    if (length < Frame.TYPE_BYTES) {
+      return error(TransportFault.MALFORMED_FRAME, "frame length " + length + " is too small");
+    }
+    if (length > maxFrameBytes - Frame.LENGTH_BYTES) {
+      return error(
+          TransportFault.OVERSIZED_FRAME,
+          "frame length " + length + " is over the limit of " + maxFrameBytes + " bytes");
+    }
+    byte version = header.get(Frame.LENGTH_BYTES);
+    if (version != Frame.PROTOCOL_VERSION) {
+      return error(
+          TransportFault.WRONG_VERSION,
+          "protocol version " + version + ", expected " + Frame.PROTOCOL_VERSION);
+    }
+    byte code = header.get(Frame.LENGTH_BYTES + 1);
+    Optional<FrameKind> known = FrameKind.ofCode(code);
+    if (known.isEmpty()) {
+      return error(TransportFault.MALFORMED_FRAME, "frame kind " + code + " is unknown");
+    }
+    kind = known.get();
+    payloadLength = length - Frame.TYPE_BYTES;
+    payload = new byte[Math.min(payloadLength, INITIAL_PAYLOAD_BYTES)];
+    return Optional.empty();
+  }
+
+  private void fillPayload(ByteBuffer input) {
+    while (filled < payloadLength && input.hasRemaining()) {
+      if (filled == payload.length) {
+        payload = Arrays.copyOf(payload, (int) Math.min(payloadLength, 2L * payload.length));
+      }
+      int count = Math.min(payload.length - filled, input.remaining());
+      input.get(payload, filled, count);
+      filled += count;
+    }
+  }
+
+  private Frame finishFrame() {
+    Frame frame = new Frame(kind, payload);
+    header.clear();
+    payload = NO_PAYLOAD;
+    payloadLength = 0;
+    filled = 0;
+    return frame;
+  }
+
+  private static Optional<TransportError> error(TransportFault fault, String detail) {
+    return Optional.of(new TransportError(fault, detail));
+  }
+}
--- /dev/null
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/FrameWriter.java
@@ -0,0 +1,88 @@
+package io.umberpath.transport;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/**
+ * Writes waiting frames to connections, one write at a time on each, several frames in one write.
+ * Thread-safe; uses the lock of the {@link PeerTable}.
+ */
+final class FrameWriter {
+  private static final int BATCH_BYTES = 64 << 10;
+
+  private final PeerTable table;
+  private final TransportCounters counters;
+  private final LongSupplier clockMillis;
+
+  FrameWriter(PeerTable table, TransportCounters counters, LongSupplier clockMillis) {
+    this.table = table;
+    this.counters = counters;
+    this.clockMillis = clockMillis;
+  }
+
+  /** Writes what waits unless a write is under way; call without the lock. */
+  void drain(PeerConnection connection) {
+    if (connection.drains.getAndIncrement() != 0) {
+      return;
+    }
+    do {
+      List<byte[]> batch = takeBatch(connection);
+      if (!batch.isEmpty()) {
+        connection.socket.write(batch, () -> onWritten(connection, batch));
+      }
+    } while (connection.drains.decrementAndGet() != 0);
+  }
+
+  private List<byte[]> takeBatch(PeerConnection connection) {
+    synchronized (table.lock) {
+      if (connection.closed || connection.socket == null || connection.writing) {
+        return List.of();
+      }
+      List<byte[]> batch = nextFrames(connection);
+      if (!batch.isEmpty()) {
+        connection.writing = true;
+        connection.writtenAt = clockMillis.getAsLong();
+      }
+      return batch;
+    }
+  }
+
+  private List<byte[]> nextFrames(PeerConnection connection) {
+    List<byte[]> batch = new ArrayList<>(connection.controlFrames);
+    connection.controlFrames.clear();
+    if (!batch.isEmpty() || !connection.isUsable()) {
+      return batch;
+    }
+    Peer peer = table.peer(connection.remote.listening());
+    if (peer.active != connection) {
+      return batch;
+    }
+    batch.addAll(peer.queue.poll(BATCH_BYTES));
+    if (batch.isEmpty() && peer.disconnectWhenEmpty) {
+      peer.disconnectWhenEmpty = false;
+      peer.active = null;
+      connection.queueGoodbye();
+      batch.add(connection.controlFrames.remove());
+    }
+    return batch;
+  }
+
+  private void onWritten(PeerConnection connection, List<byte[]> batch) {
+    long bytes = batch.stream().mapToLong(frame -> frame.length).sum();
+    long messages = batch.stream().filter(Frame::isMessage).count();
+    counters.sent(bytes, messages);
+    boolean finished;
+    synchronized (table.lock) {
+      connection.writing = false;
+      connection.writtenAt = clockMillis.getAsLong();
+      connection.goodbyeWritten = connection.goodbyeQueued && connection.controlFrames.isEmpty();
+      finished = connection.goodbyeWritten && connection.goodbyeReceived;
+    }
+    if (finished) {
+      connection.socket.close();
+      return;
+    }
+    drain(connection);
+  }
+}
--- /dev/null
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyEndpoint.java
@@ -0,0 +1,227 @@
+package io.umberpath.transport;
+
+import com.google.common.flogger.FluentLogger;
+import io.umberpath.model.PeerAddress;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CloseReason;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.SocketConnectorHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.Filter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.CompositeBuffer;
+import org.glassfish.grizzly.memory.HeapMemoryManager;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * The Grizzly side: one selector thread that accepts, connects and reads. It must not be blocked.
+ */
+final class GrizzlyEndpoint implements PeerConnections.Dialer {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int READ_BUFFER_BYTES = 16 << 10;
+  private static final int ACCEPT_BACKLOG = 256;
+  private static final Attribute<PeerConnection> PEER_CONNECTION =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.peer-connection");
+
+  private final TCPNIOTransport transport;
+  private PeerConnections connections;
+
+  GrizzlyEndpoint(List<Filter> securityFilters) {
+    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter());
+    securityFilters.forEach(chain::add);
+    chain.add(new FrameFilter());
+    transport =
+        TCPNIOTransportBuilder.newInstance()
+            .setName("umberpath-transport")
+            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setSelectorRunnersCount(1)
+            .setSelectorThreadPoolConfig(selectorThreads())
+            .setWorkerThreadPoolConfig(null)
+            .setMemoryManager(new HeapMemoryManager())
+            .setReadBufferSize(READ_BUFFER_BYTES)
+            .setTcpNoDelay(true)
+            .setReuseAddress(true)
+            .setServerConnectionBackLog(ACCEPT_BACKLOG)
+            .setProcessor(chain.build())
+            .build();
+  }
+
+  private static ThreadPoolConfig selectorThreads() {
+    return ThreadPoolConfig.defaultConfig()
+        .setPoolName("umberpath-transport")
+        .setCorePoolSize(1)
+        .setMaxPoolSize(1)
+        .setDaemon(true);
+  }
+
+  /** Binds; connections wait in the backlog until {@link #start}. */
+  PeerAddress bind(PeerAddress listen) throws IOException {
+    TCPNIOServerConnection server =
+        transport.bind(new InetSocketAddress(listen.host(), listen.port()));
+    int port = ((InetSocketAddress) server.getLocalAddress()).getPort();
+    return new PeerAddress(listen.host(), port);
+  }
+
+  void start(PeerConnections owner) throws IOException {
+    connections = owner;
+    transport.start();
+  }
+
+  void close() {
+    try {
+      transport.shutdownNow();
+    } catch (IOException e) {
+      logger.atWarning().withCause(e).log("event=transport-close-failed");
+    }
+  }
+
+  @Override
+  public void dial(PeerAddress peer, PeerConnection connection) {
+    SocketConnectorHandler connector = TCPNIOConnectorHandler.builder(transport).build();
+    connector.connect(new InetSocketAddress(peer.host(), peer.port()), new DialResult(connection));
+  }
+
+  private void attach(Connection<?> socket, PeerConnection connection) {
+    PEER_CONNECTION.set(socket, connection);
+    socket.closeFuture().addCompletionHandler(new CloseOutcome(connection));
+  }
+
+  /** Reports the result of one attempt; Grizzly's connector declares the raw type. */
+  @SuppressWarnings("rawtypes")
+  private final class DialResult extends EmptyCompletionHandler<Connection> {
+    private final PeerConnection connection;
+
+    DialResult(PeerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void completed(Connection socket) {
+      attach(socket, connection);
+      connections.onConnected(connection, new GrizzlySocket(socket));
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      connections.onConnectFailed(connection, String.valueOf(cause.getMessage()));
+    }
+
+    @Override
+    public void cancelled() {
+      connections.onConnectFailed(connection, "cancelled");
+    }
+  }
+
+  /** Reports that a connection was closed by either side. */
+  private final class CloseOutcome extends EmptyCompletionHandler<CloseReason> {
+    private final PeerConnection connection;
+
+    CloseOutcome(PeerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void completed(CloseReason reason) {
+      connections.onSocketClosed(connection);
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      connections.onSocketClosed(connection);
+    }
+  }
+
+  /** Hands bytes to the connection they belong to. */
+  private final class FrameFilter extends BaseFilter {
+    @Override
+    public NextAction handleAccept(FilterChainContext context) {
+      Connection<?> socket = context.getConnection();
+      Optional<PeerConnection> accepted = connections.onAccepted(new GrizzlySocket(socket));
+      accepted.ifPresent(connection -> attach(socket, connection));
+      return context.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext context) {
+      Buffer buffer = context.getMessage();
+      PeerConnection connection = PEER_CONNECTION.get(context.getConnection());
+      if (connection != null) {
+        connections.onBytes(connection, buffer.toByteBuffer());
+      }
+      buffer.tryDispose();
+      return context.getStopAction();
+    }
+  }
+
+  /** A Grizzly connection as {@link PeerConnections} sees it. */
+  private record GrizzlySocket(Connection<?> socket) implements PeerConnection.Socket {
+    @Override
+    public void write(List<byte[]> frames, Runnable onWritten) {
+      write(socket, gather(frames), onWritten);
+    }
+
+    private static <L> void write(Connection<L> socket, Buffer buffer, Runnable onWritten) {
+      socket.write(buffer, new WriteOutcome<>(socket, onWritten));
+    }
+
+    private Buffer gather(List<byte[]> frames) {
+      MemoryManager<?> memory = socket.getMemoryManager();
+      List<Buffer> buffers = new ArrayList<>();
+      frames.forEach(frame -> buffers.add(Buffers.wrap(memory, frame)));
+      return buffers.size() == 1
+          ? buffers.get(0)
+          : CompositeBuffer.newBuffer(memory, buffers.toArray(Buffer[]::new));
+    }
+
+    @Override
+    public void close() {
+      socket.closeSilently();
+    }
+
+    @Override
+    public void abort() {
+      socket.terminateSilently();
+    }
+  }
+
+  /** Reports that a write has been taken, or ends its connection. */
+  private static final class WriteOutcome<L>
+      extends EmptyCompletionHandler<WriteResult<Buffer, L>> {
+    private final Connection<L> socket;
+    private final Runnable onWritten;
+
+    WriteOutcome(Connection<L> socket, Runnable onWritten) {
+      this.socket = socket;
+      this.onWritten = onWritten;
+    }
+
+    @Override
+    public void completed(WriteResult<Buffer, L> result) {
+      onWritten.run();
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      socket.terminateSilently();
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/Hello.java
@@ -0,0 +1,12 @@
+package io.umberpath.transport;
+
+import io.umberpath.model.PeerAddress;
+
+/**
+ * The first frame in each direction.
+ *
+ * @param protocolVersion protocol version of the sender
+ * @param listening where the sender listens; its identity
+ * @param incarnation tells successive processes at one address apart
+ */
+record Hello(int protocolVersion, PeerAddress listening, long incarnation) {}
--- /dev/null
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/SendQueue.java
@@ -0,0 +1,50 @@
+package io.umberpath.transport;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Frames that wait for one peer, bounded by count and bytes. Not thread-safe. */
+final class SendQueue {
+  private final int maxMessages;
+  private final long maxBytes;
+  private final ArrayDeque<byte[]> frames = new ArrayDeque<>();
+  private long bytes;
+
+  SendQueue(int maxMessages, long maxBytes) {
+    this.maxMessages = maxMessages;
+    this.maxBytes = maxBytes;
+  }
+
+  /** Adds a frame unless the queue is full; an empty queue takes any frame. */
+  boolean offer(byte[] frame) {
+    if (!frames.isEmpty() && (frames.size() >= maxMessages || bytes + frame.length > maxBytes)) {
+      return false;
+    }
+    frames.add(frame);
+    bytes += frame.length;
+    return true;
+  }
+
+  /** Removes frames from the head up to a number of bytes, but at least one if there is one. */
+  List<byte[]> poll(int batchBytes) {
+    List<byte[]> batch = new ArrayList<>();
+    long taken = 0;
+    while (!frames.isEmpty() && (batch.isEmpty() || taken + frames.peek().length <= batchBytes)) {
+      byte[] frame = frames.remove();
+      batch.add(frame);
+      taken += frame.length;
+    }
+    bytes -= taken;
+    return batch;
+  }
+
+  boolean isEmpty() {
+    return frames.isEmpty();
+  }
+
+  void clear() {
+    frames.clear();
+    bytes = 0;
+  }
+}
--- /dev/null
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/TransportCounters.java
@@ -0,0 +1,48 @@
+package io.umberpath.transport;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counters of one transport. Thread-safe. */
+final class TransportCounters {
+  private final LongAdder sentBytes = new LongAdder();
+  private final LongAdder receivedBytes = new LongAdder();
+  private final LongAdder sentMessages = new LongAdder();
+  private final LongAdder receivedMessages = new LongAdder();
+  private final Map<TransportFault, LongAdder> faults = new EnumMap<>(TransportFault.class);
+
+  TransportCounters() {
+    for (TransportFault fault : TransportFault.values()) {
+      faults.put(fault, new LongAdder());
+    }
+  }
+
+  void sent(long bytes, long messages) {
+    sentBytes.add(bytes);
+    sentMessages.add(messages);
+  }
+
+  void received(long bytes) {
+    receivedBytes.add(bytes);
+  }
+
+  void receivedMessage() {
+    receivedMessages.increment();
+  }
+
+  void fault(TransportFault fault) {
+    faults.get(fault).increment();
+  }
+
+  Transport.Traffic traffic() {
+    return new Transport.Traffic(
+        sentBytes.sum(), receivedBytes.sum(), sentMessages.sum(), receivedMessages.sum());
+  }
+
+  Map<TransportFault, Long> faults() {
+    Map<TransportFault, Long> counts = new EnumMap<>(TransportFault.class);
+    faults.forEach((fault, count) -> counts.put(fault, count.sum()));
+    return counts;
+  }
+}
--- /dev/null
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/Endpoint.java
@@ -0,0 +1,71 @@
+package io.umberpath.transport;
+
+import io.umberpath.model.PeerAddress;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+
+/** One transport under test on an ephemeral loopback port. */
+final class Endpoint implements AutoCloseable {
+  static final TransportSettings.Limits LIMITS =
+      new TransportSettings.Limits(64 << 10, 100, 1 << 20, 20);
+  static final TransportSettings.Timeouts TIMEOUTS =
+      new TransportSettings.Timeouts(2_000, 30_000, 30_000, 10, 100);
+
+  private static final long GENEROUS_SECONDS = 30;
+
+  final Recorder recorder = new Recorder();
+  final GrizzlyTransport transport;
+  final PeerAddress address;
+
+  private Endpoint(TransportSettings settings) throws IOException {
+    transport = new GrizzlyTransport(settings, TestMessages.controlCodec());
+    address = transport.bind();
+    transport.start(recorder);
+  }
+
+  static Endpoint open() throws IOException {
+    return open(LIMITS, TIMEOUTS);
+  }
+
+  static Endpoint open(TransportSettings.Limits limits, TransportSettings.Timeouts timeouts)
+      throws IOException {
+    return open(new PeerAddress("127.0.0.1", 0), 1, limits, timeouts);
+  }
+
+  static Endpoint open(
+      PeerAddress listen,
+      long incarnation,
+      TransportSettings.Limits limits,
+      TransportSettings.Timeouts timeouts)
+      throws IOException {
+    return new Endpoint(
+        new TransportSettings(
+            listen, incarnation, new TransportSecurity.PlainTextLoopback(), limits, timeouts));
+  }
+
+  void send(Endpoint to, int number) {
+    transport.send(to.address, TestMessages.message(number));
+  }
+
+  long faults(TransportFault fault) {
+    return transport.faults().get(fault);
+  }
+
+  /** Waits for a condition; fails loudly only after a bound that no healthy run comes near. */
+  static void await(String what, BooleanSupplier condition) {
+    long deadline = System.nanoTime() + Duration.ofSeconds(GENEROUS_SECONDS).toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadline) {
+        throw new AssertionError("not reached: " + what);
+      }
+      Thread.onSpinWait();
+      java.util.concurrent.locks.LockSupport.parkNanos(1_000_000);
+    }
+  }
+
+  @Override
+  public void close() {
+    transport.close();
+  }
+}
--- /dev/null
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/GrizzlyTransportTest.java
@@ -0,0 +1,122 @@
+package io.umberpath.transport;
+
+import static io.umberpath.transport.Endpoint.await;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.umberpath.model.PeerAddress;
+import java.io.IOException;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(120)
+class GrizzlyTransportTest {
+  @Test
+  void deliversInOrderInBothDirections() throws IOException {
+    try (Endpoint a = Endpoint.open();
+        Endpoint b = Endpoint.open()) {
+      IntStream.range(0, 50).forEach(number -> a.send(b, number));
+      await("a to b", () -> b.recorder.numbersFrom(a.address).size() == 50);
+      IntStream.range(0, 50).forEach(number -> b.send(a, number));
+      await("b to a", () -> a.recorder.numbersFrom(b.address).size() == 50);
+      assertThat(b.recorder.numbersFrom(a.address)).isSorted();
+      assertThat(a.recorder.numbersFrom(b.address)).isSorted();
+      assertThat(a.transport.traffic().sentMessages()).isEqualTo(50);
+      assertThat(b.transport.traffic().receivedBytes())
+          .isEqualTo(a.transport.traffic().sentBytes());
+    }
+  }
+
+  @Test
+  void crossingConnectionsLoseNothing() throws IOException {
+    for (int round = 0; round < 20; round++) {
+      try (Endpoint a = Endpoint.open();
+          Endpoint b = Endpoint.open()) {
+        Thread other = new Thread(() -> IntStream.range(0, 90).forEach(n -> b.send(a, n)));
+        other.start();
+        IntStream.range(0, 90).forEach(n -> a.send(b, n));
+        await("b", () -> b.recorder.numbersFrom(a.address).size() == 90);
+        await("a", () -> a.recorder.numbersFrom(b.address).size() == 90);
+        await("one connection", () -> a.transport.connections() == 1);
+        await("one connection", () -> b.transport.connections() == 1);
+        assertThat(a.recorder.unreachable).isEmpty();
+        assertThat(b.recorder.unreachable).isEmpty();
+      }
+    }
+  }
+
+  @Test
+  void unreachablePeerIsToldAndReachedOnceItListens() throws IOException {
+    PeerAddress later;
+    try (Endpoint gone = Endpoint.open()) {
+      later = gone.address;
+    }
+    try (Endpoint a = Endpoint.open()) {
+      a.transport.send(later, TestMessages.message(1));
+      await("told", () -> a.recorder.unreachable.contains(later));
+      assertThat(a.faults(TransportFault.CONNECT_FAILED)).isPositive();
+      try (Endpoint b = Endpoint.open(later, 2, Endpoint.LIMITS, Endpoint.TIMEOUTS)) {
+        a.send(b, 2);
+        await("reached", () -> b.recorder.numbersFrom(a.address).contains(2));
+      }
+    }
+  }
+
+  @Test
+  void restartedPeerIsReachedAgain() throws IOException {
+    try (Endpoint a = Endpoint.open()) {
+      Endpoint first = Endpoint.open();
+      a.send(first, 1);
+      await("first", () -> first.recorder.numbersFrom(a.address).contains(1));
+      first.close();
+      await("told", () -> a.recorder.unreachable.contains(first.address));
+      try (Endpoint second = Endpoint.open(first.address, 2, Endpoint.LIMITS, Endpoint.TIMEOUTS)) {
+        second.send(a, 7);
+        a.send(second, 2);
+        await("second", () -> second.recorder.numbersFrom(a.address).contains(2));
+        await("back", () -> a.recorder.numbersFrom(second.address).contains(7));
+      }
+    }
+  }
+
+  @Test
+  void disconnectSendsWhatWaitsAndTellsNobody() throws IOException {
+    try (Endpoint a = Endpoint.open();
+        Endpoint b = Endpoint.open()) {
+      IntStream.range(0, 20).forEach(number -> a.send(b, number));
+      a.transport.disconnect(b.address);
+      await("delivered", () -> b.recorder.numbersFrom(a.address).size() == 20);
+      await("closed", () -> a.transport.connections() + b.transport.connections() == 0);
+      b.send(a, 3);
+      await("dialled again", () -> a.recorder.numbersFrom(b.address).contains(3));
+      assertThat(a.recorder.unreachable).isEmpty();
+      assertThat(b.recorder.unreachable).isEmpty();
+    }
+  }
+
+  @Test
+  void oversizedAndForeignMessagesAreRefusedAtTheSender() throws IOException {
+    try (Endpoint a = Endpoint.open();
+        Endpoint b = Endpoint.open()) {
+      a.transport.send(b.address, TestMessages.message(1, "x".repeat(70_000)));
+      a.transport.send(new PeerAddress("192.0.2.1", 4000), TestMessages.message(2));
+      a.transport.send(a.address, TestMessages.message(3));
+      assertThat(a.faults(TransportFault.REFUSED_MESSAGE)).isEqualTo(3);
+      a.send(b, 4);
+      await("sound message", () -> b.recorder.numbersFrom(a.address).contains(4));
+    }
+  }
+
+  @Test
+  void plainTextIsRefusedOffLoopback() {
+    TransportSettings settings =
+        TransportSettings.withDefaults(
+            new PeerAddress("0.0.0.0", 0), 1, new TransportSecurity.PlainTextLoopback());
+    try (GrizzlyTransport transport = new GrizzlyTransport(settings, TestMessages.controlCodec())) {
+      assertThatThrownBy(transport::bind)
+          .isInstanceOf(IOException.class)
+          .hasMessageContaining("loopback");
+    }
+  }
+}
