--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/MappingReader.java
@@ -0,0 +1,281 @@
+package io.umberpath.node.settings;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+/**
+ * Reads the fields of one group, typed and bounds-checked. A wrong or missing field adds a problem
+ * and yields a placeholder, so that all problems are found at once; the caller must look at the
+ * problems before it uses any value. Not thread-safe.
+ */
+public final class MappingReader {
+  private static final Pattern INTEGER = Pattern.compile("-?[0-9]{1,18}");
+
+  private final String path;
+  private final YamlValue.Mapping mapping;
+  private final List<SettingsProblem> problems;
+  private final Set<String> known = new HashSet<>();
+
+  private MappingReader(String path, YamlValue.Mapping mapping, List<SettingsProblem> problems) {
+    this.path = path;
+    this.mapping = mapping;
+    this.problems = problems;
+  }
+
+  /** Reads the root of a document; the problems found are added to the list. */
+  public static MappingReader root(YamlValue root, List<SettingsProblem> problems) {
+    return of("", root, problems);
+  }
+
+  private static MappingReader of(String path, YamlValue value, List<SettingsProblem> problems) {
+    if (value instanceof YamlValue.Mapping mapping) {
+      return new MappingReader(path, mapping, problems);
+    }
+    String field = path.isEmpty() ? "(document)" : path;
+    problems.add(
+        new SettingsProblem(value.line(), field, value.describe(), "must be a group of fields"));
+    return new MappingReader(
+        path, new YamlValue.Mapping(value.line(), new LinkedHashMap<>()), problems);
+  }
+
+  /** A required text. */
+  public String text(String key) {
+    return optionalText(key).orElseGet(() -> missing(key, "is required"));
+  }
+
+  /** A text with a default. */
+  public String text(String key, String defaultText) {
+    return optionalText(key).orElse(defaultText);
+  }
+
+  /** A text that may be absent; null and a group are refused. */
+  public Optional<String> optionalText(String key) {
+    return scalar(key).map(YamlValue.Scalar::text);
+  }
+
+  /** A whole number within bounds, both included. */
+  public long integer(String key, long minimum, long maximum, long defaultValue) {
+    return scalar(key).map(found -> integer(key, found, minimum, maximum)).orElse(defaultValue);
+  }
+
+  /** A required whole number within bounds, both included. */
+  public long integer(String key, long minimum, long maximum) {
+    if (!present(key)) {
+      missing(key, "is required");
+      return minimum;
+    }
+    return integer(key, minimum, maximum, minimum);
+  }
+
+  /** As {@link #integer(String, long, long, long)} for an {@code int}. */
+  public int smallInteger(String key, int minimum, int maximum, int defaultValue) {
+    return Math.toIntExact(integer(key, minimum, maximum, defaultValue));
+  }
+
+  /** A duration such as {@code 20ms}, within bounds, in milliseconds. */
+  public long durationMillis(String key, long minimum, long maximum, long defaultValue) {
+    Optional<YamlValue.Scalar> found = scalar(key);
+    if (found.isEmpty()) {
+      return defaultValue;
+    }
+    Optional<Long> millis = Durations.parseMillis(found.get().text());
+    if (millis.isEmpty() || millis.get() < minimum || millis.get() > maximum) {
+      String range = Durations.format(minimum) + " to " + Durations.format(maximum);
+      problem(key, found.get(), "must be a duration such as 20ms, 3s or 1m, " + range);
+      return minimum;
+    }
+    return millis.get();
+  }
+
+  /** True or false. */
+  public boolean flag(String key, boolean defaultValue) {
+    Optional<YamlValue.Scalar> found = scalar(key);
+    if (found.isEmpty()) {
+      return defaultValue;
+    }
+    String text = found.get().text();
+    if (!text.equals("true") && !text.equals("false")) {
+      problem(key, found.get(), "must be true or false");
+    }
+    return text.equals("true");
+  }
+
+  /** One of an enum's constants; case and {@code -} for {@code _} do not matter. */
+  public <E extends Enum<E>> E choice(String key, Class<E> type, E defaultValue) {
+    return scalar(key).map(found -> choice(key, found, type)).orElse(defaultValue);
+  }
+
+  /** A list of texts; empty if absent. */
+  public List<String> texts(String key) {
+    List<String> texts = new ArrayList<>();
+    for (YamlValue item : items(key)) {
+      if (item instanceof YamlValue.Scalar found && !found.isNull()) {
+        texts.add(found.text());
+      } else {
+        problem(key, item, "must hold single values");
+      }
+    }
+    return texts;
+  }
+
+  /** A list of enum constants; empty if absent. */
+  public <E extends Enum<E>> List<E> choices(String key, Class<E> type) {
+    List<E> choices = new ArrayList<>();
+    for (YamlValue item : items(key)) {
+      if (item instanceof YamlValue.Scalar found) {
+        choices.add(choice(key, found, type));
+      } else {
+        problem(key, item, "must hold single values");
+      }
+    }
+    return choices;
+  }
+
+  /** A list of groups, each read by the function; empty if absent. */
+  public <T> List<T> groups(String key, Function<MappingReader, T> read) {
+    List<T> groups = new ArrayList<>();
+    for (YamlValue item : items(key)) {
+      String itemPath = field(key) + "[" + groups.size() + "]";
+      MappingReader reader = of(itemPath, item, problems);
+      groups.add(read.apply(reader));
+      reader.refuseUnknown();
+    }
+    return groups;
+  }
+
+  /** A group that may be absent, read by the function. */
+  public <T> Optional<T> optionalGroup(String key, Function<MappingReader, T> read) {
+    known.add(key);
+    YamlValue value = mapping.entries().get(key);
+    if (value == null) {
+      return Optional.empty();
+    }
+    MappingReader reader = of(field(key), value, problems);
+    T result = read.apply(reader);
+    reader.refuseUnknown();
+    return Optional.of(result);
+  }
+
+  /** A group whose fields all have defaults or report that they are missing. */
+  public <T> T group(String key, Function<MappingReader, T> read) {
+    Optional<T> found = optionalGroup(key, read);
+    return found.orElseGet(
+        () ->
+            read.apply(
+                new MappingReader(
+                    field(key),
+                    new YamlValue.Mapping(mapping.line(), new LinkedHashMap<>()),
+                    problems)));
+  }
+
+  /** Whether the key is given. */
+  public boolean present(String key) {
+    return mapping.entries().containsKey(key);
+  }
+
+  /** Adds a problem about a field that was read; the value is quoted as written. */
+  public void problem(String key, String message) {
+    YamlValue value = mapping.entries().get(key);
+    if (value == null) {
+      missing(key, message);
+    } else {
+      problem(key, value, message);
+    }
+  }
+
+  /** Adds a problem about one item of a list that was read. */
+  public void itemProblem(String key, int index, String message) {
+    if (mapping.entries().get(key) instanceof YamlValue.Sequence sequence) {
+      problem(key + "[" + index + "]", sequence.items().get(index), message);
+    }
+  }
+
+  /** Adds a problem about a field whose value must not be shown. */
+  public void redactedProblem(String key, String message) {
+    YamlValue value = mapping.entries().get(key);
+    int line = value == null ? mapping.line() : value.line();
+    problems.add(new SettingsProblem(line, field(key), "redacted", message));
+  }
+
+  /** Adds a problem for every key that was not asked for. */
+  public void refuseUnknown() {
+    mapping
+        .entries()
+        .forEach(
+            (key, value) -> {
+              if (!known.contains(key)) {
+                String message = "unknown field; known here: " + known.stream().sorted().toList();
+                problem(key, value, message);
+              }
+            });
+  }
+
+  private List<YamlValue> items(String key) {
+    known.add(key);
+    YamlValue value = mapping.entries().get(key);
+    if (value == null) {
+      return List.of();
+    }
+    if (value instanceof YamlValue.Sequence sequence) {
+      return sequence.items();
+    }
+    problem(key, value, "must be a list");
+    return List.of();
+  }
+
+  private Optional<YamlValue.Scalar> scalar(String key) {
+    known.add(key);
+    YamlValue value = mapping.entries().get(key);
+    if (value == null) {
+      return Optional.empty();
+    }
+    if (value instanceof YamlValue.Scalar found && !found.isNull()) {
+      return Optional.of(found);
+    }
+    problem(key, value, "must be a single value");
+    return Optional.empty();
+  }
+
+  private long integer(String key, YamlValue.Scalar found, long minimum, long maximum) {
+    boolean number = INTEGER.matcher(found.text()).matches();
+    long value = number ? Long.parseLong(found.text()) : minimum;
+    if (!number || value < minimum || value > maximum) {
+      problem(key, found, "must be a whole number, " + minimum + " to " + maximum);
+      return minimum;
+    }
+    return value;
+  }
+
+  private <E extends Enum<E>> E choice(String key, YamlValue.Scalar found, Class<E> type) {
+    String wanted = found.text().toUpperCase(Locale.ROOT).replace('-', '_');
+    for (E constant : type.getEnumConstants()) {
+      if (constant.name().equals(wanted)) {
+        return constant;
+      }
+    }
+    String names = Arrays.toString(type.getEnumConstants()).toLowerCase(Locale.ROOT);
+    problem(key, found, "must be one of " + names.replace('_', '-'));
+    return type.getEnumConstants()[0];
+  }
+
+  private void problem(String key, YamlValue value, String message) {
+    problems.add(new SettingsProblem(value.line(), field(key), value.describe(), message));
+  }
+
+  private String missing(String key, String message) {
+    problems.add(new SettingsProblem(mapping.line(), field(key), "", message));
+    return "";
+  }
+
+  private String field(String key) {
+    return path.isEmpty() ? key : path + "." + key;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/SettingsReader.java
@@ -0,0 +1,213 @@
+package io.umberpath.node.settings;
+
+import com.google.common.net.InetAddresses;
+import io.umberpath.control.ControlSettings;
+import io.umberpath.model.Member;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Tier;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+
+/** Turns the groups of a settings file into {@link NodeSettings}. */
+final class SettingsReader {
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final int MAX_PORT = 65_535;
+  private static final int NO_PORT = -1;
+  private static final int MAX_MEMBERS = 100_000;
+  private static final int MAX_FAN = 1_024;
+  private static final int MAX_SLOTS = 100_000;
+  private static final String ADDRESS_RULE =
+      "must be IP:PORT with a port between 1 and " + MAX_PORT;
+  private static final long MINUTE_MILLIS = 60_000;
+  private static final long HOUR_MILLIS = 60 * MINUTE_MILLIS;
+  private static final long GIBIBYTE = 1L << 30;
+  private static final PeerAddress PLACEHOLDER = new PeerAddress(LOOPBACK, 1);
+  private static final Pattern NAME = Pattern.compile("[a-z0-9]([a-z0-9._-]{0,62}[a-z0-9])?");
+  private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
+
+  private final long incarnation;
+
+  SettingsReader(long incarnation) {
+    this.incarnation = incarnation;
+  }
+
+  NodeSettings read(MappingReader root) {
+    Identity identity = root.group("node", this::identity);
+    return new NodeSettings(
+        root.group("fleet", fleet -> control(fleet, identity)),
+        root.group("proxy", proxy -> proxy(proxy, identity.self().address().host())),
+        root.group("platform", SettingsReader::platform),
+        root.group("operator", SettingsReader::operator),
+        root.group("admin", SettingsReader::admin));
+  }
+
+  private record Identity(Member self, List<PeerAddress> seeds) {}
+
+  private Identity identity(MappingReader node) {
+    PeerAddress address = address(node, "address");
+    String zone = name(node, "zone");
+    String region = name(node, "region");
+    List<PeerAddress> seeds = new ArrayList<>();
+    List<String> texts = node.texts("seeds");
+    for (int index = 0; index < texts.size(); index++) {
+      Optional<PeerAddress> seed = parseAddress(texts.get(index));
+      seed.ifPresent(seeds::add);
+      if (seed.isEmpty()) {
+        node.itemProblem("seeds", index, ADDRESS_RULE);
+      }
+    }
+    return new Identity(new Member(Member.NO_SLOT, address, incarnation, zone, region), seeds);
+  }
+
+  private static ControlSettings control(MappingReader fleet, Identity identity) {
+    long heartbeat = fleet.durationMillis("heartbeat", 10, MINUTE_MILLIS, 200);
+    long parentStall = fleet.durationMillis("parentStall", 20, HOUR_MILLIS, 1_000);
+    long election = fleet.durationMillis("election", 50, HOUR_MILLIS, 3_000);
+    int fanout = fleet.smallInteger("fanout", 1, MAX_FAN, 8);
+    int maxChildren = fleet.smallInteger("maxChildren", 1, MAX_FAN, 32);
+    if (parentStall < 2 * heartbeat) {
+      fleet.problem("parentStall", "must be at least twice the heartbeat");
+    }
+    if (election <= parentStall) {
+      fleet.problem("election", "must be longer than parentStall");
+    }
+    if (maxChildren < fanout) {
+      fleet.problem("maxChildren", "must be at least fanout");
+    }
+    return new ControlSettings(
+        identity.self(),
+        identity.seeds(),
+        (int) fleet.integer("initialMembers", 1, MAX_MEMBERS),
+        fleet.choice(
+            "quorum", ControlSettings.QuorumRule.class, ControlSettings.QuorumRule.MAJORITY),
+        fleet.durationMillis("batchWindow", 0, MINUTE_MILLIS, 20),
+        heartbeat,
+        parentStall,
+        election,
+        fanout,
+        maxChildren,
+        fleet.smallInteger("maxReaders", 1, 1_000, 3),
+        fleet.durationMillis("readInterval", 10, HOUR_MILLIS, 1_000),
+        fleet.smallInteger("maxQueuedChanges", 1, 1_000_000, 1_000),
+        fleet.smallInteger("rememberedChanges", 1, 1_000_000, 10_000));
+  }
+
+  private static NodeSettings.Proxy proxy(MappingReader proxy, String nodeHost) {
+    return new NodeSettings.Proxy(
+        host(proxy, nodeHost),
+        proxy.smallInteger("edgePort", NO_PORT, MAX_PORT, NO_PORT),
+        proxy.smallInteger("hopPort", NO_PORT, MAX_PORT, NO_PORT),
+        proxy.optionalGroup("backend", SettingsReader::backend),
+        proxy.durationMillis("drain", 0, HOUR_MILLIS, MINUTE_MILLIS),
+        proxy.smallInteger("maxHeaderBytes", 1_024, 1 << 20, 16_384),
+        proxy.integer("maxBodyBytes", 1, 64 * GIBIBYTE, 64L << 20),
+        proxy.smallInteger("queuePerBackend", 0, MAX_SLOTS, 12));
+  }
+
+  private static NodeSettings.Backend backend(MappingReader backend) {
+    PeerAddress address = address(backend, "address");
+    int slots = backend.smallInteger("slots", 1, MAX_SLOTS, 6);
+    int connections = backend.smallInteger("connections", 1, MAX_SLOTS, 130);
+    if (connections < slots) {
+      backend.problem("connections", "must be at least slots");
+    }
+    return new NodeSettings.Backend(
+        name(backend, "id"),
+        address.host(),
+        address.port(),
+        slots,
+        connections,
+        backend.durationMillis("probeInterval", 10, MINUTE_MILLIS, 500));
+  }
+
+  private static NodeSettings.Platform platform(MappingReader platform) {
+    String url = platform.text("url");
+    if (!url.isEmpty() && !isHttpUrl(url)) {
+      platform.problem("url", "must be http://IP:PORT/PATH");
+    }
+    return new NodeSettings.Platform(
+        url, platform.durationMillis("timeout", 10, MINUTE_MILLIS, 2_000));
+  }
+
+  private static NodeSettings.Operator operator(MappingReader operator) {
+    List<NodeSettings.Token> tokens = operator.groups("tokens", SettingsReader::token);
+    Set<String> hashes = new HashSet<>();
+    for (NodeSettings.Token token : tokens) {
+      if (!hashes.add(token.sha256())) {
+        operator.redactedProblem("tokens", "the same sha256 is given twice");
+      }
+    }
+    return new NodeSettings.Operator(
+        host(operator, LOOPBACK), operator.smallInteger("port", 0, MAX_PORT, 0), tokens);
+  }
+
+  private static NodeSettings.Token token(MappingReader token) {
+    String sha256 = token.text("sha256");
+    if (!SHA256.matcher(sha256).matches()) {
+      token.redactedProblem("sha256", "must be the lower-case hex SHA-256 of the token");
+    }
+    List<Tier> tiers = token.choices("tiers", Tier.class);
+    if (tiers.isEmpty()) {
+      token.problem("tiers", "must name at least one tier");
+    }
+    return new NodeSettings.Token(
+        sha256, name(token, "tenant"), List.copyOf(tiers), token.flag("fleetAdmin", false));
+  }
+
+  private static NodeSettings.Admin admin(MappingReader admin) {
+    return new NodeSettings.Admin(
+        host(admin, LOOPBACK), admin.smallInteger("port", 0, MAX_PORT, 0));
+  }
+
+  private static String host(MappingReader reader, String defaultHost) {
+    String host = reader.text("host", defaultHost);
+    if (!InetAddresses.isInetAddress(host)) {
+      reader.problem("host", "must be an IP address");
+    }
+    return host;
+  }
+
+  private static String name(MappingReader reader, String key) {
+    String name = reader.text(key);
+    if (reader.present(key) && !NAME.matcher(name).matches()) {
+      reader.problem(key, "must match " + NAME.pattern());
+    }
+    return name;
+  }
+
+  private static PeerAddress address(MappingReader reader, String key) {
+    Optional<PeerAddress> address = parseAddress(reader.text(key));
+    if (address.isEmpty() && reader.present(key)) {
+      reader.problem(key, ADDRESS_RULE);
+    }
+    return address.orElse(PLACEHOLDER);
+  }
+
+  private static Optional<PeerAddress> parseAddress(String text) {
+    try {
+      return Optional.of(PeerAddress.parse(text))
+          .filter(address -> InetAddresses.isInetAddress(address.host()));
+    } catch (IllegalArgumentException malformed) {
+      return Optional.empty();
+    }
+  }
+
+  private static boolean isHttpUrl(String url) {
+    try {
+      URI uri = new URI(url);
+      return "http".equals(uri.getScheme())
+          && uri.getHost() != null
+          && InetAddresses.isInetAddress(uri.getHost())
+          && uri.getPort() > 0
+          && uri.getPort() <= MAX_PORT;
+    } catch (URISyntaxException malformed) {
+      return false;
+    }
+  }
+}
