Traffic: admission by slots, tiers and tenants; retries under a chain budget

Cause: the node beside a back end and the edge proxies need decisions that cannot overload a back end of few slots, nor multiply retries along a chain of calls.

Change: AdmissionControllers.create(settings): slots, bounded queue with a place kept for each tier, tier order with a starvation bound, equal slot time for the tenants of a tier that wait (start-time fair queueing), refusal at once of what the expected wait does not allow, cancel, drain, resize. RetryPolicies.create(settings): token bucket earned by first attempts, attempts cap, deadline check, never a second run of a non-repeatable request. ChainBudget: the Umberpath-Retry header, in requests and in refusals, so that a failure is retried beside its cause only.

Interfaces: AdmissionController.resize, RetryPolicy.requestStarted and mayRetry with a ChainBudget added, because pools change their slots and chains share a budget.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -56,6 +56,13 @@
    */
   List<Decision> drain(long nowMillis);
 
+  /**
+   * The pool's slots per back end have changed; running requests are not touched.
+   *
+   * @param newSlots requests that run at a time from now on, at least 1
+   */
+  List<Decision> resize(long nowMillis, int newSlots);
+
   /** Requests that hold a slot. */
   int running();
 
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionControllers.java
@@ -0,0 +1,11 @@
+package io.umberpath.traffic;
+
+/** Creates admission controllers. */
+public final class AdmissionControllers {
+  private AdmissionControllers() {}
+
+  /** A controller with no request in it, for one back end. */
+  public static AdmissionController create(AdmissionSettings settings) {
+    return new SlotAdmissionController(settings);
+  }
+}
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionSettings.java
@@ -0,0 +1,52 @@
+package io.umberpath.traffic;
+
+/**
+ * Limits of one back end's admission.
+ *
+ * @param slots requests that run at a time, at least 1
+ * @param queueLimit requests that wait at a time, at least the number of tiers
+ * @param starvationBound admissions of other tiers after which a waiting tier goes next, at least 1
+ * @param initialServiceMicros service time assumed before any was measured, microseconds
+ * @param minRetryAfterMillis shortest time a refused caller is told to stay away, milliseconds
+ * @param maxRetryAfterMillis longest such time, milliseconds
+ */
+public record AdmissionSettings(
+    int slots,
+    int queueLimit,
+    int starvationBound,
+    long initialServiceMicros,
+    long minRetryAfterMillis,
+    long maxRetryAfterMillis) {
+  /** Queue places kept for each tier, so that none can be shut out of the queue. */
+  static final int RESERVED_PLACES = 1;
+
+  private static final int DEFAULT_QUEUE_PER_SLOT = 4;
+  private static final int DEFAULT_STARVATION_BOUND = 16;
+  private static final long DEFAULT_SERVICE_MICROS = 5_000;
+  private static final long DEFAULT_MIN_RETRY_AFTER_MILLIS = 20;
+  private static final long DEFAULT_MAX_RETRY_AFTER_MILLIS = 5_000;
+
+  /** Checks the limits; the error names field and value. */
+  public AdmissionSettings {
+    Settings.atLeast("slots", slots, 1);
+    Settings.atLeast("queueLimit", queueLimit, io.umberpath.model.Tier.values().length);
+    Settings.atLeast("starvationBound", starvationBound, 1);
+    Settings.atLeast("initialServiceMicros", initialServiceMicros, 1);
+    Settings.atLeast("minRetryAfterMillis", minRetryAfterMillis, 0);
+    Settings.atLeast("maxRetryAfterMillis", maxRetryAfterMillis, minRetryAfterMillis);
+  }
+
+  /**
+   * Defaults for a number of slots: 4 queue places a slot, one of 17 admissions for a waiting lower
+   * tier, 5 ms of service time until measured, retry after 20 ms to 5 s.
+   */
+  public static AdmissionSettings forSlots(int slots) {
+    return new AdmissionSettings(
+        slots,
+        Math.max(Math.multiplyExact(slots, DEFAULT_QUEUE_PER_SLOT), DEFAULT_QUEUE_PER_SLOT),
+        DEFAULT_STARVATION_BOUND,
+        DEFAULT_SERVICE_MICROS,
+        DEFAULT_MIN_RETRY_AFTER_MILLIS,
+        DEFAULT_MAX_RETRY_AFTER_MILLIS);
+  }
+}
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/BudgetedRetryPolicy.java
@@ -0,0 +1,70 @@
+package io.umberpath.traffic;
+
+import io.umberpath.model.Verdict;
+
+/** Token bucket that requests fill and retries empty; design note 0005. Owner synchronizes. */
+final class BudgetedRetryPolicy implements RetryPolicy {
+  private static final double ONE_RETRY = 1;
+
+  private final RetrySettings settings;
+  private double tokens;
+
+  BudgetedRetryPolicy(RetrySettings settings) {
+    this.settings = settings;
+    this.tokens = settings.budgetCap();
+  }
+
+  @Override
+  public void requestStarted(long nowMillis) {
+    requestStarted(nowMillis, ChainBudget.atEntry(settings));
+  }
+
+  @Override
+  public void requestStarted(long nowMillis, ChainBudget chain) {
+    if (chain.retriesLeft() > 0) {
+      tokens = Math.min(settings.budgetCap(), tokens + settings.budgetRatio());
+    }
+  }
+
+  @Override
+  public boolean mayRetry(long nowMillis, FailedAttempt failed) {
+    return mayRetry(nowMillis, failed, ChainBudget.atEntry(settings));
+  }
+
+  @Override
+  public boolean mayRetry(long nowMillis, FailedAttempt failed, ChainBudget chain) {
+    boolean allowed =
+        failed.bodyReplayable()
+            && worthwhile(failed.verdict())
+            && harmless(failed)
+            && failed.attempts() < settings.maxAttempts()
+            && chain.retriesLeft() > 0
+            && nowMillis + settings.minRemainingMillis() < failed.deadlineMillis();
+    if (!allowed || tokens < ONE_RETRY) {
+      return false;
+    }
+    tokens -= ONE_RETRY;
+    return true;
+  }
+
+  private static boolean harmless(FailedAttempt failed) {
+    return failed.verdict().safeToSendAgain() || failed.repeatable();
+  }
+
+  /** Whether another attempt could end otherwise. */
+  private static boolean worthwhile(Verdict verdict) {
+    if (verdict instanceof Verdict.NotRun notRun) {
+      return mayPass(notRun.reason());
+    }
+    return verdict instanceof Verdict.MayHaveRun mayHaveRun && mayPass(mayHaveRun.reason());
+  }
+
+  private static boolean mayPass(Verdict.Reason reason) {
+    return switch (reason) {
+      case OVERLOADED, DRAINING, UNREACHABLE, NOT_READY, DEADLINE, CONNECTION_LOST, BAD_ANSWER ->
+          true;
+      case NO_ROUTE, BAD_REQUEST, TOO_LARGE, NO_BACKEND, CANCELLED, DUPLICATE, INTERNAL -> false;
+      default -> throw new IllegalArgumentException("reason " + reason + " is not known");
+    };
+  }
+}
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/RetryPolicy.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/RetryPolicy.java
@@ -20,9 +20,25 @@
       boolean bodyReplayable,
       long deadlineMillis) {}
 
-  /** A request begins; it earns retry budget. */
+  /** A request that entered the mesh here begins; it earns retry budget. */
   void requestStarted(long nowMillis);
 
-  /** Whether to send it again now; takes from the budget if so. */
+  /**
+   * A request begins; it earns retry budget unless it is itself a retry.
+   *
+   * @param chain what its {@value ChainBudget#HEADER} header said
+   */
+  void requestStarted(long nowMillis, ChainBudget chain);
+
+  /**
+   * Whether to send a request that entered the mesh here again now; takes from the budget if so.
+   */
   boolean mayRetry(long nowMillis, FailedAttempt failed);
+
+  /**
+   * Whether to send it again now; takes from the budget if so.
+   *
+   * @param chain what is left of its chain's budget after the refusal and earlier retries here
+   */
+  boolean mayRetry(long nowMillis, FailedAttempt failed, ChainBudget chain);
 }
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/TierQueue.java
@@ -0,0 +1,176 @@
+package io.umberpath.traffic;
+
+import io.umberpath.traffic.AdmissionController.Ask;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Requests of one tier that wait, with equal shares of slot time for the tenants that wait.
+ *
+ * <p>Start-time fair queueing: each tenant has a virtual time that rises with the slot time it
+ * used; the tenant with the lowest goes next. A tenant that was idle starts at the level of the
+ * others, so idleness earns nothing. Owner synchronizes.
+ */
+final class TierQueue {
+  private static final int MAX_IDLE_TENANTS = 1_024;
+
+  private static final class Tenant {
+    private final Deque<Ask> waiting = new ArrayDeque<>();
+    private double virtualMicros;
+    private int running;
+  }
+
+  private final Map<String, Tenant> tenants = new LinkedHashMap<>();
+  private double floorMicros;
+  private int size;
+
+  int size() {
+    return size;
+  }
+
+  void add(Ask ask) {
+    Tenant tenant = tenant(ask.tenant());
+    if (tenant.waiting.isEmpty()) {
+      tenant.virtualMicros = Math.max(tenant.virtualMicros, floorMicros);
+    }
+    tenant.waiting.addLast(ask);
+    size++;
+  }
+
+  /** Takes the request that goes next; the queue must not be empty. */
+  Ask poll() {
+    Tenant next = null;
+    for (Tenant tenant : tenants.values()) {
+      if (!tenant.waiting.isEmpty()
+          && (next == null || tenant.virtualMicros < next.virtualMicros)) {
+        next = tenant;
+      }
+    }
+    if (next == null) {
+      throw new IllegalStateException("queue is empty");
+    }
+    floorMicros = Math.max(floorMicros, next.virtualMicros);
+    size--;
+    return next.waiting.removeFirst();
+  }
+
+  /**
+   * A request of the tenant got a free slot without contention: what its tenant used before is
+   * forgiven, so that a busy past does not count against it when a queue forms.
+   */
+  void startedUncontended(String tenantName, double chargedMicros) {
+    tenant(tenantName).virtualMicros = floorMicros;
+    started(tenantName, chargedMicros);
+  }
+
+  /** A request of the tenant got a slot after waiting; its tenant is charged in advance. */
+  void started(String tenantName, double chargedMicros) {
+    Tenant tenant = tenant(tenantName);
+    tenant.running++;
+    tenant.virtualMicros = Math.max(tenant.virtualMicros, floorMicros) + chargedMicros;
+  }
+
+  /** A request of the tenant gave its slot back; corrects the charge. */
+  void ended(String tenantName, double chargedMicros, double usedMicros) {
+    Tenant tenant = tenant(tenantName);
+    tenant.running--;
+    tenant.virtualMicros += usedMicros - chargedMicros;
+    forgetIdle();
+  }
+
+  /** Requests that would be served before a further one of the tenant. */
+  int ahead(String tenantName) {
+    Tenant own = tenants.get(tenantName);
+    int ownWaiting = own == null ? 0 : own.waiting.size();
+    int ahead = 0;
+    for (Tenant tenant : tenants.values()) {
+      ahead += Math.min(tenant.waiting.size(), ownWaiting + 1);
+    }
+    return ahead;
+  }
+
+  /**
+   * Removes the waiting request that would be served last: the newest of the tenant whose share
+   * reaches furthest.
+   *
+   * @param requestMicros slot time of one request
+   */
+  Optional<Ask> removeLast(double requestMicros) {
+    return removeLast(requestMicros, Double.NEGATIVE_INFINITY);
+  }
+
+  /**
+   * Removes the waiting request that would be served last, if that is later than a further request
+   * of the tenant would be.
+   *
+   * @param requestMicros slot time of one request
+   */
+  Optional<Ask> removeLastAfter(String tenantName, double requestMicros) {
+    Tenant own = tenants.get(tenantName);
+    double ownFinish =
+        own == null
+            ? floorMicros + requestMicros
+            : Math.max(own.virtualMicros, floorMicros) + (own.waiting.size() + 1) * requestMicros;
+    return removeLast(requestMicros, ownFinish);
+  }
+
+  private Optional<Ask> removeLast(double requestMicros, double laterThan) {
+    Tenant last = null;
+    double lastFinish = laterThan;
+    for (Tenant tenant : tenants.values()) {
+      double finish = tenant.virtualMicros + tenant.waiting.size() * requestMicros;
+      if (!tenant.waiting.isEmpty() && finish > lastFinish) {
+        last = tenant;
+        lastFinish = finish;
+      }
+    }
+    if (last == null) {
+      return Optional.empty();
+    }
+    size--;
+    return Optional.of(last.waiting.removeLast());
+  }
+
+  /** Removes a request; whether it was here. */
+  boolean remove(long id) {
+    return !removeIf(ask -> ask.id() == id).isEmpty();
+  }
+
+  /** Removes the requests that match, oldest first within each tenant. */
+  List<Ask> removeIf(java.util.function.Predicate<Ask> condition) {
+    List<Ask> removed = new ArrayList<>();
+    for (Tenant tenant : tenants.values()) {
+      for (Iterator<Ask> asks = tenant.waiting.iterator(); asks.hasNext(); ) {
+        Ask ask = asks.next();
+        if (condition.test(ask)) {
+          asks.remove();
+          removed.add(ask);
+        }
+      }
+    }
+    size -= removed.size();
+    return removed;
+  }
+
+  private Tenant tenant(String name) {
+    return tenants.computeIfAbsent(name, absent -> new Tenant());
+  }
+
+  /** Forgets idle tenants that owe nothing, or any idle ones when there are very many. */
+  private void forgetIdle() {
+    boolean many = tenants.size() > MAX_IDLE_TENANTS;
+    tenants
+        .values()
+        .removeIf(
+            tenant ->
+                tenant.waiting.isEmpty()
+                    && tenant.running == 0
+                    && (many || tenant.virtualMicros <= floorMicros));
+  }
+}
