--- a/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformCommand.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformCommand.java
@@ -1,6 +1,6 @@
 package io.umberpath.lab.platform;
 
-import io.umberpath.lab.LabCommand;
+import io.umberpath.lab.OptionsCommand;
 import io.umberpath.lab.http.LabHttpServer;
 import io.umberpath.model.PlatformDocument;
 import io.umberpath.model.Violation;
@@ -14,7 +14,7 @@
 import org.kohsuke.args4j.Option;
 
 /** {@code umberpath-lab platform}: serves until it is stopped. */
-public final class PlatformCommand implements LabCommand {
+public final class PlatformCommand extends OptionsCommand {
   @Option(name = "--host", metaVar = "IP", usage = "IP address to listen on")
   private String host = "127.0.0.1";
 
@@ -28,12 +28,22 @@
   private Path document;
 
   @Override
-  public int run(PrintStream out) throws Exception {
+  public String name() {
+    return "platform";
+  }
+
+  @Override
+  public String summary() {
+    return "serve a platform document, with faults on demand";
+  }
+
+  @Override
+  protected int run(PrintStream out) throws Exception {
     Either<List<Violation>, PlatformDocument> parsed =
         PlatformDocumentCodec.parse(Files.readAllBytes(document));
     if (parsed.isLeft()) {
       parsed.getLeft().forEach(violation -> System.err.println(document + ": " + violation));
-      return USAGE;
+      return EXIT_USAGE;
     }
     try (PlatformStandIn standIn = PlatformStandIn.start(host, port, parsed.get());
         LabHttpServer admin = LabHttpServer.create(host, adminPort, new PlatformAdmin(standIn))) {
@@ -42,6 +52,6 @@
       out.println("admin: http://" + host + ":" + admin.port());
       new CountDownLatch(1).await();
     }
-    return SUCCESS;
+    return EXIT_SUCCESS;
   }
 }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformStandIn.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformStandIn.java
@@ -20,7 +20,7 @@
  */
 public final class PlatformStandIn implements AutoCloseable {
   /** Path of the document. */
-  public static final String DOCUMENT_PATH = "/v1/document";
+  public static final String DOCUMENT_PATH = "/document";
 
   /** Delay of an answer while {@link PlatformFault#SLOW}, milliseconds. */
   public static final long SLOW_MILLIS = 5_000;
--- a/umberpath-lab/src/test/java/io/umberpath/lab/platform/PlatformStandInTest.java
+++ b/umberpath-lab/src/test/java/io/umberpath/lab/platform/PlatformStandInTest.java
@@ -119,7 +119,10 @@
       URI uri = URI.create("http://127.0.0.1:" + server.port() + call);
       return HttpClient.newHttpClient()
           .send(
-              HttpRequest.newBuilder(uri).method(method, body).build(),
+              HttpRequest.newBuilder(uri)
+                  .version(HttpClient.Version.HTTP_1_1)
+                  .method(method, body)
+                  .build(),
               HttpResponse.BodyHandlers.ofString());
     }
   }
