--- a/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
@@ -1,5 +1,6 @@
 package io.umberpath.lab;
 
+import io.umberpath.lab.backend.BackendCommand;
 import io.umberpath.lab.platform.PlatformCommand;
 import io.umberpath.lab.simulate.ReplayCommand;
 import io.umberpath.lab.simulate.SimulateCommand;
@@ -10,7 +11,8 @@
 /** Entry point of {@code umberpath-lab}. */
 public final class Main {
   private static final List<Command> COMMANDS =
-      List.of(new SimulateCommand(), new ReplayCommand(), new PlatformCommand());
+      List.of(
+          new SimulateCommand(), new ReplayCommand(), new PlatformCommand(), new BackendCommand());
   private static final List<String> HELP = List.of("--help", "-h", "help");
 
   private Main() {}
