Operators' gRPC port over the control service

The schema had no server. OperatorServer runs grpc-okhttp with one handler per kind of call over ControlService, with health and reflection.

A tenant reads and changes only its own resources; secrets go in and never come out, in answers or errors. Every error says whether the change ran. Wait asks the leader for its view, one question at a time for all waiting callers, and ends at the caller's deadline with what is missing. A node remembers why it refused recent changes, so that explain can tell.

A fixed margin before the caller's deadline was ruled out: the answer of a long wait was late on a busy machine.

--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/CallLimiter.java
@@ -0,0 +1,125 @@
+package io.umberpath.node.operator;
+
+import io.grpc.ForwardingServerCall;
+import io.grpc.ForwardingServerCallListener;
+import io.grpc.Metadata;
+import io.grpc.ServerCall;
+import io.grpc.ServerCallHandler;
+import io.grpc.ServerInterceptor;
+import io.grpc.Status;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * Bounds the calls in flight, and each tenant's share of them. Calls that wait for long are counted
+ * apart, so that they cannot keep out the short ones. Thread-safe.
+ */
+final class CallLimiter implements ServerInterceptor {
+  private static final Set<String> LONG_CALLS = Set.of("Wait", "WatchStatus");
+
+  private final Bound shortCalls;
+  private final Bound longCalls;
+
+  /**
+   * Creates a limiter.
+   *
+   * @param maxShort calls in flight that answer at once
+   * @param maxLong calls in flight that wait or stream
+   * @param maxPerTenant of either kind, for one tenant
+   */
+  CallLimiter(int maxShort, int maxLong, int maxPerTenant) {
+    this.shortCalls = new Bound(maxShort, maxPerTenant);
+    this.longCalls = new Bound(maxLong, maxPerTenant);
+  }
+
+  /** One bound over all tenants and one for each. */
+  private static final class Bound {
+    private final Semaphore all;
+    private final int perTenant;
+    private final Map<String, Semaphore> byTenant = new ConcurrentHashMap<>();
+
+    Bound(int all, int perTenant) {
+      this.all = new Semaphore(all);
+      this.perTenant = perTenant;
+    }
+
+    boolean tryAcquire(String tenant) {
+      if (!of(tenant).tryAcquire()) {
+        return false;
+      }
+      if (!all.tryAcquire()) {
+        of(tenant).release();
+        return false;
+      }
+      return true;
+    }
+
+    void release(String tenant) {
+      all.release();
+      of(tenant).release();
+    }
+
+    private Semaphore of(String tenant) {
+      return byTenant.computeIfAbsent(tenant, name -> new Semaphore(perTenant));
+    }
+  }
+
+  @Override
+  public <RequestT, ResponseT> ServerCall.Listener<RequestT> interceptCall(
+      ServerCall<RequestT, ResponseT> call,
+      Metadata headers,
+      ServerCallHandler<RequestT, ResponseT> next) {
+    String tenant = Principal.KEY.get().tenant();
+    boolean waits = LONG_CALLS.contains(call.getMethodDescriptor().getBareMethodName());
+    Bound bound = waits ? longCalls : shortCalls;
+    if (!bound.tryAcquire(tenant)) {
+      OperatorError error = OperatorError.overloaded("too many calls in flight; try again later");
+      call.close(error.toStatus(), error.toTrailers());
+      return new ServerCall.Listener<>() {};
+    }
+    Permit permit = new Permit(bound, tenant);
+    ServerCall<RequestT, ResponseT> releasing =
+        new ForwardingServerCall.SimpleForwardingServerCall<>(call) {
+          @Override
+          public void close(Status status, Metadata trailers) {
+            permit.release();
+            super.close(status, trailers);
+          }
+        };
+    ServerCall.Listener<RequestT> listener;
+    try {
+      listener = next.startCall(releasing, headers);
+    } catch (RuntimeException failure) {
+      permit.release();
+      throw failure;
+    }
+    return new ForwardingServerCallListener.SimpleForwardingServerCallListener<>(listener) {
+      @Override
+      public void onCancel() {
+        permit.release();
+        super.onCancel();
+      }
+    };
+  }
+
+  /** Released once, by whichever end of the call comes first. */
+  private static final class Permit {
+    private final AtomicBoolean released = new AtomicBoolean();
+    private final Bound bound;
+    private final String tenant;
+
+    Permit(Bound bound, String tenant) {
+      this.bound = bound;
+      this.tenant = tenant;
+    }
+
+    void release() {
+      if (released.compareAndSet(false, true)) {
+        bound.release(tenant);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/ConfigurationService.java
@@ -0,0 +1,133 @@
+package io.umberpath.node.operator;
+
+import com.google.common.flogger.FluentLogger;
+import io.grpc.stub.ServerCallStreamObserver;
+import io.grpc.stub.StreamObserver;
+import io.umberpath.api.v1.ApplyRequest;
+import io.umberpath.api.v1.ApplyResponse;
+import io.umberpath.api.v1.ConfigurationGrpc;
+import io.umberpath.api.v1.DrainRequest;
+import io.umberpath.api.v1.DrainResponse;
+import io.umberpath.api.v1.ExplainRequest;
+import io.umberpath.api.v1.ExplainResponse;
+import io.umberpath.api.v1.FleetStatusRequest;
+import io.umberpath.api.v1.FleetStatusResponse;
+import io.umberpath.api.v1.GetRequest;
+import io.umberpath.api.v1.GetResponse;
+import io.umberpath.api.v1.ListRequest;
+import io.umberpath.api.v1.ListResponse;
+import io.umberpath.api.v1.ReformRequest;
+import io.umberpath.api.v1.ReformResponse;
+import io.umberpath.api.v1.WaitRequest;
+import io.umberpath.api.v1.WaitResponse;
+import io.umberpath.api.v1.WatchStatusRequest;
+import io.umberpath.node.control.ControlService;
+import io.umberpath.node.logs.LogFields;
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
+
+/** The service of the schema file: hands each call to its handler and sends the answer. */
+final class ConfigurationService extends ConfigurationGrpc.ConfigurationImplBase {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final ChangeHandler changes;
+  private final ReadHandler reads;
+  private final FleetHandler fleet;
+  private final ExplainHandler explanations;
+
+  ConfigurationService(ControlService control, ScheduledExecutorService scheduler) {
+    RefusalMemory refusals = new RefusalMemory();
+    this.changes = new ChangeHandler(control, refusals);
+    this.reads = new ReadHandler(control);
+    this.fleet = new FleetHandler(control, scheduler);
+    this.explanations = new ExplainHandler(control, refusals);
+  }
+
+  @Override
+  public void apply(ApplyRequest request, StreamObserver<ApplyResponse> observer) {
+    later(observer, changes.apply(Principal.KEY.get(), request));
+  }
+
+  @Override
+  public void wait(WaitRequest request, StreamObserver<WaitResponse> observer) {
+    later(observer, fleet.waitFor(request));
+  }
+
+  @Override
+  public void get(GetRequest request, StreamObserver<GetResponse> observer) {
+    now(observer, () -> reads.get(Principal.KEY.get(), request));
+  }
+
+  @Override
+  public void list(ListRequest request, StreamObserver<ListResponse> observer) {
+    now(observer, () -> reads.list(Principal.KEY.get(), request));
+  }
+
+  @Override
+  public void fleetStatus(
+      FleetStatusRequest request, StreamObserver<FleetStatusResponse> observer) {
+    later(observer, fleet.status(Principal.KEY.get()));
+  }
+
+  @Override
+  public void watchStatus(
+      WatchStatusRequest request, StreamObserver<FleetStatusResponse> observer) {
+    fleet.watch(
+        Principal.KEY.get(), request, (ServerCallStreamObserver<FleetStatusResponse>) observer);
+  }
+
+  @Override
+  public void explain(ExplainRequest request, StreamObserver<ExplainResponse> observer) {
+    now(observer, () -> explanations.explain(Principal.KEY.get(), request));
+  }
+
+  @Override
+  public void drain(DrainRequest request, StreamObserver<DrainResponse> observer) {
+    later(observer, changes.drain(Principal.KEY.get(), request));
+  }
+
+  @Override
+  public void reform(ReformRequest request, StreamObserver<ReformResponse> observer) {
+    later(observer, changes.reform(Principal.KEY.get(), request));
+  }
+
+  private static <T> void now(
+      StreamObserver<T> observer, Supplier<Either<OperatorError, T>> handler) {
+    Either<OperatorError, T> answer;
+    try {
+      answer = handler.get();
+    } catch (RuntimeException failure) {
+      answer = Either.left(failed(failure));
+    }
+    send(observer, answer);
+  }
+
+  private static <T> void later(
+      StreamObserver<T> observer, CompletableFuture<Either<OperatorError, T>> answer) {
+    // A cancelled call must not make the late answer throw.
+    ((ServerCallStreamObserver<T>) observer).setOnCancelHandler(() -> {});
+    answer.whenComplete(
+        (result, failure) ->
+            send(observer, failure == null ? result : Either.left(failed(failure))));
+  }
+
+  private static OperatorError failed(Throwable failure) {
+    logger
+        .atSevere()
+        .withCause(failure)
+        .with(LogFields.EVENT, "operator-call-failed")
+        .log("a call failed in the node");
+    return OperatorError.internal();
+  }
+
+  private static <T> void send(StreamObserver<T> observer, Either<OperatorError, T> answer) {
+    if (answer.isLeft()) {
+      observer.onError(answer.getLeft().toException());
+      return;
+    }
+    observer.onNext(answer.get());
+    observer.onCompleted();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/OperatorError.java
@@ -0,0 +1,148 @@
+package io.umberpath.node.operator;
+
+import com.google.protobuf.Any;
+import io.grpc.Metadata;
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import io.grpc.protobuf.StatusProto;
+import io.umberpath.api.v1.ErrorDetail;
+import io.umberpath.api.v1.ErrorReason;
+import io.umberpath.api.v1.Outcome;
+import io.umberpath.model.ChangeResult;
+import io.umberpath.model.Violation;
+import java.util.List;
+
+/**
+ * Why a call failed, as it is sent: a status code and one {@link ErrorDetail}.
+ *
+ * @param code gRPC status code
+ * @param detail reason, outcome and violations; free of secrets
+ */
+record OperatorError(Status.Code code, ErrorDetail detail) {
+  /** Fields were wrong; nothing ran. */
+  static OperatorError invalid(List<Violation> violations) {
+    return notRun(
+        Status.Code.INVALID_ARGUMENT,
+        ErrorReason.ERROR_REASON_INVALID,
+        violations.size() + " field(s) refused; first: " + violations.get(0),
+        violations);
+  }
+
+  /** One field was wrong; nothing ran. */
+  static OperatorError invalid(String field, String value, String message) {
+    return invalid(List.of(new Violation(field, value, message)));
+  }
+
+  /** The token may not do this; nothing ran. */
+  static OperatorError forbidden(String message, List<Violation> violations) {
+    return notRun(
+        Status.Code.PERMISSION_DENIED, ErrorReason.ERROR_REASON_FORBIDDEN, message, violations);
+  }
+
+  /** The caller's tenant has no such thing. */
+  static OperatorError notFound(String message) {
+    return notRun(Status.Code.NOT_FOUND, ErrorReason.ERROR_REASON_NOT_FOUND, message, List.of());
+  }
+
+  /** Too much at once; nothing ran. */
+  static OperatorError overloaded(String message) {
+    return notRun(
+        Status.Code.RESOURCE_EXHAUSTED, ErrorReason.ERROR_REASON_OVERLOADED, message, List.of());
+  }
+
+  /** The deadline passed and nothing ran. */
+  static OperatorError deadline(String message) {
+    return notRun(
+        Status.Code.DEADLINE_EXCEEDED, ErrorReason.ERROR_REASON_DEADLINE, message, List.of());
+  }
+
+  /** Something that should not happen, in a call that changes nothing. */
+  static OperatorError internal() {
+    return notRun(
+        Status.Code.INTERNAL, ErrorReason.ERROR_REASON_INTERNAL, "internal error", List.of());
+  }
+
+  /** The change may have been accepted. */
+  static OperatorError unknown(String cause) {
+    return of(
+        Status.Code.UNKNOWN,
+        ErrorReason.ERROR_REASON_OUTCOME_UNKNOWN,
+        Outcome.OUTCOME_MAY_HAVE_RUN,
+        "the outcome is not known (" + cause + "); repeat with the same request id",
+        List.of());
+  }
+
+  /** A change the register refused. */
+  static OperatorError refused(ChangeResult.Refused refused) {
+    return switch (refused.code()) {
+      case INVALID ->
+          notRun(
+              Status.Code.INVALID_ARGUMENT,
+              ErrorReason.ERROR_REASON_INVALID,
+              "the change is invalid",
+              refused.violations());
+      case CONFLICT ->
+          notRun(
+              Status.Code.FAILED_PRECONDITION,
+              ErrorReason.ERROR_REASON_CONFLICT,
+              "the change conflicts with the committed configuration",
+              refused.violations());
+      case REQUEST_ID_REUSED ->
+          notRun(
+              Status.Code.ALREADY_EXISTS,
+              ErrorReason.ERROR_REASON_REQUEST_ID_REUSED,
+              "the request id was used for a different change",
+              refused.violations());
+      case NO_QUORUM ->
+          notRun(
+              Status.Code.UNAVAILABLE,
+              ErrorReason.ERROR_REASON_NO_QUORUM,
+              "no leader with a quorum can be reached",
+              refused.violations());
+      case OVERLOADED ->
+          notRun(
+              Status.Code.RESOURCE_EXHAUSTED,
+              ErrorReason.ERROR_REASON_OVERLOADED,
+              "too many changes are queued in this tier",
+              refused.violations());
+    };
+  }
+
+  /** Nothing ran. */
+  static OperatorError notRun(
+      Status.Code code, ErrorReason reason, String message, List<Violation> violations) {
+    return of(code, reason, Outcome.OUTCOME_NOT_RUN, message, violations);
+  }
+
+  private static OperatorError of(
+      Status.Code code,
+      ErrorReason reason,
+      Outcome outcome,
+      String message,
+      List<Violation> violations) {
+    ErrorDetail.Builder detail =
+        ErrorDetail.newBuilder().setReason(reason).setOutcome(outcome).setMessage(message);
+    violations.forEach(violation -> detail.addViolations(ResourceCodec.violation(violation)));
+    return new OperatorError(code, detail.build());
+  }
+
+  /** The exception that carries the detail in the trailers. */
+  StatusRuntimeException toException() {
+    return StatusProto.toStatusRuntimeException(
+        com.google.rpc.Status.newBuilder()
+            .setCode(code.value())
+            .setMessage(detail.getMessage())
+            .addDetails(Any.pack(detail))
+            .build());
+  }
+
+  /** The status without details. */
+  Status toStatus() {
+    return toException().getStatus();
+  }
+
+  /** The trailers with details. */
+  Metadata toTrailers() {
+    return toException().getTrailers();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/OperatorServer.java
@@ -0,0 +1,126 @@
+package io.umberpath.node.operator;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import io.grpc.InsecureServerCredentials;
+import io.grpc.Server;
+import io.grpc.ServerInterceptors;
+import io.grpc.health.v1.HealthCheckResponse.ServingStatus;
+import io.grpc.okhttp.OkHttpServerBuilder;
+import io.grpc.protobuf.services.HealthStatusManager;
+import io.grpc.protobuf.services.ProtoReflectionServiceV1;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.umberpath.api.v1.ConfigurationGrpc;
+import io.umberpath.node.control.ControlService;
+import io.umberpath.node.logs.LogFields;
+import io.umberpath.node.settings.NodeSettings;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The operators' gRPC server, with the health and reflection services. Plain text: it belongs on a
+ * loopback or otherwise trusted address.
+ */
+public final class OperatorServer implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int THREADS = 4;
+  private static final int MAX_SHORT_CALLS = 256;
+  private static final int MAX_LONG_CALLS = 256;
+  private static final int MAX_CALLS_PER_TENANT = 128;
+  private static final int MAX_CALLS_PER_CONNECTION = 256;
+  private static final int MAX_MESSAGE_BYTES = 8 << 20;
+  private static final int MAX_METADATA_BYTES = 8 << 10;
+  private static final long IDLE_MINUTES = 10;
+  private static final long HANDSHAKE_SECONDS = 10;
+  private static final long STOP_SECONDS = 5;
+
+  private final Server server;
+  private final HealthStatusManager health = new HealthStatusManager();
+  private final ScheduledExecutorService scheduler;
+  private final ExecutorService executor;
+
+  private OperatorServer(
+      NodeSettings.Operator settings, ControlService control, MeterRegistry metrics) {
+    this.scheduler = Executors.newSingleThreadScheduledExecutor(threads("operator-timer"));
+    this.executor = Executors.newFixedThreadPool(THREADS, threads("operator-call-%d"));
+    InetSocketAddress address = new InetSocketAddress(settings.host(), settings.port());
+    this.server =
+        OkHttpServerBuilder.forPort(address, InsecureServerCredentials.create())
+            .executor(executor)
+            .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+            .maxInboundMetadataSize(MAX_METADATA_BYTES)
+            .maxConcurrentCallsPerConnection(MAX_CALLS_PER_CONNECTION)
+            .maxConnectionIdle(IDLE_MINUTES, TimeUnit.MINUTES)
+            .handshakeTimeout(HANDSHAKE_SECONDS, TimeUnit.SECONDS)
+            .addService(
+                ServerInterceptors.interceptForward(
+                    new ConfigurationService(control, scheduler),
+                    new CallMetrics(metrics),
+                    new TokenAuthenticator(settings.tokens()),
+                    new CallLimiter(MAX_SHORT_CALLS, MAX_LONG_CALLS, MAX_CALLS_PER_TENANT)))
+            .addService(health.getHealthService())
+            .addService(ProtoReflectionServiceV1.newInstance())
+            .build();
+  }
+
+  /**
+   * Starts the server.
+   *
+   * @param settings address and tokens
+   * @param control the node's control side
+   * @param metrics where calls are counted
+   * @throws IOException if the port cannot be listened on
+   */
+  public static OperatorServer start(
+      NodeSettings.Operator settings, ControlService control, MeterRegistry metrics)
+      throws IOException {
+    OperatorServer operator = new OperatorServer(settings, control, metrics);
+    try {
+      operator.server.start();
+    } catch (IOException unavailable) {
+      operator.stopExecutors();
+      throw unavailable;
+    }
+    operator.health.setStatus(ConfigurationGrpc.SERVICE_NAME, ServingStatus.SERVING);
+    logger
+        .atInfo()
+        .with(LogFields.EVENT, "operator-port-open")
+        .with(LogFields.ADDRESS, settings.host() + ":" + operator.port())
+        .log("operators' port open");
+    return operator;
+  }
+
+  /** The port it listens on. */
+  public int port() {
+    return server.getPort();
+  }
+
+  /** Refuses new calls, lets those in flight end for a few seconds, and stops. */
+  @Override
+  public void close() {
+    health.enterTerminalState();
+    server.shutdown();
+    try {
+      if (!server.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS)) {
+        server.shutdownNow();
+      }
+    } catch (InterruptedException interrupted) {
+      server.shutdownNow();
+      Thread.currentThread().interrupt();
+    }
+    stopExecutors();
+  }
+
+  private void stopExecutors() {
+    scheduler.shutdownNow();
+    executor.shutdown();
+  }
+
+  private static java.util.concurrent.ThreadFactory threads(String format) {
+    return new ThreadFactoryBuilder().setNameFormat(format).setDaemon(true).build();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/RefusalMemory.java
@@ -0,0 +1,39 @@
+package io.umberpath.node.operator;
+
+import io.umberpath.api.v1.ErrorDetail;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Remembers why this node refused recent changes, a bounded number for each tenant. Thread-safe.
+ * Lost when the process ends.
+ */
+final class RefusalMemory {
+  private static final int MAX_PER_TENANT = 1_000;
+
+  private final Map<String, Map<String, ErrorDetail>> byTenant = new ConcurrentHashMap<>();
+
+  void remember(String tenant, String requestId, ErrorDetail detail) {
+    Map<String, ErrorDetail> refusals =
+        byTenant.computeIfAbsent(tenant, name -> new LinkedHashMap<>());
+    synchronized (refusals) {
+      refusals.remove(requestId);
+      refusals.put(requestId, detail);
+      if (refusals.size() > MAX_PER_TENANT) {
+        refusals.remove(refusals.keySet().iterator().next());
+      }
+    }
+  }
+
+  Optional<ErrorDetail> find(String tenant, String requestId) {
+    Map<String, ErrorDetail> refusals = byTenant.get(tenant);
+    if (refusals == null) {
+      return Optional.empty();
+    }
+    synchronized (refusals) {
+      return Optional.ofNullable(refusals.get(requestId));
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/SharedFleetView.java
@@ -0,0 +1,54 @@
+package io.umberpath.node.operator;
+
+import io.umberpath.control.ControlStatus;
+import io.umberpath.node.control.ControlService;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Asks the leader for its view of the fleet, one question at a time: callers that come while one is
+ * under way share its answer. Active versions never fall, so a shared answer errs on the safe side.
+ * Thread-safe.
+ */
+final class SharedFleetView {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  private final ControlService control;
+  private final AtomicReference<CompletableFuture<List<ControlStatus.NodeView>>> underWay =
+      new AtomicReference<>();
+
+  SharedFleetView(ControlService control) {
+    this.control = control;
+  }
+
+  /** One entry per roster member; empty if no leader answered. Never completes exceptionally. */
+  CompletableFuture<List<ControlStatus.NodeView>> get() {
+    CompletableFuture<List<ControlStatus.NodeView>> mine = new CompletableFuture<>();
+    CompletableFuture<List<ControlStatus.NodeView>> other = underWay.compareAndExchange(null, mine);
+    if (other != null) {
+      return other;
+    }
+    ask()
+        .whenComplete(
+            (nodes, failure) -> {
+              underWay.set(null);
+              mine.complete(failure == null ? nodes : List.of());
+            });
+    return mine;
+  }
+
+  private CompletableFuture<List<ControlStatus.NodeView>> ask() {
+    try {
+      return control
+          .fleetView(TIMEOUT)
+          .toCompletableFuture()
+          .thenApply(List::copyOf)
+          .orTimeout(2 * TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (RuntimeException failure) {
+      return CompletableFuture.failedFuture(failure);
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/TokenAuthenticator.java
@@ -0,0 +1,96 @@
+package io.umberpath.node.operator;
+
+import io.grpc.Context;
+import io.grpc.Contexts;
+import io.grpc.Metadata;
+import io.grpc.ServerCall;
+import io.grpc.ServerCallHandler;
+import io.grpc.ServerInterceptor;
+import io.grpc.Status;
+import io.umberpath.api.v1.ErrorReason;
+import io.umberpath.node.settings.NodeSettings;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Admits calls whose metadata holds {@code authorization: Bearer TOKEN} with a known token. Only
+ * hashes are kept; each call compares with all of them in constant time. Thread-safe.
+ */
+final class TokenAuthenticator implements ServerInterceptor {
+  static final Metadata.Key<String> AUTHORIZATION =
+      Metadata.Key.of("authorization", Metadata.ASCII_STRING_MARSHALLER);
+
+  private static final String SCHEME = "bearer ";
+  private static final int MAX_TOKEN_LENGTH = 1_024;
+
+  private final List<Known> known = new ArrayList<>();
+
+  private record Known(byte[] sha256, Principal principal) {}
+
+  TokenAuthenticator(List<NodeSettings.Token> tokens) {
+    for (NodeSettings.Token token : tokens) {
+      known.add(new Known(HexFormat.of().parseHex(token.sha256()), Principal.of(token)));
+    }
+  }
+
+  @Override
+  public <RequestT, ResponseT> ServerCall.Listener<RequestT> interceptCall(
+      ServerCall<RequestT, ResponseT> call,
+      Metadata headers,
+      ServerCallHandler<RequestT, ResponseT> next) {
+    Optional<Principal> principal = authenticate(headers);
+    if (principal.isEmpty()) {
+      OperatorError error =
+          OperatorError.notRun(
+              Status.Code.UNAUTHENTICATED,
+              ErrorReason.ERROR_REASON_UNAUTHENTICATED,
+              "the call needs one metadata entry 'authorization: Bearer TOKEN' with a known token",
+              List.of());
+      call.close(error.toStatus(), error.toTrailers());
+      return new ServerCall.Listener<>() {};
+    }
+    Context context = Context.current().withValue(Principal.KEY, principal.get());
+    return Contexts.interceptCall(context, call, headers, next);
+  }
+
+  private Optional<Principal> authenticate(Metadata headers) {
+    Iterable<String> all = headers.getAll(AUTHORIZATION);
+    if (all == null) {
+      return Optional.empty();
+    }
+    List<String> values = new ArrayList<>();
+    all.forEach(values::add);
+    if (values.size() != 1 || values.get(0).length() > MAX_TOKEN_LENGTH) {
+      return Optional.empty();
+    }
+    String value = values.get(0);
+    if (!value.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+      return Optional.empty();
+    }
+    return find(sha256(value.substring(SCHEME.length()).strip()));
+  }
+
+  /** Compares with every known hash, so that the time does not tell which one matched. */
+  private Optional<Principal> find(byte[] sha256) {
+    Principal found = null;
+    for (Known candidate : known) {
+      if (MessageDigest.isEqual(candidate.sha256(), sha256)) {
+        found = candidate.principal();
+      }
+    }
+    return Optional.ofNullable(found);
+  }
+
+  private static byte[] sha256(String token) {
+    try {
+      return MessageDigest.getInstance("SHA-256").digest(token.getBytes(StandardCharsets.UTF_8));
+    } catch (NoSuchAlgorithmException impossible) {
+      throw new IllegalStateException("every Java platform has SHA-256", impossible);
+    }
+  }
+}
