--- a/umberpath-node/src/main/java/io/umberpath/node/operator/ChangeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/ChangeHandler.java
@@ -5,6 +5,7 @@
 import io.umberpath.api.v1.ApplyResponse;
 import io.umberpath.api.v1.DrainRequest;
 import io.umberpath.api.v1.DrainResponse;
+import io.umberpath.api.v1.Outcome;
 import io.umberpath.api.v1.ReformRequest;
 import io.umberpath.api.v1.ReformResponse;
 import io.umberpath.model.ChangeResult;
@@ -34,6 +35,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
   private static final Duration LONGEST_TIMEOUT = Duration.ofSeconds(60);
+  private static final int MAX_REQUEST_ID_LENGTH = 64;
   private static final Duration GRACE = Duration.ofSeconds(1);
 
   private final ControlService control;
@@ -231,14 +233,16 @@
   }
 
   private void recordRefusal(String tenant, String requestId, OperatorError error) {
-    refusals.remember(tenant, requestId, error.detail());
+    String shortId = OperatorError.shorten(requestId, MAX_REQUEST_ID_LENGTH);
+    refusals.remember(tenant, shortId, error.detail());
+    boolean refused = error.detail().getOutcome() == Outcome.OUTCOME_NOT_RUN;
     logger
         .atInfo()
-        .with(LogFields.EVENT, "operator-change-refused")
+        .with(LogFields.EVENT, refused ? "operator-change-refused" : "operator-change-unknown")
         .with(LogFields.TENANT, tenant)
-        .with(LogFields.REQUEST_ID, requestId)
+        .with(LogFields.REQUEST_ID, shortId)
         .with(LogFields.OUTCOME, error.detail().getOutcome().name())
-        .log("change refused: %s", error.detail().getReason());
+        .log("%s", error.detail().getReason());
   }
 
   private static void logAccepted(ChangeSet change, Version version) {
--- a/umberpath-node/src/main/java/io/umberpath/node/operator/OperatorError.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/OperatorError.java
@@ -19,12 +19,18 @@
  * @param detail reason, outcome and violations; free of secrets
  */
 record OperatorError(Status.Code code, ErrorDetail detail) {
+  /** Bounds that keep the trailers below the 8 KiB that clients accept by default. */
+  private static final int MAX_VIOLATIONS = 16;
+
+  private static final int MAX_FIELD_LENGTH = 64;
+  private static final int MAX_MESSAGE_LENGTH = 160;
+
   /** Fields were wrong; nothing ran. */
   static OperatorError invalid(List<Violation> violations) {
     return notRun(
         Status.Code.INVALID_ARGUMENT,
         ErrorReason.ERROR_REASON_INVALID,
-        violations.size() + " field(s) refused; first: " + violations.get(0),
+        "refused, " + violations.size() + " violation(s); first: " + violations.get(0).field(),
         violations);
   }
 
@@ -121,11 +127,29 @@
       String message,
       List<Violation> violations) {
     ErrorDetail.Builder detail =
-        ErrorDetail.newBuilder().setReason(reason).setOutcome(outcome).setMessage(message);
-    violations.forEach(violation -> detail.addViolations(ResourceCodec.violation(violation)));
+        ErrorDetail.newBuilder()
+            .setReason(reason)
+            .setOutcome(outcome)
+            .setMessage(shorten(message, MAX_MESSAGE_LENGTH));
+    violations.stream()
+        .limit(MAX_VIOLATIONS)
+        .map(OperatorError::shorten)
+        .forEach(violation -> detail.addViolations(ResourceCodec.violation(violation)));
     return new OperatorError(code, detail.build());
   }
 
+  private static Violation shorten(Violation violation) {
+    return new Violation(
+        shorten(violation.field(), MAX_FIELD_LENGTH),
+        shorten(violation.value(), MAX_FIELD_LENGTH),
+        shorten(violation.message(), MAX_MESSAGE_LENGTH));
+  }
+
+  /** The text, or its beginning if it is longer than the bound. */
+  static String shorten(String text, int bound) {
+    return text.length() <= bound ? text : text.substring(0, bound) + "...";
+  }
+
   /** The exception that carries the detail in the trailers. */
   StatusRuntimeException toException() {
     return StatusProto.toStatusRuntimeException(
--- a/umberpath-node/src/test/java/io/umberpath/node/operator/ChangeContractTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/ChangeContractTest.java
@@ -105,6 +105,18 @@
     assertThat(fixture.control.submitted).hasValue(0);
   }
 
+  @Test
+  void errorOfALargeChangeStillArrives() {
+    ApplyRequest.Builder request = change("r".repeat(10_000));
+    for (int index = 0; index < 300; index++) {
+      request.addUpserts(pool("A" + "b".repeat(500) + index));
+    }
+    ErrorDetail detail =
+        failure(Status.Code.INVALID_ARGUMENT, () -> fixture.as(MARKET).apply(request.build()));
+    assertThat(detail.getMessage()).contains("301 violation(s)");
+    assertThat(detail.getViolationsCount()).isPositive();
+  }
+
   @Test
   void secretValueIsInNoError() {
     ErrorDetail detail =
--- a/umberpath-node/src/test/java/io/umberpath/node/operator/FakeControlService.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/FakeControlService.java
@@ -26,7 +26,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A register of one process; faults and the members' versions are set by the test. */
-final class FakeControlService implements ControlService {
+public final class FakeControlService implements ControlService {
   static final Member SELF = new Member(0, PeerAddress.parse("127.0.0.1:7100"), 1, "kepong", "kv");
 
   final Map<String, ObservedBackend> observed = new ConcurrentHashMap<>();
