Command line: operators' commands, change file, check-config

Operators had to write a client to do anything. umberpath gets subcommands with help and documented exit codes: 0 done, 1 refused, 2 usage, 3 may have run, 4 unavailable. A change file is YAML; a mistake is named with line and field, and nothing near a secret is quoted. Servers are tried in order with the same request id. A connection is made before the call is sent, so that a server which cannot be reached is a firm not run.

--- a/umberpath-node/src/main/java/io/umberpath/node/Main.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/Main.java
@@ -1,12 +1,16 @@
 package io.umberpath.node;
 
+import io.umberpath.node.cli.CommandLine;
+import io.umberpath.node.cli.Output;
+import io.umberpath.node.logs.Logs;
+
 /** Entry point of {@code umberpath}. */
 public final class Main {
   private Main() {}
 
   /** Runs the command named by the arguments. */
   public static void main(String[] arguments) {
-    System.err.println("umberpath: no command yet");
-    System.exit(2);
+    Logs.bridgeLibraries();
+    System.exit(new CommandLine(Output.ofProcess()).run(arguments).number());
   }
 }
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/CallFailure.java
@@ -0,0 +1,74 @@
+package io.umberpath.node.cli;
+
+import com.google.protobuf.Any;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.grpc.StatusRuntimeException;
+import io.grpc.protobuf.StatusProto;
+import io.umberpath.api.v1.ErrorDetail;
+import io.umberpath.api.v1.Outcome;
+import io.umberpath.api.v1.Violation;
+import java.io.PrintStream;
+import java.util.Optional;
+
+/**
+ * Why a call failed, as far as the client knows.
+ *
+ * @param exitCode what the command ends with
+ * @param message one sentence
+ * @param detail what the server said, if it answered
+ */
+record CallFailure(ExitCode exitCode, String message, Optional<ErrorDetail> detail) {
+  /** No server took the call. */
+  static CallFailure unreachable(String servers) {
+    return new CallFailure(
+        ExitCode.UNAVAILABLE, "not run: cannot connect to " + servers, Optional.empty());
+  }
+
+  /**
+   * Judges a failed call.
+   *
+   * @param failure what gRPC threw
+   * @param changes whether the call changes something
+   */
+  static CallFailure of(StatusRuntimeException failure, boolean changes) {
+    Optional<ErrorDetail> detail = detail(failure);
+    String text = detail.map(ErrorDetail::getMessage).orElse(failure.getStatus().toString());
+    boolean mayHaveRun =
+        changes && detail.map(found -> found.getOutcome() != Outcome.OUTCOME_NOT_RUN).orElse(true);
+    if (mayHaveRun) {
+      return new CallFailure(ExitCode.MAY_HAVE_RUN, "may have run: " + text, detail);
+    }
+    ExitCode exitCode =
+        switch (failure.getStatus().getCode()) {
+          case UNAVAILABLE, RESOURCE_EXHAUSTED -> ExitCode.UNAVAILABLE;
+          default -> ExitCode.REFUSED;
+        };
+    return new CallFailure(exitCode, "not run: " + text, detail);
+  }
+
+  private static Optional<ErrorDetail> detail(StatusRuntimeException failure) {
+    com.google.rpc.Status status = StatusProto.fromThrowable(failure);
+    if (status == null) {
+      return Optional.empty();
+    }
+    for (Any any : status.getDetailsList()) {
+      if (any.is(ErrorDetail.class)) {
+        try {
+          return Optional.of(any.unpack(ErrorDetail.class));
+        } catch (InvalidProtocolBufferException unreadable) {
+          return Optional.empty();
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
+  void print(PrintStream stream) {
+    stream.println(message);
+    for (Violation violation :
+        detail.map(ErrorDetail::getViolationsList).orElseGet(java.util.List::of)) {
+      stream.printf(
+          "  %s = '%s': %s%n", violation.getField(), violation.getValue(), violation.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/ExplainCommand.java
@@ -0,0 +1,31 @@
+package io.umberpath.node.cli;
+
+import io.umberpath.api.v1.ExplainRequest;
+import io.umberpath.api.v1.RequestSubject;
+import org.kohsuke.args4j.Option;
+
+/** Says where a request goes or what became of a change. */
+final class ExplainCommand extends OperatorCommand {
+  @Option(name = "--host", metaVar = "HOST", usage = "host of a request (default: any)")
+  private String host = "any";
+
+  @Option(name = "--path", metaVar = "PATH", usage = "path of a request, beginning with /")
+  private String path;
+
+  @Option(name = "--request-id", metaVar = "ID", usage = "request id of a change")
+  private String requestId;
+
+  @Override
+  ExitCode run(Output output) throws UsageException {
+    if ((path == null) == (requestId == null)) {
+      throw new UsageException("give either --path or --request-id");
+    }
+    ExplainRequest request =
+        requestId != null
+            ? ExplainRequest.newBuilder().setRequestId(requestId).build()
+            : ExplainRequest.newBuilder()
+                .setRequest(RequestSubject.newBuilder().setHost(host).setPath(path))
+                .build();
+    return print(output, read(server -> server.explain(request)), Texts::explanation);
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/ServerConnection.java
@@ -0,0 +1,64 @@
+package io.umberpath.node.cli;
+
+import io.grpc.ConnectivityState;
+import io.grpc.InsecureChannelCredentials;
+import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
+import io.grpc.okhttp.OkHttpChannelBuilder;
+import io.grpc.stub.MetadataUtils;
+import io.umberpath.api.v1.ConfigurationGrpc;
+import io.umberpath.model.PeerAddress;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** A connection to one node's operators' port. */
+final class ServerConnection implements AutoCloseable {
+  private static final Metadata.Key<String> AUTHORIZATION =
+      Metadata.Key.of("authorization", Metadata.ASCII_STRING_MARSHALLER);
+
+  private final ManagedChannel channel;
+  private final String token;
+
+  ServerConnection(PeerAddress server, String token) {
+    this.token = token;
+    this.channel =
+        OkHttpChannelBuilder.forAddress(
+                server.host(), server.port(), InsecureChannelCredentials.create())
+            .build();
+  }
+
+  /** Connects, so that a server which cannot be reached certainly received nothing. */
+  boolean connect(Duration timeout) {
+    long end = System.nanoTime() + timeout.toNanos();
+    ConnectivityState state = channel.getState(true);
+    while (state != ConnectivityState.READY && System.nanoTime() < end) {
+      if (state == ConnectivityState.TRANSIENT_FAILURE) {
+        return false;
+      }
+      CountDownLatch changed = new CountDownLatch(1);
+      channel.notifyWhenStateChanged(state, changed::countDown);
+      try {
+        changed.await(Math.max(0, end - System.nanoTime()), TimeUnit.NANOSECONDS);
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        return false;
+      }
+      state = channel.getState(true);
+    }
+    return state == ConnectivityState.READY;
+  }
+
+  ConfigurationGrpc.ConfigurationBlockingStub stub(Duration timeout) {
+    Metadata headers = new Metadata();
+    headers.put(AUTHORIZATION, "Bearer " + token);
+    return ConfigurationGrpc.newBlockingStub(channel)
+        .withInterceptors(MetadataUtils.newAttachHeadersInterceptor(headers))
+        .withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    channel.shutdownNow();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/WaitCommand.java
@@ -0,0 +1,27 @@
+package io.umberpath.node.cli;
+
+import io.umberpath.api.v1.WaitRequest;
+import io.umberpath.api.v1.WaitResponse;
+import org.kohsuke.args4j.Argument;
+
+/** Waits until a version is in force everywhere. */
+final class WaitCommand extends OperatorCommand {
+  @Argument(
+      required = true,
+      metaVar = "VERSION",
+      usage = "version that apply printed, such as 3.17")
+  private String version;
+
+  @Override
+  ExitCode run(Output output) throws UsageException {
+    WaitRequest request = WaitRequest.newBuilder().setVersion(Names.version(version)).build();
+    return print(output, read(server -> server.wait(request)), WaitCommand::text);
+  }
+
+  static String text(WaitResponse answer) {
+    return "in force in all "
+        + answer.getNodes()
+        + " members; the oldest version in force is "
+        + Names.version(answer.getVersion());
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/settings/MappingReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/MappingReader.java
@@ -19,10 +19,13 @@
 public final class MappingReader {
   private static final Pattern INTEGER = Pattern.compile("-?[0-9]{1,18}");
 
+  private static final String REDACTED = "redacted";
+
   private final String path;
   private final YamlValue.Mapping mapping;
   private final List<SettingsProblem> problems;
   private final Set<String> known = new HashSet<>();
+  private boolean sensitive = false;
 
   private MappingReader(String path, YamlValue.Mapping mapping, List<SettingsProblem> problems) {
     this.path = path;
@@ -141,10 +144,24 @@
 
   /** A list of groups, each read by the function; empty if absent. */
   public <T> List<T> groups(String key, Function<MappingReader, T> read) {
+    return groups(key, read, false);
+  }
+
+  /** As {@link #groups}, for groups whose unknown fields may hold a secret and are not quoted. */
+  public <T> List<T> sensitiveGroups(String key, Function<MappingReader, T> read) {
+    return groups(key, read, true);
+  }
+
+  private <T> List<T> groups(String key, Function<MappingReader, T> read, boolean redact) {
     List<T> groups = new ArrayList<>();
     for (YamlValue item : items(key)) {
       String itemPath = field(key) + "[" + groups.size() + "]";
-      MappingReader reader = of(itemPath, item, problems);
+      YamlValue shown =
+          redact && item instanceof YamlValue.Scalar
+              ? new YamlValue.Scalar(item.line(), REDACTED, false)
+              : item;
+      MappingReader reader = of(itemPath, shown, problems);
+      reader.sensitive = redact;
       groups.add(read.apply(reader));
       reader.refuseUnknown();
     }
@@ -202,20 +219,22 @@
   public void redactedProblem(String key, String message) {
     YamlValue value = mapping.entries().get(key);
     int line = value == null ? mapping.line() : value.line();
-    problems.add(new SettingsProblem(line, field(key), "redacted", message));
+    problems.add(new SettingsProblem(line, field(key), REDACTED, message));
   }
 
   /** Adds a problem for every key that was not asked for. */
   public void refuseUnknown() {
-    mapping
-        .entries()
-        .forEach(
-            (key, value) -> {
-              if (!known.contains(key)) {
-                String message = "unknown field; known here: " + known.stream().sorted().toList();
-                problem(key, value, message);
-              }
-            });
+    String message = "unknown field; known here: " + known.stream().sorted().toList();
+    for (String key : mapping.entries().keySet()) {
+      if (known.contains(key)) {
+        continue;
+      }
+      if (sensitive) {
+        redactedProblem(key, message);
+      } else {
+        problem(key, message);
+      }
+    }
   }
 
   private List<YamlValue> items(String key) {
--- a/umberpath-node/src/main/java/io/umberpath/node/settings/SettingsReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/SettingsReader.java
@@ -136,7 +136,7 @@
   }
 
   private static NodeSettings.Operator operator(MappingReader operator) {
-    List<NodeSettings.Token> tokens = operator.groups("tokens", SettingsReader::token);
+    List<NodeSettings.Token> tokens = operator.sensitiveGroups("tokens", SettingsReader::token);
     Set<String> hashes = new HashSet<>();
     for (NodeSettings.Token token : tokens) {
       if (!hashes.add(token.sha256())) {
--- a/umberpath-node/src/test/java/io/umberpath/node/operator/FakeControlService.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/FakeControlService.java
@@ -30,9 +30,9 @@
   static final Member SELF = new Member(0, PeerAddress.parse("127.0.0.1:7100"), 1, "kepong", "kv");
 
   final Map<String, ObservedBackend> observed = new ConcurrentHashMap<>();
-  final AtomicInteger submitted = new AtomicInteger();
-  volatile Optional<CompletionStage<ChangeResult>> nextOutcome = Optional.empty();
-  volatile List<ControlStatus.NodeView> nodes = List.of();
+  public final AtomicInteger submitted = new AtomicInteger();
+  public volatile Optional<CompletionStage<ChangeResult>> nextOutcome = Optional.empty();
+  public volatile List<ControlStatus.NodeView> nodes = List.of();
   volatile Set<PeerAddress> reformed = Set.of();
   private volatile FleetState state = FleetState.EMPTY;
 
@@ -49,7 +49,7 @@
                           "booking-2", "127.0.0.1", 9002, "bangsar", "127.0.0.3", 7201)))),
           List.of());
 
-  static ControlStatus.NodeView node(int port, Version active) {
+  public static ControlStatus.NodeView node(int port, Version active) {
     Member member = new Member(port, new PeerAddress("127.0.0.1", port), 1, "kepong", "kv");
     return new ControlStatus.NodeView(member, true, active, active, 5);
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/operator/OperatorFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/OperatorFixture.java
@@ -31,17 +31,17 @@
 import org.assertj.core.api.ThrowableAssert.ThrowingCallable;
 
 /** A server on an ephemeral port over a fake register, and a client for it. */
-final class OperatorFixture implements AutoCloseable {
-  static final String MARKET = "token-of-market";
-  static final String ADMINISTRATOR = "token-of-administrator";
-  static final String DEALER = "token-of-dealer";
+public final class OperatorFixture implements AutoCloseable {
+  public static final String MARKET = "token-of-market";
+  public static final String ADMINISTRATOR = "token-of-administrator";
+  public static final String DEALER = "token-of-dealer";
 
-  final FakeControlService control = new FakeControlService();
+  public final FakeControlService control = new FakeControlService();
   final SimpleMeterRegistry metrics = new SimpleMeterRegistry();
-  final OperatorServer server;
+  public final OperatorServer server;
   final ManagedChannel channel;
 
-  OperatorFixture() throws IOException {
+  public OperatorFixture() throws IOException {
     List<NodeSettings.Token> tokens =
         List.of(
             new NodeSettings.Token(
