--- a/umberpath-node/src/main/java/io/umberpath/node/Main.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/Main.java
@@ -2,7 +2,6 @@
 
 import io.umberpath.node.cli.CommandLine;
 import io.umberpath.node.cli.Output;
-import io.umberpath.node.logs.Logs;
 
 /** Entry point of {@code umberpath}. */
 public final class Main {
@@ -10,7 +9,6 @@
 
   /** Runs the command named by the arguments. */
   public static void main(String[] arguments) {
-    Logs.bridgeLibraries();
     System.exit(new CommandLine(Output.ofProcess()).run(arguments).number());
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/CommandLine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/CommandLine.java
@@ -73,7 +73,7 @@
     Command command = entry.command().get();
     CmdLineParser parser =
         new CmdLineParser(
-            command, ParserProperties.defaults().withUsageWidth(WIDTH).withOptionSorter(null));
+            command, ParserProperties.defaults().withUsageWidth(WIDTH).withOptionSorter(null).withShowDefaults(false));
     try {
       parser.parseArgument(arguments);
       if (command.wantsHelp()) {
