--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/ChangeBatch.java
@@ -0,0 +1,229 @@
+package io.umberpath.control;
+
+import io.umberpath.model.ChangeResult;
+import io.umberpath.model.ChangeResult.RefusalCode;
+import io.umberpath.model.ChangeSet;
+import io.umberpath.model.FleetState;
+import io.umberpath.model.FleetState.AnsweredChange;
+import io.umberpath.model.ReferenceCheck;
+import io.umberpath.model.Resource;
+import io.umberpath.model.ResourceKey;
+import io.umberpath.model.ResourceKind;
+import io.umberpath.model.Route;
+import io.umberpath.model.StateDelta;
+import io.umberpath.model.StateDeltas;
+import io.umberpath.model.StateHasher;
+import io.umberpath.model.Version;
+import io.umberpath.model.Violation;
+import io.vavr.collection.TreeMap;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Gathers changes into one proposal on a committed state. Each change is judged against the state
+ * that results from those before it; one that is refused leaves the batch as it was.
+ */
+final class ChangeBatch {
+  private final FleetState base;
+  private final Version target;
+  private final Map<String, AnsweredChange> answered = new LinkedHashMap<>();
+  private final Set<ResourceKey> touched = new TreeSet<>();
+  private final TreeMap<ResourceKey, Resource> before;
+  private TreeMap<ResourceKey, Resource> resources;
+  private io.vavr.collection.TreeSet<String> drained;
+
+  /**
+   * Starts a batch.
+   *
+   * @param base the committed state
+   * @param target the version the proposal will have
+   */
+  ChangeBatch(FleetState base, Version target) {
+    this.base = base;
+    this.target = target;
+    this.before = base.resources();
+    this.resources = base.resources();
+    this.drained = base.drained();
+  }
+
+  /**
+   * Adds a change.
+   *
+   * @return its outcome if that is known without a proposal; empty if it depends on the commit
+   */
+  Optional<ChangeResult> add(ChangeSet change) {
+    String key = StateDeltas.answerKey(change.tenant(), change.requestId());
+    long fingerprint = StateHasher.fingerprint(change);
+    Optional<ChangeResult> known = repeated(base, change);
+    if (known.isPresent()) {
+      return known;
+    }
+    AnsweredChange inBatch = answered.get(key);
+    if (inBatch != null) {
+      boolean same = inBatch.changeHash() == fingerprint;
+      return same ? Optional.empty() : Optional.of(reused(change));
+    }
+    Optional<ChangeResult> refusal = conflict(change);
+    if (refusal.isPresent()) {
+      return refusal;
+    }
+    TreeMap<ResourceKey, Resource> next = resources;
+    for (ResourceKey deleted : change.deletes()) {
+      next = next.remove(deleted);
+    }
+    for (Resource upsert : change.upserts()) {
+      next = next.put(upsert.key(), upsert);
+    }
+    List<Violation> violations = ReferenceCheck.violations(with(next));
+    if (!violations.isEmpty()) {
+      return refused(RefusalCode.INVALID, violations);
+    }
+    resources = next;
+    touched.addAll(change.deletes());
+    change.upserts().forEach(upsert -> touched.add(upsert.key()));
+    for (ChangeSet.DrainChange drain : change.drains()) {
+      drained =
+          drain.draining() ? drained.add(drain.backendId()) : drained.remove(drain.backendId());
+    }
+    answered.put(key, new AnsweredChange(fingerprint, target));
+    return Optional.empty();
+  }
+
+  /** The outcome of a change whose request id the state remembers. */
+  static Optional<ChangeResult> repeated(FleetState state, ChangeSet change) {
+    String key = StateDeltas.answerKey(change.tenant(), change.requestId());
+    return state
+        .answered()
+        .get(key)
+        .map(
+            first ->
+                first.changeHash() == StateHasher.fingerprint(change)
+                    ? (ChangeResult) new ChangeResult.Accepted(first.version())
+                    : reused(change))
+        .toJavaOptional();
+  }
+
+  private static ChangeResult reused(ChangeSet change) {
+    Violation violation =
+        new Violation("request_id", change.requestId(), "was used with a different change");
+    return new ChangeResult.Refused(RefusalCode.REQUEST_ID_REUSED, List.of(violation));
+  }
+
+  private static Optional<ChangeResult> refused(RefusalCode code, List<Violation> violations) {
+    return Optional.of(new ChangeResult.Refused(code, violations));
+  }
+
+  private Optional<ChangeResult> conflict(ChangeSet change) {
+    Optional<Version> expected = change.expectedVersion();
+    if (expected.isPresent() && !expected.get().equals(base.version())) {
+      return refused(RefusalCode.CONFLICT, List.of(versionViolation(expected.get())));
+    }
+    if (expected.isPresent() && !answered.isEmpty()) {
+      return refused(RefusalCode.CONFLICT, List.of(versionViolation(expected.get())));
+    }
+    List<Violation> foreign = new ArrayList<>();
+    List<Violation> invalid = new ArrayList<>();
+    for (int index = 0; index < change.deletes().size(); index++) {
+      ResourceKey key = change.deletes().get(index);
+      String field = "deletes[" + index + "]";
+      if (!resources.containsKey(key)) {
+        invalid.add(new Violation(field, key.toString(), "no resource of this name"));
+      }
+      addForeign(field, key, change.tenant(), foreign);
+    }
+    for (int index = 0; index < change.upserts().size(); index++) {
+      Resource upsert = change.upserts().get(index);
+      addForeign("upserts[" + index + "].name", upsert.key(), change.tenant(), foreign);
+      if (upsert instanceof Route route) {
+        addForeignSecret("upserts[" + index + "].secret", route, foreign);
+      }
+    }
+    if (!foreign.isEmpty()) {
+      return refused(RefusalCode.CONFLICT, foreign);
+    }
+    return invalid.isEmpty() ? Optional.empty() : refused(RefusalCode.INVALID, invalid);
+  }
+
+  private Violation versionViolation(Version expected) {
+    String message = "the committed version is " + base.version() + " or a newer one is on its way";
+    return new Violation("expected_version", expected.toString(), message);
+  }
+
+  private void addForeign(String field, ResourceKey key, String tenant, List<Violation> found) {
+    resources
+        .get(key)
+        .filter(existing -> !existing.tenant().equals(tenant))
+        .forEach(any -> found.add(new Violation(field, key.name(), "owned by another tenant")));
+  }
+
+  private void addForeignSecret(String field, Route route, List<Violation> found) {
+    route
+        .secret()
+        .ifPresent(
+            name ->
+                addForeign(
+                    field, new ResourceKey(ResourceKind.SECRET, name), route.tenant(), found));
+  }
+
+  private FleetState with(TreeMap<ResourceKey, Resource> candidate) {
+    return new FleetState(
+        base.version(),
+        candidate,
+        base.drained(),
+        base.roster(),
+        base.previousRoster(),
+        base.nextSlot(),
+        base.answered(),
+        base.contentHash());
+  }
+
+  /** Whether the batch changes nothing. */
+  boolean isEmpty() {
+    return answered.isEmpty();
+  }
+
+  List<Resource> upserts() {
+    List<Resource> upserts = new ArrayList<>();
+    for (ResourceKey key : touched) {
+      resources
+          .get(key)
+          .filter(resource -> !before.get(key).contains(resource))
+          .forEach(upserts::add);
+    }
+    return upserts;
+  }
+
+  List<ResourceKey> deletes() {
+    List<ResourceKey> deletes = new ArrayList<>();
+    for (ResourceKey key : touched) {
+      if (before.containsKey(key) && !resources.containsKey(key)) {
+        deletes.add(key);
+      }
+    }
+    return deletes;
+  }
+
+  List<ChangeSet.DrainChange> drains() {
+    List<ChangeSet.DrainChange> drains = new ArrayList<>();
+    drained.diff(base.drained()).forEach(id -> drains.add(new ChangeSet.DrainChange(id, true)));
+    base.drained().diff(drained).forEach(id -> drains.add(new ChangeSet.DrainChange(id, false)));
+    return drains;
+  }
+
+  List<StateDelta.Answer> answers() {
+    List<StateDelta.Answer> answers = new ArrayList<>();
+    answered.forEach((key, change) -> answers.add(new StateDelta.Answer(key, change)));
+    return answers;
+  }
+
+  /** Keys that are forgotten so that no more than the given number are remembered. */
+  List<String> forgotten(int remembered) {
+    int excess = base.answered().size() + answered.size() - remembered;
+    return excess <= 0 ? List.of() : base.answered().keySet().take(excess).toJavaList();
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/ChangeDesk.java
@@ -0,0 +1,184 @@
+package io.umberpath.control;
+
+import io.umberpath.control.ChangeQueue.Entry;
+import io.umberpath.control.ControlMessage.ChangeOutcome;
+import io.umberpath.control.ControlMessage.ForwardChange;
+import io.umberpath.model.ChangeResult;
+import io.umberpath.model.ChangeResult.RefusalCode;
+import io.umberpath.model.ChangeSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * The changes operators submitted at this node. A change is refused here only if it was never
+ * forwarded or proposed; otherwise only a leader's answer or "unknown" ends it.
+ */
+final class ChangeDesk {
+  private static final int NO_LEADER_ELECTIONS = 2;
+  private static final int RESEND_HEARTBEATS = 2;
+  private static final long NEVER = -1;
+
+  private final NodeContext context;
+  private final LeaderTrack track;
+  private final Acceptor acceptor;
+  private final ChangeDecider decider;
+  private final TreeMap<Long, Pending> byNumber = new TreeMap<>();
+  private long lastNumber;
+
+  /** A submitted change that has no outcome yet. */
+  private static final class Pending {
+    private final long ticket;
+    private final long number;
+    private final ChangeSet change;
+    private final long submittedAt;
+    private long sentEpoch = NEVER;
+    private long sentAt;
+    private Entry queued;
+    private boolean mayHaveRun;
+
+    private Pending(long ticket, long number, ChangeSet change, long submittedAt) {
+      this.ticket = ticket;
+      this.number = number;
+      this.change = change;
+      this.submittedAt = submittedAt;
+    }
+  }
+
+  ChangeDesk(NodeContext context, LeaderTrack track, Acceptor acceptor, ChangeDecider decider) {
+    this.context = context;
+    this.track = track;
+    this.acceptor = acceptor;
+    this.decider = decider;
+  }
+
+  /** An operator submitted a change. */
+  void submit(long ticket, ChangeSet change) {
+    if (byNumber.size() >= context.settings().maxQueuedChanges()) {
+      answer(ticket, ChangeDecider.overloaded());
+      return;
+    }
+    lastNumber++;
+    byNumber.put(lastNumber, new Pending(ticket, lastNumber, change, context.now()));
+  }
+
+  /** The owner stops waiting. */
+  void abandon(long ticket) {
+    for (Pending pending : List.copyOf(byNumber.values())) {
+      if (pending.ticket == ticket) {
+        boolean withdrawn = pending.queued != null && decider.withdraw(pending.queued);
+        finish(pending, !pending.mayHaveRun ? refusedOrUnknown(pending, withdrawn) : unknown());
+      }
+    }
+  }
+
+  private ChangeResult refusedOrUnknown(Pending pending, boolean withdrawn) {
+    boolean certain = pending.queued == null || withdrawn;
+    return certain ? new ChangeResult.Refused(RefusalCode.NO_QUORUM, List.of()) : unknown();
+  }
+
+  private static ChangeResult unknown() {
+    return new ChangeResult.Unknown("no outcome was known when the wait ended");
+  }
+
+  /** A leader answered a forwarded change. */
+  void outcome(ChangeOutcome outcome) {
+    Pending pending = byNumber.get(outcome.number());
+    if (pending != null
+        && outcome.incarnation() == context.process().incarnation()
+        && outcome.epoch() == pending.sentEpoch) {
+      finish(pending, outcome.result());
+    }
+  }
+
+  private void finish(Pending pending, ChangeResult result) {
+    if (byNumber.remove(pending.number) != null) {
+      answer(pending.ticket, result);
+    }
+  }
+
+  private void answer(long ticket, ChangeResult result) {
+    context.emit(new ControlOutput.ChangeAnswered(ticket, result));
+  }
+
+  /** Hands pending changes to the leader, again if needed, and refuses those that found none. */
+  void flush(boolean leads, long epoch) {
+    if (byNumber.isEmpty()) {
+      return;
+    }
+    for (Pending pending : new ArrayList<>(byNumber.values())) {
+      if (leads) {
+        queueHere(pending, epoch);
+      } else if (track.heardWithin(context.settings().electionMillis())) {
+        forward(pending);
+      } else {
+        refuseIfOverdue(pending);
+      }
+    }
+  }
+
+  private void queueHere(Pending pending, long epoch) {
+    if (pending.sentEpoch == epoch) {
+      return;
+    }
+    Entry entry =
+        new Entry(
+            pending.change, () -> pending.mayHaveRun = true, result -> finish(pending, result));
+    pending.queued = entry;
+    if (decider.offer(entry)) {
+      pending.sentEpoch = epoch;
+      return;
+    }
+    pending.queued = null;
+    if (decider.mayRefuse()) {
+      finish(pending, ChangeDecider.overloaded());
+    }
+  }
+
+  private void forward(Pending pending) {
+    long epoch = track.round().epoch();
+    boolean again = pending.sentEpoch != epoch || context.now() >= pending.sentAt + resendMillis();
+    if (!again || track.leader().isEmpty()) {
+      return;
+    }
+    pending.queued = null;
+    pending.sentEpoch = epoch;
+    pending.sentAt = context.now();
+    pending.mayHaveRun = true;
+    context.send(
+        track.leader().get(),
+        new ForwardChange(
+            epoch, acceptor.self(), pending.number, byNumber.firstKey(), pending.change));
+  }
+
+  private void refuseIfOverdue(Pending pending) {
+    if (!pending.mayHaveRun && context.now() >= pending.submittedAt + noLeaderMillis()) {
+      finish(pending, new ChangeResult.Refused(RefusalCode.NO_QUORUM, List.of()));
+    }
+  }
+
+  private long resendMillis() {
+    return RESEND_HEARTBEATS * context.settings().heartbeatMillis();
+  }
+
+  private long noLeaderMillis() {
+    return NO_LEADER_ELECTIONS * context.settings().electionMillis();
+  }
+
+  /** When {@link #flush} is due. */
+  long nextAt(boolean leads) {
+    if (byNumber.isEmpty() || leads) {
+      return Long.MAX_VALUE;
+    }
+    long next = Long.MAX_VALUE;
+    boolean heard = track.heardWithin(context.settings().electionMillis());
+    for (Pending pending : byNumber.values()) {
+      if (heard) {
+        next = Math.min(next, pending.sentAt + resendMillis());
+      } else if (!pending.mayHaveRun) {
+        next = Math.min(next, pending.submittedAt + noLeaderMillis());
+      }
+    }
+    return next;
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/ChangeQueue.java
@@ -0,0 +1,103 @@
+package io.umberpath.control;
+
+import io.umberpath.model.ChangeResult;
+import io.umberpath.model.ChangeSet;
+import io.umberpath.model.Tier;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * A leader's queued changes, one bounded queue per tier.
+ *
+ * <p>A batch holds at most {@value #BATCH} changes. Of these, up to {@value #BASIC_SHARE} places
+ * are kept for BASIC and up to {@value #STANDARD_SHARE} for STANDARD while they wait; all other
+ * places go to the highest tier that waits. So the n-th waiting BASIC change is proposed at the
+ * latest in the (n / {@value #BASIC_SHARE})-th batch, rounded up, however many PREMIUM changes
+ * there are.
+ */
+final class ChangeQueue {
+  static final int BATCH = 64;
+  static final int STANDARD_SHARE = 12;
+  static final int BASIC_SHARE = 4;
+
+  private final int capacity;
+  private final Map<Tier, ArrayDeque<Entry>> byTier = new EnumMap<>(Tier.class);
+  private long firstQueuedAt = Long.MAX_VALUE;
+
+  /**
+   * A queued change.
+   *
+   * @param change the change
+   * @param onProposed called when it becomes part of a proposal, so that it may have run
+   * @param onResult called once with its outcome
+   */
+  record Entry(ChangeSet change, Runnable onProposed, Consumer<ChangeResult> onResult) {}
+
+  ChangeQueue(int capacity) {
+    this.capacity = capacity;
+    for (Tier tier : Tier.values()) {
+      byTier.put(tier, new ArrayDeque<>());
+    }
+  }
+
+  /** Queues a change; returns false if the queue of its tier is full. */
+  boolean offer(Entry entry, long now) {
+    ArrayDeque<Entry> queue = byTier.get(entry.change().tier());
+    if (queue.size() >= capacity) {
+      return false;
+    }
+    queue.add(entry);
+    firstQueuedAt = Math.min(firstQueuedAt, now);
+    return true;
+  }
+
+  boolean isEmpty() {
+    return firstQueuedAt == Long.MAX_VALUE;
+  }
+
+  /** When the oldest batch began to wait; {@link Long#MAX_VALUE} if none waits. */
+  long firstQueuedAt() {
+    return firstQueuedAt;
+  }
+
+  /** Removes a change that was not proposed yet; returns whether it was there. */
+  boolean remove(Entry entry) {
+    boolean removed = byTier.get(entry.change().tier()).remove(entry);
+    updateEmptiness(firstQueuedAt);
+    return removed;
+  }
+
+  /** Removes the next batch, highest tier first. */
+  List<Entry> takeBatch(long now) {
+    int basic = Math.min(BASIC_SHARE, byTier.get(Tier.BASIC).size());
+    int standard = Math.min(STANDARD_SHARE, byTier.get(Tier.STANDARD).size());
+    List<Entry> batch = new ArrayList<>();
+    move(Tier.PREMIUM, BATCH - basic - standard, batch);
+    move(Tier.STANDARD, BATCH - basic - batch.size(), batch);
+    move(Tier.BASIC, BATCH - batch.size(), batch);
+    updateEmptiness(now);
+    return batch;
+  }
+
+  private void move(Tier tier, int count, List<Entry> batch) {
+    ArrayDeque<Entry> queue = byTier.get(tier);
+    for (int taken = 0; taken < count && !queue.isEmpty(); taken++) {
+      batch.add(queue.poll());
+    }
+  }
+
+  private void updateEmptiness(long waitingSince) {
+    boolean empty = byTier.values().stream().allMatch(ArrayDeque::isEmpty);
+    firstQueuedAt = empty ? Long.MAX_VALUE : waitingSince;
+  }
+
+  /** Forgets every queued change; none of them was proposed. */
+  void clear() {
+    byTier.values().forEach(ArrayDeque::clear);
+    firstQueuedAt = Long.MAX_VALUE;
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/Child.java
@@ -0,0 +1,114 @@
+package io.umberpath.control;
+
+import io.umberpath.control.ControlMessage.Report;
+import io.umberpath.control.ControlMessage.ReportGroup;
+import io.umberpath.model.Member;
+import io.umberpath.model.Version;
+import java.util.List;
+
+/** What a parent knows of one child and its subtree. */
+final class Child {
+  private Member process;
+  private Version held;
+  private Version sent;
+  private long sentAt;
+  private long heardAt;
+  private long reportNumber = -1;
+  private long epoch;
+  private List<ReportGroup> groups = List.of();
+  private List<Member> joins = List.of();
+
+  Child(Member process, Version held, long now) {
+    this.process = process;
+    this.held = held;
+    this.sent = held;
+    this.heardAt = now;
+  }
+
+  Member process() {
+    return process;
+  }
+
+  /** A repeated attachment of the same process. */
+  void attachAgain(Member member, Version newHeld, long now) {
+    process = member;
+    held = newHeld;
+    sent = newHeld;
+    heardAt = now;
+    reportNumber = -1;
+  }
+
+  /**
+   * Takes a report.
+   *
+   * @param slot the child's own slot, or {@link Member#NO_SLOT}
+   * @return whether the content changed; a late report changes nothing
+   */
+  boolean take(Report report, int slot, long now) {
+    boolean otherProcess = report.incarnation() != process.incarnation();
+    if (otherProcess || report.number() <= reportNumber) {
+      return false;
+    }
+    heardAt = now;
+    reportNumber = report.number();
+    boolean changed = !groups.equals(report.groups()) || epoch != report.epoch();
+    groups = report.groups();
+    epoch = report.epoch();
+    if (!report.joinsKept()) {
+      changed |= !joins.equals(report.joins());
+      joins = report.joins();
+    }
+    held = report.wholeStateWanted() ? Version.NONE : ownHeld(slot);
+    if (report.wholeStateWanted()) {
+      sent = Version.NONE;
+    }
+    return changed;
+  }
+
+  private Version ownHeld(int slot) {
+    for (ReportGroup group : groups) {
+      if (slot != Member.NO_SLOT && group.slots().contains(slot)) {
+        return group.held();
+      }
+    }
+    return Version.NONE;
+  }
+
+  Version held() {
+    return held;
+  }
+
+  Version sent() {
+    return sent;
+  }
+
+  void markSent(Version version, long now) {
+    sent = version;
+    sentAt = now;
+  }
+
+  /** The child did not take what was sent; send it again from what it reports. */
+  void rewind() {
+    sent = held;
+  }
+
+  long sentAt() {
+    return sentAt;
+  }
+
+  long heardAt() {
+    return heardAt;
+  }
+
+  long epoch() {
+    return epoch;
+  }
+
+  List<ReportGroup> groups() {
+    return groups;
+  }
+
+  List<Member> joins() {
+    return joins;
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/Children.java
@@ -0,0 +1,268 @@
+package io.umberpath.control;
+
+import io.umberpath.control.ControlMessage.Attach;
+import io.umberpath.control.ControlMessage.AttachAccepted;
+import io.umberpath.control.ControlMessage.Deliver;
+import io.umberpath.control.ControlMessage.Detach;
+import io.umberpath.control.ControlMessage.Redirect;
+import io.umberpath.control.ControlMessage.Report;
+import io.umberpath.model.Member;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Roster;
+import io.umberpath.model.StateDelta;
+import io.umberpath.model.Version;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The parent's side of the relay tree: admits children, delivers to them, takes their reports. */
+final class Children {
+  private static final int REDIRECT_CANDIDATES = 4;
+  private static final int EXPIRY_STALLS = 2;
+  private static final int RESEND_HEARTBEATS = 2;
+
+  private final NodeContext context;
+  private final Acceptor acceptor;
+  private final LeaderTrack track;
+  private final DocumentSpread documents;
+  private final Map<PeerAddress, Child> children = new LinkedHashMap<>();
+  private boolean deliveryDue;
+  private boolean changed;
+  private long lastDeliveryAt;
+
+  Children(NodeContext context, Acceptor acceptor, LeaderTrack track, DocumentSpread documents) {
+    this.context = context;
+    this.acceptor = acceptor;
+    this.track = track;
+    this.documents = documents;
+  }
+
+  Collection<Child> all() {
+    return children.values();
+  }
+
+  Collection<PeerAddress> addresses() {
+    return children.keySet();
+  }
+
+  int size() {
+    return children.size();
+  }
+
+  boolean has(PeerAddress peer) {
+    return children.containsKey(peer);
+  }
+
+  /** Something new must go to every child before the current input is done. */
+  void deliveryDue() {
+    deliveryDue = true;
+  }
+
+  /** Whether reports or children changed since the last call. */
+  boolean takeChanged() {
+    boolean taken = changed;
+    changed = false;
+    return taken;
+  }
+
+  /**
+   * Decides about a node that wants to be a child.
+   *
+   * @param leads whether this node is the leader
+   * @param parent this node's own parent
+   * @return whether it is a child now
+   */
+  boolean attach(Attach request, boolean leads, Optional<PeerAddress> parent) {
+    PeerAddress peer = request.member().address();
+    Child known = children.get(peer);
+    if (known != null && known.process().incarnation() > request.member().incarnation()) {
+      return false;
+    }
+    boolean suits = suits(request, leads) && !parent.equals(Optional.of(peer));
+    if (!suits || (known == null && children.size() >= context.settings().maxChildren())) {
+      context.send(peer, new Redirect(candidates(request, suits)));
+      return false;
+    }
+    if (known != null && known.process().incarnation() == request.member().incarnation()) {
+      known.attachAgain(request.member(), request.held(), context.now());
+    } else {
+      children.put(peer, new Child(request.member(), request.held(), context.now()));
+    }
+    changed = true;
+    context.send(peer, new AttachAccepted(delivery(children.get(peer))));
+    return true;
+  }
+
+  private boolean suits(Attach request, boolean leads) {
+    if (request.member().address().equals(context.address())) {
+      return false;
+    }
+    if (leads) {
+      return true;
+    }
+    if (!acceptor.isMember()) {
+      return request.member().slot() == Member.NO_SLOT
+          && request.held().equals(Version.NONE)
+          && request.equalSuffices()
+          && ranksBefore(context.address(), request.member().address());
+    }
+    if (track.round().newerThan(request.round())) {
+      return true;
+    }
+    boolean lower =
+        request.member().slot() == Member.NO_SLOT || acceptor.slot() < request.member().slot();
+    return request.equalSuffices() && lower && track.round().equals(request.round());
+  }
+
+  /** Processes that are not members order themselves by place among the seeds, then address. */
+  private boolean ranksBefore(PeerAddress first, PeerAddress second) {
+    int firstRank = rank(first);
+    int secondRank = rank(second);
+    return firstRank != secondRank ? firstRank < secondRank : first.compareTo(second) < 0;
+  }
+
+  private int rank(PeerAddress address) {
+    int index = context.settings().seeds().indexOf(address);
+    return index >= 0 ? index : Integer.MAX_VALUE;
+  }
+
+  private List<PeerAddress> candidates(Attach request, boolean full) {
+    if (!full) {
+      return track
+          .leader()
+          .filter(any -> track.heardWithin(stall()))
+          .map(List::of)
+          .orElse(List.of());
+    }
+    List<PeerAddress> addresses = new ArrayList<>(children.keySet());
+    List<PeerAddress> chosen = new ArrayList<>();
+    int start = (int) Spread.of(request.member(), 0, addresses.size());
+    for (int index = 0; index < Math.min(REDIRECT_CANDIDATES, addresses.size()); index++) {
+      chosen.add(addresses.get((start + index) % addresses.size()));
+    }
+    chosen.remove(request.member().address());
+    return chosen;
+  }
+
+  private long stall() {
+    return context.settings().parentStallMillis();
+  }
+
+  /**
+   * Takes a report.
+   *
+   * @return false if the sender is no child, so that it must look for a parent
+   */
+  boolean report(PeerAddress from, Report report) {
+    Child child = children.get(from);
+    if (child == null) {
+      return false;
+    }
+    changed |= child.take(report, slotOf(child.process()), context.now());
+    if (report.wholeStateWanted()) {
+      deliver(from, child);
+    }
+    return true;
+  }
+
+  private int slotOf(Member process) {
+    int slot = slotIn(acceptor.committed().roster(), process);
+    return slot != Member.NO_SLOT ? slot : slotIn(acceptor.held().roster(), process);
+  }
+
+  private static int slotIn(Roster roster, Member process) {
+    return roster
+        .at(process.address())
+        .filter(process::isSameProcess)
+        .map(Member::slot)
+        .orElse(Member.NO_SLOT);
+  }
+
+  /** Forgets a child. */
+  void remove(PeerAddress peer) {
+    if (children.remove(peer) != null) {
+      changed = true;
+      context.emit(new ControlOutput.Disconnect(peer));
+    }
+  }
+
+  /** Forgets children that were not heard for long. */
+  void expire() {
+    List<PeerAddress> gone = new ArrayList<>();
+    children.forEach(
+        (peer, child) -> {
+          if (context.now() - child.heardAt() > EXPIRY_STALLS * stall()) {
+            gone.add(peer);
+          }
+        });
+    for (PeerAddress peer : gone) {
+      context.send(peer, new Redirect(List.of()));
+      remove(peer);
+    }
+  }
+
+  /** Delivers to every child if something new is due. */
+  void flush() {
+    if (!deliveryDue) {
+      return;
+    }
+    deliveryDue = false;
+    lastDeliveryAt = context.now();
+    children.forEach(this::deliver);
+  }
+
+  /** Repeats the newest round, so that children know that their parent lives. */
+  void keepAlive() {
+    if (!children.isEmpty() && context.now() >= nextKeepAlive()) {
+      expire();
+      deliveryDue = true;
+    }
+  }
+
+  /** When {@link #keepAlive} is due. */
+  long nextKeepAlive() {
+    long interval = context.settings().heartbeatMillis() * 3 / 2;
+    return children.isEmpty() ? Long.MAX_VALUE : lastDeliveryAt + interval;
+  }
+
+  private void deliver(PeerAddress peer, Child child) {
+    context.send(peer, delivery(child));
+  }
+
+  private Deliver delivery(Child child) {
+    List<StateDelta> deltas = List.of();
+    if (names(child.process())) {
+      long resendMillis = RESEND_HEARTBEATS * context.settings().heartbeatMillis();
+      boolean overdue = context.now() - child.sentAt() > resendMillis;
+      if (!child.held().equals(child.sent()) && overdue) {
+        child.rewind();
+      }
+      deltas = acceptor.catchUp(child.sent());
+      if (!deltas.isEmpty()) {
+        child.markSent(acceptor.held().version(), context.now());
+      }
+    }
+    return new Deliver(
+        track.round(),
+        track.leader().orElse(context.address()),
+        track.leaderSlot(),
+        acceptor.committed().version(),
+        documents.revision(),
+        deltas,
+        track.readers());
+  }
+
+  private boolean names(Member process) {
+    boolean anyIncarnation = context.has(SeededFault.SKIP_INCARNATION_RULE);
+    return slotOf(process) != Member.NO_SLOT
+        || (anyIncarnation && acceptor.held().roster().at(process.address()).isPresent());
+  }
+
+  /** A detaching child. */
+  void detach(PeerAddress from, Detach message) {
+    remove(from);
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/DeltaLog.java
@@ -0,0 +1,47 @@
+package io.umberpath.control;
+
+import io.umberpath.model.StateDelta;
+import io.umberpath.model.Version;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The newest deltas a node accepted, by the version they apply to. Bounded. */
+final class DeltaLog {
+  private static final int CAPACITY = 64;
+
+  private final Map<Version, StateDelta> byBase =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Version, StateDelta> eldest) {
+          return size() > CAPACITY;
+        }
+      };
+
+  /** Remembers a delta; whole states are not remembered. */
+  void add(StateDelta delta) {
+    if (!delta.isWholeState()) {
+      byBase.remove(delta.base());
+      byBase.put(delta.base(), delta);
+    }
+  }
+
+  /** The deltas that lead from one version to the other; empty optional if some are missing. */
+  Optional<List<StateDelta>> chain(Version from, Version to) {
+    List<StateDelta> found = new ArrayList<>();
+    Version reached = from;
+    while (!reached.equals(to)) {
+      StateDelta next = byBase.get(reached);
+      if (next == null || next.target().isAfter(to)) {
+        return Optional.empty();
+      }
+      found.add(next);
+      reached = next.target();
+    }
+    return Optional.of(found);
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/DocumentSpread.java
@@ -0,0 +1,155 @@
+package io.umberpath.control;
+
+import io.umberpath.control.ControlMessage.DocumentDelta;
+import io.umberpath.control.ControlMessage.DocumentRequest;
+import io.umberpath.control.ControlMessage.DocumentUpdate;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.PlatformDocument;
+import io.umberpath.model.Violation;
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.Optional;
+
+/**
+ * Holds the newest platform document and spreads it along the tree both ways, as differences where
+ * the neighbour holds a recent revision. A revision at or below the held one changes nothing.
+ */
+final class DocumentSpread {
+  private static final int RECENT_DOCUMENTS = 8;
+
+  private final NodeContext context;
+  private final Deque<PlatformDocument> recent = new ArrayDeque<>();
+  private PlatformDocument current = PlatformDocument.NONE;
+  private long wentBackTo = Long.MAX_VALUE;
+  private long nextRequestAt;
+  private long nextPushAt;
+  private PeerAddress source;
+  private boolean spreadDue;
+
+  DocumentSpread(NodeContext context) {
+    this.context = context;
+  }
+
+  PlatformDocument current() {
+    return current;
+  }
+
+  long revision() {
+    return current.revision();
+  }
+
+  /** The platform answered a read. */
+  void read(PlatformDocument document) {
+    if (document.revision() < current.revision()) {
+      if (document.revision() != wentBackTo) {
+        wentBackTo = document.revision();
+        context.notice(
+            "platform-revision-went-back",
+            "platform answered " + document.revision() + ", held " + current.revision());
+      }
+      return;
+    }
+    wentBackTo = Long.MAX_VALUE;
+    hold(document, null);
+  }
+
+  private void hold(PlatformDocument document, PeerAddress from) {
+    if (document.revision() <= current.revision()) {
+      return;
+    }
+    current = document;
+    recent.addLast(document);
+    if (recent.size() > RECENT_DOCUMENTS) {
+      recent.removeFirst();
+    }
+    source = from;
+    spreadDue = true;
+  }
+
+  /** A neighbour sent a newer document, or a difference. */
+  void update(PeerAddress from, DocumentDelta delta) {
+    if (delta.revision() <= current.revision()) {
+      return;
+    }
+    if (delta.base() != 0 && delta.base() != current.revision()) {
+      context.send(from, new DocumentRequest(current.revision()));
+      return;
+    }
+    Either<Violation, PlatformDocument> result = context.shared().patch(delta, current);
+    if (result.isRight()) {
+      hold(result.get(), from);
+    } else {
+      context.notice("document-refused", "revision " + delta.revision() + ": " + result.getLeft());
+      request(from, 0);
+    }
+  }
+
+  private void request(PeerAddress from, long revision) {
+    if (context.now() >= nextRequestAt) {
+      nextRequestAt = context.now() + context.settings().heartbeatMillis();
+      context.send(from, new DocumentRequest(revision));
+    }
+  }
+
+  /** A neighbour asks for what it lacks. */
+  void requested(PeerAddress from, DocumentRequest request) {
+    if (request.revision() < current.revision()) {
+      sendTo(from, request.revision());
+    }
+  }
+
+  private void sendTo(PeerAddress peer, long revision) {
+    PlatformDocument base = PlatformDocument.NONE;
+    for (PlatformDocument document : recent) {
+      if (document.revision() == revision) {
+        base = document;
+      }
+    }
+    context.send(peer, new DocumentUpdate(context.shared().difference(base, current)));
+  }
+
+  /** The parent told its revision. */
+  void parentHolds(PeerAddress parent, long revision) {
+    if (revision > current.revision()) {
+      request(parent, current.revision());
+    } else if (revision < current.revision() && context.now() >= nextPushAt) {
+      nextPushAt = context.now() + context.settings().heartbeatMillis();
+      sendTo(parent, revision);
+    }
+  }
+
+  /** A new child told its revision. */
+  void childHolds(PeerAddress child, long revision) {
+    if (revision < current.revision()) {
+      sendTo(child, revision);
+    }
+  }
+
+  /** Sends a newly held document to every neighbour but the one it came from. */
+  boolean flush(Optional<PeerAddress> parent, Collection<PeerAddress> children) {
+    if (!spreadDue) {
+      return false;
+    }
+    spreadDue = false;
+    long before = previousRevision();
+    parent.filter(peer -> !peer.equals(source)).ifPresent(peer -> sendTo(peer, before));
+    for (PeerAddress child : children) {
+      if (!child.equals(source)) {
+        sendTo(child, before);
+      }
+    }
+    return true;
+  }
+
+  private long previousRevision() {
+    long before = 0;
+    for (PlatformDocument document : recent) {
+      if (document.revision() < current.revision()) {
+        before = document.revision();
+      }
+    }
+    return before;
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/FleetViews.java
@@ -0,0 +1,91 @@
+package io.umberpath.control;
+
+import io.umberpath.control.ControlMessage.FleetViewAnswer;
+import io.umberpath.control.ControlMessage.FleetViewRequest;
+import io.umberpath.control.ControlMessage.ReportGroup;
+import io.umberpath.control.ControlStatus.NodeView;
+import io.umberpath.model.Member;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Roster;
+import io.umberpath.model.Version;
+import java.util.AbstractList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Answers requests for the leader's per-member view, at the leader and elsewhere. */
+final class FleetViews {
+  private final NodeContext context;
+  private final Map<Long, Long> waitingUntil = new LinkedHashMap<>();
+
+  FleetViews(NodeContext context) {
+    this.context = context;
+  }
+
+  /** One entry per roster member, computed when first read. */
+  static List<NodeView> of(Roster roster, List<ReportGroup> groups) {
+    return new LazyViews(roster, groups);
+  }
+
+  private static final class LazyViews extends AbstractList<NodeView> {
+    private final Roster roster;
+    private final List<ReportGroup> groups;
+    private final Map<Integer, ReportGroup> bySlot = new HashMap<>();
+
+    private LazyViews(Roster roster, List<ReportGroup> groups) {
+      this.roster = roster;
+      this.groups = groups;
+    }
+
+    @Override
+    public synchronized NodeView get(int index) {
+      if (bySlot.isEmpty()) {
+        groups.forEach(group -> group.slots().forEach(slot -> bySlot.put(slot, group)));
+      }
+      Member member = roster.members().get(index);
+      ReportGroup group = bySlot.get(member.slot());
+      return group == null
+          ? new NodeView(member, false, Version.NONE, Version.NONE, 0)
+          : new NodeView(member, true, group.held(), group.active(), group.revision());
+    }
+
+    @Override
+    public int size() {
+      return roster.size();
+    }
+  }
+
+  /** Asks the leader. */
+  void request(long ticket, PeerAddress leader) {
+    waitingUntil.put(ticket, context.now() + context.settings().electionMillis());
+    context.send(leader, new FleetViewRequest(ticket));
+  }
+
+  /** Answers a local request. */
+  void answer(long ticket, List<NodeView> nodes) {
+    context.emit(new ControlOutput.FleetViewAnswered(ticket, nodes));
+  }
+
+  /** The leader answered. */
+  void answered(FleetViewAnswer answer) {
+    if (waitingUntil.remove(answer.ticket()) != null) {
+      answer(answer.ticket(), answer.nodes());
+    }
+  }
+
+  /** Answers requests that no leader answered. */
+  void tick() {
+    for (Map.Entry<Long, Long> entry : List.copyOf(waitingUntil.entrySet())) {
+      if (context.now() >= entry.getValue()) {
+        waitingUntil.remove(entry.getKey());
+        answer(entry.getKey(), List.of());
+      }
+    }
+  }
+
+  /** When {@link #tick} is due. */
+  long nextAt() {
+    return waitingUntil.values().stream().min(Long::compare).orElse(Long.MAX_VALUE);
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/Membership.java
@@ -0,0 +1,179 @@
+package io.umberpath.control;
+
+import io.umberpath.model.FleetState;
+import io.umberpath.model.Member;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.PlatformDocument;
+import io.umberpath.model.Roster;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.roaringbitmap.RoaringBitmap;
+
+/**
+ * A leader's roster changes: new processes join, replaced ones leave, and members leave that were
+ * unreachable for long and that the platform no longer lists. Each step is small enough that
+ * reachable members of both rosters are a quorum of each.
+ */
+final class Membership {
+  /** How long a member must be unreachable before it may be removed. */
+  static final long REMOVAL_MILLIS = 60_000;
+
+  private static final long SCAN_MILLIS = 10_000;
+
+  private final NodeContext context;
+  private final Map<Integer, Long> unreachableSince = new LinkedHashMap<>();
+  private Set<Integer> removable = Set.of();
+  private long nextScanAt;
+
+  /** One step from a roster to the next. */
+  record RosterStep(List<Integer> removedSlots, List<Member> addedMembers) {
+    static final RosterStep NONE = new RosterStep(List.of(), List.of());
+
+    boolean isEmpty() {
+      return removedSlots.isEmpty() && addedMembers.isEmpty();
+    }
+  }
+
+  /** A swap, an addition or a removal that must happen in one step. */
+  private record Item(List<Integer> removed, List<Member> added) {}
+
+  Membership(NodeContext context) {
+    this.context = context;
+  }
+
+  /** A new term: nothing is known of who is reachable. */
+  void reset() {
+    unreachableSince.clear();
+    removable = Set.of();
+    nextScanAt = context.now() + SCAN_MILLIS;
+  }
+
+  /** Notes which members are unreachable; cheap except once in ten seconds. */
+  void scan(Roster roster, RoaringBitmap reachable, PlatformDocument document) {
+    if (context.now() < nextScanAt) {
+      return;
+    }
+    nextScanAt = context.now() + SCAN_MILLIS;
+    unreachableSince.keySet().removeIf(slot -> reachable.contains(slot));
+    unreachableSince.keySet().removeIf(slot -> roster.withSlot(slot).isEmpty());
+    Set<PeerAddress> listed = new HashSet<>();
+    document.machines().forEach(machine -> listed.add(machine.control()));
+    Set<Integer> gone = new LinkedHashSet<>();
+    for (Member member : roster.members()) {
+      if (reachable.contains(member.slot())) {
+        continue;
+      }
+      long since = unreachableSince.computeIfAbsent(member.slot(), slot -> context.now());
+      boolean silentForLong = context.now() - since >= REMOVAL_MILLIS;
+      if (silentForLong && !listed.isEmpty() && !listed.contains(member.address())) {
+        gone.add(member.slot());
+      }
+    }
+    removable = gone;
+  }
+
+  /** Whether a roster change may be wanted. */
+  boolean isWanted(List<Member> joins) {
+    return !joins.isEmpty() || !removable.isEmpty();
+  }
+
+  /**
+   * The next step.
+   *
+   * @param state the committed state
+   * @param joins processes that wait for a seat
+   * @param reachable slots that were heard lately
+   */
+  RosterStep next(FleetState state, List<Member> joins, RoaringBitmap reachable) {
+    List<Item> items = items(state.roster(), joins);
+    for (int count = items.size(); count > 0; count /= 2) {
+      RosterStep step = step(items.subList(0, count), state.nextSlot());
+      if (keepsQuorum(state.roster(), step, reachable)) {
+        return step;
+      }
+    }
+    return RosterStep.NONE;
+  }
+
+  private List<Item> items(Roster roster, List<Member> joins) {
+    List<Item> items = new ArrayList<>();
+    Set<Integer> replaced = new HashSet<>();
+    for (Member join : joins) {
+      Member seated = roster.at(join.address()).orElse(null);
+      if (seated == null) {
+        items.add(new Item(List.of(), List.of(join)));
+      } else if (seated.incarnation() < join.incarnation()) {
+        replaced.add(seated.slot());
+        items.add(new Item(List.of(seated.slot()), List.of(join)));
+      }
+    }
+    for (int slot : removable) {
+      if (!replaced.contains(slot) && roster.withSlot(slot).isPresent()) {
+        items.add(new Item(List.of(slot), List.of()));
+      }
+    }
+    return items;
+  }
+
+  private static RosterStep step(List<Item> items, int nextSlot) {
+    List<Integer> removed = new ArrayList<>();
+    List<Member> added = new ArrayList<>();
+    for (Item item : items) {
+      removed.addAll(item.removed);
+      for (Member member : item.added) {
+        added.add(member.withSlot(nextSlot + added.size()));
+      }
+    }
+    return new RosterStep(removed, added);
+  }
+
+  private boolean keepsQuorum(Roster roster, RosterStep step, RoaringBitmap reachable) {
+    RoaringBitmap common = reachable.clone();
+    common.and(context.view(roster).slots());
+    step.removedSlots().forEach(common::remove);
+    RosterView next = new RosterView(apply(roster, step));
+    return context.quorum().isQuorum(context.view(roster), common)
+        && context.quorum().isQuorum(next, common);
+  }
+
+  private static Roster apply(Roster roster, RosterStep step) {
+    Set<Integer> removed = new HashSet<>(step.removedSlots());
+    List<Member> members = new ArrayList<>(step.addedMembers());
+    for (Member member : roster.members()) {
+      if (!removed.contains(member.slot())) {
+        members.add(member);
+      }
+    }
+    return new Roster(members);
+  }
+
+  /**
+   * The step of a fleet that re-forms: only members that granted stay, and every process without a
+   * seat that granted joins.
+   */
+  static RosterStep reformed(FleetState state, VoteTally tally) {
+    List<Integer> removed = new ArrayList<>();
+    Set<PeerAddress> kept = new HashSet<>();
+    for (Member member : state.roster().members()) {
+      Member successor = tally.fresh().get(member.address());
+      boolean superseded = successor != null && successor.incarnation() > member.incarnation();
+      if (tally.granted().contains(member.slot()) && !superseded) {
+        kept.add(member.address());
+      } else {
+        removed.add(member.slot());
+      }
+    }
+    List<Member> added = new ArrayList<>();
+    for (Member process : tally.fresh().values()) {
+      if (!kept.contains(process.address())) {
+        added.add(process.withSlot(state.nextSlot() + added.size()));
+      }
+    }
+    return new RosterStep(removed, added);
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/ObservedSpread.java
@@ -0,0 +1,113 @@
+package io.umberpath.control;
+
+import io.umberpath.control.ControlMessage.ObservedUpdate;
+import io.umberpath.model.ObservedBackend;
+import io.umberpath.model.PeerAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Spreads statements about back ends along the tree both ways. The last writer wins by incarnation
+ * and counter. Changes are gathered for a moment, and a message carries a bounded number of them,
+ * so that a storm costs bounded bytes per second; only the newest statement per back end waits.
+ */
+final class ObservedSpread {
+  private static final long FLUSH_MILLIS = 200;
+  private static final int MAX_PER_FLUSH = 256;
+
+  private final NodeContext context;
+  private final Map<String, Entry> byArrival = new LinkedHashMap<>();
+  private final Map<String, PeerAddress> waiting = new LinkedHashMap<>();
+  private long flushAt = Long.MAX_VALUE;
+
+  private record Entry(ObservedBackend backend, long arrivedAt) {}
+
+  ObservedSpread(NodeContext context) {
+    this.context = context;
+  }
+
+  /** The back end beside this node changed. */
+  void observed(ObservedBackend backend) {
+    take(backend, context.address());
+  }
+
+  /** A neighbour sent statements; returns those that were newer. */
+  List<ObservedBackend> update(PeerAddress from, List<ObservedBackend> backends) {
+    List<ObservedBackend> newer = new ArrayList<>();
+    for (ObservedBackend backend : backends) {
+      if (take(backend, from)) {
+        newer.add(backend);
+      }
+    }
+    return newer;
+  }
+
+  private boolean take(ObservedBackend backend, PeerAddress from) {
+    Entry known = byArrival.get(backend.backendId());
+    if (known != null && !backend.supersedes(known.backend)) {
+      return false;
+    }
+    byArrival.remove(backend.backendId());
+    byArrival.put(backend.backendId(), new Entry(backend, context.now()));
+    waiting.put(backend.backendId(), from);
+    flushAt = Math.min(flushAt, context.now() + FLUSH_MILLIS);
+    return true;
+  }
+
+  /** Sends what waits, each statement to every neighbour but the one it came from. */
+  void flush(Optional<PeerAddress> parent, Collection<PeerAddress> children) {
+    if (context.now() < flushAt) {
+      return;
+    }
+    List<Map.Entry<String, PeerAddress>> batch = new ArrayList<>();
+    for (Map.Entry<String, PeerAddress> entry : waiting.entrySet()) {
+      if (batch.size() < MAX_PER_FLUSH) {
+        batch.add(Map.entry(entry.getKey(), entry.getValue()));
+      }
+    }
+    batch.forEach(entry -> waiting.remove(entry.getKey()));
+    parent.ifPresent(peer -> send(peer, batch));
+    children.forEach(peer -> send(peer, batch));
+    flushAt = waiting.isEmpty() ? Long.MAX_VALUE : context.now() + FLUSH_MILLIS;
+  }
+
+  private void send(PeerAddress peer, List<Map.Entry<String, PeerAddress>> batch) {
+    List<ObservedBackend> backends = new ArrayList<>();
+    for (Map.Entry<String, PeerAddress> entry : batch) {
+      if (!entry.getValue().equals(peer)) {
+        backends.add(byArrival.get(entry.getKey()).backend);
+      }
+    }
+    if (!backends.isEmpty()) {
+      context.send(peer, new ObservedUpdate(backends));
+    }
+  }
+
+  /**
+   * Sends a new neighbour what it missed.
+   *
+   * @param missedMillis how long it was without a neighbour; negative for everything
+   */
+  void catchUp(PeerAddress peer, long missedMillis) {
+    long slack = FLUSH_MILLIS + context.settings().parentStallMillis();
+    long since = missedMillis < 0 ? Long.MIN_VALUE : context.now() - missedMillis - slack;
+    List<ObservedBackend> missed = new ArrayList<>();
+    for (Entry entry : byArrival.values()) {
+      if (entry.arrivedAt >= since) {
+        missed.add(entry.backend);
+      }
+    }
+    if (!missed.isEmpty()) {
+      context.send(peer, new ObservedUpdate(missed));
+    }
+  }
+
+  /** When {@link #flush} is due. */
+  long nextAt() {
+    return flushAt;
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/OriginLedger.java
@@ -0,0 +1,92 @@
+package io.umberpath.control;
+
+import io.umberpath.control.ControlMessage.ForwardChange;
+import io.umberpath.model.ChangeResult;
+import io.umberpath.model.PeerAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * What a leader decided about forwarded changes in its term, so that a late or duplicated forward
+ * never runs a change whose origin already has its answer.
+ */
+final class OriginLedger {
+  private final Map<PeerAddress, Origin> origins = new HashMap<>();
+
+  /** What to do with a forward. */
+  enum Arrival {
+    /** Seen for the first time: queue it. */
+    NEW,
+    /** Queued or proposed already, or closed by its origin: do nothing. */
+    KNOWN,
+    /** Decided already: repeat the answer. */
+    DECIDED
+  }
+
+  private static final class Origin {
+    private final long incarnation;
+    private final TreeMap<Long, Optional<ChangeResult>> open = new TreeMap<>();
+    private long lowestOpen;
+
+    private Origin(long incarnation) {
+      this.incarnation = incarnation;
+    }
+  }
+
+  /** Forgets everything; a new term begins, and forwards of former terms are ignored. */
+  void clear() {
+    origins.clear();
+  }
+
+  /** Looks a forward up and closes the numbers that its origin has closed. */
+  Arrival arrived(ForwardChange forward) {
+    PeerAddress address = forward.origin().address();
+    Origin origin = origins.get(address);
+    if (origin == null || origin.incarnation < forward.origin().incarnation()) {
+      origin = new Origin(forward.origin().incarnation());
+      origins.put(address, origin);
+    }
+    if (origin.incarnation > forward.origin().incarnation()) {
+      return Arrival.KNOWN;
+    }
+    origin.lowestOpen = Math.max(origin.lowestOpen, forward.lowestOpen());
+    origin.open.headMap(origin.lowestOpen).clear();
+    if (forward.number() < origin.lowestOpen) {
+      return Arrival.KNOWN;
+    }
+    Optional<ChangeResult> known = origin.open.get(forward.number());
+    if (known == null) {
+      return Arrival.NEW;
+    }
+    return known.isPresent() ? Arrival.DECIDED : Arrival.KNOWN;
+  }
+
+  /** The change was queued. */
+  void queued(ForwardChange forward) {
+    origin(forward).ifPresent(origin -> origin.open.put(forward.number(), Optional.empty()));
+  }
+
+  /** The change was not queued after all. */
+  void forget(ForwardChange forward) {
+    origin(forward).ifPresent(origin -> origin.open.remove(forward.number()));
+  }
+
+  /** The change was decided. */
+  void decided(ForwardChange forward, ChangeResult result) {
+    origin(forward)
+        .filter(origin -> forward.number() >= origin.lowestOpen)
+        .ifPresent(origin -> origin.open.put(forward.number(), Optional.of(result)));
+  }
+
+  /** The answer given before. */
+  Optional<ChangeResult> result(ForwardChange forward) {
+    return origin(forward).flatMap(origin -> origin.open.get(forward.number()));
+  }
+
+  private Optional<Origin> origin(ForwardChange forward) {
+    return Optional.ofNullable(origins.get(forward.origin().address()))
+        .filter(origin -> origin.incarnation == forward.origin().incarnation());
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/ParentChoice.java
@@ -0,0 +1,103 @@
+package io.umberpath.control;
+
+import io.umberpath.model.Member;
+import io.umberpath.model.PeerAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Which parents a node asks, in order. Within a zone a parent has a smaller slot than its child, so
+ * that members that live long relay and no cycle forms.
+ */
+final class ParentChoice {
+  private static final int ZONE_ATTEMPTS = 3;
+  private static final int HEAD_ATTEMPTS = 2;
+
+  private final NodeContext context;
+  private final Acceptor acceptor;
+  private final LeaderTrack track;
+
+  ParentChoice(NodeContext context, Acceptor acceptor, LeaderTrack track) {
+    this.context = context;
+    this.acceptor = acceptor;
+    this.track = track;
+  }
+
+  /** Position of this node among the members of its zone; -1 if it is no member. */
+  int index() {
+    return zone().indexOf(acceptor.slot());
+  }
+
+  private RosterView.Zone zone() {
+    return view().zone(context.process().zone());
+  }
+
+  private RosterView view() {
+    return context.view(acceptor.committed().roster());
+  }
+
+  /** The parent a member should have while everyone is reachable; empty for other processes. */
+  Optional<PeerAddress> preferred() {
+    int index = index();
+    if (index < 0) {
+      return Optional.empty();
+    }
+    if (index == 0) {
+      return track.leader().filter(leader -> !leader.equals(context.address()));
+    }
+    return Optional.of(zone().members().get((index - 1) / context.settings().fanout()).address());
+  }
+
+  /** The parent to ask at an attempt; empty if there is none to ask. */
+  Optional<PeerAddress> candidate(int attempt) {
+    int index = index();
+    if (index < 0) {
+      return stranger(attempt);
+    }
+    int cycle = 1 + ZONE_ATTEMPTS + HEAD_ATTEMPTS + 2;
+    int step = attempt % cycle;
+    if (step == 0) {
+      return preferred().or(() -> head(attempt));
+    }
+    if (step <= ZONE_ATTEMPTS && index > 0) {
+      return Optional.of(zone().members().get((int) context.spread(attempt, index)).address());
+    }
+    if (step <= ZONE_ATTEMPTS + HEAD_ATTEMPTS) {
+      return head(attempt);
+    }
+    return step == cycle - 1
+        ? stranger(attempt / cycle)
+        : track.leader().filter(leader -> !leader.equals(context.address()));
+  }
+
+  private Optional<PeerAddress> head(int attempt) {
+    List<PeerAddress> heads = new ArrayList<>();
+    for (Member head : view().zoneHeads()) {
+      if (!head.address().equals(context.address())) {
+        heads.add(head.address());
+      }
+    }
+    return pick(heads, attempt);
+  }
+
+  /** Seeds, and the members of the last roster this process knew, if any. */
+  private Optional<PeerAddress> stranger(int attempt) {
+    List<PeerAddress> known = new ArrayList<>(context.settings().seeds());
+    for (Member head : view().zoneHeads()) {
+      if (!known.contains(head.address())) {
+        known.add(head.address());
+      }
+    }
+    known.remove(context.address());
+    return pick(known, attempt);
+  }
+
+  private Optional<PeerAddress> pick(List<PeerAddress> peers, int attempt) {
+    if (peers.isEmpty()) {
+      return Optional.empty();
+    }
+    long start = context.spread(0, peers.size());
+    return Optional.of(peers.get((int) ((start + attempt) % peers.size())));
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/Proposals.java
@@ -0,0 +1,76 @@
+package io.umberpath.control;
+
+import io.umberpath.control.Membership.RosterStep;
+import io.umberpath.model.FleetState;
+import io.umberpath.model.StateDelta;
+import io.umberpath.model.StateDelta.RosterBasis;
+import io.umberpath.model.StateDeltas;
+import io.umberpath.model.Version;
+import java.util.List;
+import java.util.Optional;
+
+/** Builds the deltas a leader proposes. */
+final class Proposals {
+  private Proposals() {}
+
+  /** The state found by a new leader, unchanged but for its version. */
+  static StateDelta again(FleetState state, long epoch) {
+    RosterBasis basis = state.changesRoster() ? RosterBasis.KEPT : RosterBasis.SETTLED;
+    return hashed(draft(state, epoch, RosterStep.NONE, basis, null, 0), state);
+  }
+
+  /** A fleet that forms or re-forms: the roster before does not vote. */
+  static StateDelta reformed(FleetState state, long epoch, RosterStep step) {
+    return hashed(draft(state, epoch, step, RosterBasis.SETTLED, null, 0), state);
+  }
+
+  /** The next state after a committed one. */
+  static StateDelta next(
+      FleetState committed, long epoch, RosterStep step, ChangeBatch batch, int remembered) {
+    RosterBasis basis = step.isEmpty() ? RosterBasis.SETTLED : RosterBasis.FROM_BASE;
+    return hashed(draft(committed, epoch, step, basis, batch, remembered), committed);
+  }
+
+  private static StateDelta draft(
+      FleetState base,
+      long epoch,
+      RosterStep step,
+      RosterBasis basis,
+      ChangeBatch batch,
+      int remembered) {
+    Version target = base.version().next(epoch);
+    return new StateDelta(
+        base.version(),
+        base.contentHash(),
+        target,
+        0,
+        batch == null ? List.of() : batch.upserts(),
+        batch == null ? List.of() : batch.deletes(),
+        batch == null ? List.of() : batch.drains(),
+        step.removedSlots(),
+        step.addedMembers(),
+        basis,
+        Optional.empty(),
+        batch == null ? List.of() : batch.answers(),
+        batch == null ? List.of() : batch.forgotten(remembered),
+        0);
+  }
+
+  private static StateDelta hashed(StateDelta draft, FleetState base) {
+    return new StateDelta(
+        draft.base(),
+        draft.baseHash(),
+        draft.target(),
+        StateDeltas.produce(draft, base).contentHash(),
+        draft.upserts(),
+        draft.deletes(),
+        draft.drains(),
+        draft.removedSlots(),
+        draft.addedMembers(),
+        draft.rosterBasis(),
+        draft.explicitPreviousRoster(),
+        draft.answered(),
+        draft.forgotten(),
+        draft.nextSlot());
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/ReaderNaming.java
@@ -0,0 +1,112 @@
+package io.umberpath.control;
+
+import io.umberpath.model.Member;
+import io.umberpath.model.Roster;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.roaringbitmap.RoaringBitmap;
+
+/**
+ * Names the nodes that may read the platform. Of the fleet's {@code maxReaders}, half (at least
+ * one) read while they hear the leader that names them; the others are stand-ins for parts of the
+ * fleet without a leader and follow from the roster alone: the lowest slots of the first zones. A
+ * named reader that is lost keeps its place until its permission has certainly ended, so that the
+ * cap holds in partitions, too.
+ */
+final class ReaderNaming {
+  private static final int PERMISSION_ELECTIONS = 2;
+  private static final int ROTATION_READS = 60;
+
+  private final NodeContext context;
+  private final Map<Integer, Long> named = new LinkedHashMap<>();
+  private final Map<Integer, Long> ending = new LinkedHashMap<>();
+  private long nameFrom;
+  private int lastNamed = Member.NO_SLOT;
+
+  ReaderNaming(NodeContext context) {
+    this.context = context;
+  }
+
+  /** How many readers a leader names. */
+  static int activeReaders(int maxReaders) {
+    return maxReaders <= 0 ? 0 : Math.max(1, maxReaders / 2);
+  }
+
+  /** How long a named reader may read after the last round that named it, milliseconds. */
+  static long permissionMillis(ControlSettings settings) {
+    return PERMISSION_ELECTIONS * settings.electionMillis();
+  }
+
+  /** The stand-ins of a roster, for parts without a leader. */
+  static List<Member> standIns(RosterView view, int maxReaders) {
+    List<Member> heads = view.zoneHeads();
+    int count = Math.max(0, maxReaders - activeReaders(maxReaders));
+    return heads.subList(0, Math.min(count, heads.size()));
+  }
+
+  /**
+   * A term begins. Readers that a former leader named may go on until their permission ends.
+   *
+   * @param nobodyReads whether no former leader can have named any
+   */
+  void beginTerm(boolean nobodyReads) {
+    named.clear();
+    ending.clear();
+    nameFrom = nobodyReads ? context.now() : context.now() + endMillis();
+  }
+
+  private long endMillis() {
+    return permissionMillis(context.settings()) + context.settings().heartbeatMillis();
+  }
+
+  /** The readers for the next round. */
+  List<Integer> name(Roster roster, RoaringBitmap reachable) {
+    long now = context.now();
+    if (now < nameFrom) {
+      return List.of();
+    }
+    ending.values().removeIf(endsAt -> now >= endsAt);
+    long rotation = ROTATION_READS * context.settings().readMillis();
+    List<Integer> dropped = new ArrayList<>();
+    named.forEach(
+        (slot, since) -> {
+          boolean gone = !reachable.contains(slot) || roster.withSlot(slot).isEmpty();
+          if (gone || (now - since >= rotation && dropped.isEmpty())) {
+            dropped.add(slot);
+          }
+        });
+    for (int slot : dropped) {
+      named.remove(slot);
+      ending.put(slot, now + endMillis());
+    }
+    int free = activeReaders(context.settings().maxReaders()) - named.size() - ending.size();
+    for (int count = 0; count < free; count++) {
+      addNext(roster, reachable);
+    }
+    return List.copyOf(named.keySet());
+  }
+
+  /** Names the next reachable member after the last one named, in slot order. */
+  private void addNext(Roster roster, RoaringBitmap reachable) {
+    Member first = null;
+    Member next = null;
+    for (Member member : roster.members()) {
+      int slot = member.slot();
+      if (!reachable.contains(slot) || named.containsKey(slot) || ending.containsKey(slot)) {
+        continue;
+      }
+      first = first == null ? member : first;
+      if (slot > lastNamed) {
+        next = member;
+        break;
+      }
+    }
+    Member chosen = next == null ? first : next;
+    if (chosen != null) {
+      lastNamed = chosen.slot();
+      named.put(chosen.slot(), context.now());
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/VoteTally.java
@@ -0,0 +1,89 @@
+package io.umberpath.control;
+
+import io.umberpath.control.ControlMessage.HeldGroup;
+import io.umberpath.control.ControlMessage.VoteAnswer;
+import io.umberpath.model.Member;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Version;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.roaringbitmap.RoaringBitmap;
+
+/** Votes for one request, merged from many answers; a slot that is named twice counts once. */
+final class VoteTally {
+  private static final int MAX_HOLDERS = 4;
+
+  private final TreeMap<Version, Holders> byHeld = new TreeMap<>();
+  private final TreeMap<PeerAddress, Member> fresh = new TreeMap<>();
+  private final RoaringBitmap granted = new RoaringBitmap();
+  private long promised;
+
+  private static final class Holders {
+    private final List<PeerAddress> addresses = new ArrayList<>();
+    private final RoaringBitmap slots = new RoaringBitmap();
+  }
+
+  void add(VoteAnswer answer) {
+    answer.groups().forEach(this::add);
+    answer.fresh().forEach(this::addFresh);
+    promised = Math.max(promised, answer.promised());
+  }
+
+  void add(HeldGroup group) {
+    Holders holders = byHeld.computeIfAbsent(group.held(), version -> new Holders());
+    group.slots().addTo(holders.slots);
+    group.slots().addTo(granted);
+    if (holders.addresses.size() < MAX_HOLDERS && !holders.addresses.contains(group.holder())) {
+      holders.addresses.add(group.holder());
+    }
+  }
+
+  void addFresh(Member process) {
+    fresh.merge(process.address(), process, (a, b) -> a.incarnation() >= b.incarnation() ? a : b);
+  }
+
+  /** Highest epoch promised by anyone who answered. */
+  long promised() {
+    return promised;
+  }
+
+  void promised(long epoch) {
+    promised = Math.max(promised, epoch);
+  }
+
+  /** Slots that granted; not to be changed. */
+  RoaringBitmap granted() {
+    return granted;
+  }
+
+  /** Processes without a seat that granted, by address. */
+  TreeMap<PeerAddress, Member> fresh() {
+    return fresh;
+  }
+
+  /** Newest version held by anyone who granted. */
+  Version highest() {
+    return byHeld.isEmpty() ? Version.NONE : byHeld.lastKey();
+  }
+
+  /** One that holds the newest version, another one at each attempt. */
+  Optional<PeerAddress> holderOfHighest(int attempt) {
+    if (byHeld.isEmpty()) {
+      return Optional.empty();
+    }
+    List<PeerAddress> addresses = byHeld.lastEntry().getValue().addresses;
+    return Optional.of(addresses.get(attempt % addresses.size()));
+  }
+
+  /** The merged groups, for an answer. */
+  List<HeldGroup> groups() {
+    List<HeldGroup> groups = new ArrayList<>();
+    byHeld.forEach(
+        (version, holders) ->
+            groups.add(
+                new HeldGroup(version, holders.addresses.get(0), SlotSet.copyOf(holders.slots))));
+    return groups;
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/VoteVerdict.java
@@ -0,0 +1,62 @@
+package io.umberpath.control;
+
+import io.umberpath.model.FleetState;
+import io.umberpath.model.Member;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Roster;
+import io.umberpath.model.Version;
+import java.util.Set;
+
+/** What a set of votes allows a candidate to do. */
+enum VoteVerdict {
+  /** Nothing yet. */
+  INSUFFICIENT,
+  /** A quorum of the state's roster, and of its previous roster, granted. */
+  QUORUM,
+  /**
+   * Every member is accounted for: it granted, is certainly gone, or is given up by an operator.
+   */
+  FULL_ACCOUNT,
+  /** Nobody holds any state and every expected process granted. */
+  NEW_FLEET;
+
+  /**
+   * Judges votes.
+   *
+   * @param state the newest state found
+   * @param acceptedLoss addresses that an operator gives up
+   */
+  static VoteVerdict of(
+      NodeContext context, FleetState state, VoteTally tally, Set<PeerAddress> acceptedLoss) {
+    if (state.version().equals(Version.NONE)) {
+      int seen = tally.fresh().size() + acceptedLoss.size();
+      return seen >= context.settings().initialMembers() ? NEW_FLEET : INSUFFICIENT;
+    }
+    if (isQuorum(context, state.roster(), tally)
+        && isQuorum(context, state.previousRoster(), tally)) {
+      return QUORUM;
+    }
+    boolean accounted =
+        isAccounted(state.roster(), tally, acceptedLoss)
+            && isAccounted(state.previousRoster(), tally, acceptedLoss);
+    return accounted ? FULL_ACCOUNT : INSUFFICIENT;
+  }
+
+  private static boolean isQuorum(NodeContext context, Roster roster, VoteTally tally) {
+    return context.quorum().isQuorum(context.view(roster), tally.granted());
+  }
+
+  private static boolean isAccounted(
+      Roster roster, VoteTally tally, Set<PeerAddress> acceptedLoss) {
+    for (Member member : roster.members()) {
+      Member successor = tally.fresh().get(member.address());
+      boolean gone = successor != null && successor.incarnation() > member.incarnation();
+      if (!gone
+          && !tally.granted().contains(member.slot())
+          && !acceptedLoss.contains(member.address())) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/test/java/io/umberpath/control/FormationTest.java
@@ -0,0 +1,47 @@
+package io.umberpath.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.model.ChangeResult;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class FormationTest {
+  @ParameterizedTest
+  @CsvSource({"1,1", "3,1", "5,2", "12,4", "30,4"})
+  void aNewFleetFormsCommitsAndActivates(int size, int zones) {
+    TestFleet fleet = new TestFleet(7, size, zones);
+    fleet.platform = TestFleet.document(4);
+    fleet.startAll();
+    assertThat(fleet.runUntil(20_000, fleet::converged)).as("formed").isNotNegative();
+    assertThat(fleet.runUntil(20_000, () -> fleet.process(0).revision == 4)).isNotNegative();
+    long ticket = fleet.submit(fleet.process(size - 1), TestFleet.pool("r1", "p1"));
+    assertThat(fleet.runUntil(5_000, () -> fleet.answers.containsKey(ticket))).isNotNegative();
+    assertThat(fleet.answers.get(ticket)).isInstanceOf(ChangeResult.Accepted.class);
+    assertThat(
+            fleet.runUntil(
+                5_000,
+                () -> fleet.alive().stream().allMatch(p -> p.snapshot.pools().containsKey("p1"))))
+        .isNotNegative();
+    assertThat(fleet.violations).isEmpty();
+    assertThat(fleet.maxConcurrentReaders).isBetween(1, 2);
+  }
+
+  @Test
+  void aJoinerIsCaughtUpAndARestartedProcessIsANewMember() {
+    TestFleet fleet = new TestFleet(8, 6, 2);
+    fleet.initialMembers = 5;
+    for (int index = 0; index < 5; index++) {
+      fleet.start(index);
+    }
+    assertThat(fleet.runUntil(20_000, fleet::converged)).isNotNegative();
+    fleet.start(5);
+    assertThat(fleet.runUntil(20_000, fleet::converged)).isNotNegative();
+    int slot = fleet.process(5).status().self().slot();
+    fleet.restart(5);
+    assertThat(fleet.runUntil(20_000, fleet::converged)).isNotNegative();
+    assertThat(fleet.process(5).status().self().slot()).isGreaterThan(slot);
+    assertThat(fleet.violations).isEmpty();
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/test/java/io/umberpath/control/TestFleet.java
@@ -0,0 +1,369 @@
+package io.umberpath.control;
+
+import io.umberpath.model.ChangeResult;
+import io.umberpath.model.ChangeSet;
+import io.umberpath.model.Member;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.PlatformDocument;
+import io.umberpath.model.Pool;
+import io.umberpath.model.ProxySnapshot;
+import io.umberpath.model.Resource;
+import io.umberpath.model.ResourceKey;
+import io.umberpath.model.Tier;
+import io.umberpath.model.Version;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
+import java.util.function.BooleanSupplier;
+
+/**
+ * A small fleet on a virtual clock and a seeded network that loses, delays and repeats messages.
+ */
+final class TestFleet {
+  static final long HEARTBEAT = 200;
+  static final long STALL = 800;
+  static final long ELECTION = 1_000;
+
+  final Map<PeerAddress, Process> processes = new LinkedHashMap<>();
+  final Map<Long, ChangeResult> answers = new HashMap<>();
+  final List<String> notices = new ArrayList<>();
+  final List<String> violations = new ArrayList<>();
+  long now = 1_000;
+  double loss;
+  double duplication;
+  long maxDelay = 5;
+  int maxConcurrentReaders;
+  Optional<SeededFault> fault = Optional.empty();
+  ControlSettings.QuorumRule quorum = ControlSettings.QuorumRule.MAJORITY;
+  int initialMembers;
+  int rememberedChanges = 1_000;
+  int maxQueued = 100;
+  int maxChildren = 8;
+  int maxReaders = 2;
+  long batchWindow = 10;
+  BiPredicate<PeerAddress, PeerAddress> cut = (from, to) -> false;
+  PlatformDocument platform = PlatformDocument.NONE;
+  BiPredicate<PeerAddress, PlatformDocument> platformReachable = (reader, document) -> true;
+  long sent;
+  private final SplittableRandom random;
+  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final SharedStates shared = new SharedStates(64);
+  private final Map<Version, Long> values = new HashMap<>();
+  private final int zones;
+  private final int size;
+  private long sequence;
+  private long lastIncarnation = 1_000;
+  private long lastTicket;
+
+  TestFleet(long seed, int size, int zones) {
+    this.random = new SplittableRandom(seed);
+    this.size = size;
+    this.zones = zones;
+    this.initialMembers = size;
+  }
+
+  /** One running process; its successor at the address is another one. */
+  final class Process {
+    final Member member;
+    final ControlNode node;
+    Version active = Version.NONE;
+    long revision;
+    ProxySnapshot snapshot = ProxySnapshot.EMPTY;
+    boolean alive = true;
+    boolean paused;
+    long wakeAt;
+
+    Process(Member member, ControlNode node) {
+      this.member = member;
+      this.node = node;
+    }
+
+    PeerAddress address() {
+      return member.address();
+    }
+
+    ControlStatus status() {
+      return node.status();
+    }
+
+    void input(ControlInput input) {
+      if (alive) {
+        node.handle(now, input).forEach(output -> output(this, output));
+        schedule();
+      }
+    }
+
+    private void schedule() {
+      wakeAt = node.nextWakeMillis();
+      if (wakeAt != Long.MAX_VALUE) {
+        at(Math.max(wakeAt, now), () -> wake());
+      }
+    }
+
+    private void wake() {
+      if (paused) {
+        return;
+      }
+      if (alive && node.nextWakeMillis() <= now) {
+        input(new ControlInput.Tick());
+      }
+    }
+  }
+
+  private record Event(long at, long order, Runnable action) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+    }
+  }
+
+  void at(long time, Runnable action) {
+    events.add(new Event(time, sequence++, action));
+  }
+
+  PeerAddress address(int index) {
+    return new PeerAddress("10.0.0." + (index + 1), 7_000);
+  }
+
+  TestFleet startAll() {
+    for (int index = 0; index < size; index++) {
+      start(index);
+    }
+    return this;
+  }
+
+  Process start(int index) {
+    List<PeerAddress> seeds = List.of(address(0), address(1), address(2));
+    Member member =
+        new Member(
+            Member.NO_SLOT, address(index), ++lastIncarnation, "z" + index % zones, "region");
+    ControlSettings settings =
+        new ControlSettings(
+            member,
+            seeds,
+            initialMembers,
+            quorum,
+            batchWindow,
+            HEARTBEAT,
+            STALL,
+            ELECTION,
+            3,
+            maxChildren,
+            maxReaders,
+            500,
+            maxQueued,
+            rememberedChanges);
+    ControlNode node =
+        fault
+            .map(wrong -> ControlNodes.createWithFault(settings, shared, wrong))
+            .orElseGet(() -> ControlNodes.create(settings, shared));
+    Process process = new Process(member, node);
+    processes.put(address(index), process);
+    at(now + random.nextInt(50), () -> process.input(new ControlInput.Tick()));
+    return process;
+  }
+
+  Process process(int index) {
+    return processes.get(address(index));
+  }
+
+  void kill(int index) {
+    Process process = process(index);
+    process.alive = false;
+    for (Process other : List.copyOf(processes.values())) {
+      if (other.alive && random.nextBoolean()) {
+        at(
+            now + random.nextInt(100),
+            () -> other.input(new ControlInput.PeerUnreachable(process.address())));
+      }
+    }
+  }
+
+  void restart(int index) {
+    kill(index);
+    start(index);
+  }
+
+  void pause(int index) {
+    process(index).paused = true;
+  }
+
+  void resume(int index) {
+    Process process = process(index);
+    process.paused = false;
+    process.wake();
+    process.schedule();
+  }
+
+  private void output(Process from, ControlOutput output) {
+    if (output instanceof ControlOutput.Send send) {
+      send(from, send);
+    } else if (output instanceof ControlOutput.Activate activate) {
+      activated(from, activate.snapshot());
+    } else if (output instanceof ControlOutput.ChangeAnswered answered) {
+      if (answers.put(answered.ticket(), answered.result()) != null) {
+        violations.add("ticket " + answered.ticket() + " answered twice");
+      }
+    } else if (output instanceof ControlOutput.Notice notice) {
+      notices.add(now + " " + from.address() + " " + notice.event() + ": " + notice.detail());
+    } else if (output instanceof ControlOutput.ReadPlatform) {
+      read(from);
+    }
+  }
+
+  private void read(Process reader) {
+    long readers = processes.values().stream().filter(each -> each.alive && isReader(each)).count();
+    maxConcurrentReaders = Math.max(maxConcurrentReaders, (int) readers);
+    PlatformDocument document = platform;
+    boolean reachable = platformReachable.test(reader.address(), document);
+    at(
+        now + 5,
+        () ->
+            reader.input(
+                reachable
+                    ? new ControlInput.DocumentRead(document)
+                    : new ControlInput.DocumentReadFailed("unreachable")));
+  }
+
+  private static boolean isReader(Process process) {
+    return process.status().reader();
+  }
+
+  private void send(Process from, ControlOutput.Send send) {
+    sent++;
+    int copies = random.nextDouble() < duplication ? 2 : 1;
+    for (int copy = 0; copy < copies; copy++) {
+      if (random.nextDouble() >= loss) {
+        long delay = 1 + random.nextLong(maxDelay);
+        at(now + delay, () -> arrive(from.address(), send));
+      }
+    }
+  }
+
+  private void arrive(PeerAddress from, ControlOutput.Send send) {
+    Process to = processes.get(send.to());
+    if (to == null || !to.alive || cut.test(from, send.to())) {
+      return;
+    }
+    if (to.paused) {
+      at(now + 10, () -> arrive(from, send));
+      return;
+    }
+    to.input(new ControlInput.MessageReceived(from, send.message()));
+  }
+
+  private void activated(Process process, ProxySnapshot snapshot) {
+    if (process.active.isAfter(snapshot.version()) || process.revision > snapshot.revision()) {
+      violations.add(now + " " + process.address() + " went back to " + snapshot.version());
+    }
+    process.active = snapshot.version();
+    process.revision = snapshot.revision();
+    process.snapshot = snapshot;
+    long content = snapshot.pools().hashCode() + 31L * snapshot.routes().hashCode();
+    long revision = snapshot.revision();
+    Long known = values.putIfAbsent(snapshot.version(), content);
+    if (known != null && known != content && revision == 0) {
+      violations.add("two values for " + snapshot.version());
+    }
+  }
+
+  /** Runs for a while. */
+  void run(long millis) {
+    long end = now + millis;
+    while (!events.isEmpty() && events.peek().at() <= end) {
+      Event event = events.poll();
+      now = Math.max(now, event.at());
+      event.action().run();
+    }
+    now = end;
+  }
+
+  /** Runs until the condition holds; returns the time it took, or -1 if it never did. */
+  long runUntil(long limit, BooleanSupplier condition) {
+    long start = now;
+    while (now - start < limit) {
+      if (condition.getAsBoolean()) {
+        return now - start;
+      }
+      run(10);
+    }
+    return condition.getAsBoolean() ? now - start : -1;
+  }
+
+  List<Process> alive() {
+    return processes.values().stream().filter(process -> process.alive).toList();
+  }
+
+  Optional<Process> leader() {
+    return alive().stream()
+        .filter(process -> process.status().role() == ControlStatus.Role.LEADER)
+        .max((a, b) -> Long.compare(a.status().epoch(), b.status().epoch()));
+  }
+
+  /** Whether every live process is a member of one committed state and runs it. */
+  boolean converged() {
+    Optional<Process> leader = leader();
+    if (leader.isEmpty()) {
+      return false;
+    }
+    Version version = leader.get().status().committed().version();
+    int members = leader.get().status().committed().roster().size();
+    return members >= alive().size()
+        && alive().stream()
+            .allMatch(
+                process -> process.active.equals(version) && process.status().self().slot() >= 0);
+  }
+
+  long submit(Process process, ChangeSet change) {
+    long ticket = ++lastTicket;
+    process.input(new ControlInput.ChangeSubmitted(ticket, change));
+    return ticket;
+  }
+
+  static ChangeSet pool(String id, String name) {
+    return pool(id, name, 1);
+  }
+
+  static ChangeSet pool(String id, String name, int slots) {
+    return change(
+        id, List.of(new Pool(name, "t1", Tier.STANDARD, "booking", slots, 10)), List.of());
+  }
+
+  static ChangeSet change(String id, List<Resource> upserts, List<ResourceKey> deletes) {
+    return new ChangeSet(id, "t1", Tier.STANDARD, Optional.empty(), upserts, deletes, List.of());
+  }
+
+  static PlatformDocument document(long revision) {
+    TreeMap<String, List<PlatformDocument.BackendAddress>> services = new TreeMap<>();
+    services.put(
+        "booking",
+        List.of(
+            new PlatformDocument.BackendAddress("b1", "10.1.0.1", 80, "z0", "10.0.0.1", 7_001)));
+    return new PlatformDocument(revision, services, List.of());
+  }
+
+  /** Every accepted change is in the newest committed state; empty if so. */
+  List<String> lostChanges(Map<Long, String> poolByTicket) {
+    List<String> lost = new ArrayList<>();
+    var resources = leader().orElseThrow().status().committed().resources();
+    poolByTicket.forEach(
+        (ticket, pool) -> {
+          boolean present = resources.keySet().exists(key -> key.name().equals(pool));
+          ChangeResult result = answers.get(ticket);
+          if (result instanceof ChangeResult.Accepted && !present) {
+            lost.add(pool + " was accepted and is gone");
+          }
+          if (result instanceof ChangeResult.Refused && present) {
+            lost.add(pool + " was refused and is there");
+          }
+        });
+    return lost;
+  }
+}
--- a/umberpath-model/src/main/java/io/umberpath/model/StateDelta.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/StateDelta.java
@@ -1,5 +1,6 @@
 package io.umberpath.model;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
@@ -21,6 +22,8 @@
  * @param explicitPreviousRoster the previous roster, for {@link RosterBasis#EXPLICIT}
  * @param answered operator changes that this delta answers
  * @param forgotten keys of answered changes that are no longer remembered
+ * @param nextSlot lower bound of the next free slot in the target state, so that the slot of a
+ *     member that has left is not given out again by a node that received the state whole
  */
 public record StateDelta(
     Version base,
@@ -35,7 +38,8 @@
     RosterBasis rosterBasis,
     Optional<Roster> explicitPreviousRoster,
     List<Answer> answered,
-    List<String> forgotten) {
+    List<String> forgotten,
+    int nextSlot) {
   /** Copies the lists. */
   public StateDelta {
     upserts = List.copyOf(upserts);
@@ -48,6 +52,7 @@
   }
 
   /** Whether the delta carries a whole state. */
+  @JsonIgnore
   public boolean isWholeState() {
     return base.equals(Version.NONE);
   }
--- a/umberpath-model/src/main/java/io/umberpath/model/StateDeltas.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/StateDeltas.java
@@ -39,7 +39,8 @@
             .toJavaStream()
             .map(entry -> new StateDelta.Answer(entry._1, entry._2))
             .toList(),
-        List.of());
+        List.of(),
+        state.nextSlot());
   }
 
   /**
@@ -138,7 +139,7 @@
   }
 
   private static int nextSlot(StateDelta delta, FleetState base) {
-    int next = base.nextSlot();
+    int next = Math.max(base.nextSlot(), delta.nextSlot());
     for (Member member : delta.addedMembers()) {
       next = Math.max(next, member.slot() + 1);
     }
--- a/umberpath-model/src/test/java/io/umberpath/model/StateDeltaTest.java
+++ b/umberpath-model/src/test/java/io/umberpath/model/StateDeltaTest.java
@@ -35,7 +35,8 @@
             added.isEmpty() ? RosterBasis.SETTLED : RosterBasis.FROM_BASE,
             Optional.empty(),
             List.of(),
-            List.of());
+            List.of(),
+            0);
     return withTargetHash(draft, StateDeltas.produce(draft, base).contentHash());
   }
 
@@ -53,7 +54,8 @@
         delta.rosterBasis(),
         delta.explicitPreviousRoster(),
         delta.answered(),
-        delta.forgotten());
+        delta.forgotten(),
+        delta.nextSlot());
   }
 
   private static Member member(int slot) {
@@ -79,6 +81,31 @@
     assertThat(settled.changesRoster()).isFalse();
   }
 
+  @Test
+  void aStateReceivedWholeDoesNotReuseTheSlotOfAMemberThatLeft() {
+    FleetState first = populated();
+    FleetState second = delta(first, List.of(), List.of(), List.of(member(1))).applyTo(first).get();
+    StateDelta removal =
+        new StateDelta(
+            second.version(),
+            second.contentHash(),
+            second.version().next(1),
+            0,
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(1),
+            List.of(),
+            RosterBasis.FROM_BASE,
+            Optional.empty(),
+            List.of(),
+            List.of(),
+            0);
+    FleetState third = StateDeltas.produce(removal, second);
+    assertThat(StateDeltas.wholeState(third).applyTo(FleetState.EMPTY).get().nextSlot())
+        .isEqualTo(2);
+  }
+
   @Test
   void refusesAWrongBaseAndAWrongHashAndLeavesTheStateAlone() {
     FleetState state = populated();
