--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -0,0 +1,251 @@
+package io.umberpath.node.proxy;
+
+import io.umberpath.model.ObservedBackend;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.PlatformDocument.BackendAddress;
+import io.umberpath.model.ProxySnapshot;
+import io.umberpath.model.Route;
+import io.umberpath.model.Secret;
+import io.umberpath.model.Verdict;
+import io.umberpath.node.control.ControlService;
+import io.umberpath.node.proxy.http.ProxyHeaders;
+import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.node.proxy.inbound.Exchange;
+import io.umberpath.node.proxy.inbound.Headers;
+import io.umberpath.node.proxy.inbound.Refusal;
+import io.umberpath.node.proxy.inbound.RequestHandler;
+import io.umberpath.node.proxy.inbound.RequestPlan;
+import io.umberpath.node.proxy.origin.OriginManager;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.traffic.LoadBalancer;
+import io.umberpath.traffic.RetryPolicy;
+import io.umberpath.traffic.RouteTable;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.Header;
+
+/** Requests of callers: finds the route, picks a back end, sends to the node beside it. */
+final class EdgeHandler implements RequestHandler {
+  private record CachedTable(ProxySnapshot snapshot, RouteTable table) {}
+
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final ControlService control;
+  private final OriginManager origins;
+  private final LoadBalancer balancer;
+  private final RetryPolicy retries;
+  private final LongSupplier clockMillis;
+  private final String idPrefix;
+  private final AtomicLong lastId = new AtomicLong();
+  private volatile CachedTable cachedTable;
+  private volatile boolean draining;
+  private Map<String, ObservedBackend> lastObserved = Map.of();
+
+  EdgeHandler(
+      ControlService control,
+      OriginManager origins,
+      LoadBalancer balancer,
+      RetryPolicy retries,
+      LongSupplier clockMillis) {
+    this.control = control;
+    this.origins = origins;
+    this.balancer = balancer;
+    this.retries = retries;
+    this.clockMillis = clockMillis;
+    this.idPrefix = Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-";
+    this.cachedTable = new CachedTable(ProxySnapshot.EMPTY, RouteTable.of(ProxySnapshot.EMPTY));
+  }
+
+  /** From now on new requests are refused. */
+  void drain() {
+    draining = true;
+  }
+
+  /** Passes news of the back ends to the balancer. */
+  void observe(long nowMillis) {
+    Map<String, ObservedBackend> observed = control.observed();
+    if (!observed.equals(lastObserved)) {
+      lastObserved = Map.copyOf(observed);
+      synchronized (balancer) {
+        balancer.observed(nowMillis, List.copyOf(observed.values()));
+      }
+    }
+  }
+
+  @Override
+  public ProxyStats.Side side() {
+    return ProxyStats.Side.EDGE;
+  }
+
+  @Override
+  public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
+    if (draining) {
+      return Either.left(Refusal.notRun(Verdict.Reason.DRAINING));
+    }
+    ProxySnapshot snapshot = control.snapshot();
+    if (snapshot == ProxySnapshot.EMPTY) {
+      return Either.left(Refusal.notRun(Verdict.Reason.NOT_READY));
+    }
+    String path = head.getRequestURI();
+    if (!path.startsWith("/")) {
+      return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
+    }
+    Optional<Route> route = tableOf(snapshot).match(hostOf(head), path);
+    if (route.isEmpty()) {
+      return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
+    }
+    Either<String, Optional<Long>> stated = Headers.deadlineMillis(head);
+    if (stated.isLeft()) {
+      return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
+    }
+    long timeout = Math.min(route.get().timeoutMillis(), stated.get().orElse(Long.MAX_VALUE));
+    if (timeout <= 0) {
+      return Either.left(Refusal.notRun(Verdict.Reason.DEADLINE));
+    }
+    synchronized (retries) {
+      retries.requestStarted(nowMillis);
+    }
+    return Either.right(plan(head, snapshot, route.get(), nowMillis + timeout));
+  }
+
+  private RequestPlan plan(
+      HttpRequestPacket head, ProxySnapshot snapshot, Route route, long deadlineMillis) {
+    return new RequestPlan(
+        idPrefix + lastId.incrementAndGet(),
+        route.name(),
+        route.tenant(),
+        route.tier(),
+        route.repeatableMethods().contains(head.getMethod().toString()),
+        deadlineMillis,
+        route.secret().map(snapshot.secrets()::get).map(Secret::headerValue).map("Bearer "::concat),
+        Optional.of(snapshot.pools().get(route.pool())));
+  }
+
+  private RouteTable tableOf(ProxySnapshot snapshot) {
+    CachedTable cached = cachedTable;
+    if (cached.snapshot() != snapshot) {
+      cached = new CachedTable(snapshot, RouteTable.of(snapshot));
+      cachedTable = cached;
+    }
+    return cached.table();
+  }
+
+  private static String hostOf(HttpRequestPacket head) {
+    String host = head.getHeader(Header.Host);
+    if (host == null) {
+      return "";
+    }
+    int bracket = host.lastIndexOf(']');
+    int colon = host.indexOf(':', Math.max(bracket, 0));
+    return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+  }
+
+  @Override
+  public void dispatch(Exchange exchange) {
+    long now = clockMillis.getAsLong();
+    Either<Verdict.Reason, ProxySnapshot.BackendView> choice;
+    synchronized (balancer) {
+      choice =
+          balancer.pick(
+              now,
+              exchange.plan().pool().orElseThrow(),
+              ThreadLocalRandom.current().nextLong(),
+              exchange.triedOrigins());
+      if (choice.isRight()) {
+        balancer.started(now, choice.get().address().id());
+      }
+    }
+    if (choice.isRight()) {
+      send(exchange, choice.get().address(), now);
+    } else {
+      exchange.refuse(exchange.lastRefusal().orElse(Refusal.notRun(choice.getLeft())));
+    }
+  }
+
+  private void send(Exchange exchange, BackendAddress backend, long nowMillis) {
+    PeerAddress address = new PeerAddress(backend.nodeHost(), backend.nodeHopPort());
+    if (!exchange.sendTo(origins.poolOf(address), backend.id())) {
+      // The request ended while its back end was being chosen.
+      synchronized (balancer) {
+        balancer.finished(nowMillis, backend.id(), new Verdict.NotRun(Verdict.Reason.CANCELLED), 0);
+      }
+    }
+  }
+
+  @Override
+  public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
+    RequestPlan plan = exchange.plan();
+    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    set(outgoing, ProxyHeaders.DEADLINE, Long.toString(left));
+    set(outgoing, ProxyHeaders.REQUEST_ID, attemptId(exchange));
+    set(outgoing, ProxyHeaders.ATTEMPT, Integer.toString(exchange.attempts()));
+    set(outgoing, ProxyHeaders.ROUTE, plan.route());
+    set(outgoing, ProxyHeaders.TENANT, plan.tenant());
+    set(outgoing, ProxyHeaders.TIER, plan.tier().name());
+  }
+
+  private static String attemptId(Exchange exchange) {
+    return exchange.plan().requestId() + "." + exchange.attempts();
+  }
+
+  private static void set(HttpRequestPacket packet, String name, String value) {
+    packet.getHeaders().addValue(name).setString(value);
+  }
+
+  @Override
+  public String echoedId(RequestPlan plan) {
+    return null;
+  }
+
+  @Override
+  public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+    if (!attemptId(exchange).equals(head.getHeader(ProxyHeaders.REQUEST_ID))) {
+      return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
+    }
+    return Headers.text(head, ProxyHeaders.VERDICT)
+        .flatMap(VerdictHeader::parse)
+        .map(verdict -> new Refusal(verdict, retryAfterMillis(head)));
+  }
+
+  private static long retryAfterMillis(HttpResponsePacket head) {
+    return Headers.text(head, Header.RetryAfter.toString())
+        .flatMap(Headers::number)
+        .map(seconds -> seconds * MILLIS_PER_SECOND)
+        .orElse(0L);
+  }
+
+  @Override
+  public void attemptEnded(Exchange exchange, String originId, Verdict verdict, long micros) {
+    synchronized (balancer) {
+      balancer.finished(clockMillis.getAsLong(), originId, verdict, micros);
+    }
+  }
+
+  @Override
+  public boolean mayRetry(Exchange exchange, Verdict verdict) {
+    RequestPlan plan = exchange.plan();
+    RetryPolicy.FailedAttempt failed =
+        new RetryPolicy.FailedAttempt(
+            verdict,
+            plan.repeatable(),
+            exchange.attempts(),
+            exchange.isBodyReplayable(),
+            plan.deadlineMillis());
+    synchronized (retries) {
+      return retries.mayRetry(clockMillis.getAsLong(), failed);
+    }
+  }
+
+  @Override
+  public void ended(Exchange exchange, Verdict verdict) {
+    // Nothing is held for a request at the edge.
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -0,0 +1,167 @@
+package io.umberpath.node.proxy;
+
+import io.umberpath.model.PeerAddress;
+import io.umberpath.node.control.ControlService;
+import io.umberpath.node.proxy.inbound.ActiveExchanges;
+import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
+import io.umberpath.node.proxy.inbound.InboundFilter;
+import io.umberpath.node.proxy.origin.AttemptLog;
+import io.umberpath.node.proxy.origin.OriginManager;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.node.settings.NodeSettings;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+
+/**
+ * The request path of a node. The edge port takes callers' requests and sends each to the node
+ * beside a back end; the hop port takes requests of other nodes and hands them to the back end
+ * beside this node. Thread-safe; {@link #start} is called once.
+ */
+public final class ProxyServer implements AutoCloseable {
+  private static final int NO_PORT = -1;
+  private static final long TICK_MILLIS = 5;
+  private static final long SWEEP_MILLIS = 1_000;
+  private static final long IDLE_ORIGIN_MILLIS = 30_000;
+  private static final long IDLE_CALLER_MILLIS = 60_000;
+  private static final long DISCARD_MILLIS = 2_000;
+
+  private final NodeSettings.Proxy settings;
+  private final ProxyTransport transport;
+  private final OriginManager origins;
+  private final ActiveExchanges active = new ActiveExchanges();
+  private final ExchangeEnvironment environment;
+  private final EdgeHandler edge;
+  private final Optional<HopHandler> hop;
+  private final Optional<ConnectionPool> backendPool;
+  private final ScheduledExecutorService timer;
+  private InboundFilter edgeFilter;
+  private InboundFilter hopFilter;
+  private int edgePort = NO_PORT;
+  private int hopPort = NO_PORT;
+
+  /** Creates a proxy that is not listening yet. */
+  public ProxyServer(NodeSettings.Proxy settings, ControlService control, ProxyStats stats) {
+    this.settings = settings;
+    this.transport = new ProxyTransport(settings.maxHeaderBytes(), ConnectionPool::giveBack);
+    this.origins = new OriginManager(transport, ProxyServer::clockMillis);
+    this.environment =
+        new ExchangeEnvironment(
+            ProxyServer::clockMillis, stats, new AttemptLog(), active, settings.maxBodyBytes());
+    this.edge =
+        new EdgeHandler(
+            control, origins, new LeastInFlight(), new FirmRetry(), ProxyServer::clockMillis);
+    this.backendPool = settings.backend().map(this::poolOf);
+    this.hop = settings.backend().map(this::hopHandler);
+    this.timer =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "umberpath-proxy-timer");
+              thread.setDaemon(true);
+              return thread;
+            });
+  }
+
+  private static long clockMillis() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  private ConnectionPool poolOf(NodeSettings.Backend backend) {
+    PeerAddress address = HopHandler.addressOf(backend);
+    return new ConnectionPool(address, transport, backend.connections(), ProxyServer::clockMillis);
+  }
+
+  private HopHandler hopHandler(NodeSettings.Backend backend) {
+    return new HopHandler(
+        backend,
+        backendPool.orElseThrow(),
+        new SlotCounter(backend.slots()),
+        new BackendState(),
+        ProxyServer::clockMillis);
+  }
+
+  /**
+   * Opens the listeners.
+   *
+   * @throws IOException if a port cannot be bound
+   */
+  public void start() throws IOException {
+    transport.start();
+    if (settings.edgePort() != NO_PORT) {
+      edgeFilter = new InboundFilter(edge, environment);
+      edgePort = listen(settings.edgePort(), edgeFilter);
+    }
+    if (settings.hopPort() != NO_PORT && hop.isPresent()) {
+      hopFilter = new InboundFilter(hop.get(), environment);
+      hopPort = listen(settings.hopPort(), hopFilter);
+    }
+    timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    timer.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private int listen(int port, InboundFilter filter) throws IOException {
+    TCPNIOServerConnection connection = transport.listen(settings.host(), port, filter);
+    return ((InetSocketAddress) connection.getLocalAddress()).getPort();
+  }
+
+  private void tick() {
+    long now = clockMillis();
+    active.expire(now);
+    hop.ifPresent(handler -> handler.tick(now));
+    edge.observe(now);
+  }
+
+  private void sweep() {
+    origins.expire(IDLE_ORIGIN_MILLIS);
+    backendPool.ifPresent(pool -> pool.expire(IDLE_ORIGIN_MILLIS));
+    if (edgeFilter != null) {
+      edgeFilter.expire(IDLE_CALLER_MILLIS, DISCARD_MILLIS);
+    }
+    if (hopFilter != null) {
+      hopFilter.expire(IDLE_CALLER_MILLIS, DISCARD_MILLIS);
+    }
+  }
+
+  /** Port for callers, or -1. */
+  public int edgePort() {
+    return edgePort;
+  }
+
+  /** Port for other nodes, or -1. */
+  public int hopPort() {
+    return hopPort;
+  }
+
+  /**
+   * Refuses new requests as not run and waits for those in flight.
+   *
+   * @param bound longest wait; what is in flight then is cut off, each request logged
+   * @return whether every request finished
+   */
+  public boolean drain(Duration bound) throws InterruptedException {
+    edge.drain();
+    hop.ifPresent(HopHandler::drain);
+    boolean finished = active.awaitNone(bound.toMillis());
+    if (!finished) {
+      active.abortAll();
+    }
+    return finished;
+  }
+
+  /** Stops at once; call {@link #drain} first to finish what is in flight. */
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    try {
+      transport.stop();
+    } catch (IOException error) {
+      throw new java.io.UncheckedIOException("proxy transport did not stop", error);
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -0,0 +1,92 @@
+package io.umberpath.node.proxy;
+
+import io.umberpath.model.PeerAddress;
+import io.umberpath.node.proxy.http.ClientCodecFilter;
+import io.umberpath.node.proxy.http.ServerCodecFilter;
+import io.umberpath.node.proxy.inbound.InboundFilter;
+import io.umberpath.node.proxy.origin.OriginConnection;
+import io.umberpath.node.proxy.origin.OriginFilter;
+import io.umberpath.node.proxy.pool.Connector;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/**
+ * Grizzly's TCP transport with the proxy's filter chains. Everything runs on the selector threads,
+ * without hand-over to a worker: no filter blocks.
+ */
+final class ProxyTransport implements Connector {
+  private static final int MAX_SELECTOR_THREADS = 4;
+  private static final int WRITE_QUEUE_BYTES = 256 * 1024;
+  private static final int READ_BUFFER_BYTES = 32 * 1024;
+  private static final int BACKLOG = 1024;
+
+  private final TCPNIOTransport transport;
+  private final TCPNIOConnectorHandler connector;
+  private final int maxHeaderBytes;
+
+  ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable) {
+    this.maxHeaderBytes = maxHeaderBytes;
+    int threads = Math.min(MAX_SELECTOR_THREADS, Runtime.getRuntime().availableProcessors());
+    this.transport =
+        TCPNIOTransportBuilder.newInstance()
+            .setName("umberpath-proxy")
+            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setSelectorRunnersCount(threads)
+            .setReadBufferSize(READ_BUFFER_BYTES)
+            .setTcpNoDelay(true)
+            .setServerConnectionBackLog(BACKLOG)
+            .build();
+    transport.getAsyncQueueIO().getWriter().setMaxPendingBytesPerConnection(WRITE_QUEUE_BYTES);
+    this.connector =
+        TCPNIOConnectorHandler.builder(transport).processor(clientChain(onReusable)).build();
+  }
+
+  private FilterChain clientChain(Consumer<OriginConnection> onReusable) {
+    OriginFilter last = new OriginFilter(onReusable);
+    return FilterChainBuilder.stateless()
+        .add(new TransportFilter())
+        .add(new ClientCodecFilter(maxHeaderBytes, last))
+        .add(last)
+        .build();
+  }
+
+  void start() throws IOException {
+    transport.start();
+  }
+
+  /** Listens; returns the port. */
+  TCPNIOServerConnection listen(String host, int port, InboundFilter last) throws IOException {
+    FilterChain chain =
+        FilterChainBuilder.stateless()
+            .add(new TransportFilter())
+            .add(new ServerCodecFilter(maxHeaderBytes))
+            .add(last)
+            .build();
+    return TCPNIOBindingHandler.builder(transport)
+        .processor(chain)
+        .build()
+        .bind(new InetSocketAddress(host, port));
+  }
+
+  @Override
+  @SuppressWarnings("rawtypes") // Grizzly's own signature
+  public void connect(PeerAddress address, CompletionHandler<Connection> handler) {
+    connector.connect(new InetSocketAddress(address.host(), address.port()), handler);
+  }
+
+  void stop() throws IOException {
+    transport.shutdownNow();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/HeaderCopier.java
@@ -0,0 +1,77 @@
+package io.umberpath.node.proxy.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.util.DataChunk;
+import org.glassfish.grizzly.http.util.Header;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+
+/**
+ * Copies the end-to-end headers of a message (RFC 9110, section 7.6.1). Hop-by-hop headers, headers
+ * named by {@code Connection}, those that state the body's length and the project's own stay
+ * behind.
+ */
+public final class HeaderCopier {
+  private static final Set<String> NOT_COPIED = notCopied();
+
+  private HeaderCopier() {}
+
+  /** Copies from one message to another, and leaves out the given names too. */
+  public static void copy(HttpHeader from, HttpHeader to, Set<String> alsoLeftOut) {
+    MimeHeaders source = from.getHeaders();
+    MimeHeaders target = to.getHeaders();
+    List<String> named = namedByConnection(source);
+    for (int index = 0; index < source.size(); index++) {
+      String name = source.getName(index).toString();
+      if (!NOT_COPIED.contains(name)
+          && !ProxyHeaders.isInternal(name)
+          && !alsoLeftOut.contains(name)
+          && !containsIgnoreCase(named, name)) {
+        target.addValue(name).setString(source.getValue(index).toString());
+      }
+    }
+  }
+
+  private static List<String> namedByConnection(MimeHeaders headers) {
+    DataChunk first = headers.getValue(Header.Connection);
+    if (first == null) {
+      return List.of();
+    }
+    List<String> names = new ArrayList<>();
+    for (String value : headers.values(Header.Connection)) {
+      for (String name : value.split(",")) {
+        names.add(name.strip());
+      }
+    }
+    return names;
+  }
+
+  private static boolean containsIgnoreCase(List<String> names, String name) {
+    for (String candidate : names) {
+      if (candidate.equalsIgnoreCase(name)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static Set<String> notCopied() {
+    Set<String> names = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+    names.addAll(
+        List.of(
+            "Connection",
+            "Content-Length",
+            "Keep-Alive",
+            "Proxy-Authenticate",
+            "Proxy-Authorization",
+            "Proxy-Connection",
+            "TE",
+            "Trailer",
+            "Transfer-Encoding",
+            "Upgrade"));
+    return names;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/MessageHeadValidator.java
@@ -0,0 +1,239 @@
+package io.umberpath.node.proxy.http;
+
+import java.nio.charset.StandardCharsets;
+import org.glassfish.grizzly.Buffer;
+
+/**
+ * Checks the raw bytes of a message head (RFC 9112) before anyone acts on it. The codec is lenient;
+ * two parsers that read one message differently are how requests are smuggled, so whatever is not
+ * canonical is refused. Not thread-safe; one instance checks one head.
+ */
+final class MessageHeadValidator {
+  private static final byte[] CONTENT_LENGTH = ascii("content-length");
+  private static final byte[] TRANSFER_ENCODING = ascii("transfer-encoding");
+  private static final byte[] HOST = ascii("host");
+  private static final byte[] CHUNKED = ascii("chunked");
+  private static final byte[] HTTP_1 = ascii("HTTP/1.");
+  private static final boolean[] TOKEN = tokenBytes();
+  private static final int STATUS_DIGITS = 3;
+  private static final int MAX_LENGTH_DIGITS = 18;
+
+  private final Buffer buffer;
+  private final int limit;
+  private int contentLengths;
+  private int transferEncodings;
+  private int hosts;
+  private boolean version11;
+
+  private MessageHeadValidator(Buffer buffer, int limit) {
+    this.buffer = buffer;
+    this.limit = limit;
+  }
+
+  /**
+   * Checks a request head.
+   *
+   * @param start index of its first byte
+   * @param limit index after its final empty line
+   * @throws MalformedMessageException if it is not canonical
+   */
+  static void checkRequest(Buffer buffer, int start, int limit) {
+    MessageHeadValidator validator = new MessageHeadValidator(buffer, limit);
+    int end = validator.lineEnd(start);
+    validator.requestLine(start, end);
+    validator.headers(end + 2);
+    if (validator.version11 && validator.hosts != 1) {
+      throw new MalformedMessageException("request needs exactly one Host header");
+    }
+    if (validator.hosts > 1) {
+      throw new MalformedMessageException("request has several Host headers");
+    }
+  }
+
+  /**
+   * Checks the head of an answer.
+   *
+   * @param start index of its first byte
+   * @param limit index after its final empty line
+   * @throws MalformedMessageException if it is not canonical
+   */
+  static void checkAnswer(Buffer buffer, int start, int limit) {
+    MessageHeadValidator validator = new MessageHeadValidator(buffer, limit);
+    int end = validator.lineEnd(start);
+    validator.statusLine(start, end);
+    validator.headers(end + 2);
+  }
+
+  private void requestLine(int start, int end) {
+    int methodEnd = start;
+    while (methodEnd < end && TOKEN[buffer.get(methodEnd) & 0xff]) {
+      methodEnd++;
+    }
+    int versionStart = end - HTTP_1.length - 1;
+    if (methodEnd == start || versionStart - 1 <= methodEnd + 1) {
+      throw new MalformedMessageException("request line is not 'method target HTTP/1.x'");
+    }
+    if (buffer.get(methodEnd) != ' ' || buffer.get(versionStart - 1) != ' ') {
+      throw new MalformedMessageException("request line is not 'method target HTTP/1.x'");
+    }
+    for (int index = methodEnd + 1; index < versionStart - 1; index++) {
+      int value = buffer.get(index) & 0xff;
+      if (value <= ' ' || value >= 0x7f) {
+        throw new MalformedMessageException("request target has a byte outside visible ASCII");
+      }
+    }
+    version(versionStart);
+  }
+
+  private void statusLine(int start, int end) {
+    int statusStart = start + HTTP_1.length + 2;
+    int statusEnd = statusStart + STATUS_DIGITS;
+    if (statusEnd > end || buffer.get(statusStart - 1) != ' ') {
+      throw new MalformedMessageException("status line is not 'HTTP/1.x status reason'");
+    }
+    version(start);
+    for (int index = statusStart; index < statusEnd; index++) {
+      if (!isDigit(buffer.get(index))) {
+        throw new MalformedMessageException("status is not three digits");
+      }
+    }
+    if (buffer.get(statusStart) == '0' || buffer.get(statusStart) > '5') {
+      throw new MalformedMessageException("status is not between 100 and 599");
+    }
+    if (statusEnd < end && buffer.get(statusEnd) != ' ') {
+      throw new MalformedMessageException("status is not three digits");
+    }
+  }
+
+  private void version(int start) {
+    for (int index = 0; index < HTTP_1.length; index++) {
+      if (buffer.get(start + index) != HTTP_1[index]) {
+        throw new MalformedMessageException("version is not HTTP/1.x");
+      }
+    }
+    byte minor = buffer.get(start + HTTP_1.length);
+    if (minor != '0' && minor != '1') {
+      throw new MalformedMessageException("version is neither HTTP/1.0 nor HTTP/1.1");
+    }
+    version11 = minor == '1';
+  }
+
+  private void headers(int start) {
+    int lineStart = start;
+    while (lineStart < limit) {
+      int end = lineEnd(lineStart);
+      if (end == lineStart) {
+        break;
+      }
+      header(lineStart, end);
+      lineStart = end + 2;
+    }
+    if (lineStart + 2 != limit) {
+      throw new MalformedMessageException("head does not end with one empty line");
+    }
+    if (contentLengths > 1 || transferEncodings > 1 || contentLengths + transferEncodings > 1) {
+      throw new MalformedMessageException("more than one header states the body's length");
+    }
+    if (transferEncodings > 0 && !version11) {
+      throw new MalformedMessageException("Transfer-Encoding in HTTP/1.0");
+    }
+  }
+
+  private void header(int start, int end) {
+    int colon = start;
+    while (colon < end && TOKEN[buffer.get(colon) & 0xff]) {
+      colon++;
+    }
+    if (colon == start || colon == end || buffer.get(colon) != ':') {
+      throw new MalformedMessageException("header line has no plain name before its colon");
+    }
+    int valueStart = colon + 1;
+    while (valueStart < end && isBlank(buffer.get(valueStart))) {
+      valueStart++;
+    }
+    int valueEnd = end;
+    while (valueEnd > valueStart && isBlank(buffer.get(valueEnd - 1))) {
+      valueEnd--;
+    }
+    if (matches(CONTENT_LENGTH, start, colon)) {
+      contentLengths++;
+      digits(valueStart, valueEnd);
+    } else if (matches(TRANSFER_ENCODING, start, colon)) {
+      transferEncodings++;
+      if (!matches(CHUNKED, valueStart, valueEnd)) {
+        throw new MalformedMessageException("Transfer-Encoding is not exactly 'chunked'");
+      }
+    } else if (matches(HOST, start, colon)) {
+      hosts++;
+    }
+  }
+
+  private void digits(int start, int end) {
+    if (start == end || end - start > MAX_LENGTH_DIGITS) {
+      throw new MalformedMessageException("Content-Length is empty or too long");
+    }
+    for (int index = start; index < end; index++) {
+      if (!isDigit(buffer.get(index))) {
+        throw new MalformedMessageException("Content-Length is not a plain number");
+      }
+    }
+  }
+
+  /** Index of the CR of this line; refuses control bytes and lone line ends. */
+  private int lineEnd(int start) {
+    for (int index = start; index < limit; index++) {
+      int value = buffer.get(index) & 0xff;
+      if (value == '\r') {
+        if (index + 1 < limit && buffer.get(index + 1) == '\n') {
+          return index;
+        }
+        throw new MalformedMessageException("head has a CR without LF");
+      }
+      if (value < ' ' && value != '\t' || value == 0x7f) {
+        throw new MalformedMessageException("head has a control byte or an LF without CR");
+      }
+    }
+    throw new MalformedMessageException("head ends within a line");
+  }
+
+  private boolean matches(byte[] lowerCase, int start, int end) {
+    if (end - start != lowerCase.length) {
+      return false;
+    }
+    for (int index = 0; index < lowerCase.length; index++) {
+      int value = buffer.get(start + index);
+      int lower = value >= 'A' && value <= 'Z' ? value + ('a' - 'A') : value;
+      if (lower != lowerCase[index]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean isDigit(byte value) {
+    return value >= '0' && value <= '9';
+  }
+
+  private static boolean isBlank(byte value) {
+    return value == ' ' || value == '\t';
+  }
+
+  private static byte[] ascii(String text) {
+    return text.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static boolean[] tokenBytes() {
+    boolean[] token = new boolean[256];
+    for (char letter = 'a'; letter <= 'z'; letter++) {
+      token[letter] = true;
+      token[Character.toUpperCase(letter)] = true;
+    }
+    for (char digit = '0'; digit <= '9'; digit++) {
+      token[digit] = true;
+    }
+    for (char mark : "!#$%&'*+-.^_`|~".toCharArray()) {
+      token[mark] = true;
+    }
+    return token;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
@@ -0,0 +1,117 @@
+package io.umberpath.node.proxy.http;
+
+import io.umberpath.model.Verdict;
+import java.io.IOException;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.ChunkedTransferEncoding;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpPacketParsing;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.KeepAlive;
+import org.glassfish.grizzly.http.Method;
+import org.glassfish.grizzly.http.TransferEncoding;
+
+/**
+ * Grizzly's server codec with strict framing. A malformed head is answered here with the verdict
+ * "not run" and the connection is closed; a malformed body reaches the next filter as broken
+ * content.
+ */
+public final class ServerCodecFilter extends HttpServerFilter {
+  /**
+   * Creates one for any number of connections.
+   *
+   * @param maxHeaderBytes largest request head, and largest trailer section
+   */
+  @SuppressWarnings("deprecation") // the default settings allow 256 requests on a connection
+  public ServerCodecFilter(int maxHeaderBytes) {
+    super(true, maxHeaderBytes, unlimited(), null);
+    setPreserveHeaderCase(true);
+    setAllowPayloadForUndefinedHttpMethods(true);
+    replaceChunkedEncoding(maxHeaderBytes);
+  }
+
+  private void replaceChunkedEncoding(int maxTrailerBytes) {
+    for (TransferEncoding encoding : getTransferEncodings()) {
+      if (encoding instanceof ChunkedTransferEncoding) {
+        removeTransferEncoding(encoding);
+      }
+    }
+    addTransferEncoding(new StrictChunkedEncoding(maxTrailerBytes));
+  }
+
+  private static KeepAlive unlimited() {
+    KeepAlive keepAlive = new KeepAlive();
+    keepAlive.setMaxRequestsCount(-1);
+    return keepAlive;
+  }
+
+  @Override
+  protected boolean decodeHttpPacket(
+      FilterChainContext context, HttpPacketParsing packet, Buffer buffer) {
+    int start = buffer.position();
+    boolean complete = super.decodeHttpPacket(context, packet, buffer);
+    if (complete) {
+      MessageHeadValidator.checkRequest(buffer, start, buffer.position());
+    }
+    return complete;
+  }
+
+  @Override
+  protected boolean onHttpHeaderParsed(
+      HttpHeader header, Buffer buffer, FilterChainContext context) {
+    Method method = ((HttpRequestPacket) header).getMethod();
+    if (method == Method.CONNECT || method == Method.TRACE || method == Method.PRI) {
+      // The codec does not frame the bodies of these.
+      throw new MalformedMessageException("method is not supported");
+    }
+    return super.onHttpHeaderParsed(header, buffer, context);
+  }
+
+  @Override
+  protected void onIncomingUpgrade(FilterChainContext context, HttpHeader header) {
+    // The codec would stop framing the body; no upgrade is supported, so the header is ignored.
+    header.setUpgrade(null);
+  }
+
+  @Override
+  protected void onHttpHeaderError(HttpHeader header, FilterChainContext context, Throwable error)
+      throws IOException {
+    HttpResponsePacket response = responseOf(header);
+    response.setStatus(reasonOf(error).status());
+    super.onHttpHeaderError(header, context, error);
+  }
+
+  @Override
+  protected void onHttpContentError(
+      HttpHeader header, FilterChainContext context, Throwable error) {
+    header.setContentBroken(true);
+  }
+
+  @Override
+  protected HttpContent customizeErrorResponse(HttpResponsePacket response) {
+    Verdict.Reason reason =
+        response.getStatus() == Verdict.Reason.TOO_LARGE.status()
+            ? Verdict.Reason.TOO_LARGE
+            : Verdict.Reason.BAD_REQUEST;
+    response.setStatus(reason.status());
+    response.setHeader(ProxyHeaders.VERDICT, VerdictHeader.format(new Verdict.NotRun(reason)));
+    response.getProcessingState().setKeepAlive(false);
+    return super.customizeErrorResponse(response);
+  }
+
+  private static HttpResponsePacket responseOf(HttpHeader header) {
+    return ((HttpRequestPacket) header).getResponse();
+  }
+
+  private static Verdict.Reason reasonOf(Throwable error) {
+    boolean tooLarge =
+        !(error instanceof MalformedMessageException)
+            && error.getMessage() != null
+            && error.getMessage().contains("too large");
+    return tooLarge ? Verdict.Reason.TOO_LARGE : Verdict.Reason.BAD_REQUEST;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/VerdictHeader.java
@@ -0,0 +1,64 @@
+package io.umberpath.node.proxy.http;
+
+import io.umberpath.model.Verdict;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Text form of a verdict, for example {@code not-run; reason=overloaded}. */
+public final class VerdictHeader {
+  private static final String NOT_RUN = "not-run";
+  private static final String MAY_HAVE_RUN = "may-have-run";
+  private static final String REASON = "; reason=";
+
+  private VerdictHeader() {}
+
+  /** The header's value; {@code completed} for a completed request. */
+  public static String format(Verdict verdict) {
+    if (verdict instanceof Verdict.NotRun notRun) {
+      return NOT_RUN + REASON + name(notRun.reason());
+    }
+    if (verdict instanceof Verdict.MayHaveRun mayHaveRun) {
+      return MAY_HAVE_RUN + REASON + name(mayHaveRun.reason());
+    }
+    return "completed";
+  }
+
+  /** Reads a refusal; empty for anything that is not exactly one. */
+  public static Optional<Verdict> parse(String value) {
+    int separator = value.indexOf(REASON);
+    if (separator < 0) {
+      return Optional.empty();
+    }
+    Optional<Verdict.Reason> reason = reason(value.substring(separator + REASON.length()));
+    return switch (value.substring(0, separator)) {
+      case NOT_RUN -> reason.map(Verdict.NotRun::new);
+      case MAY_HAVE_RUN -> reason.map(Verdict.MayHaveRun::new);
+      default -> Optional.empty();
+    };
+  }
+
+  /** The reason of a refusal. */
+  public static Verdict.Reason reasonOf(Verdict verdict) {
+    if (verdict instanceof Verdict.NotRun notRun) {
+      return notRun.reason();
+    }
+    if (verdict instanceof Verdict.MayHaveRun mayHaveRun) {
+      return mayHaveRun.reason();
+    }
+    throw new IllegalArgumentException("a completed request has no reason");
+  }
+
+  /** Lower-case name of a reason, words joined by hyphens. */
+  public static String name(Verdict.Reason reason) {
+    return reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  private static Optional<Verdict.Reason> reason(String text) {
+    for (Verdict.Reason reason : Verdict.Reason.values()) {
+      if (name(reason).equals(text)) {
+        return Optional.of(reason);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
@@ -0,0 +1,58 @@
+package io.umberpath.node.proxy.inbound;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** The exchanges in flight of a proxy. Thread-safe. */
+public final class ActiveExchanges {
+  private final Set<Exchange> exchanges = ConcurrentHashMap.newKeySet();
+
+  void add(Exchange exchange) {
+    exchanges.add(exchange);
+  }
+
+  void remove(Exchange exchange) {
+    exchanges.remove(exchange);
+    if (exchanges.isEmpty()) {
+      synchronized (this) {
+        notifyAll();
+      }
+    }
+  }
+
+  /** Number of exchanges in flight. */
+  public int size() {
+    return exchanges.size();
+  }
+
+  /** Ends exchanges whose deadline has passed. */
+  public void expire(long nowMillis) {
+    for (Exchange exchange : exchanges) {
+      exchange.checkDeadline(nowMillis);
+    }
+  }
+
+  /**
+   * Waits until none is in flight.
+   *
+   * @return whether that came within the time
+   */
+  public synchronized boolean awaitNone(long timeoutMillis) throws InterruptedException {
+    long endNanos = System.nanoTime() + timeoutMillis * 1_000_000;
+    while (!exchanges.isEmpty()) {
+      long leftMillis = (endNanos - System.nanoTime()) / 1_000_000;
+      if (leftMillis <= 0) {
+        return false;
+      }
+      wait(leftMillis);
+    }
+    return true;
+  }
+
+  /** Cuts every exchange off; each is logged. */
+  public void abortAll() {
+    for (Exchange exchange : exchanges) {
+      exchange.abortAtDrainBound();
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -0,0 +1,114 @@
+package io.umberpath.node.proxy.inbound;
+
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.HeaderCopier;
+import io.umberpath.node.proxy.http.ProxyHeaders;
+import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.node.proxy.origin.AnswerPart;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.Header;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/** Writes the answer of one exchange to its caller. The exchange's lock guards it. */
+final class AnswerWriter {
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final Connection<?> connection;
+  private final HttpRequestPacket request;
+  private final HttpResponsePacket response;
+
+  AnswerWriter(Connection<?> connection, HttpRequestPacket request) {
+    this.connection = connection;
+    this.request = request;
+    this.response = request.getResponse();
+  }
+
+  /** Passes an interim answer on; older callers would take it for the final one. */
+  void interim(byte[] head) {
+    if (isVersion11()) {
+      write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, head));
+    }
+  }
+
+  /** Writes a piece of a back end's answer. */
+  void part(AnswerPart part, String requestId) {
+    if (part.first()) {
+      head(part.head());
+      if (requestId != null) {
+        response.getHeaders().setValue(ProxyHeaders.REQUEST_ID).setString(requestId);
+      }
+    }
+    boolean hasContent = part.content() != null && part.content().hasRemaining();
+    if (part.first() || hasContent || part.last()) {
+      Buffer content = part.content() == null ? Buffers.EMPTY_BUFFER : part.content();
+      write(OutgoingRequest.part(response, content, part.last(), part.trailers()));
+    }
+  }
+
+  private void head(HttpResponsePacket head) {
+    response.setStatus(head.getStatus());
+    if (head.isCustomReasonPhraseSet()) {
+      response.setReasonPhrase(head.getReasonPhrase());
+    }
+    HeaderCopier.copy(head, response, Set.of());
+    if (head.getContentLength() >= 0 && !head.isChunked()) {
+      response.setContentLengthLong(head.getContentLength());
+    } else if (isVersion11()) {
+      response.setChunked(true);
+    } else {
+      response.setChunkingAllowed(false);
+      closeAfter();
+    }
+  }
+
+  /** Writes a refusal as the whole answer. */
+  void refusal(Refusal refusal, String requestId, boolean bodyComplete) {
+    String verdict = VerdictHeader.format(refusal.verdict());
+    byte[] text = (verdict + "\n").getBytes(StandardCharsets.US_ASCII);
+    response.setStatus(refusal.reason().status());
+    response.getHeaders().setValue(ProxyHeaders.VERDICT).setString(verdict);
+    response.getHeaders().setValue(Header.ContentType).setString("text/plain");
+    if (requestId != null) {
+      response.getHeaders().setValue(ProxyHeaders.REQUEST_ID).setString(requestId);
+    }
+    if (refusal.retryAfterMillis() > 0) {
+      long seconds =
+          Math.max(1, (refusal.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+      response.getHeaders().setValue(Header.RetryAfter).setString(Long.toString(seconds));
+    }
+    if (!bodyComplete || refusal.reason() == Verdict.Reason.DRAINING) {
+      closeAfter();
+    }
+    response.setContentLength(text.length);
+    Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, text);
+    write(OutgoingRequest.part(response, content, true, null));
+  }
+
+  /** Announces that the connection ends with this answer. */
+  void closeAfter() {
+    request.getProcessingState().setKeepAlive(false);
+  }
+
+  boolean isKeepAlive() {
+    return request.getProcessingState().isKeepAlive();
+  }
+
+  boolean canTakeMore() {
+    return connection.canWrite();
+  }
+
+  private boolean isVersion11() {
+    return request.getProtocol() == Protocol.HTTP_1_1;
+  }
+
+  private void write(Object message) {
+    connection.write(message, null);
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -0,0 +1,480 @@
+package io.umberpath.node.proxy.inbound;
+
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.origin.AnswerListener;
+import io.umberpath.node.proxy.origin.AnswerPart;
+import io.umberpath.node.proxy.origin.OriginConnection;
+import io.umberpath.node.proxy.origin.RequestAttempt;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.proxy.pool.ConnectionWaiter;
+import io.vavr.control.Either;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpTrailer;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+
+/**
+ * One request from its head to its final answer, through one or more attempts. The caller gets
+ * exactly one final answer, or its connection is closed. Thread-safe; its lock is never held while
+ * another exchange's is taken.
+ */
+public final class Exchange {
+  private enum Stage {
+    /** Nothing is under way anywhere. */
+    DECIDING,
+    /** An attempt waits for a connection; nothing of it has been sent. */
+    CONNECTING,
+    /** The request, or its beginning, may have reached the origin. */
+    SENT,
+    /** The caller has got the beginning of the answer. */
+    ANSWERING,
+    /** Over. */
+    DONE
+  }
+
+  private final CallerConnection caller;
+  private final HttpRequestPacket request;
+  private final RequestHandler handler;
+  private final ExchangeEnvironment environment;
+  private final AnswerWriter answer;
+  private final RequestBody body = new RequestBody();
+  private final Set<String> triedOrigins = new HashSet<>();
+  private final long startNanos = System.nanoTime();
+  private Stage stage = Stage.DECIDING;
+  private RequestPlan plan;
+  private Attempt attempt;
+  private int attempts;
+  private boolean mayHaveRun;
+  private Runnable whenBodyWanted;
+  private Verdict outcome;
+  private Refusal lastRefusal;
+  private boolean cutOff;
+  private boolean dispatchAgain;
+
+  Exchange(
+      CallerConnection caller,
+      HttpRequestPacket request,
+      RequestHandler handler,
+      ExchangeEnvironment environment) {
+    this.caller = caller;
+    this.request = request;
+    this.handler = handler;
+    this.environment = environment;
+    this.answer = new AnswerWriter(caller.connection(), request);
+  }
+
+  /** The caller's request. */
+  public HttpRequestPacket request() {
+    return request;
+  }
+
+  /** What was decided about it. */
+  public RequestPlan plan() {
+    return plan;
+  }
+
+  /** Attempts made so far. */
+  public synchronized int attempts() {
+    return attempts;
+  }
+
+  /** Whether everything received of the body can be sent again. */
+  public synchronized boolean isBodyReplayable() {
+    return body.isReplayable();
+  }
+
+  /** Microseconds since the request's head arrived. */
+  public long elapsedMicros() {
+    return (System.nanoTime() - startNanos) / 1_000;
+  }
+
+  /** How the last attempt ended, if one did. */
+  public synchronized Optional<Refusal> lastRefusal() {
+    return Optional.ofNullable(lastRefusal);
+  }
+
+  /** Origins that have been tried. */
+  public synchronized Set<String> triedOrigins() {
+    return Set.copyOf(triedOrigins);
+  }
+
+  /** Begins with the head and the first piece of the body; returns whether to read on. */
+  boolean begin(HttpContent first) {
+    environment.stats().inFlight(handler.side(), 1);
+    environment.active().add(this);
+    long now = environment.clockMillis().getAsLong();
+    Either<Refusal, RequestPlan> decision = handler.plan(request, now);
+    boolean readOn;
+    synchronized (this) {
+      readOn = take(first);
+      if (decision.isLeft()) {
+        refuse(decision.getLeft());
+      } else {
+        plan = decision.get();
+      }
+    }
+    if (decision.isRight() && !refuseTooLarge()) {
+      handler.dispatch(this);
+    }
+    afterLock();
+    return readOn;
+  }
+
+  private synchronized boolean refuseTooLarge() {
+    if (Math.max(request.getContentLength(), body.received()) <= environment.maxBodyBytes()) {
+      return false;
+    }
+    fail(Refusal.notRun(Verdict.Reason.TOO_LARGE), false);
+    return true;
+  }
+
+  /** Takes a piece of the body; returns whether to read on. */
+  boolean onBodyPart(HttpContent content) {
+    boolean readOn;
+    synchronized (this) {
+      readOn = take(content);
+      if (stage != Stage.DONE) {
+        refuseTooLarge();
+      }
+    }
+    afterLock();
+    return readOn;
+  }
+
+  private boolean take(HttpContent content) {
+    Buffer buffer = content.getContent();
+    boolean last = content.isLast();
+    if (last) {
+      body.complete(content instanceof HttpTrailer trailer ? trailer.getHeaders() : null);
+    }
+    if (stage == Stage.DONE) {
+      return true;
+    }
+    if (attempt == null || attempt.origin == null) {
+      body.hold(buffer);
+      return last || !body.isFull();
+    }
+    body.passOn(buffer);
+    if (buffer.hasRemaining() || last) {
+      attempt.send(buffer, last, body.trailers());
+    }
+    return last || attempt.origin.canWrite();
+  }
+
+  /** Runs the action once more of the body can be taken. */
+  void whenBodyWanted(Runnable resume) {
+    OriginConnection origin;
+    synchronized (this) {
+      if (stage != Stage.DONE && (attempt == null || attempt.origin == null)) {
+        whenBodyWanted = resume;
+        return;
+      }
+      origin = stage == Stage.DONE ? null : attempt.origin;
+    }
+    if (origin == null) {
+      resume.run();
+    } else {
+      origin.whenWritable(resume);
+    }
+  }
+
+  /** The body breaks the rules of framing. */
+  void onBrokenBody() {
+    synchronized (this) {
+      answer.closeAfter();
+      fail(asFirmAsPossible(Verdict.Reason.BAD_REQUEST), false);
+    }
+    caller.connection().closeSilently();
+    afterLock();
+  }
+
+  /** The caller's connection is gone. */
+  void onCallerGone() {
+    synchronized (this) {
+      fail(asFirmAsPossible(Verdict.Reason.CANCELLED), false);
+    }
+    afterLock();
+  }
+
+  /** Gives up if the deadline has passed. */
+  void checkDeadline(long nowMillis) {
+    synchronized (this) {
+      if (plan == null || plan.deadlineMillis() > nowMillis) {
+        return;
+      }
+      fail(asFirmAsPossible(Verdict.Reason.DEADLINE), false);
+    }
+    afterLock();
+  }
+
+  /** The bound of a planned stop has passed. */
+  void abortAtDrainBound() {
+    synchronized (this) {
+      if (stage == Stage.DONE) {
+        return;
+      }
+      String route = plan == null ? "" : plan.route();
+      String id = plan == null ? "" : plan.requestId();
+      environment.attemptLog().cutOff(id, route, body.received());
+      fail(asFirmAsPossible(Verdict.Reason.DRAINING), false);
+    }
+    afterLock();
+  }
+
+  private Refusal asFirmAsPossible(Verdict.Reason reason) {
+    boolean reached = stage == Stage.SENT || stage == Stage.ANSWERING;
+    return reached ? Refusal.mayHaveRun(reason) : Refusal.notRun(reason);
+  }
+
+  /**
+   * Begins the next attempt; called by the handler.
+   *
+   * @return whether it was begun; not if the request has ended meanwhile
+   */
+  public boolean sendTo(ConnectionPool pool, String originId) {
+    Attempt next;
+    synchronized (this) {
+      if (stage != Stage.DECIDING) {
+        return false;
+      }
+      stage = Stage.CONNECTING;
+      attempts++;
+      triedOrigins.add(originId);
+      next = new Attempt(pool, originId, attempts);
+      attempt = next;
+    }
+    pool.acquire(next);
+    return true;
+  }
+
+  /** Ends the request with a refusal; called by the handler instead of {@link #sendTo}. */
+  public void refuse(Refusal refusal) {
+    synchronized (this) {
+      fail(refusal, false);
+    }
+    afterLock();
+  }
+
+  /** Ends the attempt, and the request unless another attempt is permitted. */
+  private void fail(Refusal refusal, boolean retryPermitted) {
+    if (stage == Stage.DONE) {
+      return;
+    }
+    Stage before = stage;
+    Attempt ended = attempt;
+    attempt = null;
+    if (ended != null) {
+      ended.end(refusal.verdict());
+    }
+    mayHaveRun |= refusal.verdict() instanceof Verdict.MayHaveRun;
+    lastRefusal = refusal;
+    if (before == Stage.ANSWERING) {
+      cutOff = true;
+      finish(refusal.verdict());
+    } else if (retryPermitted && handler.mayRetry(this, refusal.verdict())) {
+      environment.stats().retried(refusal.verdict());
+      stage = Stage.DECIDING;
+      dispatchAgain = true;
+    } else {
+      refuseFinally(refusal);
+    }
+  }
+
+  private void refuseFinally(Refusal refusal) {
+    boolean overstates = mayHaveRun && refusal.verdict() instanceof Verdict.NotRun;
+    Refusal truthful = overstates ? Refusal.mayHaveRun(refusal.reason()) : refusal;
+    answer.refusal(truthful, handler.echoedId(plan), body.isComplete());
+    finish(truthful.verdict());
+  }
+
+  private void finish(Verdict verdict) {
+    stage = Stage.DONE;
+    outcome = verdict;
+  }
+
+  /** Does what must not be done under this exchange's lock. */
+  private void afterLock() {
+    if (Thread.holdsLock(this)) {
+      return;
+    }
+    Verdict ended;
+    Runnable resume = null;
+    boolean dispatch;
+    synchronized (this) {
+      ended = outcome;
+      outcome = null;
+      dispatch = dispatchAgain;
+      dispatchAgain = false;
+      if (stage == Stage.DONE || attempt != null && attempt.origin != null) {
+        resume = whenBodyWanted;
+        whenBodyWanted = null;
+      }
+    }
+    if (dispatch) {
+      handler.dispatch(this);
+    }
+    if (resume != null) {
+      whenBodyWanted(resume);
+    }
+    if (ended != null) {
+      endCaller();
+      environment.active().remove(this);
+      environment.stats().inFlight(handler.side(), -1);
+      environment.stats().requestEnded(handler.side(), ended, elapsedMicros());
+      handler.ended(this, ended);
+    }
+  }
+
+  private void endCaller() {
+    boolean bodyComplete;
+    synchronized (this) {
+      bodyComplete = body.isComplete();
+    }
+    if (cutOff) {
+      caller.abort();
+    } else {
+      caller.answered(answer.isKeepAlive(), bodyComplete);
+    }
+  }
+
+  /** One attempt; what it hears after its end is ignored. */
+  private final class Attempt implements ConnectionWaiter, AnswerListener {
+    private final ConnectionPool pool;
+    private final String originId;
+    private final int number;
+    private final long attemptStartNanos = System.nanoTime();
+    private OriginConnection origin;
+    private OutgoingRequest outgoing;
+
+    Attempt(ConnectionPool pool, String originId, int number) {
+      this.pool = pool;
+      this.originId = originId;
+      this.number = number;
+    }
+
+    @Override
+    public void connected(OriginConnection connection) {
+      boolean taken;
+      synchronized (Exchange.this) {
+        taken = attempt == this && stage == Stage.CONNECTING;
+        if (taken) {
+          start(connection);
+        }
+      }
+      if (!taken) {
+        pool.release(connection);
+      }
+      afterLock();
+    }
+
+    private void start(OriginConnection connection) {
+      origin = connection;
+      stage = Stage.SENT;
+      outgoing = OutgoingRequest.of(request, plan);
+      long now = environment.clockMillis().getAsLong();
+      handler.addHeaders(Exchange.this, outgoing.packet(), now);
+      connection.begin(this);
+      connection.write(
+          outgoing.first(body.kept(), body.isComplete(), body.trailers()), body.isComplete());
+    }
+
+    private void send(Buffer content, boolean last, MimeHeaders trailers) {
+      origin.write(outgoing.next(content, last, trailers), last);
+    }
+
+    @Override
+    public void notConnected(Verdict.Reason reason) {
+      failAttempt(Refusal.notRun(reason));
+    }
+
+    @Override
+    public void onBroken(Verdict.Reason reason) {
+      failAttempt(Refusal.mayHaveRun(reason));
+    }
+
+    private void failAttempt(Refusal refusal) {
+      synchronized (Exchange.this) {
+        if (attempt == this) {
+          fail(refusal, true);
+        }
+      }
+      afterLock();
+    }
+
+    @Override
+    public void onInterim(byte[] head) {
+      synchronized (Exchange.this) {
+        if (attempt == this && stage == Stage.SENT) {
+          answer.interim(head);
+        }
+      }
+    }
+
+    @Override
+    public boolean onAnswerPart(AnswerPart part) {
+      boolean readOn;
+      synchronized (Exchange.this) {
+        readOn = attempt != this || takeAnswer(part);
+      }
+      afterLock();
+      return readOn;
+    }
+
+    private boolean takeAnswer(AnswerPart part) {
+      if (part.first()) {
+        Optional<Refusal> refusal = handler.refusalIn(Exchange.this, part.head());
+        if (refusal.isPresent()) {
+          if (part.last()) {
+            origin = null;
+          }
+          fail(refusal.get(), true);
+          return true;
+        }
+        stage = Stage.ANSWERING;
+      }
+      answer.part(part, handler.echoedId(plan));
+      if (part.last()) {
+        origin = null;
+        complete();
+        return true;
+      }
+      return answer.canTakeMore();
+    }
+
+    private void complete() {
+      attempt = null;
+      end(new Verdict.Completed());
+      finish(new Verdict.Completed());
+    }
+
+    @Override
+    public void whenReadyForMore(Runnable resume) {
+      caller.whenWritable(resume);
+    }
+
+    private void end(Verdict verdict) {
+      if (origin != null) {
+        origin.abandon();
+      }
+      long micros = (System.nanoTime() - attemptStartNanos) / 1_000;
+      if (!(verdict instanceof Verdict.Completed)) {
+        environment
+            .attemptLog()
+            .failed(
+                new RequestAttempt(
+                    plan.requestId(),
+                    number,
+                    plan.route(),
+                    originId,
+                    verdict,
+                    body.received(),
+                    micros));
+      }
+      handler.attemptEnded(Exchange.this, originId, verdict, micros);
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Headers.java
@@ -0,0 +1,43 @@
+package io.umberpath.node.proxy.inbound;
+
+import io.umberpath.node.proxy.http.ProxyHeaders;
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.glassfish.grizzly.http.HttpHeader;
+
+/** Reads the project's headers. */
+public final class Headers {
+  private static final int MAX_DIGITS = 12;
+
+  private Headers() {}
+
+  /** The header's value, if it is there. */
+  public static Optional<String> text(HttpHeader message, String name) {
+    return Optional.ofNullable(message.getHeader(name));
+  }
+
+  /**
+   * Milliseconds until the caller gives up.
+   *
+   * @return nothing if it does not say, or a fault that names the header
+   */
+  public static Either<String, Optional<Long>> deadlineMillis(HttpHeader request) {
+    Optional<String> text = text(request, ProxyHeaders.DEADLINE);
+    if (text.isEmpty()) {
+      return Either.right(Optional.empty());
+    }
+    Optional<Long> number = number(text.get());
+    return number.isPresent()
+        ? Either.right(number)
+        : Either.left(ProxyHeaders.DEADLINE + " is not a number of milliseconds");
+  }
+
+  /** A plain non-negative number. */
+  public static Optional<Long> number(String text) {
+    boolean plain =
+        !text.isEmpty()
+            && text.length() <= MAX_DIGITS
+            && text.chars().allMatch(digit -> digit >= '0' && digit <= '9');
+    return plain ? Optional.of(Long.parseLong(text)) : Optional.empty();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
@@ -0,0 +1,106 @@
+package io.umberpath.node.proxy.inbound;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpBrokenContent;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+
+/** Hands decoded requests of one listener to their exchanges. */
+public final class InboundFilter extends BaseFilter {
+  private final RequestHandler handler;
+  private final ExchangeEnvironment environment;
+  private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+
+  /** Creates the last filter of a listener. */
+  public InboundFilter(RequestHandler handler, ExchangeEnvironment environment) {
+    this.handler = handler;
+    this.environment = environment;
+  }
+
+  @Override
+  public NextAction handleAccept(FilterChainContext context) {
+    connections.add(new CallerConnection(context.getConnection(), environment.clockMillis()));
+    return context.getStopAction();
+  }
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) {
+    HttpContent content = context.getMessage();
+    CallerConnection caller = CallerConnection.of(context.getConnection());
+    Exchange exchange = caller.exchangeOf(content);
+    if (exchange != null) {
+      return bodyPart(context, caller, exchange, content);
+    }
+    if (caller.isDiscarding(content)) {
+      return discard(context, caller, content);
+    }
+    NextAction wait = caller.awaitTurn(context);
+    return wait != null ? wait : begin(context, caller, content);
+  }
+
+  private NextAction begin(
+      FilterChainContext context, CallerConnection caller, HttpContent content) {
+    HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
+    Exchange exchange = new Exchange(caller, request, handler, environment);
+    caller.begin(exchange, request);
+    return continueOrSuspend(context, caller, exchange, exchange.begin(content));
+  }
+
+  private static NextAction bodyPart(
+      FilterChainContext context, CallerConnection caller, Exchange exchange, HttpContent content) {
+    if (content instanceof HttpBrokenContent) {
+      exchange.onBrokenBody();
+      return context.getStopAction();
+    }
+    return continueOrSuspend(context, caller, exchange, exchange.onBodyPart(content));
+  }
+
+  private static NextAction continueOrSuspend(
+      FilterChainContext context, CallerConnection caller, Exchange exchange, boolean readOn) {
+    if (readOn) {
+      return context.getStopAction();
+    }
+    NextAction action = caller.suspend(context);
+    exchange.whenBodyWanted(caller::resume);
+    return action;
+  }
+
+  private static NextAction discard(
+      FilterChainContext context, CallerConnection caller, HttpContent content) {
+    if (content instanceof HttpBrokenContent) {
+      caller.abort();
+    } else {
+      caller.discard(content.isLast());
+    }
+    return context.getStopAction();
+  }
+
+  @Override
+  public NextAction handleClose(FilterChainContext context) {
+    CallerConnection caller = CallerConnection.of(context.getConnection());
+    if (caller != null) {
+      connections.remove(caller);
+      caller.closed();
+    }
+    return context.getStopAction();
+  }
+
+  /** Closes connections that have been idle, or have dropped a refused body, for too long. */
+  public void expire(long idleMillis, long discardMillis) {
+    connections.forEach(caller -> caller.expire(idleMillis, discardMillis));
+  }
+
+  /** Closes connections without a request under way. */
+  public void closeIdle() {
+    connections.forEach(CallerConnection::closeIfIdle);
+  }
+
+  /** Closes every connection at once. */
+  public void abortAll() {
+    connections.forEach(CallerConnection::abort);
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
@@ -0,0 +1,90 @@
+package io.umberpath.node.proxy.inbound;
+
+import io.umberpath.node.proxy.http.HeaderCopier;
+import java.util.Set;
+import java.util.TreeSet;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpPacket;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.Header;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/** Builds the messages of one attempt from the caller's request. */
+final class OutgoingRequest {
+  private static final Set<String> REPLACED_BY_SECRET = replacedBySecret();
+
+  private final HttpRequestPacket packet;
+
+  private OutgoingRequest(HttpRequestPacket packet) {
+    this.packet = packet;
+  }
+
+  /** Copies the caller's request line, end-to-end headers and body framing. */
+  static OutgoingRequest of(HttpRequestPacket request, RequestPlan plan) {
+    HttpRequestPacket.Builder builder =
+        HttpRequestPacket.builder()
+            .method(request.getMethod())
+            .uri(request.getRequestURI())
+            .protocol(Protocol.HTTP_1_1);
+    if (!request.getQueryStringDC().isNull()) {
+      builder.query(request.getQueryString());
+    }
+    if (request.isChunked()) {
+      builder.chunked(true);
+    } else if (request.getContentLength() >= 0) {
+      builder.contentLength(request.getContentLength());
+    }
+    HttpRequestPacket packet = builder.build();
+    Set<String> leftOut = plan.authorization().isPresent() ? REPLACED_BY_SECRET : Set.of();
+    HeaderCopier.copy(request, packet, leftOut);
+    plan.authorization().ifPresent(value -> set(packet, Header.Authorization.toString(), value));
+    return new OutgoingRequest(packet);
+  }
+
+  HttpRequestPacket packet() {
+    return packet;
+  }
+
+  static void set(HttpRequestPacket packet, String name, String value) {
+    packet.getHeaders().setValue(name).setString(value);
+  }
+
+  /** The head with the first bytes of the body. */
+  HttpPacket first(byte[] content, boolean last, MimeHeaders trailers) {
+    if (!packet.isChunked() && packet.getContentLength() <= 0) {
+      return packet;
+    }
+    Buffer buffer =
+        content.length == 0
+            ? Buffers.EMPTY_BUFFER
+            : Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, content);
+    return next(buffer, last, trailers);
+  }
+
+  /** More of the body. */
+  HttpPacket next(Buffer content, boolean last, MimeHeaders trailers) {
+    return part(packet, content, last, trailers);
+  }
+
+  static HttpPacket part(
+      org.glassfish.grizzly.http.HttpHeader header,
+      Buffer content,
+      boolean last,
+      MimeHeaders trailers) {
+    if (last && header.isChunked() && trailers != null && trailers.size() > 0) {
+      return header.httpTrailerBuilder().headers(trailers).content(content).last(true).build();
+    }
+    HttpContent.Builder<?> builder = header.httpContentBuilder();
+    return builder.content(content).last(last).build();
+  }
+
+  private static Set<String> replacedBySecret() {
+    Set<String> names = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+    names.add(Header.Authorization.toString());
+    return names;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
@@ -0,0 +1,79 @@
+package io.umberpath.node.proxy.inbound;
+
+import java.io.ByteArrayOutputStream;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+
+/**
+ * What has been read of a request body. Its beginning is kept, up to a bound, so that another
+ * attempt can send it again; beyond the bound it is only passed on. Not thread-safe.
+ */
+final class RequestBody {
+  /** Most bytes kept for another attempt. */
+  static final int REPLAY_LIMIT_BYTES = 64 * 1024;
+
+  private final ByteArrayOutputStream kept = new ByteArrayOutputStream(0);
+  private boolean replayable = true;
+  private boolean complete;
+  private long received;
+  private MimeHeaders trailers;
+
+  /** Adds bytes that no attempt has taken yet; they are kept whatever their number. */
+  void hold(Buffer content) {
+    received += content.remaining();
+    keep(content);
+  }
+
+  /** Notes bytes that are passed on to the attempt under way. */
+  void passOn(Buffer content) {
+    received += content.remaining();
+    if (replayable && kept.size() + content.remaining() <= REPLAY_LIMIT_BYTES) {
+      keep(content);
+    } else {
+      replayable = false;
+      kept.reset();
+    }
+  }
+
+  private void keep(Buffer content) {
+    byte[] bytes = new byte[content.remaining()];
+    int start = content.position();
+    for (int index = 0; index < bytes.length; index++) {
+      bytes[index] = content.get(start + index);
+    }
+    kept.write(bytes, 0, bytes.length);
+  }
+
+  void complete(MimeHeaders newTrailers) {
+    complete = true;
+    trailers = newTrailers;
+  }
+
+  /** Whether the caller has sent it all. */
+  boolean isComplete() {
+    return complete;
+  }
+
+  /** Whether everything received can be sent again. */
+  boolean isReplayable() {
+    return replayable;
+  }
+
+  /** Whether as much is held as may be. */
+  boolean isFull() {
+    return kept.size() >= REPLAY_LIMIT_BYTES;
+  }
+
+  /** The bytes to send first. */
+  byte[] kept() {
+    return kept.toByteArray();
+  }
+
+  long received() {
+    return received;
+  }
+
+  MimeHeaders trailers() {
+    return trailers;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -0,0 +1,41 @@
+package io.umberpath.node.proxy.inbound;
+
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+
+/** What one listener does with its requests. Thread-safe. */
+public interface RequestHandler {
+  /** The listener, for counting. */
+  ProxyStats.Side side();
+
+  /** Decides whether and how a request is served, from its head alone. */
+  Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis);
+
+  /**
+   * Chooses where the next attempt goes; calls {@link Exchange#sendTo} or {@link Exchange#refuse},
+   * at once or later.
+   */
+  void dispatch(Exchange exchange);
+
+  /** Adds the handler's own headers to the request of an attempt. */
+  void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis);
+
+  /** The id to send back with the answer, so that the other node can match it; null for none. */
+  String echoedId(RequestPlan plan);
+
+  /** Looks at an answer's head: a refusal that another node answered, if it is one. */
+  Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head);
+
+  /** An attempt ended; called once per attempt that was sent somewhere. */
+  void attemptEnded(Exchange exchange, String originId, Verdict verdict, long micros);
+
+  /** Whether to dispatch again after an attempt that ended so; takes from the retry budget. */
+  boolean mayRetry(Exchange exchange, Verdict verdict);
+
+  /** The request has its final outcome. Called without the exchange's lock. */
+  void ended(Exchange exchange, Verdict verdict);
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/AttemptLog.java
@@ -0,0 +1,30 @@
+package io.umberpath.node.proxy.origin;
+
+import com.google.common.flogger.FluentLogger;
+import io.umberpath.node.proxy.http.VerdictHeader;
+
+/** Logs attempts that failed. Thread-safe. */
+public final class AttemptLog {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Logs an attempt that ended without a whole answer. */
+  public void failed(RequestAttempt attempt) {
+    logger.atInfo().log(
+        "attempt failed: request=%s attempt=%d route=%s origin=%s verdict=\"%s\""
+            + " requestBytes=%d micros=%d",
+        attempt.requestId(),
+        attempt.number(),
+        attempt.route(),
+        attempt.origin(),
+        VerdictHeader.format(attempt.verdict()),
+        attempt.requestBytes(),
+        attempt.micros());
+  }
+
+  /** Logs a request that the bound of a planned stop cut off. */
+  public void cutOff(String requestId, String route, long requestBytes) {
+    logger.atWarning().log(
+        "drain bound cut a request off: request=%s route=%s requestBytes=%d",
+        requestId, route, requestBytes);
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
@@ -0,0 +1,213 @@
+package io.umberpath.node.proxy.origin;
+
+import io.umberpath.model.Verdict;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.attributes.AttributeBuilder;
+import org.glassfish.grizzly.http.HttpPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
+
+/**
+ * One client connection; carries one attempt at a time and is never reused after any doubt about
+ * framing. Thread-safe.
+ */
+public final class OriginConnection {
+  private static final Attribute<OriginConnection> ATTRIBUTE =
+      AttributeBuilder.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.originConnection");
+
+  private enum Stage {
+    IDLE,
+    AWAITS_HEAD,
+    IN_BODY,
+    BROKEN
+  }
+
+  private final Connection<?> connection;
+  private final Consumer<OriginConnection> owner;
+  private final Consumer<OriginConnection> onClosed;
+  private final AtomicBoolean gone = new AtomicBoolean();
+  private volatile Stage stage = Stage.IDLE;
+  private volatile AnswerListener listener;
+  private volatile boolean requestComplete;
+  private volatile boolean answerReusable;
+  private volatile HttpResponsePacket endsWithConnection;
+  private volatile long idleSinceMillis;
+
+  /**
+   * Wraps a connection that has just been opened.
+   *
+   * @param owner takes it back when an attempt has left it reusable
+   * @param onClosed hears once that it is gone
+   */
+  public OriginConnection(
+      Connection<?> connection,
+      Consumer<OriginConnection> owner,
+      Consumer<OriginConnection> onClosed) {
+    this.connection = connection;
+    this.owner = owner;
+    this.onClosed = onClosed;
+    ATTRIBUTE.set(connection, this);
+  }
+
+  /** The wrapper of a connection, or null before it is wrapped. */
+  public static OriginConnection of(Connection<?> connection) {
+    return ATTRIBUTE.get(connection);
+  }
+
+  /** Who takes it back. */
+  public Consumer<OriginConnection> owner() {
+    return owner;
+  }
+
+  /** Whether it can carry another attempt. */
+  public boolean isIdle() {
+    return stage == Stage.IDLE && connection.isOpen();
+  }
+
+  /** Begins an attempt: answers go to the listener from now on. */
+  public synchronized void begin(AnswerListener newListener) {
+    listener = newListener;
+    requestComplete = false;
+    answerReusable = false;
+    endsWithConnection = null;
+    stage = Stage.AWAITS_HEAD;
+  }
+
+  /**
+   * Writes a part of the request.
+   *
+   * @param last whether the request is complete with it
+   */
+  public void write(HttpPacket packet, boolean last) {
+    if (last) {
+      requestComplete = true;
+    }
+    connection.write(packet, new WriteFailure<>());
+  }
+
+  /** Whether more may be written without queueing beyond the bound. */
+  public boolean canWrite() {
+    return connection.canWrite();
+  }
+
+  /** Runs the action when {@link #canWrite} holds again or the connection is gone. */
+  public void whenWritable(Runnable action) {
+    connection.notifyCanWrite(new WhenWritable(action));
+  }
+
+  /** Gives the attempt up: the connection is closed and its listener hears nothing more. */
+  public void abandon() {
+    synchronized (this) {
+      listener = null;
+      stage = Stage.BROKEN;
+    }
+    connection.terminateSilently();
+  }
+
+  /** Milliseconds on the pool's clock since when it has been idle. */
+  public long idleSinceMillis() {
+    return idleSinceMillis;
+  }
+
+  /** Notes when it became idle. */
+  public void idleSince(long nowMillis) {
+    idleSinceMillis = nowMillis;
+  }
+
+  /** Closes an idle connection. */
+  public void close() {
+    connection.closeSilently();
+  }
+
+  boolean awaitsHead() {
+    return stage == Stage.AWAITS_HEAD;
+  }
+
+  boolean inBody() {
+    return stage == Stage.IN_BODY;
+  }
+
+  void headDecoded() {
+    stage = Stage.IN_BODY;
+  }
+
+  AnswerListener listener() {
+    return listener;
+  }
+
+  /** The whole answer has been decoded. */
+  synchronized void answerComplete(boolean keepAlive) {
+    listener = null;
+    answerReusable = keepAlive && requestComplete;
+    stage = answerReusable ? Stage.IDLE : Stage.BROKEN;
+  }
+
+  /** Whether the finished attempt left the connection in perfect order. */
+  boolean isReusable() {
+    return answerReusable && isIdle();
+  }
+
+  void fail(Verdict.Reason reason) {
+    AnswerListener current;
+    synchronized (this) {
+      current = listener;
+      listener = null;
+      stage = Stage.BROKEN;
+    }
+    connection.terminateSilently();
+    if (current != null) {
+      current.onBroken(reason);
+    }
+  }
+
+  /** The answer has no stated length: it is whole if the peer closes in good order. */
+  void endsWithConnection(HttpResponsePacket head) {
+    endsWithConnection = head;
+  }
+
+  /**
+   * The connection is gone; only the first call counts.
+   *
+   * @param inGoodOrder whether the peer ended it, and not a fault
+   */
+  public void closed(boolean inGoodOrder) {
+    if (!gone.compareAndSet(false, true)) {
+      return;
+    }
+    HttpResponsePacket head = endsWithConnection;
+    AnswerListener current = listener;
+    if (head != null && current != null && inGoodOrder) {
+      answerComplete(false);
+      current.onAnswerPart(new AnswerPart(head, false, Buffers.EMPTY_BUFFER, true, null));
+    } else {
+      fail(Verdict.Reason.CONNECTION_LOST);
+    }
+    onClosed.accept(this);
+  }
+
+  private final class WriteFailure<M, L> extends EmptyCompletionHandler<WriteResult<M, L>> {
+    @Override
+    public void failed(Throwable error) {
+      fail(Verdict.Reason.CONNECTION_LOST);
+    }
+  }
+
+  /** Adapts an action to Grizzly's write handler. */
+  public record WhenWritable(Runnable action) implements WriteHandler {
+    @Override
+    public void onWritePossible() {
+      action.run();
+    }
+
+    @Override
+    public void onError(Throwable error) {
+      action.run();
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginFilter.java
@@ -0,0 +1,119 @@
+package io.umberpath.node.proxy.origin;
+
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.AnswerObserver;
+import java.io.EOFException;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.CloseReason;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpBrokenContent;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.HttpTrailer;
+
+/** Hands decoded answers to the attempt of their connection. Stateless. */
+public final class OriginFilter extends BaseFilter implements AnswerObserver {
+  private final Consumer<OriginConnection> onReusable;
+
+  /**
+   * Creates one for any number of connections.
+   *
+   * @param onReusable takes a connection whose attempt is over and that may carry another
+   */
+  public OriginFilter(Consumer<OriginConnection> onReusable) {
+    this.onReusable = onReusable;
+  }
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) {
+    HttpContent content = context.getMessage();
+    OriginConnection origin = OriginConnection.of(context.getConnection());
+    AnswerListener listener = origin.listener();
+    if (listener == null || content instanceof HttpBrokenContent) {
+      origin.fail(Verdict.Reason.BAD_ANSWER);
+      return context.getStopAction();
+    }
+    HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
+    boolean last = content.isLast();
+    boolean first = !head.isCommitted();
+    head.setCommitted(true);
+    if (first && !last && !head.isChunked() && head.getContentLength() < 0) {
+      origin.endsWithConnection(head);
+    }
+    if (last) {
+      origin.answerComplete(head.getProcessingState().isKeepAlive());
+      // Bytes after the answer are seen before the chain completes; only then is it reusable.
+      context.addCompletionListener(completed -> release(origin));
+    }
+    AnswerPart part = part(content, head, first, last);
+    if (listener.onAnswerPart(part) || last) {
+      return context.getStopAction();
+    }
+    NextAction suspend = context.getSuspendAction();
+    context.suspend();
+    listener.whenReadyForMore(() -> context.resume(context.getStopAction()));
+    return suspend;
+  }
+
+  private static AnswerPart part(
+      HttpContent content, HttpResponsePacket head, boolean first, boolean last) {
+    var trailers = content instanceof HttpTrailer trailer ? trailer.getHeaders() : null;
+    return new AnswerPart(head, first, content.getContent(), last, trailers);
+  }
+
+  private void release(OriginConnection origin) {
+    if (origin.isReusable()) {
+      onReusable.accept(origin);
+    } else {
+      origin.abandon();
+    }
+  }
+
+  @Override
+  public NextAction handleClose(FilterChainContext context) {
+    OriginConnection origin = OriginConnection.of(context.getConnection());
+    if (origin != null) {
+      CloseReason reason = context.getConnection().getCloseReason();
+      origin.closed(reason == null || reason.getCause() instanceof EOFException);
+    }
+    return context.getStopAction();
+  }
+
+  @Override
+  public boolean awaitsHead(Connection<?> connection) {
+    OriginConnection origin = OriginConnection.of(connection);
+    return origin != null && origin.awaitsHead();
+  }
+
+  @Override
+  public boolean inBody(Connection<?> connection) {
+    OriginConnection origin = OriginConnection.of(connection);
+    return origin != null && origin.inBody();
+  }
+
+  @Override
+  public void headDecoded(Connection<?> connection) {
+    OriginConnection.of(connection).headDecoded();
+  }
+
+  @Override
+  public void interim(Connection<?> connection, byte[] head) {
+    AnswerListener listener = OriginConnection.of(connection).listener();
+    if (listener != null) {
+      listener.onInterim(head);
+    }
+  }
+
+  @Override
+  public void malformed(Connection<?> connection, Throwable error) {
+    OriginConnection origin = OriginConnection.of(connection);
+    if (origin == null) {
+      connection.terminateSilently();
+    } else {
+      origin.fail(Verdict.Reason.BAD_ANSWER);
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginManager.java
@@ -0,0 +1,42 @@
+package io.umberpath.node.proxy.origin;
+
+import io.umberpath.model.PeerAddress;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.proxy.pool.Connector;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+
+/** The pools of connections to other nodes, one per address; disused ones go away. Thread-safe. */
+public final class OriginManager {
+  private static final int MAX_CONNECTIONS_PER_NODE = 256;
+  private static final long DISUSED_MILLIS = 60_000;
+
+  private final Connector connector;
+  private final LongSupplier clockMillis;
+  private final Map<PeerAddress, ConnectionPool> pools = new ConcurrentHashMap<>();
+
+  /** Creates a manager without pools. */
+  public OriginManager(Connector connector, LongSupplier clockMillis) {
+    this.connector = connector;
+    this.clockMillis = clockMillis;
+  }
+
+  /** The pool of an address. */
+  public ConnectionPool poolOf(PeerAddress address) {
+    ConnectionPool pool = pools.get(address);
+    return pool != null ? pool : pools.computeIfAbsent(address, this::newPool);
+  }
+
+  private ConnectionPool newPool(PeerAddress address) {
+    return new ConnectionPool(address, connector, MAX_CONNECTIONS_PER_NODE, clockMillis);
+  }
+
+  /** Closes aged connections and forgets disused pools. */
+  public void expire(long idleMillis) {
+    for (ConnectionPool pool : pools.values()) {
+      pool.expire(idleMillis);
+    }
+    pools.values().removeIf(pool -> pool.isDisused(DISUSED_MILLIS));
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
@@ -0,0 +1,196 @@
+package io.umberpath.node.proxy.pool;
+
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.origin.OriginConnection;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+
+/**
+ * Connections to one address. Never holds more than its maximum, those being opened included. The
+ * most recently used idle connection goes first, so that the others can age and close. Thread-safe.
+ */
+public final class ConnectionPool {
+  private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+
+  private final PeerAddress address;
+  private final Connector connector;
+  private final int maxConnections;
+  private final LongSupplier clockMillis;
+  private final Deque<OriginConnection> idle = new ArrayDeque<>();
+  private final Set<Opening> openings = new HashSet<>();
+  private int open;
+  private long lastUsedMillis;
+
+  /**
+   * Creates an empty pool.
+   *
+   * @param maxConnections most connections at a time
+   * @param clockMillis rising clock, milliseconds
+   */
+  public ConnectionPool(
+      PeerAddress address, Connector connector, int maxConnections, LongSupplier clockMillis) {
+    this.address = address;
+    this.connector = connector;
+    this.maxConnections = maxConnections;
+    this.clockMillis = clockMillis;
+    this.lastUsedMillis = clockMillis.getAsLong();
+  }
+
+  /** Gives the waiter an idle connection at once, or opens one. */
+  public void acquire(ConnectionWaiter waiter) {
+    OriginConnection connection;
+    Opening opening = null;
+    synchronized (this) {
+      lastUsedMillis = clockMillis.getAsLong();
+      connection = pollIdle();
+      if (connection == null && open + openings.size() < maxConnections) {
+        opening = new Opening(waiter, lastUsedMillis);
+        openings.add(opening);
+      }
+    }
+    if (connection != null) {
+      waiter.connected(connection);
+    } else if (opening != null) {
+      connector.connect(address, opening);
+    } else {
+      waiter.notConnected(Verdict.Reason.OVERLOADED);
+    }
+  }
+
+  /** Opens connections until the given number exists, so that no request waits for one. */
+  public void openAhead(int count) {
+    List<Opening> started = new ArrayList<>();
+    synchronized (this) {
+      int wanted = Math.min(count, maxConnections) - open - openings.size();
+      for (int index = 0; index < wanted; index++) {
+        Opening opening = new Opening(null, clockMillis.getAsLong());
+        openings.add(opening);
+        started.add(opening);
+      }
+    }
+    started.forEach(opening -> connector.connect(address, opening));
+  }
+
+  /** Takes back a connection whose attempt ended in perfect order. */
+  public synchronized void release(OriginConnection connection) {
+    connection.idleSince(clockMillis.getAsLong());
+    idle.addFirst(connection);
+  }
+
+  /** Gives a connection back to the pool that opened it. */
+  public static void giveBack(OriginConnection connection) {
+    connection.owner().accept(connection);
+  }
+
+  /** Closes connections idle for longer, fails openings that take too long. */
+  public void expire(long idleMillis) {
+    long now = clockMillis.getAsLong();
+    List<OriginConnection> aged = new ArrayList<>();
+    List<Opening> late = new ArrayList<>();
+    synchronized (this) {
+      while (!idle.isEmpty() && idle.peekLast().idleSinceMillis() + idleMillis <= now) {
+        aged.add(idle.pollLast());
+      }
+      for (Iterator<Opening> each = openings.iterator(); each.hasNext(); ) {
+        Opening opening = each.next();
+        if (opening.startedMillis + CONNECT_TIMEOUT_MILLIS <= now) {
+          each.remove();
+          late.add(opening);
+        }
+      }
+    }
+    aged.forEach(OriginConnection::close);
+    late.forEach(Opening::giveUp);
+  }
+
+  /** Whether nobody has used it for so long, and nothing is open. */
+  public synchronized boolean isDisused(long disusedMillis) {
+    return open == 0
+        && openings.isEmpty()
+        && lastUsedMillis + disusedMillis <= clockMillis.getAsLong();
+  }
+
+  /** Open connections, those in use included. */
+  public synchronized int open() {
+    return open;
+  }
+
+  private OriginConnection pollIdle() {
+    OriginConnection connection = idle.pollFirst();
+    while (connection != null && !connection.isIdle()) {
+      connection = idle.pollFirst();
+    }
+    return connection;
+  }
+
+  private synchronized void closed(OriginConnection connection) {
+    open--;
+    idle.remove(connection);
+  }
+
+  /** A connection being opened; its waiter is null if it is opened ahead of need. */
+  @SuppressWarnings("rawtypes") // Grizzly's own signature
+  private final class Opening extends EmptyCompletionHandler<Connection> {
+    private final ConnectionWaiter waiter;
+    private final long startedMillis;
+
+    Opening(ConnectionWaiter waiter, long startedMillis) {
+      this.waiter = waiter;
+      this.startedMillis = startedMillis;
+    }
+
+    @Override
+    public void completed(Connection connection) {
+      OriginConnection origin;
+      synchronized (ConnectionPool.this) {
+        if (!openings.remove(this)) {
+          connection.terminateSilently();
+          return;
+        }
+        open++;
+        origin =
+            new OriginConnection(
+                connection, ConnectionPool.this::release, ConnectionPool.this::closed);
+      }
+      if (!connection.isOpen()) {
+        // It may have closed before it was wrapped, when nobody listened.
+        origin.closed(false);
+      }
+      if (waiter == null) {
+        release(origin);
+      } else {
+        waiter.connected(origin);
+      }
+    }
+
+    @Override
+    public void failed(Throwable error) {
+      synchronized (ConnectionPool.this) {
+        if (!openings.remove(this)) {
+          return;
+        }
+      }
+      giveUp();
+    }
+
+    @Override
+    public void cancelled() {
+      failed(new java.util.concurrent.CancellationException());
+    }
+
+    private void giveUp() {
+      if (waiter != null) {
+        waiter.notConnected(Verdict.Reason.UNREACHABLE);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyFixture.java
@@ -0,0 +1,100 @@
+package io.umberpath.node.proxy;
+
+import io.umberpath.model.PlatformDocument.BackendAddress;
+import io.umberpath.model.Pool;
+import io.umberpath.model.ProxySnapshot;
+import io.umberpath.model.Route;
+import io.umberpath.model.Secret;
+import io.umberpath.model.Tier;
+import io.umberpath.model.Version;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.node.settings.NodeSettings;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** An edge proxy and one hop proxy beside each given back end, on loopback. */
+final class ProxyFixture implements AutoCloseable {
+  static final int MAX_HEADER_BYTES = 8 * 1024;
+  static final long MAX_BODY_BYTES = 200_000_000;
+  static final long TIMEOUT_MILLIS = 5_000;
+  private static final int SLOTS = 6;
+
+  final FakeControl control = new FakeControl();
+  final List<ProxyServer> hops = new ArrayList<>();
+  final ProxyServer edge;
+
+  ProxyFixture(ScriptedBackend... backends) throws IOException {
+    this(TIMEOUT_MILLIS, ports(backends));
+  }
+
+  ProxyFixture(long timeoutMillis, int... backendPorts) throws IOException {
+    List<BackendAddress> addresses = new ArrayList<>();
+    for (int port : backendPorts) {
+      addresses.add(startHop(port));
+    }
+    control.snapshot = snapshot(1, timeoutMillis, addresses);
+    edge = new ProxyServer(settings(0, -1, Optional.empty()), control, ProxyStats.NONE);
+    edge.start();
+  }
+
+  private static int[] ports(ScriptedBackend... backends) {
+    return java.util.Arrays.stream(backends).mapToInt(ScriptedBackend::port).toArray();
+  }
+
+  private BackendAddress startHop(int port) throws IOException {
+    String id = "backend-" + hops.size();
+    NodeSettings.Backend backend =
+        new NodeSettings.Backend(id, "127.0.0.1", port, SLOTS, 130, 60_000);
+    ProxyServer hop =
+        new ProxyServer(settings(-1, 0, Optional.of(backend)), control, ProxyStats.NONE);
+    hop.start();
+    hops.add(hop);
+    return new BackendAddress(id, "127.0.0.1", port, "zone", "127.0.0.1", hop.hopPort());
+  }
+
+  static NodeSettings.Proxy settings(
+      int edgePort, int hopPort, Optional<NodeSettings.Backend> backend) {
+    return new NodeSettings.Proxy(
+        "127.0.0.1", edgePort, hopPort, backend, 5_000, MAX_HEADER_BYTES, MAX_BODY_BYTES, 0);
+  }
+
+  static ProxySnapshot snapshot(long sequence, long timeoutMillis, List<BackendAddress> addresses) {
+    Pool pool = new Pool("pool", "tenant", Tier.STANDARD, "service", SLOTS, 130);
+    Route route =
+        new Route(
+            "route",
+            "tenant",
+            Tier.STANDARD,
+            "*",
+            "/",
+            "pool",
+            Optional.of("token"),
+            Set.of("GET", "HEAD", "PUT"),
+            timeoutMillis);
+    Secret secret =
+        new Secret("token", "tenant", Tier.STANDARD, "s3cret".getBytes(StandardCharsets.US_ASCII));
+    List<ProxySnapshot.BackendView> views =
+        addresses.stream().map(address -> new ProxySnapshot.BackendView(address, false)).toList();
+    return new ProxySnapshot(
+        new Version(1, sequence),
+        1,
+        List.of(route),
+        Map.of("pool", new ProxySnapshot.PoolView(pool, views)),
+        Map.of("token", secret));
+  }
+
+  RawConnection connect() throws IOException {
+    return new RawConnection(edge.edgePort());
+  }
+
+  @Override
+  public void close() {
+    edge.close();
+    hops.forEach(ProxyServer::close);
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyPathTest.java
@@ -0,0 +1,53 @@
+package io.umberpath.node.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+/** Requests through an edge proxy and the proxy beside the back end, over real sockets. */
+class ProxyPathTest {
+  private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Kept: a\r\n\r\nhello";
+
+  @Test
+  void carriesRequestsAndAnswersOnKeptConnections() throws IOException {
+    try (ScriptedBackend backend = new ScriptedBackend(ScriptedBackend.answering(OK));
+        ProxyFixture fixture = new ProxyFixture(backend);
+        RawConnection caller = fixture.connect()) {
+      for (int round = 0; round < 3; round++) {
+        caller.send(
+            "POST /fees?a=b%20c HTTP/1.1\r\nHost: Mesh:80\r\nContent-Length: 3\r\n"
+                + "Connection: X-Named\r\nX-Named: 1\r\nAuthorization: mine\r\n"
+                + "Umberpath-Tier: PREMIUM\r\n\r\nabc");
+        RawConnection.Message answer = caller.read();
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.body()).isEqualTo("hello");
+        assertThat(answer.header("X-Kept")).isEqualTo("a");
+        assertThat(answer.head()).doesNotContain("Umberpath");
+      }
+      assertThat(backend.runs).hasValue(3);
+      RawConnection.Message request = backend.requests.peek();
+      assertThat(request.head()).startsWith("POST /fees?a=b%20c HTTP/1.1\r\n");
+      assertThat(request.body()).isEqualTo("abc");
+      assertThat(request.header("Host")).isEqualTo("Mesh:80");
+      assertThat(request.header("Authorization")).isEqualTo("Bearer s3cret");
+      assertThat(request.header("X-Named")).isNull();
+      assertThat(request.header("Umberpath-Tier")).isNull();
+      assertThat(request.header("Umberpath-Deadline-Ms")).isNotNull();
+    }
+  }
+
+  @Test
+  void refusesAsNotRunWhenNothingListens() throws IOException {
+    ScriptedBackend gone = new ScriptedBackend(ScriptedBackend.answering(OK));
+    gone.close();
+    try (ProxyFixture fixture = new ProxyFixture(gone);
+        RawConnection caller = fixture.connect()) {
+      caller.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+      RawConnection.Message answer = caller.read();
+      assertThat(answer.status()).isEqualTo(503);
+      assertThat(answer.header("Umberpath-Verdict")).isEqualTo("not-run; reason=unreachable");
+      assertThat(answer.header("Retry-After")).isEqualTo("1");
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ScriptedBackend.java
@@ -0,0 +1,86 @@
+package io.umberpath.node.proxy;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A back end on raw sockets that does as a script says, once per connection or per request. */
+final class ScriptedBackend implements AutoCloseable {
+  /** Handles one accepted connection until it returns. */
+  interface Script {
+    void run(ScriptedBackend backend, RawConnection connection) throws IOException;
+  }
+
+  final AtomicInteger runs = new AtomicInteger();
+  final AtomicInteger connections = new AtomicInteger();
+  final Queue<RawConnection.Message> requests = new ConcurrentLinkedQueue<>();
+  private final ServerSocket server;
+  private volatile Script script;
+
+  ScriptedBackend(Script script) throws IOException {
+    this.script = script;
+    this.server = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
+    start(this::accept);
+  }
+
+  void script(Script newScript) {
+    script = newScript;
+  }
+
+  /** Answers every request with the same raw bytes. */
+  static Script answering(String answer) {
+    return (backend, connection) -> {
+      for (RawConnection.Message request = connection.read();
+          request != null;
+          request = connection.read()) {
+        backend.ran(request);
+        connection.send(answer);
+      }
+    };
+  }
+
+  void ran(RawConnection.Message request) {
+    runs.incrementAndGet();
+    requests.add(request);
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        connections.incrementAndGet();
+        start(() -> serve(socket));
+      } catch (IOException closed) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (RawConnection connection = new RawConnection(socket)) {
+      script.run(this, connection);
+    } catch (IOException ended) {
+      // The peer went away, which scripts provoke.
+      return;
+    }
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "scripted-backend");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
