Proxy: message forms and doubtful framing, in tables

Cause: smuggling shapes and message forms were handled but not proved. The proof failed first for: folded lines (the codec overwrites the fold before the check saw it), unknown versions (the codec's own refusal threw), malformed first chunks (exception instead of a verdict), HTTP/1.0 callers without Host (the hop refused what the edge sent). Change: the whole head is found and checked before the codec sees a byte; refusals answer in HTTP/1.1; broken first content is a refusal; Host is added.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ClientCodecFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ClientCodecFilter.java
@@ -22,6 +22,9 @@
   private static final int STATUS_OFFSET = HTTP_1.length + 2;
   private static final int SWITCHING_PROTOCOLS_LAST_DIGIT = STATUS_OFFSET + 2;
 
+  private static final int INCOMPLETE = -1;
+  private static final int MALFORMED = -2;
+
   private final AnswerObserver observer;
 
   /**
@@ -52,14 +55,11 @@
       if (!mayBeInterim(buffer)) {
         break;
       }
-      int end = headEnd(buffer);
-      if (end < 0) {
-        return incompleteInterim(context, buffer);
+      int end = passInterim(connection, buffer);
+      if (end == INCOMPLETE) {
+        return context.getStopAction(buffer);
       }
-      if (!passInterim(connection, buffer, end)) {
-        return context.getStopAction();
-      }
-      if (end == buffer.limit()) {
+      if (end == MALFORMED || end == buffer.limit()) {
         return context.getStopAction();
       }
       context.setMessage(buffer.split(end));
@@ -71,18 +71,15 @@
     return super.handleRead(context);
   }
 
-  private NextAction incompleteInterim(FilterChainContext context, Buffer buffer) {
-    if (buffer.remaining() > maxHeadersSize) {
-      observer.malformed(
-          context.getConnection(), new MalformedMessageException("interim answer is too large"));
-      return context.getStopAction();
-    }
-    return context.getStopAction(buffer);
-  }
-
-  private boolean passInterim(Connection<?> connection, Buffer buffer, int end) {
+  /** Passes an interim answer on; returns the index after it, or one of the constants. */
+  private int passInterim(Connection<?> connection, Buffer buffer) {
     int start = buffer.position();
+    int end;
     try {
+      end = MessageHeadValidator.findEnd(buffer, maxHeadersSize);
+      if (end < 0) {
+        return INCOMPLETE;
+      }
       MessageHeadValidator.checkAnswer(buffer, start, end);
       if (buffer.get(start + STATUS_OFFSET + 1) == '0'
           && buffer.get(start + SWITCHING_PROTOCOLS_LAST_DIGIT) == '1') {
@@ -90,14 +87,14 @@
       }
     } catch (MalformedMessageException malformed) {
       observer.malformed(connection, malformed);
-      return false;
+      return MALFORMED;
     }
     byte[] head = new byte[end - start];
     for (int index = 0; index < head.length; index++) {
       head[index] = buffer.get(start + index);
     }
     observer.interim(connection, head);
-    return true;
+    return end;
   }
 
   /** Whether the bytes so far are, or could become, the start of a 1xx answer. */
@@ -112,25 +109,17 @@
     return buffer.remaining() <= STATUS_OFFSET || buffer.get(start + STATUS_OFFSET) == '1';
   }
 
-  private static int headEnd(Buffer buffer) {
-    for (int index = buffer.position() + 3; index < buffer.limit(); index++) {
-      if (buffer.get(index) == '\n'
-          && buffer.get(index - 1) == '\r'
-          && buffer.get(index - 2) == '\n'
-          && buffer.get(index - 3) == '\r') {
-        return index + 1;
-      }
-    }
-    return -1;
-  }
-
   @Override
   protected boolean decodeHttpPacket(
       FilterChainContext context, HttpPacketParsing packet, Buffer buffer) {
-    int start = buffer.position();
+    // The codec overwrites folded lines, so the whole head is checked before it sees any of it.
+    int end = MessageHeadValidator.findEnd(buffer, maxHeadersSize);
+    if (end < 0) {
+      return false;
+    }
+    MessageHeadValidator.checkAnswer(buffer, buffer.position(), end);
     boolean complete = super.decodeHttpPacket(context, packet, buffer);
     if (complete) {
-      MessageHeadValidator.checkAnswer(buffer, start, buffer.position());
       observer.headDecoded(context.getConnection());
     }
     return complete;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/MessageHeadValidator.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/MessageHeadValidator.java
@@ -30,6 +30,32 @@
     this.limit = limit;
   }
 
+  /**
+   * Finds the end of the head that begins at the buffer's position.
+   *
+   * @param maxBytes longest head
+   * @return index after its final empty line, or -1 if that has not come yet
+   * @throws MalformedMessageException if it is too long or has an LF without CR
+   */
+  static int findEnd(Buffer buffer, int maxBytes) {
+    int start = buffer.position();
+    int last = Math.min(buffer.limit(), start + maxBytes);
+    for (int index = start; index < last; index++) {
+      if (buffer.get(index) == '\n') {
+        if (index == start || buffer.get(index - 1) != '\r') {
+          throw new MalformedMessageException("head has an LF without CR");
+        }
+        if (index - start < 2 || buffer.get(index - 2) == '\n') {
+          return index + 1;
+        }
+      }
+    }
+    if (buffer.remaining() >= maxBytes) {
+      throw MalformedMessageException.tooLarge("head is too large");
+    }
+    return -1;
+  }
+
   /**
    * Checks a request head.
    *
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
@@ -13,6 +13,7 @@
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.http.Method;
+import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.http.TransferEncoding;
 
 /**
@@ -52,12 +53,13 @@
   @Override
   protected boolean decodeHttpPacket(
       FilterChainContext context, HttpPacketParsing packet, Buffer buffer) {
-    int start = buffer.position();
-    boolean complete = super.decodeHttpPacket(context, packet, buffer);
-    if (complete) {
-      MessageHeadValidator.checkRequest(buffer, start, buffer.position());
+    // The codec overwrites folded lines, so the whole head is checked before it sees any of it.
+    int end = MessageHeadValidator.findEnd(buffer, maxHeadersSize);
+    if (end < 0) {
+      return false;
     }
-    return complete;
+    MessageHeadValidator.checkRequest(buffer, buffer.position(), end);
+    return super.decodeHttpPacket(context, packet, buffer);
   }
 
   @Override
@@ -80,6 +82,8 @@
   @Override
   protected void onHttpHeaderError(HttpHeader header, FilterChainContext context, Throwable error)
       throws IOException {
+    // The answer must not repeat a version that the codec does not know.
+    header.setProtocol(Protocol.HTTP_1_1);
     HttpResponsePacket response = responseOf(header);
     response.setStatus(reasonOf(error).status());
     super.onHttpHeaderError(header, context, error);
@@ -109,9 +113,7 @@
 
   private static Verdict.Reason reasonOf(Throwable error) {
     boolean tooLarge =
-        !(error instanceof MalformedMessageException)
-            && error.getMessage() != null
-            && error.getMessage().contains("too large");
+        error instanceof MalformedMessageException malformed && malformed.isTooLarge();
     return tooLarge ? Verdict.Reason.TOO_LARGE : Verdict.Reason.BAD_REQUEST;
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpTrailer;
@@ -107,10 +108,14 @@
     environment.stats().inFlight(handler.side(), 1);
     environment.active().add(this);
     long now = environment.clockMillis().getAsLong();
-    Either<Refusal, RequestPlan> decision = handler.plan(request, now);
+    boolean broken = first instanceof HttpBrokenContent;
+    Either<Refusal, RequestPlan> decision =
+        broken
+            ? Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST))
+            : handler.plan(request, now);
     boolean readOn;
     synchronized (this) {
-      readOn = take(first);
+      readOn = broken || take(first);
       if (decision.isLeft()) {
         refuse(decision.getLeft());
       } else {
@@ -121,6 +126,9 @@
       handler.dispatch(this);
     }
     afterLock();
+    if (broken) {
+      caller.connection().closeSilently();
+    }
     return readOn;
   }
 
@@ -374,7 +382,7 @@
     private void start(OriginConnection connection) {
       origin = connection;
       stage = Stage.SENT;
-      outgoing = OutgoingRequest.of(request, plan);
+      outgoing = OutgoingRequest.of(request, plan, pool.address());
       long now = environment.clockMillis().getAsLong();
       handler.addHeaders(Exchange.this, outgoing.packet(), now);
       connection.begin(this);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.proxy.inbound;
 
+import io.umberpath.model.PeerAddress;
 import io.umberpath.node.proxy.http.HeaderCopier;
 import java.util.Set;
 import java.util.TreeSet;
@@ -24,7 +25,7 @@
   }
 
   /** Copies the caller's request line, end-to-end headers and body framing. */
-  static OutgoingRequest of(HttpRequestPacket request, RequestPlan plan) {
+  static OutgoingRequest of(HttpRequestPacket request, RequestPlan plan, PeerAddress origin) {
     HttpRequestPacket.Builder builder =
         HttpRequestPacket.builder()
             .method(request.getMethod())
@@ -41,6 +42,9 @@
     HttpRequestPacket packet = builder.build();
     Set<String> leftOut = plan.authorization().isPresent() ? REPLACED_BY_SECRET : Set.of();
     HeaderCopier.copy(request, packet, leftOut);
+    if (request.getHeader(Header.Host) == null) {
+      set(packet, Header.Host.toString(), origin.toString());
+    }
     plan.authorization().ifPresent(value -> set(packet, Header.Authorization.toString(), value));
     return new OutgoingRequest(packet);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
@@ -45,6 +45,11 @@
     this.lastUsedMillis = clockMillis.getAsLong();
   }
 
+  /** Where its connections lead. */
+  public PeerAddress address() {
+    return address;
+  }
+
   /** Gives the waiter an idle connection at once, or opens one. */
   public void acquire(ConnectionWaiter waiter) {
     OriginConnection connection;
