--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/baseline/CentralServerNode.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/baseline/CentralServerNode.java
@@ -127,7 +127,9 @@
         new FleetState.AnsweredChange(StateHasher.fingerprint(change), version);
     Optional<FleetState.AnsweredChange> before = state.answered().get(key).toJavaOptional();
     if (before.isPresent()) {
-      return new ChangeResult.Accepted(before.get().version());
+      return before.get().changeHash() == entry.changeHash()
+          ? new ChangeResult.Accepted(before.get().version())
+          : new ChangeResult.Refused(ChangeResult.RefusalCode.REQUEST_ID_REUSED, List.of());
     }
     FleetState next =
         StateDeltas.produce(
