--- a/umberpath-transport/src/main/java/io/umberpath/transport/FaultReporter.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/FaultReporter.java
@@ -1,12 +1,17 @@
 package io.umberpath.transport;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.MetadataKey;
 import java.util.concurrent.TimeUnit;
 
 /** Counts every fault and logs some of them. Thread-safe. */
 final class FaultReporter {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  private static final MetadataKey<String> EVENT = MetadataKey.single("event", String.class);
+  private static final MetadataKey<String> CAUSE = MetadataKey.single("cause", String.class);
+  private static final MetadataKey<String> PEER = MetadataKey.single("peer", String.class);
+
   private final TransportCounters counters;
 
   FaultReporter(TransportCounters counters) {
@@ -16,8 +21,12 @@
   /** Reports a fault on a connection or queue of a peer; at most one log line a second. */
   void report(TransportError error, String peer) {
     counters.fault(error.fault());
-    logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-        "event=transport-fault cause=%s peer=%s detail=%s",
-        error.fault().label(), peer, error.detail());
+    logger
+        .atWarning()
+        .atMostEvery(1, TimeUnit.SECONDS)
+        .with(EVENT, "transport-fault")
+        .with(CAUSE, error.fault().label())
+        .with(PEER, peer)
+        .log("%s", error.detail());
   }
 }
--- a/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyEndpoint.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyEndpoint.java
@@ -90,7 +90,7 @@
     try {
       transport.shutdownNow();
     } catch (IOException e) {
-      logger.atWarning().withCause(e).log("event=transport-close-failed");
+      logger.atWarning().withCause(e).log("The transport did not close cleanly");
     }
   }
 
--- /dev/null
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/RawPeer.java
@@ -0,0 +1,84 @@
+package io.umberpath.transport;
+
+import io.umberpath.model.PeerAddress;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+
+/** A peer that writes any bytes it likes. */
+final class RawPeer implements AutoCloseable {
+  static final PeerAddress NAME = new PeerAddress("127.0.0.1", 9);
+
+  private final Socket socket;
+
+  RawPeer(Socket socket) {
+    this.socket = socket;
+  }
+
+  static RawPeer dial(PeerAddress to) throws IOException {
+    return new RawPeer(new Socket(InetAddress.getByName(to.host()), to.port()));
+  }
+
+  static byte[] hello(PeerAddress name, int protocolVersion) {
+    byte[] payload = new MessageCodec<>(Hello.class).encode(new Hello(protocolVersion, name, 1));
+    return Frame.encode(FrameKind.HELLO, payload);
+  }
+
+  static byte[] hello() {
+    return hello(NAME, Frame.PROTOCOL_VERSION);
+  }
+
+  static byte[] message(int number) {
+    byte[] payload = TestMessages.controlCodec().encode(TestMessages.message(number));
+    return Frame.encode(FrameKind.MESSAGE, payload);
+  }
+
+  /** A frame header, then nothing. */
+  static byte[] header(int length, int version, int kind) {
+    return ByteBuffer.allocate(Frame.HEADER_BYTES)
+        .putInt(length)
+        .put((byte) version)
+        .put((byte) kind)
+        .array();
+  }
+
+  RawPeer write(byte[] bytes) throws IOException {
+    socket.getOutputStream().write(bytes);
+    return this;
+  }
+
+  /** Closes with a reset, as a killed machine's network would. */
+  void reset() throws IOException {
+    socket.setSoLinger(true, 0);
+    socket.close();
+  }
+
+  void shutdownOutput() throws IOException {
+    socket.shutdownOutput();
+  }
+
+  /** Reads until the other side closes; the read timeout fails the test. */
+  void awaitClosed() throws IOException {
+    socket.setSoTimeout(30_000);
+    InputStream input = socket.getInputStream();
+    byte[] ignored = new byte[4096];
+    try {
+      int count = 0;
+      while (count >= 0) {
+        count = input.read(ignored);
+      }
+    } catch (java.net.SocketTimeoutException e) {
+      throw new AssertionError("the connection was not closed", e);
+    } catch (java.net.SocketException e) {
+      // A reset ends the connection as well.
+      return;
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
