Model: a whole state with two drained back ends can be written out

Ruled out: making drain records comparable only to please the collection. Change: the drained ids are mapped through a plain stream.

--- a/umberpath-model/src/main/java/io/umberpath/model/StateDeltas.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/StateDeltas.java
@@ -29,7 +29,7 @@
         state.contentHash(),
         state.resources().values().toJavaList(),
         List.of(),
-        state.drained().map(id -> new ChangeSet.DrainChange(id, true)).toJavaList(),
+        state.drained().toJavaStream().map(id -> new ChangeSet.DrainChange(id, true)).toList(),
         List.of(),
         state.roster().members(),
         state.changesRoster() ? RosterBasis.EXPLICIT : RosterBasis.SETTLED,
--- a/umberpath-model/src/test/java/io/umberpath/model/StateDeltaTest.java
+++ b/umberpath-model/src/test/java/io/umberpath/model/StateDeltaTest.java
@@ -29,7 +29,7 @@
             0,
             upserts,
             deletes,
-            List.of(new ChangeSet.DrainChange("b1", true)),
+            List.of(new ChangeSet.DrainChange("b1", true), new ChangeSet.DrainChange("b2", true)),
             List.of(),
             added,
             added.isEmpty() ? RosterBasis.SETTLED : RosterBasis.FROM_BASE,
@@ -72,7 +72,7 @@
   void appliesWholeAndTracksThePreviousRoster() {
     FleetState state = populated();
     assertThat(state.resources().keySet()).containsExactly(ROUTE.key(), POOL.key(), SECRET.key());
-    assertThat(state.drained()).containsExactly("b1");
+    assertThat(state.drained()).containsExactly("b1", "b2");
     assertThat(state.previousRoster()).isEqualTo(Roster.EMPTY);
     assertThat(state.changesRoster()).isTrue();
     assertThat(state.nextSlot()).isEqualTo(1);
