Node: control runtime over real sockets; transport tests on real messages

Cause: the control state machine had no process around it.

Ruled out: blocking the selector thread when the control thread falls behind (it would hold up the deliveries to the children as well, and they would all look for another parent). The inbox drops instead: the oldest report without joins, delivery without states or request to attach, and if there is none, the message that arrives; counted.

Change: ControlRuntime with one thread that feeds messages, operators' changes, platform answers and ticks to the node and carries out what it asks. An overdue change and a change still open at a stop are handed to the node as abandoned, so that the answer is its own verdict. A node that fails with an exception ends the runtime for good.

--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/control/OutputHandler.java
@@ -0,0 +1,91 @@
+package io.umberpath.node.control;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.MetadataKey;
+import io.umberpath.control.ControlInput;
+import io.umberpath.control.ControlOutput;
+import io.umberpath.model.ObservedBackend;
+import io.umberpath.model.PlatformDocument;
+import io.umberpath.model.ProxySnapshot;
+import io.umberpath.node.platform.PlatformReader;
+import io.umberpath.transport.Transport;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * Carries out what the node asks for, except answers to tickets. Called by the control thread;
+ * {@link #snapshot} and {@link #observed} by any.
+ */
+final class OutputHandler {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final MetadataKey<String> EVENT = MetadataKey.single("event", String.class);
+  private static final MetadataKey<String> VERSION = MetadataKey.single("version", String.class);
+
+  private final Transport transport;
+  private final PlatformReader reader;
+  private final ControlInbox inbox;
+  private final ObservedBackends observed = new ObservedBackends();
+  private volatile ProxySnapshot snapshot = ProxySnapshot.EMPTY;
+
+  OutputHandler(Transport transport, PlatformReader reader, ControlInbox inbox) {
+    this.transport = transport;
+    this.reader = reader;
+    this.inbox = inbox;
+  }
+
+  /** The snapshot in force. */
+  ProxySnapshot snapshot() {
+    return snapshot;
+  }
+
+  /** The newest statement about each back end. */
+  Map<String, ObservedBackend> observed() {
+    return observed.view();
+  }
+
+  /** Carries out one output. */
+  void carryOut(ControlOutput output, Supplier<PlatformDocument> document) {
+    if (output instanceof ControlOutput.Send send) {
+      send(send);
+    } else if (output instanceof ControlOutput.Disconnect disconnect) {
+      transport.disconnect(disconnect.peer());
+    } else if (output instanceof ControlOutput.Activate activate) {
+      activate(activate.snapshot());
+    } else if (output instanceof ControlOutput.ReadPlatform) {
+      readPlatform();
+    } else if (output instanceof ControlOutput.ObservedUpdated updated) {
+      observed.update(updated.backends(), document.get());
+    } else if (output instanceof ControlOutput.Notice notice) {
+      logger.atInfo().with(EVENT, notice.event()).log("%s", notice.detail());
+    }
+  }
+
+  private void send(ControlOutput.Send send) {
+    try {
+      transport.send(send.to(), send.message());
+    } catch (IllegalArgumentException e) {
+      logger.atSevere().withCause(e).log("A message to %s could not be encoded", send.to());
+    }
+  }
+
+  private void activate(ProxySnapshot next) {
+    snapshot = next;
+    logger
+        .atInfo()
+        .with(EVENT, "activated")
+        .with(VERSION, next.version().toString())
+        .log("Platform revision %d", next.revision());
+  }
+
+  private void readPlatform() {
+    reader
+        .read()
+        .whenComplete(
+            (document, failure) ->
+                inbox.add(
+                    failure == null
+                        ? new ControlInput.DocumentRead(document)
+                        : new ControlInput.DocumentReadFailed(String.valueOf(failure))));
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/control/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the control side of one node: its thread, its inputs and what it asks for. */
+package io.umberpath.node.control;
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/control/ControlRuntimeFleetTest.java
@@ -0,0 +1,124 @@
+package io.umberpath.node.control;
+
+import static io.umberpath.node.control.RuntimeFleet.await;
+import static io.umberpath.node.control.RuntimeFleet.holds;
+import static io.umberpath.node.control.RuntimeFleet.poolChange;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.model.ChangeResult;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.ProxySnapshot;
+import io.umberpath.model.Version;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(240)
+class ControlRuntimeFleetTest {
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  @Test
+  void followersChangeIsActiveEverywhere() throws Exception {
+    try (RuntimeFleet fleet = new RuntimeFleet(5)) {
+      fleet.awaitFormed();
+      Version accepted = accept(fleet.follower(), "first");
+      fleet.awaitActive(accepted);
+      assertThat(fleet.nodes)
+          .allMatch(node -> node.runtime.snapshot().pools().containsKey("first"))
+          .allMatch(node -> node.runtime.droppedMessages() == 0)
+          .noneMatch(node -> node.failed.get());
+    }
+  }
+
+  @Test
+  void killedLeaderLeavesTruthfulOutcomesAndNobodyGoesBack() throws Exception {
+    try (RuntimeFleet fleet = new RuntimeFleet(5)) {
+      fleet.awaitFormed();
+      Version first = accept(fleet.follower(), "first");
+      fleet.awaitActive(first);
+      RuntimeNode leader = fleet.leader();
+      RuntimeNode follower = fleet.follower();
+      Map<String, CompletableFuture<ChangeResult>> outcomes = new LinkedHashMap<>();
+      IntStream.range(0, 30).forEach(n -> submit(outcomes, follower, "through-follower-" + n));
+      IntStream.range(0, 30).forEach(n -> submit(outcomes, leader, "through-leader-" + n));
+      outcomes.get("through-follower-0").get();
+      IntStream.range(30, 60).forEach(n -> submit(outcomes, follower, "through-follower-" + n));
+      leader.kill();
+      fleet.nodes.remove(leader);
+      CompletableFuture.allOf(outcomes.values().toArray(CompletableFuture[]::new)).get();
+
+      Version last = accept(fleet.follower(), "last");
+      fleet.awaitActive(last);
+      outcomes.forEach((name, outcome) -> assertTruthful(fleet, name, outcome.join()));
+
+      fleet.nodes.add(leader);
+      RuntimeNode restarted = fleet.restart(leader, 2_000);
+      fleet.awaitActive(last);
+      await("a seat", () -> restarted.status().self().slot() >= 0);
+      Map<PeerAddress, List<ProxySnapshot>> activations = new HashMap<>();
+      fleet.nodes.forEach(node -> activations.put(node.address, new ArrayList<>(node.activations)));
+      activations.get(leader.address).addAll(0, leader.activations);
+      RuntimeFleet.assertNeverBack(activations);
+      assertThat(fleet.nodes).noneMatch(node -> node.failed.get());
+    }
+  }
+
+  private static void assertTruthful(RuntimeFleet fleet, String name, ChangeResult outcome) {
+    if (outcome instanceof ChangeResult.Accepted) {
+      assertThat(fleet.nodes).as(name).allMatch(node -> holds(node, name));
+    } else if (outcome instanceof ChangeResult.Refused) {
+      assertThat(fleet.nodes).as(name).noneMatch(node -> holds(node, name));
+    }
+  }
+
+  private static void submit(
+      Map<String, CompletableFuture<ChangeResult>> outcomes, RuntimeNode node, String name) {
+    outcomes.put(name, node.runtime.submit(poolChange(name), TIMEOUT).toCompletableFuture());
+  }
+
+  private static Version accept(RuntimeNode node, String name) throws Exception {
+    ChangeResult result =
+        node.runtime.submit(poolChange(name), TIMEOUT).toCompletableFuture().get();
+    assertThat(result).isInstanceOf(ChangeResult.Accepted.class);
+    return ((ChangeResult.Accepted) result).version();
+  }
+
+  @Test
+  void withoutQuorumAChangeIsRefusedAsNotRun() throws IOException {
+    try (RuntimeFleet fleet = new RuntimeFleet(3)) {
+      fleet.awaitFormed();
+      RuntimeNode survivor = fleet.follower();
+      fleet.nodes.stream().filter(node -> node != survivor).forEach(RuntimeNode::kill);
+      await("no leader heard", () -> refusedAtOnce(survivor));
+      assertThat(holds(survivor, "never")).isFalse();
+    }
+  }
+
+  private static boolean refusedAtOnce(RuntimeNode node) {
+    return node.runtime
+            .submit(poolChange("never"), Duration.ofSeconds(3))
+            .toCompletableFuture()
+            .join()
+        instanceof ChangeResult.Refused;
+  }
+
+  @Test
+  void closedRuntimeAnswersAsNotRun() throws IOException {
+    try (RuntimeFleet fleet = new RuntimeFleet(1)) {
+      RuntimeNode node = fleet.nodes.get(0);
+      node.runtime.close();
+      ChangeResult result =
+          node.runtime.submit(poolChange("late"), TIMEOUT).toCompletableFuture().join();
+      assertThat(result).isInstanceOf(ChangeResult.Refused.class);
+      assertThat(node.runtime.fleetView(TIMEOUT).toCompletableFuture().join()).isEmpty();
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/control/ControlRuntimeTest.java
@@ -0,0 +1,272 @@
+package io.umberpath.node.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.control.ControlInput;
+import io.umberpath.control.ControlMessage;
+import io.umberpath.control.ControlNode;
+import io.umberpath.control.ControlOutput;
+import io.umberpath.control.ControlStatus;
+import io.umberpath.model.ChangeResult;
+import io.umberpath.model.FleetState;
+import io.umberpath.model.Member;
+import io.umberpath.model.ObservedBackend;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.PlatformDocument;
+import io.umberpath.model.ProxySnapshot;
+import io.umberpath.model.Version;
+import io.umberpath.node.platform.PlatformReader;
+import io.umberpath.transport.Transport;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The runtime with a node that does what each test says. */
+@Timeout(60)
+class ControlRuntimeTest {
+  private static final PeerAddress PEER = new PeerAddress("127.0.0.1", 1);
+  private static final Duration LONG = Duration.ofSeconds(50);
+  private static final ChangeResult ACCEPTED = new ChangeResult.Accepted(new Version(1, 1));
+
+  private final List<ControlInput> inputs = new CopyOnWriteArrayList<>();
+  private final List<ControlMessage> sent = new CopyOnWriteArrayList<>();
+  private final CompletableFuture<PlatformDocument> document = new CompletableFuture<>();
+  private final CountDownLatch failure = new CountDownLatch(1);
+  private Transport.Listener listener;
+  private ControlRuntime runtime;
+
+  private void start(Function<ControlInput, List<ControlOutput>> behaviour) throws IOException {
+    runtime =
+        new ControlRuntime(
+            new ScriptedNode(behaviour),
+            new MemoryTransport(),
+            new PendingReader(),
+            ControlRuntimeSettings.DEFAULT,
+            failure::countDown);
+    runtime.start();
+  }
+
+  @AfterEach
+  void close() {
+    runtime.close();
+  }
+
+  private static Function<ControlInput, List<ControlOutput>> silent() {
+    return input -> List.of();
+  }
+
+  private CompletableFuture<ChangeResult> submit(Duration timeout) {
+    return runtime.submit(RuntimeFleet.poolChange("pool"), timeout).toCompletableFuture();
+  }
+
+  @Test
+  void changeIsAnsweredByTheNode() throws Exception {
+    start(
+        input ->
+            input instanceof ControlInput.ChangeSubmitted change
+                ? List.of(new ControlOutput.ChangeAnswered(change.ticket(), ACCEPTED))
+                : List.of());
+    assertThat(submit(LONG).get()).isEqualTo(ACCEPTED);
+  }
+
+  @Test
+  void overdueChangeIsAnsweredByTheNodesVerdict() throws Exception {
+    ChangeResult verdict = new ChangeResult.Unknown("forwarded");
+    start(
+        input ->
+            input instanceof ControlInput.ChangeAbandoned change
+                ? List.of(new ControlOutput.ChangeAnswered(change.ticket(), verdict))
+                : List.of());
+    assertThat(submit(Duration.ofMillis(20)).get()).isEqualTo(verdict);
+  }
+
+  @Test
+  void openChangesAreAbandonedBeforeTheRuntimeStops() throws Exception {
+    ChangeResult verdict = new ChangeResult.Unknown("forwarded");
+    start(
+        input ->
+            input instanceof ControlInput.ChangeAbandoned change
+                ? List.of(new ControlOutput.ChangeAnswered(change.ticket(), verdict))
+                : List.of());
+    CompletableFuture<ChangeResult> open = submit(LONG);
+    RuntimeFleet.await("submitted", () -> inputs.stream().anyMatch(this::isSubmission));
+    runtime.close();
+    assertThat(open.get()).isEqualTo(verdict);
+  }
+
+  private boolean isSubmission(ControlInput input) {
+    return input instanceof ControlInput.ChangeSubmitted;
+  }
+
+  @Test
+  void failedNodeEndsTheRuntimeAndLeavesOutcomesUnknown() throws Exception {
+    start(
+        input -> {
+          if (input instanceof ControlInput.ChangeSubmitted) {
+            throw new IllegalStateException("seeded");
+          }
+          return List.of();
+        });
+    assertThat(submit(LONG).get()).isInstanceOf(ChangeResult.Unknown.class);
+    assertThat(failure.await(30, TimeUnit.SECONDS)).isTrue();
+    assertThat(submit(LONG).get()).isInstanceOf(ChangeResult.Refused.class);
+  }
+
+  @Test
+  void unansweredFleetViewIsEmpty() throws Exception {
+    start(silent());
+    assertThat(runtime.fleetView(Duration.ofMillis(20)).toCompletableFuture().get()).isEmpty();
+  }
+
+  @Test
+  void messagesLossesAndReadsReachTheNode() throws Exception {
+    PlatformDocument read = new PlatformDocument(4, new java.util.TreeMap<>(), List.of());
+    start(
+        input ->
+            input instanceof ControlInput.MessageReceived
+                ? List.of(
+                    new ControlOutput.ReadPlatform(),
+                    new ControlOutput.Send(PEER, new ControlMessage.Detach()))
+                : List.of());
+    ControlMessage message = new ControlMessage.FleetViewRequest(1);
+    listener.onMessage(PEER, message);
+    listener.onUnreachable(PEER);
+    RuntimeFleet.await("sent", () -> sent.contains(new ControlMessage.Detach()));
+    document.complete(read);
+    RuntimeFleet.await(
+        "inputs",
+        () ->
+            inputs.containsAll(
+                List.of(
+                    new ControlInput.MessageReceived(PEER, message),
+                    new ControlInput.PeerUnreachable(PEER),
+                    new ControlInput.DocumentRead(read))));
+  }
+
+  @Test
+  void failedReadReachesTheNode() throws Exception {
+    start(
+        input ->
+            input instanceof ControlInput.PeerUnreachable
+                ? List.of(new ControlOutput.ReadPlatform())
+                : List.of());
+    listener.onUnreachable(PEER);
+    document.completeExceptionally(new IOException("down"));
+    RuntimeFleet.await(
+        "told",
+        () -> inputs.stream().anyMatch(input -> input instanceof ControlInput.DocumentReadFailed));
+  }
+
+  @Test
+  void snapshotAndObservedFollowTheNode() throws Exception {
+    ProxySnapshot snapshot = new ProxySnapshot(new Version(1, 5), 2, List.of(), Map.of(), Map.of());
+    ObservedBackend newer = backend(2);
+    start(
+        input ->
+            input instanceof ControlInput.BackendObserved
+                ? List.of(
+                    new ControlOutput.ObservedUpdated(List.of(newer)),
+                    new ControlOutput.ObservedUpdated(List.of(backend(1))),
+                    new ControlOutput.Activate(snapshot))
+                : List.of());
+    assertThat(runtime.snapshot()).isSameAs(ProxySnapshot.EMPTY);
+    runtime.observe(newer);
+    RuntimeFleet.await("activated", () -> runtime.snapshot() == snapshot);
+    assertThat(runtime.observed()).containsExactly(Map.entry("b", newer));
+  }
+
+  private static ObservedBackend backend(long counter) {
+    return new ObservedBackend("b", 1, counter, ObservedBackend.Phase.READY, 0);
+  }
+
+  /** Does what a function says; wants a tick every 10 ms. */
+  private final class ScriptedNode implements ControlNode {
+    private final Function<ControlInput, List<ControlOutput>> behaviour;
+    private long now;
+
+    ScriptedNode(Function<ControlInput, List<ControlOutput>> behaviour) {
+      this.behaviour = behaviour;
+    }
+
+    @Override
+    public List<ControlOutput> handle(long nowMillis, ControlInput input) {
+      assertThat(nowMillis).isGreaterThanOrEqualTo(now);
+      now = nowMillis;
+      if (!(input instanceof ControlInput.Tick)) {
+        inputs.add(input);
+      }
+      return behaviour.apply(input);
+    }
+
+    @Override
+    public long nextWakeMillis() {
+      return now + 10;
+    }
+
+    @Override
+    public ControlStatus status() {
+      Member self = new Member(Member.NO_SLOT, PEER, 1, "zone", "region");
+      return new ControlStatus(
+          self,
+          ControlStatus.Role.JOINING,
+          0,
+          Optional.empty(),
+          Optional.empty(),
+          0,
+          FleetState.EMPTY,
+          Version.NONE,
+          Version.NONE,
+          0,
+          PlatformDocument.NONE,
+          false,
+          List.of(),
+          List.of());
+    }
+  }
+
+  /** Keeps what is sent. */
+  private final class MemoryTransport implements Transport {
+    @Override
+    public void start(Listener started) {
+      listener = started;
+    }
+
+    @Override
+    public void send(PeerAddress to, ControlMessage message) {
+      sent.add(message);
+    }
+
+    @Override
+    public void disconnect(PeerAddress peer) {}
+
+    @Override
+    public Traffic traffic() {
+      return new Traffic(0, 0, 0, 0);
+    }
+
+    @Override
+    public void close() {}
+  }
+
+  /** Answers when the test says so. */
+  private final class PendingReader implements PlatformReader {
+    @Override
+    public CompletionStage<PlatformDocument> read() {
+      return document;
+    }
+
+    @Override
+    public void close() {}
+  }
+}
--- a/umberpath-transport/src/test/java/io/umberpath/transport/Endpoint.java
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/Endpoint.java
@@ -19,7 +19,7 @@
   final PeerAddress address;
 
   private Endpoint(TransportSettings settings) throws IOException {
-    transport = new GrizzlyTransport(settings, TestMessages.controlCodec());
+    transport = new GrizzlyTransport(settings, TestMessages.codec());
     address = transport.bind();
     transport.start(recorder);
   }
--- a/umberpath-transport/src/test/java/io/umberpath/transport/GrizzlyTransportTest.java
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/GrizzlyTransportTest.java
@@ -113,7 +113,7 @@
     TransportSettings settings =
         TransportSettings.withDefaults(
             new PeerAddress("0.0.0.0", 0), 1, new TransportSecurity.PlainTextLoopback());
-    try (GrizzlyTransport transport = new GrizzlyTransport(settings, TestMessages.controlCodec())) {
+    try (GrizzlyTransport transport = new GrizzlyTransport(settings, TestMessages.codec())) {
       assertThatThrownBy(transport::bind)
           .isInstanceOf(IOException.class)
           .hasMessageContaining("loopback");
--- a/umberpath-transport/src/test/java/io/umberpath/transport/MessageCodecTest.java
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/MessageCodecTest.java
@@ -2,10 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
-import io.umberpath.transport.TestMessages.TestMessage;
-import io.umberpath.transport.TestMessages.Text;
-import io.umberpath.transport.TestMessages.Tree;
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.HashMap;
@@ -20,7 +19,18 @@
 class MessageCodecTest {
   private static final CBORMapper PLAIN = new CBORMapper();
 
-  private final MessageCodec<TestMessage> codec = TestMessages.codec();
+  private final MessageCodec<TestMessage> codec = new MessageCodec<>(TestMessage.class);
+
+  @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "k")
+  @JsonSubTypes({
+    @JsonSubTypes.Type(value = Text.class, name = "t"),
+    @JsonSubTypes.Type(value = Tree.class, name = "n")
+  })
+  private sealed interface TestMessage {}
+
+  private record Text(int number, String text) implements TestMessage {}
+
+  private record Tree(List<Tree> children) implements TestMessage {}
 
   @Test
   void decodesWhatItEncoded() {
--- a/umberpath-transport/src/test/java/io/umberpath/transport/RawPeer.java
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/RawPeer.java
@@ -31,7 +31,7 @@
   }
 
   static byte[] message(int number) {
-    byte[] payload = TestMessages.controlCodec().encode(TestMessages.message(number));
+    byte[] payload = TestMessages.codec().encode(TestMessages.message(number));
     return Frame.encode(FrameKind.MESSAGE, payload);
   }
 
--- a/umberpath-transport/src/test/java/io/umberpath/transport/TestMessages.java
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/TestMessages.java
@@ -1,32 +1,14 @@
 package io.umberpath.transport;
 
-import com.fasterxml.jackson.annotation.JsonSubTypes;
-import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import io.umberpath.control.ControlMessage;
-import java.util.List;
+import io.umberpath.model.ChangeResult;
 
-/** Messages of the transport's tests. */
+/** Numbered control messages. */
 final class TestMessages {
   private TestMessages() {}
 
-  @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "k")
-  @JsonSubTypes({
-    @JsonSubTypes.Type(value = Text.class, name = "t"),
-    @JsonSubTypes.Type(value = Tree.class, name = "n")
-  })
-  interface TestMessage extends ControlMessage {}
-
-  record Text(int number, String text) implements TestMessage {}
-
-  record Tree(List<Tree> children) implements TestMessage {}
-
-  static MessageCodec<TestMessage> codec() {
-    return new MessageCodec<>(TestMessage.class);
-  }
-
-  @SuppressWarnings({"unchecked", "rawtypes"})
-  static MessageCodec<ControlMessage> controlCodec() {
-    return (MessageCodec) codec();
+  static MessageCodec<ControlMessage> codec() {
+    return new MessageCodec<>(ControlMessage.class);
   }
 
   static ControlMessage message(int number) {
@@ -34,10 +16,10 @@
   }
 
   static ControlMessage message(int number, String text) {
-    return new Text(number, text);
+    return new ControlMessage.ChangeOutcome(1, 1, number, new ChangeResult.Unknown(text));
   }
 
   static int numberOf(ControlMessage message) {
-    return ((Text) message).number();
+    return (int) ((ControlMessage.ChangeOutcome) message).number();
   }
 }
