Proxy: fault table of the request path

Cause: verdicts need proof for each point in the exchange and each fault. Ruled out: a mocked origin; the table runs over real sockets against a scripted back end, two of them, so that a second delivery of a request shows. Change: 39 rows (point, fault, repeatable or not) state the status, the verdict and the number of deliveries; 8 rows show that an answer that has begun is cut off visibly; deadlines and the caller's departure are carried on. Measured: FaultTableTest, 53 tests pass (mvn -pl umberpath-node -am verify).

--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/FaultTableTest.java
@@ -0,0 +1,323 @@
+package io.umberpath.node.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * For each point in an exchange and each fault of the back end: the verdict, how often the request
+ * was handed to a back end, and what the caller gets. Two back ends share one script in which the
+ * first request meets the fault and every later one is answered, so that a second delivery shows.
+ */
+class FaultTableTest {
+  private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  private static final String BODY = "0123456789";
+
+  private enum Point {
+    CONNECTED,
+    HEAD_SENT,
+    HALF_BODY,
+    BODY_SENT,
+    HALF_HEAD_OF_ANSWER,
+    HALF_ANSWER,
+    HALF_CHUNKED_ANSWER,
+    AFTER_ANSWER
+  }
+
+  private enum Fault {
+    RESET,
+    CLOSE,
+    SILENCE,
+    GARBAGE,
+    OTHER_ANSWER
+  }
+
+  /** Counts deliveries over both back ends and plays the fault to the first. */
+  private static final class Script implements ScriptedBackend.Script {
+    final AtomicInteger deliveries = new AtomicInteger();
+    final AtomicInteger runs = new AtomicInteger();
+    final CountDownLatch callerIsAnswered = new CountDownLatch(1);
+    private final Point point;
+    private final Fault fault;
+
+    Script(Point point, Fault fault) {
+      this.point = point;
+      this.fault = fault;
+    }
+
+    @Override
+    public void run(ScriptedBackend backend, RawConnection connection) throws IOException {
+      int first = connection.input().read();
+      if (first < 0) {
+        return;
+      }
+      if (deliveries.incrementAndGet() > 1) {
+        answerAll(connection);
+        return;
+      }
+      if (point != Point.CONNECTED) {
+        connection.readHead();
+      }
+      if (point == Point.HALF_BODY) {
+        connection.input().readNBytes(BODY.length() / 2);
+      } else if (point.compareTo(Point.HALF_BODY) > 0) {
+        connection.input().readNBytes(BODY.length());
+        runs.incrementAndGet();
+      }
+      connection.send(sentBefore(point));
+      fail(connection);
+    }
+
+    private void answerAll(RawConnection connection) throws IOException {
+      connection.readHead();
+      connection.input().readNBytes(BODY.length());
+      runs.incrementAndGet();
+      connection.send(OK);
+      while (connection.read() != null) {
+        deliveries.incrementAndGet();
+        runs.incrementAndGet();
+        connection.send(OK);
+      }
+    }
+
+    private static String sentBefore(Point point) {
+      return switch (point) {
+        case HALF_HEAD_OF_ANSWER -> "HTTP/1.1 200 OK\r\nContent-Le";
+        case HALF_ANSWER -> "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n01234";
+        case HALF_CHUNKED_ANSWER ->
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n";
+        case AFTER_ANSWER -> OK;
+        default -> "";
+      };
+    }
+
+    private void fail(RawConnection connection) throws IOException {
+      switch (fault) {
+        case RESET -> connection.reset();
+        case CLOSE -> connection.close();
+        case GARBAGE -> {
+          connection.send("\u0000\u0001 nonsense\r\n\r\n");
+          connection.endsNow();
+        }
+        case OTHER_ANSWER -> {
+          connection.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+          connection.endsNow();
+        }
+        case SILENCE -> {
+          awaitAnswer();
+          connection.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+          connection.endsNow();
+        }
+        default -> throw new AssertionError(fault);
+      }
+    }
+
+    private void awaitAnswer() {
+      try {
+        callerIsAnswered.await(30, TimeUnit.SECONDS);
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  /** Point, fault, method (PUT may be repeated, POST not), status, verdict, deliveries. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "CONNECTED           | RESET   | POST | 502 | may-have-run; reason=connection-lost | 1",
+        "CONNECTED           | CLOSE   | POST | 502 | may-have-run; reason=connection-lost | 1",
+        "CONNECTED           | SILENCE | POST | 504 | may-have-run; reason=deadline        | 1",
+        "CONNECTED           | GARBAGE | POST | 502 | may-have-run; reason=bad-answer      | 1",
+        "HEAD_SENT           | RESET   | POST | 502 | may-have-run; reason=connection-lost | 1",
+        "HEAD_SENT           | CLOSE   | POST | 502 | may-have-run; reason=connection-lost | 1",
+        "HEAD_SENT           | SILENCE | POST | 504 | may-have-run; reason=deadline        | 1",
+        "HEAD_SENT           | GARBAGE | POST | 502 | may-have-run; reason=bad-answer      | 1",
+        "HALF_BODY           | RESET   | POST | 502 | may-have-run; reason=connection-lost | 1",
+        "HALF_BODY           | CLOSE   | POST | 502 | may-have-run; reason=connection-lost | 1",
+        "HALF_BODY           | SILENCE | POST | 504 | may-have-run; reason=deadline        | 1",
+        "HALF_BODY           | GARBAGE | POST | 502 | may-have-run; reason=bad-answer      | 1",
+        "BODY_SENT           | RESET   | POST | 502 | may-have-run; reason=connection-lost | 1",
+        "BODY_SENT           | CLOSE   | POST | 502 | may-have-run; reason=connection-lost | 1",
+        "BODY_SENT           | SILENCE | POST | 504 | may-have-run; reason=deadline        | 1",
+        "BODY_SENT           | GARBAGE | POST | 502 | may-have-run; reason=bad-answer      | 1",
+        "HALF_HEAD_OF_ANSWER | RESET   | POST | 502 | may-have-run; reason=connection-lost | 1",
+        "HALF_HEAD_OF_ANSWER | CLOSE   | POST | 502 | may-have-run; reason=connection-lost | 1",
+        "HALF_HEAD_OF_ANSWER | SILENCE | POST | 504 | may-have-run; reason=deadline        | 1",
+        "HALF_HEAD_OF_ANSWER | GARBAGE | POST | 502 | may-have-run; reason=bad-answer      | 1",
+        "CONNECTED           | RESET   | PUT  | 200 |                                      | 2",
+        "CONNECTED           | SILENCE | PUT  | 504 | may-have-run; reason=deadline        | 1",
+        "CONNECTED           | GARBAGE | PUT  | 200 |                                      | 2",
+        "HEAD_SENT           | RESET   | PUT  | 200 |                                      | 2",
+        "HEAD_SENT           | GARBAGE | PUT  | 200 |                                      | 2",
+        "HALF_BODY           | RESET   | PUT  | 200 |                                      | 2",
+        "HALF_BODY           | GARBAGE | PUT  | 200 |                                      | 2",
+        "BODY_SENT           | RESET   | PUT  | 200 |                                      | 2",
+        "BODY_SENT           | CLOSE   | PUT  | 200 |                                      | 2",
+        "BODY_SENT           | SILENCE | PUT  | 504 | may-have-run; reason=deadline        | 1",
+        "BODY_SENT           | GARBAGE | PUT  | 200 |                                      | 2",
+        "HALF_HEAD_OF_ANSWER | RESET   | PUT  | 200 |                                      | 2",
+        "HALF_HEAD_OF_ANSWER | SILENCE | PUT  | 504 | may-have-run; reason=deadline        | 1",
+        "HALF_HEAD_OF_ANSWER | GARBAGE | PUT  | 200 |                                      | 2",
+        "AFTER_ANSWER        | RESET   | POST | 200 |                                      | 1",
+        "AFTER_ANSWER        | CLOSE   | POST | 200 |                                      | 1",
+        "AFTER_ANSWER        | SILENCE | POST | 200 |                                      | 1",
+        "AFTER_ANSWER        | GARBAGE | POST | 200 |                                      | 1",
+        "AFTER_ANSWER        | OTHER_ANSWER | POST | 200 |                                 | 1",
+      })
+  void answersTruthfully(
+      Point point, Fault fault, String method, int status, String verdict, int deliveries)
+      throws IOException {
+    Script script = new Script(point, fault);
+    try (ScriptedBackend one = new ScriptedBackend(script);
+        ScriptedBackend other = new ScriptedBackend(script);
+        ProxyFixture fixture = new ProxyFixture(one, other);
+        RawConnection caller = fixture.connect()) {
+      caller.send(request(method, fault == Fault.SILENCE ? 300 : 20_000));
+      RawConnection.Message answer = caller.read();
+      assertThat(answer.status()).isEqualTo(status);
+      assertThat(answer.header("Umberpath-Verdict")).isEqualTo(verdict);
+      assertThat(answer.body()).isEqualTo(status == 200 ? "ok" : verdict + "\n");
+      assertThat(script.deliveries).hasValue(deliveries);
+      assertThat(script.runs.get()).isLessThanOrEqualTo(deliveries);
+      script.callerIsAnswered.countDown();
+      assertNextRequestIsItsOwn(caller);
+    }
+  }
+
+  private static void assertNextRequestIsItsOwn(RawConnection caller) throws IOException {
+    caller.send(request("PUT", 20_000));
+    RawConnection.Message next = caller.read();
+    assertThat(next.status()).isEqualTo(200);
+    assertThat(next.body()).isEqualTo("ok");
+  }
+
+  /** An answer that has begun can only be cut off visibly. */
+  @ParameterizedTest
+  @CsvSource({
+    "HALF_ANSWER, RESET",
+    "HALF_ANSWER, CLOSE",
+    "HALF_ANSWER, SILENCE",
+    "HALF_CHUNKED_ANSWER, RESET",
+    "HALF_CHUNKED_ANSWER, CLOSE",
+    "HALF_CHUNKED_ANSWER, SILENCE",
+    "HALF_CHUNKED_ANSWER, GARBAGE",
+    "HALF_CHUNKED_ANSWER, OTHER_ANSWER",
+  })
+  void cutsOffAnswersThatCannotBeFinished(Point point, Fault fault) throws IOException {
+    Script script = new Script(point, fault);
+    try (ScriptedBackend one = new ScriptedBackend(script);
+        ScriptedBackend other = new ScriptedBackend(script);
+        ProxyFixture fixture = new ProxyFixture(one, other);
+        RawConnection caller = fixture.connect()) {
+      caller.send(request("PUT", fault == Fault.SILENCE ? 300 : 20_000));
+      String received = readUntilCut(caller);
+      assertThat(received).doesNotContain("stray").doesNotContain("late").doesNotContain("\r\n0\r");
+      assertThat(script.deliveries).hasValue(1);
+      script.callerIsAnswered.countDown();
+    }
+  }
+
+  private static String readUntilCut(RawConnection caller) {
+    StringBuilder received = new StringBuilder();
+    try {
+      for (int value = caller.input().read(); value >= 0; value = caller.input().read()) {
+        received.append((char) value);
+      }
+    } catch (java.net.SocketException reset) {
+      received.append("[reset]");
+    } catch (IOException other) {
+      throw new AssertionError("the caller's connection was left open: " + received, other);
+    }
+    return received.toString();
+  }
+
+  @Test
+  void sendsNonRepeatableRequestsElsewhereOnlyAfterAFirmRefusal() throws IOException {
+    ScriptedBackend gone = new ScriptedBackend(ScriptedBackend.answering(OK));
+    gone.close();
+    try (ScriptedBackend healthy = new ScriptedBackend(ScriptedBackend.answering(OK));
+        ProxyFixture fixture = new ProxyFixture(gone, healthy);
+        RawConnection caller = fixture.connect()) {
+      for (int round = 0; round < 4; round++) {
+        caller.send(request("POST", 20_000));
+        assertThat(caller.read().status()).isEqualTo(200);
+      }
+      assertThat(healthy.runs).hasValue(4);
+    }
+  }
+
+  @Test
+  void carriesTheCallersDepartureToTheBackEnd() throws Exception {
+    CountDownLatch running = new CountDownLatch(1);
+    CountDownLatch ended = new CountDownLatch(1);
+    ScriptedBackend.Script slow =
+        (backend, connection) -> {
+          backend.ran(connection.read());
+          running.countDown();
+          if (connection.endsNow()) {
+            ended.countDown();
+          }
+        };
+    try (ScriptedBackend backend = new ScriptedBackend(slow);
+        ProxyFixture fixture = new ProxyFixture(backend)) {
+      RawConnection caller = fixture.connect();
+      caller.send(request("POST", 60_000));
+      assertThat(running.await(20, TimeUnit.SECONDS)).isTrue();
+      caller.close();
+      assertThat(ended.await(20, TimeUnit.SECONDS)).isTrue();
+    }
+  }
+
+  @Test
+  void shrinksTheDeadlineAtEachHop() throws IOException {
+    try (ScriptedBackend backend = new ScriptedBackend(ScriptedBackend.answering(OK));
+        ProxyFixture fixture = new ProxyFixture(backend);
+        RawConnection caller = fixture.connect()) {
+      caller.send(request("POST", 1_234));
+      assertThat(caller.read().status()).isEqualTo(200);
+      String left = backend.requests.remove().header("Umberpath-Deadline-Ms");
+      assertThat(Integer.parseInt(left)).isBetween(1, 1_234);
+      caller.send(request("POST", 99_999_999));
+      assertThat(caller.read().status()).isEqualTo(200);
+      left = backend.requests.remove().header("Umberpath-Deadline-Ms");
+      assertThat(Integer.parseInt(left)).isBetween(1, (int) ProxyFixture.TIMEOUT_MILLIS);
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "0, 504, not-run; reason=deadline",
+    "x, 400, not-run; reason=bad-request",
+    "-5, 400, not-run; reason=bad-request"
+  })
+  void refusesDeadlinesItCannotMeetOrRead(String deadline, int status, String verdict)
+      throws IOException {
+    try (ScriptedBackend backend = new ScriptedBackend(ScriptedBackend.answering(OK));
+        ProxyFixture fixture = new ProxyFixture(backend);
+        RawConnection caller = fixture.connect()) {
+      caller.send("GET / HTTP/1.1\r\nHost: a\r\nUmberpath-Deadline-Ms: " + deadline + "\r\n\r\n");
+      RawConnection.Message answer = caller.read();
+      assertThat(answer.status()).isEqualTo(status);
+      assertThat(answer.header("Umberpath-Verdict")).isEqualTo(verdict);
+      assertThat(backend.connections).hasValue(0);
+    }
+  }
+
+  private static String request(String method, long deadlineMillis) {
+    return method
+        + " / HTTP/1.1\r\nHost: a\r\nUmberpath-Deadline-Ms: "
+        + deadlineMillis
+        + "\r\nContent-Length: "
+        + BODY.length()
+        + "\r\n\r\n"
+        + BODY;
+  }
+}
