--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.proxy;
 
 import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Tier;
 import io.umberpath.node.control.ControlService;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
@@ -10,6 +11,10 @@
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.umberpath.node.settings.NodeSettings;
+import io.umberpath.traffic.AdmissionControllers;
+import io.umberpath.traffic.AdmissionSettings;
+import io.umberpath.traffic.RetryPolicies;
+import io.umberpath.traffic.RetrySettings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -56,7 +61,11 @@
             ProxyServer::clockMillis, stats, new AttemptLog(), active, settings.maxBodyBytes());
     this.edge =
         new EdgeHandler(
-            control, origins, new LeastInFlight(), new FirmRetry(), ProxyServer::clockMillis);
+            control,
+            origins,
+            new LeastInFlight(),
+            RetryPolicies.create(RetrySettings.DEFAULT),
+            ProxyServer::clockMillis);
     this.backendPool = settings.backend().map(this::poolOf);
     this.hop = settings.backend().map(this::hopHandler);
     this.timer =
@@ -81,11 +90,22 @@
     return new HopHandler(
         backend,
         backendPool.orElseThrow(),
-        new SlotCounter(backend.slots()),
+        AdmissionControllers.create(admission(backend)),
         new BackendState(),
         ProxyServer::clockMillis);
   }
 
+  private AdmissionSettings admission(NodeSettings.Backend backend) {
+    AdmissionSettings defaults = AdmissionSettings.forSlots(backend.slots());
+    return new AdmissionSettings(
+        backend.slots(),
+        Math.max(settings.queuePerBackend(), Tier.values().length),
+        defaults.starvationBound(),
+        defaults.initialServiceMicros(),
+        defaults.minRetryAfterMillis(),
+        defaults.maxRetryAfterMillis());
+  }
+
   /**
    * Opens the listeners.
    *
