--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/FaultEvent.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/FaultEvent.java
@@ -181,4 +181,10 @@
         probability,
         by);
   }
+
+  /** The same fault, striking after a number of the target's messages. */
+  FaultEvent afterSends(int sends) {
+    return new FaultEvent(
+        at, kind, target, duration, direction, mode, Optional.of(sends), silent, probability, by);
+  }
 }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/FaultFile.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/FaultFile.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -10,9 +11,11 @@
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 
 /**
  * A YAML file of fault events.
@@ -48,6 +51,15 @@
     }
   }
 
+  /**
+   * Reads named cases.
+   *
+   * @throws IOException if the text is not a map of names to lists of events
+   */
+  static Map<String, List<FaultEvent>> readCases(InputStream text) throws IOException {
+    return MAPPER.readValue(text, new TypeReference<Map<String, List<FaultEvent>>>() {});
+  }
+
   static Either<String, List<FaultEvent>> parse(String name, String text) {
     try {
       return Either.right(MAPPER.readValue(text, FaultFile.class).faults());
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Fleet.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Fleet.java
@@ -46,7 +46,8 @@
       SplittableRandom random,
       ControlNodeFactory factory,
       TrafficMeter meter,
-      FleetObserver observer) {
+      FleetObserver observer,
+      ViolationLog violations) {
     this.settings = settings;
     this.queue = queue;
     this.random = random;
@@ -58,7 +59,7 @@
             queue,
             random.split(),
             settings.profile().zoneDelayNanos(),
-            new CborMessageSizer(),
+            new CborMessageSizer(violations),
             meter,
             this::handle);
     for (int index = 0; index < settings.nodes(); index++) {
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Operators.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Operators.java
@@ -140,9 +140,9 @@
     submit(change, queue.nowNanos(), 1, onAccepted);
   }
 
-  /** A change that is always valid. */
+  /** A change that is valid whatever the register contains. */
   ChangeSet probe() {
-    return generator.contended(0, Optional.empty());
+    return generator.initial(0);
   }
 
   private void submit(
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulateOptions.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulateOptions.java
@@ -57,6 +57,9 @@
   @Option(name = "--seeded-fault", metaVar = "NAME", usage = "deliberate fault of the product")
   private String seededFault;
 
+  @Option(name = "--unshared", usage = "let each node compute and keep its states by itself")
+  private boolean unshared;
+
   @Option(name = "--json", metaVar = "OUT", usage = "where to write the report")
   private Path json;
 
@@ -95,7 +98,7 @@
     for (Subject.Kind kind : Subject.Kind.values()) {
       String label = kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
       if (label.equals(subject)) {
-        return new Subject(kind, Optional.ofNullable(seededFault));
+        return new Subject(kind, Optional.ofNullable(seededFault), !unshared);
       }
     }
     throw new IllegalArgumentException(
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Simulation.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Simulation.java
@@ -48,7 +48,8 @@
     this.settings = settings;
     this.checker = new InvariantChecker(settings, violations);
     this.random = new SplittableRandom(settings.seed());
-    this.fleet = new Fleet(settings, queue, random.split(), factory, meter, new Observer());
+    this.fleet =
+        new Fleet(settings, queue, random.split(), factory, meter, new Observer(), violations);
     this.platform =
         new VirtualPlatform(random.split(), fleet.nodes(), settings.profile().services());
     fleet.setPlatform(platform);
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulationSettings.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulationSettings.java
@@ -55,8 +55,10 @@
    *
    * @param kind the product's or a baseline
    * @param seededFault name of a deliberate fault of the product's, if any
+   * @param sharesStates whether nodes share equal immutable states, which saves memory and time but
+   *     hides work that real processes do each by themselves; the events are the same
    */
-  public record Subject(Kind kind, Optional<String> seededFault) {
+  public record Subject(Kind kind, Optional<String> seededFault, boolean sharesStates) {
     /** Available state machines. */
     public enum Kind {
       /** The product's register and delivery. */
@@ -68,7 +70,7 @@
     }
 
     /** The product without deliberate faults. */
-    public static final Subject PRODUCT = new Subject(Kind.PRODUCT, Optional.empty());
+    public static final Subject PRODUCT = new Subject(Kind.PRODUCT, Optional.empty(), true);
   }
 
   /**
--- /dev/null
+++ b/umberpath-lab/src/test/java/io/umberpath/lab/simulate/FaultCaseTest.java
@@ -0,0 +1,43 @@
+package io.umberpath.lab.simulate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.lab.simulate.SimulationSettings.Subject;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class FaultCaseTest {
+  private static final List<String> PAIRS =
+      List.of(
+          "kill-40-percent+leader-paused",
+          "kill-75-percent+platform-down",
+          "half-cut-off+kill-all-relays",
+          "leader-cut-off+messages-late",
+          "messages-duplicated+restarts-in-an-election",
+          "zone-lost+clocks-jump",
+          "machines-replaced+leader-cannot-hear",
+          "many-paused+kill-40-percent",
+          "everyone-reconnects+kill-all-relays",
+          "kill-all+platform-back");
+
+  static Stream<Arguments> singly() {
+    return FaultTable.names().stream()
+        .flatMap(name -> Stream.of(1L, 2L).map(seed -> Arguments.of(name, seed)));
+  }
+
+  static Stream<Arguments> inPairs() {
+    return PAIRS.stream().map(name -> Arguments.of(name, 3L));
+  }
+
+  @ParameterizedTest
+  @MethodSource({"singly", "inPairs"})
+  void keepsEveryInvariant(String fault, long seed) {
+    SimulationSettings settings =
+        TestSettings.small(Subject.PRODUCT, FaultTable.named(fault), seed);
+
+    assertThat(new Simulation(settings).run().violations()).isEmpty();
+  }
+}
