--- a/umberpath-model/src/test/java/io/umberpath/model/StateDeltaTest.java
+++ b/umberpath-model/src/test/java/io/umberpath/model/StateDeltaTest.java
@@ -29,13 +29,14 @@
             0,
             upserts,
             deletes,
-            List.of(new ChangeSet.DrainChange("b1", true)),
+            List.of(new ChangeSet.DrainChange("b1", true), new ChangeSet.DrainChange("b2", true)),
             List.of(),
             added,
             added.isEmpty() ? RosterBasis.SETTLED : RosterBasis.FROM_BASE,
             Optional.empty(),
             List.of(),
-            List.of());
+            List.of(),
+            0);
     return withTargetHash(draft, StateDeltas.produce(draft, base).contentHash());
   }
 
@@ -53,7 +54,8 @@
         delta.rosterBasis(),
         delta.explicitPreviousRoster(),
         delta.answered(),
-        delta.forgotten());
+        delta.forgotten(),
+        delta.nextSlot());
   }
 
   private static Member member(int slot) {
@@ -70,7 +72,7 @@
   void appliesWholeAndTracksThePreviousRoster() {
     FleetState state = populated();
     assertThat(state.resources().keySet()).containsExactly(ROUTE.key(), POOL.key(), SECRET.key());
-    assertThat(state.drained()).containsExactly("b1");
+    assertThat(state.drained()).containsExactly("b1", "b2");
     assertThat(state.previousRoster()).isEqualTo(Roster.EMPTY);
     assertThat(state.changesRoster()).isTrue();
     assertThat(state.nextSlot()).isEqualTo(1);
@@ -79,6 +81,31 @@
     assertThat(settled.changesRoster()).isFalse();
   }
 
+  @Test
+  void aStateReceivedWholeDoesNotReuseTheSlotOfAMemberThatLeft() {
+    FleetState first = populated();
+    FleetState second = delta(first, List.of(), List.of(), List.of(member(1))).applyTo(first).get();
+    StateDelta removal =
+        new StateDelta(
+            second.version(),
+            second.contentHash(),
+            second.version().next(1),
+            0,
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(1),
+            List.of(),
+            RosterBasis.FROM_BASE,
+            Optional.empty(),
+            List.of(),
+            List.of(),
+            0);
+    FleetState third = StateDeltas.produce(removal, second);
+    assertThat(StateDeltas.wholeState(third).applyTo(FleetState.EMPTY).get().nextSlot())
+        .isEqualTo(2);
+  }
+
   @Test
   void refusesAWrongBaseAndAWrongHashAndLeavesTheStateAlone() {
     FleetState state = populated();
