--- a/umberpath-node/src/test/java/io/umberpath/node/operator/FakeControlService.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/FakeControlService.java
@@ -89,7 +89,8 @@
             StateDelta.RosterBasis.SETTLED,
             Optional.empty(),
             List.of(new StateDelta.Answer(key, new FleetState.AnsweredChange(fingerprint, target))),
-            List.of());
+            List.of(),
+            0);
     state = StateDeltas.produce(delta, state);
     return CompletableFuture.completedFuture(new ChangeResult.Accepted(target));
   }
