Model: say exactly what an accepted change's version promises

Cause: a new leader re-proposes a state under a new version, so the version a change was first proposed as may itself never commit. Ruled out: rewriting remembered answers at each re-proposal. Change: the doc comment states the promise that holds.

--- a/umberpath-model/src/main/java/io/umberpath/model/ChangeResult.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/ChangeResult.java
@@ -15,7 +15,7 @@
   /**
    * A quorum holds it; it will be in force everywhere and never reverts.
    *
-   * @param version the committed version that first contains the change
+   * @param version every committed version at or after it contains the change
    */
   record Accepted(Version version) implements ChangeResult {}
 
