Proxy: the traffic module's admission and retry budget in place of stand-ins

Cause: the stand-ins neither queued by tier nor bounded retries along a chain. Ruled out: a timed proof of silent back ends: on the busy machine a 300 ms deadline passed before the scripted back end had read anything (1 of 136 failed). Change: AdmissionControllers and RetryPolicies are wired in, Umberpath-Retry is read, shrunk and carried on; a refusal at an edge answers 0. The fault table advances the proxies' clock once the back end is silent, as strict as before.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -17,8 +17,10 @@
 import io.umberpath.node.proxy.inbound.RequestPlan;
 import io.umberpath.node.proxy.origin.OriginManager;
 import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.traffic.ChainBudget;
 import io.umberpath.traffic.LoadBalancer;
 import io.umberpath.traffic.RetryPolicy;
+import io.umberpath.traffic.RetrySettings;
 import io.umberpath.traffic.RouteTable;
 import io.vavr.control.Either;
 import java.util.List;
@@ -110,10 +112,11 @@
     if (timeout <= 0) {
       return Either.left(Refusal.notRun(Verdict.Reason.DEADLINE));
     }
+    RequestPlan plan = plan(head, snapshot, route.get(), nowMillis + timeout);
     synchronized (retries) {
-      retries.requestStarted(nowMillis);
+      retries.requestStarted(nowMillis, plan.chain());
     }
-    return Either.right(plan(head, snapshot, route.get(), nowMillis + timeout));
+    return Either.right(plan);
   }
 
   private RequestPlan plan(
@@ -126,7 +129,8 @@
         route.repeatableMethods().contains(head.getMethod().toString()),
         deadlineMillis,
         route.secret().map(snapshot.secrets()::get).map(Secret::headerValue).map("Bearer "::concat),
-        Optional.of(snapshot.pools().get(route.pool())));
+        Optional.of(snapshot.pools().get(route.pool())),
+        ChainBudget.ofRequest(Headers.text(head, ChainBudget.HEADER), RetrySettings.DEFAULT));
   }
 
   private RouteTable tableOf(ProxySnapshot snapshot) {
@@ -187,6 +191,7 @@
     set(outgoing, ProxyHeaders.DEADLINE, Long.toString(left));
     set(outgoing, ProxyHeaders.REQUEST_ID, attemptId(exchange));
     set(outgoing, ProxyHeaders.ATTEMPT, Integer.toString(exchange.attempts()));
+    set(outgoing, ChainBudget.HEADER, plan.chain().forAttempt(exchange.attempts()).encode());
     set(outgoing, ProxyHeaders.ROUTE, plan.route());
     set(outgoing, ProxyHeaders.TENANT, plan.tenant());
     set(outgoing, ProxyHeaders.TIER, plan.tier().name());
@@ -240,10 +245,16 @@
             exchange.isBodyReplayable(),
             plan.deadlineMillis());
     synchronized (retries) {
-      return retries.mayRetry(clockMillis.getAsLong(), failed);
+      return retries.mayRetry(clockMillis.getAsLong(), failed, chainLeft(exchange));
     }
   }
 
+  /** What is left of the request's chain budget after the retries made here. */
+  private static ChainBudget chainLeft(Exchange exchange) {
+    int made = exchange.attempts() - 1;
+    return new ChainBudget(Math.max(0, exchange.plan().chain().retriesLeft() - made));
+  }
+
   @Override
   public void ended(Exchange exchange, Verdict verdict) {
     // Nothing is held for a request at the edge.
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
@@ -15,6 +15,8 @@
 import io.umberpath.traffic.AdmissionController;
 import io.umberpath.traffic.AdmissionController.Ask;
 import io.umberpath.traffic.AdmissionController.Decision;
+import io.umberpath.traffic.ChainBudget;
+import io.umberpath.traffic.RetrySettings;
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.Map;
@@ -114,7 +116,8 @@
             false,
             nowMillis + timeout,
             Optional.empty(),
-            Optional.empty());
+            Optional.empty(),
+            ChainBudget.ofRequest(Headers.text(head, ChainBudget.HEADER), RetrySettings.DEFAULT));
     return Either.right(plan);
   }
 
@@ -174,6 +177,7 @@
     long left = Math.max(1, plan.deadlineMillis() - nowMillis);
     outgoing.getHeaders().addValue(ProxyHeaders.DEADLINE).setString(Long.toString(left));
     outgoing.getHeaders().addValue(ProxyHeaders.REQUEST_ID).setString(plan.requestId());
+    outgoing.getHeaders().addValue(ChainBudget.HEADER).setString(plan.chain().encode());
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.proxy;
 
 import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Tier;
 import io.umberpath.node.control.ControlService;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
@@ -10,6 +11,10 @@
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.umberpath.node.settings.NodeSettings;
+import io.umberpath.traffic.AdmissionControllers;
+import io.umberpath.traffic.AdmissionSettings;
+import io.umberpath.traffic.RetryPolicies;
+import io.umberpath.traffic.RetrySettings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -17,6 +22,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 
 /**
@@ -32,7 +38,10 @@
   private static final long IDLE_CALLER_MILLIS = 60_000;
   private static final long DISCARD_MILLIS = 2_000;
 
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   private final NodeSettings.Proxy settings;
+  private final LongSupplier clockMillis;
   private final ProxyTransport transport;
   private final OriginManager origins;
   private final ActiveExchanges active = new ActiveExchanges();
@@ -48,15 +57,29 @@
 
   /** Creates a proxy that is not listening yet. */
   public ProxyServer(NodeSettings.Proxy settings, ControlService control, ProxyStats stats) {
+    this(settings, control, stats, () -> System.nanoTime() / NANOS_PER_MILLI);
+  }
+
+  /** Creates one on a given clock, rising milliseconds. */
+  ProxyServer(
+      NodeSettings.Proxy settings,
+      ControlService control,
+      ProxyStats stats,
+      LongSupplier clockMillis) {
     this.settings = settings;
+    this.clockMillis = clockMillis;
     this.transport = new ProxyTransport(settings.maxHeaderBytes(), ConnectionPool::giveBack);
-    this.origins = new OriginManager(transport, ProxyServer::clockMillis);
+    this.origins = new OriginManager(transport, clockMillis);
     this.environment =
         new ExchangeEnvironment(
-            ProxyServer::clockMillis, stats, new AttemptLog(), active, settings.maxBodyBytes());
+            clockMillis, stats, new AttemptLog(), active, settings.maxBodyBytes());
     this.edge =
         new EdgeHandler(
-            control, origins, new LeastInFlight(), new FirmRetry(), ProxyServer::clockMillis);
+            control,
+            origins,
+            new LeastInFlight(),
+            RetryPolicies.create(RetrySettings.DEFAULT),
+            clockMillis);
     this.backendPool = settings.backend().map(this::poolOf);
     this.hop = settings.backend().map(this::hopHandler);
     this.timer =
@@ -68,22 +91,29 @@
             });
   }
 
-  private static long clockMillis() {
-    return System.nanoTime() / 1_000_000;
-  }
-
   private ConnectionPool poolOf(NodeSettings.Backend backend) {
     PeerAddress address = HopHandler.addressOf(backend);
-    return new ConnectionPool(address, transport, backend.connections(), ProxyServer::clockMillis);
+    return new ConnectionPool(address, transport, backend.connections(), clockMillis);
   }
 
   private HopHandler hopHandler(NodeSettings.Backend backend) {
     return new HopHandler(
         backend,
         backendPool.orElseThrow(),
-        new SlotCounter(backend.slots()),
+        AdmissionControllers.create(admission(backend)),
         new BackendState(),
-        ProxyServer::clockMillis);
+        clockMillis);
+  }
+
+  private AdmissionSettings admission(NodeSettings.Backend backend) {
+    AdmissionSettings defaults = AdmissionSettings.forSlots(backend.slots());
+    return new AdmissionSettings(
+        backend.slots(),
+        Math.max(settings.queuePerBackend(), Tier.values().length),
+        defaults.starvationBound(),
+        defaults.initialServiceMicros(),
+        defaults.minRetryAfterMillis(),
+        defaults.maxRetryAfterMillis());
   }
 
   /**
@@ -111,7 +141,7 @@
   }
 
   private void tick() {
-    long now = clockMillis();
+    long now = clockMillis.getAsLong();
     active.expire(now);
     hop.ifPresent(handler -> handler.tick(now));
     edge.observe(now);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -5,6 +5,7 @@
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.VerdictHeader;
 import io.umberpath.node.proxy.origin.AnswerPart;
+import io.umberpath.traffic.ChainBudget;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import org.glassfish.grizzly.Buffer;
@@ -58,6 +59,10 @@
       response.setReasonPhrase(head.getReasonPhrase());
     }
     HeaderCopier.copy(head, response, Set.of());
+    String chain = head.getHeader(ChainBudget.HEADER);
+    if (chain != null) {
+      response.getHeaders().setValue(ChainBudget.HEADER).setString(chain);
+    }
     if (head.getContentLength() >= 0 && !head.isChunked()) {
       response.setContentLengthLong(head.getContentLength());
     } else if (isVersion11()) {
@@ -77,6 +82,9 @@
     response.getHeaders().setValue(Header.ContentType).setString("text/plain");
     if (requestId != null) {
       response.getHeaders().setValue(ProxyHeaders.REQUEST_ID).setString(requestId);
+    } else {
+      // This proxy gives up: nobody further up the chain is to send the request again.
+      response.getHeaders().setValue(ChainBudget.HEADER).setString(ChainBudget.NONE.encode());
     }
     if (refusal.retryAfterMillis() > 0) {
       long seconds =
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestPlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestPlan.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.model.ProxySnapshot;
 import io.umberpath.model.Tier;
+import io.umberpath.traffic.ChainBudget;
 import java.util.Optional;
 
 /**
@@ -16,6 +17,7 @@
  * @param deadlineMillis when its caller gives up, on the proxy's clock
  * @param authorization value of the Authorization header to send, if the route has a secret
  * @param pool the back ends to choose from, at an edge
+ * @param chain retries its chain of calls may still make, when it arrived
  */
 public record RequestPlan(
     String requestId,
@@ -25,4 +27,5 @@
     boolean repeatable,
     long deadlineMillis,
     Optional<String> authorization,
-    Optional<ProxySnapshot.PoolView> pool) {}
+    Optional<ProxySnapshot.PoolView> pool,
+    ChainBudget chain) {}
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/FaultTableTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/FaultTableTest.java
@@ -17,6 +17,7 @@
  */
 class FaultTableTest {
   private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  private static final long DEADLINE_MILLIS = 20_000;
   private static final String BODY = "0123456789";
 
   private enum Point {
@@ -42,6 +43,7 @@
   private static final class Script implements ScriptedBackend.Script {
     final AtomicInteger deliveries = new AtomicInteger();
     final AtomicInteger runs = new AtomicInteger();
+    final CountDownLatch silent = new CountDownLatch(1);
     final CountDownLatch callerIsAnswered = new CountDownLatch(1);
     private final Point point;
     private final Fault fault;
@@ -110,20 +112,21 @@
           connection.endsNow();
         }
         case SILENCE -> {
-          awaitAnswer();
+          silent.countDown();
+          await(callerIsAnswered);
           connection.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
           connection.endsNow();
         }
         default -> throw new AssertionError(fault);
       }
     }
+  }
 
-    private void awaitAnswer() {
-      try {
-        callerIsAnswered.await(30, TimeUnit.SECONDS);
-      } catch (InterruptedException interrupted) {
-        Thread.currentThread().interrupt();
-      }
+  private static void await(CountDownLatch latch) {
+    try {
+      assertThat(latch.await(30, TimeUnit.SECONDS)).isTrue();
+    } catch (InterruptedException interrupted) {
+      throw new AssertionError(interrupted);
     }
   }
 
@@ -180,7 +183,11 @@
         ScriptedBackend other = new ScriptedBackend(script);
         ProxyFixture fixture = new ProxyFixture(one, other);
         RawConnection caller = fixture.connect()) {
-      caller.send(request(method, fault == Fault.SILENCE ? 300 : 20_000));
+      caller.send(request(method, DEADLINE_MILLIS));
+      if (fault == Fault.SILENCE) {
+        await(script.silent);
+        fixture.advance(DEADLINE_MILLIS);
+      }
       RawConnection.Message answer = caller.read();
       assertThat(answer.status()).isEqualTo(status);
       assertThat(answer.header("Umberpath-Verdict")).isEqualTo(verdict);
@@ -193,7 +200,7 @@
   }
 
   private static void assertNextRequestIsItsOwn(RawConnection caller) throws IOException {
-    caller.send(request("PUT", 20_000));
+    caller.send(request("PUT", DEADLINE_MILLIS));
     RawConnection.Message next = caller.read();
     assertThat(next.status()).isEqualTo(200);
     assertThat(next.body()).isEqualTo("ok");
@@ -217,7 +224,11 @@
         ScriptedBackend other = new ScriptedBackend(script);
         ProxyFixture fixture = new ProxyFixture(one, other);
         RawConnection caller = fixture.connect()) {
-      caller.send(request("PUT", fault == Fault.SILENCE ? 300 : 20_000));
+      caller.send(request("PUT", DEADLINE_MILLIS));
+      if (fault == Fault.SILENCE) {
+        await(script.silent);
+        fixture.advance(DEADLINE_MILLIS);
+      }
       String received = readUntilCut(caller);
       assertThat(received).doesNotContain("stray").doesNotContain("late").doesNotContain("\r\n0\r");
       assertThat(script.deliveries).hasValue(1);
@@ -247,7 +258,7 @@
         ProxyFixture fixture = new ProxyFixture(gone, healthy);
         RawConnection caller = fixture.connect()) {
       for (int round = 0; round < 4; round++) {
-        caller.send(request("POST", 20_000));
+        caller.send(request("POST", DEADLINE_MILLIS));
         assertThat(caller.read().status()).isEqualTo(200);
       }
       assertThat(healthy.runs).hasValue(4);
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyFixture.java
@@ -16,15 +16,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** An edge proxy and one hop proxy beside each given back end, on loopback. */
 final class ProxyFixture implements AutoCloseable {
   static final int MAX_HEADER_BYTES = 8 * 1024;
   static final long MAX_BODY_BYTES = 200_000_000;
-  static final long TIMEOUT_MILLIS = 5_000;
+  static final long TIMEOUT_MILLIS = 60_000;
   private static final int SLOTS = 6;
 
   final FakeControl control = new FakeControl();
+  final AtomicLong advancedMillis = new AtomicLong();
   final List<ProxyServer> hops = new ArrayList<>();
   final ProxyServer edge;
 
@@ -38,10 +40,20 @@
       addresses.add(startHop(port));
     }
     control.snapshot = snapshot(1, timeoutMillis, addresses);
-    edge = new ProxyServer(settings(0, -1, Optional.empty()), control, ProxyStats.NONE);
+    edge =
+        new ProxyServer(settings(0, -1, Optional.empty()), control, ProxyStats.NONE, this::clock);
     edge.start();
   }
 
+  /** Lets the proxies' deadlines pass. */
+  void advance(long millis) {
+    advancedMillis.addAndGet(millis);
+  }
+
+  private long clock() {
+    return System.nanoTime() / 1_000_000 + advancedMillis.get();
+  }
+
   private static int[] ports(ScriptedBackend... backends) {
     return java.util.Arrays.stream(backends).mapToInt(ScriptedBackend::port).toArray();
   }
@@ -51,7 +63,8 @@
     NodeSettings.Backend backend =
         new NodeSettings.Backend(id, "127.0.0.1", port, SLOTS, 130, 60_000);
     ProxyServer hop =
-        new ProxyServer(settings(-1, 0, Optional.of(backend)), control, ProxyStats.NONE);
+        new ProxyServer(
+            settings(-1, 0, Optional.of(backend)), control, ProxyStats.NONE, this::clock);
     hop.start();
     hops.add(hop);
     return new BackendAddress(id, "127.0.0.1", port, "zone", "127.0.0.1", hop.hopPort());
