--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 
 /**
@@ -37,7 +38,10 @@
   private static final long IDLE_CALLER_MILLIS = 60_000;
   private static final long DISCARD_MILLIS = 2_000;
 
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   private final NodeSettings.Proxy settings;
+  private final LongSupplier clockMillis;
   private final ProxyTransport transport;
   private final OriginManager origins;
   private final ActiveExchanges active = new ActiveExchanges();
@@ -53,19 +57,29 @@
 
   /** Creates a proxy that is not listening yet. */
   public ProxyServer(NodeSettings.Proxy settings, ControlService control, ProxyStats stats) {
+    this(settings, control, stats, () -> System.nanoTime() / NANOS_PER_MILLI);
+  }
+
+  /** Creates one on a given clock, rising milliseconds. */
+  ProxyServer(
+      NodeSettings.Proxy settings,
+      ControlService control,
+      ProxyStats stats,
+      LongSupplier clockMillis) {
     this.settings = settings;
+    this.clockMillis = clockMillis;
     this.transport = new ProxyTransport(settings.maxHeaderBytes(), ConnectionPool::giveBack);
-    this.origins = new OriginManager(transport, ProxyServer::clockMillis);
+    this.origins = new OriginManager(transport, clockMillis);
     this.environment =
         new ExchangeEnvironment(
-            ProxyServer::clockMillis, stats, new AttemptLog(), active, settings.maxBodyBytes());
+            clockMillis, stats, new AttemptLog(), active, settings.maxBodyBytes());
     this.edge =
         new EdgeHandler(
             control,
             origins,
             new LeastInFlight(),
             RetryPolicies.create(RetrySettings.DEFAULT),
-            ProxyServer::clockMillis);
+            clockMillis);
     this.backendPool = settings.backend().map(this::poolOf);
     this.hop = settings.backend().map(this::hopHandler);
     this.timer =
@@ -77,13 +91,9 @@
             });
   }
 
-  private static long clockMillis() {
-    return System.nanoTime() / 1_000_000;
-  }
-
   private ConnectionPool poolOf(NodeSettings.Backend backend) {
     PeerAddress address = HopHandler.addressOf(backend);
-    return new ConnectionPool(address, transport, backend.connections(), ProxyServer::clockMillis);
+    return new ConnectionPool(address, transport, backend.connections(), clockMillis);
   }
 
   private HopHandler hopHandler(NodeSettings.Backend backend) {
@@ -92,7 +102,7 @@
         backendPool.orElseThrow(),
         AdmissionControllers.create(admission(backend)),
         new BackendState(),
-        ProxyServer::clockMillis);
+        clockMillis);
   }
 
   private AdmissionSettings admission(NodeSettings.Backend backend) {
@@ -131,7 +141,7 @@
   }
 
   private void tick() {
-    long now = clockMillis();
+    long now = clockMillis.getAsLong();
     active.expire(now);
     hop.ifPresent(handler -> handler.tick(now));
     edge.observe(now);
