--- a/umberpath-node/src/main/java/io/umberpath/node/admin/AdminServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/admin/AdminServer.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.flogger.FluentLogger;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.umberpath.node.NodeComponent;
 import io.umberpath.node.control.ControlService;
 import io.umberpath.node.logs.LogFields;
 import io.umberpath.node.settings.NodeSettings;
@@ -20,7 +21,7 @@
  * Serves {@code /metrics}, {@code /healthz}, {@code /readyz} and {@code /status} over plain HTTP.
  * Needs no token: it shows no resource.
  */
-public final class AdminServer implements AutoCloseable {
+public final class AdminServer implements NodeComponent {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String LISTENER = "admin";
   private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
@@ -40,7 +41,15 @@
   private final HttpServer server = new HttpServer();
   private final NetworkListener listener;
 
-  private AdminServer(
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param settings address
+   * @param control the node's control side
+   * @param metrics what {@code /metrics} shows
+   * @param readiness what {@code /readyz} answers
+   */
+  public AdminServer(
       NodeSettings.Admin settings,
       ControlService control,
       PrometheusMeterRegistry metrics,
@@ -63,34 +72,14 @@
     server.getServerConfiguration().addHttpHandler(new Pages(), "/");
   }
 
-  /**
-   * Starts the server.
-   *
-   * @param settings address
-   * @param control the node's control side
-   * @param metrics what {@code /metrics} shows
-   * @param readiness what {@code /readyz} answers
-   * @throws IOException if the port cannot be listened on
-   */
-  public static AdminServer start(
-      NodeSettings.Admin settings,
-      ControlService control,
-      PrometheusMeterRegistry metrics,
-      Readiness readiness)
-      throws IOException {
-    AdminServer admin = new AdminServer(settings, control, metrics, readiness);
-    try {
-      admin.server.start();
-    } catch (IOException unavailable) {
-      admin.server.shutdownNow();
-      throw unavailable;
-    }
+  @Override
+  public void start() throws IOException {
+    server.start();
     logger
         .atInfo()
         .with(LogFields.EVENT, "admin-port-open")
-        .with(LogFields.ADDRESS, settings.host() + ":" + admin.port())
+        .with(LogFields.ADDRESS, listener.getHost() + ":" + port())
         .log("admin port open");
-    return admin;
   }
 
   /** The port it listens on. */
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/CommandLine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/CommandLine.java
@@ -73,7 +73,11 @@
     Command command = entry.command().get();
     CmdLineParser parser =
         new CmdLineParser(
-            command, ParserProperties.defaults().withUsageWidth(WIDTH).withOptionSorter(null).withShowDefaults(false));
+            command,
+            ParserProperties.defaults()
+                .withUsageWidth(WIDTH)
+                .withOptionSorter(null)
+                .withShowDefaults(false));
     try {
       parser.parseArgument(arguments);
       if (command.wantsHelp()) {
--- a/umberpath-node/src/main/java/io/umberpath/node/operator/OperatorServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/OperatorServer.java
@@ -11,6 +11,7 @@
 import io.grpc.protobuf.services.ProtoReflectionServiceV1;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.umberpath.api.v1.ConfigurationGrpc;
+import io.umberpath.node.NodeComponent;
 import io.umberpath.node.control.ControlService;
 import io.umberpath.node.logs.LogFields;
 import io.umberpath.node.settings.NodeSettings;
@@ -25,7 +26,7 @@
  * The operators' gRPC server, with the health and reflection services. Plain text: it belongs on a
  * loopback or otherwise trusted address.
  */
-public final class OperatorServer implements AutoCloseable {
+public final class OperatorServer implements NodeComponent {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int THREADS = 4;
   private static final int MAX_SHORT_CALLS = 256;
@@ -38,13 +39,22 @@
   private static final long HANDSHAKE_SECONDS = 10;
   private static final long STOP_SECONDS = 5;
 
+  private final String host;
   private final Server server;
   private final HealthStatusManager health = new HealthStatusManager();
   private final ScheduledExecutorService scheduler;
   private final ExecutorService executor;
 
-  private OperatorServer(
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param settings address and tokens
+   * @param control the node's control side
+   * @param metrics where calls are counted
+   */
+  public OperatorServer(
       NodeSettings.Operator settings, ControlService control, MeterRegistry metrics) {
+    this.host = settings.host();
     this.scheduler = Executors.newSingleThreadScheduledExecutor(threads("operator-timer"));
     this.executor = Executors.newFixedThreadPool(THREADS, threads("operator-call-%d"));
     InetSocketAddress address = new InetSocketAddress(settings.host(), settings.port());
@@ -67,34 +77,18 @@
             .build();
   }
 
-  /**
-   * Starts the server.
-   *
-   * @param settings address and tokens
-   * @param control the node's control side
-   * @param metrics where calls are counted
-   * @throws IOException if the port cannot be listened on
-   */
-  public static OperatorServer start(
-      NodeSettings.Operator settings, ControlService control, MeterRegistry metrics)
-      throws IOException {
-    OperatorServer operator = new OperatorServer(settings, control, metrics);
-    try {
-      operator.server.start();
-    } catch (IOException unavailable) {
-      operator.stopExecutors();
-      throw unavailable;
-    }
-    operator.health.setStatus(ConfigurationGrpc.SERVICE_NAME, ServingStatus.SERVING);
+  @Override
+  public void start() throws IOException {
+    server.start();
+    health.setStatus(ConfigurationGrpc.SERVICE_NAME, ServingStatus.SERVING);
     logger
         .atInfo()
         .with(LogFields.EVENT, "operator-port-open")
-        .with(LogFields.ADDRESS, settings.host() + ":" + operator.port())
+        .with(LogFields.ADDRESS, host + ":" + port())
         .log("operators' port open");
-    return operator;
   }
 
-  /** The port it listens on. */
+  /** The port it listens on; -1 before it is started. */
   public int port() {
     return server.getPort();
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/admin/AdminServerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/admin/AdminServerTest.java
@@ -32,7 +32,8 @@
   void start() throws Exception {
     NodeMetrics.register(metrics, control);
     Readiness readiness = Readiness.of(control).and(obstacle::get);
-    server = AdminServer.start(new NodeSettings.Admin("127.0.0.1", 0), control, metrics, readiness);
+    server = new AdminServer(new NodeSettings.Admin("127.0.0.1", 0), control, metrics, readiness);
+    server.start();
   }
 
   @AfterEach
--- a/umberpath-node/src/test/java/io/umberpath/node/operator/OperatorFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/OperatorFixture.java
@@ -49,7 +49,8 @@
             new NodeSettings.Token(sha256(ADMINISTRATOR), "market", List.of(Tier.PREMIUM), true),
             new NodeSettings.Token(sha256(DEALER), "dealer", List.of(Tier.BASIC), false));
     server =
-        OperatorServer.start(new NodeSettings.Operator("127.0.0.1", 0, tokens), control, metrics);
+        new OperatorServer(new NodeSettings.Operator("127.0.0.1", 0, tokens), control, metrics);
+    server.start();
     channel =
         OkHttpChannelBuilder.forAddress(
                 "127.0.0.1", server.port(), InsecureChannelCredentials.create())
