Lab: simulate endpoint churn with observed back ends, and fleets that grow by joining

Cause: only the platform's side of a replaced back end was imitated; fleets could only form at full size.

--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Fleet.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Fleet.java
@@ -114,7 +114,7 @@
     return new ControlSettings(
         self,
         seeds,
-        settings.nodes(),
+        settings.firstMembers(),
         ControlSettings.QuorumRule.MAJORITY,
         timings.batchWindowMillis(),
         timings.heartbeatMillis(),
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulateOptions.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulateOptions.java
@@ -51,6 +51,11 @@
   @Option(name = "--batch-window", usage = "group commit window, for example 50ms")
   private String batchWindow;
 
+  @Option(
+      name = "--initial-members",
+      usage = "nodes that must be seen before the fleet forms, the rest join; 0 for all")
+  private int initialMembers;
+
   @Option(name = "--subject", usage = "product, push-all or polling")
   private String subject = "product";
 
@@ -88,7 +93,7 @@
   }
 
   private ControlTimings timings() {
-    ControlTimings timings = ControlTimings.DEFAULT;
+    ControlTimings timings = ControlTimings.DEFAULT.withInitialMembers(initialMembers);
     return batchWindow == null
         ? timings
         : timings.withBatchWindow(Durations.parseNanos(batchWindow) / Durations.MILLI);
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Simulation.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Simulation.java
@@ -16,6 +16,7 @@
  */
 public final class Simulation {
   private static final long START_SPREAD_NANOS = Durations.SECOND;
+  private static final int STARTS_PER_SECOND = 300;
   private static final long FORMATION_BOUND_NANOS = 120 * Durations.SECOND;
   private static final long CONTENT_SPREAD_NANOS = 2 * Durations.SECOND;
   private static final long SETTLE_BOUND_NANOS = 30 * Durations.SECOND;
@@ -75,9 +76,16 @@
   }
 
   private void form() {
-    for (SimulatedNode node : List.copyOf(fleet.nodes())) {
+    List<SimulatedNode> nodes = List.copyOf(fleet.nodes());
+    for (SimulatedNode node : nodes.subList(0, settings.firstMembers())) {
       queue.after(random.nextLong(START_SPREAD_NANOS), () -> fleet.start(node));
     }
+    long gap = Durations.SECOND / STARTS_PER_SECOND;
+    long next = START_SPREAD_NANOS;
+    for (SimulatedNode node : nodes.subList(settings.firstMembers(), nodes.size())) {
+      next += gap;
+      queue.after(next, () -> fleet.start(node));
+    }
     runUntilHolds(this::hasFormed, FORMATION_BOUND_NANOS, "fleet-forms");
     formationMillis = queue.nowNanos() / Durations.MILLI;
   }
@@ -99,7 +107,7 @@
     convergence.start();
     operators.start();
     faults.plan(settings.faults());
-    scheduleEndpointChurn();
+    new EndpointChurn(settings, queue, random.split(), fleet, platform).start();
     scheduleRoleSamples();
     long faultsEnd = settings.faults().stream().mapToLong(FaultEvent::endNanos).max().orElse(-1L);
     long end = queue.nowNanos() + settings.durationNanos();
@@ -199,27 +207,6 @@
         + status.parent().map(parent -> parent.address().toString()).orElse("none");
   }
 
-  private void scheduleEndpointChurn() {
-    double perSecond = settings.endpointChurnPerSecond();
-    if (perSecond > 0) {
-      long gap = Math.round(random.nextExponential() / perSecond * Durations.SECOND);
-      long end = queue.nowNanos() + settings.durationNanos();
-      scheduleEndpointChange(gap, perSecond, end);
-    }
-  }
-
-  private void scheduleEndpointChange(long gapNanos, double perSecond, long endNanos) {
-    queue.after(
-        gapNanos,
-        () -> {
-          if (queue.nowNanos() < endNanos) {
-            platform.replaceBackend();
-            long gap = Math.round(random.nextExponential() / perSecond * Durations.SECOND);
-            scheduleEndpointChange(gap, perSecond, endNanos);
-          }
-        });
-  }
-
   private void scheduleRoleSamples() {
     queue.after(
         Durations.SECOND,
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulationSettings.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulationSettings.java
@@ -84,6 +84,7 @@
    * @param maxChildren most children
    * @param maxReaders most readers of the platform
    * @param readMillis interval of platform reads
+   * @param initialMembers nodes that must be seen before the fleet forms, the rest join; 0 for all
    */
   public record ControlTimings(
       long batchWindowMillis,
@@ -93,10 +94,11 @@
       int fanout,
       int maxChildren,
       int maxReaders,
-      long readMillis) {
+      long readMillis,
+      int initialMembers) {
     /** The defaults of the node. */
     public static final ControlTimings DEFAULT =
-        new ControlTimings(50, 1_000, 3_000, 5_000, 16, 32, 3, 2_000);
+        new ControlTimings(50, 1_000, 3_000, 5_000, 16, 32, 3, 2_000, 0);
 
     /** The same with another batch window. */
     public ControlTimings withBatchWindow(long millis) {
@@ -108,7 +110,22 @@
           fanout,
           maxChildren,
           maxReaders,
-          readMillis);
+          readMillis,
+          initialMembers);
+    }
+
+    /** The same with another number of first members. */
+    public ControlTimings withInitialMembers(int count) {
+      return new ControlTimings(
+          batchWindowMillis,
+          heartbeatMillis,
+          parentStallMillis,
+          electionMillis,
+          fanout,
+          maxChildren,
+          maxReaders,
+          readMillis,
+          count);
     }
   }
 
@@ -146,6 +163,11 @@
         subject);
   }
 
+  /** How many nodes must be seen before the fleet forms. */
+  int firstMembers() {
+    return control.initialMembers() == 0 ? nodes : Math.min(nodes, control.initialMembers());
+  }
+
   /** Whether every invariant is checked; the baselines do not claim to keep them. */
   @JsonIgnore
   public boolean isChecked() {
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/VirtualPlatform.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/VirtualPlatform.java
@@ -9,6 +9,7 @@
 import io.umberpath.model.PlatformDocument.MachineState;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -89,30 +90,35 @@
     };
   }
 
+  /**
+   * A back end that took the place of another.
+   *
+   * @param id its id
+   * @param node index of the node beside it
+   */
+  record Replacement(String id, int node) {}
+
   /** Replaces a random back end by a new one at the same machine. */
-  void replaceBackend() {
+  Optional<Replacement> replaceBackend() {
     PlatformDocument old = document();
     TreeMap<String, List<BackendAddress>> services = new TreeMap<>(old.services());
     List<String> names = new ArrayList<>(services.keySet());
     String name = names.get(random.nextInt(names.size()));
     List<BackendAddress> addresses = new ArrayList<>(services.get(name));
     if (addresses.isEmpty()) {
-      return;
+      return Optional.empty();
     }
     int place = random.nextInt(addresses.size());
     BackendAddress gone = addresses.get(place);
-    String machine = gone.id().substring(1, gone.id().indexOf('-'));
+    int machine = Integer.parseInt(gone.id().substring(1, gone.id().indexOf('-')));
+    String id = backendId(machine, ++replaced);
     addresses.set(
         place,
         new BackendAddress(
-            backendId(Integer.parseInt(machine), ++replaced),
-            gone.host(),
-            gone.port(),
-            gone.zone(),
-            gone.nodeHost(),
-            gone.nodeHopPort()));
+            id, gone.host(), gone.port(), gone.zone(), gone.nodeHost(), gone.nodeHopPort()));
     services.put(name, addresses);
     publish(services, old.machines());
+    return Optional.of(new Replacement(id, machine));
   }
 
   /** Lists machines as gone and others as live, as the platform learns it. */
