--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/FaultTable.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/FaultTable.java
@@ -10,6 +10,13 @@
 
 /** The built-in fault cases by name; names joined by {@code +} overlap in time. */
 public final class FaultTable {
+  /** Stands for every single case. */
+  static final String SINGLY = "singly";
+
+  /** Stands for every ordered pair of different cases. */
+  static final String IN_PAIRS = "in-pairs";
+
+  private static final int PAIRED_STEP = 5;
   private static final String RESOURCE = "fault-cases.yaml";
   private static final String STEP_TEMPLATE = "leader-killed-at-step";
   private static final int COMMIT_STEPS = 24;
@@ -23,6 +30,34 @@
     return List.copyOf(CASES.keySet());
   }
 
+  /**
+   * The cases that a name on the command line stands for.
+   *
+   * @param text {@link #SINGLY}, {@link #IN_PAIRS}, or one case
+   */
+  static List<String> expand(String text) {
+    if (text.equals(SINGLY)) {
+      return names();
+    }
+    if (!text.equals(IN_PAIRS)) {
+      return List.of(text);
+    }
+    List<String> pairs = new ArrayList<>();
+    List<String> names = names().stream().filter(name -> !isLaterStep(name)).toList();
+    for (String first : names) {
+      names.stream()
+          .filter(second -> !second.equals(first))
+          .map(second -> first + "+" + second)
+          .forEach(pairs::add);
+    }
+    return pairs;
+  }
+
+  /** All steps of a commit but one are left out of the pairs, which are many enough. */
+  private static boolean isLaterStep(String name) {
+    return name.startsWith(STEP_TEMPLATE) && !name.equals(STEP_TEMPLATE + "-" + PAIRED_STEP);
+  }
+
   /**
    * The events of a case or of several at a time.
    *
@@ -34,7 +69,8 @@
     for (String name : text.split("\\+")) {
       List<FaultEvent> found = CASES.get(name);
       if (found == null) {
-        throw new IllegalArgumentException("--fault '" + name + "' is not one of " + names());
+        throw new IllegalArgumentException(
+            "--fault '" + name + "' is not singly, in-pairs or one of " + names());
       }
       long delay = place++ * NEXT_OF_PAIR_NANOS;
       found.forEach(event -> events.add(event.delayed(delay)));
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulateCommand.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulateCommand.java
@@ -30,8 +30,7 @@
     PrintWriter err = new PrintWriter(System.err, true, StandardCharsets.UTF_8);
     try {
       parser.parseArgument(arguments);
-      SimulationSettings first = options.settings();
-      return runAll(options, first, out);
+      return runAll(options, out);
     } catch (CmdLineException e) {
       err.println("simulate: " + e.getMessage());
       parser.printUsage(err, null);
@@ -41,40 +40,51 @@
     return EXIT_USAGE;
   }
 
-  private static int runAll(SimulateOptions options, SimulationSettings first, PrintWriter out)
-      throws IOException {
+  private static int runAll(SimulateOptions options, PrintWriter out) throws IOException {
     List<SimulationReport> reports = new ArrayList<>();
     int failed = 0;
-    for (int offset = 0; offset < options.seedCount(); offset++) {
-      Simulation simulation = new Simulation(first.withSeed(first.seed() + offset));
-      SimulationReport report = simulation.run();
-      reports.add(report);
-      out.println(SimulationSummary.line(report));
-      if (!report.isGood()) {
-        failed++;
-        printFailure(report, simulation, options.traceDirectory(), out);
+    for (String faultCase : options.cases()) {
+      SimulationSettings first = options.settings(faultCase);
+      for (int offset = 0; offset < options.seedCount(); offset++) {
+        SimulationSettings settings = first.withSeed(first.seed() + offset);
+        SimulationReport report = runOne(faultCase, settings, options.traceDirectory(), out);
+        reports.add(report);
+        failed += report.isGood() ? 0 : 1;
       }
     }
-    if (options.json().isPresent()) {
-      Object result = reports.size() == 1 ? reports.get(0) : reports;
-      TraceFile.MAPPER
-          .writerWithDefaultPrettyPrinter()
-          .writeValue(options.json().get().toFile(), result);
-    }
+    writeJson(options, reports);
     if (reports.size() == 1) {
       SimulationSummary.details(reports.get(0)).forEach(out::println);
     } else {
-      out.printf("%d seeds, %d failed%n", reports.size(), failed);
+      out.printf("%d runs, %d failed%n", reports.size(), failed);
     }
     return failed == 0 ? 0 : EXIT_FAILED;
   }
 
-  private static void printFailure(
-      SimulationReport report, Simulation simulation, Path directory, PrintWriter out)
+  private static SimulationReport runOne(
+      String faultCase, SimulationSettings settings, Path traces, PrintWriter out)
       throws IOException {
-    Path trace = directory.resolve("trace-" + report.settings().seed() + ".jsonl");
-    TraceFile.write(trace, report, simulation.lastEvents());
-    out.println("FAILED seed " + report.settings().seed() + ", trace " + trace);
-    report.violations().forEach(violation -> out.println("  " + violation));
+    Simulation simulation = new Simulation(settings);
+    SimulationReport report = simulation.run();
+    String name = (faultCase + " ").stripLeading();
+    out.println(name + SimulationSummary.line(report));
+    if (!report.isGood()) {
+      String file = "trace-" + name.replace(' ', '-') + settings.seed() + ".jsonl";
+      Path trace = traces.resolve(file);
+      TraceFile.write(trace, report, simulation.lastEvents());
+      out.println("FAILED seed " + settings.seed() + ", trace " + trace);
+      report.violations().forEach(violation -> out.println("  " + violation));
+    }
+    return report;
+  }
+
+  private static void writeJson(SimulateOptions options, List<SimulationReport> reports)
+      throws IOException {
+    if (options.json().isPresent()) {
+      Object result = reports.size() == 1 ? reports.get(0) : reports;
+      TraceFile.MAPPER
+          .writerWithDefaultPrettyPrinter()
+          .writeValue(options.json().get().toFile(), result);
+    }
   }
 }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulateOptions.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulateOptions.java
@@ -36,7 +36,10 @@
   @Option(name = "--faults", metaVar = "FILE", usage = "YAML file of fault events")
   private Path faults;
 
-  @Option(name = "--fault", metaVar = "NAME[+NAME]", usage = "built-in fault case")
+  @Option(
+      name = "--fault",
+      metaVar = "NAME[+NAME]",
+      usage = "built-in fault case, or singly, or in-pairs for all of them")
   private String fault;
 
   @Option(name = "--seed", usage = "first seed")
@@ -71,7 +74,12 @@
   @Option(name = "--trace-directory", usage = "where traces of failed runs go")
   private Path traceDirectory = Path.of(".");
 
-  SimulationSettings settings() {
+  /** One name per run and seed; an empty name for no built-in case. */
+  List<String> cases() {
+    return fault == null ? List.of("") : FaultTable.expand(fault);
+  }
+
+  SimulationSettings settings(String faultCase) {
     FleetProfile chosen = FleetProfile.of(profile);
     return new SimulationSettings(
         chosen,
@@ -81,7 +89,7 @@
         changesPerDay,
         burst,
         endpointChurn,
-        faultEvents(),
+        faultEvents(faultCase),
         seed,
         Durations.parseNanos(duration),
         timings(),
@@ -110,10 +118,10 @@
         "--subject '" + subject + "' is not product, push-all or polling");
   }
 
-  private List<FaultEvent> faultEvents() {
+  private List<FaultEvent> faultEvents(String faultCase) {
     List<FaultEvent> events = new ArrayList<>();
-    if (fault != null) {
-      events.addAll(FaultTable.named(fault));
+    if (!faultCase.isEmpty()) {
+      events.addAll(FaultTable.named(faultCase));
     }
     if (faults != null) {
       events.addAll(
