Transport: mutual TLS with files that are taken up without restart

A node without a certificate of the mesh's authority must get nothing, and plain text is for loopback only.

Ruled out: catching handshake failures in a filter of our own; Grizzly ends the connection first, so the cause was counted as a lost connection on the dialling side (seen in a trial). The close reason carries it on both sides.

The listening socket is closed before a transport reports itself closed: one run met "Address already in use" when a successor took the port.

--- a/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyEndpoint.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyEndpoint.java
@@ -2,11 +2,16 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.umberpath.model.PeerAddress;
+import io.umberpath.transport.tls.ReloadingTls;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import javax.net.ssl.SSLException;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CloseReason;
 import org.glassfish.grizzly.Connection;
@@ -16,7 +21,6 @@
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
-import org.glassfish.grizzly.filterchain.Filter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -38,16 +42,19 @@
 final class GrizzlyEndpoint implements PeerConnections.Dialer {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int READ_BUFFER_BYTES = 16 << 10;
+  private static final long CLOSE_SECONDS = 5;
   private static final int ACCEPT_BACKLOG = 256;
   private static final Attribute<PeerConnection> PEER_CONNECTION =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.peer-connection");
 
   private final TCPNIOTransport transport;
   private PeerConnections connections;
+  private TCPNIOServerConnection server;
 
-  GrizzlyEndpoint(List<Filter> securityFilters) {
+  /** Creates an endpoint in plain text or, if a context is given, with mutual TLS. */
+  GrizzlyEndpoint(Optional<ReloadingTls> tls) {
     FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter());
-    securityFilters.forEach(chain::add);
+    tls.ifPresent(context -> chain.add(context.filter()));
     chain.add(new FrameFilter());
     transport =
         TCPNIOTransportBuilder.newInstance()
@@ -75,8 +82,7 @@
 
   /** Binds; connections wait in the backlog until {@link #start}. */
   PeerAddress bind(PeerAddress listen) throws IOException {
-    TCPNIOServerConnection server =
-        transport.bind(new InetSocketAddress(listen.host(), listen.port()));
+    server = transport.bind(new InetSocketAddress(listen.host(), listen.port()));
     int port = ((InetSocketAddress) server.getLocalAddress()).getPort();
     return new PeerAddress(listen.host(), port);
   }
@@ -86,10 +92,16 @@
     transport.start();
   }
 
+  /** Closes the listening socket first and waits for it, so that the port is free afterwards. */
   void close() {
     try {
+      if (server != null) {
+        server.close().get(CLOSE_SECONDS, TimeUnit.SECONDS);
+      }
       transport.shutdownNow();
-    } catch (IOException e) {
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException | ExecutionException | TimeoutException e) {
       logger.atWarning().withCause(e).log("The transport did not close cleanly");
     }
   }
@@ -141,6 +153,12 @@
 
     @Override
     public void completed(CloseReason reason) {
+      if (reason.getCause() instanceof SSLException failure) {
+        connections.fail(
+            connection,
+            new TransportError(
+                TransportFault.TLS_HANDSHAKE_FAILED, String.valueOf(failure.getMessage())));
+      }
       connections.onSocketClosed(connection);
     }
 
@@ -173,14 +191,20 @@
   }
 
   /** A Grizzly connection as {@link PeerConnections} sees it. */
-  private record GrizzlySocket(Connection<?> socket) implements PeerConnection.Socket {
+  private final class GrizzlySocket implements PeerConnection.Socket {
+    private final Connection<?> socket;
+
+    GrizzlySocket(Connection<?> socket) {
+      this.socket = socket;
+    }
+
     @Override
     public void write(List<byte[]> frames, Runnable onWritten) {
       write(socket, gather(frames), onWritten);
     }
 
-    private static <L> void write(Connection<L> socket, Buffer buffer, Runnable onWritten) {
-      socket.write(buffer, new WriteOutcome<>(socket, onWritten));
+    private <L> void write(Connection<L> target, Buffer buffer, Runnable onWritten) {
+      target.write(buffer, new WriteOutcome<>(target, onWritten));
     }
 
     private Buffer gather(List<byte[]> frames) {
@@ -204,8 +228,7 @@
   }
 
   /** Reports that a write has been taken, or ends its connection. */
-  private static final class WriteOutcome<L>
-      extends EmptyCompletionHandler<WriteResult<Buffer, L>> {
+  private final class WriteOutcome<L> extends EmptyCompletionHandler<WriteResult<Buffer, L>> {
     private final Connection<L> socket;
     private final Runnable onWritten;
 
--- a/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyTransport.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyTransport.java
@@ -1,11 +1,12 @@
 package io.umberpath.transport;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.common.net.InetAddresses;
 import io.umberpath.control.ControlMessage;
 import io.umberpath.model.PeerAddress;
+import io.umberpath.transport.tls.ReloadingTls;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executors;
@@ -19,13 +20,16 @@
  * counted in {@link #faults}.
  */
 public final class GrizzlyTransport implements Transport {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long SWEEP_MILLIS = 200;
+  private static final long RELOAD_MILLIS = 1_000;
 
   private final TransportSettings settings;
   private final MessageCodec<ControlMessage> codec;
   private final TransportCounters counters = new TransportCounters();
   private final FaultReporter faults = new FaultReporter(counters);
-  private final GrizzlyEndpoint endpoint;
+  private GrizzlyEndpoint endpoint;
+  private Optional<ReloadingTls> tls = Optional.empty();
   private ScheduledExecutorService timer;
   private PeerAddress address;
   private volatile PeerConnections connections;
@@ -34,18 +38,22 @@
   public GrizzlyTransport(TransportSettings settings, MessageCodec<ControlMessage> codec) {
     this.settings = settings;
     this.codec = codec;
-    this.endpoint = new GrizzlyEndpoint(List.of());
   }
 
   /**
    * Binds before {@link #start}, so that the port is known; peers wait until the start.
    *
    * @return the address, with the port that was picked if the settings name port 0
-   * @throws IOException if the address cannot be bound or plain text is not on loopback
+   * @throws IOException if the address cannot be bound, plain text is not on loopback, or a
+   *     certificate file cannot be loaded
    */
   public synchronized PeerAddress bind() throws IOException {
     if (address == null) {
       requireAllowed(settings.listen());
+      if (settings.security() instanceof TransportSecurity.MutualTls mutualTls) {
+        tls = Optional.of(ReloadingTls.load(mutualTls));
+      }
+      endpoint = new GrizzlyEndpoint(tls);
       address = endpoint.bind(settings.listen());
     }
     return address;
@@ -71,7 +79,30 @@
               thread.setDaemon(true);
               return thread;
             });
-    timer.scheduleWithFixedDelay(owner::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    repeat(owner::sweep, SWEEP_MILLIS);
+    tls.ifPresent(context -> repeat(() -> reload(context), RELOAD_MILLIS));
+  }
+
+  private void repeat(Runnable task, long intervalMillis) {
+    Runnable guarded =
+        () -> {
+          try {
+            task.run();
+          } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("A timer task of the transport failed");
+          }
+        };
+    timer.scheduleWithFixedDelay(guarded, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+  }
+
+  private void reload(ReloadingTls context) {
+    Either<String, Boolean> reloaded = context.reload();
+    if (reloaded.isLeft()) {
+      faults.report(
+          new TransportError(TransportFault.TLS_RELOAD_FAILED, reloaded.getLeft()), "self");
+    } else if (reloaded.get()) {
+      logger.atInfo().log("Changed certificate files are in use for new connections");
+    }
   }
 
   @Override
@@ -148,7 +179,9 @@
     if (connections != null) {
       connections.close();
     }
-    endpoint.close();
+    if (endpoint != null) {
+      endpoint.close();
+    }
   }
 
   /** Decodes payloads for the listener. */
--- a/umberpath-transport/src/main/java/io/umberpath/transport/PeerConnections.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/PeerConnections.java
@@ -128,9 +128,7 @@
 
   /** A dialled connection could not be made. */
   void onConnectFailed(PeerConnection connection, String cause) {
-    if (!isClosed(connection)) {
-      fail(connection, new TransportError(TransportFault.CONNECT_FAILED, cause));
-    }
+    fail(connection, new TransportError(TransportFault.CONNECT_FAILED, cause));
   }
 
   /** Bytes arrived; called by one thread at a time for one connection. */
@@ -229,8 +227,11 @@
         .ifPresent(attempt -> effects.add(() -> dialer.dial(peer.address, attempt)));
   }
 
-  /** Ends a connection because of a fault. */
+  /** Ends a connection because of a fault; nothing happens if it has ended. */
   void fail(PeerConnection connection, TransportError error) {
+    if (isClosed(connection)) {
+      return;
+    }
     faults.report(error, connection.describe());
     onClosed(connection);
   }
--- a/umberpath-transport/src/test/java/io/umberpath/transport/Endpoint.java
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/Endpoint.java
@@ -39,9 +39,17 @@
       TransportSettings.Limits limits,
       TransportSettings.Timeouts timeouts)
       throws IOException {
-    return new Endpoint(
-        new TransportSettings(
-            listen, incarnation, new TransportSecurity.PlainTextLoopback(), limits, timeouts));
+    return open(listen, incarnation, new TransportSecurity.PlainTextLoopback(), limits, timeouts);
+  }
+
+  static Endpoint open(
+      PeerAddress listen,
+      long incarnation,
+      TransportSecurity security,
+      TransportSettings.Limits limits,
+      TransportSettings.Timeouts timeouts)
+      throws IOException {
+    return new Endpoint(new TransportSettings(listen, incarnation, security, limits, timeouts));
   }
 
   void send(Endpoint to, int number) {
