--- a/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
@@ -1,13 +1,17 @@
 package io.umberpath.lab;
 
+import io.umberpath.lab.platform.PlatformCommand;
 import io.umberpath.lab.simulate.ReplayCommand;
 import io.umberpath.lab.simulate.SimulateCommand;
+import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.List;
 
 /** Entry point of {@code umberpath-lab}. */
 public final class Main {
-  private static final List<Command> COMMANDS = List.of(new SimulateCommand(), new ReplayCommand());
+  private static final List<Command> COMMANDS =
+      List.of(new SimulateCommand(), new ReplayCommand(), new PlatformCommand());
+  private static final List<String> HELP = List.of("--help", "-h", "help");
 
   private Main() {}
 
@@ -22,9 +26,14 @@
         return command.run(Arrays.copyOfRange(arguments, 1, arguments.length));
       }
     }
-    System.err.println("usage: umberpath-lab COMMAND [OPTIONS]");
-    COMMANDS.forEach(
-        command -> System.err.printf("  %-10s %s%n", command.name(), command.summary()));
-    return Command.EXIT_USAGE;
+    boolean help = arguments.length > 0 && HELP.contains(arguments[0]);
+    printUsage(help ? System.out : System.err);
+    return help ? 0 : Command.EXIT_USAGE;
+  }
+
+  private static void printUsage(PrintStream to) {
+    to.println("usage: umberpath-lab COMMAND [OPTIONS]");
+    to.println("'umberpath-lab COMMAND --help' lists the options of a command.");
+    COMMANDS.forEach(command -> to.printf("  %-10s %s%n", command.name(), command.summary()));
   }
 }
