Node process: control side, proxy, operators' and admin port in one

The parts existed and nothing started them together. NodeProcess starts the platform reader, the control runtime, the proxy, the operators' port and the admin port, and closes what was started when one of them cannot start. A planned stop turns /readyz off, drains the proxy, and closes the parts in the opposite order. umberpath node runs it until a signal or a failure of the control side.

Ruled out: a stop that closes the operators' port first, because an operator who waits for a version while a node drains would lose the call for no reason.

Measured: mvn verify -pl umberpath-node -am passes; NodeProcessTest applies a change through the command line and a call reaches the back end.

--- a/umberpath-node/src/main/java/io/umberpath/node/cli/NodeCommand.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/NodeCommand.java
@@ -1,8 +1,11 @@
 package io.umberpath.node.cli;
 
+import io.umberpath.node.NodeProcess;
+import io.umberpath.node.logs.Logs;
 import io.umberpath.node.settings.NodeSettings;
 import io.umberpath.node.settings.SettingsProblem;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.util.List;
 import org.kohsuke.args4j.Option;
 
@@ -17,7 +20,22 @@
     if (settings.isLeft()) {
       return refuse(output, file, settings.getLeft());
     }
-    output.err().println("umberpath node: the process is not wired yet");
-    return ExitCode.REFUSED;
+    Logs.bridgeLibraries();
+    return run(new NodeProcess(settings.get()), output);
+  }
+
+  private static ExitCode run(NodeProcess node, Output output) {
+    // A signal closes the node before the process ends.
+    Runtime.getRuntime().addShutdownHook(new Thread(node::close, "umberpath-stop"));
+    try {
+      node.start();
+      return node.awaitEnd() ? ExitCode.REFUSED : ExitCode.OK;
+    } catch (IOException unavailable) {
+      output.err().println("umberpath node: cannot start: " + unavailable.getMessage());
+      return ExitCode.UNAVAILABLE;
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return ExitCode.REFUSED;
+    }
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/logs/LogFields.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/logs/LogFields.java
@@ -26,5 +26,20 @@
   /** Address or port that an event concerns. */
   public static final MetadataKey<String> ADDRESS = MetadataKey.single("address", String.class);
 
+  /** Callers' port; -1 for none. */
+  public static final MetadataKey<Integer> EDGE_PORT =
+      MetadataKey.single("edge_port", Integer.class);
+
+  /** Port for calls from other nodes; -1 for none. */
+  public static final MetadataKey<Integer> HOP_PORT = MetadataKey.single("hop_port", Integer.class);
+
+  /** Operators' gRPC port. */
+  public static final MetadataKey<Integer> OPERATOR_PORT =
+      MetadataKey.single("operator_port", Integer.class);
+
+  /** Admin port. */
+  public static final MetadataKey<Integer> ADMIN_PORT =
+      MetadataKey.single("admin_port", Integer.class);
+
   private LogFields() {}
 }
