Traffic: load balancer by own view, doubted reports, zones and subsets

Cause: an edge proxy has to choose among back ends of few slots whose load reports lag or lie.

Change: LoadBalancers.create(settings): two choices by requests in flight as seen here, reports at a quarter of the weight, discounted by age and by contradiction (own refusals or latency against a low load), zone preference with spill-over, what is drained, DRAINING or DOWN skipped at once, slow start, ejection of outliers never beyond half the pool, retry-after honoured by tier. Subsetting: rendezvous order and the size that keeps connections under a limit, with its bound.

Interface: LoadBalancer gains pick with a tier, retryAfterMillis, shed, edgeCount, as defaults so that other implementations go on.

--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DecayingValue.java
@@ -0,0 +1,31 @@
+package io.umberpath.traffic;
+
+/** A number that halves with time. Owner synchronizes. */
+final class DecayingValue {
+  private final double halfLifeMillis;
+  private double value;
+  private long atMillis;
+
+  DecayingValue(double halfLifeMillis) {
+    this.halfLifeMillis = halfLifeMillis;
+  }
+
+  double get(long nowMillis) {
+    return value == 0 ? 0 : value * weight(nowMillis - atMillis, halfLifeMillis);
+  }
+
+  void add(long nowMillis, double amount) {
+    value = get(nowMillis) + amount;
+    atMillis = nowMillis;
+  }
+
+  void set(long nowMillis, double newValue) {
+    value = newValue;
+    atMillis = nowMillis;
+  }
+
+  /** What is left of 1 at an age. */
+  static double weight(long ageMillis, double halfLifeMillis) {
+    return ageMillis <= 0 ? 1 : Math.exp(-Math.log(2) * ageMillis / halfLifeMillis);
+  }
+}
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/LeastLoadBalancer.java
@@ -0,0 +1,242 @@
+package io.umberpath.traffic;
+
+import io.umberpath.model.ObservedBackend;
+import io.umberpath.model.ProxySnapshot.BackendView;
+import io.umberpath.model.ProxySnapshot.PoolView;
+import io.umberpath.model.Tier;
+import io.umberpath.model.Verdict;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Compares a few back ends by expected load; design note 0005. Owner synchronizes. */
+final class LeastLoadBalancer implements LoadBalancer {
+  private static final long FORGET_MILLIS = 600_000;
+  private static final long FORGET_CHECK_MILLIS = 10_000;
+  private static final int MAX_ORDERED_POOLS = 1_024;
+  private static final long GOLDEN_GAMMA = 0x9e3779b97f4a7c15L;
+
+  /** A back end and what is known of it. */
+  private record Candidate(BackendView view, BackendState state) {}
+
+  /** A pool's back ends in this edge proxy's order of preference. */
+  private record OrderedPool(PoolView view, List<BackendView> order) {}
+
+  private final BalancerSettings settings;
+  private final Map<String, BackendState> states = new HashMap<>();
+  private final Map<String, OrderedPool> pools = new HashMap<>();
+  private int edges = 1;
+  private long firstMillis = -1;
+  private long nextForgetMillis;
+
+  LeastLoadBalancer(BalancerSettings settings) {
+    this.settings = settings;
+  }
+
+  @Override
+  public Either<Verdict.Reason, BackendView> pick(
+      long nowMillis, PoolView pool, long spread, Set<String> excluded) {
+    return pick(nowMillis, pool, pool.pool().tier(), spread, excluded);
+  }
+
+  @Override
+  public Either<Verdict.Reason, BackendView> pick(
+      long nowMillis, PoolView pool, Tier tier, long spread, Set<String> excluded) {
+    List<Candidate> inService = withoutOutliers(nowMillis, inService(nowMillis, pool));
+    List<Candidate> local = new ArrayList<>();
+    List<Candidate> remote = new ArrayList<>();
+    boolean shedding = false;
+    for (Candidate candidate : inService) {
+      if (excluded.contains(candidate.view.address().id())) {
+        continue;
+      }
+      if (candidate.state.shedMillisLeft(nowMillis, tier) > 0) {
+        shedding = true;
+      } else if (candidate.view.address().zone().equals(settings.zone())) {
+        local.add(candidate);
+      } else {
+        remote.add(candidate);
+      }
+    }
+    if (local.isEmpty() && remote.isEmpty()) {
+      return Either.left(shedding ? Verdict.Reason.OVERLOADED : Verdict.Reason.NO_BACKEND);
+    }
+    Scoring scoring = new Scoring(nowMillis, pool.pool().slotsPerBackend(), inService);
+    return Either.right(choose(local, remote, scoring, spread));
+  }
+
+  private BackendView choose(
+      List<Candidate> local, List<Candidate> remote, Scoring scoring, long spread) {
+    Candidate near = leastOfChoices(local, scoring, spread);
+    double nearLoad = near == null ? Double.POSITIVE_INFINITY : scoring.load(near);
+    if (nearLoad < settings.spillOverLoad() || remote.isEmpty()) {
+      return near.view;
+    }
+    Candidate far = leastOfChoices(remote, scoring, spread + 1);
+    boolean spillOver =
+        scoring.load(far) + settings.remotePenaltySlots() / scoring.slots < nearLoad;
+    return spillOver ? far.view : near.view;
+  }
+
+  /** The least loaded of a few taken by the spread number; null if there is none. */
+  private Candidate leastOfChoices(List<Candidate> candidates, Scoring scoring, long spread) {
+    Candidate least = null;
+    double leastLoad = 0;
+    int choices = Math.min(settings.choices(), candidates.size());
+    for (int i = 0; i < choices; i++) {
+      long random = SpreadHash.mix(spread + (i + 1) * GOLDEN_GAMMA);
+      int taken = i + (int) Long.remainderUnsigned(random, candidates.size() - i);
+      Candidate candidate = candidates.set(taken, candidates.get(i));
+      candidates.set(i, candidate);
+      double load = scoring.load(candidate);
+      if (least == null || load < leastLoad) {
+        least = candidate;
+        leastLoad = load;
+      }
+    }
+    return least;
+  }
+
+  @Override
+  public long retryAfterMillis(long nowMillis, PoolView pool, Tier tier) {
+    long least = Long.MAX_VALUE;
+    for (Candidate candidate : inService(nowMillis, pool)) {
+      least = Math.min(least, candidate.state.shedMillisLeft(nowMillis, tier));
+    }
+    return least == Long.MAX_VALUE ? 0 : least;
+  }
+
+  /** The first of this proxy's order that take work, as many as its subset has. */
+  private List<Candidate> inService(long nowMillis, PoolView pool) {
+    if (firstMillis < 0) {
+      firstMillis = nowMillis;
+    }
+    List<BackendView> order = order(pool);
+    int size =
+        Subsetting.size(
+            edges, order.size(), settings.connectionsPerEdge(), settings.connectionLimit());
+    List<Candidate> found = new ArrayList<>(size);
+    for (BackendView view : order) {
+      if (found.size() == size) {
+        break;
+      }
+      BackendState state = state(nowMillis, view.address().id());
+      if (!view.drained() && state.inService(nowMillis)) {
+        found.add(new Candidate(view, state));
+      }
+    }
+    return found;
+  }
+
+  private List<BackendView> order(PoolView pool) {
+    OrderedPool known = pools.get(pool.pool().name());
+    if (known == null || known.view != pool) {
+      known =
+          new OrderedPool(
+              pool,
+              Subsetting.order(settings.edgeId(), pool.backends(), view -> view.address().id()));
+      if (pools.size() >= MAX_ORDERED_POOLS) {
+        pools.clear();
+      }
+      pools.put(pool.pool().name(), known);
+    }
+    return known.order;
+  }
+
+  /** Leaves out ejected back ends, but keeps at least half of them all. */
+  private static List<Candidate> withoutOutliers(long nowMillis, List<Candidate> inService) {
+    List<Candidate> kept = new ArrayList<>(inService.size());
+    List<Candidate> ejected = new ArrayList<>();
+    for (Candidate candidate : inService) {
+      (candidate.state.ejected(nowMillis) ? ejected : kept).add(candidate);
+    }
+    if (ejected.isEmpty()) {
+      return inService;
+    }
+    ejected.sort(
+        (one, other) ->
+            Long.compare(one.state.ejectedUntilMillis(), other.state.ejectedUntilMillis()));
+    for (Candidate soonest : ejected) {
+      if (2 * kept.size() < inService.size()) {
+        kept.add(soonest);
+      }
+    }
+    return kept;
+  }
+
+  @Override
+  public void started(long nowMillis, String backendId) {
+    state(nowMillis, backendId).started(nowMillis);
+  }
+
+  @Override
+  public void finished(long nowMillis, String backendId, Verdict verdict, long latencyMicros) {
+    state(nowMillis, backendId).finished(nowMillis, verdict, latencyMicros);
+  }
+
+  @Override
+  public void shed(long nowMillis, String backendId, Tier tier, long retryAfterMillis) {
+    state(nowMillis, backendId).shed(nowMillis, tier, retryAfterMillis);
+  }
+
+  @Override
+  public void observed(long nowMillis, List<ObservedBackend> backends) {
+    for (ObservedBackend backend : backends) {
+      state(nowMillis, backend.backendId()).observed(nowMillis, backend);
+    }
+    if (nowMillis >= nextForgetMillis) {
+      nextForgetMillis = nowMillis + FORGET_CHECK_MILLIS;
+      states.values().removeIf(state -> state.idleSince(nowMillis - FORGET_MILLIS));
+    }
+  }
+
+  @Override
+  public void edgeCount(int newEdges) {
+    Settings.atLeast("edges", newEdges, 1);
+    edges = newEdges;
+  }
+
+  /** A back end that appears after this proxy's own start is new and starts slowly. */
+  private BackendState state(long nowMillis, String id) {
+    BackendState known = states.get(id);
+    if (known == null) {
+      boolean isNew = firstMillis >= 0 && nowMillis - firstMillis > settings.slowStartMillis();
+      known = new BackendState(settings, nowMillis, isNew);
+      states.put(id, known);
+    }
+    return known;
+  }
+
+  /** Loads under the means of one pool at one time. */
+  private static final class Scoring {
+    private final long nowMillis;
+    private final int slots;
+    private final double othersMean;
+    private final double latencyMean;
+
+    Scoring(long nowMillis, int slots, List<Candidate> candidates) {
+      this.nowMillis = nowMillis;
+      this.slots = slots;
+      double weights = 0;
+      double others = 0;
+      int measured = 0;
+      double latency = 0;
+      for (Candidate candidate : candidates) {
+        double weight = candidate.state.reportWeight(nowMillis);
+        weights += weight;
+        others += weight * candidate.state.reportedByOthers();
+        latency += candidate.state.latencyMicros();
+        measured += candidate.state.latencyMicros() > 0 ? 1 : 0;
+      }
+      othersMean = weights == 0 ? 0 : others / weights;
+      latencyMean = measured < 2 ? 0 : latency / measured;
+    }
+
+    double load(Candidate candidate) {
+      return candidate.state.load(nowMillis, slots, othersMean, latencyMean);
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/SpreadHash.java
@@ -0,0 +1,30 @@
+package io.umberpath.traffic;
+
+/** A 64-bit mixing function, equal on every node; not for security. */
+final class SpreadHash {
+  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+  private static final long FNV_PRIME = 0x100000001b3L;
+
+  private SpreadHash() {}
+
+  /** Mixes all bits of a number (finalizer of SplitMix64). */
+  static long mix(long value) {
+    long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+    return mixed ^ (mixed >>> 31);
+  }
+
+  /** Hashes a text. */
+  static long of(String text) {
+    long hash = FNV_OFFSET;
+    for (int i = 0; i < text.length(); i++) {
+      hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+    }
+    return mix(hash);
+  }
+
+  /** Hashes an ordered pair. */
+  static long of(String first, String second) {
+    return mix(of(first) * FNV_PRIME + of(second));
+  }
+}
