--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulateOptions.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/SimulateOptions.java
@@ -36,7 +36,10 @@
   @Option(name = "--faults", metaVar = "FILE", usage = "YAML file of fault events")
   private Path faults;
 
-  @Option(name = "--fault", metaVar = "NAME[+NAME]", usage = "built-in fault case")
+  @Option(
+      name = "--fault",
+      metaVar = "NAME[+NAME]",
+      usage = "built-in fault case, or singly, or in-pairs for all of them")
   private String fault;
 
   @Option(name = "--seed", usage = "first seed")
@@ -51,19 +54,32 @@
   @Option(name = "--batch-window", usage = "group commit window, for example 50ms")
   private String batchWindow;
 
+  @Option(
+      name = "--initial-members",
+      usage = "nodes that must be seen before the fleet forms, the rest join; 0 for all")
+  private int initialMembers;
+
   @Option(name = "--subject", usage = "product, push-all or polling")
   private String subject = "product";
 
   @Option(name = "--seeded-fault", metaVar = "NAME", usage = "deliberate fault of the product")
   private String seededFault;
 
+  @Option(name = "--unshared", usage = "let each node compute and keep its states by itself")
+  private boolean unshared;
+
   @Option(name = "--json", metaVar = "OUT", usage = "where to write the report")
   private Path json;
 
   @Option(name = "--trace-directory", usage = "where traces of failed runs go")
   private Path traceDirectory = Path.of(".");
 
-  SimulationSettings settings() {
+  /** One name per run and seed; an empty name for no built-in case. */
+  List<String> cases() {
+    return fault == null ? List.of("") : FaultTable.expand(fault);
+  }
+
+  SimulationSettings settings(String faultCase) {
     FleetProfile chosen = FleetProfile.of(profile);
     return new SimulationSettings(
         chosen,
@@ -73,7 +89,7 @@
         changesPerDay,
         burst,
         endpointChurn,
-        faultEvents(),
+        faultEvents(faultCase),
         seed,
         Durations.parseNanos(duration),
         timings(),
@@ -85,7 +101,7 @@
   }
 
   private ControlTimings timings() {
-    ControlTimings timings = ControlTimings.DEFAULT;
+    ControlTimings timings = ControlTimings.DEFAULT.withInitialMembers(initialMembers);
     return batchWindow == null
         ? timings
         : timings.withBatchWindow(Durations.parseNanos(batchWindow) / Durations.MILLI);
@@ -95,17 +111,17 @@
     for (Subject.Kind kind : Subject.Kind.values()) {
       String label = kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
       if (label.equals(subject)) {
-        return new Subject(kind, Optional.ofNullable(seededFault));
+        return new Subject(kind, Optional.ofNullable(seededFault), !unshared);
       }
     }
     throw new IllegalArgumentException(
         "--subject '" + subject + "' is not product, push-all or polling");
   }
 
-  private List<FaultEvent> faultEvents() {
+  private List<FaultEvent> faultEvents(String faultCase) {
     List<FaultEvent> events = new ArrayList<>();
-    if (fault != null) {
-      events.addAll(FaultTable.named(fault));
+    if (!faultCase.isEmpty()) {
+      events.addAll(FaultTable.named(faultCase));
     }
     if (faults != null) {
       events.addAll(
