Back-end stand-in: slots, connection cap, shedding, cold start, draining, lagging signals, run ledger

Ruled out: Grizzly's HttpServer with suspended responses and a ReadHandler: with a 100 kB body the last part was at times never announced (same-thread strategy: most runs; two workers: 1 of 300), and a close was at times not reported. Change: BackendStandIn on Grizzly's HTTP codec and an own filter; umberpath-lab backend; WholeAnswer, the one right answer to a request, which callers compute too.

--- a/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendExchange.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendExchange.java
@@ -1,130 +1,135 @@
 package io.umberpath.lab.backend;
 
-import io.umberpath.lab.http.Answers;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
 import io.umberpath.lab.workload.RequestKind;
 import io.umberpath.lab.workload.WholeAnswer;
-import java.io.IOException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.http.server.Request;
-import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.http.HttpRequestPacket;
 
-/** One request's life: wait for a slot, read the body, run, answer. Ends exactly once. */
+/**
+ * One request's life: it runs once it has a slot and its whole body, and ends exactly once. Called
+ * from the selector thread and from the back end's timer; its lock guards it.
+ */
 final class BackendExchange {
-  private static final int OK = 200;
-  private static final int UNAVAILABLE = 503;
-  private static final int RETRY_AFTER_SECONDS = 1;
-
   private final BackendStandIn backend;
-  private final RequestKind kind;
-  private final String requestId;
+  private final Connection<?> connection;
+  private final HttpRequestPacket request;
   private final int fillerBytes;
-  private final Request request;
-  private final Response response;
-  private final Runnable start = this::readBody;
-  private final AtomicReference<Stage> stage = new AtomicReference<>(Stage.WAITING);
-
-  private enum Stage {
-    WAITING,
-    READING,
-    RUNNING,
-    ENDED
-  }
+  private final Hasher hasher = Hashing.sha256().newHasher();
+  private final Runnable takeSlot = this::takeSlot;
+  private RequestKind kind;
+  private String requestId;
+  private long bodyBytes;
+  private boolean bodyWhole;
+  private boolean hasSlot;
+  private boolean started;
+  private boolean ended;
 
   BackendExchange(
-      BackendStandIn backend,
-      RequestKind kind,
-      String requestId,
-      int fillerBytes,
-      Response response) {
+      BackendStandIn backend, Connection<?> connection, HttpRequestPacket request, int filler) {
     this.backend = backend;
-    this.kind = kind;
-    this.requestId = requestId;
-    this.fillerBytes = fillerBytes;
-    this.request = response.getRequest();
-    this.response = response;
+    this.connection = connection;
+    this.request = request;
+    this.fillerBytes = filler;
   }
 
-  /** Asks for a slot; sheds the request if there is none. */
-  void begin() {
-    response.suspend(
-        -1,
-        TimeUnit.MILLISECONDS,
-        new EmptyCompletionHandler<Response>() {
-          @Override
-          public void cancelled() {
-            cancel();
-          }
-
-          @Override
-          public void failed(Throwable failure) {
-            cancel();
-          }
-        });
-    if (!backend.slots().offer(start)) {
-      stage.set(Stage.ENDED);
-      response.setHeader("Retry-After", Integer.toString(RETRY_AFTER_SECONDS));
-      answer(UNAVAILABLE, "{\"error\":\"shedding load\"}".getBytes());
-    }
+  boolean isOf(HttpRequestPacket other) {
+    return request == other;
   }
 
-  private void readBody() {
-    if (!stage.compareAndSet(Stage.WAITING, Stage.READING)) {
-      backend.slots().release();
-      return;
+  /** Asks for a slot; sheds the request if there is none. */
+  void begin(RequestKind newKind, String newRequestId) {
+    synchronized (this) {
+      kind = newKind;
+      requestId = newRequestId;
+    }
+    if (!backend.slots().offer(takeSlot)) {
+      answer(BackendAnswer.shed());
     }
-    BodyDigest.read(request.getNIOInputStream(), this::runRequest, this::cut);
   }
 
-  private void runRequest(RunLedger.StoredUpload body) {
-    if (!stage.compareAndSet(Stage.READING, Stage.RUNNING)) {
-      return;
+  /** Takes in a part of the body, also of a request that is already answered. */
+  synchronized void bodyPart(Buffer content, boolean last) {
+    if (content != null && content.hasRemaining()) {
+      byte[] bytes = new byte[content.remaining()];
+      content.get(bytes);
+      hasher.putBytes(bytes);
+      bodyBytes += bytes.length;
     }
-    backend.ledger().begin(kind, requestId);
-    backend.later(backend.nextServiceMicros(kind, request.getConnection()), () -> finish(body));
+    bodyWhole |= last;
+    runIfReady();
   }
 
-  private void finish(RunLedger.StoredUpload body) {
-    if (!stage.compareAndSet(Stage.RUNNING, Stage.ENDED)) {
-      return;
+  /** Answers unless the request has ended. */
+  void answer(BackendAnswer answer) {
+    boolean release;
+    synchronized (this) {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      release = hasSlot;
     }
-    if (kind == RequestKind.UPLOADS) {
-      backend.ledger().store(requestId, body);
+    if (release) {
+      backend.slots().release();
     }
-    backend.slots().release();
-    response.setHeader(WholeAnswer.REQUEST_ID, requestId);
-    answer(OK, WholeAnswer.of(requestId, kind, body.sha256(), body.bytes(), fillerBytes));
+    answer.write(connection, request);
   }
 
-  private void cut() {
-    if (stage.compareAndSet(Stage.READING, Stage.ENDED)) {
-      backend.slots().release();
-      if (kind == RequestKind.UPLOADS) {
+  /** The connection went away: a waiting request leaves the queue, a running one is abandoned. */
+  void cancel() {
+    boolean release;
+    synchronized (this) {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      release = hasSlot;
+      if (kind == RequestKind.UPLOADS && !bodyWhole) {
         backend.ledger().cutUpload();
       }
     }
+    if (release) {
+      backend.slots().release();
+    } else {
+      backend.slots().withdraw(takeSlot);
+    }
   }
 
-  /** The connection went away; a running request is abandoned and its slot freed. */
-  private void cancel() {
-    cut();
-    Stage before = stage.getAndSet(Stage.ENDED);
-    if (before == Stage.RUNNING) {
+  private void takeSlot() {
+    boolean tooLate;
+    synchronized (this) {
+      tooLate = ended;
+      hasSlot = !tooLate;
+      runIfReady();
+    }
+    if (tooLate) {
       backend.slots().release();
-    } else if (before == Stage.WAITING) {
-      // If it is started meanwhile, its start sees the end and gives the slot back.
-      backend.slots().withdraw(start);
     }
   }
 
-  private void answer(int status, byte[] body) {
-    try {
-      Answers.bytes(response, status, "text/plain", body);
-      response.resume();
-    } catch (IOException | IllegalStateException gone) {
-      // The connection went away while the answer was written; nobody is left to tell.
-      return;
+  private void runIfReady() {
+    if (hasSlot && bodyWhole && !started && !ended) {
+      started = true;
+      backend.ledger().begin(kind, requestId);
+      backend.later(backend.nextServiceMicros(kind, connection), this::finish);
+    }
+  }
+
+  private void finish() {
+    RunLedger.StoredUpload body;
+    synchronized (this) {
+      if (ended) {
+        return;
+      }
+      body = new RunLedger.StoredUpload(hasher.hash().toString(), bodyBytes);
+      if (kind == RequestKind.UPLOADS) {
+        backend.ledger().store(requestId, body);
+      }
     }
+    byte[] whole = WholeAnswer.of(requestId, kind, body.sha256(), body.bytes(), fillerBytes);
+    answer(BackendAnswer.whole(requestId, whole));
   }
 }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendStandIn.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendStandIn.java
@@ -1,6 +1,5 @@
 package io.umberpath.lab.backend;
 
-import io.umberpath.lab.http.LabHttpServer;
 import io.umberpath.lab.workload.RequestKind;
 import java.io.IOException;
 import java.util.concurrent.RejectedExecutionException;
@@ -19,7 +18,7 @@
   private final ServiceTimes serviceTimes;
   private final LoadSignal signal;
   private final ConnectionCap connections;
-  private final LabHttpServer server;
+  private final BackendTransport server;
   private final ScheduledExecutorService timer;
   private final long startedMillis = nowMillis();
   private volatile boolean draining;
@@ -31,8 +30,7 @@
     this.serviceTimes = new ServiceTimes(settings);
     this.signal = new LoadSignal(settings.slots());
     this.connections = new ConnectionCap(settings.connections());
-    this.server = LabHttpServer.create(host, port, new BackendHandler(this));
-    this.server.transport().getConnectionMonitoringConfig().addProbes(connections);
+    this.server = new BackendTransport(host, port, new BackendFilter(this), connections);
     this.timer = timer(settings.id());
   }
 
--- a/umberpath-lab/src/main/java/io/umberpath/lab/http/LabHttpServer.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/http/LabHttpServer.java
@@ -6,15 +6,12 @@
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
-import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
-/**
- * One Grizzly HTTP server with one selector thread. A {@link SelectorThreadHandler} runs on it, any
- * other handler on a worker thread. Thread-safe.
- */
+/** One Grizzly HTTP server with one selector thread and a few workers. Thread-safe. */
 public final class LabHttpServer implements AutoCloseable {
   private static final String LISTENER = "lab";
+  private static final int WORKERS = 2;
   private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
 
   static {
@@ -39,9 +36,7 @@
    */
   public static LabHttpServer create(String host, int port, HttpHandler handler) {
     NetworkListener listener = new NetworkListener(LISTENER, host, port);
-    if (handler instanceof SelectorThreadHandler) {
-      listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
-    }
+    listener.getTransport().setWorkerThreadPoolConfig(workers());
     listener.getTransport().setSelectorRunnersCount(1);
     listener.getTransport().setReuseAddress(true);
     listener.getTransport().setTcpNoDelay(true);
@@ -68,14 +63,17 @@
     return listener.getPort();
   }
 
-  /** The transport, for connection probes. */
-  public TCPNIOTransport transport() {
-    return listener.getTransport();
-  }
-
   /** Closes the port and every connection at once. */
   @Override
   public void close() {
     server.shutdownNow();
   }
+
+  private static ThreadPoolConfig workers() {
+    return ThreadPoolConfig.defaultConfig()
+        .setPoolName("lab-http")
+        .setCorePoolSize(WORKERS)
+        .setMaxPoolSize(WORKERS)
+        .setDaemon(true);
+  }
 }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformStandIn.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformStandIn.java
@@ -2,7 +2,6 @@
 
 import io.umberpath.lab.http.Answers;
 import io.umberpath.lab.http.LabHttpServer;
-import io.umberpath.lab.http.SelectorThreadHandler;
 import io.umberpath.model.PlatformDocument;
 import io.umberpath.node.platform.PlatformDocumentCodec;
 import java.io.IOException;
@@ -11,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 
@@ -131,7 +131,7 @@
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
 
-  private final class DocumentHandler extends SelectorThreadHandler {
+  private final class DocumentHandler extends HttpHandler {
     @Override
     public void service(Request request, Response response) throws IOException {
       if (!DOCUMENT_PATH.equals(request.getRequestURI())) {
