--- a/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
@@ -1,6 +1,7 @@
 package io.umberpath.lab;
 
 import io.umberpath.lab.backend.BackendCommand;
+import io.umberpath.lab.demo.DemoCommand;
 import io.umberpath.lab.platform.PlatformCommand;
 import io.umberpath.lab.simulate.ReplayCommand;
 import io.umberpath.lab.simulate.SimulateCommand;
@@ -12,7 +13,11 @@
 public final class Main {
   private static final List<Command> COMMANDS =
       List.of(
-          new SimulateCommand(), new ReplayCommand(), new PlatformCommand(), new BackendCommand());
+          new DemoCommand(),
+          new SimulateCommand(),
+          new ReplayCommand(),
+          new PlatformCommand(),
+          new BackendCommand());
   private static final List<String> HELP = List.of("--help", "-h", "help");
 
   private Main() {}
