Node: settings for mutual TLS between nodes; a signal that is obeyed ends with 0

Cause: the node process always used plain text, so it could not run off loopback; and a planned stop ended with 143 (seen: SIGTERM to a node on loopback, after "node-stopped").

Ruled out: System.exit in the main thread once the node has closed: while a shutdown is under way it blocks and the signal's number stays.

Change: group "transport" of the settings, required unless node.address is on loopback; NodeSettings.security is new. PlannedStop closes the node in the shutdown hook and halts with 0; an end by itself keeps its own code.

--- a/umberpath-node/src/main/java/io/umberpath/node/NodeProcess.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/NodeProcess.java
@@ -20,7 +20,6 @@
 import io.umberpath.node.settings.NodeSettings;
 import io.umberpath.transport.GrizzlyTransport;
 import io.umberpath.transport.MessageCodec;
-import io.umberpath.transport.TransportSecurity;
 import io.umberpath.transport.TransportSettings;
 import java.io.IOException;
 import java.time.Duration;
@@ -107,8 +106,7 @@
   private void startControl() throws IOException {
     Member self = settings.control().self();
     TransportSettings connections =
-        TransportSettings.withDefaults(
-            self.address(), self.incarnation(), new TransportSecurity.PlainTextLoopback());
+        TransportSettings.withDefaults(self.address(), self.incarnation(), settings.security());
     transport = new GrizzlyTransport(connections, new MessageCodec<>(ControlMessage.class));
     HttpPlatformReader reader = HttpPlatformReader.open(settings.platform(), self.address());
     started.push(reader);
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/NodeCommand.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/NodeCommand.java
@@ -25,8 +25,11 @@
   }
 
   private static ExitCode run(NodeProcess node, Output output) {
-    // A signal closes the node before the process ends.
-    Runtime.getRuntime().addShutdownHook(new Thread(node::close, "umberpath-stop"));
+    PlannedStop stop = PlannedStop.install(node);
+    return stop.end(runUntilEnd(node, output));
+  }
+
+  private static ExitCode runUntilEnd(NodeProcess node, Output output) {
     try {
       node.start();
       return node.awaitEnd() ? ExitCode.REFUSED : ExitCode.OK;
--- a/umberpath-node/src/main/java/io/umberpath/node/settings/NodeSettings.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/NodeSettings.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.settings;
 
 import io.umberpath.control.ControlSettings;
+import io.umberpath.transport.TransportSecurity;
 import java.util.List;
 import java.util.Optional;
 
@@ -12,9 +13,15 @@
  * @param platform the platform's read-only service
  * @param operator operators' gRPC port
  * @param admin metrics and health port
+ * @param security protection of the connections between nodes' control sides
  */
 public record NodeSettings(
-    ControlSettings control, Proxy proxy, Platform platform, Operator operator, Admin admin) {
+    ControlSettings control,
+    Proxy proxy,
+    Platform platform,
+    Operator operator,
+    Admin admin,
+    TransportSecurity security) {
   /**
    * Request path.
    *
--- a/umberpath-node/src/main/java/io/umberpath/node/settings/SettingsReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/SettingsReader.java
@@ -44,7 +44,8 @@
         root.group("proxy", proxy -> proxy(proxy, identity.self().address().host())),
         root.group("platform", SettingsReader::platform),
         root.group("operator", SettingsReader::operator),
-        root.group("admin", SettingsReader::admin));
+        root.group("admin", SettingsReader::admin),
+        TransportSecurityReader.read(root, identity.self().address()));
   }
 
   private record Identity(Member self, List<PeerAddress> seeds) {}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/TransportSecurityReader.java
@@ -0,0 +1,59 @@
+package io.umberpath.node.settings;
+
+import com.google.common.net.InetAddresses;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.transport.TransportSecurity;
+import io.umberpath.transport.TransportSecurity.Identity;
+import io.umberpath.transport.TransportSecurity.MutualTls;
+import io.umberpath.transport.TransportSecurity.PemIdentity;
+import io.umberpath.transport.TransportSecurity.PlainTextLoopback;
+import java.nio.file.Path;
+
+/** Reads the group {@code transport}: how connections between nodes are protected. */
+final class TransportSecurityReader {
+  private static final String GROUP = "transport";
+  private static final String AUTHORITIES = "authorities";
+  private static final String CERTIFICATES = "certificates";
+  private static final String PRIVATE_KEY = "privateKey";
+  private static final String KEY_STORE = "keyStore";
+  private static final String PASSWORD_FILE = "passwordFile";
+
+  private TransportSecurityReader() {}
+
+  /** Plain text without the group, which only a node on loopback may do. */
+  static TransportSecurity read(MappingReader root, PeerAddress address) {
+    boolean given = root.present(GROUP);
+    TransportSecurity security =
+        root.<TransportSecurity>optionalGroup(GROUP, TransportSecurityReader::mutualTls)
+            .orElse(new PlainTextLoopback());
+    if (!given && !InetAddresses.forString(address.host()).isLoopbackAddress()) {
+      root.problem(GROUP, "is required because node.address is not on loopback");
+    }
+    return security;
+  }
+
+  private static MutualTls mutualTls(MappingReader transport) {
+    boolean pem = transport.present(CERTIFICATES) || transport.present(PRIVATE_KEY);
+    boolean pkcs12 = transport.present(KEY_STORE) || transport.present(PASSWORD_FILE);
+    if (pem && pkcs12) {
+      transport.problem(
+          transport.present(CERTIFICATES) ? CERTIFICATES : PRIVATE_KEY,
+          "give either certificates and privateKey or keyStore and passwordFile");
+    }
+    Identity identity = pkcs12 ? pkcs12(transport) : pem(transport);
+    return new MutualTls(identity, path(transport, AUTHORITIES));
+  }
+
+  private static Identity pem(MappingReader transport) {
+    return new PemIdentity(path(transport, CERTIFICATES), path(transport, PRIVATE_KEY));
+  }
+
+  private static Identity pkcs12(MappingReader transport) {
+    return new TransportSecurity.Pkcs12Identity(
+        path(transport, KEY_STORE), path(transport, PASSWORD_FILE));
+  }
+
+  private static Path path(MappingReader transport, String key) {
+    return Path.of(transport.text(key));
+  }
+}
--- a/umberpath-node/src/test/java/io/umberpath/node/NodeProcessTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/NodeProcessTest.java
@@ -163,7 +163,8 @@
               settings.proxy(),
               settings.platform(),
               settings.operator(),
-              new NodeSettings.Admin("127.0.0.1", taken.getLocalPort()));
+              new NodeSettings.Admin("127.0.0.1", taken.getLocalPort()),
+              settings.security());
       NodeProcess node = new NodeProcess(clashing);
       assertThatThrownBy(node::start).isInstanceOf(IOException.class);
     }
--- a/umberpath-node/src/test/java/io/umberpath/node/settings/SettingsLoaderTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/settings/SettingsLoaderTest.java
@@ -4,6 +4,7 @@
 
 import io.umberpath.control.ControlSettings.QuorumRule;
 import io.umberpath.model.Tier;
+import io.umberpath.transport.TransportSecurity;
 import io.vavr.control.Either;
 import java.nio.file.Path;
 import java.util.List;
@@ -59,6 +60,30 @@
         .containsExactly(Tier.PREMIUM, Tier.STANDARD, Tier.BASIC);
   }
 
+  @Test
+  void transportIsPlainTextOnlyOnLoopback() {
+    assertThat(parse(MINIMAL).get().security())
+        .isEqualTo(new TransportSecurity.PlainTextLoopback());
+    String exposed = MINIMAL.replace("127.0.0.1:7100", "10.0.0.1:7100");
+    assertThat(parse(exposed).getLeft())
+        .extracting(SettingsProblem::field)
+        .containsExactly("transport");
+    String protectedByTls =
+        exposed + "transport: {authorities: a.pem, certificates: b.pem, privateKey: b.key}\n";
+    assertThat(parse(protectedByTls).get().security())
+        .isEqualTo(
+            new TransportSecurity.MutualTls(
+                new TransportSecurity.PemIdentity(Path.of("b.pem"), Path.of("b.key")),
+                Path.of("a.pem")));
+    String keyStore =
+        exposed + "transport: {authorities: a.pem, keyStore: b.p12, passwordFile: b.txt}\n";
+    assertThat(parse(keyStore).get().security())
+        .isEqualTo(
+            new TransportSecurity.MutualTls(
+                new TransportSecurity.Pkcs12Identity(Path.of("b.p12"), Path.of("b.txt")),
+                Path.of("a.pem")));
+  }
+
   @Test
   void klangValleyGathersLongerThanWesternSriLanka() {
     var config = Path.of("..", "config");
@@ -102,6 +127,11 @@
         "operator.tokens | [{tenant: a, tiers: [gold]}] | must be one of [premium, standard, basic]",
         "operator.tokens | [a] | must be a group of fields",
         "admin | 5 | must be a group of fields",
+        "transport | {certificates: a, privateKey: b} | is required",
+        "transport | {authorities: a, certificates: b} | is required",
+        "transport | {authorities: a, keyStore: b} | is required",
+        "transport | {certificates: a, keyStore: b} | either certificates and privateKey or",
+        "transport | {cert: a} | unknown field; known here:",
         "unknown.field | 5 | unknown field",
         "node.zone.name | 5 | zone is not a group",
         "node.zone | '[' | while parsing",
