--- a/umberpath-node/src/main/java/io/umberpath/node/cli/StatusCommand.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/StatusCommand.java
@@ -1,5 +1,8 @@
 package io.umberpath.node.cli;
 
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import io.umberpath.api.v1.ConfigurationGrpc.ConfigurationBlockingStub;
 import io.umberpath.api.v1.FleetStatusRequest;
 import io.umberpath.api.v1.FleetStatusResponse;
 import io.umberpath.api.v1.WatchStatusRequest;
@@ -20,17 +23,25 @@
           read(server -> server.fleetStatus(FleetStatusRequest.getDefaultInstance())),
           Texts::status);
     }
-    Either<CallFailure, FleetStatusResponse> last =
-        read(
-            server -> {
-              Iterator<FleetStatusResponse> reports =
-                  server.watchStatus(WatchStatusRequest.getDefaultInstance());
-              FleetStatusResponse report = reports.next();
-              while (true) {
-                print(output, Either.right(report), Texts::status);
-                report = reports.next();
-              }
-            });
-    return print(output, last, Texts::status);
+    Either<CallFailure, FleetStatusResponse> last = read(server -> follow(server, output));
+    return last.isLeft() ? print(output, last, Texts::status) : ExitCode.OK;
+  }
+
+  /** Prints report after report until the deadline, which is the way a watch ends. */
+  private FleetStatusResponse follow(ConfigurationBlockingStub server, Output output) {
+    Iterator<FleetStatusResponse> reports =
+        server.watchStatus(WatchStatusRequest.getDefaultInstance());
+    FleetStatusResponse last = reports.next();
+    try {
+      while (true) {
+        print(output, Either.right(last), Texts::status);
+        last = reports.next();
+      }
+    } catch (StatusRuntimeException ended) {
+      if (ended.getStatus().getCode() != Status.Code.DEADLINE_EXCEEDED) {
+        throw ended;
+      }
+      return last;
+    }
   }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/cli/CommandLineTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/cli/CommandLineTest.java
@@ -126,6 +126,22 @@
     assertThat(printed()).contains(text).doesNotContain("hunter2");
   }
 
+  @Test
+  void registerThatNeverAnswersMayHaveRun() throws Exception {
+    fixture.control.nextOutcome = Optional.of(new CompletableFuture<>());
+    String file = write("change.yaml", CHANGE);
+    assertThat(call("apply", "-f", file, "--timeout", "1s", "--request-id", "lost"))
+        .isEqualTo(ExitCode.MAY_HAVE_RUN);
+    assertThat(printed()).contains("may have run", "--request-id lost");
+  }
+
+  @Test
+  void watchPrintsUntilItsTimeout() {
+    assertThat(callAs("administrator", "status", "--watch", "--timeout", "1s"))
+        .isEqualTo(ExitCode.OK);
+    assertThat(printed()).contains("committed");
+  }
+
   @Test
   void nextServerIsTriedAndNoServerIsNotRun() throws Exception {
     String file = write("change.yaml", CHANGE);
