Proxy: probes, phases and shedding of the back end beside a node

Cause: nobody told the fleet whether a back end takes work; each refusal cost its connection, because the codec ends connections after every 500 and 503. Ruled out: a probe connection of its own: pooled ones count against the back end's limit and show whether requests could use them. Answers with a stated length and refusals are written unchanged, so connections live on.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
@@ -3,6 +3,7 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Tier;
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.backend.BackendStatus;
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
@@ -27,6 +28,7 @@
 import java.util.function.LongSupplier;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.Header;
 
 /**
  * Requests of other nodes for the back end beside this one: admits or refuses them. A refusal
@@ -43,34 +45,34 @@
     ENDED
   }
 
+  private static final long MILLIS_PER_SECOND = 1_000;
   private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
 
   private final NodeSettings.Backend backend;
   private final ConnectionPool pool;
   private final AdmissionController admission;
-  private final BackendState backendState;
+  private final BackendStatus status;
   private final LongSupplier clockMillis;
   private final AtomicLong lastId = new AtomicLong();
   private final Map<Long, Waiting> byId = new ConcurrentHashMap<>();
   private final Map<Exchange, Waiting> byExchange = new ConcurrentHashMap<>();
-  private volatile boolean draining;
 
   HopHandler(
       NodeSettings.Backend backend,
       ConnectionPool pool,
       AdmissionController admission,
-      BackendState backendState,
+      BackendStatus status,
       LongSupplier clockMillis) {
     this.backend = backend;
     this.pool = pool;
     this.admission = admission;
-    this.backendState = backendState;
+    this.status = status;
     this.clockMillis = clockMillis;
   }
 
   /** From now on new requests are refused, and queued ones too. */
   void drain() {
-    draining = true;
+    status.nodeDrains();
     List<Decision> decisions;
     synchronized (admission) {
       decisions = admission.drain(clockMillis.getAsLong());
@@ -133,10 +135,16 @@
 
   @Override
   public void dispatch(Exchange exchange) {
-    if (draining || backendState.isDraining()) {
+    if (status.isDraining()) {
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return;
     }
+    long shedding = status.sheddingMillis(clockMillis.getAsLong());
+    if (shedding > 0) {
+      Verdict verdict = new Verdict.NotRun(Verdict.Reason.OVERLOADED);
+      exchange.refuse(new Refusal(verdict, shedding));
+      return;
+    }
     RequestPlan plan = exchange.plan();
     Waiting waiting =
         new Waiting(lastId.incrementAndGet(), exchange, new AtomicReference<>(Standing.ASKED));
@@ -187,7 +195,12 @@
 
   @Override
   public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
-    backendState.answered(head);
+    boolean draining = "true".equalsIgnoreCase(head.getHeader(ProxyHeaders.DRAINING));
+    Optional<Long> retryAfter =
+        Headers.text(head, Header.RetryAfter.toString())
+            .flatMap(Headers::number)
+            .map(seconds -> seconds * MILLIS_PER_SECOND);
+    status.answered(head.getStatus(), draining, retryAfter, clockMillis.getAsLong());
     return Optional.empty();
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -3,6 +3,8 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Tier;
 import io.umberpath.node.control.ControlService;
+import io.umberpath.node.proxy.backend.BackendMonitor;
+import io.umberpath.node.proxy.backend.BackendStatus;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.InboundFilter;
@@ -38,6 +40,8 @@
   private static final long IDLE_CALLER_MILLIS = 60_000;
   private static final long DISCARD_MILLIS = 2_000;
 
+  private static final long QUIET_MILLIS = 200;
+  private static final int MAX_QUIET_ROUNDS = 10;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final NodeSettings.Proxy settings;
@@ -49,6 +53,7 @@
   private final EdgeHandler edge;
   private final Optional<HopHandler> hop;
   private final Optional<ConnectionPool> backendPool;
+  private final Optional<BackendMonitor> monitor;
   private final ScheduledExecutorService timer;
   private InboundFilter edgeFilter;
   private InboundFilter hopFilter;
@@ -81,7 +86,9 @@
             RetryPolicies.create(RetrySettings.DEFAULT),
             clockMillis);
     this.backendPool = settings.backend().map(this::poolOf);
-    this.hop = settings.backend().map(this::hopHandler);
+    BackendStatus status = new BackendStatus();
+    this.hop = settings.backend().map(backend -> hopHandler(backend, status));
+    this.monitor = settings.backend().map(backend -> monitor(backend, control, status));
     this.timer =
         Executors.newSingleThreadScheduledExecutor(
             task -> {
@@ -96,12 +103,18 @@
     return new ConnectionPool(address, transport, backend.connections(), clockMillis);
   }
 
-  private HopHandler hopHandler(NodeSettings.Backend backend) {
+  private BackendMonitor monitor(
+      NodeSettings.Backend backend, ControlService control, BackendStatus status) {
+    return new BackendMonitor(
+        backend, backendPool.orElseThrow(), control, status, hop.orElseThrow()::load, clockMillis);
+  }
+
+  private HopHandler hopHandler(NodeSettings.Backend backend, BackendStatus status) {
     return new HopHandler(
         backend,
         backendPool.orElseThrow(),
         AdmissionControllers.create(admission(backend)),
-        new BackendState(),
+        status,
         clockMillis);
   }
 
@@ -144,6 +157,7 @@
     long now = clockMillis.getAsLong();
     active.expire(now);
     hop.ifPresent(handler -> handler.tick(now));
+    monitor.ifPresent(BackendMonitor::tick);
     edge.observe(now);
   }
 
@@ -169,7 +183,8 @@
   }
 
   /**
-   * Refuses new requests as not run and waits for those in flight.
+   * Refuses new requests as not run and waits for those in flight. Returns once none has been in
+   * flight, nor has a new one come, for a short while.
    *
    * @param bound longest wait; what is in flight then is cut off, each request logged
    * @return whether every request finished
@@ -177,11 +192,19 @@
   public boolean drain(Duration bound) throws InterruptedException {
     edge.drain();
     hop.ifPresent(HopHandler::drain);
-    boolean finished = active.awaitNone(bound.toMillis());
-    if (!finished) {
-      active.abortAll();
+    long endNanos = System.nanoTime() + bound.toNanos();
+    for (int round = 0; round < MAX_QUIET_ROUNDS; round++) {
+      long arrivals = active.arrivals();
+      if (!active.awaitNone((endNanos - System.nanoTime()) / NANOS_PER_MILLI)) {
+        active.abortAll();
+        return false;
+      }
+      Thread.sleep(QUIET_MILLIS);
+      if (active.arrivals() == arrivals) {
+        break;
+      }
     }
-    return finished;
+    return true;
   }
 
   /** Stops at once; call {@link #drain} first to finish what is in flight. */
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/BackendMonitor.java
@@ -0,0 +1,103 @@
+package io.umberpath.node.proxy.backend;
+
+import io.umberpath.model.ObservedBackend;
+import io.umberpath.model.ObservedBackend.Phase;
+import io.umberpath.node.control.ControlService;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.settings.NodeSettings;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+
+/**
+ * Probes the back end beside this node, opens connections ahead of need, and tells the fleet about
+ * changes of its phase and load. A back end whose probe interval is 0 is never probed and taken to
+ * be ready. {@link #tick} is called by one thread.
+ */
+public final class BackendMonitor {
+  private static final long NEVER = 0;
+  private static final int LOAD_STEP_PERCENT = 25;
+  private static final int FULL_LOAD_PERCENT = 100;
+  private static final long MIN_PROBE_TIMEOUT_MILLIS = 1_000;
+
+  private final NodeSettings.Backend backend;
+  private final ConnectionPool pool;
+  private final ControlService control;
+  private final BackendStatus status;
+  private final IntSupplier loadPercent;
+  private final LongSupplier clockMillis;
+  private final long incarnation = System.currentTimeMillis();
+  private HealthProbe probe;
+  private long probeStartMillis;
+  private Phase publishedPhase;
+  private int publishedLoad;
+  private long counter;
+
+  /**
+   * Creates a monitor that has not probed yet.
+   *
+   * @param loadPercent requests running or queued over slots
+   */
+  public BackendMonitor(
+      NodeSettings.Backend backend,
+      ConnectionPool pool,
+      ControlService control,
+      BackendStatus status,
+      IntSupplier loadPercent,
+      LongSupplier clockMillis) {
+    this.backend = backend;
+    this.pool = pool;
+    this.control = control;
+    this.status = status;
+    this.loadPercent = loadPercent;
+    this.clockMillis = clockMillis;
+  }
+
+  /** Probes when it is time to, and publishes what has changed. */
+  public void tick() {
+    long now = clockMillis.getAsLong();
+    if (backend.probeMillis() == NEVER) {
+      status.assumeReady();
+    } else if (probe == null || now - probeStartMillis >= backend.probeMillis()) {
+      probe(now);
+    }
+    publish(now);
+  }
+
+  private void probe(long nowMillis) {
+    long timeout = Math.max(MIN_PROBE_TIMEOUT_MILLIS, backend.probeMillis());
+    boolean mayTakeLonger = probe != null && nowMillis - probeStartMillis < timeout;
+    if (probe != null && probe.isUnderWay()) {
+      if (mayTakeLonger) {
+        return;
+      }
+      if (probe.giveUp()) {
+        status.probeFailed();
+      }
+    }
+    probeStartMillis = nowMillis;
+    probe = new HealthProbe(pool, this::reported, status::probeFailed);
+    probe.start();
+  }
+
+  private void reported(HealthReport report) {
+    status.probed(report, clockMillis.getAsLong());
+    if (status.phase() == Phase.READY) {
+      pool.openAhead(backend.slots());
+    }
+  }
+
+  private void publish(long nowMillis) {
+    Phase phase = status.phase();
+    int load = loadPercent.getAsInt();
+    if (status.sheddingMillis(nowMillis) > 0) {
+      load = Math.max(load, FULL_LOAD_PERCENT);
+    }
+    load = load / LOAD_STEP_PERCENT * LOAD_STEP_PERCENT;
+    if (phase != publishedPhase || load != publishedLoad) {
+      publishedPhase = phase;
+      publishedLoad = load;
+      counter++;
+      control.observe(new ObservedBackend(backend.id(), incarnation, counter, phase, load));
+    }
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
@@ -2,12 +2,15 @@
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
 
 /** The exchanges in flight of a proxy. Thread-safe. */
 public final class ActiveExchanges {
   private final Set<Exchange> exchanges = ConcurrentHashMap.newKeySet();
+  private final LongAdder arrivals = new LongAdder();
 
   void add(Exchange exchange) {
+    arrivals.increment();
     exchanges.add(exchange);
   }
 
@@ -20,6 +23,11 @@
     }
   }
 
+  /** Exchanges begun so far. */
+  public long arrivals() {
+    return arrivals.sum();
+  }
+
   /** Number of exchanges in flight. */
   public int size() {
     return exchanges.size();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -13,6 +13,7 @@
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.FastHttpDateFormat;
 import org.glassfish.grizzly.http.util.Header;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
@@ -64,7 +65,7 @@
       response.getHeaders().setValue(ChainBudget.HEADER).setString(chain);
     }
     if (head.getContentLength() >= 0 && !head.isChunked()) {
-      response.setContentLengthLong(head.getContentLength());
+      writeUnchanged(head.getContentLength());
     } else if (isVersion11()) {
       response.setChunked(true);
     } else {
@@ -73,6 +74,21 @@
     }
   }
 
+  /**
+   * Makes the codec write head and body as they are. Otherwise it would end the connection after
+   * each answer 500 or 503, just when refusals have to be cheap.
+   */
+  private void writeUnchanged(long contentLength) {
+    response.setProtocol(Protocol.HTTP_1_1);
+    response.setIgnoreContentModifiers(true);
+    response.getHeaders().setValue(Header.ContentLength).setString(Long.toString(contentLength));
+    if (!isKeepAlive()) {
+      response.getHeaders().setValue(Header.Connection).setString("close");
+    } else if (!isVersion11()) {
+      response.getHeaders().setValue(Header.Connection).setString("keep-alive");
+    }
+  }
+
   /** Writes a refusal as the whole answer. */
   void refusal(Refusal refusal, String requestId, boolean bodyComplete) {
     String verdict = VerdictHeader.format(refusal.verdict());
@@ -94,7 +110,8 @@
     if (!bodyComplete || refusal.reason() == Verdict.Reason.DRAINING) {
       closeAfter();
     }
-    response.setContentLength(text.length);
+    response.getHeaders().setValue(Header.Date).setString(FastHttpDateFormat.getCurrentDate());
+    writeUnchanged(text.length);
     Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, text);
     write(OutgoingRequest.part(response, content, true, null));
   }
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/BackendMonitorTest.java
@@ -0,0 +1,110 @@
+package io.umberpath.node.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.model.ObservedBackend;
+import io.umberpath.model.ObservedBackend.Phase;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a node tells the fleet about the back end beside it, and what that does to calls. */
+class BackendMonitorTest {
+  private static final String READY = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nready";
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "HTTP/1.1 200 OK~Content-Length: 5~~ready | READY",
+        "HTTP/1.1 200 OK~Content-Length: 8~~draining | DRAINING",
+        "HTTP/1.1 503 Unavailable~Content-Length: 20~~{\"phase\":\"draining\"} | DRAINING",
+        "HTTP/1.1 200 OK~Umberpath-Draining: true~Content-Length: 2~~ok | DRAINING",
+        "HTTP/1.1 200 OK~Content-Length: 7~~warming | WARMING",
+      })
+  void publishesThePhaseTheBackEndReports(String answer, Phase phase) throws IOException {
+    String raw = answer.strip().replace("~", "\r\n");
+    try (ScriptedBackend backend = new ScriptedBackend(ScriptedBackend.answering(raw));
+        ProxyFixture fixture = new ProxyFixture(10, backend.port())) {
+      await(() -> backend.runs.get() >= 3);
+      await(() -> last(fixture).phase() == phase);
+      assertThat(backend.requests.remove().head()).startsWith("GET /health HTTP/1.1\r\n");
+    }
+  }
+
+  @Test
+  void publishesOnlyChangesAndFollowsTheBackEnd() throws IOException {
+    try (ScriptedBackend backend = new ScriptedBackend(ScriptedBackend.answering(READY));
+        ProxyFixture fixture = new ProxyFixture(5, backend.port())) {
+      await(() -> last(fixture).phase() == Phase.READY);
+      await(() -> backend.connections.get() >= 6);
+      await(() -> backend.runs.get() >= 20);
+      assertThat(fixture.control.published).hasSizeLessThan(5);
+      backend.stop();
+      await(() -> last(fixture).phase() == Phase.DOWN);
+      long counter = 0;
+      for (ObservedBackend published : fixture.control.published) {
+        assertThat(published.counter()).isGreaterThan(counter);
+        counter = published.counter();
+      }
+    }
+  }
+
+  @Test
+  void refusesAsNotRunWhileTheBackEndDrains() throws IOException {
+    String draining = "HTTP/1.1 200 OK\r\nUmberpath-Draining: true\r\nContent-Length: 2\r\n\r\nok";
+    try (ScriptedBackend backend = new ScriptedBackend(ScriptedBackend.answering(draining));
+        ProxyFixture fixture = new ProxyFixture(backend);
+        RawConnection caller = fixture.connect()) {
+      caller.send(post());
+      assertThat(caller.read().status()).isEqualTo(200);
+      caller.send(post());
+      RawConnection.Message refusal = caller.read();
+      assertThat(refusal.status()).isEqualTo(503);
+      assertThat(refusal.header("Umberpath-Verdict")).startsWith("not-run; reason=");
+      assertThat(backend.runs).hasValue(1);
+    }
+  }
+
+  @Test
+  void leavesASheddingBackEndAloneAsLongAsItAsked() throws IOException {
+    String shedding = "HTTP/1.1 503 Busy\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n";
+    try (ScriptedBackend backend = new ScriptedBackend(ScriptedBackend.answering(shedding));
+        ProxyFixture fixture = new ProxyFixture(backend);
+        RawConnection caller = fixture.connect()) {
+      caller.send(post());
+      RawConnection.Message first = caller.read();
+      assertThat(first.status()).isEqualTo(503);
+      assertThat(first.header("Umberpath-Verdict")).isNull();
+      caller.send(post());
+      RawConnection.Message second = caller.read();
+      assertThat(second.header("Umberpath-Verdict")).isEqualTo("not-run; reason=overloaded");
+      assertThat(Integer.parseInt(second.header("Retry-After"))).isBetween(1, 7);
+      assertThat(backend.runs).hasValue(1);
+      fixture.advance(7_000);
+      caller.send(post());
+      assertThat(caller.read().header("Umberpath-Verdict")).isNull();
+      assertThat(backend.runs).hasValue(2);
+    }
+  }
+
+  private static String post() {
+    return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  private static ObservedBackend last(ProxyFixture fixture) {
+    ObservedBackend observed = fixture.control.observed.get("backend-0");
+    return observed == null ? new ObservedBackend("", 0, 0, null, 0) : observed;
+  }
+
+  static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).as("condition within 30 s").isLessThan(end);
+      Thread.onSpinWait();
+    }
+  }
+}
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyFixture.java
@@ -29,17 +29,20 @@
   final AtomicLong advancedMillis = new AtomicLong();
   final List<ProxyServer> hops = new ArrayList<>();
   final ProxyServer edge;
+  private final long probeMillis;
 
   ProxyFixture(ScriptedBackend... backends) throws IOException {
-    this(TIMEOUT_MILLIS, ports(backends));
+    this(0, ports(backends));
   }
 
-  ProxyFixture(long timeoutMillis, int... backendPorts) throws IOException {
+  /** With probes at the given interval; 0 for none. */
+  ProxyFixture(long probeMillis, int... backendPorts) throws IOException {
+    this.probeMillis = probeMillis;
     List<BackendAddress> addresses = new ArrayList<>();
     for (int port : backendPorts) {
       addresses.add(startHop(port));
     }
-    control.snapshot = snapshot(1, timeoutMillis, addresses);
+    control.snapshot = snapshot(1, TIMEOUT_MILLIS, addresses);
     edge =
         new ProxyServer(settings(0, -1, Optional.empty()), control, ProxyStats.NONE, this::clock);
     edge.start();
@@ -61,7 +64,7 @@
   private BackendAddress startHop(int port) throws IOException {
     String id = "backend-" + hops.size();
     NodeSettings.Backend backend =
-        new NodeSettings.Backend(id, "127.0.0.1", port, SLOTS, 130, 60_000);
+        new NodeSettings.Backend(id, "127.0.0.1", port, SLOTS, 130, probeMillis);
     ProxyServer hop =
         new ProxyServer(
             settings(-1, 0, Optional.of(backend)), control, ProxyStats.NONE, this::clock);
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ScriptedBackend.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ScriptedBackend.java
@@ -18,6 +18,7 @@
   final AtomicInteger runs = new AtomicInteger();
   final AtomicInteger connections = new AtomicInteger();
   final Queue<RawConnection.Message> requests = new ConcurrentLinkedQueue<>();
+  private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
   private final ServerSocket server;
   private volatile Script script;
 
@@ -64,7 +65,16 @@
     }
   }
 
+  /** Listens no more and closes every connection. */
+  void stop() throws IOException {
+    server.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
   private void serve(Socket socket) {
+    sockets.add(socket);
     try (RawConnection connection = new RawConnection(socket)) {
       script.run(this, connection);
     } catch (IOException ended) {
