--- a/umberpath-node/src/main/java/io/umberpath/node/platform/FieldReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/platform/FieldReader.java
@@ -15,6 +15,7 @@
 final class FieldReader {
   private static final int MAX_SHOWN_CHARACTERS = 80;
   private static final int MAX_TEXT_CHARACTERS = 255;
+  private static final String ROOT = "document";
   private static final int MAX_PORT = 65_535;
 
   private final List<Violation> violations = new ArrayList<>();
@@ -88,7 +89,7 @@
     if (shown.length() > MAX_SHOWN_CHARACTERS) {
       shown = shown.substring(0, MAX_SHOWN_CHARACTERS) + "...";
     }
-    violations.add(new Violation(path, shown, message));
+    violations.add(new Violation(path.isEmpty() ? ROOT : path, shown, message));
     return false;
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/platform/HttpPlatformReaderTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/platform/HttpPlatformReaderTest.java
@@ -110,7 +110,7 @@
         Arguments.of(
             "unknown field", DOCUMENT.replace("'machines'", "'x':1,'machines'"), "x = '1'"),
         Arguments.of("missing field", "{'revision':1,'services':{}}", "machines = '': missing"),
-        Arguments.of("array document", "[]", " = '[]': must be an object"),
+        Arguments.of("array document", "[]", "document = '[]': must be an object"),
         Arguments.of("revision text", document("'7'", "{}", ""), "revision = '\"7\"'"),
         Arguments.of("revision fraction", document("1.5", "{}", ""), "revision = '1.5'"),
         Arguments.of("revision zero", document("0", "{}", ""), "revision = '0'"),
@@ -205,7 +205,7 @@
   }
 
   private static PlatformDocument readFrom(int port, long timeoutMillis) throws Exception {
-    String url = "http://127.0.0.1:" + port + "/v1/document";
+    String url = "http://127.0.0.1:" + port + "/document";
     try (HttpPlatformReader reader =
         HttpPlatformReader.open(new NodeSettings.Platform(url, timeoutMillis), SELF)) {
       return reader.read().toCompletableFuture().get(2 * GENEROUS_MILLIS, TimeUnit.MILLISECONDS);
@@ -241,7 +241,7 @@
     while (head.indexOf("\r\n\r\n") < 0) {
       head.append((char) socket.getInputStream().read());
     }
-    assertThat(head).startsWith("GET /v1/document HTTP/1.1").contains("umberpath (127.0.0.1:7000)");
+    assertThat(head).startsWith("GET /document HTTP/1.1").contains("umberpath (127.0.0.1:7000)");
   }
 
   private static void awaitClose(Socket socket) throws IOException {
