--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Simulation.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Simulation.java
@@ -194,7 +194,7 @@
     text.append("newest ").append(newest.version()).append('/');
     text.append(platform.document().revision()).append(", roster ");
     text.append(newest.roster().size()).append(", leader ");
-    text.append(fleet.leader().map(node -> Integer.toString(node.index)).orElse("none"));
+    text.append(fleet.leader().map(Simulation::describe).orElse("none"));
     fleet.nodes().stream()
         .filter(SimulatedNode::isAlive)
         .filter(
