Operators' port: pools of unknown services are refused, causes shown

The port refuses such a pool as invalid, by the document the answering node holds.

Ruled out for now: the check at the leader alone, which is the watertight place; it belongs to the control side. The port's check gives the field and the reason without a round trip and stays useful then.

A tenant sees the causes in its own resources when a newer configuration is held back; others learn only that there is a cause.

--- a/umberpath-node/src/main/java/io/umberpath/node/operator/ChangeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/ChangeHandler.java
@@ -52,6 +52,10 @@
     if (change.isLeft()) {
       return refuse(principal, request.getRequestId(), change.getLeft());
     }
+    List<Violation> missing = PlatformCheck.violations(change.get(), control.status().document());
+    if (!missing.isEmpty()) {
+      return refuse(principal, request.getRequestId(), OperatorError.invalid(missing));
+    }
     return submit(
         change.get(),
         version -> ApplyResponse.newBuilder().setVersion(ResourceCodec.version(version)).build());
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/CompositionCauses.java
@@ -0,0 +1,41 @@
+package io.umberpath.node.operator;
+
+import io.umberpath.control.ControlStatus;
+import io.umberpath.model.FleetState;
+import io.umberpath.model.Resource;
+import io.umberpath.model.ResourceKey;
+import io.umberpath.model.ResourceKind;
+import io.umberpath.model.Violation;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Why the newest version is not in force, as far as a caller may see it. */
+final class CompositionCauses {
+  private static final Pattern FIELD = Pattern.compile("(pools|routes)\\[([^]]*)].*");
+
+  private CompositionCauses() {}
+
+  /** All causes for a fleet administrator; for others those in their own resources. */
+  static List<Violation> visibleTo(Principal principal, ControlStatus status) {
+    return status.compositionViolations().stream()
+        .filter(
+            cause ->
+                principal.fleetAdmin()
+                    || owner(cause, status.committed()).equals(principal.tenant()))
+        .toList();
+  }
+
+  private static String owner(Violation cause, FleetState state) {
+    Matcher matcher = FIELD.matcher(cause.field());
+    if (!matcher.matches()) {
+      return "";
+    }
+    ResourceKind kind = matcher.group(1).equals("pools") ? ResourceKind.POOL : ResourceKind.ROUTE;
+    return state
+        .resources()
+        .get(new ResourceKey(kind, matcher.group(2)))
+        .map(Resource::tenant)
+        .getOrElse("");
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/operator/ExplainHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/ExplainHandler.java
@@ -7,14 +7,17 @@
 import io.umberpath.api.v1.ExplainResponse;
 import io.umberpath.api.v1.RequestSubject;
 import io.umberpath.api.v1.RouteExplanation;
+import io.umberpath.control.ControlStatus;
 import io.umberpath.model.FleetState;
 import io.umberpath.model.ObservedBackend;
 import io.umberpath.model.ProxySnapshot;
 import io.umberpath.model.Route;
 import io.umberpath.model.StateDeltas;
+import io.umberpath.model.Violation;
 import io.umberpath.node.control.ControlService;
 import io.umberpath.traffic.RouteTable;
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -85,9 +88,21 @@
     } else {
       explanation.setReason(noRoute(snapshot));
     }
+    explanation.setReason(explanation.getReason() + notInForce(principal));
     return Either.right(ExplainResponse.newBuilder().setRoute(explanation).build());
   }
 
+  /** Says so if a newer configuration is held back. */
+  private String notInForce(Principal principal) {
+    ControlStatus status = control.status();
+    if (status.compositionViolations().isEmpty()) {
+      return "";
+    }
+    List<Violation> causes = CompositionCauses.visibleTo(principal, status);
+    String cause = causes.isEmpty() ? "resources of other tenants" : causes.get(0).toString();
+    return "; a newer configuration is not in force, because of " + cause;
+  }
+
   private static String noRoute(ProxySnapshot snapshot) {
     return snapshot == ProxySnapshot.EMPTY
         ? "this node has no configuration in force yet; it refuses every request as not run"
--- a/umberpath-node/src/main/java/io/umberpath/node/operator/FleetHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/FleetHandler.java
@@ -124,10 +124,9 @@
                 (int) nodes.stream().filter(node -> !committed.isAfter(node.active())).count());
     if (principal.fleetAdmin()) {
       nodes.forEach(node -> report.addNodes(node(node, committed)));
-      status
-          .compositionViolations()
-          .forEach(cause -> report.addCompositionViolations(ResourceCodec.violation(cause)));
     }
+    CompositionCauses.visibleTo(principal, status)
+        .forEach(cause -> report.addCompositionViolations(ResourceCodec.violation(cause)));
     return report.build();
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/operator/ChangeContractTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/ChangeContractTest.java
@@ -105,6 +105,20 @@
     assertThat(fixture.control.submitted).hasValue(0);
   }
 
+  @Test
+  void poolOfAServiceThePlatformDoesNotHaveIsRefused() {
+    Resource pool = pool("p");
+    Resource unknown =
+        pool.toBuilder().setPool(pool.getPool().toBuilder().setService("no-such")).build();
+    ErrorDetail detail =
+        failure(
+            Status.Code.INVALID_ARGUMENT,
+            () -> fixture.as(MARKET).apply(change("r", pool("q"), unknown).build()));
+    assertThat(detail.getViolations(0).getField()).isEqualTo("upserts[1].service");
+    assertThat(detail.getViolations(0).getMessage()).isEqualTo("not in platform document 5");
+    assertThat(fixture.control.submitted).hasValue(0);
+  }
+
   @Test
   void errorOfALargeChangeStillArrives() {
     ApplyRequest.Builder request = change("r".repeat(10_000));
--- a/umberpath-node/src/test/java/io/umberpath/node/operator/FakeControlService.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/FakeControlService.java
@@ -13,6 +13,7 @@
 import io.umberpath.model.StateDeltas;
 import io.umberpath.model.StateHasher;
 import io.umberpath.model.Version;
+import io.umberpath.model.Violation;
 import io.umberpath.node.control.ControlService;
 import java.time.Duration;
 import java.util.List;
@@ -34,6 +35,7 @@
   public volatile Optional<CompletionStage<ChangeResult>> nextOutcome = Optional.empty();
   public volatile List<ControlStatus.NodeView> nodes = List.of();
   volatile Set<PeerAddress> reformed = Set.of();
+  public volatile List<Violation> compositionViolations = List.of();
   private volatile FleetState state = FleetState.EMPTY;
 
   private static final PlatformDocument DOCUMENT =
@@ -121,7 +123,7 @@
         DOCUMENT.revision(),
         DOCUMENT,
         true,
-        List.of(),
+        compositionViolations,
         nodes);
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/operator/ReadContractTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/ReadContractTest.java
@@ -36,6 +36,7 @@
 import io.umberpath.api.v1.WatchStatusRequest;
 import io.umberpath.model.ObservedBackend;
 import io.umberpath.model.Version;
+import io.umberpath.model.Violation;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -257,6 +258,22 @@
     assertThat(explain(DEALER, "/booking").getMatched()).isFalse();
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    "token-of-market, 1, pools[p].service",
+    "token-of-dealer, 0, resources of other tenants",
+    "token-of-administrator, 1, pools[p].service"
+  })
+  void causeOfAVersionHeldBackIsShownToItsOwner(String token, int causes, String text) {
+    fixture.as(MARKET).apply(change("r", pool("p"), route("q", "/", "p")).build());
+    fixture.control.compositionViolations =
+        List.of(new Violation("pools[p].service", "booking", "not in platform document 6"));
+    FleetStatusResponse status =
+        fixture.as(token).fleetStatus(FleetStatusRequest.getDefaultInstance());
+    assertThat(status.getCompositionViolationsCount()).isEqualTo(causes);
+    assertThat(explain(token, "/x").getReason()).contains("not in force", text);
+  }
+
   private RouteExplanation explain(String token, String path) {
     RequestSubject subject = RequestSubject.newBuilder().setHost("any").setPath(path).build();
     ExplainRequest request = ExplainRequest.newBuilder().setRequest(subject).build();
