--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -34,7 +34,7 @@
     if [ -z "$jar" ] || is_stale "$jar"; then
       echo "building $1" >&2
       cd "$root"
-      mvn -q -B -ntp -DskipTests -Dspotless.check.skip -Dcheckstyle.skip \
+      mvn -q -B -ntp -Dmaven.test.skip=true -Dspotless.check.skip -Dcheckstyle.skip \
         -pl "$1" -am package >&2
     fi
   ) 9>"$root/target/launch.lock"
