Proxy: the traffic module's balancer in place of the stand-in

Cause: the stand-in knew neither zones, slots nor subsets. Change: LoadBalancers is wired in with the node's zone (a new constructor parameter of ProxyServer, from control.self.zone); refusals that name a time to stay away reach the balancer, and a refusal for want of a back end names the time until one takes work again. Measured: 148 tests of the proxy pass (mvn -pl umberpath-node -am verify -Dtest='Proxy*,Request*,Fault*Table*,Backend*,Transfer*').

--- a/umberpath-node/src/main/java/io/umberpath/node/NodeProcess.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/NodeProcess.java
@@ -125,7 +125,11 @@
 
   private void startProxy() throws IOException {
     ProxyServer server =
-        new ProxyServer(settings.proxy(), control, new MeterRegistryStats(metrics));
+        new ProxyServer(
+            settings.proxy(),
+            settings.control().self().zone(),
+            control,
+            new MeterRegistryStats(metrics));
     started.push(server);
     server.start();
     proxy = Optional.of(server);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -161,6 +161,7 @@
           balancer.pick(
               now,
               exchange.plan().pool().orElseThrow(),
+              exchange.plan().tier(),
               ThreadLocalRandom.current().nextLong(),
               exchange.triedOrigins());
       if (choice.isRight()) {
@@ -170,10 +171,22 @@
     if (choice.isRight()) {
       send(exchange, choice.get().address(), now);
     } else {
-      exchange.refuse(exchange.lastRefusal().orElse(Refusal.notRun(choice.getLeft())));
+      exchange.refuse(
+          exchange.lastRefusal().orElseGet(() -> noneLeft(exchange, choice.getLeft(), now)));
     }
   }
 
+  private Refusal noneLeft(Exchange exchange, Verdict.Reason reason, long nowMillis) {
+    RequestPlan plan = exchange.plan();
+    long retryAfterMillis;
+    synchronized (balancer) {
+      retryAfterMillis =
+          balancer.retryAfterMillis(nowMillis, plan.pool().orElseThrow(), plan.tier());
+    }
+    Refusal refusal = Refusal.notRun(reason);
+    return retryAfterMillis > 0 ? new Refusal(refusal.verdict(), retryAfterMillis) : refusal;
+  }
+
   private void send(Exchange exchange, BackendAddress backend, long nowMillis) {
     PeerAddress address = new PeerAddress(backend.nodeHost(), backend.nodeHopPort());
     if (!exchange.sendTo(origins.poolOf(address), backend.id())) {
@@ -217,7 +230,7 @@
     }
     return Headers.text(head, ProxyHeaders.VERDICT)
         .flatMap(VerdictHeader::parse)
-        .map(verdict -> new Refusal(verdict, retryAfterMillis(head)));
+        .map(verdict -> new Refusal(verdict, retryAfterMillis(head), true));
   }
 
   private static long retryAfterMillis(HttpResponsePacket head) {
@@ -228,9 +241,14 @@
   }
 
   @Override
-  public void attemptEnded(Exchange exchange, String originId, Verdict verdict, long micros) {
+  public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
+    long now = clockMillis.getAsLong();
+    Verdict verdict = refusal == null ? new Verdict.Completed() : refusal.verdict();
     synchronized (balancer) {
-      balancer.finished(clockMillis.getAsLong(), originId, verdict, micros);
+      balancer.finished(now, originId, verdict, micros);
+      if (refusal != null && refusal.fromOrigin() && refusal.retryAfterMillis() > 0) {
+        balancer.shed(now, originId, exchange.plan().tier(), refusal.retryAfterMillis());
+      }
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
@@ -205,7 +205,7 @@
   }
 
   @Override
-  public void attemptEnded(Exchange exchange, String originId, Verdict verdict, long micros) {
+  public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
     // The slot is given back when the request ends; there is one attempt.
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -15,12 +15,15 @@
 import io.umberpath.node.settings.NodeSettings;
 import io.umberpath.traffic.AdmissionControllers;
 import io.umberpath.traffic.AdmissionSettings;
+import io.umberpath.traffic.BalancerSettings;
+import io.umberpath.traffic.LoadBalancers;
 import io.umberpath.traffic.RetryPolicies;
 import io.umberpath.traffic.RetrySettings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -60,14 +63,20 @@
   private int edgePort = NO_PORT;
   private int hopPort = NO_PORT;
 
-  /** Creates a proxy that is not listening yet. */
-  public ProxyServer(NodeSettings.Proxy settings, ControlService control, ProxyStats stats) {
-    this(settings, control, stats, () -> System.nanoTime() / NANOS_PER_MILLI);
+  /**
+   * Creates a proxy that is not listening yet.
+   *
+   * @param zone zone of this node, for the choice of near back ends
+   */
+  public ProxyServer(
+      NodeSettings.Proxy settings, String zone, ControlService control, ProxyStats stats) {
+    this(settings, zone, control, stats, () -> System.nanoTime() / NANOS_PER_MILLI);
   }
 
   /** Creates one on a given clock, rising milliseconds. */
   ProxyServer(
       NodeSettings.Proxy settings,
+      String zone,
       ControlService control,
       ProxyStats stats,
       LongSupplier clockMillis) {
@@ -82,7 +91,7 @@
         new EdgeHandler(
             control,
             origins,
-            new LeastInFlight(),
+            LoadBalancers.create(BalancerSettings.of(UUID.randomUUID().toString(), zone)),
             RetryPolicies.create(RetrySettings.DEFAULT),
             clockMillis);
     this.backendPool = settings.backend().map(this::poolOf);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -276,7 +276,7 @@
     Attempt ended = attempt;
     attempt = null;
     if (ended != null) {
-      ended.end(refusal.verdict());
+      ended.end(refusal);
     }
     mayHaveRun |= refusal.verdict() instanceof Verdict.MayHaveRun;
     lastRefusal = refusal;
@@ -455,7 +455,7 @@
 
     private void complete() {
       attempt = null;
-      end(new Verdict.Completed());
+      end(null);
       finish(new Verdict.Completed());
     }
 
@@ -464,12 +464,12 @@
       caller.whenWritable(resume);
     }
 
-    private void end(Verdict verdict) {
+    private void end(Refusal refusal) {
       if (origin != null) {
         origin.abandon();
       }
       long micros = (System.nanoTime() - attemptStartNanos) / 1_000;
-      if (!(verdict instanceof Verdict.Completed)) {
+      if (refusal != null) {
         environment
             .attemptLog()
             .failed(
@@ -478,11 +478,11 @@
                     number,
                     plan.route(),
                     originId,
-                    verdict,
+                    refusal.verdict(),
                     body.received(),
                     micros));
       }
-      handler.attemptEnded(Exchange.this, originId, verdict, micros);
+      handler.attemptEnded(Exchange.this, originId, refusal, micros);
     }
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Refusal.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Refusal.java
@@ -8,10 +8,16 @@
  *
  * @param verdict not run, or may have run
  * @param retryAfterMillis when coming back makes sense; 0 if not known
+ * @param fromOrigin whether another node said so, and not this one
  */
-public record Refusal(Verdict verdict, long retryAfterMillis) {
+public record Refusal(Verdict verdict, long retryAfterMillis, boolean fromOrigin) {
   private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
+  /** A refusal by this node. */
+  public Refusal(Verdict verdict, long retryAfterMillis) {
+    this(verdict, retryAfterMillis, false);
+  }
+
   /** Certainly did not run; the reason says whether to come back later. */
   public static Refusal notRun(Verdict.Reason reason) {
     return new Refusal(new Verdict.NotRun(reason), retryAfter(reason));
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -30,8 +30,12 @@
   /** Looks at an answer's head: a refusal that another node answered, if it is one. */
   Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head);
 
-  /** An attempt ended; called once per attempt that was sent somewhere. */
-  void attemptEnded(Exchange exchange, String originId, Verdict verdict, long micros);
+  /**
+   * An attempt ended; called once per attempt that {@link Exchange#sendTo} began.
+   *
+   * @param refusal how it failed; null if it was answered whole
+   */
+  void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros);
 
   /** Whether to dispatch again after an attempt that ended so; takes from the retry budget. */
   boolean mayRetry(Exchange exchange, Verdict verdict);
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyFixture.java
@@ -44,7 +44,8 @@
     }
     control.snapshot = snapshot(1, TIMEOUT_MILLIS, addresses);
     edge =
-        new ProxyServer(settings(0, -1, Optional.empty()), control, ProxyStats.NONE, this::clock);
+        new ProxyServer(
+            settings(0, -1, Optional.empty()), "zone", control, ProxyStats.NONE, this::clock);
     edge.start();
   }
 
@@ -67,7 +68,7 @@
         new NodeSettings.Backend(id, "127.0.0.1", port, SLOTS, 130, probeMillis);
     ProxyServer hop =
         new ProxyServer(
-            settings(-1, 0, Optional.of(backend)), control, ProxyStats.NONE, this::clock);
+            settings(-1, 0, Optional.of(backend)), "zone", control, ProxyStats.NONE, this::clock);
     hop.start();
     hops.add(hop);
     return new BackendAddress(id, "127.0.0.1", port, "zone", "127.0.0.1", hop.hopPort());
