--- /dev/null
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DecisionCosts.java
@@ -0,0 +1,151 @@
+package io.umberpath.traffic;
+
+import io.umberpath.model.PlatformDocument.BackendAddress;
+import io.umberpath.model.Pool;
+import io.umberpath.model.ProxySnapshot.BackendView;
+import io.umberpath.model.ProxySnapshot.PoolView;
+import io.umberpath.model.Tier;
+import io.umberpath.model.Verdict;
+import io.umberpath.traffic.requestid.RequestIdKey;
+import io.umberpath.traffic.requestid.RequestIdMessage;
+import io.umberpath.traffic.requestid.RequestIdRegistrar;
+import io.umberpath.traffic.requestid.RequestIdSettings;
+import io.umberpath.traffic.requestid.StoredAnswer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.LongConsumer;
+
+/** Prints time a decision and bytes a remembered id; for docs/measurements/traffic-decisions.md. */
+final class DecisionCosts {
+  private static final int CALLS = 1_000_000;
+  private static final int ROUNDS = 5;
+  private static final int IDS = 100_000;
+  private static final Verdict COMPLETED = new Verdict.Completed();
+
+  private DecisionCosts() {}
+
+  public static void main(String[] arguments) {
+    for (int backends : new int[] {5, 7, 100}) {
+      LoadBalancer balancer = LoadBalancers.create(BalancerSettings.of("edge", "a"));
+      PoolView pool = pool(backends);
+      time(
+          "pick, started, finished; back ends: " + backends,
+          i -> {
+            String id = balancer.pick(i, pool, Tier.BASIC, i, Set.of()).get().address().id();
+            balancer.started(i, id);
+            balancer.finished(i, id, COMPLETED, 5_000);
+          });
+    }
+    AdmissionController free = AdmissionControllers.create(AdmissionSettings.forSlots(6));
+    time("ask and release, free slots", i -> askAndRelease(free, i, i));
+    AdmissionController full = AdmissionControllers.create(AdmissionSettings.forSlots(6));
+    for (int i = 1; i <= 26; i++) {
+      full.ask(0, new AdmissionController.Ask(-i, "t" + i % 5, Tier.STANDARD, Long.MAX_VALUE));
+    }
+    time(
+        "ask and cancel, full slots, 20 queued",
+        i -> {
+          full.ask(i, new AdmissionController.Ask(i, "t", Tier.STANDARD, Long.MAX_VALUE));
+          full.cancel(i, i);
+        });
+    RetryPolicy retries = RetryPolicies.create(RetrySettings.DEFAULT);
+    RetryPolicy.FailedAttempt failed =
+        new RetryPolicy.FailedAttempt(
+            new Verdict.NotRun(Verdict.Reason.OVERLOADED), false, 1, true, Long.MAX_VALUE);
+    time(
+        "request and retry decision",
+        i -> {
+          retries.requestStarted(i);
+          retries.mayRetry(i, failed);
+        });
+    claims();
+    memory("claimed", 0);
+    memory("answered, 200 bytes kept", 200);
+  }
+
+  private static void askAndRelease(AdmissionController controller, long now, long id) {
+    controller.ask(now, new AdmissionController.Ask(id, "t", Tier.STANDARD, Long.MAX_VALUE));
+    controller.release(now, id, 5_000);
+  }
+
+  private static void claims() {
+    RequestIdRegistrar registrar = registrar();
+    time(
+        "claim and settlement at a registrar",
+        i -> {
+          RequestIdKey key = new RequestIdKey("p", "t", Long.toString(i));
+          long now = 10_000_000 + i;
+          registrar.confirmed(now);
+          registrar.handle(now, new RequestIdMessage.Claim(key, "T", 1_000));
+          registrar.handle(
+              now,
+              new RequestIdMessage.Settle(
+                  key, "T", RequestIdMessage.Outcome.ANSWERED, Optional.empty()));
+        });
+  }
+
+  private static RequestIdRegistrar registrar() {
+    RequestIdRegistrar registrar =
+        new RequestIdRegistrar(
+            new RequestIdSettings(5, 50_000, 10_000, IDS, 4_096, 64L << 20, 50, 1_000));
+    registrar.memberOf(0, Set.of("p"));
+    return registrar;
+  }
+
+  private static void memory(String what, int answerBytes) {
+    long before = usedBytes();
+    RequestIdRegistrar registrar = registrar();
+    long now = 10_000_000;
+    registrar.confirmed(now);
+    for (int i = 0; i < IDS; i++) {
+      RequestIdKey key = new RequestIdKey("p", "t", UUID.randomUUID().toString());
+      String token = "10.0.0.1:9000-" + i + ".0";
+      registrar.handle(now, new RequestIdMessage.Claim(key, token, 1_000));
+      if (answerBytes > 0) {
+        StoredAnswer answer = new StoredAnswer(200, "text/plain", new byte[answerBytes]);
+        registrar.handle(
+            now,
+            new RequestIdMessage.Settle(
+                key, token, RequestIdMessage.Outcome.ANSWERED, Optional.of(answer)));
+      }
+    }
+    long bytes = (usedBytes() - before) / registrar.size();
+    System.out.printf(Locale.ROOT, "| bytes an id, %s | %d |%n", what, bytes);
+  }
+
+  private static long usedBytes() {
+    for (int i = 0; i < 3; i++) {
+      System.gc();
+    }
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+
+  /** Prints the best of some rounds after one that is not counted. */
+  private static void time(String what, LongConsumer call) {
+    double best = Double.MAX_VALUE;
+    long number = 1;
+    for (int round = 0; round <= ROUNDS; round++) {
+      long start = System.nanoTime();
+      for (int i = 0; i < CALLS; i++) {
+        call.accept(number++);
+      }
+      double nanos = (System.nanoTime() - start) / (double) CALLS;
+      best = round == 0 ? best : Math.min(best, nanos);
+    }
+    System.out.printf(Locale.ROOT, "| ns, %s | %.0f |%n", what, best);
+  }
+
+  private static PoolView pool(int backends) {
+    List<BackendView> views = new ArrayList<>();
+    for (int i = 0; i < backends; i++) {
+      String zone = String.valueOf((char) ('a' + i % 4));
+      views.add(new BackendView(new BackendAddress("b" + i, "::1", 1, zone, "::1", 1), false));
+    }
+    return new PoolView(new Pool("p", "t", Tier.STANDARD, "s", 6, 130), views);
+  }
+}
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/RetryChainTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/RetryChainTest.java
@@ -47,6 +47,24 @@
     assertThat(arrivals[5]).isEqualTo(3 * 3 * 3 * 3 * 3);
   }
 
+  /** Prints the table of docs/measurements/traffic-decisions.md. */
+  public static void main(String[] arguments) {
+    for (int level : new int[] {28, 14, 1}) {
+      for (double ratio : new double[] {0.01, 0.05, 0.5, 1.0}) {
+        RetryChainTest chain = new RetryChainTest();
+        long answered = chain.run(29, level, ratio, RetrySettings.DEFAULT);
+        double most = java.util.Arrays.stream(chain.arrivals).max().orElseThrow();
+        System.out.printf(
+            java.util.Locale.ROOT,
+            "| %d | %.2f | %.3f | %.4f |%n",
+            level,
+            ratio,
+            most / REQUESTS,
+            answered / (double) REQUESTS);
+      }
+    }
+  }
+
   private long run(int depth, int level, double ratio, RetrySettings settings) {
     failingLevel = level;
     failureRatio = ratio;
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/requestid/RequestIdRegisterTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/requestid/RequestIdRegisterTest.java
@@ -97,6 +97,45 @@
     }
   }
 
+  /** Ids of single sends that ran when a part of all messages is lost. */
+  private static double shareThatRan(double lost, boolean tokens) {
+    long ran = 0;
+    for (long seed = 0; seed < SEEDS; seed++) {
+      RequestIdWorld world =
+          new RequestIdWorld(seed, new Faults(lost, 0, 20, 0, 0, 0), true, tokens);
+      for (int id = 0; id < 10 * IDS; id++) {
+        String name = "id-" + id;
+        world.after(10 * id, () -> world.request(name, 2_000));
+      }
+      world.run(10_000);
+      ran += world.decisions.values().stream().filter(RequestIdRegisterTest::allowed).count();
+    }
+    return ran / (double) (SEEDS * 10 * IDS);
+  }
+
+  private static boolean allowed(List<Decision> decisions) {
+    return decisions.contains(new Decision.Run());
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0.1, 0.005", "0.2, 0.03"})
+  void tokensKeepLostRepliesFromRefusingTheSameAttempt(double lost, double refused) {
+    assertThat(shareThatRan(lost, true)).isEqualTo(1);
+    assertThat(shareThatRan(lost, false)).isLessThan(1 - refused);
+  }
+
+  /** Prints the figures of docs/design/0004-at-most-once.md. */
+  public static void main(String[] arguments) {
+    for (double lost : new double[] {0.01, 0.05, 0.1, 0.2}) {
+      System.out.printf(
+          java.util.Locale.ROOT,
+          "| %.2f | %.5f | %.5f |%n",
+          lost,
+          shareThatRan(lost, true),
+          shareThatRan(lost, false));
+    }
+  }
+
   @Test
   void aFleetThatForgotEverythingSaysMayHaveRunAtOnce() {
     RequestIdWorld world = new RequestIdWorld(1, new Faults(0, 0, 20, 0, 300, 0), true);
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/requestid/RequestIdWorld.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/requestid/RequestIdWorld.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -67,7 +68,9 @@
 
   final Map<String, Integer> runs = new HashMap<>();
   final Map<String, List<Decision>> decisions = new HashMap<>();
+  private final Set<String> granted = new HashSet<>();
   private final boolean abstaining;
+  private final boolean tokens;
   private final Faults faults;
   private final SplittableRandom random;
   private final PriorityQueue<Event> events =
@@ -84,6 +87,16 @@
    * @param abstaining whether new registrars abstain; false breaks the protocol on purpose
    */
   RequestIdWorld(long seed, Faults faults, boolean abstaining) {
+    this(seed, faults, abstaining, true);
+  }
+
+  /**
+   * Creates a world whose registrars may ignore tokens.
+   *
+   * @param tokens whether a registrar grants a claim again to the attempt that holds it
+   */
+  RequestIdWorld(long seed, Faults faults, boolean abstaining, boolean tokens) {
+    this.tokens = tokens;
     this.random = new SplittableRandom(seed);
     this.faults = faults;
     this.abstaining = abstaining;
@@ -177,12 +190,32 @@
   }
 
   private void deliver(RequestIdClaim claim, Output.Send send) {
-    Optional<Reply> reply = nodes.get(send.registrar()).registrar.handle(nowMillis, send.message());
+    Optional<Reply> reply =
+        nodes
+            .get(send.registrar())
+            .registrar
+            .handle(nowMillis, send.message())
+            .map(known -> withoutToken(send, known));
     reply.ifPresent(
         answer ->
             transmit(() -> carryOut(claim, claim.replied(nowMillis, send.registrar(), answer))));
   }
 
+  /** A register that ignores tokens refuses a claim that it granted before. */
+  private Reply withoutToken(Output.Send send, Reply reply) {
+    boolean repeated =
+        reply.state() == RequestIdMessage.State.GRANTED
+            && !granted.add(send.registrar() + reply.token());
+    return tokens || !repeated
+        ? reply
+        : new Reply(
+            reply.key(),
+            reply.token(),
+            RequestIdMessage.State.HELD,
+            Optional.of("unknown"),
+            Optional.empty());
+  }
+
   private void transmit(Runnable delivery) {
     if (random.nextDouble() < faults.lost) {
       return;
