--- a/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Simulation.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/simulate/Simulation.java
@@ -16,9 +16,11 @@
  */
 public final class Simulation {
   private static final long START_SPREAD_NANOS = Durations.SECOND;
+  private static final int STARTS_PER_SECOND = 300;
   private static final long FORMATION_BOUND_NANOS = 120 * Durations.SECOND;
   private static final long CONTENT_SPREAD_NANOS = 2 * Durations.SECOND;
   private static final long SETTLE_BOUND_NANOS = 30 * Durations.SECOND;
+  private static final long OPERATOR_PATIENCE_NANOS = 20 * Durations.SECOND;
   private static final long POLL_NANOS = 100 * Durations.MILLI;
   private static final long AFTER_FAULTS_NANOS = 2 * Durations.SECOND;
 
@@ -38,6 +40,7 @@
   private OperatorChange probe;
   private long formationMillis = -1;
   private long recoveryMillis = -1;
+  private int reformCalls;
 
   /** Prepares a run of the state machine that the settings name. */
   public Simulation(SimulationSettings settings) {
@@ -75,9 +78,16 @@
   }
 
   private void form() {
-    for (SimulatedNode node : List.copyOf(fleet.nodes())) {
+    List<SimulatedNode> nodes = List.copyOf(fleet.nodes());
+    for (SimulatedNode node : nodes.subList(0, settings.firstMembers())) {
       queue.after(random.nextLong(START_SPREAD_NANOS), () -> fleet.start(node));
     }
+    long gap = Durations.SECOND / STARTS_PER_SECOND;
+    long next = START_SPREAD_NANOS;
+    for (SimulatedNode node : nodes.subList(settings.firstMembers(), nodes.size())) {
+      next += gap;
+      queue.after(next, () -> fleet.start(node));
+    }
     runUntilHolds(this::hasFormed, FORMATION_BOUND_NANOS, "fleet-forms");
     formationMillis = queue.nowNanos() / Durations.MILLI;
   }
@@ -99,7 +109,7 @@
     convergence.start();
     operators.start();
     faults.plan(settings.faults());
-    scheduleEndpointChurn();
+    new EndpointChurn(settings, queue, random.split(), fleet, platform).start();
     scheduleRoleSamples();
     long faultsEnd = settings.faults().stream().mapToLong(FaultEvent::endNanos).max().orElse(-1L);
     long end = queue.nowNanos() + settings.durationNanos();
@@ -107,7 +117,7 @@
       runFor(faultsEnd + AFTER_FAULTS_NANOS);
       long healed = queue.nowNanos() - AFTER_FAULTS_NANOS;
       operators.submit(operators.probe(), accepted -> probe = accepted);
-      runUntilHolds(this::hasRecovered, SETTLE_BOUND_NANOS, "converges-after-faults");
+      recover();
       recoveryMillis = (queue.nowNanos() - healed) / Durations.MILLI;
     }
     queue.runUntil(Math.max(end, queue.nowNanos()), this::isBroken);
@@ -115,6 +125,25 @@
     meter.stop(queue.nowNanos());
   }
 
+  /**
+   * Waits until the fleet works again. If machines are gone for good, so that it may have to wait
+   * for an operator's decision, the operator gives them up after a while.
+   */
+  private void recover() {
+    boolean diedForGood = fleet.nodes().stream().anyMatch(node -> !node.isAlive());
+    if (diedForGood) {
+      long patience = queue.nowNanos() + OPERATOR_PATIENCE_NANOS;
+      while (!isBroken() && !hasRecovered() && queue.nowNanos() < patience) {
+        runFor(POLL_NANOS);
+      }
+      if (!hasRecovered()) {
+        reformCalls++;
+        faults.reform();
+      }
+    }
+    runUntilHolds(this::hasRecovered, SETTLE_BOUND_NANOS, "converges-after-faults");
+  }
+
   private void settle() {
     runUntilHolds(this::isUniform, SETTLE_BOUND_NANOS, "converges-in-the-end");
   }
@@ -199,27 +228,6 @@
         + status.parent().map(parent -> parent.address().toString()).orElse("none");
   }
 
-  private void scheduleEndpointChurn() {
-    double perSecond = settings.endpointChurnPerSecond();
-    if (perSecond > 0) {
-      long gap = Math.round(random.nextExponential() / perSecond * Durations.SECOND);
-      long end = queue.nowNanos() + settings.durationNanos();
-      scheduleEndpointChange(gap, perSecond, end);
-    }
-  }
-
-  private void scheduleEndpointChange(long gapNanos, double perSecond, long endNanos) {
-    queue.after(
-        gapNanos,
-        () -> {
-          if (queue.nowNanos() < endNanos) {
-            platform.replaceBackend();
-            long gap = Math.round(random.nextExponential() / perSecond * Durations.SECOND);
-            scheduleEndpointChange(gap, perSecond, endNanos);
-          }
-        });
-  }
-
   private void scheduleRoleSamples() {
     queue.after(
         Durations.SECOND,
@@ -251,6 +259,7 @@
         operators.outcomes(),
         checker.peakReaders(),
         checker.losses(),
+        reformCalls,
         digest.events(),
         digest.finish(),
         violations.found(),
