--- a/umberpath-control/src/main/java/io/umberpath/control/Acceptor.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Acceptor.java
@@ -46,6 +46,11 @@
     return committed;
   }
 
+  /** Newest version known to be committed, whether held or not. */
+  Version committedKnown() {
+    return committedKnown;
+  }
+
   long promised() {
     return promised;
   }
--- a/umberpath-control/src/main/java/io/umberpath/control/Children.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Children.java
@@ -92,6 +92,9 @@
       children.put(peer, new Child(request.member(), request.held(), context.now()));
     }
     changed = true;
+    if (children.size() == 1) {
+      lastDeliveryAt = context.now();
+    }
     context.send(peer, new AttachAccepted(delivery(children.get(peer))));
     return true;
   }
--- a/umberpath-control/src/main/java/io/umberpath/control/ControlMessage.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/ControlMessage.java
@@ -195,6 +195,7 @@
    * @param candidate address of the candidate, as in the request
    * @param attempt as in the request
    * @param promised highest epoch promised in the subtree; above {@code epoch} for a refusal
+   * @param committed newest version known to be committed in the subtree
    * @param groups members that granted, by the state they hold
    * @param fresh processes without a seat that granted
    */
@@ -205,6 +206,7 @@
       @JsonProperty("c") PeerAddress candidate,
       @JsonProperty("a") int attempt,
       @JsonProperty("p") long promised,
+      @JsonProperty("m") Version committed,
       @JsonProperty("g") List<HeldGroup> groups,
       @JsonProperty("f") List<Member> fresh)
       implements ControlMessage {
--- a/umberpath-control/src/main/java/io/umberpath/control/Election.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Election.java
@@ -141,6 +141,7 @@
   private void startIntent() {
     phase = Phase.INTENT;
     attempt = 0;
+    adopted = acceptor.held();
     epoch = Math.max(highestSeen, acceptor.promised()) + 1;
     ask();
   }
@@ -185,6 +186,8 @@
     }
     if (!binding || attempt == 0) {
       tally = new VoteTally();
+    }
+    if (acceptor.held().version().isAfter(adopted.version())) {
       adopted = acceptor.held();
     }
     fetching = Version.NONE;
@@ -270,11 +273,6 @@
     if (phase == Phase.IDLE || message.epoch() != epoch) {
       return Optional.empty();
     }
-    if (phase == Phase.INTENT) {
-      acceptor.receive(message.deltas(), Version.NONE);
-      adopted = acceptor.held();
-      return evaluate();
-    }
     FleetState state = adopted;
     for (StateDelta delta : message.deltas()) {
       Either<Violation, FleetState> result = context.shared().apply(delta, state);
--- a/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
@@ -199,8 +199,10 @@
     election.quiet();
     children.deliveryDue();
     reports.due();
-    if (!fromParent || !track.leader().equals(before)) {
+    if (!track.leader().equals(before)) {
       parentLink.reconsider();
+    } else if (!fromParent) {
+      parentLink.announced(delivery.leader());
     }
   }
 
--- a/umberpath-control/src/main/java/io/umberpath/control/LeaderTrack.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/LeaderTrack.java
@@ -11,6 +11,7 @@
   private final NodeContext context;
   private Round round = Round.NONE;
   private long heardAt;
+  private long steadySince;
   private PeerAddress leader;
   private int leaderSlot;
   private List<Integer> readers = List.of();
@@ -24,6 +25,9 @@
     if (!delivery.round().newerThan(round)) {
       return false;
     }
+    if (context.now() - heardAt > context.settings().parentStallMillis()) {
+      steadySince = context.now();
+    }
     round = delivery.round();
     heardAt = context.now();
     leader = delivery.leader();
@@ -46,6 +50,14 @@
     return heardAt;
   }
 
+  /**
+   * Whether rounds come at their own pace. Rounds that were held up and arrive in a burst, for
+   * example after this process was paused, tell nothing of the present.
+   */
+  boolean isSteady() {
+    return heardAt - steadySince >= context.settings().heartbeatMillis() / 2;
+  }
+
   Optional<PeerAddress> leader() {
     return Optional.ofNullable(leader);
   }
--- a/umberpath-control/src/main/java/io/umberpath/control/Leadership.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Leadership.java
@@ -86,7 +86,7 @@
     decider.beginTerm(epoch);
     FleetState found = victory.state();
     if (victory.verdict() == VoteVerdict.QUORUM) {
-      propose(Proposals.again(found, epoch), found);
+      propose(Proposals.again(found, epoch, victory.tally().settles(found)), found);
     } else {
       RosterStep step = Membership.reformed(found, victory.tally());
       propose(Proposals.reformed(found, epoch, step), found);
@@ -199,7 +199,7 @@
       }
     }
     reachable = heard;
-    if (isQuorumOfBoth(heard)) {
+    if (isHeardByQuorum(heard)) {
       quorumAt = context.now();
     }
     joins = reports.joins();
@@ -210,6 +210,11 @@
     }
   }
 
+  private boolean isHeardByQuorum(RoaringBitmap heard) {
+    RosterView view = context.view(acceptor.held().roster());
+    return isCommitted() ? context.quorum().isQuorum(view, heard) : isQuorumOfBoth(heard);
+  }
+
   private boolean isQuorumOfBoth(RoaringBitmap slots) {
     FleetState state = acceptor.held();
     RoaringBitmap common = RoaringBitmap.and(slots, context.view(state.roster()).slots());
--- a/umberpath-control/src/main/java/io/umberpath/control/ParentLink.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/ParentLink.java
@@ -89,6 +89,15 @@
     nextAttemptAt = Math.min(nextAttemptAt, context.now() + jitter);
   }
 
+  /** The leader announced itself; it takes this node if nobody better does. */
+  void announced(PeerAddress leader) {
+    boolean lacking = parent == null || context.now() - parentHeardAt >= stall() / 2;
+    if (enabled && lacking && attempt > 0 && !redirects.contains(leader)) {
+      redirects.addFirst(leader);
+      nextAttemptAt = context.now();
+    }
+  }
+
   private void searchSoon() {
     attempt = 0;
     redirectsFollowed = 0;
@@ -123,7 +132,8 @@
       return;
     }
     for (PeerAddress candidate : candidates) {
-      if (!candidate.equals(context.address()) && redirects.size() < MAX_REDIRECTS) {
+      boolean useful = !candidate.equals(context.address()) && !candidate.equals(parent);
+      if (useful && redirects.size() < MAX_REDIRECTS) {
         redirects.add(candidate);
       }
     }
@@ -207,9 +217,10 @@
 
   private Optional<PeerAddress> next() {
     PeerAddress redirect = redirects.pollFirst();
-    if (redirect != null && !redirect.equals(parent)) {
-      return Optional.of(redirect);
+    if (redirect != null) {
+      return Optional.of(redirect).filter(peer -> !peer.equals(parent));
     }
+    redirectsFollowed = 0;
     if (parent == null || roundIsStale()) {
       return choice.candidate(attempt).filter(peer -> !peer.equals(parent));
     }
--- a/umberpath-control/src/main/java/io/umberpath/control/PlatformReading.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/PlatformReading.java
@@ -27,7 +27,7 @@
     ControlSettings settings = context.settings();
     if (track.round().number() > 0
         && context.now() - track.heardAt() < ReaderNaming.permissionMillis(settings)) {
-      return track.readers().contains(acceptor.slot());
+      return track.isSteady() && track.readers().contains(acceptor.slot());
     }
     return isStandIn();
   }
--- a/umberpath-control/src/main/java/io/umberpath/control/Proposals.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Proposals.java
@@ -13,9 +13,13 @@
 final class Proposals {
   private Proposals() {}
 
-  /** The state found by a new leader, unchanged but for its version. */
-  static StateDelta again(FleetState state, long epoch) {
-    RosterBasis basis = state.changesRoster() ? RosterBasis.KEPT : RosterBasis.SETTLED;
+  /**
+   * The state found by a new leader, unchanged but for its version.
+   *
+   * @param settled whether its roster is known to be committed, so that the former one is done with
+   */
+  static StateDelta again(FleetState state, long epoch, boolean settled) {
+    RosterBasis basis = settled ? RosterBasis.SETTLED : RosterBasis.KEPT;
     return hashed(draft(state, epoch, RosterStep.NONE, basis, null, 0), state);
   }
 
--- a/umberpath-control/src/main/java/io/umberpath/control/ReaderNaming.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/ReaderNaming.java
@@ -58,7 +58,7 @@
   }
 
   private long endMillis() {
-    return permissionMillis(context.settings()) + context.settings().heartbeatMillis();
+    return permissionMillis(context.settings()) + context.settings().parentStallMillis();
   }
 
   /** The readers for the next round. */
--- a/umberpath-control/src/main/java/io/umberpath/control/VoteRelay.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/VoteRelay.java
@@ -6,23 +6,28 @@
 import io.umberpath.model.Member;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Version;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 
 /**
- * Answers requests for votes for this node and its subtree. The newest request of each kind is
+ * Answers requests for votes for this node and its subtree. The newest request of each candidate is
  * passed to the children once; their answers are merged and handed to everyone who asked.
  */
 final class VoteRelay {
   private static final long COALESCE_MILLIS = 20;
   private static final int MAX_REQUESTERS = 64;
+  private static final int MAX_POLLS = 8;
 
   private final NodeContext context;
   private final Acceptor acceptor;
   private final LeaderTrack track;
   private final Children children;
-  private Poll intent;
-  private Poll binding;
+  private final Map<Key, Poll> polls = new LinkedHashMap<>();
+
+  /** One request at a time is remembered of each candidate and kind. */
+  private record Key(boolean binding, PeerAddress candidate) {}
 
   /** One request and what is known of its votes. */
   private static final class Poll {
@@ -51,7 +56,8 @@
    * @return whether this node granted
    */
   boolean request(PeerAddress from, VoteRequest request, boolean leads) {
-    Poll poll = request.binding() ? binding : intent;
+    Key key = new Key(request.binding(), request.candidate().address());
+    Poll poll = polls.get(key);
     if (poll != null && poll.request.equals(request)) {
       if (poll.requesters.size() < MAX_REQUESTERS) {
         poll.requesters.add(from);
@@ -66,11 +72,7 @@
     if (granted) {
       grant(poll.tally);
     }
-    if (request.binding()) {
-      binding = poll;
-    } else {
-      intent = poll;
-    }
+    remember(key, poll);
     for (PeerAddress child : children.addresses()) {
       if (!child.equals(from) && !child.equals(request.candidate().address())) {
         poll.expected.add(child);
@@ -81,6 +83,14 @@
     return granted;
   }
 
+  private void remember(Key key, Poll poll) {
+    polls.remove(key);
+    polls.put(key, poll);
+    if (polls.size() > MAX_POLLS) {
+      polls.remove(polls.keySet().iterator().next());
+    }
+  }
+
   private boolean grants(VoteRequest request, boolean leads) {
     if (request.binding()) {
       return acceptor.promise(request.epoch(), request.candidate());
@@ -91,6 +101,7 @@
 
   /** Adds this node's own vote. */
   void grant(VoteTally tally) {
+    tally.committed(acceptor.committedKnown());
     Version held = acceptor.held().version();
     if (acceptor.isMember()) {
       tally.add(new HeldGroup(held, context.address(), SlotSet.of(acceptor.slot())));
@@ -104,14 +115,15 @@
 
   /** Takes a child's answer; answers to other requests are ignored. */
   void answer(PeerAddress from, VoteAnswer answer) {
-    Poll poll = answer.binding() ? binding : intent;
+    Poll poll = polls.get(new Key(answer.binding(), answer.candidate()));
     if (poll != null
         && poll.request.epoch() == answer.epoch()
-        && poll.request.attempt() == answer.attempt()
-        && poll.request.candidate().address().equals(answer.candidate())) {
-      poll.tally.add(answer);
-      poll.expected.remove(from);
-      due(poll);
+        && poll.request.attempt() == answer.attempt()) {
+      boolean changed = poll.tally.add(answer);
+      changed |= poll.expected.remove(from);
+      if (changed) {
+        due(poll);
+      }
     }
   }
 
@@ -122,12 +134,11 @@
 
   /** Sends the answers that are due. */
   void flush() {
-    flush(intent);
-    flush(binding);
+    polls.values().forEach(this::flush);
   }
 
   private void flush(Poll poll) {
-    if (poll == null || context.now() < poll.dueAt) {
+    if (context.now() < poll.dueAt) {
       return;
     }
     poll.dueAt = Long.MAX_VALUE;
@@ -139,6 +150,7 @@
             request.candidate().address(),
             request.attempt(),
             poll.tally.promised(),
+            poll.tally.committed(),
             poll.tally.groups(),
             java.util.List.copyOf(poll.tally.fresh().values()));
     poll.requesters.forEach(requester -> context.send(requester, answer));
@@ -146,7 +158,10 @@
 
   /** When {@link #flush} is due. */
   long nextAt() {
-    long first = intent == null ? Long.MAX_VALUE : intent.dueAt;
-    return binding == null ? first : Math.min(first, binding.dueAt);
+    long next = Long.MAX_VALUE;
+    for (Poll poll : polls.values()) {
+      next = Math.min(next, poll.dueAt);
+    }
+    return next;
   }
 }
--- a/umberpath-control/src/main/java/io/umberpath/control/VoteTally.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/VoteTally.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.control.ControlMessage.HeldGroup;
 import io.umberpath.control.ControlMessage.VoteAnswer;
+import io.umberpath.model.FleetState;
 import io.umberpath.model.Member;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Version;
@@ -19,16 +20,29 @@
   private final TreeMap<PeerAddress, Member> fresh = new TreeMap<>();
   private final RoaringBitmap granted = new RoaringBitmap();
   private long promised;
+  private Version committed = Version.NONE;
 
   private static final class Holders {
     private final List<PeerAddress> addresses = new ArrayList<>();
     private final RoaringBitmap slots = new RoaringBitmap();
   }
 
-  void add(VoteAnswer answer) {
+  /** Merges an answer; returns whether it said anything new. */
+  boolean add(VoteAnswer answer) {
+    int slotsBefore = granted.getCardinality();
+    int freshBefore = fresh.size();
+    int heldBefore = byHeld.size();
+    long promisedBefore = promised;
+    Version committedBefore = committed;
     answer.groups().forEach(this::add);
     answer.fresh().forEach(this::addFresh);
     promised = Math.max(promised, answer.promised());
+    committed(answer.committed());
+    return slotsBefore != granted.getCardinality()
+        || freshBefore != fresh.size()
+        || heldBefore != byHeld.size()
+        || promisedBefore != promised
+        || !committedBefore.equals(committed);
   }
 
   void add(HeldGroup group) {
@@ -53,6 +67,22 @@
     promised = Math.max(promised, epoch);
   }
 
+  /** Newest version that anyone who granted knows to be committed. */
+  Version committed() {
+    return committed;
+  }
+
+  void committed(Version version) {
+    if (version != null && version.isAfter(committed)) {
+      committed = version;
+    }
+  }
+
+  /** Whether the roster of a state alone decides: it is settled or known to be committed. */
+  boolean settles(FleetState state) {
+    return !state.changesRoster() || state.version().equals(committed);
+  }
+
   /** Slots that granted; not to be changed. */
   RoaringBitmap granted() {
     return granted;
--- a/umberpath-control/src/main/java/io/umberpath/control/VoteVerdict.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/VoteVerdict.java
@@ -11,7 +11,7 @@
 enum VoteVerdict {
   /** Nothing yet. */
   INSUFFICIENT,
-  /** A quorum of the state's roster, and of its previous roster, granted. */
+  /** A quorum of the state's roster, and of its previous roster while that may decide, granted. */
   QUORUM,
   /**
    * Every member is accounted for: it granted, is certainly gone, or is given up by an operator.
@@ -32,13 +32,13 @@
       int seen = tally.fresh().size() + acceptedLoss.size();
       return seen >= context.settings().initialMembers() ? NEW_FLEET : INSUFFICIENT;
     }
-    if (isQuorum(context, state.roster(), tally)
-        && isQuorum(context, state.previousRoster(), tally)) {
+    Roster previous = tally.settles(state) ? state.roster() : state.previousRoster();
+    if (isQuorum(context, state.roster(), tally) && isQuorum(context, previous, tally)) {
       return QUORUM;
     }
     boolean accounted =
         isAccounted(state.roster(), tally, acceptedLoss)
-            && isAccounted(state.previousRoster(), tally, acceptedLoss);
+            && isAccounted(previous, tally, acceptedLoss);
     return accounted ? FULL_ACCOUNT : INSUFFICIENT;
   }
 
