--- a/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
@@ -1,6 +1,7 @@
 package io.umberpath.lab;
 
 import io.umberpath.lab.backend.BackendCommand;
+import io.umberpath.lab.bench.BenchCommand;
 import io.umberpath.lab.demo.DemoCommand;
 import io.umberpath.lab.platform.PlatformCommand;
 import io.umberpath.lab.simulate.ReplayCommand;
@@ -14,6 +15,7 @@
   private static final List<Command> COMMANDS =
       List.of(
           new DemoCommand(),
+          new BenchCommand(),
           new SimulateCommand(),
           new ReplayCommand(),
           new PlatformCommand(),
--- a/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendExchange.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendExchange.java
@@ -113,7 +113,7 @@
   private void runIfReady() {
     if (hasSlot && bodyWhole && !started && !ended) {
       started = true;
-      backend.ledger().begin(kind, requestId);
+      backend.begin(kind, requestId);
       backend.later(backend.nextServiceMicros(kind, connection), this::finish);
     }
   }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendStandIn.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendStandIn.java
@@ -22,6 +22,8 @@
   private final ScheduledExecutorService timer;
   private final long startedMillis = nowMillis();
   private volatile boolean draining;
+  private volatile double slowdown = 1;
+  private volatile long lastBegunNanos = System.nanoTime();
 
   private BackendStandIn(String host, int port, BackendSettings settings, RunLedger ledger) {
     this.settings = settings;
@@ -78,6 +80,16 @@
     signal.distort(mode, lagMillis);
   }
 
+  /** Makes every service time so many times as long. */
+  public void setSlowdown(double newSlowdown) {
+    slowdown = newSlowdown;
+  }
+
+  /** When a request last began to run here, on the clock of {@link System#nanoTime}. */
+  public long lastBegunNanos() {
+    return lastBegunNanos;
+  }
+
   /** Requests that have a slot. */
   public int running() {
     return slots.running();
@@ -112,11 +124,17 @@
   }
 
   long nextServiceMicros(RequestKind kind, Connection<?> connection) {
-    long micros = serviceTimes.nextMicros(kind, nowMillis() - startedMillis);
+    long unscaled = serviceTimes.nextMicros(kind, nowMillis() - startedMillis);
+    long micros = Math.round(unscaled * slowdown);
     boolean fresh = connections.isFirstUse(connection);
     return fresh ? micros + TimeUnit.MILLISECONDS.toMicros(settings.openMillis()) : micros;
   }
 
+  void begin(RequestKind kind, String requestId) {
+    lastBegunNanos = System.nanoTime();
+    ledger.begin(kind, requestId);
+  }
+
   void later(long micros, Runnable task) {
     try {
       timer.schedule(task, micros, TimeUnit.MICROSECONDS);
--- a/umberpath-lab/src/main/java/io/umberpath/lab/backend/RunLedger.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/backend/RunLedger.java
@@ -58,7 +58,15 @@
 
   /** Runs beyond the first of requests that must run at most once. */
   public long doubleRuns() {
-    return oneTimeRuns.values().stream().mapToLong(count -> count - 1L).sum();
+    return doubleRuns("");
+  }
+
+  /** As {@link #doubleRuns()}, for requests whose ids begin with the prefix. */
+  public long doubleRuns(String prefix) {
+    return oneTimeRuns.entrySet().stream()
+        .filter(entry -> entry.getKey().startsWith(prefix))
+        .mapToLong(entry -> entry.getValue() - 1L)
+        .sum();
   }
 
   /** Uploads that arrived in part. */
--- a/umberpath-lab/src/main/java/io/umberpath/lab/cluster/LocalCluster.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/cluster/LocalCluster.java
@@ -1,5 +1,7 @@
 package io.umberpath.lab.cluster;
 
+import com.google.common.io.MoreFiles;
+import com.google.common.io.RecursiveDeleteOption;
 import io.umberpath.lab.backend.BackendSettings;
 import io.umberpath.lab.backend.BackendStandIn;
 import io.umberpath.lab.backend.RunLedger;
@@ -10,6 +12,7 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -26,6 +29,7 @@
   private static final List<String> JAVA_OPTIONS =
       List.of("-XX:+UseSerialGC", "-Xmx96m", "-Xss512k", "-XX:TieredStopAtLevel=1");
   private static final long STOP_SECONDS = 60;
+  private static final Duration BOUND = Duration.ofMinutes(3);
 
   private final DeploymentProfile profile;
   private final LoopbackNetwork network;
@@ -128,6 +132,29 @@
         Ports.HOP);
   }
 
+  /** Waits until every node says that all of them are members of one fleet. */
+  public void awaitFormed(VersionWatch watch) throws Exception {
+    Conditions.await(
+        "fleet of " + nodes.size(),
+        BOUND,
+        () -> {
+          watch.poll();
+          return nodes.stream().allMatch(node -> isMember(watch.of(node.spec())));
+        });
+  }
+
+  private boolean isMember(VersionWatch.Seen seen) {
+    return seen.report().filter(report -> report.members() == nodes.size()).isPresent();
+  }
+
+  /** Waits until every node says that it is ready. */
+  public void awaitReady() throws Exception {
+    AdminClient admin = new AdminClient();
+    for (NodeHandle node : nodes) {
+      Conditions.await(node.spec().name() + " ready", BOUND, () -> admin.isReady(node.spec()));
+    }
+  }
+
   /** The deployment it is. */
   public DeploymentProfile profile() {
     return profile;
@@ -163,6 +190,13 @@
     return directory;
   }
 
+  /**
+   * Removes {@link #directory}, which otherwise stays for inspection; call it after the nodes end.
+   */
+  public void deleteFiles() throws IOException {
+    MoreFiles.deleteRecursively(directory, RecursiveDeleteOption.ALLOW_INSECURE);
+  }
+
   /** Callers' URLs, one per zone. */
   public List<URI> edges() {
     return nodes.stream()
--- a/umberpath-lab/src/main/java/io/umberpath/lab/cluster/OperatorClient.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/cluster/OperatorClient.java
@@ -7,6 +7,7 @@
 import io.grpc.stub.MetadataUtils;
 import io.umberpath.api.v1.ApplyRequest;
 import io.umberpath.api.v1.ConfigurationGrpc;
+import io.umberpath.api.v1.DrainRequest;
 import io.umberpath.api.v1.FleetStatusRequest;
 import io.umberpath.api.v1.FleetStatusResponse;
 import io.umberpath.api.v1.Version;
@@ -51,6 +52,17 @@
     return within(timeout).fleetStatus(FleetStatusRequest.getDefaultInstance());
   }
 
+  /** Starts or ends the draining of a back end; returns once that is accepted. */
+  public Version drain(String requestId, String backendId, boolean draining, Duration timeout) {
+    DrainRequest request =
+        DrainRequest.newBuilder()
+            .setRequestId(requestId)
+            .setBackendId(backendId)
+            .setDraining(draining)
+            .build();
+    return within(timeout).drain(request).getVersion();
+  }
+
   private ConfigurationGrpc.ConfigurationBlockingStub within(Duration timeout) {
     return stub.withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
   }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/demo/DemoCommand.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/demo/DemoCommand.java
@@ -38,6 +38,9 @@
           profile, found.get().backends(), cluster.nodes().size(), cluster.directory());
       boolean held = new DemoRun(cluster, out).run(once);
       out.println(held ? "demo: every statement was true" : "demo: a statement was FALSE");
+      if (held) {
+        cluster.deleteFiles();
+      }
       return held ? EXIT_SUCCESS : EXIT_FAILED;
     }
   }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/demo/DemoRun.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/demo/DemoRun.java
@@ -1,7 +1,5 @@
 package io.umberpath.lab.demo;
 
-import io.grpc.Status;
-import io.grpc.StatusRuntimeException;
 import io.umberpath.api.v1.ApplyRequest;
 import io.umberpath.lab.caller.CallMix;
 import io.umberpath.lab.caller.CallOutcome;
@@ -9,12 +7,11 @@
 import io.umberpath.lab.caller.CallerSettings;
 import io.umberpath.lab.caller.OpenLoopCaller;
 import io.umberpath.lab.caller.RunAudit;
-import io.umberpath.lab.cluster.AdminClient;
 import io.umberpath.lab.cluster.Changes;
 import io.umberpath.lab.cluster.Conditions;
+import io.umberpath.lab.cluster.FleetOperator;
 import io.umberpath.lab.cluster.LocalCluster;
 import io.umberpath.lab.cluster.NodeHandle;
-import io.umberpath.lab.cluster.OperatorClient;
 import io.umberpath.lab.cluster.VersionWatch;
 import io.umberpath.lab.workload.RequestKind;
 import io.umberpath.model.Version;
@@ -27,7 +24,6 @@
 /** One pass through the demonstration. Waits for conditions under one generous bound. */
 final class DemoRun {
   private static final Duration BOUND = Duration.ofMinutes(3);
-  private static final Duration CALL_BOUND = Duration.ofSeconds(20);
   private static final Duration PATIENCE = Duration.ofSeconds(30);
   private static final double RATE_PER_SECOND = 120;
   private static final long CALLS_PER_STAGE = 400;
@@ -74,33 +70,16 @@
   }
 
   private void awaitFleet() throws Exception {
-    int members = cluster.nodes().size();
-    out.printf("waiting until %d nodes form one fleet%n", members);
+    out.printf("waiting until %d nodes form one fleet%n", cluster.nodes().size());
     long start = System.nanoTime();
-    Conditions.await(
-        "fleet of " + members,
-        BOUND,
-        () -> {
-          watch.poll();
-          return cluster.nodes().stream()
-              .allMatch(
-                  node ->
-                      watch
-                          .of(node.spec())
-                          .report()
-                          .filter(report -> report.members() == members)
-                          .isPresent());
-        });
+    cluster.awaitFormed(watch);
     out.printf("formed after %d ms%n", millisSince(start));
   }
 
   private Version firstChange() throws Exception {
     out.println("applying routes, pools and a secret by gRPC");
     Version version = apply(Changes.everything(cluster.profile(), "first"));
-    AdminClient admin = new AdminClient();
-    for (NodeHandle node : cluster.nodes()) {
-      Conditions.await(node.spec().name() + " ready", BOUND, () -> admin.isReady(node.spec()));
-    }
+    cluster.awaitReady();
     watch.poll();
     statements.claim(watch.allRun(version), "every node runs the first change", "" + version);
     return version;
@@ -117,49 +96,19 @@
     return version;
   }
 
-  /** Applies through one node, waits through another; repeats while the outcome is unknown. */
   private Version apply(ApplyRequest change) throws Exception {
-    long start = System.nanoTime();
-    io.umberpath.api.v1.Version[] accepted = new io.umberpath.api.v1.Version[1];
-    Conditions.await("change " + change.getRequestId(), BOUND, () -> tryApply(change, accepted));
-    long acceptedMillis = millisSince(start);
-    Conditions.await("version in force", BOUND, () -> tryWait(accepted[0]));
-    Version version = new Version(accepted[0].getEpoch(), accepted[0].getSequence());
-    out.printf(
-        "  change %s accepted as %s after %d ms, in force on every node after %d ms%n",
-        change.getRequestId(), version, acceptedMillis, millisSince(start));
-    return version;
-  }
-
-  private boolean tryApply(ApplyRequest change, io.umberpath.api.v1.Version[] accepted) {
-    try (OperatorClient operator = cluster.operator(cluster.backendNode(0))) {
-      accepted[0] = operator.apply(change, CALL_BOUND);
-      return true;
-    } catch (StatusRuntimeException failure) {
-      return repeatOrThrow(failure);
-    }
-  }
-
-  private boolean tryWait(io.umberpath.api.v1.Version version) {
-    try (OperatorClient operator = cluster.operator(cluster.nodes().get(0))) {
-      operator.await(version, CALL_BOUND);
-      return true;
-    } catch (StatusRuntimeException failure) {
-      return repeatOrThrow(failure);
-    }
-  }
-
-  private static boolean repeatOrThrow(StatusRuntimeException failure) {
-    List<Status.Code> passing =
-        List.of(
-            Status.Code.UNAVAILABLE,
-            Status.Code.UNKNOWN,
-            Status.Code.DEADLINE_EXCEEDED,
-            Status.Code.RESOURCE_EXHAUSTED);
-    if (!passing.contains(failure.getStatus().getCode())) {
-      throw failure;
+    NodeHandle applyThrough = cluster.backendNode(0);
+    NodeHandle waitThrough = cluster.nodes().get(0);
+    try (FleetOperator operator = new FleetOperator(cluster, applyThrough, waitThrough)) {
+      FleetOperator.Applied applied = operator.apply(change);
+      out.printf(
+          "  change %s accepted as %s after %d ms, in force on every node after %d ms%n",
+          change.getRequestId(),
+          applied.version(),
+          TimeUnit.MICROSECONDS.toMillis(applied.acceptedMicros()),
+          TimeUnit.MICROSECONDS.toMillis(applied.inForceMicros()));
+      return applied.version();
     }
-    return false;
   }
 
   private CallerSettings callers() {
