Traffic: registrars count their membership by confirmed configurations

Cause: the first rule (a member since it learnt so, heard from the fleet lately) was unsafe in two cases found on paper: a part of the fleet that hears the platform starts its new registrars' time before the rest has switched; and a node that left and rejoined a group between two confirmations.

Change: RequestIdRegistrar.configured(number, pools) and confirmed(askedMillis, number) in place of memberOf and confirmed(now): time counts from the first confirmation by the leader, a skipped configuration starts it anew, confirmations count from when the node asked.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/requestid/RequestIdRegistrar.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/requestid/RequestIdRegistrar.java
@@ -14,13 +14,18 @@
 /**
  * One member of registrar groups. Owner synchronizes.
  *
- * <p>It abstains while it cannot know the past: for the retention time after it became a member of
- * a group, as after each start, and while its membership is not confirmed by the fleet.
+ * <p>It abstains while it cannot know the past: for the retention time after the fleet first
+ * confirmed that it is a member of a group, as after each start, and while it has not heard for a
+ * while that its configuration is the fleet's current one.
  */
 public final class RequestIdRegistrar {
+  private static final long NO_CONFIGURATION = -1;
+
   private final RequestIdSettings settings;
   private final RequestIdTable table;
   private final Map<String, Long> memberSinceMillis = new HashMap<>();
+  private Set<String> pools = Set.of();
+  private long configuration = NO_CONFIGURATION;
   private long confirmedMillis;
   private boolean confirmed;
 
@@ -31,21 +36,39 @@
   }
 
   /**
-   * The node's configuration names it a registrar of these pools. Call it at each switch.
+   * The node has taken a configuration. Configurations are numbered one by one: if a number is left
+   * out, the node may have been out of its groups meanwhile and counts as a new member.
    *
-   * @param pools all pools whose group it belongs to
+   * @param number number of the configuration; not above the current one changes nothing
+   * @param memberOf all pools whose group it belongs to in it
    */
-  public void memberOf(long nowMillis, Set<String> pools) {
-    memberSinceMillis.keySet().retainAll(pools);
-    for (String pool : pools) {
-      memberSinceMillis.putIfAbsent(pool, nowMillis);
+  public void configured(long number, Set<String> memberOf) {
+    if (number <= configuration) {
+      return;
     }
+    if (number > configuration + 1) {
+      memberSinceMillis.clear();
+    }
+    configuration = number;
+    pools = Set.copyOf(memberOf);
+    memberSinceMillis.keySet().retainAll(pools);
   }
 
-  /** The node heard from the fleet's leader that its configuration is the current one. */
-  public void confirmed(long nowMillis) {
+  /**
+   * The fleet's leader, backed by a quorum, said that a configuration is the current one.
+   *
+   * @param askedMillis when this node asked, not when the answer came: an answer may be late
+   * @param number the current configuration; ignored if this node has another
+   */
+  public void confirmed(long askedMillis, long number) {
+    if (number != configuration) {
+      return;
+    }
+    confirmedMillis = confirmed ? Math.max(confirmedMillis, askedMillis) : askedMillis;
     confirmed = true;
-    confirmedMillis = nowMillis;
+    for (String pool : pools) {
+      memberSinceMillis.putIfAbsent(pool, askedMillis);
+    }
   }
 
   /** Handles a message to a registrar; a reply is empty for what needs none. */
