--- a/umberpath-node/src/main/java/io/umberpath/node/operator/OperatorServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/OperatorServer.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.operator;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.net.InetAddresses;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import io.grpc.InsecureServerCredentials;
 import io.grpc.Server;
@@ -86,6 +87,13 @@
         .with(LogFields.EVENT, "operator-port-open")
         .with(LogFields.ADDRESS, host + ":" + port())
         .log("operators' port open");
+    if (!InetAddresses.forString(host).isLoopbackAddress()) {
+      logger
+          .atWarning()
+          .with(LogFields.EVENT, "operator-port-plain-text")
+          .with(LogFields.ADDRESS, host + ":" + port())
+          .log("tokens and secrets cross the network in plain text");
+    }
   }
 
   /** The port it listens on; -1 before it is started. */
