Settings: a fleet that forms with one member and has other seeds is refused

Cause: a roster change needs slots common to both rosters that are a quorum of each; one of two is none, so a fleet of one can never admit a second member. Found on real sockets: the roster stayed at 1 for minutes. Ruled out: letting a joiner's own slot count, which gives up the rule that a process without a committed seat holds nothing. Change: initialMembers 1 with a seed other than the node itself is a settings error. Measured: aFleetOfOneHasNoOtherSeed failed for the other seed before, passes after.

--- a/umberpath-node/src/main/java/io/umberpath/node/settings/SettingsReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/SettingsReader.java
@@ -81,10 +81,15 @@
     if (maxChildren < fanout) {
       fleet.problem("maxChildren", "must be at least fanout");
     }
+    int initialMembers = (int) fleet.integer("initialMembers", 1, MAX_MEMBERS);
+    if (initialMembers == 1 && hasOtherSeed(identity)) {
+      fleet.problem(
+          "initialMembers", "must be at least 2 with other seeds: a fleet of one cannot grow");
+    }
     return new ControlSettings(
         identity.self(),
         identity.seeds(),
-        (int) fleet.integer("initialMembers", 1, MAX_MEMBERS),
+        initialMembers,
         fleet.choice(
             "quorum", ControlSettings.QuorumRule.class, ControlSettings.QuorumRule.MAJORITY),
         fleet.durationMillis("batchWindow", 0, MINUTE_MILLIS, 20),
@@ -99,6 +104,11 @@
         fleet.smallInteger("rememberedChanges", 1, 1_000_000, 10_000));
   }
 
+  private static boolean hasOtherSeed(Identity identity) {
+    PeerAddress self = identity.self().address();
+    return identity.seeds().stream().anyMatch(seed -> !seed.equals(self));
+  }
+
   private static NodeSettings.Proxy proxy(MappingReader proxy, String nodeHost) {
     return new NodeSettings.Proxy(
         host(proxy, nodeHost),
--- a/umberpath-node/src/test/java/io/umberpath/node/settings/SettingsLoaderTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/settings/SettingsLoaderTest.java
@@ -36,6 +36,17 @@
     return SettingsLoader.parse(MINIMAL, new SettingsOverrides(List.of(override)), 7);
   }
 
+  @ParameterizedTest
+  @CsvSource({"127.0.0.1:7100, true", "127.0.0.1:7101, false"})
+  void aFleetOfOneHasNoOtherSeed(String seed, boolean accepted) {
+    String alone = MINIMAL.replace("initialMembers: 3", "initialMembers: 1");
+    String text = alone.replace("region:", "seeds: ['" + seed + "']\n  region:");
+    var result = parse(text);
+    assertThat(result.isRight()).isEqualTo(accepted);
+    assertThat(accepted || result.getLeft().toString().contains("a fleet of one cannot grow"))
+        .isTrue();
+  }
+
   @Test
   void minimalFileGetsDefaults() {
     NodeSettings settings = parse(MINIMAL).get();
