--- /dev/null
+++ b/umberpath-control/src/test/java/io/umberpath/control/ChangeRaceTest.java
@@ -0,0 +1,179 @@
+package io.umberpath.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.model.ChangeResult;
+import io.umberpath.model.ChangeResult.RefusalCode;
+import io.umberpath.model.ChangeSet;
+import io.umberpath.model.FleetState;
+import io.umberpath.model.Pool;
+import io.umberpath.model.Resource;
+import io.umberpath.model.ResourceKey;
+import io.umberpath.model.ResourceKind;
+import io.umberpath.model.Route;
+import io.umberpath.model.Secret;
+import io.umberpath.model.Tier;
+import io.umberpath.model.Version;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class ChangeRaceTest {
+  private static final ResourceKey P1 = new ResourceKey(ResourceKind.POOL, "p1");
+
+  private static ChangeSet change(
+      String id, String tenant, Optional<Version> expected, List<Resource> upserts) {
+    return new ChangeSet(id, tenant, Tier.BASIC, expected, upserts, List.of(), List.of());
+  }
+
+  private static Pool pool(String name, String tenant) {
+    return new Pool(name, tenant, Tier.BASIC, "booking", 1, 1);
+  }
+
+  private static Route route(String pool, Optional<String> secret, String tenant) {
+    return new Route("r", tenant, Tier.BASIC, "*", "/", pool, secret, Set.of(), 100);
+  }
+
+  static Stream<Arguments> refused() {
+    return Stream.of(
+        Arguments.of(
+            "dangling pool",
+            change("c", "t1", Optional.empty(), List.of(route("nope", Optional.empty(), "t1"))),
+            RefusalCode.INVALID,
+            "routes[r].pool"),
+        Arguments.of(
+            "pool still in use",
+            new ChangeSet(
+                "c", "t1", Tier.BASIC, Optional.empty(), List.of(), List.of(P1), List.of()),
+            RefusalCode.INVALID,
+            "routes[r1].pool"),
+        Arguments.of(
+            "another tenant's pool",
+            change("c", "t2", Optional.empty(), List.of(pool("p1", "t2"))),
+            RefusalCode.CONFLICT,
+            "upserts[0].name"),
+        Arguments.of(
+            "another tenant's secret",
+            change(
+                "c",
+                "t2",
+                Optional.empty(),
+                List.of(pool("p2", "t2"), route("p2", Optional.of("s1"), "t2"))),
+            RefusalCode.CONFLICT,
+            "upserts[1].secret"),
+        Arguments.of(
+            "stale expected version",
+            change("c", "t1", Optional.of(new Version(0, 7)), List.of(pool("p3", "t1"))),
+            RefusalCode.CONFLICT,
+            "expected_version"),
+        Arguments.of(
+            "request id of another change in the batch",
+            change("first", "t1", Optional.empty(), List.of(pool("other", "t1"))),
+            RefusalCode.REQUEST_ID_REUSED,
+            "request_id"));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("refused")
+  void onlyTheOffendingChangeOfABatchIsRefused(
+      String name, ChangeSet offending, RefusalCode code, String field) {
+    ChangeBatch batch = new ChangeBatch(FleetState.EMPTY, new Version(1, 1));
+    List<Resource> resources =
+        List.of(
+            pool("p1", "t1"),
+            new Secret("s1", "t1", Tier.BASIC, new byte[] {65}),
+            new Route("r1", "t1", Tier.BASIC, "*", "/", "p1", Optional.of("s1"), Set.of(), 9));
+    assertThat(batch.add(change("first", "t1", Optional.empty(), resources))).isEmpty();
+    ChangeResult result = batch.add(offending).orElseThrow();
+    assertThat(result).isInstanceOf(ChangeResult.Refused.class);
+    ChangeResult.Refused refused = (ChangeResult.Refused) result;
+    assertThat(refused.code()).isEqualTo(code);
+    assertThat(refused.violations()).anyMatch(violation -> violation.field().equals(field));
+    ChangeSet last = change("last", "t1", Optional.empty(), List.of(pool("p9", "t1")));
+    assertThat(batch.add(last)).isEmpty();
+    assertThat(batch.upserts()).hasSize(4);
+    assertThat(batch.answers()).hasSize(2);
+  }
+
+  @Test
+  void aRepeatThroughAnotherNodeIsAnsweredLikeTheFirst() {
+    TestFleet fleet = new TestFleet(21, 6, 2);
+    fleet.startAll();
+    assertThat(fleet.runUntil(20_000, fleet::converged)).isNotNegative();
+    long first = fleet.submit(fleet.process(4), TestFleet.pool("same", "p1"));
+    fleet.run(2_000);
+    long repeat = fleet.submit(fleet.process(5), TestFleet.pool("same", "p1"));
+    long reuse = fleet.submit(fleet.process(3), TestFleet.pool("same", "p2"));
+    fleet.run(2_000);
+    assertThat(fleet.answers.get(first)).isInstanceOf(ChangeResult.Accepted.class);
+    assertThat(fleet.answers.get(repeat)).isEqualTo(fleet.answers.get(first));
+    assertThat(((ChangeResult.Refused) fleet.answers.get(reuse)).code())
+        .isEqualTo(RefusalCode.REQUEST_ID_REUSED);
+  }
+
+  @Test
+  void ofTwoChangesThatExpectOneVersionOneWins() {
+    TestFleet fleet = new TestFleet(22, 6, 2);
+    fleet.batchWindow = 50;
+    fleet.startAll();
+    assertThat(fleet.runUntil(20_000, fleet::converged)).isNotNegative();
+    Optional<Version> expected =
+        Optional.of(fleet.leader().orElseThrow().status().committed().version());
+    List<Long> tickets = new ArrayList<>();
+    for (int index = 1; index <= 2; index++) {
+      ChangeSet racing = change("race" + index, "t1", expected, List.of(pool("p" + index, "t1")));
+      tickets.add(fleet.submit(fleet.process(index), racing));
+    }
+    fleet.run(3_000);
+    assertThat(tickets.stream().map(fleet.answers::get))
+        .hasAtLeastOneElementOfType(ChangeResult.Accepted.class)
+        .hasAtLeastOneElementOfType(ChangeResult.Refused.class);
+  }
+
+  @Test
+  void aFullQueueRefusesAndTheLowestTierIsNotStarved() {
+    ChangeQueue queue = new ChangeQueue(200);
+    for (int index = 0; index < 200; index++) {
+      assertThat(queue.offer(entry(Tier.PREMIUM), 0)).isTrue();
+      assertThat(queue.offer(entry(Tier.BASIC), 0)).isTrue();
+    }
+    assertThat(queue.offer(entry(Tier.PREMIUM), 0)).isFalse();
+    assertThat(queue.offer(entry(Tier.STANDARD), 0)).isTrue();
+    List<ChangeQueue.Entry> batch = queue.takeBatch(0);
+    assertThat(batch).hasSize(ChangeQueue.BATCH);
+    assertThat(batch.get(0).change().tier()).isEqualTo(Tier.PREMIUM);
+    assertThat(batch.stream().filter(each -> each.change().tier() == Tier.BASIC))
+        .hasSize(ChangeQueue.BASIC_SHARE);
+    assertThat(batch.stream().filter(each -> each.change().tier() == Tier.STANDARD)).hasSize(1);
+  }
+
+  private static ChangeQueue.Entry entry(Tier tier) {
+    ChangeSet change =
+        new ChangeSet("id", "t1", tier, Optional.empty(), List.of(), List.of(), List.of());
+    return new ChangeQueue.Entry(change, () -> {}, result -> {});
+  }
+
+  @Test
+  void aLateForwardOfARefusedChangeDoesNotRun() {
+    OriginLedger ledger = new OriginLedger();
+    io.umberpath.model.Member origin =
+        new io.umberpath.model.Member(
+            3, new io.umberpath.model.PeerAddress("10.0.0.3", 1), 9, "z", "r");
+    ChangeSet change = TestFleet.pool("r1", "p1");
+    ControlMessage.ForwardChange first = new ControlMessage.ForwardChange(5, origin, 1, 1, change);
+    ControlMessage.ForwardChange second = new ControlMessage.ForwardChange(5, origin, 2, 2, change);
+    assertThat(ledger.arrived(first)).isEqualTo(OriginLedger.Arrival.NEW);
+    ledger.queued(first);
+    assertThat(ledger.arrived(first)).isEqualTo(OriginLedger.Arrival.KNOWN);
+    ledger.decided(first, ChangeDecider.overloaded());
+    assertThat(ledger.arrived(first)).isEqualTo(OriginLedger.Arrival.DECIDED);
+    assertThat(ledger.arrived(second)).isEqualTo(OriginLedger.Arrival.NEW);
+    assertThat(ledger.arrived(first)).isEqualTo(OriginLedger.Arrival.KNOWN);
+  }
+}
