Proxy: overload proved, timer guarded, resumption bound to its pause

Cause: nothing proved more callers than slots; a task that threw would have stopped every deadline; a late resumption of one request's body could have resumed the next request instead. Change: 100 callers make 10,000 calls on 6 slots: each is answered once with its own answer or refused as not run, and the back end's count agrees; timer tasks are guarded; a pause is resumed only by its own context.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Tier;
 import io.umberpath.node.control.ControlService;
@@ -19,6 +20,7 @@
 import io.umberpath.traffic.LoadBalancers;
 import io.umberpath.traffic.RetryPolicies;
 import io.umberpath.traffic.RetrySettings;
+import io.vavr.control.Try;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -36,6 +38,7 @@
  * beside this node. Thread-safe; {@link #start} is called once.
  */
 public final class ProxyServer implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int NO_PORT = -1;
   private static final long TICK_MILLIS = 5;
   private static final long SWEEP_MILLIS = 1_000;
@@ -153,8 +156,8 @@
       hopFilter = new InboundFilter(hop.get(), environment);
       hopPort = listen(settings.hopPort(), hopFilter);
     }
-    timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-    timer.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    every(TICK_MILLIS, this::tick);
+    every(SWEEP_MILLIS, this::sweep);
   }
 
   private int listen(int port, InboundFilter filter) throws IOException {
@@ -162,6 +165,16 @@
     return ((InetSocketAddress) connection.getLocalAddress()).getPort();
   }
 
+  private void every(long millis, Runnable task) {
+    // A task that throws would not be run again, and deadlines would no longer be kept.
+    Runnable guarded = () -> Try.run(task::run).onFailure(ProxyServer::logFault);
+    timer.scheduleWithFixedDelay(guarded, millis, millis, TimeUnit.MILLISECONDS);
+  }
+
+  private static void logFault(Throwable fault) {
+    logger.atSevere().withCause(fault).log("proxy timer task failed");
+  }
+
   private void tick() {
     long now = clockMillis.getAsLong();
     active.expire(now);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -81,7 +81,7 @@
     change(Mode.EXCHANGE);
   }
 
-  /** Stops reading until {@link #resume}. */
+  /** Stops reading until {@link #resume} is called with the same context. */
   NextAction suspend(FilterChainContext context) {
     NextAction action = context.getSuspendAction();
     context.suspend();
@@ -91,16 +91,15 @@
     return action;
   }
 
-  /** Reads on after {@link #suspend}. */
-  void resume() {
-    FilterChainContext context;
+  /** Reads on after {@link #suspend}; nothing if that context goes on already. */
+  void resume(FilterChainContext context) {
     synchronized (this) {
-      context = suspended;
+      if (suspended != context) {
+        return;
+      }
       suspended = null;
     }
-    if (context != null) {
-      context.resume(context.getStopAction());
-    }
+    context.resume(context.getStopAction());
   }
 
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
@@ -65,7 +65,7 @@
       return context.getStopAction();
     }
     NextAction action = caller.suspend(context);
-    exchange.whenBodyWanted(caller::resume);
+    exchange.whenBodyWanted(() -> caller.resume(context));
     return action;
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/SmallHeapNode.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/NodeProcessMain.java
@@ -2,9 +2,9 @@
 
 import java.util.concurrent.CountDownLatch;
 
-/** A process with an edge proxy and a hop proxy, started by a test with a small heap. */
-final class SmallHeapNode {
-  private SmallHeapNode() {}
+/** A process with an edge proxy and a hop proxy, started by a test. */
+final class NodeProcessMain {
+  private NodeProcessMain() {}
 
   /** Runs until killed; prints the edge's port. */
   public static void main(String[] arguments) throws Exception {
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/OverloadTest.java
@@ -0,0 +1,77 @@
+package io.umberpath.node.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** More callers than slots. */
+class OverloadTest {
+  private static final int CALLERS = 100;
+  private static final int CALLS_EACH = 100;
+
+  @Test
+  void answersEachCallOnceAndNeverTellsALieAboutNotRun() throws Exception {
+    AtomicInteger concurrent = new AtomicInteger();
+    AtomicInteger most = new AtomicInteger();
+    ScriptedBackend.Script counting =
+        (backend, connection) -> {
+          for (var request = connection.read(); request != null; request = connection.read()) {
+            most.accumulateAndGet(concurrent.incrementAndGet(), Math::max);
+            backend.ran(request);
+            String body = request.body();
+            concurrent.decrementAndGet();
+            connection.send(
+                "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+          }
+        };
+    AtomicInteger answered = new AtomicInteger();
+    AtomicInteger refused = new AtomicInteger();
+    try (ScriptedBackend backend = new ScriptedBackend(counting);
+        ProxyFixture fixture = new ProxyFixture(backend)) {
+      List<CompletableFuture<Void>> callers = new ArrayList<>();
+      for (int caller = 0; caller < CALLERS; caller++) {
+        int number = caller;
+        callers.add(
+            CompletableFuture.runAsync(
+                () -> call(fixture, number, answered, refused),
+                task -> new Thread(task, "caller").start()));
+      }
+      for (CompletableFuture<Void> caller : callers) {
+        caller.get(60, TimeUnit.SECONDS);
+      }
+      assertThat(answered.get() + refused.get()).isEqualTo(CALLERS * CALLS_EACH);
+      assertThat(backend.runs).hasValue(answered.get());
+      assertThat(answered.get()).isPositive();
+      assertThat(most.get()).isLessThanOrEqualTo(6);
+      assertThat(backend.connections.get()).isLessThanOrEqualTo(130);
+    }
+  }
+
+  private static void call(
+      ProxyFixture fixture, int number, AtomicInteger answered, AtomicInteger refused) {
+    try (RawConnection connection = fixture.connect()) {
+      for (int call = 0; call < CALLS_EACH; call++) {
+        String body = number + "/" + call;
+        connection.send(
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        RawConnection.Message answer = connection.read();
+        if (answer.status() == 200) {
+          assertThat(answer.body()).isEqualTo(body);
+          answered.incrementAndGet();
+        } else {
+          assertThat(answer.header("Umberpath-Verdict")).isEqualTo("not-run; reason=overloaded");
+          assertThat(answer.header("Retry-After")).isNotNull();
+          refused.incrementAndGet();
+        }
+      }
+    } catch (IOException error) {
+      throw new AssertionError(error);
+    }
+  }
+}
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyFixture.java
@@ -24,6 +24,7 @@
   static final long MAX_BODY_BYTES = 200_000_000;
   static final long TIMEOUT_MILLIS = 60_000;
   private static final int SLOTS = 6;
+  private static final int QUEUE = 64;
 
   final FakeControl control = new FakeControl();
   final AtomicLong advancedMillis = new AtomicLong();
@@ -77,7 +78,7 @@
   static NodeSettings.Proxy settings(
       int edgePort, int hopPort, Optional<NodeSettings.Backend> backend) {
     return new NodeSettings.Proxy(
-        "127.0.0.1", edgePort, hopPort, backend, 5_000, MAX_HEADER_BYTES, MAX_BODY_BYTES, 0);
+        "127.0.0.1", edgePort, hopPort, backend, 5_000, MAX_HEADER_BYTES, MAX_BODY_BYTES, QUEUE);
   }
 
   static ProxySnapshot snapshot(long sequence, long timeoutMillis, List<BackendAddress> addresses) {
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/TransferTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/TransferTest.java
@@ -39,7 +39,7 @@
           connection.endsNow();
         };
     try (ScriptedBackend backend = new ScriptedBackend(script)) {
-      Process node = startSmallHeapNode(backend.port());
+      Process node = startNode(backend.port(), SMALL_HEAP_MEGABYTES);
       try (RawConnection caller = new RawConnection(portOf(node))) {
         CompletableFuture<Void> upload =
             CompletableFuture.runAsync(() -> upload(caller, LARGE_BYTES));
@@ -58,21 +58,23 @@
     }
   }
 
-  private static Process startSmallHeapNode(int backendPort) throws IOException {
+  /** Starts a process with an edge proxy and a hop proxy. */
+  static Process startNode(int backendPort, int heapMegabytes) throws IOException {
     return new ProcessBuilder(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx" + SMALL_HEAP_MEGABYTES + "m",
-            "-XX:MaxDirectMemorySize=" + SMALL_HEAP_MEGABYTES + "m",
+            "-Xmx" + heapMegabytes + "m",
+            "-XX:MaxDirectMemorySize=" + heapMegabytes + "m",
             "-XX:+ExitOnOutOfMemoryError",
             "-cp",
             System.getProperty("java.class.path"),
-            SmallHeapNode.class.getName(),
+            NodeProcessMain.class.getName(),
             Integer.toString(backendPort))
         .redirectError(ProcessBuilder.Redirect.INHERIT)
         .start();
   }
 
-  private static int portOf(Process node) throws IOException {
+  /** The port its edge proxy listens on. */
+  static int portOf(Process node) throws IOException {
     BufferedReader output =
         new BufferedReader(new InputStreamReader(node.getInputStream(), StandardCharsets.US_ASCII));
     return Integer.parseInt(output.readLine());
