Proxy: stay away for milliseconds, a retry budget for each tier

Cause: an edge proxy took the time to leave a back end alone from Retry-After, which has whole seconds; a refusal meant for 20 ms emptied the back end for a second. And refusals of low tiers emptied the one retry budget.

Change: refusals between nodes carry Umberpath-Retry-After-Ms; EdgeHandler sheds by it and takes its retry policy by tier.

Tests: BackendMonitorTest.tellsOtherNodesToStayAwayInMilliseconds.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -6,6 +6,7 @@
 import io.umberpath.model.ProxySnapshot;
 import io.umberpath.model.Route;
 import io.umberpath.model.Secret;
+import io.umberpath.model.Tier;
 import io.umberpath.model.Verdict;
 import io.umberpath.node.control.ControlService;
 import io.umberpath.node.proxy.http.ProxyHeaders;
@@ -38,12 +39,10 @@
 final class EdgeHandler implements RequestHandler {
   private record CachedTable(ProxySnapshot snapshot, RouteTable table) {}
 
-  private static final long MILLIS_PER_SECOND = 1_000;
-
   private final ControlService control;
   private final OriginManager origins;
   private final LoadBalancer balancer;
-  private final RetryPolicy retries;
+  private final Map<Tier, RetryPolicy> retries;
   private final LongSupplier clockMillis;
   private final String idPrefix;
   private final AtomicLong lastId = new AtomicLong();
@@ -55,7 +54,7 @@
       ControlService control,
       OriginManager origins,
       LoadBalancer balancer,
-      RetryPolicy retries,
+      Map<Tier, RetryPolicy> retries,
       LongSupplier clockMillis) {
     this.control = control;
     this.origins = origins;
@@ -113,8 +112,9 @@
       return Either.left(Refusal.notRun(Verdict.Reason.DEADLINE));
     }
     RequestPlan plan = plan(head, snapshot, route.get(), nowMillis + timeout);
-    synchronized (retries) {
-      retries.requestStarted(nowMillis, plan.chain());
+    RetryPolicy policy = retries.get(plan.tier());
+    synchronized (policy) {
+      policy.requestStarted(nowMillis, plan.chain());
     }
     return Either.right(plan);
   }
@@ -234,10 +234,7 @@
   }
 
   private static long retryAfterMillis(HttpResponsePacket head) {
-    return Headers.text(head, Header.RetryAfter.toString())
-        .flatMap(Headers::number)
-        .map(seconds -> seconds * MILLIS_PER_SECOND)
-        .orElse(0L);
+    return Headers.text(head, ProxyHeaders.RETRY_AFTER_MILLIS).flatMap(Headers::number).orElse(0L);
   }
 
   @Override
@@ -262,8 +259,9 @@
             exchange.attempts(),
             exchange.isBodyReplayable(),
             plan.deadlineMillis());
-    synchronized (retries) {
-      return retries.mayRetry(clockMillis.getAsLong(), failed, chainLeft(exchange));
+    RetryPolicy policy = retries.get(plan.tier());
+    synchronized (policy) {
+      return policy.mayRetry(clockMillis.getAsLong(), failed, chainLeft(exchange));
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -92,7 +92,7 @@
             control,
             origins,
             LoadBalancers.create(BalancerSettings.of(UUID.randomUUID().toString(), zone)),
-            RetryPolicies.create(RetrySettings.DEFAULT),
+            RetryPolicies.createPerTier(RetrySettings.DEFAULT),
             clockMillis);
     this.backendPool = settings.backend().map(this::poolOf);
     BackendStatus status = new BackendStatus();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ProxyHeaders.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ProxyHeaders.java
@@ -26,6 +26,12 @@
   /** Request between nodes: tier of the route. */
   public static final String TIER = "Umberpath-Tier";
 
+  /**
+   * Refusal between nodes: milliseconds to leave the back end alone. {@code Retry-After} has whole
+   * seconds, in which a back end of few slots would stand idle.
+   */
+  public static final String RETRY_AFTER_MILLIS = "Umberpath-Retry-After-Ms";
+
   /** Answer of a back end: it is leaving and takes no new work. */
   public static final String DRAINING = "Umberpath-Draining";
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -106,6 +106,12 @@
       long seconds =
           Math.max(1, (refusal.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
       response.getHeaders().setValue(Header.RetryAfter).setString(Long.toString(seconds));
+      if (requestId != null) {
+        response
+            .getHeaders()
+            .setValue(ProxyHeaders.RETRY_AFTER_MILLIS)
+            .setString(Long.toString(refusal.retryAfterMillis()));
+      }
     }
     if (!bodyComplete || refusal.reason() == Verdict.Reason.DRAINING) {
       closeAfter();
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/BackendMonitorTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/BackendMonitorTest.java
@@ -91,6 +91,26 @@
     }
   }
 
+  /** Whole seconds would leave a back end of few slots idle; callers see only those. */
+  @Test
+  void tellsOtherNodesToStayAwayInMilliseconds() throws IOException {
+    String shedding = "HTTP/1.1 503 Busy\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n";
+    try (ScriptedBackend backend = new ScriptedBackend(ScriptedBackend.answering(shedding));
+        ProxyFixture fixture = new ProxyFixture(backend);
+        RawConnection caller = fixture.connect();
+        RawConnection node = new RawConnection(fixture.hops.get(0).hopPort())) {
+      caller.send(post());
+      caller.read();
+      fixture.advance(6_500);
+      node.send(post().replace("\r\n\r\n", "\r\nUmberpath-Request-Id: a.1\r\n\r\n"));
+      RawConnection.Message refusal = node.read();
+      assertThat(refusal.header("Umberpath-Verdict")).isEqualTo("not-run; reason=overloaded");
+      assertThat(Long.parseLong(refusal.header("Umberpath-Retry-After-Ms"))).isBetween(1L, 500L);
+      caller.send(post());
+      assertThat(caller.read().header("Umberpath-Retry-After-Ms")).isNull();
+    }
+  }
+
   private static String post() {
     return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
   }
