--- a/umberpath-model/src/main/java/io/umberpath/model/PlatformDocument.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/PlatformDocument.java
@@ -1,5 +1,7 @@
 package io.umberpath.model;
 
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -13,15 +15,25 @@
  */
 public record PlatformDocument(
     long revision, SortedMap<String, List<BackendAddress>> services, List<Machine> machines) {
+  private static final Comparator<BackendAddress> BY_ID = Comparator.comparing(BackendAddress::id);
+  private static final Comparator<Machine> BY_ADDRESS = Comparator.comparing(Machine::control);
+
   /** Nothing has been read. */
   public static final PlatformDocument NONE = new PlatformDocument(0, new TreeMap<>(), List.of());
 
-  /** Copies the collections. */
+  /**
+   * Copies the collections; back ends are kept by id and machines by address, so that documents of
+   * equal content are equal however they were put together.
+   */
   public PlatformDocument {
     TreeMap<String, List<BackendAddress>> copy = new TreeMap<>();
-    services.forEach((name, backends) -> copy.put(name, List.copyOf(backends)));
-    services = java.util.Collections.unmodifiableSortedMap(copy);
-    machines = List.copyOf(machines);
+    services.forEach((name, backends) -> copy.put(name, sorted(backends, BY_ID)));
+    services = Collections.unmodifiableSortedMap(copy);
+    machines = sorted(machines, BY_ADDRESS);
+  }
+
+  private static <T> List<T> sorted(List<T> items, Comparator<T> order) {
+    return items.stream().sorted(order).toList();
   }
 
   /**
--- a/umberpath-model/src/test/java/io/umberpath/model/CompositionTest.java
+++ b/umberpath-model/src/test/java/io/umberpath/model/CompositionTest.java
@@ -72,4 +72,16 @@
         .singleElement()
         .matches(ProxySnapshot.BackendView::drained);
   }
+
+  @Test
+  void documentsOfEqualContentAreEqualInAnyOrder() {
+    var first = new PlatformDocument.BackendAddress("b1", "127.0.0.1", 1, "z1", "127.0.0.1", 2);
+    var second = new PlatformDocument.BackendAddress("b2", "127.0.0.1", 3, "z1", "127.0.0.1", 4);
+    assertThat(document(first, second)).isEqualTo(document(second, first));
+  }
+
+  private static PlatformDocument document(PlatformDocument.BackendAddress... backends) {
+    return new PlatformDocument(
+        1, new java.util.TreeMap<>(java.util.Map.of("booking", List.of(backends))), List.of());
+  }
 }
