Control: a fleet grows from few members, seeds form it in order

Cause: with fewer initial members than processes, several seeds formed fleets of their own; processes that waited below one that was not a member never got a state; waiting processes were reported anew with each change. Change: a seed forms a fleet only after those before it had time to; a process that hears a leader but has no seat sends its children to its parent; waiting processes are reported with others within half a heartbeat and gathered once.

--- a/umberpath-control/src/main/java/io/umberpath/control/Child.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Child.java
@@ -17,6 +17,7 @@
   private long epoch;
   private List<ReportGroup> groups = List.of();
   private List<Member> joins = List.of();
+  private boolean joinsChanged;
 
   Child(Member process, Version held, long now) {
     this.process = process;
@@ -42,7 +43,7 @@
    * Takes a report.
    *
    * @param slot the child's own slot, or {@link Member#NO_SLOT}
-   * @return whether the content changed; a late report changes nothing
+   * @return whether the state of the subtree changed; a late report changes nothing
    */
   boolean take(Report report, int slot, long now) {
     boolean otherProcess = report.incarnation() != process.incarnation();
@@ -55,7 +56,7 @@
     groups = report.groups();
     epoch = report.epoch();
     if (!report.joinsKept()) {
-      changed |= !joins.equals(report.joins());
+      joinsChanged |= !joins.equals(report.joins());
       joins = report.joins();
     }
     held = report.wholeStateWanted() ? Version.NONE : ownHeld(slot);
@@ -108,6 +109,13 @@
     return groups;
   }
 
+  /** Whether the waiting processes changed since the last call. */
+  boolean takeJoinsChanged() {
+    boolean taken = joinsChanged;
+    joinsChanged = false;
+    return taken;
+  }
+
   List<Member> joins() {
     return joins;
   }
--- a/umberpath-control/src/main/java/io/umberpath/control/Children.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Children.java
@@ -6,6 +6,7 @@
 import io.umberpath.control.ControlMessage.Detach;
 import io.umberpath.control.ControlMessage.Redirect;
 import io.umberpath.control.ControlMessage.Report;
+import io.umberpath.control.ControlMessage.Round;
 import io.umberpath.model.Member;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Roster;
@@ -30,6 +31,7 @@
   private final Map<PeerAddress, Child> children = new LinkedHashMap<>();
   private boolean deliveryDue;
   private boolean changed;
+  private boolean joinsChanged;
   private long lastDeliveryAt;
 
   Children(NodeContext context, Acceptor acceptor, LeaderTrack track, DocumentSpread documents) {
@@ -60,6 +62,13 @@
     deliveryDue = true;
   }
 
+  /** Whether the processes that wait for a seat may have changed since the last call. */
+  boolean takeJoinsChanged() {
+    boolean taken = joinsChanged;
+    joinsChanged = false;
+    return taken;
+  }
+
   /** Whether reports or children changed since the last call. */
   boolean takeChanged() {
     boolean taken = changed;
@@ -90,8 +99,9 @@
       known.attachAgain(request.member(), request.held(), context.now());
     } else {
       children.put(peer, new Child(request.member(), request.held(), context.now()));
+      joinsChanged = true;
     }
-    changed = true;
+    changed |= request.member().slot() != Member.NO_SLOT;
     if (children.size() == 1) {
       lastDeliveryAt = context.now();
     }
@@ -149,6 +159,7 @@
       return request.member().slot() == Member.NO_SLOT
           && request.held().equals(Version.NONE)
           && request.equalSuffices()
+          && track.fedRound().equals(Round.NONE)
           && ranksBefore(context.address(), request.member().address());
     }
     if (track.fedRound().newerThan(request.round())) {
@@ -204,6 +215,7 @@
       return false;
     }
     changed |= child.take(report, slotOf(child.process()), context.now());
+    joinsChanged |= child.takeJoinsChanged();
     if (report.wholeStateWanted()) {
       deliver(from, child);
     }
@@ -227,6 +239,7 @@
   void remove(PeerAddress peer) {
     if (children.remove(peer) != null) {
       changed = true;
+      joinsChanged = true;
       context.emit(new ControlOutput.Disconnect(peer));
     }
   }
@@ -246,6 +259,14 @@
     }
   }
 
+  /** Sends every child to the peer; a process that is not fed states cannot feed others. */
+  void dissolve(PeerAddress successor) {
+    for (PeerAddress child : List.copyOf(children.keySet())) {
+      context.send(child, new Redirect(List.of(successor)));
+      remove(child);
+    }
+  }
+
   /** Delivers to every child if something new is due. */
   void flush() {
     if (!deliveryDue) {
--- a/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
@@ -31,6 +31,7 @@
 /** Wires the parts of one control node together; each part has one job. */
 final class FleetNode implements ControlNode {
   private static final int MAX_ADVANCES = 4;
+  private static final long FORMATION_ELECTIONS = 2;
 
   private final NodeContext context;
   private final Acceptor acceptor;
@@ -54,6 +55,8 @@
   private FleetState lastCommitted = FleetState.EMPTY;
   private long revisionWanted = -1;
   private boolean mayForm;
+  private long parentlessSince = Long.MAX_VALUE;
+  private long formAt = Long.MAX_VALUE;
 
   FleetNode(NodeContext context) {
     this.context = context;
@@ -83,7 +86,6 @@
     observed = new ObservedSpread(context);
     views = new FleetViews(context);
     reformCalls = new ReformCalls(context);
-    mayForm = context.settings().initialMembers() <= 1;
   }
 
   @Override
@@ -272,14 +274,20 @@
 
   /** Lets every part act on what changed; what is sent to one peer is sent once. */
   private void settle() {
-    boolean childrenChanged = children.takeChanged();
-    if (childrenChanged) {
+    boolean joinsChanged = children.takeJoinsChanged();
+    if (joinsChanged) {
+      reports.joinsChanged();
+    }
+    if (children.takeChanged()) {
       leadership.collect();
       reports.due();
     }
+    if (!acceptor.isMember() && !track.fedRound().equals(Round.NONE)) {
+      parentLink.parent().ifPresent(children::dissolve);
+    }
     checkTerm();
     if (!leadership.leads()) {
-      updateMayForm(childrenChanged);
+      updateMayForm();
       election.tick(mayForm);
       election.evaluate().ifPresent(this::lead);
     }
@@ -290,13 +298,27 @@
     spread();
   }
 
-  private void updateMayForm(boolean childrenChanged) {
+  /** Only a process that found no parent forms a fleet; seeds come first, in their order. */
+  private void updateMayForm() {
     boolean blank = !acceptor.isMember() && acceptor.held().version().equals(Version.NONE);
+    mayForm = false;
+    formAt = Long.MAX_VALUE;
     if (!blank || parentLink.parent().isPresent()) {
-      mayForm = false;
-    } else if (childrenChanged || !mayForm) {
-      mayForm = reports.joins().size() >= context.settings().initialMembers();
+      parentlessSince = Long.MAX_VALUE;
+      return;
     }
+    parentlessSince = Math.min(parentlessSince, context.now());
+    if (reports.joins().size() >= context.settings().initialMembers()) {
+      formAt = parentlessSince + formationDelay();
+      mayForm = context.now() >= formAt;
+    }
+  }
+
+  private long formationDelay() {
+    List<PeerAddress> seeds = context.settings().seeds();
+    int index = seeds.indexOf(context.address());
+    int rank = index >= 0 ? index : seeds.size();
+    return rank * FORMATION_ELECTIONS * context.settings().electionMillis();
   }
 
   private void checkTerm() {
@@ -342,6 +364,7 @@
       children.deliveryDue();
       if (!sameRoster) {
         parentLink.reconsider();
+        reports.joinsChanged();
       }
     }
   }
@@ -384,6 +407,7 @@
     long next = leadership.nextAt();
     if (!leadership.leads()) {
       next = Math.min(next, election.nextAt(mayForm));
+      next = Math.min(next, mayForm ? Long.MAX_VALUE : formAt);
     }
     next = Math.min(next, desk.nextAt(leadership.leads()));
     next = Math.min(next, parentLink.nextAt());
--- a/umberpath-control/src/main/java/io/umberpath/control/Reports.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Reports.java
@@ -29,6 +29,8 @@
   private long number;
   private long dueAt = Long.MAX_VALUE;
   private List<Member> lastJoins = List.of();
+  private List<Member> joins;
+  private long lastSentAt;
   private Version lastHeld = Version.NONE;
 
   private record Key(Version held, Version active, long revision) {}
@@ -66,8 +68,25 @@
     return groups;
   }
 
+  /** The waiting processes changed; the parent learns of it with others within half a heartbeat. */
+  void joinsChanged() {
+    joins = null;
+    dueAt = Math.min(dueAt, Math.max(context.now(), lastSentAt + joinsMillis()));
+  }
+
+  private long joinsMillis() {
+    return context.settings().heartbeatMillis() / 2;
+  }
+
   /** Processes of the subtree that wait for a seat, newest incarnation per address. */
   List<Member> joins() {
+    if (joins == null) {
+      joins = gatherJoins();
+    }
+    return joins;
+  }
+
+  private List<Member> gatherJoins() {
     TreeMap<PeerAddress, Member> byAddress = new TreeMap<>();
     if (!acceptor.isMember()) {
       byAddress.put(context.address(), context.process());
@@ -129,16 +148,17 @@
 
   /** Sends the report now, for a parent that knows nothing yet. */
   void sendWhole(PeerAddress parent) {
-    lastJoins = List.of();
+    lastJoins = null;
     send(parent);
   }
 
   private void send(PeerAddress parent) {
     dueAt = Long.MAX_VALUE;
+    lastSentAt = context.now();
     number++;
-    List<Member> joins = joins();
-    boolean kept = joins.equals(lastJoins) && number % JOINS_REPEAT != 0;
-    lastJoins = joins;
+    List<Member> waiting = joins();
+    boolean kept = waiting == lastJoins && number % JOINS_REPEAT != 0;
+    lastJoins = waiting;
     context.send(
         parent,
         new Report(
@@ -147,7 +167,7 @@
             epoch(),
             track.round(),
             groups(),
-            kept ? List.of() : joins,
+            kept ? List.of() : waiting,
             kept,
             acceptor.wholeStateWanted()));
   }
