--- a/umberpath-control/src/main/java/io/umberpath/control/ChangeDesk.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/ChangeDesk.java
@@ -81,12 +81,13 @@
     return new ChangeResult.Unknown("no outcome was known when the wait ended");
   }
 
-  /** A leader answered a forwarded change. */
+  /** A leader answered a forwarded change; a refusal of a former leader decides nothing now. */
   void outcome(ChangeOutcome outcome) {
     Pending pending = byNumber.get(outcome.number());
     if (pending != null
         && outcome.incarnation() == context.process().incarnation()
-        && outcome.epoch() == pending.sentEpoch) {
+        && (outcome.epoch() == pending.sentEpoch
+            || outcome.result() instanceof ChangeResult.Accepted)) {
       finish(pending, outcome.result());
     }
   }
--- a/umberpath-control/src/main/java/io/umberpath/control/Children.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Children.java
@@ -190,7 +190,13 @@
           .map(List::of)
           .orElse(List.of());
     }
-    List<PeerAddress> addresses = new ArrayList<>(children.keySet());
+    List<PeerAddress> addresses = new ArrayList<>();
+    children.forEach(
+        (peer, child) -> {
+          if (slotOf(child.process()) != Member.NO_SLOT || !acceptor.isMember()) {
+            addresses.add(peer);
+          }
+        });
     List<PeerAddress> chosen = new ArrayList<>();
     int start = (int) Spread.of(request.member(), 0, addresses.size());
     for (int index = 0; index < Math.min(REDIRECT_CANDIDATES, addresses.size()); index++) {
--- a/umberpath-control/src/test/java/io/umberpath/control/TestFleet.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/TestFleet.java
@@ -3,6 +3,7 @@
 import io.umberpath.model.ChangeResult;
 import io.umberpath.model.ChangeSet;
 import io.umberpath.model.Member;
+import io.umberpath.model.ObservedBackend;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.PlatformDocument;
 import io.umberpath.model.Pool;
@@ -84,6 +85,7 @@
     boolean alive = true;
     boolean paused;
     final List<Long> tickets = new ArrayList<>();
+    final Map<String, ObservedBackend> observed = new HashMap<>();
 
     Process(Member member, ControlNode node) {
       this.member = member;
@@ -226,6 +228,8 @@
       }
     } else if (output instanceof ControlOutput.Notice notice) {
       notices.add(now + " " + from.address() + " " + notice.event() + ": " + notice.detail());
+    } else if (output instanceof ControlOutput.ObservedUpdated updated) {
+      updated.backends().forEach(each -> from.observed.put(each.backendId(), each));
     } else if (output instanceof ControlOutput.ReadPlatform) {
       read(from);
     }
