--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/StatusCommand.java
@@ -0,0 +1,47 @@
+package io.umberpath.node.cli;
+
+import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
+import io.umberpath.api.v1.ConfigurationGrpc.ConfigurationBlockingStub;
+import io.umberpath.api.v1.FleetStatusRequest;
+import io.umberpath.api.v1.FleetStatusResponse;
+import io.umberpath.api.v1.WatchStatusRequest;
+import io.vavr.control.Either;
+import java.util.Iterator;
+import org.kohsuke.args4j.Option;
+
+/** Shows the fleet. */
+final class StatusCommand extends OperatorCommand {
+  @Option(name = "--watch", usage = "print again whenever it changes, until --timeout")
+  private boolean watch;
+
+  @Override
+  ExitCode run(Output output) throws UsageException {
+    if (!watch) {
+      return print(
+          output,
+          read(server -> server.fleetStatus(FleetStatusRequest.getDefaultInstance())),
+          Texts::status);
+    }
+    Either<CallFailure, FleetStatusResponse> last = read(server -> follow(server, output));
+    return last.isLeft() ? print(output, last, Texts::status) : ExitCode.OK;
+  }
+
+  /** Prints report after report until the deadline, which is the way a watch ends. */
+  private FleetStatusResponse follow(ConfigurationBlockingStub server, Output output) {
+    Iterator<FleetStatusResponse> reports =
+        server.watchStatus(WatchStatusRequest.getDefaultInstance());
+    FleetStatusResponse last = reports.next();
+    try {
+      while (true) {
+        print(output, Either.right(last), Texts::status);
+        last = reports.next();
+      }
+    } catch (StatusRuntimeException ended) {
+      if (ended.getStatus().getCode() != Status.Code.DEADLINE_EXCEEDED) {
+        throw ended;
+      }
+      return last;
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -0,0 +1,242 @@
+package io.umberpath.node.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Tier;
+import io.umberpath.node.control.ControlService;
+import io.umberpath.node.proxy.backend.BackendMonitor;
+import io.umberpath.node.proxy.backend.BackendStatus;
+import io.umberpath.node.proxy.inbound.ActiveExchanges;
+import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
+import io.umberpath.node.proxy.inbound.InboundFilter;
+import io.umberpath.node.proxy.origin.AttemptLog;
+import io.umberpath.node.proxy.origin.OriginManager;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.node.settings.NodeSettings;
+import io.umberpath.traffic.AdmissionControllers;
+import io.umberpath.traffic.AdmissionSettings;
+import io.umberpath.traffic.BalancerSettings;
+import io.umberpath.traffic.LoadBalancers;
+import io.umberpath.traffic.RetryPolicies;
+import io.umberpath.traffic.RetrySettings;
+import io.vavr.control.Try;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+
+/**
+ * The request path of a node. The edge port takes callers' requests and sends each to the node
+ * beside a back end; the hop port takes requests of other nodes and hands them to the back end
+ * beside this node. Thread-safe; {@link #start} is called once.
+ */
+public final class ProxyServer implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int NO_PORT = -1;
+  private static final long TICK_MILLIS = 5;
+  private static final long SWEEP_MILLIS = 1_000;
+  private static final long IDLE_ORIGIN_MILLIS = 30_000;
+  private static final long IDLE_CALLER_MILLIS = 60_000;
+  private static final long DISCARD_MILLIS = 2_000;
+
+  private static final long QUIET_MILLIS = 200;
+  private static final int MAX_QUIET_ROUNDS = 10;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final NodeSettings.Proxy settings;
+  private final LongSupplier clockMillis;
+  private final ProxyTransport transport;
+  private final OriginManager origins;
+  private final ActiveExchanges active = new ActiveExchanges();
+  private final ExchangeEnvironment environment;
+  private final EdgeHandler edge;
+  private final Optional<HopHandler> hop;
+  private final Optional<ConnectionPool> backendPool;
+  private final Optional<BackendMonitor> monitor;
+  private final ScheduledExecutorService timer;
+  private InboundFilter edgeFilter;
+  private InboundFilter hopFilter;
+  private int edgePort = NO_PORT;
+  private int hopPort = NO_PORT;
+
+  /**
+   * Creates a proxy that is not listening yet.
+   *
+   * @param zone zone of this node, for the choice of near back ends
+   */
+  public ProxyServer(
+      NodeSettings.Proxy settings, String zone, ControlService control, ProxyStats stats) {
+    this(settings, zone, control, stats, () -> System.nanoTime() / NANOS_PER_MILLI);
+  }
+
+  /** Creates one on a given clock, rising milliseconds. */
+  ProxyServer(
+      NodeSettings.Proxy settings,
+      String zone,
+      ControlService control,
+      ProxyStats stats,
+      LongSupplier clockMillis) {
+    this.settings = settings;
+    this.clockMillis = clockMillis;
+    this.transport = new ProxyTransport(settings.maxHeaderBytes(), ConnectionPool::giveBack);
+    this.origins = new OriginManager(transport, clockMillis);
+    this.environment =
+        new ExchangeEnvironment(
+            clockMillis, stats, new AttemptLog(), active, settings.maxBodyBytes());
+    this.edge =
+        new EdgeHandler(
+            control,
+            origins,
+            LoadBalancers.create(BalancerSettings.of(UUID.randomUUID().toString(), zone)),
+            RetryPolicies.createPerTier(RetrySettings.DEFAULT),
+            clockMillis);
+    this.backendPool = settings.backend().map(this::poolOf);
+    BackendStatus status = new BackendStatus();
+    this.hop = settings.backend().map(backend -> hopHandler(backend, status));
+    this.monitor = settings.backend().map(backend -> monitor(backend, control, status));
+    this.timer =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "umberpath-proxy-timer");
+              thread.setDaemon(true);
+              return thread;
+            });
+  }
+
+  private ConnectionPool poolOf(NodeSettings.Backend backend) {
+    PeerAddress address = HopHandler.addressOf(backend);
+    return new ConnectionPool(address, transport, backend.connections(), clockMillis);
+  }
+
+  private BackendMonitor monitor(
+      NodeSettings.Backend backend, ControlService control, BackendStatus status) {
+    return new BackendMonitor(
+        backend, backendPool.orElseThrow(), control, status, hop.orElseThrow()::load, clockMillis);
+  }
+
+  private HopHandler hopHandler(NodeSettings.Backend backend, BackendStatus status) {
+    return new HopHandler(
+        backend,
+        backendPool.orElseThrow(),
+        AdmissionControllers.create(admission(backend)),
+        status,
+        clockMillis);
+  }
+
+  private AdmissionSettings admission(NodeSettings.Backend backend) {
+    AdmissionSettings defaults = AdmissionSettings.forSlots(backend.slots());
+    return new AdmissionSettings(
+        backend.slots(),
+        Math.max(settings.queuePerBackend(), Tier.values().length),
+        defaults.starvationBound(),
+        defaults.initialServiceMicros(),
+        defaults.minRetryAfterMillis(),
+        defaults.maxRetryAfterMillis());
+  }
+
+  /**
+   * Opens the listeners.
+   *
+   * @throws IOException if a port cannot be bound
+   */
+  public void start() throws IOException {
+    transport.start();
+    if (settings.edgePort() != NO_PORT) {
+      edgeFilter = new InboundFilter(edge, environment);
+      edgePort = listen(settings.edgePort(), edgeFilter);
+    }
+    if (settings.hopPort() != NO_PORT && hop.isPresent()) {
+      hopFilter = new InboundFilter(hop.get(), environment);
+      hopPort = listen(settings.hopPort(), hopFilter);
+    }
+    every(TICK_MILLIS, this::tick);
+    every(SWEEP_MILLIS, this::sweep);
+  }
+
+  private int listen(int port, InboundFilter filter) throws IOException {
+    TCPNIOServerConnection connection = transport.listen(settings.host(), port, filter);
+    return ((InetSocketAddress) connection.getLocalAddress()).getPort();
+  }
+
+  private void every(long millis, Runnable task) {
+    // A task that throws would not be run again, and deadlines would no longer be kept.
+    Runnable guarded = () -> Try.run(task::run).onFailure(ProxyServer::logFault);
+    timer.scheduleWithFixedDelay(guarded, millis, millis, TimeUnit.MILLISECONDS);
+  }
+
+  private static void logFault(Throwable fault) {
+    logger.atSevere().withCause(fault).log("proxy timer task failed");
+  }
+
+  private void tick() {
+    long now = clockMillis.getAsLong();
+    active.expire(now);
+    hop.ifPresent(handler -> handler.tick(now));
+    monitor.ifPresent(BackendMonitor::tick);
+    edge.observe(now);
+  }
+
+  private void sweep() {
+    origins.expire(IDLE_ORIGIN_MILLIS);
+    backendPool.ifPresent(pool -> pool.expire(IDLE_ORIGIN_MILLIS));
+    if (edgeFilter != null) {
+      edgeFilter.expire(IDLE_CALLER_MILLIS, DISCARD_MILLIS);
+    }
+    if (hopFilter != null) {
+      hopFilter.expire(IDLE_CALLER_MILLIS, DISCARD_MILLIS);
+    }
+  }
+
+  /** Port for callers, or -1. */
+  public int edgePort() {
+    return edgePort;
+  }
+
+  /** Port for other nodes, or -1. */
+  public int hopPort() {
+    return hopPort;
+  }
+
+  /**
+   * Refuses new requests as not run and waits for those in flight. Returns once none has been in
+   * flight, nor has a new one come, for a short while.
+   *
+   * @param bound longest wait; what is in flight then is cut off, each request logged
+   * @return whether every request finished
+   */
+  public boolean drain(Duration bound) throws InterruptedException {
+    edge.drain();
+    hop.ifPresent(HopHandler::drain);
+    long endNanos = System.nanoTime() + bound.toNanos();
+    for (int round = 0; round < MAX_QUIET_ROUNDS; round++) {
+      long arrivals = active.arrivals();
+      if (!active.awaitNone((endNanos - System.nanoTime()) / NANOS_PER_MILLI)) {
+        active.abortAll();
+        return false;
+      }
+      Thread.sleep(QUIET_MILLIS);
+      if (active.arrivals() == arrivals) {
+        break;
+      }
+    }
+    return true;
+  }
+
+  /** Stops at once; call {@link #drain} first to finish what is in flight. */
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    try {
+      transport.stop();
+    } catch (IOException error) {
+      throw new java.io.UncheckedIOException("proxy transport did not stop", error);
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyEndpoint.java
@@ -0,0 +1,250 @@
+package io.umberpath.transport;
+
+import com.google.common.flogger.FluentLogger;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.transport.tls.ReloadingTls;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import javax.net.ssl.SSLException;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CloseReason;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.SocketConnectorHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.CompositeBuffer;
+import org.glassfish.grizzly.memory.HeapMemoryManager;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * The Grizzly side: one selector thread that accepts, connects and reads. It must not be blocked.
+ */
+final class GrizzlyEndpoint implements PeerConnections.Dialer {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int READ_BUFFER_BYTES = 16 << 10;
+  private static final long CLOSE_SECONDS = 5;
+  private static final int ACCEPT_BACKLOG = 256;
+  private static final Attribute<PeerConnection> PEER_CONNECTION =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.peer-connection");
+
+  private final TCPNIOTransport transport;
+  private PeerConnections connections;
+  private TCPNIOServerConnection server;
+
+  /** Creates an endpoint in plain text or, if a context is given, with mutual TLS. */
+  GrizzlyEndpoint(Optional<ReloadingTls> tls) {
+    FilterChainBuilder chain = FilterChainBuilder.stateless().add(new TransportFilter());
+    tls.ifPresent(context -> chain.add(context.filter()));
+    chain.add(new FrameFilter());
+    transport =
+        TCPNIOTransportBuilder.newInstance()
+            .setName("umberpath-transport")
+            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setSelectorRunnersCount(1)
+            .setSelectorThreadPoolConfig(selectorThreads())
+            .setWorkerThreadPoolConfig(null)
+            .setMemoryManager(new HeapMemoryManager())
+            .setReadBufferSize(READ_BUFFER_BYTES)
+            .setTcpNoDelay(true)
+            .setReuseAddress(true)
+            .setServerConnectionBackLog(ACCEPT_BACKLOG)
+            .setProcessor(chain.build())
+            .build();
+  }
+
+  private static ThreadPoolConfig selectorThreads() {
+    return ThreadPoolConfig.defaultConfig()
+        .setPoolName("umberpath-transport")
+        .setCorePoolSize(1)
+        .setMaxPoolSize(1)
+        .setDaemon(true);
+  }
+
+  /** Binds; connections wait in the backlog until {@link #start}. */
+  PeerAddress bind(PeerAddress listen) throws IOException {
+    server = transport.bind(new InetSocketAddress(listen.host(), listen.port()));
+    int port = ((InetSocketAddress) server.getLocalAddress()).getPort();
+    return new PeerAddress(listen.host(), port);
+  }
+
+  void start(PeerConnections owner) throws IOException {
+    connections = owner;
+    transport.start();
+  }
+
+  /** Closes the listening socket first and waits for it, so that the port is free afterwards. */
+  void close() {
+    try {
+      if (server != null) {
+        server.close().get(CLOSE_SECONDS, TimeUnit.SECONDS);
+      }
+      transport.shutdownNow();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException | ExecutionException | TimeoutException e) {
+      logger.atWarning().withCause(e).log("The transport did not close cleanly");
+    }
+  }
+
+  @Override
+  public void dial(PeerAddress peer, PeerConnection connection) {
+    SocketConnectorHandler connector = TCPNIOConnectorHandler.builder(transport).build();
+    connector.connect(new InetSocketAddress(peer.host(), peer.port()), new DialResult(connection));
+  }
+
+  private void attach(Connection<?> socket, PeerConnection connection) {
+    PEER_CONNECTION.set(socket, connection);
+    socket.closeFuture().addCompletionHandler(new CloseOutcome(connection));
+  }
+
+  /** Reports the result of one attempt; Grizzly's connector declares the raw type. */
+  @SuppressWarnings("rawtypes")
+  private final class DialResult extends EmptyCompletionHandler<Connection> {
+    private final PeerConnection connection;
+
+    DialResult(PeerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void completed(Connection socket) {
+      attach(socket, connection);
+      connections.onConnected(connection, new GrizzlySocket(socket));
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      connections.onConnectFailed(connection, String.valueOf(cause.getMessage()));
+    }
+
+    @Override
+    public void cancelled() {
+      connections.onConnectFailed(connection, "cancelled");
+    }
+  }
+
+  /** Reports that a connection was closed by either side. */
+  private final class CloseOutcome extends EmptyCompletionHandler<CloseReason> {
+    private final PeerConnection connection;
+
+    CloseOutcome(PeerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void completed(CloseReason reason) {
+      if (reason.getCause() instanceof SSLException failure) {
+        connections.fail(
+            connection,
+            new TransportError(
+                TransportFault.TLS_HANDSHAKE_FAILED, String.valueOf(failure.getMessage())));
+      }
+      connections.onSocketClosed(connection);
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      connections.onSocketClosed(connection);
+    }
+  }
+
+  /** Hands bytes to the connection they belong to. */
+  private final class FrameFilter extends BaseFilter {
+    @Override
+    public NextAction handleAccept(FilterChainContext context) {
+      Connection<?> socket = context.getConnection();
+      Optional<PeerConnection> accepted = connections.onAccepted(new GrizzlySocket(socket));
+      accepted.ifPresent(connection -> attach(socket, connection));
+      return context.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext context) {
+      Buffer buffer = context.getMessage();
+      PeerConnection connection = PEER_CONNECTION.get(context.getConnection());
+      if (connection != null) {
+        connections.onBytes(connection, buffer.toByteBuffer());
+      }
+      buffer.tryDispose();
+      return context.getStopAction();
+    }
+  }
+
+  /** A Grizzly connection as {@link PeerConnections} sees it. */
+  private final class GrizzlySocket implements PeerConnection.Socket {
+    private final Connection<?> socket;
+
+    GrizzlySocket(Connection<?> socket) {
+      this.socket = socket;
+    }
+
+    @Override
+    public void write(List<byte[]> frames, Runnable onWritten) {
+      write(socket, gather(frames), onWritten);
+    }
+
+    private <L> void write(Connection<L> target, Buffer buffer, Runnable onWritten) {
+      target.write(buffer, new WriteOutcome<>(target, onWritten));
+    }
+
+    private Buffer gather(List<byte[]> frames) {
+      MemoryManager<?> memory = socket.getMemoryManager();
+      List<Buffer> buffers = new ArrayList<>();
+      frames.forEach(frame -> buffers.add(Buffers.wrap(memory, frame)));
+      return buffers.size() == 1
+          ? buffers.get(0)
+          : CompositeBuffer.newBuffer(memory, buffers.toArray(Buffer[]::new));
+    }
+
+    @Override
+    public void close() {
+      socket.closeSilently();
+    }
+
+    @Override
+    public void abort() {
+      socket.terminateSilently();
+    }
+  }
+
+  /** Reports that a write has been taken, or ends its connection. */
+  private final class WriteOutcome<L> extends EmptyCompletionHandler<WriteResult<Buffer, L>> {
+    private final Connection<L> socket;
+    private final Runnable onWritten;
+
+    WriteOutcome(Connection<L> socket, Runnable onWritten) {
+      this.socket = socket;
+      this.onWritten = onWritten;
+    }
+
+    @Override
+    public void completed(WriteResult<Buffer, L> result) {
+      onWritten.run();
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      socket.terminateSilently();
+    }
+  }
+}
