--- /dev/null
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the connections between nodes, on real sockets. */
+package io.umberpath.lab.transport;
--- a/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyTransport.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyTransport.java
@@ -22,6 +22,7 @@
 public final class GrizzlyTransport implements Transport {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long SWEEP_MILLIS = 200;
+  private static final int MAX_KEPT_BYTES = 256 << 10;
   private static final long RELOAD_MILLIS = 1_000;
 
   private final TransportSettings settings;
@@ -33,6 +34,7 @@
   private ScheduledExecutorService timer;
   private PeerAddress address;
   private volatile PeerConnections connections;
+  private volatile Encoded lastEncoded;
 
   /** Creates a transport that listens on nothing yet. */
   public GrizzlyTransport(TransportSettings settings, MessageCodec<ControlMessage> codec) {
@@ -111,7 +113,7 @@
     if (owner == null) {
       throw new IllegalStateException("the transport is not started");
     }
-    byte[] frame = Frame.encode(FrameKind.MESSAGE, codec.encode(message));
+    byte[] frame = encode(message);
     Optional<TransportError> refused = refusal(to, frame.length);
     if (refused.isPresent()) {
       faults.report(refused.get(), to.toString());
@@ -121,6 +123,18 @@
     }
   }
 
+  /** Encodes a message once that is sent to several peers in a row. */
+  private byte[] encode(ControlMessage message) {
+    Encoded last = lastEncoded;
+    if (last == null || last.message() != message) {
+      last = new Encoded(message, Frame.encode(FrameKind.MESSAGE, codec.encode(message)));
+      lastEncoded = last.frame().length <= MAX_KEPT_BYTES ? last : null;
+    }
+    return last.frame();
+  }
+
+  private record Encoded(ControlMessage message, byte[] frame) {}
+
   private Optional<TransportError> refusal(PeerAddress to, int frameBytes) {
     if (frameBytes > settings.limits().maxFrameBytes()) {
       return refused("frame of " + frameBytes + " bytes is over the limit");
--- a/umberpath-transport/src/main/java/io/umberpath/transport/MessageCodec.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/MessageCodec.java
@@ -2,12 +2,14 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.AnnotationIntrospector;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.ObjectWriter;
 import com.fasterxml.jackson.databind.exc.InvalidTypeIdException;
+import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
@@ -16,9 +18,11 @@
 import java.io.IOException;
 
 /**
- * Encodes values of one type as CBOR and decodes them strictly: unknown properties, nulls, missing
- * primitives and components without an empty form, trailing tokens, deep nesting and long names are
- * refused. Thread-safe.
+ * Encodes values of one type as CBOR and decodes them strictly. A record is an array of its
+ * components, in order and without names; a sealed type is a pair of type name and value. Missing
+ * and surplus components, nulls, trailing tokens, deep nesting and long strings are refused. A list
+ * that Jackson leaves out because it is empty is null on the wire; its record makes it a list
+ * again. Thread-safe.
  *
  * @param <T> the type, usually a sealed hierarchy with Jackson type names
  */
@@ -53,6 +57,10 @@
             .build();
     return CBORMapper.builder(factory)
         .addModule(new Jdk8Module())
+        .addModule(RecordDeserializer.module())
+        .annotationIntrospector(
+            AnnotationIntrospector.pair(
+                new PositionalRecords(), new JacksonAnnotationIntrospector()))
         .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
         .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
         .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
--- /dev/null
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/RecordDeserializer.java
@@ -0,0 +1,113 @@
+package io.umberpath.transport;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.BeanDescription;
+import com.fasterxml.jackson.databind.DeserializationConfig;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.JsonDeserializer;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.deser.BeanDeserializerModifier;
+import com.fasterxml.jackson.databind.deser.ResolvableDeserializer;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import java.io.IOException;
+import java.lang.reflect.Constructor;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.RecordComponent;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * Decodes a record from an array of exactly its components. Jackson's own decoder of such arrays
+ * skips surplus elements.
+ */
+final class RecordDeserializer extends StdDeserializer<Object> implements ResolvableDeserializer {
+  private static final long serialVersionUID = 1L;
+
+  private final transient RecordComponent[] components;
+  private final transient Constructor<?> constructor;
+  private final transient List<JsonDeserializer<Object>> parts = new ArrayList<>();
+
+  private RecordDeserializer(Class<?> type) throws NoSuchMethodException {
+    super(type);
+    components = type.getRecordComponents();
+    constructor =
+        type.getDeclaredConstructor(
+            Stream.of(components).map(RecordComponent::getType).toArray(Class<?>[]::new));
+    constructor.setAccessible(true);
+  }
+
+  /** Makes every record decode this way. */
+  static SimpleModule module() {
+    return new SimpleModule().setDeserializerModifier(new Modifier());
+  }
+
+  @Override
+  public void resolve(DeserializationContext context) throws JsonMappingException {
+    for (RecordComponent component : components) {
+      parts.add(
+          context.findRootValueDeserializer(context.constructType(component.getGenericType())));
+    }
+  }
+
+  @Override
+  public Object deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+    if (!parser.isExpectedStartArrayToken()) {
+      return context.reportInputMismatch(this, "not an array of components");
+    }
+    Object[] values = new Object[components.length];
+    for (int index = 0; index < values.length; index++) {
+      values[index] = component(index, parser, context);
+    }
+    if (parser.nextToken() != JsonToken.END_ARRAY) {
+      return context.reportInputMismatch(this, "more than %d components", values.length);
+    }
+    return construct(values, context);
+  }
+
+  private Object component(int index, JsonParser parser, DeserializationContext context)
+      throws IOException {
+    JsonToken token = parser.nextToken();
+    if (token == JsonToken.END_ARRAY) {
+      return context.reportInputMismatch(this, "only %d components", index);
+    }
+    try {
+      return token == JsonToken.VALUE_NULL
+          ? parts.get(index).getNullValue(context)
+          : parts.get(index).deserialize(parser, context);
+    } catch (JsonMappingException e) {
+      e.prependPath(handledType(), components[index].getName());
+      throw e;
+    }
+  }
+
+  private Object construct(Object[] values, DeserializationContext context) throws IOException {
+    try {
+      return constructor.newInstance(values);
+    } catch (InvocationTargetException e) {
+      return context.handleInstantiationProblem(handledType(), null, e.getCause());
+    } catch (ReflectiveOperationException e) {
+      return context.handleInstantiationProblem(handledType(), null, e);
+    }
+  }
+
+  /** Replaces the decoders of records. */
+  private static final class Modifier extends BeanDeserializerModifier {
+    private static final long serialVersionUID = 1L;
+
+    @Override
+    public JsonDeserializer<?> modifyDeserializer(
+        DeserializationConfig config, BeanDescription type, JsonDeserializer<?> former) {
+      if (!type.getBeanClass().isRecord()) {
+        return former;
+      }
+      try {
+        return new RecordDeserializer(type.getBeanClass());
+      } catch (NoSuchMethodException e) {
+        throw new IllegalStateException("record without canonical constructor", e);
+      }
+    }
+  }
+}
