--- a/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleNode.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleNode.java
@@ -24,6 +24,7 @@
   private static final int FORMING_MEMBERS = 3;
   private static final int STALL_HEARTBEATS = 4;
   private static final int ELECTION_HEARTBEATS = 10;
+  private static final int PATIENCE = 10;
   private static final PlatformDocument DOCUMENT =
       new PlatformDocument(1, new TreeMap<>(), List.of());
 
@@ -34,11 +35,14 @@
   /**
    * Starts one.
    *
-   * @param seeds nodes to join; empty for the node that the others join
+   * @param seeds nodes to join; empty for the node that the others join, which is then the one to
+   *     ask for votes first
+   * @param zone its zone; the first of each zone is a child of the leader
    * @param maxChildren children it prefers and accepts
    * @param heartbeatMillis interval of the leader's heartbeats
    */
-  IdleNode(List<PeerAddress> seeds, int maxChildren, long heartbeatMillis) throws IOException {
+  IdleNode(List<PeerAddress> seeds, String zone, int maxChildren, long heartbeatMillis)
+      throws IOException {
     long incarnation = System.nanoTime();
     TransportSettings settings =
         TransportSettings.withDefaults(
@@ -47,7 +51,7 @@
             new TransportSecurity.PlainTextLoopback());
     transport = new GrizzlyTransport(settings, new MessageCodec<>(ControlMessage.class));
     address = transport.bind();
-    Member self = new Member(Member.NO_SLOT, address, incarnation, "zone", "region");
+    Member self = new Member(Member.NO_SLOT, address, incarnation, zone, "region");
     runtime =
         new ControlRuntime(
             ControlNodes.create(settings(self, seeds, maxChildren, heartbeatMillis)),
@@ -68,7 +72,7 @@
         0,
         heartbeatMillis,
         STALL_HEARTBEATS * heartbeatMillis,
-        ELECTION_HEARTBEATS * heartbeatMillis,
+        (seeds.isEmpty() ? 1 : PATIENCE) * ELECTION_HEARTBEATS * heartbeatMillis,
         maxChildren,
         maxChildren,
         1,
--- a/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleRelayCommand.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleRelayCommand.java
@@ -20,6 +20,7 @@
  */
 public final class IdleRelayCommand extends OptionsCommand {
   private static final long POLL_MILLIS = 100;
+  private static final long POLLS_PER_PROGRESS = 50;
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
   private static final double MEBIBYTE = 1 << 20;
 
@@ -54,7 +55,7 @@
       runChildren(PeerAddress.parse(join));
       return EXIT_SUCCESS;
     }
-    try (IdleNode relay = new IdleNode(List.of(), children, heartbeatMillis)) {
+    try (IdleNode relay = new IdleNode(List.of(), "zone-relay", children, heartbeatMillis)) {
       Process others = startChildren(relay.address());
       try {
         awaitChildren(relay, others);
@@ -70,7 +71,7 @@
   private void runChildren(PeerAddress relay) throws IOException, InterruptedException {
     List<IdleNode> nodes = new ArrayList<>();
     for (int index = 0; index < children; index++) {
-      nodes.add(new IdleNode(List.of(relay), children, heartbeatMillis));
+      nodes.add(new IdleNode(List.of(relay), "zone-" + index, children, heartbeatMillis));
     }
     while (!nodes.isEmpty()) {
       TimeUnit.SECONDS.sleep(1);
@@ -97,11 +98,20 @@
 
   private void awaitChildren(IdleNode relay, Process others) throws InterruptedException {
     int members = children + 1;
+    long polls = 0;
     while (relay.runtime().status().committed().roster().size() != members
         || relay.runtime().status().children() != children) {
       if (!others.isAlive()) {
         throw new IllegalStateException("the children's process ended");
       }
+      if (polls++ % POLLS_PER_PROGRESS == 0) {
+        System.err.printf(
+            "waiting: %d of %d members, %d of %d children%n",
+            relay.runtime().status().committed().roster().size(),
+            members,
+            relay.runtime().status().children(),
+            children);
+      }
       TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
     }
   }
