--- a/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleRelayCommand.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleRelayCommand.java
@@ -139,7 +139,9 @@
     out.printf(
         "heap in use after a collection %.1f MiB, limit %.0f MiB%n",
         (java.totalMemory() - java.freeMemory()) / MEBIBYTE, java.maxMemory() / MEBIBYTE);
-    out.printf("resident %s, threads %d%n", resident(), Thread.activeCount());
+    out.printf(
+        "resident %s, threads %d%n",
+        resident(), ManagementFactory.getThreadMXBean().getThreadCount());
     out.printf("faults %s%n", relay.transport().faults());
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -3,6 +3,8 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Tier;
 import io.umberpath.node.control.ControlService;
+import io.umberpath.node.proxy.backend.BackendMonitor;
+import io.umberpath.node.proxy.backend.BackendStatus;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.InboundFilter;
@@ -13,12 +15,15 @@
 import io.umberpath.node.settings.NodeSettings;
 import io.umberpath.traffic.AdmissionControllers;
 import io.umberpath.traffic.AdmissionSettings;
+import io.umberpath.traffic.BalancerSettings;
+import io.umberpath.traffic.LoadBalancers;
 import io.umberpath.traffic.RetryPolicies;
 import io.umberpath.traffic.RetrySettings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +43,8 @@
   private static final long IDLE_CALLER_MILLIS = 60_000;
   private static final long DISCARD_MILLIS = 2_000;
 
+  private static final long QUIET_MILLIS = 200;
+  private static final int MAX_QUIET_ROUNDS = 10;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final NodeSettings.Proxy settings;
@@ -49,20 +56,27 @@
   private final EdgeHandler edge;
   private final Optional<HopHandler> hop;
   private final Optional<ConnectionPool> backendPool;
+  private final Optional<BackendMonitor> monitor;
   private final ScheduledExecutorService timer;
   private InboundFilter edgeFilter;
   private InboundFilter hopFilter;
   private int edgePort = NO_PORT;
   private int hopPort = NO_PORT;
 
-  /** Creates a proxy that is not listening yet. */
-  public ProxyServer(NodeSettings.Proxy settings, ControlService control, ProxyStats stats) {
-    this(settings, control, stats, () -> System.nanoTime() / NANOS_PER_MILLI);
+  /**
+   * Creates a proxy that is not listening yet.
+   *
+   * @param zone zone of this node, for the choice of near back ends
+   */
+  public ProxyServer(
+      NodeSettings.Proxy settings, String zone, ControlService control, ProxyStats stats) {
+    this(settings, zone, control, stats, () -> System.nanoTime() / NANOS_PER_MILLI);
   }
 
   /** Creates one on a given clock, rising milliseconds. */
   ProxyServer(
       NodeSettings.Proxy settings,
+      String zone,
       ControlService control,
       ProxyStats stats,
       LongSupplier clockMillis) {
@@ -77,11 +91,13 @@
         new EdgeHandler(
             control,
             origins,
-            new LeastInFlight(),
+            LoadBalancers.create(BalancerSettings.of(UUID.randomUUID().toString(), zone)),
             RetryPolicies.create(RetrySettings.DEFAULT),
             clockMillis);
     this.backendPool = settings.backend().map(this::poolOf);
-    this.hop = settings.backend().map(this::hopHandler);
+    BackendStatus status = new BackendStatus();
+    this.hop = settings.backend().map(backend -> hopHandler(backend, status));
+    this.monitor = settings.backend().map(backend -> monitor(backend, control, status));
     this.timer =
         Executors.newSingleThreadScheduledExecutor(
             task -> {
@@ -96,12 +112,18 @@
     return new ConnectionPool(address, transport, backend.connections(), clockMillis);
   }
 
-  private HopHandler hopHandler(NodeSettings.Backend backend) {
+  private BackendMonitor monitor(
+      NodeSettings.Backend backend, ControlService control, BackendStatus status) {
+    return new BackendMonitor(
+        backend, backendPool.orElseThrow(), control, status, hop.orElseThrow()::load, clockMillis);
+  }
+
+  private HopHandler hopHandler(NodeSettings.Backend backend, BackendStatus status) {
     return new HopHandler(
         backend,
         backendPool.orElseThrow(),
         AdmissionControllers.create(admission(backend)),
-        new BackendState(),
+        status,
         clockMillis);
   }
 
@@ -144,6 +166,7 @@
     long now = clockMillis.getAsLong();
     active.expire(now);
     hop.ifPresent(handler -> handler.tick(now));
+    monitor.ifPresent(BackendMonitor::tick);
     edge.observe(now);
   }
 
@@ -169,7 +192,8 @@
   }
 
   /**
-   * Refuses new requests as not run and waits for those in flight.
+   * Refuses new requests as not run and waits for those in flight. Returns once none has been in
+   * flight, nor has a new one come, for a short while.
    *
    * @param bound longest wait; what is in flight then is cut off, each request logged
    * @return whether every request finished
@@ -177,11 +201,19 @@
   public boolean drain(Duration bound) throws InterruptedException {
     edge.drain();
     hop.ifPresent(HopHandler::drain);
-    boolean finished = active.awaitNone(bound.toMillis());
-    if (!finished) {
-      active.abortAll();
+    long endNanos = System.nanoTime() + bound.toNanos();
+    for (int round = 0; round < MAX_QUIET_ROUNDS; round++) {
+      long arrivals = active.arrivals();
+      if (!active.awaitNone((endNanos - System.nanoTime()) / NANOS_PER_MILLI)) {
+        active.abortAll();
+        return false;
+      }
+      Thread.sleep(QUIET_MILLIS);
+      if (active.arrivals() == arrivals) {
+        break;
+      }
     }
-    return finished;
+    return true;
   }
 
   /** Stops at once; call {@link #drain} first to finish what is in flight. */
