--- a/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
@@ -6,6 +6,8 @@
 import io.umberpath.lab.platform.PlatformCommand;
 import io.umberpath.lab.simulate.ReplayCommand;
 import io.umberpath.lab.simulate.SimulateCommand;
+import io.umberpath.lab.transport.IdleRelayCommand;
+import io.umberpath.lab.transport.MessageSizesCommand;
 import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.List;
@@ -19,7 +21,9 @@
           new SimulateCommand(),
           new ReplayCommand(),
           new PlatformCommand(),
-          new BackendCommand());
+          new BackendCommand(),
+          new IdleRelayCommand(),
+          new MessageSizesCommand());
   private static final List<String> HELP = List.of("--help", "-h", "help");
 
   private Main() {}
@@ -43,6 +47,6 @@
   private static void printUsage(PrintStream to) {
     to.println("usage: umberpath-lab COMMAND [OPTIONS]");
     to.println("'umberpath-lab COMMAND --help' lists the options of a command.");
-    COMMANDS.forEach(command -> to.printf("  %-10s %s%n", command.name(), command.summary()));
+    COMMANDS.forEach(command -> to.printf("  %-13s %s%n", command.name(), command.summary()));
   }
 }
