Bench: causes of refusals, unprotected back ends as a second baseline, processor time without the admin page's own

Cause: goodput alone does not say who refused, and back ends that shed are themselves a protection, which hides what a baseline without admission does.

--- a/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendStandIn.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendStandIn.java
@@ -22,6 +22,7 @@
   private final ScheduledExecutorService timer;
   private final long startedMillis = nowMillis();
   private volatile boolean draining;
+  private volatile boolean unprotected;
   private volatile double slowdown = 1;
   private volatile long lastBegunNanos = System.nanoTime();
 
@@ -85,6 +86,20 @@
     slowdown = newSlowdown;
   }
 
+  /**
+   * Lets requests wait without bound and keeps those whose callers left, as a back end without any
+   * protection does; false restores the settings.
+   */
+  public void setUnprotected(boolean newUnprotected) {
+    unprotected = newUnprotected;
+    slots.setLimit(newUnprotected ? Integer.MAX_VALUE : settings.queue());
+  }
+
+  /** Requests that wait for a slot. */
+  public int waiting() {
+    return slots.waiting();
+  }
+
   /** When a request last began to run here, on the clock of {@link System#nanoTime}. */
   public long lastBegunNanos() {
     return lastBegunNanos;
@@ -115,6 +130,10 @@
     return draining;
   }
 
+  boolean isUnprotected() {
+    return unprotected;
+  }
+
   SlotQueue slots() {
     return slots;
   }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/bench/ControlCost.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/bench/ControlCost.java
@@ -31,7 +31,9 @@
   void begin() throws InterruptedException {
     startNanos = System.nanoTime();
     for (NodeHandle node : cluster.nodes()) {
-      before.add(sample(node));
+      // The processor time is read last here and first at the end: it leaves out the page's own.
+      double bytes = admin.metric(node.spec(), BYTES);
+      before.add(new Sample(bytes, cpuNanos(node)));
     }
   }
 
@@ -45,7 +47,8 @@
     double maxMegabytes = 0;
     List<NodeHandle> nodes = cluster.nodes();
     for (int index = 0; index < nodes.size(); index++) {
-      Sample now = sample(nodes.get(index));
+      long cpuNanos = cpuNanos(nodes.get(index));
+      Sample now = new Sample(admin.metric(nodes.get(index).spec(), BYTES), cpuNanos);
       double bytes = (now.bytes() - before.get(index).bytes()) / seconds;
       double cpu = (now.cpuNanos() - before.get(index).cpuNanos()) / NANOS_PER_SECOND / seconds;
       totalBytes += bytes;
@@ -82,13 +85,11 @@
             Limits.CONTROL_MEMORY_MIB));
   }
 
-  private Sample sample(NodeHandle node) throws InterruptedException {
-    long cpuNanos =
-        ProcessHandle.of(node.pid())
-            .flatMap(handle -> handle.info().totalCpuDuration())
-            .map(duration -> TimeUnit.NANOSECONDS.convert(duration))
-            .orElse(0L);
-    return new Sample(admin.metric(node.spec(), BYTES), cpuNanos);
+  private static long cpuNanos(NodeHandle node) {
+    return ProcessHandle.of(node.pid())
+        .flatMap(handle -> handle.info().totalCpuDuration())
+        .map(duration -> TimeUnit.NANOSECONDS.convert(duration))
+        .orElse(0L);
   }
 
   /** From the kernel's page of the process; 0 where there is none. */
--- a/umberpath-lab/src/main/java/io/umberpath/lab/bench/FaultStage.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/bench/FaultStage.java
@@ -65,6 +65,7 @@
     BackendStandIn backend = cluster.backends().values().iterator().next();
     try (FleetOperator operator =
         new FleetOperator(cluster, cluster.backendNode(1), cluster.nodes().get(0))) {
+      awaitWork(backend);
       long begunNanos = System.nanoTime();
       FleetOperator.Applied drained = operator.drain("drain-start", backend.settings().id(), true);
       long acceptedNanos = begunNanos + TimeUnit.MICROSECONDS.toNanos(drained.acceptedMicros());
@@ -76,10 +77,18 @@
               Math.max(0, lateMillis),
               "ms",
               Limits.DRAIN_MILLIS));
-      return operator.drain("drain-end", backend.settings().id(), false).version();
+      Version ended = operator.drain("drain-end", backend.settings().id(), false).version();
+      awaitWork(backend);
+      return ended;
     }
   }
 
+  private static void awaitWork(BackendStandIn backend) throws Exception {
+    long nowNanos = System.nanoTime();
+    Conditions.await(
+        "work at " + backend.settings().id(), BOUND, () -> backend.lastBegunNanos() - nowNanos > 0);
+  }
+
   private void killsAndPauses(Version version) throws Exception {
     Distribution back = new Distribution();
     for (int number = 0; number < KILLS; number++) {
@@ -122,6 +131,8 @@
     report.add(
         Figure.promise(
             "uploads cut by a planned stop, of " + HELD_UPLOADS, uploads.finish(), "uploads", 0));
+    boolean ended = edge.awaitEnd(BOUND.toSeconds()) && beside.awaitEnd(BOUND.toSeconds());
+    report.add(Figure.promise("stopped nodes that did not end", ended ? 0 : 1, "nodes", 0));
   }
 
   private int running() {
--- a/umberpath-lab/src/main/java/io/umberpath/lab/caller/Call.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/caller/Call.java
@@ -54,6 +54,11 @@
     return right ? CallOutcome.COMPLETED : CallOutcome.WRONG_ANSWER;
   }
 
+  /** The verdict of a refusal, or the status of any other answer. */
+  String describe(HttpResponse<byte[]> answer) {
+    return answer.headers().firstValue(VERDICT).orElse("status " + answer.statusCode());
+  }
+
   private byte[] expectedBody() {
     String digest = Hashing.sha256().hashBytes(body).toString();
     return WholeAnswer.of(requestId, kind, digest, body.length, fillerBytes);
--- a/umberpath-lab/src/main/java/io/umberpath/lab/caller/CallRecords.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/caller/CallRecords.java
@@ -3,6 +3,7 @@
 import io.umberpath.lab.workload.RequestKind;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -23,6 +24,7 @@
   private final Map<String, CallOutcome> oneTime = new ConcurrentHashMap<>();
   private final Map<String, Boolean> uploads = new ConcurrentHashMap<>();
   private final ConcurrentLinkedQueue<String> wrongSamples = new ConcurrentLinkedQueue<>();
+  private final Map<String, AtomicLong> refusals = new ConcurrentHashMap<>();
   private final Histogram latencyMicros = new ConcurrentHistogram(MAX_MICROS, DIGITS);
 
   /** Starts with nothing. */
@@ -47,6 +49,9 @@
     if (outcome == CallOutcome.COMPLETED) {
       latencyMicros.recordValue(Math.min(micros, MAX_MICROS));
     }
+    if (outcome != CallOutcome.COMPLETED) {
+      refusals.computeIfAbsent(detail, cause -> new AtomicLong()).incrementAndGet();
+    }
     if (outcome == CallOutcome.WRONG_ANSWER && wrongSamples.size() < MAX_SAMPLES) {
       wrongSamples.add(call.kind() + " " + call.requestId() + ": " + detail);
     }
@@ -86,6 +91,13 @@
     return wrongSamples;
   }
 
+  /** How often each cause kept a call from completing, by description. */
+  public Map<String, Long> refusals() {
+    Map<String, Long> byCause = new TreeMap<>();
+    refusals.forEach((cause, count) -> byCause.put(cause, count.get()));
+    return byCause;
+  }
+
   /** Latency of completed calls at a percentile, microseconds. */
   public long latencyMicros(double percentile) {
     return latencyMicros.getValueAtPercentile(percentile);
--- a/umberpath-lab/src/main/java/io/umberpath/lab/caller/OpenLoopCaller.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/caller/OpenLoopCaller.java
@@ -1,5 +1,6 @@
 package io.umberpath.lab.caller;
 
+import com.google.common.base.Throwables;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpResponse;
@@ -105,11 +106,15 @@
       return;
     }
     long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - dueNanos);
-    String detail = failure == null ? "status " + answer.statusCode() : failure.toString();
+    String detail = failure == null ? call.describe(answer) : nameOf(failure);
     records.add(call, outcome, micros, detail);
     underWay.arriveAndDeregister();
   }
 
+  private static String nameOf(Throwable failure) {
+    return Throwables.getRootCause(failure).getClass().getSimpleName();
+  }
+
   private static java.util.concurrent.ThreadFactory daemon() {
     return task -> {
       Thread thread = new Thread(task, "caller");
