--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/requestid/RequestIdRegisterTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/requestid/RequestIdRegisterTest.java
@@ -124,8 +124,28 @@
     assertThat(shareThatRan(lost, false)).isLessThan(1 - refused);
   }
 
+  /** Share of first sends that are refused because too few registrars know the past. */
+  private static double shareNotReady(int restarts) {
+    long refused = 0;
+    for (long seed = 0; seed < SEEDS; seed++) {
+      RequestIdWorld world = new RequestIdWorld(seed, new Faults(0, 0, 20, 0, restarts, 0), true);
+      world.scheduleFaults(100_000);
+      for (int id = 0; id < 10 * IDS; id++) {
+        String name = "id-" + id;
+        world.after(500 * id, () -> world.request(name, 2_000));
+      }
+      world.run(110_000);
+      refused += world.decisions.values().stream().filter(one -> !allowed(one)).count();
+    }
+    return refused / (double) (SEEDS * 10 * IDS);
+  }
+
   /** Prints the figures of docs/design/0004-at-most-once.md. */
   public static void main(String[] arguments) {
+    for (int restarts : new int[] {1, 2, 5, 10, 20, 50}) {
+      System.out.printf(
+          java.util.Locale.ROOT, "| %.2f | %.4f |%n", restarts / 7.0 / 5, shareNotReady(restarts));
+    }
     for (double lost : new double[] {0.01, 0.05, 0.1, 0.2}) {
       System.out.printf(
           java.util.Locale.ROOT,
