Proxy: attempts in a file of their own; a slot that nobody gave back

Reading it for the split showed that a request which ended (deadline, drain bound) between its plan and its ask for a slot would have kept the slot for ever. Change: Attempt is its own class; an admission whose request has ended gives its slot back. The latency trial also prints the node's CPU time a call. The race itself has no test.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
@@ -176,7 +176,12 @@
       release(id, 0);
       return;
     }
-    waiting.exchange().sendTo(pool, backend.id());
+    boolean sent = waiting.exchange().sendTo(pool, backend.id());
+    if (!sent && waiting.standing().getAndSet(Standing.ENDED) == Standing.ADMITTED) {
+      // The request had ended before it asked, so that its end gave no slot back.
+      forget(waiting);
+      release(id, 0);
+    }
   }
 
   @Override
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
@@ -0,0 +1,121 @@
+package io.umberpath.node.proxy.inbound;
+
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.origin.AnswerListener;
+import io.umberpath.node.proxy.origin.AnswerPart;
+import io.umberpath.node.proxy.origin.OriginConnection;
+import io.umberpath.node.proxy.origin.RequestAttempt;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.proxy.pool.ConnectionWaiter;
+import org.glassfish.grizzly.Buffer;
+
+/**
+ * One attempt of an exchange: passes what it hears on to the exchange, which ignores it once the
+ * attempt is over. The exchange's lock guards its state.
+ */
+final class Attempt implements ConnectionWaiter, AnswerListener {
+  private static final long NANOS_PER_MICRO = 1_000;
+
+  private final Exchange exchange;
+  private final ConnectionPool pool;
+  private final String originId;
+  private final int number;
+  private final long startNanos = System.nanoTime();
+  private OriginConnection origin;
+  private OutgoingRequest outgoing;
+
+  Attempt(Exchange exchange, ConnectionPool pool, String originId, int number) {
+    this.exchange = exchange;
+    this.pool = pool;
+    this.originId = originId;
+    this.number = number;
+  }
+
+  /** Asks for a connection. */
+  void begin() {
+    pool.acquire(this);
+  }
+
+  @Override
+  public void connected(OriginConnection connection) {
+    if (!exchange.attemptConnected(this, connection)) {
+      pool.release(connection);
+    }
+  }
+
+  @Override
+  public void notConnected(Verdict.Reason reason) {
+    exchange.attemptFailed(this, Refusal.notRun(reason));
+  }
+
+  @Override
+  public void onBroken(Verdict.Reason reason) {
+    exchange.attemptFailed(this, Refusal.mayHaveRun(reason));
+  }
+
+  @Override
+  public void onInterim(byte[] head) {
+    exchange.attemptInterim(this, head);
+  }
+
+  @Override
+  public boolean onAnswerPart(AnswerPart part) {
+    return exchange.attemptAnswered(this, part);
+  }
+
+  @Override
+  public void whenReadyForMore(Runnable resume) {
+    exchange.whenCallerTakesMore(resume);
+  }
+
+  /** The request as it is sent, its headers still to be completed. */
+  OutgoingRequest prepare() {
+    outgoing = OutgoingRequest.of(exchange.request(), exchange.plan(), pool.address());
+    return outgoing;
+  }
+
+  /** Sends the prepared head and what there is of the body. */
+  void send(OriginConnection connection, RequestBody body) {
+    origin = connection;
+    connection.begin(this);
+    connection.write(
+        outgoing.first(body.kept(), body.isComplete(), body.trailers()), body.isComplete());
+  }
+
+  /** Sends more of the body. */
+  void sendMore(Buffer content, RequestBody body, boolean last) {
+    origin.write(outgoing.next(content, last, body.trailers()), last);
+  }
+
+  /** The connection in use, or null before there is one. */
+  OriginConnection origin() {
+    return origin;
+  }
+
+  /** The answer is whole; the connection goes its own way. */
+  void detach() {
+    origin = null;
+  }
+
+  /** Closes the connection if it is still in use. */
+  void abandon() {
+    if (origin != null) {
+      origin.abandon();
+    }
+  }
+
+  String originId() {
+    return originId;
+  }
+
+  long elapsedMicros() {
+    return (System.nanoTime() - startNanos) / NANOS_PER_MICRO;
+  }
+
+  /** Its record after it failed. */
+  RequestAttempt record(Verdict verdict, long requestBytes) {
+    RequestPlan plan = exchange.plan();
+    return new RequestAttempt(
+        plan.requestId(), number, plan.route(), originId, verdict, requestBytes, elapsedMicros());
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -1,12 +1,9 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.model.Verdict;
-import io.umberpath.node.proxy.origin.AnswerListener;
 import io.umberpath.node.proxy.origin.AnswerPart;
 import io.umberpath.node.proxy.origin.OriginConnection;
-import io.umberpath.node.proxy.origin.RequestAttempt;
 import io.umberpath.node.proxy.pool.ConnectionPool;
-import io.umberpath.node.proxy.pool.ConnectionWaiter;
 import io.vavr.control.Either;
 import java.util.HashSet;
 import java.util.Optional;
@@ -16,7 +13,6 @@
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpTrailer;
-import org.glassfish.grizzly.http.util.MimeHeaders;
 
 /**
  * One request from its head to its final answer, through one or more attempts. The caller gets
@@ -162,26 +158,26 @@
     if (stage == Stage.DONE) {
       return true;
     }
-    if (attempt == null || attempt.origin == null) {
+    if (attempt == null || attempt.origin() == null) {
       body.hold(buffer);
       return last || !body.isFull();
     }
     body.passOn(buffer);
     if (buffer.hasRemaining() || last) {
-      attempt.send(buffer, last, body.trailers());
+      attempt.sendMore(buffer, body, last);
     }
-    return last || attempt.origin.canWrite();
+    return last || attempt.origin().canWrite();
   }
 
   /** Runs the action once more of the body can be taken. */
   void whenBodyWanted(Runnable resume) {
     OriginConnection origin;
     synchronized (this) {
-      if (stage != Stage.DONE && (attempt == null || attempt.origin == null)) {
+      if (stage != Stage.DONE && (attempt == null || attempt.origin() == null)) {
         whenBodyWanted = resume;
         return;
       }
-      origin = stage == Stage.DONE ? null : attempt.origin;
+      origin = stage == Stage.DONE ? null : attempt.origin();
     }
     if (origin == null) {
       resume.run();
@@ -252,10 +248,10 @@
       stage = Stage.CONNECTING;
       attempts++;
       triedOrigins.add(originId);
-      next = new Attempt(pool, originId, attempts);
+      next = new Attempt(this, pool, originId, attempts);
       attempt = next;
     }
-    pool.acquire(next);
+    next.begin();
     return true;
   }
 
@@ -276,7 +272,9 @@
     Attempt ended = attempt;
     attempt = null;
     if (ended != null) {
-      ended.end(refusal);
+      ended.abandon();
+      environment.attemptLog().failed(ended.record(refusal.verdict(), body.received()));
+      handler.attemptEnded(this, ended.originId(), refusal, ended.elapsedMicros());
     }
     mayHaveRun |= refusal.verdict() instanceof Verdict.MayHaveRun;
     lastRefusal = refusal;
@@ -317,7 +315,7 @@
       outcome = null;
       dispatch = dispatchAgain;
       dispatchAgain = false;
-      if (stage == Stage.DONE || attempt != null && attempt.origin != null) {
+      if (stage == Stage.DONE || attempt != null && attempt.origin() != null) {
         resume = whenBodyWanted;
         whenBodyWanted = null;
       }
@@ -349,140 +347,70 @@
     }
   }
 
-  /** One attempt; what it hears after its end is ignored. */
-  private final class Attempt implements ConnectionWaiter, AnswerListener {
-    private final ConnectionPool pool;
-    private final String originId;
-    private final int number;
-    private final long attemptStartNanos = System.nanoTime();
-    private OriginConnection origin;
-    private OutgoingRequest outgoing;
-
-    Attempt(ConnectionPool pool, String originId, int number) {
-      this.pool = pool;
-      this.originId = originId;
-      this.number = number;
-    }
-
-    @Override
-    public void connected(OriginConnection connection) {
-      boolean taken;
-      synchronized (Exchange.this) {
-        taken = attempt == this && stage == Stage.CONNECTING;
-        if (taken) {
-          start(connection);
-        }
-      }
-      if (!taken) {
-        pool.release(connection);
+  /** The attempt has a connection; returns whether it still wants it. */
+  boolean attemptConnected(Attempt connected, OriginConnection connection) {
+    boolean wanted;
+    synchronized (this) {
+      wanted = attempt == connected && stage == Stage.CONNECTING;
+      if (wanted) {
+        stage = Stage.SENT;
+        long now = environment.clockMillis().getAsLong();
+        handler.addHeaders(this, connected.prepare().packet(), now);
+        connected.send(connection, body);
       }
-      afterLock();
-    }
-
-    private void start(OriginConnection connection) {
-      origin = connection;
-      stage = Stage.SENT;
-      outgoing = OutgoingRequest.of(request, plan, pool.address());
-      long now = environment.clockMillis().getAsLong();
-      handler.addHeaders(Exchange.this, outgoing.packet(), now);
-      connection.begin(this);
-      connection.write(
-          outgoing.first(body.kept(), body.isComplete(), body.trailers()), body.isComplete());
-    }
-
-    private void send(Buffer content, boolean last, MimeHeaders trailers) {
-      origin.write(outgoing.next(content, last, trailers), last);
     }
+    afterLock();
+    return wanted;
+  }
 
-    @Override
-    public void notConnected(Verdict.Reason reason) {
-      failAttempt(Refusal.notRun(reason));
+  void attemptFailed(Attempt failed, Refusal refusal) {
+    synchronized (this) {
+      if (attempt == failed) {
+        fail(refusal, true);
+      }
     }
+    afterLock();
+  }
 
-    @Override
-    public void onBroken(Verdict.Reason reason) {
-      failAttempt(Refusal.mayHaveRun(reason));
+  synchronized void attemptInterim(Attempt current, byte[] head) {
+    if (attempt == current && stage == Stage.SENT) {
+      answer.interim(head);
     }
+  }
 
-    private void failAttempt(Refusal refusal) {
-      synchronized (Exchange.this) {
-        if (attempt == this) {
-          fail(refusal, true);
-        }
-      }
-      afterLock();
+  /** A piece of the answer; returns whether to read on. */
+  boolean attemptAnswered(Attempt answered, AnswerPart part) {
+    boolean readOn;
+    synchronized (this) {
+      readOn = attempt != answered || takeAnswer(part);
     }
+    afterLock();
+    return readOn;
+  }
 
-    @Override
-    public void onInterim(byte[] head) {
-      synchronized (Exchange.this) {
-        if (attempt == this && stage == Stage.SENT) {
-          answer.interim(head);
-        }
-      }
+  private boolean takeAnswer(AnswerPart part) {
+    if (part.last()) {
+      attempt.detach();
     }
-
-    @Override
-    public boolean onAnswerPart(AnswerPart part) {
-      boolean readOn;
-      synchronized (Exchange.this) {
-        readOn = attempt != this || takeAnswer(part);
-      }
-      afterLock();
-      return readOn;
-    }
-
-    private boolean takeAnswer(AnswerPart part) {
-      if (part.first()) {
-        Optional<Refusal> refusal = handler.refusalIn(Exchange.this, part.head());
-        if (refusal.isPresent()) {
-          if (part.last()) {
-            origin = null;
-          }
-          fail(refusal.get(), true);
-          return true;
-        }
-        stage = Stage.ANSWERING;
-      }
-      answer.part(part, handler.echoedId(plan));
-      if (part.last()) {
-        origin = null;
-        complete();
+    if (part.first()) {
+      Optional<Refusal> refusal = handler.refusalIn(this, part.head());
+      if (refusal.isPresent()) {
+        fail(refusal.get(), true);
         return true;
       }
-      return answer.canTakeMore();
+      stage = Stage.ANSWERING;
     }
-
-    private void complete() {
+    answer.part(part, handler.echoedId(plan));
+    if (part.last()) {
+      Attempt completed = attempt;
       attempt = null;
-      end(null);
+      handler.attemptEnded(this, completed.originId(), null, completed.elapsedMicros());
       finish(new Verdict.Completed());
     }
+    return part.last() || answer.canTakeMore();
+  }
 
-    @Override
-    public void whenReadyForMore(Runnable resume) {
-      caller.whenWritable(resume);
-    }
-
-    private void end(Refusal refusal) {
-      if (origin != null) {
-        origin.abandon();
-      }
-      long micros = (System.nanoTime() - attemptStartNanos) / 1_000;
-      if (refusal != null) {
-        environment
-            .attemptLog()
-            .failed(
-                new RequestAttempt(
-                    plan.requestId(),
-                    number,
-                    plan.route(),
-                    originId,
-                    refusal.verdict(),
-                    body.received(),
-                    micros));
-      }
-      handler.attemptEnded(Exchange.this, originId, refusal, micros);
-    }
+  void whenCallerTakesMore(Runnable resume) {
+    caller.whenWritable(resume);
   }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/LatencyTrial.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LatencyTrial.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -46,9 +47,14 @@
         int edge = TransferTest.portOf(node);
         Histogram direct = new ConcurrentHistogram(TimeUnit.SECONDS.toNanos(10), 3);
         Histogram proxied = new ConcurrentHistogram(TimeUnit.SECONDS.toNanos(10), 3);
+        Duration cpuBefore = cpu(node);
         run(rate, seconds, threads, backend.getLocalPort(), direct, edge, proxied);
         print("direct ", direct);
         print("proxied", proxied);
+        long calls = rate * (WARM_UP_SECONDS + seconds);
+        System.out.printf(
+            "node CPU per call, both hops and warm-up: %.0f us%n",
+            cpu(node).minus(cpuBefore).toNanos() / 1e3 / calls);
         System.out.printf(
             "added p50 %.0f p99 %.0f us%n",
             (proxied.getValueAtPercentile(50) - direct.getValueAtPercentile(50)) / 1e3,
@@ -59,6 +65,10 @@
     }
   }
 
+  private static Duration cpu(Process process) {
+    return process.toHandle().info().totalCpuDuration().orElse(Duration.ZERO);
+  }
+
   private static void run(
       int rate, int seconds, int threads, int directPort, Histogram direct, int edge, Histogram via)
       throws InterruptedException {
