--- a/umberpath-control/src/main/java/io/umberpath/control/ParentLink.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/ParentLink.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.control.ControlMessage.Attach;
 import io.umberpath.control.ControlMessage.Detach;
+import io.umberpath.control.ControlMessage.Round;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Version;
 import java.util.ArrayDeque;
@@ -89,6 +90,17 @@
     nextAttemptAt = Math.min(nextAttemptAt, context.now() + jitter);
   }
 
+  /** A leader or candidate made itself known; it takes this node if nobody better does. */
+  void announced(PeerAddress member) {
+    boolean unled = !acceptor.isMember() && track.fedRound().equals(Round.NONE);
+    boolean lacking = parent == null || context.now() - parentHeardAt >= stall() / 2 || unled;
+    boolean useful = !member.equals(parent) && !redirects.contains(member);
+    if (enabled && lacking && useful && (attempt > 0 || unled)) {
+      redirects.addFirst(member);
+      nextAttemptAt = context.now();
+    }
+  }
+
   private void searchSoon() {
     attempt = 0;
     redirectsFollowed = 0;
@@ -117,13 +129,14 @@
 
   /** The peer takes no child; it may know others. */
   void redirected(PeerAddress from, List<PeerAddress> candidates) {
-    boolean expected = from.equals(target);
+    boolean expected = isNeeded(from);
     lost(from);
     if (!expected || redirectsFollowed >= MAX_REDIRECTS) {
       return;
     }
     for (PeerAddress candidate : candidates) {
-      if (!candidate.equals(context.address()) && redirects.size() < MAX_REDIRECTS) {
+      boolean useful = !candidate.equals(context.address()) && !candidate.equals(parent);
+      if (useful && redirects.size() < MAX_REDIRECTS) {
         redirects.add(candidate);
       }
     }
@@ -196,7 +209,7 @@
             acceptor.wholeStateWanted() ? Version.NONE : acceptor.held().version(),
             documents.revision(),
             acceptor.promised(),
-            track.round(),
+            track.fedRound(),
             equalSuffices,
             missed()));
   }
@@ -207,9 +220,10 @@
 
   private Optional<PeerAddress> next() {
     PeerAddress redirect = redirects.pollFirst();
-    if (redirect != null && !redirect.equals(parent)) {
-      return Optional.of(redirect);
+    if (redirect != null) {
+      return Optional.of(redirect).filter(peer -> !peer.equals(parent));
     }
+    redirectsFollowed = 0;
     if (parent == null || roundIsStale()) {
       return choice.candidate(attempt).filter(peer -> !peer.equals(parent));
     }
@@ -217,7 +231,7 @@
   }
 
   private boolean roundIsStale() {
-    return !track.heardWithin(stall());
+    return !track.fedWithin(stall());
   }
 
   private void failedAttempt() {
--- a/umberpath-control/src/test/java/io/umberpath/control/TestFleet.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/TestFleet.java
@@ -13,13 +13,16 @@
 import io.umberpath.model.Version;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
 import java.util.function.BooleanSupplier;
 
@@ -52,6 +55,8 @@
   PlatformDocument platform = PlatformDocument.NONE;
   BiPredicate<PeerAddress, PlatformDocument> platformReachable = (reader, document) -> true;
   long sent;
+  final Set<Version> committed = new HashSet<>();
+  BiConsumer<Long, String> trace = (time, text) -> {};
   private final SplittableRandom random;
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final SharedStates shared = new SharedStates(64);
@@ -78,7 +83,7 @@
     ProxySnapshot snapshot = ProxySnapshot.EMPTY;
     boolean alive = true;
     boolean paused;
-    long wakeAt;
+    final List<Long> tickets = new ArrayList<>();
 
     Process(Member member, ControlNode node) {
       this.member = member;
@@ -93,15 +98,22 @@
       return node.status();
     }
 
+    /** Tickets of this process that have no answer. */
+    List<Long> pending() {
+      return tickets.stream().filter(ticket -> !answers.containsKey(ticket)).toList();
+    }
+
     void input(ControlInput input) {
       if (alive) {
-        node.handle(now, input).forEach(output -> output(this, output));
+        List<ControlOutput> outputs = node.handle(now, input);
+        committed.add(node.status().committed().version());
+        outputs.forEach(output -> output(this, output));
         schedule();
       }
     }
 
     private void schedule() {
-      wakeAt = node.nextWakeMillis();
+      long wakeAt = node.nextWakeMillis();
       if (wakeAt != Long.MAX_VALUE) {
         at(Math.max(wakeAt, now), () -> wake());
       }
@@ -208,6 +220,7 @@
     } else if (output instanceof ControlOutput.Activate activate) {
       activated(from, activate.snapshot());
     } else if (output instanceof ControlOutput.ChangeAnswered answered) {
+      trace.accept(now, from.address() + " " + answered);
       if (answers.put(answered.ticket(), answered.result()) != null) {
         violations.add("ticket " + answered.ticket() + " answered twice");
       }
@@ -219,7 +232,11 @@
   }
 
   private void read(Process reader) {
-    long readers = processes.values().stream().filter(each -> each.alive && isReader(each)).count();
+    long readers =
+        processes.values().stream()
+            .filter(each -> each.alive && !each.paused && isReader(each))
+            .count();
+    trace.accept(now, reader.address() + " reads as one of " + readers);
     maxConcurrentReaders = Math.max(maxConcurrentReaders, (int) readers);
     PlatformDocument document = platform;
     boolean reachable = platformReachable.test(reader.address(), document);
@@ -238,6 +255,7 @@
 
   private void send(Process from, ControlOutput.Send send) {
     sent++;
+    trace.accept(now, from.address() + " -> " + send.to() + " " + send.message());
     int copies = random.nextDouble() < duplication ? 2 : 1;
     for (int copy = 0; copy < copies; copy++) {
       if (random.nextDouble() >= loss) {
@@ -263,6 +281,9 @@
     if (process.active.isAfter(snapshot.version()) || process.revision > snapshot.revision()) {
       violations.add(now + " " + process.address() + " went back to " + snapshot.version());
     }
+    if (!committed.contains(snapshot.version())) {
+      violations.add(now + " " + process.address() + " runs uncommitted " + snapshot.version());
+    }
     process.active = snapshot.version();
     process.revision = snapshot.revision();
     process.snapshot = snapshot;
@@ -323,6 +344,7 @@
 
   long submit(Process process, ChangeSet change) {
     long ticket = ++lastTicket;
+    process.tickets.add(ticket);
     process.input(new ControlInput.ChangeSubmitted(ticket, change));
     return ticket;
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -389,12 +389,13 @@
   }
 
   private boolean takeAnswer(AnswerPart part) {
-    if (part.last()) {
-      attempt.detach();
-    }
     if (part.first()) {
       Optional<Refusal> refusal = handler.refusalIn(this, part.head());
       if (refusal.isPresent()) {
+        // A connection that carried an answer to another request is not used again.
+        if (part.last() && refusal.get().fromOrigin()) {
+          attempt.detach();
+        }
         fail(refusal.get(), true);
         return true;
       }
@@ -402,6 +403,7 @@
     }
     answer.part(part, handler.echoedId(plan));
     if (part.last()) {
+      attempt.detach();
       Attempt completed = attempt;
       attempt = null;
       handler.attemptEnded(this, completed.originId(), null, completed.elapsedMicros());
