Control: the leader refuses pools of services the platform lacks

Cause: an agreed pool whose service is not in the platform's document composes with nothing, so every later version of every tenant stayed out of force; the operators' port checked, but only against the answering node's document. Ruled out: composing such a pool with no back ends, which would break 'no route points at a service the proxy lacks'.

--- a/umberpath-control/src/main/java/io/umberpath/control/ChangeBatch.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/ChangeBatch.java
@@ -5,6 +5,8 @@
 import io.umberpath.model.ChangeSet;
 import io.umberpath.model.FleetState;
 import io.umberpath.model.FleetState.AnsweredChange;
+import io.umberpath.model.PlatformDocument;
+import io.umberpath.model.Pool;
 import io.umberpath.model.ReferenceCheck;
 import io.umberpath.model.Resource;
 import io.umberpath.model.ResourceKey;
@@ -31,6 +33,7 @@
 final class ChangeBatch {
   private final FleetState base;
   private final Version target;
+  private final PlatformDocument document;
   private final Map<String, AnsweredChange> answered = new LinkedHashMap<>();
   private final Set<ResourceKey> touched = new TreeSet<>();
   private final TreeMap<ResourceKey, Resource> before;
@@ -42,10 +45,12 @@
    *
    * @param base the committed state
    * @param target the version the proposal will have
+   * @param document the newest platform document the leader holds
    */
-  ChangeBatch(FleetState base, Version target) {
+  ChangeBatch(FleetState base, Version target, PlatformDocument document) {
     this.base = base;
     this.target = target;
+    this.document = document;
     this.before = base.resources();
     this.resources = base.resources();
     this.drained = base.drained();
@@ -141,6 +146,8 @@
       addForeign("upserts[" + index + "].name", upsert.key(), change.tenant(), foreign);
       if (upsert instanceof Route route) {
         addForeignSecret("upserts[" + index + "].secret", route, foreign);
+      } else if (upsert instanceof Pool pool) {
+        addUnknownService("upserts[" + index + "].service", pool, invalid);
       }
     }
     if (!foreign.isEmpty()) {
@@ -161,6 +168,18 @@
         .forEach(any -> found.add(new Violation(field, key.name(), "owned by another tenant")));
   }
 
+  /**
+   * A pool of a service that the platform lacks would keep every later version of every tenant from
+   * coming into force. Before any document was read nothing can be said of services.
+   */
+  private void addUnknownService(String field, Pool pool, List<Violation> found) {
+    boolean known = document.services().containsKey(pool.service());
+    if (!known && document.revision() > PlatformDocument.NONE.revision()) {
+      String message = "no service of this name in platform document " + document.revision();
+      found.add(new Violation(field, pool.service(), message));
+    }
+  }
+
   private void addForeignSecret(String field, Route route, List<Violation> found) {
     route
         .secret()
--- a/umberpath-control/src/main/java/io/umberpath/control/ChangeDecider.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/ChangeDecider.java
@@ -7,6 +7,7 @@
 import io.umberpath.model.ChangeResult.RefusalCode;
 import io.umberpath.model.ChangeSet;
 import io.umberpath.model.FleetState;
+import io.umberpath.model.PlatformDocument;
 import io.umberpath.model.Version;
 import java.util.ArrayList;
 import java.util.List;
@@ -119,8 +120,8 @@
   }
 
   /** Takes the next batch of changes; those that cannot run are answered at once. */
-  ChangeBatch batch(FleetState committed, Version target) {
-    ChangeBatch batch = new ChangeBatch(committed, target);
+  ChangeBatch batch(FleetState committed, Version target, PlatformDocument document) {
+    ChangeBatch batch = new ChangeBatch(committed, target, document);
     for (Entry entry : queue.takeBatch(context.now())) {
       ChangeSet change = entry.change();
       Optional<ChangeResult> outcome = batch.add(change);
--- a/umberpath-control/src/main/java/io/umberpath/control/Leadership.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Leadership.java
@@ -281,7 +281,8 @@
       step = membership.next(committed, joins, reachable);
     }
     joinsSince = Long.MAX_VALUE;
-    ChangeBatch batch = decider.batch(committed, committed.version().next(epoch));
+    ChangeBatch batch =
+        decider.batch(committed, committed.version().next(epoch), documents.current());
     if (step.isEmpty() && batch.isEmpty()) {
       return;
     }
--- a/umberpath-control/src/test/java/io/umberpath/control/ChangeRaceTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/ChangeRaceTest.java
@@ -6,6 +6,7 @@
 import io.umberpath.model.ChangeResult.RefusalCode;
 import io.umberpath.model.ChangeSet;
 import io.umberpath.model.FleetState;
+import io.umberpath.model.PlatformDocument;
 import io.umberpath.model.Pool;
 import io.umberpath.model.Resource;
 import io.umberpath.model.ResourceKey;
@@ -16,8 +17,10 @@
 import io.umberpath.model.Version;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,6 +30,9 @@
 class ChangeRaceTest {
   private static final ResourceKey P1 = new ResourceKey(ResourceKind.POOL, "p1");
 
+  private static final PlatformDocument DOCUMENT =
+      new PlatformDocument(1, new TreeMap<>(Map.of("booking", List.of())), List.of());
+
   private static ChangeSet change(
       String id, String tenant, Optional<Version> expected, List<Resource> upserts) {
     return new ChangeSet(id, tenant, Tier.BASIC, expected, upserts, List.of(), List.of());
@@ -47,6 +53,15 @@
             change("c", "t1", Optional.empty(), List.of(route("nope", Optional.empty(), "t1"))),
             RefusalCode.INVALID,
             "routes[r].pool"),
+        Arguments.of(
+            "pool of a service the platform lacks",
+            change(
+                "c",
+                "t2",
+                Optional.empty(),
+                List.of(new Pool("p2", "t2", Tier.BASIC, "nope", 1, 1))),
+            RefusalCode.INVALID,
+            "upserts[0].service"),
         Arguments.of(
             "pool still in use",
             new ChangeSet(
@@ -83,7 +98,7 @@
   @MethodSource("refused")
   void onlyTheOffendingChangeOfABatchIsRefused(
       String name, ChangeSet offending, RefusalCode code, String field) {
-    ChangeBatch batch = new ChangeBatch(FleetState.EMPTY, new Version(1, 1));
+    ChangeBatch batch = new ChangeBatch(FleetState.EMPTY, new Version(1, 1), DOCUMENT);
     List<Resource> resources =
         List.of(
             pool("p1", "t1"),
