Control: votes reach a scattered fleet sooner; removal of members tested

Cause: after 289 of 400 processes restarted at once, re-forming took 10 s, because the part of each zone that a candidate asks only doubled with each attempt. Ruled out: asking everyone at once, which costs one connection per member at each election. Change: it grows fourfold. Formation and dead code moved out of the coordinator; a test shows that a member leaves only if it is silent for long and unlisted.

--- a/umberpath-control/src/main/java/io/umberpath/control/Children.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Children.java
@@ -3,7 +3,6 @@
 import io.umberpath.control.ControlMessage.Attach;
 import io.umberpath.control.ControlMessage.AttachAccepted;
 import io.umberpath.control.ControlMessage.Deliver;
-import io.umberpath.control.ControlMessage.Detach;
 import io.umberpath.control.ControlMessage.Redirect;
 import io.umberpath.control.ControlMessage.Report;
 import io.umberpath.control.ControlMessage.Round;
@@ -329,9 +328,4 @@
     return slotOf(process) != Member.NO_SLOT
         || (anyIncarnation && acceptor.held().roster().at(process.address()).isPresent());
   }
-
-  /** A detaching child. */
-  void detach(PeerAddress from, Detach message) {
-    remove(from);
-  }
 }
--- a/umberpath-control/src/main/java/io/umberpath/control/Election.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Election.java
@@ -21,6 +21,7 @@
  */
 final class Election {
   private static final int FIRST_PREFIX = 2;
+  private static final int PREFIX_GROWTH = 4;
   private static final int MAX_ATTEMPTS = 6;
   private static final int MAX_BACKOFF_SHIFT = 4;
   private static final int LOW_INDEX = 2;
@@ -158,7 +159,7 @@
       return;
     }
     attempt++;
-    prefix = Math.min(prefix * 2, Math.max(FIRST_PREFIX, largestZone()));
+    prefix = Math.min(prefix * PREFIX_GROWTH, Math.max(FIRST_PREFIX, largestZone()));
     ask();
   }
 
--- a/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
@@ -27,11 +27,11 @@
 import io.umberpath.model.Version;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.LongStream;
 
 /** Wires the parts of one control node together; each part has one job. */
 final class FleetNode implements ControlNode {
   private static final int MAX_ADVANCES = 4;
-  private static final long FORMATION_ELECTIONS = 2;
 
   private final NodeContext context;
   private final Acceptor acceptor;
@@ -43,6 +43,7 @@
   private final ParentChoice choice;
   private final ParentLink parentLink;
   private final VoteRelay relay;
+  private final Formation formation;
   private final Election election;
   private final ChangeDecider decider;
   private final ChangeDesk desk;
@@ -54,9 +55,6 @@
   private FleetState lastHeld = FleetState.EMPTY;
   private FleetState lastCommitted = FleetState.EMPTY;
   private long revisionWanted = -1;
-  private boolean mayForm;
-  private long parentlessSince = Long.MAX_VALUE;
-  private long formAt = Long.MAX_VALUE;
 
   FleetNode(NodeContext context) {
     this.context = context;
@@ -69,6 +67,7 @@
     choice = new ParentChoice(context, acceptor, track);
     parentLink = new ParentLink(context, acceptor, track, choice, documents);
     relay = new VoteRelay(context, acceptor, track, children);
+    formation = new Formation(context, acceptor, reports);
     election = new Election(context, acceptor, track, children, relay, choice);
     decider = new ChangeDecider(context, acceptor);
     desk = new ChangeDesk(context, track, acceptor, decider);
@@ -287,8 +286,8 @@
     }
     checkTerm();
     if (!leadership.leads()) {
-      updateMayForm();
-      election.tick(mayForm);
+      formation.update(parentLink.parent().isPresent());
+      election.tick(formation.isDue());
       election.evaluate().ifPresent(this::lead);
     }
     leadership.tick();
@@ -298,29 +297,6 @@
     spread();
   }
 
-  /** Only a process that found no parent forms a fleet; seeds come first, in their order. */
-  private void updateMayForm() {
-    boolean blank = !acceptor.isMember() && acceptor.held().version().equals(Version.NONE);
-    mayForm = false;
-    formAt = Long.MAX_VALUE;
-    if (!blank || parentLink.parent().isPresent()) {
-      parentlessSince = Long.MAX_VALUE;
-      return;
-    }
-    parentlessSince = Math.min(parentlessSince, context.now());
-    if (reports.joins().size() >= context.settings().initialMembers()) {
-      formAt = parentlessSince + formationDelay();
-      mayForm = context.now() >= formAt;
-    }
-  }
-
-  private long formationDelay() {
-    List<PeerAddress> seeds = context.settings().seeds();
-    int index = seeds.indexOf(context.address());
-    int rank = index >= 0 ? index : seeds.size();
-    return rank * FORMATION_ELECTIONS * context.settings().electionMillis();
-  }
-
   private void checkTerm() {
     if (!leadership.leads()) {
       return;
@@ -404,34 +380,39 @@
 
   @Override
   public long nextWakeMillis() {
-    long next = leadership.nextAt();
-    if (!leadership.leads()) {
-      next = Math.min(next, election.nextAt(mayForm));
-      next = Math.min(next, mayForm ? Long.MAX_VALUE : formAt);
-    }
-    next = Math.min(next, desk.nextAt(leadership.leads()));
-    next = Math.min(next, parentLink.nextAt());
-    next = Math.min(next, reports.nextAt());
-    next = Math.min(next, relay.nextAt());
-    next = Math.min(next, reading.nextAt());
-    next = Math.min(next, observed.nextAt());
-    next = Math.min(next, views.nextAt());
-    return Math.min(next, children.nextKeepAlive());
+    long next =
+        LongStream.of(
+                leadership.nextAt(),
+                desk.nextAt(leadership.leads()),
+                parentLink.nextAt(),
+                reports.nextAt(),
+                relay.nextAt(),
+                reading.nextAt(),
+                observed.nextAt(),
+                views.nextAt(),
+                children.nextKeepAlive())
+            .min()
+            .getAsLong();
+    if (leadership.leads()) {
+      return next;
+    }
+    next = Math.min(next, formation.nextAt());
+    return Math.min(next, election.nextAt(formation.isDue()));
   }
 
   @Override
   public ControlStatus status() {
+    Role role = role();
     Optional<Member> leader =
-        leadership.leads()
+        role == Role.LEADER
             ? Optional.of(acceptor.self())
             : track.leader().flatMap(acceptor.committed().roster()::at);
-    Optional<Member> parent = parentLink.parent().flatMap(acceptor.committed().roster()::at);
     return new ControlStatus(
         acceptor.self(),
-        role(),
+        role,
         acceptor.promised(),
         leader,
-        parent,
+        parentLink.parent().flatMap(acceptor.committed().roster()::at),
         children.size(),
         acceptor.committed(),
         acceptor.held().version(),
@@ -440,7 +421,7 @@
         documents.current(),
         reading.isReader(),
         activation.violations(),
-        leadership.leads() ? nodeViews() : List.of());
+        role == Role.LEADER ? nodeViews() : List.of());
   }
 
   private Role role() {
--- a/umberpath-control/src/test/java/io/umberpath/control/DisasterTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/DisasterTest.java
@@ -4,7 +4,10 @@
 
 import io.umberpath.model.ChangeResult;
 import io.umberpath.model.PeerAddress;
+import io.umberpath.model.PlatformDocument;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -178,6 +181,30 @@
     assertThat(fleet.alive()).allMatch(each -> each.status().children() <= 4);
   }
 
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aMemberLeavesOnlyIfItIsSilentForLongAndNoLongerListed(boolean listed) {
+    TestFleet fleet = formed(17);
+    List<PlatformDocument.Machine> machines = new ArrayList<>();
+    for (int index = listed ? 0 : 1; index < SIZE; index++) {
+      machines.add(
+          new PlatformDocument.Machine(
+              fleet.address(index), "z", "r", PlatformDocument.MachineState.LIVE));
+    }
+    fleet.platform = new PlatformDocument(2, TestFleet.document(2).services(), machines);
+    fleet.run(5_000);
+    fleet.kill(0);
+    fleet.run(40_000);
+    assertThat(rosterSize(fleet)).isEqualTo(SIZE);
+    fleet.run(60_000);
+    assertThat(rosterSize(fleet)).isEqualTo(listed ? SIZE : SIZE - 1);
+    assertThat(fleet.violations).isEmpty();
+  }
+
+  private static int rosterSize(TestFleet fleet) {
+    return fleet.leader().orElseThrow().status().committed().roster().size();
+  }
+
   @Test
   void aPlatformThatGoesBackIsReportedAndIgnored() {
     TestFleet fleet = formed(14);
@@ -194,8 +221,7 @@
   void aPairThatDoesNotComposeLeavesTheLastGoodOne() {
     TestFleet fleet = formed(15);
     accepted(fleet, "p1");
-    fleet.platform =
-        new io.umberpath.model.PlatformDocument(9, new TreeMap<>(), java.util.List.of());
+    fleet.platform = new PlatformDocument(9, new TreeMap<>(), List.of());
     fleet.run(5_000);
     assertThat(fleet.alive()).allMatch(each -> each.revision == 1);
     assertThat(fleet.process(0).status().compositionViolations())
