--- a/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
@@ -8,6 +8,7 @@
 import io.umberpath.lab.simulate.SimulateCommand;
 import io.umberpath.lab.transport.IdleRelayCommand;
 import io.umberpath.lab.transport.MessageSizesCommand;
+import io.umberpath.lab.transport.StateMemoryCommand;
 import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.List;
@@ -23,7 +24,8 @@
           new PlatformCommand(),
           new BackendCommand(),
           new IdleRelayCommand(),
-          new MessageSizesCommand());
+          new MessageSizesCommand(),
+          new StateMemoryCommand());
   private static final List<String> HELP = List.of("--help", "-h", "help");
 
   private Main() {}
