Traffic: one check of lower bounds for all settings

Cause: RequestIdSettings held its own copy of Settings.atLeast, because that was visible in one package only. Ruled out: moving RequestIdSettings; it belongs to its package. Same messages. Measured: mvn -pl umberpath-model,umberpath-traffic,umberpath-transport -am verify passes. Conclusion: no behaviour changed.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/requestid/RequestIdSettings.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/requestid/RequestIdSettings.java
@@ -1,5 +1,7 @@
 package io.umberpath.traffic.requestid;
 
+import io.umberpath.traffic.Settings;
+
 /**
  * Limits of the request-id register; equal on every node of a fleet.
  *
@@ -32,14 +34,14 @@
 
   /** Checks the limits; the error names field and value. */
   public RequestIdSettings {
-    atLeast("groupSize", groupSize, 1);
-    atLeast("freshMillis", freshMillis, 1);
-    atLeast("retentionMillis", retentionMillis, freshMillis + 1);
-    atLeast("maxIds", maxIds, 1);
-    atLeast("maxAnswerBytes", maxAnswerBytes, 0);
-    atLeast("maxTotalAnswerBytes", maxTotalAnswerBytes, 0);
-    atLeast("pollMillis", pollMillis, 1);
-    atLeast("claimMillis", claimMillis, 1);
+    Settings.atLeast("groupSize", groupSize, 1);
+    Settings.atLeast("freshMillis", freshMillis, 1);
+    Settings.atLeast("retentionMillis", retentionMillis, freshMillis + 1);
+    Settings.atLeast("maxIds", maxIds, 1);
+    Settings.atLeast("maxAnswerBytes", maxAnswerBytes, 0);
+    Settings.atLeast("maxTotalAnswerBytes", maxTotalAnswerBytes, 0);
+    Settings.atLeast("pollMillis", pollMillis, 1);
+    Settings.atLeast("claimMillis", claimMillis, 1);
   }
 
   /** Registrars that must grant a claim; two quorums of one group share a member. */
@@ -54,10 +56,4 @@
   public long promisedMillis() {
     return retentionMillis - freshMillis;
   }
-
-  private static void atLeast(String field, long value, long bound) {
-    if (value < bound) {
-      throw new IllegalArgumentException(field + " is " + value + ", must be at least " + bound);
-    }
-  }
 }
