Model, traffic, transport: highest port in one place, locks named rightly, imports

Cause: 65,535 stood in PeerAddress as a bare number and again in Handshake; comments of Peer and PeerConnection named a lock of PeerConnections, which has none: the lock is PeerTable.lock; some types were written with their package in the code. Ruled out: a port type of its own; ports are read and checked in three places only. Change: PeerAddress.MAX_PORT; comments link to PeerTable#lock; imports instead of package names. Measured: mvn -pl umberpath-model,umberpath-traffic,umberpath-transport -am verify passes. Conclusion: no behaviour changed.

--- a/umberpath-model/src/main/java/io/umberpath/model/PeerAddress.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/PeerAddress.java
@@ -7,6 +7,9 @@
  * @param port TCP port, 1 to 65535
  */
 public record PeerAddress(String host, int port) implements Comparable<PeerAddress> {
+  /** Highest TCP port. */
+  public static final int MAX_PORT = 65_535;
+
   @Override
   public int compareTo(PeerAddress other) {
     int byHost = host.compareTo(other.host);
@@ -24,8 +27,8 @@
       throw new IllegalArgumentException("'" + text + "' is not host:port");
     }
     int port = Integer.parseInt(text.substring(colon + 1));
-    if (port < 1 || port > 65_535) {
-      throw new IllegalArgumentException("port in '" + text + "' is not between 1 and 65535");
+    if (port < 1 || port > MAX_PORT) {
+      throw new IllegalArgumentException("port in '" + text + "' is not between 1 and " + MAX_PORT);
     }
     return new PeerAddress(text.substring(0, colon), port);
   }
--- a/umberpath-model/src/main/java/io/umberpath/model/ResourceKey.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/ResourceKey.java
@@ -1,6 +1,7 @@
 package io.umberpath.model;
 
 import java.util.Comparator;
+import java.util.Locale;
 
 /**
  * The identity of a resource; names are unique per kind across the fleet.
@@ -19,6 +20,6 @@
 
   @Override
   public String toString() {
-    return kind.name().toLowerCase(java.util.Locale.ROOT) + "/" + name;
+    return kind.name().toLowerCase(Locale.ROOT) + "/" + name;
   }
 }
--- a/umberpath-model/src/main/java/io/umberpath/model/Route.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/Route.java
@@ -1,6 +1,7 @@
 package io.umberpath.model;
 
 import com.fasterxml.jackson.annotation.JsonIgnore;
+import java.util.Collections;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -35,7 +36,7 @@
 
   /** Copies the method set in sorted order, so that equal routes encode equally. */
   public Route {
-    repeatableMethods = java.util.Collections.unmodifiableSet(new TreeSet<>(repeatableMethods));
+    repeatableMethods = Collections.unmodifiableSet(new TreeSet<>(repeatableMethods));
   }
 
   @Override
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionSettings.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionSettings.java
@@ -1,5 +1,7 @@
 package io.umberpath.traffic;
 
+import io.umberpath.model.Tier;
+
 /**
  * Limits of one back end's admission.
  *
@@ -29,7 +31,7 @@
   /** Checks the limits; the error names field and value. */
   public AdmissionSettings {
     Settings.atLeast("slots", slots, 1);
-    Settings.atLeast("queueLimit", queueLimit, io.umberpath.model.Tier.values().length);
+    Settings.atLeast("queueLimit", queueLimit, Tier.values().length);
     Settings.atLeast("starvationBound", starvationBound, 1);
     Settings.atLeast("initialServiceMicros", initialServiceMicros, 1);
     Settings.atLeast("minRetryAfterMillis", minRetryAfterMillis, 0);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/TierQueue.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/TierQueue.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Requests of one tier that wait, with equal shares of slot time for the tenants that wait.
@@ -143,7 +144,7 @@
   }
 
   /** Removes the requests that match, oldest first within each tenant. */
-  List<Ask> removeIf(java.util.function.Predicate<Ask> condition) {
+  List<Ask> removeIf(Predicate<Ask> condition) {
     List<Ask> removed = new ArrayList<>();
     for (Tenant tenant : tenants.values()) {
       for (Iterator<Ask> asks = tenant.waiting.iterator(); asks.hasNext(); ) {
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/RetryChainTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/RetryChainTest.java
@@ -5,7 +5,9 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.model.Verdict.Reason;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -53,9 +55,9 @@
       for (double ratio : new double[] {0.01, 0.05, 0.5, 1.0}) {
         RetryChainTest chain = new RetryChainTest();
         long answered = chain.run(29, level, ratio, RetrySettings.DEFAULT);
-        double most = java.util.Arrays.stream(chain.arrivals).max().orElseThrow();
+        double most = Arrays.stream(chain.arrivals).max().orElseThrow();
         System.out.printf(
-            java.util.Locale.ROOT,
+            Locale.ROOT,
             "| %d | %.2f | %.3f | %.4f |%n",
             level,
             ratio,
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/requestid/RequestIdRegisterTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/requestid/RequestIdRegisterTest.java
@@ -6,6 +6,7 @@
 import io.umberpath.traffic.requestid.RequestIdClaim.Decision;
 import io.umberpath.traffic.requestid.RequestIdWorld.Faults;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -144,11 +145,11 @@
   public static void main(String[] arguments) {
     for (int restarts : new int[] {1, 2, 5, 10, 20, 50}) {
       System.out.printf(
-          java.util.Locale.ROOT, "| %.2f | %.4f |%n", restarts / 7.0 / 5, shareNotReady(restarts));
+          Locale.ROOT, "| %.2f | %.4f |%n", restarts / 7.0 / 5, shareNotReady(restarts));
     }
     for (double lost : new double[] {0.01, 0.05, 0.1, 0.2}) {
       System.out.printf(
-          java.util.Locale.ROOT,
+          Locale.ROOT,
           "| %.2f | %.5f | %.5f |%n",
           lost,
           shareThatRan(lost, true),
--- a/umberpath-transport/src/main/java/io/umberpath/transport/Handshake.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/Handshake.java
@@ -9,8 +9,6 @@
   /** Longest frame before the hello has been checked. */
   static final int MAX_HELLO_BYTES = 512;
 
-  private static final int MAX_PORT = 65_535;
-
   private final MessageCodec<Hello> codec = new MessageCodec<>(Hello.class);
   private final PeerAddress self;
   private final byte[] frame;
@@ -43,7 +41,7 @@
       return refused("protocolVersion " + hello.protocolVersion());
     }
     if (named.port() < 1
-        || named.port() > MAX_PORT
+        || named.port() > PeerAddress.MAX_PORT
         || named.host() == null
         || !InetAddresses.isInetAddress(named.host())) {
       return refused("listening address is not an IP address and port");
--- a/umberpath-transport/src/main/java/io/umberpath/transport/Peer.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/Peer.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 
-/** Everything known of one peer. Guarded by the lock of {@link PeerConnections}. */
+/** Everything known of one peer. Guarded by {@link PeerTable#lock}. */
 final class Peer {
   final PeerAddress address;
   final SendQueue queue;
--- a/umberpath-transport/src/main/java/io/umberpath/transport/PeerConnection.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/PeerConnection.java
@@ -2,13 +2,13 @@
 
 import io.umberpath.model.PeerAddress;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One TCP connection, from the attempt to its end. Fields are guarded by the lock of {@link
- * PeerConnections}, except {@code decoder}, which belongs to the thread that reads, and {@code
- * drains}.
+ * One TCP connection, from the attempt to its end. Fields are guarded by {@link PeerTable#lock},
+ * except {@code decoder}, which belongs to the thread that reads, and {@code drains}.
  */
 final class PeerConnection {
   /** The address dialled; empty for an accepted connection. */
@@ -102,7 +102,7 @@
   /** What the owner needs of a TCP connection. */
   interface Socket {
     /** Writes and reports when the operating system or TLS has taken all of it. */
-    void write(java.util.List<byte[]> frames, Runnable onWritten);
+    void write(List<byte[]> frames, Runnable onWritten);
 
     /** Closes after what was written. */
     void close();
--- a/umberpath-transport/src/main/java/io/umberpath/transport/Transport.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/Transport.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.control.ControlMessage;
 import io.umberpath.model.PeerAddress;
+import java.io.IOException;
 
 /**
  * Carries control messages between nodes. Best effort: a message may be lost, never altered or
@@ -20,9 +21,9 @@
   /**
    * Starts listening.
    *
-   * @throws java.io.IOException if the address cannot be bound
+   * @throws IOException if the address cannot be bound
    */
-  void start(Listener listener) throws java.io.IOException;
+  void start(Listener listener) throws IOException;
 
   /** Queues a message; connects if needed; drops it if the peer's bounded queue is full. */
   void send(PeerAddress to, ControlMessage message);
--- a/umberpath-transport/src/test/java/io/umberpath/transport/Endpoint.java
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/Endpoint.java
@@ -3,6 +3,7 @@
 import io.umberpath.model.PeerAddress;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
 /** One transport under test on an ephemeral loopback port. */
@@ -68,7 +69,7 @@
         throw new AssertionError("not reached: " + what);
       }
       Thread.onSpinWait();
-      java.util.concurrent.locks.LockSupport.parkNanos(1_000_000);
+      LockSupport.parkNanos(1_000_000);
     }
   }
 
--- a/umberpath-transport/src/test/java/io/umberpath/transport/RawPeer.java
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/RawPeer.java
@@ -5,6 +5,8 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 
 /** A peer that writes any bytes it likes. */
@@ -69,9 +71,9 @@
       while (count >= 0) {
         count = input.read(ignored);
       }
-    } catch (java.net.SocketTimeoutException e) {
+    } catch (SocketTimeoutException e) {
       throw new AssertionError("the connection was not closed", e);
-    } catch (java.net.SocketException e) {
+    } catch (SocketException e) {
       // A reset ends the connection as well.
       return;
     }
