Node, lab: how an operator's token travels stands in one place

Cause: the metadata entry "authorization: Bearer TOKEN" was spelt out in the command line's client, the lab's client and the server's check. Ruled out: one client for command line and lab; the first connects before it calls so that "not run" is firm, the second does not need that. Change: BearerToken with the client's half (attach) and the server's (parse); tests use its key instead of the authenticator's. Conclusion: no behaviour changed.

--- a/umberpath-lab/src/main/java/io/umberpath/lab/cluster/OperatorClient.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/cluster/OperatorClient.java
@@ -2,9 +2,7 @@
 
 import io.grpc.InsecureChannelCredentials;
 import io.grpc.ManagedChannel;
-import io.grpc.Metadata;
 import io.grpc.okhttp.OkHttpChannelBuilder;
-import io.grpc.stub.MetadataUtils;
 import io.umberpath.api.v1.ApplyRequest;
 import io.umberpath.api.v1.ConfigurationGrpc;
 import io.umberpath.api.v1.DrainRequest;
@@ -12,6 +10,7 @@
 import io.umberpath.api.v1.FleetStatusResponse;
 import io.umberpath.api.v1.Version;
 import io.umberpath.api.v1.WaitRequest;
+import io.umberpath.node.operator.BearerToken;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
@@ -19,22 +18,15 @@
  * An operator's client of one node; a failed call throws {@link io.grpc.StatusRuntimeException}.
  */
 public final class OperatorClient implements AutoCloseable {
-  private static final Metadata.Key<String> AUTHORIZATION =
-      Metadata.Key.of("authorization", Metadata.ASCII_STRING_MARSHALLER);
-
   private final ManagedChannel channel;
   private final ConfigurationGrpc.ConfigurationBlockingStub stub;
 
   OperatorClient(NodeSpec node, String token) {
-    Metadata headers = new Metadata();
-    headers.put(AUTHORIZATION, "Bearer " + token);
     channel =
         OkHttpChannelBuilder.forAddress(
                 node.host(), Ports.OPERATOR, InsecureChannelCredentials.create())
             .build();
-    stub =
-        ConfigurationGrpc.newBlockingStub(channel)
-            .withInterceptors(MetadataUtils.newAttachHeadersInterceptor(headers));
+    stub = ConfigurationGrpc.newBlockingStub(channel).withInterceptors(BearerToken.attach(token));
   }
 
   /** Applies a change; returns the version that first contains it. */
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/ServerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/ServerConnection.java
@@ -3,20 +3,16 @@
 import io.grpc.ConnectivityState;
 import io.grpc.InsecureChannelCredentials;
 import io.grpc.ManagedChannel;
-import io.grpc.Metadata;
 import io.grpc.okhttp.OkHttpChannelBuilder;
-import io.grpc.stub.MetadataUtils;
 import io.umberpath.api.v1.ConfigurationGrpc;
 import io.umberpath.model.PeerAddress;
+import io.umberpath.node.operator.BearerToken;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /** A connection to one node's operators' port. */
 final class ServerConnection implements AutoCloseable {
-  private static final Metadata.Key<String> AUTHORIZATION =
-      Metadata.Key.of("authorization", Metadata.ASCII_STRING_MARSHALLER);
-
   private final ManagedChannel channel;
   private final String token;
 
@@ -50,10 +46,8 @@
   }
 
   ConfigurationGrpc.ConfigurationBlockingStub stub(Duration timeout) {
-    Metadata headers = new Metadata();
-    headers.put(AUTHORIZATION, "Bearer " + token);
     return ConfigurationGrpc.newBlockingStub(channel)
-        .withInterceptors(MetadataUtils.newAttachHeadersInterceptor(headers))
+        .withInterceptors(BearerToken.attach(token))
         .withDeadlineAfter(timeout.toMillis(), TimeUnit.MILLISECONDS);
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/operator/TokenAuthenticator.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/TokenAuthenticator.java
@@ -22,10 +22,6 @@
  * hashes are kept; each call compares with all of them in constant time. Thread-safe.
  */
 final class TokenAuthenticator implements ServerInterceptor {
-  static final Metadata.Key<String> AUTHORIZATION =
-      Metadata.Key.of("authorization", Metadata.ASCII_STRING_MARSHALLER);
-
-  private static final String SCHEME = "bearer ";
   private static final int MAX_TOKEN_LENGTH = 1_024;
 
   private final List<Known> known = new ArrayList<>();
@@ -59,7 +55,7 @@
   }
 
   private Optional<Principal> authenticate(Metadata headers) {
-    Iterable<String> all = headers.getAll(AUTHORIZATION);
+    Iterable<String> all = headers.getAll(BearerToken.AUTHORIZATION);
     if (all == null) {
       return Optional.empty();
     }
@@ -68,11 +64,7 @@
     if (values.size() != 1 || values.get(0).length() > MAX_TOKEN_LENGTH) {
       return Optional.empty();
     }
-    String value = values.get(0);
-    if (!value.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
-      return Optional.empty();
-    }
-    return find(sha256(value.substring(SCHEME.length()).strip()));
+    return BearerToken.parse(values.get(0)).flatMap(token -> find(sha256(token)));
   }
 
   /** Compares with every known hash, so that the time does not tell which one matched. */
--- a/umberpath-node/src/test/java/io/umberpath/node/operator/OperatorFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/OperatorFixture.java
@@ -64,7 +64,7 @@
   ConfigurationGrpc.ConfigurationBlockingStub withAuthorization(String... values) {
     Metadata headers = new Metadata();
     for (String value : values) {
-      headers.put(TokenAuthenticator.AUTHORIZATION, value);
+      headers.put(BearerToken.AUTHORIZATION, value);
     }
     return ConfigurationGrpc.newBlockingStub(channel)
         .withInterceptors(MetadataUtils.newAttachHeadersInterceptor(headers));
--- a/umberpath-node/src/test/java/io/umberpath/node/operator/ReadContractTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/operator/ReadContractTest.java
@@ -192,7 +192,7 @@
 
   private static io.grpc.Metadata headers(String token) {
     io.grpc.Metadata headers = new io.grpc.Metadata();
-    headers.put(TokenAuthenticator.AUTHORIZATION, "Bearer " + token);
+    headers.put(BearerToken.AUTHORIZATION, "Bearer " + token);
     return headers;
   }
 
