Node: settings commands load in one way; log fields, ports and violations in one place

Ruled out: a common parent for apply's and the settings' loading; their sources and results differ. Tests keep their assertions; the script became a method. Measured: mvn -pl umberpath-node,umberpath-lab -am verify passes. Conclusion: no behaviour changed.

--- a/umberpath-node/src/main/java/io/umberpath/node/cli/CallFailure.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/CallFailure.java
@@ -6,7 +6,6 @@
 import io.grpc.protobuf.StatusProto;
 import io.umberpath.api.v1.ErrorDetail;
 import io.umberpath.api.v1.Outcome;
-import io.umberpath.api.v1.Violation;
 import java.io.PrintStream;
 import java.util.Optional;
 
@@ -63,12 +62,13 @@
     return Optional.empty();
   }
 
+  /** Prints the sentence, and below it each field that the server named. */
   void print(PrintStream stream) {
     stream.println(message);
-    for (Violation violation :
-        detail.map(ErrorDetail::getViolationsList).orElseGet(java.util.List::of)) {
-      stream.printf(
-          "  %s = '%s': %s%n", violation.getField(), violation.getValue(), violation.getMessage());
-    }
+    detail.ifPresent(
+        found ->
+            found
+                .getViolationsList()
+                .forEach(violation -> stream.println("  " + Texts.violation(violation))));
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/ChangeFile.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/ChangeFile.java
@@ -82,7 +82,7 @@
       try {
         request.setExpectedVersion(Names.version(text.get()));
       } catch (UsageException malformed) {
-        file.problem("expectedVersion", "must be a version such as 3.17");
+        file.problem("expectedVersion", Names.VERSION_RULE);
       }
     }
   }
@@ -102,9 +102,9 @@
     Pool pool =
         Pool.newBuilder()
             .setService(reader.text("service"))
-            .setSlotsPerBackend((int) reader.integer("slotsPerBackend", 1, Integer.MAX_VALUE))
+            .setSlotsPerBackend(reader.smallInteger("slotsPerBackend", 1, Integer.MAX_VALUE))
             .setConnectionsPerBackend(
-                (int) reader.integer("connectionsPerBackend", 1, Integer.MAX_VALUE))
+                reader.smallInteger("connectionsPerBackend", 1, Integer.MAX_VALUE))
             .build();
     return named(reader).setPool(pool).build();
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/CheckConfigCommand.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/CheckConfigCommand.java
@@ -1,9 +1,6 @@
 package io.umberpath.node.cli;
 
 import io.umberpath.node.settings.NodeSettings;
-import io.umberpath.node.settings.SettingsProblem;
-import io.vavr.control.Either;
-import java.util.List;
 import org.kohsuke.args4j.Argument;
 
 /** Checks a settings file without starting anything. */
@@ -12,11 +9,12 @@
   private String file;
 
   @Override
-  ExitCode run(Output output) throws UsageException {
-    Either<List<SettingsProblem>, NodeSettings> settings = load(file);
-    if (settings.isLeft()) {
-      return refuse(output, file, settings.getLeft());
-    }
+  String file() {
+    return file;
+  }
+
+  @Override
+  ExitCode run(NodeSettings settings, Output output) {
     output.out().println(file + ": in order");
     return ExitCode.OK;
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/ListCommand.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/ListCommand.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.api.v1.ListRequest;
 import io.umberpath.api.v1.ListResponse;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
@@ -36,7 +37,7 @@
   }
 
   private static ListResponse allPages(
-      java.util.function.Function<ListRequest, ListResponse> list, ListRequest.Builder request) {
+      Function<ListRequest, ListResponse> list, ListRequest.Builder request) {
     ListResponse.Builder all = ListResponse.newBuilder();
     ListResponse page;
     do {
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/Names.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/Names.java
@@ -8,10 +8,18 @@
 
 /** How kinds and versions are written on the command line. */
 final class Names {
+  /** What is said of a text that is no version. */
+  static final String VERSION_RULE = "must be a version such as 3.17";
+
   private static final Pattern VERSION = Pattern.compile("([0-9]{1,18})\\.([0-9]{1,18})");
 
   private Names() {}
 
+  /**
+   * Reads a kind, singular or plural, in any case.
+   *
+   * @throws UsageException if there is no such kind
+   */
   static Kind kind(String text) throws UsageException {
     return switch (text.toLowerCase(Locale.ROOT)) {
       case "route", "routes" -> Kind.KIND_ROUTE;
@@ -21,10 +29,15 @@
     };
   }
 
+  /**
+   * Reads a version, {@code epoch.sequence}.
+   *
+   * @throws UsageException if the text is no version
+   */
   static Version version(String text) throws UsageException {
     Matcher matcher = VERSION.matcher(text);
     if (!matcher.matches()) {
-      throw new UsageException("'" + text + "' must be a version such as 3.17");
+      throw new UsageException("'" + text + "' " + VERSION_RULE);
     }
     return Version.newBuilder()
         .setEpoch(Long.parseLong(matcher.group(1)))
@@ -32,6 +45,7 @@
         .build();
   }
 
+  /** Writes a version, {@code epoch.sequence}. */
   static String version(Version version) {
     return version.getEpoch() + "." + version.getSequence();
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/NodeCommand.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/NodeCommand.java
@@ -3,10 +3,7 @@
 import io.umberpath.node.NodeProcess;
 import io.umberpath.node.logs.Logs;
 import io.umberpath.node.settings.NodeSettings;
-import io.umberpath.node.settings.SettingsProblem;
-import io.vavr.control.Either;
 import java.io.IOException;
-import java.util.List;
 import org.kohsuke.args4j.Option;
 
 /** Runs a node until the process is told to stop. */
@@ -15,16 +12,14 @@
   private String file;
 
   @Override
-  ExitCode run(Output output) throws UsageException {
-    Either<List<SettingsProblem>, NodeSettings> settings = load(file);
-    if (settings.isLeft()) {
-      return refuse(output, file, settings.getLeft());
-    }
-    Logs.bridgeLibraries();
-    return run(new NodeProcess(settings.get()), output);
+  String file() {
+    return file;
   }
 
-  private static ExitCode run(NodeProcess node, Output output) {
+  @Override
+  ExitCode run(NodeSettings settings, Output output) {
+    Logs.bridgeLibraries();
+    NodeProcess node = new NodeProcess(settings);
     PlannedStop stop = PlannedStop.install(node);
     return stop.end(runUntilEnd(node, output));
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/SettingsCommand.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/SettingsCommand.java
@@ -52,12 +52,22 @@
       usage = "any field of the settings file, its value in YAML; may be repeated")
   private List<String> fields = new ArrayList<>();
 
-  final Either<List<SettingsProblem>, NodeSettings> load(String file) throws UsageException {
-    return SettingsLoader.load(Path.of(file), new SettingsOverrides(overrides()));
+  /** The settings file it reads. */
+  abstract String file();
+
+  /** Runs with settings that are in order. */
+  abstract ExitCode run(NodeSettings settings, Output output);
+
+  /** Loads the settings; prints every problem if there is one. */
+  @Override
+  final ExitCode run(Output output) throws UsageException {
+    Either<List<SettingsProblem>, NodeSettings> settings =
+        SettingsLoader.load(Path.of(file()), new SettingsOverrides(overrides()));
+    return settings.fold(problems -> refuse(problems, output), found -> run(found, output));
   }
 
-  static ExitCode refuse(Output output, String file, List<SettingsProblem> problems) {
-    output.err().println(file + ": " + problems.size() + " problem(s)");
+  private ExitCode refuse(List<SettingsProblem> problems, Output output) {
+    output.err().println(file() + ": " + problems.size() + " problem(s)");
     problems.forEach(problem -> output.err().println("  " + problem));
     return ExitCode.USAGE;
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/Texts.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/Texts.java
@@ -126,7 +126,8 @@
     return text.toString();
   }
 
-  private static String violation(Violation violation) {
+  /** One field, its value and what is wrong with it, on one line. */
+  static String violation(Violation violation) {
     return violation.getField() + " = '" + violation.getValue() + "': " + violation.getMessage();
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/control/ControlLoop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/control/ControlLoop.java
@@ -7,6 +7,7 @@
 import io.umberpath.control.ControlStatus;
 import io.umberpath.model.ChangeResult;
 import io.umberpath.model.ChangeResult.RefusalCode;
+import io.umberpath.model.PlatformDocument;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -131,7 +132,7 @@
     }
   }
 
-  private io.umberpath.model.PlatformDocument document() {
+  private PlatformDocument document() {
     return node.status().document();
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/control/OutputHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/control/OutputHandler.java
@@ -1,12 +1,12 @@
 package io.umberpath.node.control;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.common.flogger.MetadataKey;
 import io.umberpath.control.ControlInput;
 import io.umberpath.control.ControlOutput;
 import io.umberpath.model.ObservedBackend;
 import io.umberpath.model.PlatformDocument;
 import io.umberpath.model.ProxySnapshot;
+import io.umberpath.node.logs.LogFields;
 import io.umberpath.node.platform.PlatformReader;
 import io.umberpath.transport.Transport;
 import java.util.Map;
@@ -19,9 +19,6 @@
 final class OutputHandler {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private static final MetadataKey<String> EVENT = MetadataKey.single("event", String.class);
-  private static final MetadataKey<String> VERSION = MetadataKey.single("version", String.class);
-
   private final Transport transport;
   private final PlatformReader reader;
   private final ControlInbox inbox;
@@ -57,7 +54,7 @@
     } else if (output instanceof ControlOutput.ObservedUpdated updated) {
       observed.update(updated.backends(), document.get());
     } else if (output instanceof ControlOutput.Notice notice) {
-      logger.atInfo().with(EVENT, notice.event()).log("%s", notice.detail());
+      logger.atInfo().with(LogFields.EVENT, notice.event()).log("%s", notice.detail());
     }
   }
 
@@ -73,8 +70,8 @@
     snapshot = next;
     logger
         .atInfo()
-        .with(EVENT, "activated")
-        .with(VERSION, next.version().toString())
+        .with(LogFields.EVENT, "activated")
+        .with(LogFields.VERSION, next.version().toString())
         .log("Platform revision %d", next.revision());
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/operator/OperatorServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/OperatorServer.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -122,7 +123,7 @@
     executor.shutdown();
   }
 
-  private static java.util.concurrent.ThreadFactory threads(String format) {
+  private static ThreadFactory threads(String format) {
     return new ThreadFactoryBuilder().setNameFormat(format).setDaemon(true).build();
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/platform/FieldReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/platform/FieldReader.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.net.InetAddresses;
+import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Violation;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -16,7 +17,6 @@
   private static final int MAX_SHOWN_CHARACTERS = 80;
   private static final int MAX_TEXT_CHARACTERS = 255;
   private static final String ROOT = "document";
-  private static final int MAX_PORT = 65_535;
 
   private final List<Violation> violations = new ArrayList<>();
 
@@ -59,10 +59,10 @@
 
   int port(JsonNode parent, String path, String name) {
     JsonNode node = parent.get(name);
-    if (node.isInt() && node.intValue() >= 1 && node.intValue() <= MAX_PORT) {
+    if (node.isInt() && node.intValue() >= 1 && node.intValue() <= PeerAddress.MAX_PORT) {
       return node.intValue();
     }
-    refuse(join(path, name), node, "must be an integer between 1 and " + MAX_PORT);
+    refuse(join(path, name), node, "must be an integer between 1 and " + PeerAddress.MAX_PORT);
     return 1;
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/platform/HttpPlatformReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/platform/HttpPlatformReader.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -102,7 +103,7 @@
     if (failure instanceof PlatformReadException already) {
       return already;
     }
-    if (failure instanceof java.util.concurrent.TimeoutException) {
+    if (failure instanceof TimeoutException) {
       return new PlatformReadException(
           "no whole answer from " + address + " within " + timeoutMillis + " ms");
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/settings/MappingReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/MappingReader.java
@@ -78,6 +78,11 @@
     return integer(key, minimum, maximum, minimum);
   }
 
+  /** As {@link #integer(String, long, long)} for an {@code int}. */
+  public int smallInteger(String key, int minimum, int maximum) {
+    return Math.toIntExact(integer(key, minimum, maximum));
+  }
+
   /** As {@link #integer(String, long, long, long)} for an {@code int}. */
   public int smallInteger(String key, int minimum, int maximum, int defaultValue) {
     return Math.toIntExact(integer(key, minimum, maximum, defaultValue));
--- a/umberpath-node/src/main/java/io/umberpath/node/settings/NodeSettings.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/NodeSettings.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.settings;
 
 import io.umberpath.control.ControlSettings;
+import io.umberpath.model.Tier;
 import io.umberpath.transport.TransportSecurity;
 import java.util.List;
 import java.util.Optional;
@@ -82,8 +83,7 @@
    * @param tiers tiers the tenant pays for, by name
    * @param fleetAdmin whether it may see the whole fleet, drain and re-form
    */
-  public record Token(
-      String sha256, String tenant, List<io.umberpath.model.Tier> tiers, boolean fleetAdmin) {}
+  public record Token(String sha256, String tenant, List<Tier> tiers, boolean fleetAdmin) {}
 
   /**
    * Admin port.
--- a/umberpath-node/src/main/java/io/umberpath/node/settings/SettingsReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/SettingsReader.java
@@ -17,13 +17,12 @@
 /** Turns the groups of a settings file into {@link NodeSettings}. */
 final class SettingsReader {
   private static final String LOOPBACK = "127.0.0.1";
-  private static final int MAX_PORT = 65_535;
   private static final int NO_PORT = -1;
   private static final int MAX_MEMBERS = 100_000;
   private static final int MAX_FAN = 1_024;
   private static final int MAX_SLOTS = 100_000;
   private static final String ADDRESS_RULE =
-      "must be IP:PORT with a port between 1 and " + MAX_PORT;
+      "must be IP:PORT with a port between 1 and " + PeerAddress.MAX_PORT;
   private static final long MINUTE_MILLIS = 60_000;
   private static final long HOUR_MILLIS = 60 * MINUTE_MILLIS;
   private static final long GIBIBYTE = 1L << 30;
@@ -112,8 +111,8 @@
   private static NodeSettings.Proxy proxy(MappingReader proxy, String nodeHost) {
     return new NodeSettings.Proxy(
         host(proxy, nodeHost),
-        proxy.smallInteger("edgePort", NO_PORT, MAX_PORT, NO_PORT),
-        proxy.smallInteger("hopPort", NO_PORT, MAX_PORT, NO_PORT),
+        proxy.smallInteger("edgePort", NO_PORT, PeerAddress.MAX_PORT, NO_PORT),
+        proxy.smallInteger("hopPort", NO_PORT, PeerAddress.MAX_PORT, NO_PORT),
         proxy.optionalGroup("backend", SettingsReader::backend),
         proxy.durationMillis("drain", 0, HOUR_MILLIS, MINUTE_MILLIS),
         proxy.smallInteger("maxHeaderBytes", 1_024, 1 << 20, 16_384),
@@ -155,7 +154,9 @@
       }
     }
     return new NodeSettings.Operator(
-        host(operator, LOOPBACK), operator.smallInteger("port", 0, MAX_PORT, 0), tokens);
+        host(operator, LOOPBACK),
+        operator.smallInteger("port", 0, PeerAddress.MAX_PORT, 0),
+        tokens);
   }
 
   private static NodeSettings.Token token(MappingReader token) {
@@ -173,7 +174,7 @@
 
   private static NodeSettings.Admin admin(MappingReader admin) {
     return new NodeSettings.Admin(
-        host(admin, LOOPBACK), admin.smallInteger("port", 0, MAX_PORT, 0));
+        host(admin, LOOPBACK), admin.smallInteger("port", 0, PeerAddress.MAX_PORT, 0));
   }
 
   private static String host(MappingReader reader, String defaultHost) {
@@ -216,7 +217,7 @@
           && uri.getHost() != null
           && InetAddresses.isInetAddress(uri.getHost())
           && uri.getPort() > 0
-          && uri.getPort() <= MAX_PORT;
+          && uri.getPort() <= PeerAddress.MAX_PORT;
     } catch (URISyntaxException malformed) {
       return false;
     }
--- a/umberpath-node/src/test/java/io/umberpath/node/control/ControlRuntimeTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/control/ControlRuntimeTest.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -38,6 +39,7 @@
   private static final PeerAddress PEER = new PeerAddress("127.0.0.1", 1);
   private static final Duration LONG = Duration.ofSeconds(50);
   private static final ChangeResult ACCEPTED = new ChangeResult.Accepted(new Version(1, 1));
+  private static final ChangeResult FORWARDED = new ChangeResult.Unknown("forwarded");
 
   private final List<ControlInput> inputs = new CopyOnWriteArrayList<>();
   private final List<ControlMessage> sent = new CopyOnWriteArrayList<>();
@@ -80,29 +82,27 @@
     assertThat(submit(LONG).get()).isEqualTo(ACCEPTED);
   }
 
-  @Test
-  void overdueChangeIsAnsweredByTheNodesVerdict() throws Exception {
-    ChangeResult verdict = new ChangeResult.Unknown("forwarded");
+  private void startAnsweringAbandonedChanges() throws IOException {
     start(
         input ->
             input instanceof ControlInput.ChangeAbandoned change
-                ? List.of(new ControlOutput.ChangeAnswered(change.ticket(), verdict))
+                ? List.of(new ControlOutput.ChangeAnswered(change.ticket(), FORWARDED))
                 : List.of());
-    assertThat(submit(Duration.ofMillis(20)).get()).isEqualTo(verdict);
+  }
+
+  @Test
+  void overdueChangeIsAnsweredByTheNodesVerdict() throws Exception {
+    startAnsweringAbandonedChanges();
+    assertThat(submit(Duration.ofMillis(20)).get()).isEqualTo(FORWARDED);
   }
 
   @Test
   void openChangesAreAbandonedBeforeTheRuntimeStops() throws Exception {
-    ChangeResult verdict = new ChangeResult.Unknown("forwarded");
-    start(
-        input ->
-            input instanceof ControlInput.ChangeAbandoned change
-                ? List.of(new ControlOutput.ChangeAnswered(change.ticket(), verdict))
-                : List.of());
+    startAnsweringAbandonedChanges();
     CompletableFuture<ChangeResult> open = submit(LONG);
     RuntimeFleet.await("submitted", () -> inputs.stream().anyMatch(this::isSubmission));
     runtime.close();
-    assertThat(open.get()).isEqualTo(verdict);
+    assertThat(open.get()).isEqualTo(FORWARDED);
   }
 
   private boolean isSubmission(ControlInput input) {
@@ -131,7 +131,7 @@
 
   @Test
   void messagesLossesAndReadsReachTheNode() throws Exception {
-    PlatformDocument read = new PlatformDocument(4, new java.util.TreeMap<>(), List.of());
+    PlatformDocument read = new PlatformDocument(4, new TreeMap<>(), List.of());
     start(
         input ->
             input instanceof ControlInput.MessageReceived
--- a/umberpath-node/src/test/java/io/umberpath/node/logs/LogLinesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/logs/LogLinesTest.java
@@ -8,6 +8,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -24,7 +25,7 @@
       System.setErr(before);
     }
     ObjectMapper json = new ObjectMapper();
-    List<JsonNode> lines = new java.util.ArrayList<>();
+    List<JsonNode> lines = new ArrayList<>();
     for (String line : captured.toString(StandardCharsets.UTF_8).split("\n")) {
       lines.add(json.readTree(line));
     }
