Lab: one way to start Java processes, to label enums and to answer steering calls

Cause: NodeHandle and the idle relay built the same command line; two enums carried the same label code; the stand-ins' admin ports repeated statuses and the "done" answer; IdleNode and OpenLoopCaller held bare numbers. Change: JavaProcess, Labels, Answers.done and named statuses; named constants. Measured: mvn -pl umberpath-node,umberpath-lab -am verify passes. Conclusion: no behaviour changed.

--- a/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendAdmin.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendAdmin.java
@@ -9,11 +9,6 @@
 
 /** The calls that steer a {@link BackendStandIn}, on a port of their own. */
 final class BackendAdmin extends HttpHandler {
-  private static final int OK = 200;
-  private static final int BAD_REQUEST = 400;
-  private static final int NOT_FOUND = 404;
-  private static final String DONE = "{\"done\":true}";
-
   private final BackendStandIn backend;
 
   BackendAdmin(BackendStandIn backend) {
@@ -27,7 +22,7 @@
       case "GET /runs" -> runs(request, response);
       case "PUT /draining" -> draining(request, response);
       case "PUT /signals" -> signals(request, response);
-      default -> Answers.json(response, NOT_FOUND, "{\"error\":\"no such call\"}");
+      default -> Answers.json(response, Answers.NOT_FOUND, "{\"error\":\"no such call\"}");
     }
   }
 
@@ -39,17 +34,17 @@
             ? "{\"runs\":%d,\"doubleRuns\":%d,\"cutUploads\":%d}"
                 .formatted(ledger.runs(), ledger.doubleRuns(), ledger.cutUploads())
             : "{\"runs\":%d}".formatted(ledger.runsOf(requestId));
-    Answers.json(response, OK, json);
+    Answers.json(response, Answers.OK, json);
   }
 
   private void draining(Request request, Response response) throws IOException {
     String value = String.valueOf(request.getParameter("value"));
     if (!value.equals("true") && !value.equals("false")) {
-      Answers.json(response, BAD_REQUEST, "{\"error\":\"value must be true or false\"}");
+      Answers.json(response, Answers.BAD_REQUEST, "{\"error\":\"value must be true or false\"}");
       return;
     }
     backend.setDraining(Boolean.parseBoolean(value));
-    Answers.json(response, OK, DONE);
+    Answers.done(response);
   }
 
   private void signals(Request request, Response response) throws IOException {
@@ -57,10 +52,10 @@
     String lag = String.valueOf(request.getParameter("lag"));
     if (mode.isEmpty() || !lag.matches("\\d{1,6}")) {
       String accepted = "mode must be honest, always-idle or inverted; lag 0 to 999999 ms";
-      Answers.json(response, BAD_REQUEST, "{\"error\":\"" + accepted + "\"}");
+      Answers.json(response, Answers.BAD_REQUEST, "{\"error\":\"" + accepted + "\"}");
       return;
     }
     backend.distortSignals(mode.get(), Long.parseLong(lag));
-    Answers.json(response, OK, DONE);
+    Answers.done(response);
   }
 }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendTransport.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/backend/BackendTransport.java
@@ -1,6 +1,7 @@
 package io.umberpath.lab.backend;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import org.glassfish.grizzly.ConnectionProbe;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -47,7 +48,7 @@
   void start() throws IOException {
     transport.start();
     TCPNIOServerConnection listener = transport.bind(host, askedPort);
-    port = ((java.net.InetSocketAddress) listener.getLocalAddress()).getPort();
+    port = ((InetSocketAddress) listener.getLocalAddress()).getPort();
   }
 
   int port() {
--- a/umberpath-lab/src/main/java/io/umberpath/lab/backend/SignalMode.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/backend/SignalMode.java
@@ -1,7 +1,6 @@
 package io.umberpath.lab.backend;
 
-import java.util.Arrays;
-import java.util.Locale;
+import io.umberpath.lab.Labels;
 import java.util.Optional;
 
 /** How truthful the health and load endpoints are. */
@@ -15,11 +14,11 @@
 
   /** Its name in calls, for example {@code always-idle}. */
   public String label() {
-    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    return Labels.of(this);
   }
 
   /** The mode of that label, if there is one. */
   public static Optional<SignalMode> ofLabel(String label) {
-    return Arrays.stream(values()).filter(mode -> mode.label().equals(label)).findFirst();
+    return Labels.find(SignalMode.class, label);
   }
 }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/caller/OpenLoopCaller.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/caller/OpenLoopCaller.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Phaser;
+import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
@@ -19,6 +20,10 @@
  */
 public final class OpenLoopCaller implements AutoCloseable {
   private static final int THREADS = 2;
+
+  /** Longest sleep of the pacer, so that it sees soon that it is to stop. */
+  private static final long LONGEST_PARK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final CallerSettings settings;
@@ -84,7 +89,7 @@
   private void awaitDue(long dueNanos) {
     long left = dueNanos - System.nanoTime();
     while (left > 0 && !stopping) {
-      LockSupport.parkNanos(Math.min(left, TimeUnit.MILLISECONDS.toNanos(100)));
+      LockSupport.parkNanos(Math.min(left, LONGEST_PARK_NANOS));
       left = dueNanos - System.nanoTime();
     }
   }
@@ -115,7 +120,7 @@
     return Throwables.getRootCause(failure).getClass().getSimpleName();
   }
 
-  private static java.util.concurrent.ThreadFactory daemon() {
+  private static ThreadFactory daemon() {
     return task -> {
       Thread thread = new Thread(task, "caller");
       thread.setDaemon(true);
--- a/umberpath-lab/src/main/java/io/umberpath/lab/cluster/NodeHandle.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/cluster/NodeHandle.java
@@ -1,5 +1,7 @@
 package io.umberpath.lab.cluster;
 
+import io.umberpath.lab.JavaProcess;
+import io.umberpath.node.Main;
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -44,15 +46,9 @@
    * @throws IOException if it cannot be started
    */
   public void start() throws IOException {
-    java.util.ArrayList<String> command = new java.util.ArrayList<>();
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(javaOptions);
-    command.add("-cp");
-    command.add(System.getProperty("java.class.path"));
-    command.add("io.umberpath.node.Main");
-    command.addAll(List.of("node", "--config", settings.toString()));
+    List<String> arguments = List.of("node", "--config", settings.toString());
     process =
-        new ProcessBuilder(command)
+        JavaProcess.prepare(javaOptions, Main.class, arguments)
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
             .start();
--- a/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformAdmin.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformAdmin.java
@@ -16,11 +16,6 @@
 
 /** The calls that steer a {@link PlatformStandIn}, on a port of their own. */
 final class PlatformAdmin extends HttpHandler {
-  private static final int OK = 200;
-  private static final int BAD_REQUEST = 400;
-  private static final int NOT_FOUND = 404;
-  private static final String DONE = "{\"done\":true}";
-
   private final ObjectMapper mapper = new ObjectMapper();
   private final PlatformStandIn standIn;
 
@@ -36,8 +31,8 @@
       case "PUT /machine-lag" -> setMachineLag(request, response);
       case "PUT /fault" -> setFault(request, response);
       case "GET /readers" ->
-          Answers.json(response, OK, mapper.writeValueAsString(standIn.readers()));
-      default -> Answers.json(response, NOT_FOUND, error("no call " + call));
+          Answers.json(response, Answers.OK, mapper.writeValueAsString(standIn.readers()));
+      default -> Answers.json(response, Answers.NOT_FOUND, error("no call " + call));
     }
   }
 
@@ -45,32 +40,33 @@
     byte[] body = request.getInputStream().readNBytes(HttpPlatformReader.MAX_DOCUMENT_BYTES);
     Either<List<Violation>, PlatformDocument> parsed = PlatformDocumentCodec.parse(body);
     if (parsed.isLeft()) {
-      Answers.json(response, BAD_REQUEST, error(parsed.getLeft().toString()));
+      Answers.json(response, Answers.BAD_REQUEST, error(parsed.getLeft().toString()));
       return;
     }
     standIn.publish(parsed.get());
-    Answers.json(response, OK, DONE);
+    Answers.done(response);
   }
 
   private void setMachineLag(Request request, Response response) throws IOException {
     String text = String.valueOf(request.getParameter("millis"));
     if (!text.matches("\\d{1,9}")) {
-      Answers.json(response, BAD_REQUEST, error("millis = '" + text + "': must be 0 to 999999999"));
+      Answers.json(
+          response, Answers.BAD_REQUEST, error("millis = '" + text + "': must be 0 to 999999999"));
       return;
     }
     standIn.lagMachines(Long.parseLong(text));
-    Answers.json(response, OK, DONE);
+    Answers.done(response);
   }
 
   private void setFault(Request request, Response response) throws IOException {
     String text = String.valueOf(request.getParameter("name"));
     Optional<PlatformFault> fault = PlatformFault.ofLabel(text);
     if (fault.isEmpty()) {
-      Answers.json(response, BAD_REQUEST, error("name = '" + text + "': no such fault"));
+      Answers.json(response, Answers.BAD_REQUEST, error("name = '" + text + "': no such fault"));
       return;
     }
     standIn.setFault(fault.get());
-    Answers.json(response, OK, DONE);
+    Answers.done(response);
   }
 
   private String error(String message) throws IOException {
--- a/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformFault.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformFault.java
@@ -1,7 +1,6 @@
 package io.umberpath.lab.platform;
 
-import java.util.Arrays;
-import java.util.Locale;
+import io.umberpath.lab.Labels;
 import java.util.Optional;
 
 /** What the platform stand-in does wrong. */
@@ -23,11 +22,11 @@
 
   /** Its name on the command line and in calls, for example {@code going-back}. */
   public String label() {
-    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    return Labels.of(this);
   }
 
   /** The fault of that label, if there is one. */
   public static Optional<PlatformFault> ofLabel(String label) {
-    return Arrays.stream(values()).filter(fault -> fault.label().equals(label)).findFirst();
+    return Labels.find(PlatformFault.class, label);
   }
 }
--- a/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformStandIn.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/platform/PlatformStandIn.java
@@ -25,10 +25,6 @@
   /** Delay of an answer while {@link PlatformFault#SLOW}, milliseconds. */
   public static final long SLOW_MILLIS = 5_000;
 
-  private static final String JSON = "application/json";
-  private static final int OK = 200;
-  private static final int NOT_FOUND = 404;
-
   private final String host;
   private final ReaderCounts counts = new ReaderCounts();
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
@@ -136,7 +132,9 @@
     public void service(Request request, Response response) throws IOException {
       if (!DOCUMENT_PATH.equals(request.getRequestURI())) {
         Answers.json(
-            response, NOT_FOUND, "{\"error\":\"the document is at " + DOCUMENT_PATH + "\"}");
+            response,
+            Answers.NOT_FOUND,
+            "{\"error\":\"the document is at " + DOCUMENT_PATH + "\"}");
         return;
       }
       counts.begin(nowMillis(), String.valueOf(request.getHeader("User-Agent")));
@@ -148,13 +146,13 @@
         response.suspend();
         timer.schedule(() -> answerLate(response), SLOW_MILLIS, TimeUnit.MILLISECONDS);
       } else {
-        Answers.bytes(response, OK, JSON, body());
+        Answers.json(response, Answers.OK, body());
       }
     }
 
     private void answerLate(Response response) {
       try {
-        Answers.bytes(response, OK, JSON, body());
+        Answers.json(response, Answers.OK, body());
         response.resume();
       } catch (IOException | IllegalStateException gone) {
         // The reader gave up; nothing is left to answer.
--- a/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleNode.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleNode.java
@@ -24,7 +24,12 @@
   private static final int FORMING_MEMBERS = 3;
   private static final int STALL_HEARTBEATS = 4;
   private static final int ELECTION_HEARTBEATS = 10;
+  private static final int MAX_QUEUED_CHANGES = 100;
+  private static final int REMEMBERED_CHANGES = 100;
+
+  /** How many times later than the first node the others ask for votes. */
   private static final int PATIENCE = 10;
+
   private static final PlatformDocument DOCUMENT =
       new PlatformDocument(1, new TreeMap<>(), List.of());
 
@@ -77,8 +82,8 @@
         maxChildren,
         1,
         heartbeatMillis,
-        100,
-        100);
+        MAX_QUEUED_CHANGES,
+        REMEMBERED_CHANGES);
   }
 
   PeerAddress address() {
--- a/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleRelayCommand.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleRelayCommand.java
@@ -1,5 +1,6 @@
 package io.umberpath.lab.transport;
 
+import io.umberpath.lab.JavaProcess;
 import io.umberpath.lab.Main;
 import io.umberpath.lab.OptionsCommand;
 import io.umberpath.model.PeerAddress;
@@ -19,6 +20,7 @@
  * this process alone; its children run together in a second one.
  */
 public final class IdleRelayCommand extends OptionsCommand {
+  private static final List<String> CHILDREN_JAVA_OPTIONS = List.of("-Xmx256m");
   private static final long POLL_MILLIS = 100;
   private static final long POLLS_PER_PROGRESS = 50;
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
@@ -79,21 +81,16 @@
   }
 
   private Process startChildren(PeerAddress relay) throws IOException {
-    return new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx256m",
-            "-cp",
-            System.getProperty("java.class.path"),
-            Main.class.getName(),
+    List<String> arguments =
+        List.of(
             name(),
             "--join",
             relay.toString(),
             "--children",
             Integer.toString(children),
             "--heartbeat-millis",
-            Long.toString(heartbeatMillis))
-        .inheritIO()
-        .start();
+            Long.toString(heartbeatMillis));
+    return JavaProcess.prepare(CHILDREN_JAVA_OPTIONS, Main.class, arguments).inheritIO().start();
   }
 
   private void awaitChildren(IdleNode relay, Process others) throws InterruptedException {
