Traffic, transport: bounds of the latency factor named, unused setter gone, one TLS protocol

Cause: BackendState clipped with a bare 4 and 0.5 and its queries had no comment; DecayingValue.set had no caller; the TLS protocol was spelt out for the context and again for its engines. Change: named constants, comments that say what each query answers, the setter removed, one constant for the protocol. Measured: mvn -pl umberpath-model,umberpath-traffic,umberpath-transport -am verify passes. Conclusion: no behaviour changed.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/BackendState.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/BackendState.java
@@ -13,6 +13,9 @@
   /** A latency within this factor of the pool's says nothing. */
   private static final double LATENCY_BAND = 1.3;
 
+  private static final double MIN_LATENCY_FACTOR = 0.5;
+  private static final double MAX_LATENCY_FACTOR = 4;
+
   private static final double LATENCY_HALF_LIFE_MILLIS = 2_000;
   private static final double REFUSAL_HALF_LIFE_MILLIS = 500;
   private static final double DOUBT_HALF_LIFE_MILLIS = 10_000;
@@ -123,6 +126,7 @@
     latencyAtMillis = nowMillis;
   }
 
+  /** It asked to be left alone by requests of the tier and lower ones for a time. */
   void shed(long nowMillis, Tier tier, long retryAfterMillis) {
     touchedMillis = nowMillis;
     for (int lower = tier.ordinal(); lower < shedUntilMillis.length; lower++) {
@@ -130,6 +134,7 @@
     }
   }
 
+  /** Takes a statement of the node beside it, unless a newer one is known. */
   void observed(long nowMillis, ObservedBackend statement) {
     if (report != null && !statement.supersedes(report)) {
       return;
@@ -157,12 +162,14 @@
     slowStartAtMillis = atMillis;
   }
 
+  /** Whether it takes new work, as far as its node and its own answers say. */
   boolean inService(long nowMillis) {
     boolean leaving =
         report != null && (report.phase() == Phase.DRAINING || report.phase() == Phase.DOWN);
     return !leaving && nowMillis >= drainingUntilMillis;
   }
 
+  /** Whether it failed too often of late. */
   boolean ejected(long nowMillis) {
     return nowMillis < ejectedUntilMillis;
   }
@@ -171,10 +178,12 @@
     return ejectedUntilMillis;
   }
 
+  /** How long requests of the tier still leave it alone, milliseconds. */
   long shedMillisLeft(long nowMillis, Tier tier) {
     return Math.max(0, shedUntilMillis[tier.ordinal()] - nowMillis);
   }
 
+  /** Whether it has no attempt under way and nothing was heard of it since. */
   boolean idleSince(long millis) {
     return inFlight == 0 && touchedMillis < millis;
   }
@@ -221,7 +230,9 @@
     if (latencyMicros == 0 || poolLatencyMicros == 0) {
       return 1;
     }
-    double ratio = Math.min(4, Math.max(0.5, latencyMicros / poolLatencyMicros));
+    double ratio =
+        Math.min(
+            MAX_LATENCY_FACTOR, Math.max(MIN_LATENCY_FACTOR, latencyMicros / poolLatencyMicros));
     if (ratio < LATENCY_BAND && ratio > 1 / LATENCY_BAND) {
       return 1;
     }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DecayingValue.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DecayingValue.java
@@ -10,20 +10,17 @@
     this.halfLifeMillis = halfLifeMillis;
   }
 
+  /** What is left of it now. */
   double get(long nowMillis) {
     return value == 0 ? 0 : value * weight(nowMillis - atMillis, halfLifeMillis);
   }
 
+  /** Adds to what is left. */
   void add(long nowMillis, double amount) {
     value = get(nowMillis) + amount;
     atMillis = nowMillis;
   }
 
-  void set(long nowMillis, double newValue) {
-    value = newValue;
-    atMillis = nowMillis;
-  }
-
   /** What is left of 1 at an age. */
   static double weight(long ageMillis, double halfLifeMillis) {
     return ageMillis <= 0 ? 1 : Math.exp(-Math.log(2) * ageMillis / halfLifeMillis);
--- a/umberpath-transport/src/main/java/io/umberpath/transport/tls/MutualTlsEngines.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/tls/MutualTlsEngines.java
@@ -5,7 +5,7 @@
 
 /** Makes engines from the newest context; both sides must show a certificate. */
 final class MutualTlsEngines extends SSLEngineConfigurator {
-  private static final String[] PROTOCOLS = {"TLSv1.3"};
+  private static final String[] PROTOCOLS = {TlsContexts.PROTOCOL};
 
   private final ReloadingTls tls;
   private final boolean client;
--- a/umberpath-transport/src/main/java/io/umberpath/transport/tls/TlsContexts.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/tls/TlsContexts.java
@@ -20,7 +20,9 @@
 
 /** Builds TLS contexts from files. */
 final class TlsContexts {
-  private static final String PROTOCOL = "TLSv1.3";
+  /** The one protocol that nodes speak. */
+  static final String PROTOCOL = "TLSv1.3";
+
   private static final String KEY_STORE_TYPE = "PKCS12";
   private static final char[] IN_MEMORY_PASSWORD = {};
 
