Transport: close waits until the port is free

restartedPeerIsReachedAgain failed twice with "Address already in use". Cause: the comment on GrizzlyEndpoint.close promised a free port, but a registered listening channel is closed by the operating system only when its selector deregisters it, and shutdownNow merely asks the selector thread to end. Ruled out: SO_REUSEADDR is set, and each failed bind succeeded 50 ms later, so no other socket held the port.

The test is unchanged.

Not solved: a client socket of another process that is given the port between close and the next bind still makes bind fail (shown by a client socket bound there on purpose).

--- a/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyEndpoint.java
+++ b/umberpath-transport/src/main/java/io/umberpath/transport/GrizzlyEndpoint.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import javax.net.ssl.SSLException;
@@ -92,13 +93,18 @@
     transport.start();
   }
 
-  /** Closes the listening socket first and waits for it, so that the port is free afterwards. */
+  /**
+   * Closes the listening socket and waits for the selector thread to end, so that the port is free
+   * afterwards: the operating system's socket stays open until the selector has deregistered it.
+   */
   void close() {
     try {
       if (server != null) {
         server.close().get(CLOSE_SECONDS, TimeUnit.SECONDS);
       }
+      ExecutorService selectorThread = transport.getKernelThreadPool();
       transport.shutdownNow();
+      awaitEnd(selectorThread);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } catch (IOException | ExecutionException | TimeoutException e) {
@@ -106,6 +112,13 @@
     }
   }
 
+  private static void awaitEnd(ExecutorService selectorThread) throws InterruptedException {
+    if (selectorThread != null
+        && !selectorThread.awaitTermination(CLOSE_SECONDS, TimeUnit.SECONDS)) {
+      logger.atWarning().log("The transport's selector thread did not end; its port may be taken");
+    }
+  }
+
   @Override
   public void dial(PeerAddress peer, PeerConnection connection) {
     SocketConnectorHandler connector = TCPNIOConnectorHandler.builder(transport).build();
