Control: a relay reports once per proposal, commit and round

A relay reported at once each time one descendant changed, provided only its direct children held its own version; so the number of reports grew with the subtree.

Ruled out: too many children, deliveries (44 a second, 4 KB/s), documents, observed statements (none in a settled window), and the size of one report (2 groups).

Change: a relay reports when its whole subtree holds a proposal, when the whole subtree runs the commit and has answered the round, and otherwise after a bounded wait: 20 ms for the first partial report of a proposal, a tenth of a heartbeat for later ones, a quarter of a heartbeat for what members run. A higher epoch and a refused state still travel at once.

--- a/umberpath-control/src/main/java/io/umberpath/control/Child.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Child.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.control.ControlMessage.Report;
 import io.umberpath.control.ControlMessage.ReportGroup;
+import io.umberpath.control.ControlMessage.Round;
 import io.umberpath.model.Member;
 import io.umberpath.model.Version;
 import java.util.List;
@@ -15,6 +16,7 @@
   private long heardAt;
   private long reportNumber = -1;
   private long epoch;
+  private Round round = Round.NONE;
   private List<ReportGroup> groups = List.of();
   private List<Member> joins = List.of();
   private boolean joinsChanged;
@@ -55,6 +57,7 @@
     boolean changed = !groups.equals(report.groups()) || epoch != report.epoch();
     groups = report.groups();
     epoch = report.epoch();
+    round = report.round();
     if (!report.joinsKept()) {
       joinsChanged |= !joins.equals(report.joins());
       joins = report.joins();
@@ -109,6 +112,22 @@
     return groups;
   }
 
+  /** Newest round the child had heard at its last report. */
+  Round round() {
+    return round;
+  }
+
+  /** Whether every member of the subtree holds the version. */
+  boolean allHold(Version version) {
+    return groups.stream().allMatch(group -> group.held().equals(version));
+  }
+
+  /** Whether every member of the subtree runs the pair. */
+  boolean allRun(Version version, long revision) {
+    return groups.stream()
+        .allMatch(group -> group.active().equals(version) && group.revision() == revision);
+  }
+
   /** Whether the waiting processes changed since the last call. */
   boolean takeJoinsChanged() {
     boolean taken = joinsChanged;
--- a/umberpath-control/src/main/java/io/umberpath/control/Reports.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Reports.java
@@ -13,10 +13,19 @@
 
 /**
  * Gathers what a node's subtree holds and runs and reports it to the parent. Each report is
- * complete. A relay waits a moment for its children, so that one message answers for many.
+ * complete. A relay waits until its whole subtree holds a proposal, runs a commit or has answered a
+ * round, so that one message answers for all; it waits a bounded time only.
  */
 final class Reports {
-  private static final long COALESCE_MILLIS = 20;
+  /** How long the first report of a proposal waits for members that do not hold it yet. */
+  private static final long FIRST_HOLD_MILLIS = 20;
+
+  /** Later reports of the same proposal wait this part of a heartbeat. */
+  private static final int LATER_HOLD_PART = 10;
+
+  /** Reports of what members run, and of rounds, wait this part of a heartbeat. */
+  private static final int RUN_PART = 4;
+
   private static final int JOINS_REPEAT = 4;
   private static final Comparator<Key> ORDER =
       Comparator.comparing(Key::held).thenComparing(Key::active).thenComparingLong(Key::revision);
@@ -27,11 +36,15 @@
   private final Children children;
   private final Activation activation;
   private long number;
-  private long dueAt = Long.MAX_VALUE;
+  private long dueSince = Long.MAX_VALUE;
+  private long joinsDueAt = Long.MAX_VALUE;
   private List<Member> lastJoins = List.of();
   private List<Member> joins;
   private long lastSentAt;
   private Version lastHeld = Version.NONE;
+  private Version partlyReported = Version.NONE;
+  private Version fullyReported = Version.NONE;
+  private long reportedEpoch;
 
   private record Key(Version held, Version active, long revision) {}
 
@@ -71,7 +84,7 @@
   /** The waiting processes changed; the parent learns of it with others within half a heartbeat. */
   void joinsChanged() {
     joins = null;
-    dueAt = Math.min(dueAt, Math.max(context.now(), lastSentAt + joinsMillis()));
+    joinsDueAt = Math.min(joinsDueAt, Math.max(context.now(), lastSentAt + joinsMillis()));
   }
 
   private long joinsMillis() {
@@ -120,14 +133,41 @@
 
   /** Something the parent should know changed, or a round asks for a sign of life. */
   void due() {
-    long delay = children.size() == 0 || subtreeHolds() ? 0 : COALESCE_MILLIS;
-    dueAt = Math.min(dueAt, context.now() + delay);
+    dueSince = Math.min(dueSince, context.now());
+  }
+
+  /** When the report must go, at the latest. */
+  private long deadline() {
+    if (dueSince == Long.MAX_VALUE) {
+      return joinsDueAt;
+    }
+    return Math.min(joinsDueAt, dueSince + waitMillis());
   }
 
-  private boolean subtreeHolds() {
+  private long waitMillis() {
+    long heartbeat = context.settings().heartbeatMillis();
     Version held = acceptor.held().version();
+    boolean allHold = subtreeHolds(held);
+    if (epoch() != reportedEpoch || acceptor.wholeStateWanted()) {
+      return 0;
+    }
+    if (!allHold) {
+      return held.equals(partlyReported)
+          ? heartbeat / LATER_HOLD_PART
+          : Math.min(FIRST_HOLD_MILLIS, heartbeat / LATER_HOLD_PART);
+    }
+    return !held.equals(fullyReported) || subtreeIsCurrent() ? 0 : heartbeat / RUN_PART;
+  }
+
+  private boolean subtreeHolds(Version held) {
+    return children.all().stream().allMatch(child -> child.allHold(held));
+  }
+
+  /** Whether the whole subtree runs what this node runs and has answered the round. */
+  private boolean subtreeIsCurrent() {
     for (Child child : children.all()) {
-      if (!child.held().equals(held)) {
+      boolean runs = child.allRun(activation.version(), activation.revision());
+      if (!runs || track.fedRound().newerThan(child.round())) {
         return false;
       }
     }
@@ -140,10 +180,9 @@
       lastHeld = acceptor.held().version();
       due();
     }
-    if (context.now() < dueAt) {
-      return;
+    if (context.now() >= deadline()) {
+      send(parent);
     }
-    send(parent);
   }
 
   /** Sends the report now, for a parent that knows nothing yet. */
@@ -153,7 +192,8 @@
   }
 
   private void send(PeerAddress parent) {
-    dueAt = Long.MAX_VALUE;
+    cancel();
+    noteReported();
     lastSentAt = context.now();
     number++;
     List<Member> waiting = joins();
@@ -172,13 +212,22 @@
             acceptor.wholeStateWanted()));
   }
 
+  private void noteReported() {
+    reportedEpoch = epoch();
+    partlyReported = acceptor.held().version();
+    if (subtreeHolds(partlyReported)) {
+      fullyReported = partlyReported;
+    }
+  }
+
   /** When {@link #flush} is due. */
   long nextAt() {
-    return dueAt;
+    return deadline();
   }
 
   /** There is nobody to report to. */
   void cancel() {
-    dueAt = Long.MAX_VALUE;
+    dueSince = Long.MAX_VALUE;
+    joinsDueAt = Long.MAX_VALUE;
   }
 }
