Proxy: a head that arrives alone does not end a chunked body

RequestSmugglingTest.cutsDoubtfulBodiesOff[10] once found one run on the back end. A true fault: when the connection onward stood before the first chunk had come, the head was written with an empty piece of body, and the codec writes an empty piece as "0 CRLF CRLF", the end of the body. The back end got a whole, empty request, and the caller's chunks followed as if they were the next request (refused by the hop, whose framing is strict). The answer's way had the same fault: a chunked answer whose head came first reached the caller as empty.

An empty piece that is not the last now writes the head alone. Ruled out: the chunk decoder; the broken piece itself was refused each time.

Two tests make the order certain, one for each way; both failed before (request: answer "bad-answer" instead of the echoed chunks; answer: nothing after the early end) and pass now.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
@@ -74,11 +74,18 @@
     return part(packet, content, last, trailers);
   }
 
+  /**
+   * A message's head, if it has not been written yet, with a piece of its body. Without a piece it
+   * is the head alone: the codec would write an empty piece as the chunk that ends the body.
+   */
   static HttpPacket part(
       org.glassfish.grizzly.http.HttpHeader header,
       Buffer content,
       boolean last,
       MimeHeaders trailers) {
+    if (!last && !content.hasRemaining()) {
+      return header;
+    }
     if (last && header.isChunked() && trailers != null && trailers.size() > 0) {
       return header.httpTrailerBuilder().headers(trailers).content(content).last(true).build();
     }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ProxyMessagesTest.java
@@ -1,8 +1,11 @@
 package io.umberpath.node.proxy;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -196,4 +199,57 @@
       assertThat(caller.endsNow()).isTrue();
     }
   }
+
+  @Test
+  void aHeadThatArrivesAloneDoesNotEndAChunkedRequest() throws Exception {
+    CountDownLatch headArrived = new CountDownLatch(1);
+    ScriptedBackend.Script script =
+        (backend, connection) -> {
+          connection.readHead();
+          headArrived.countDown();
+          connection.send(ok(new String(connection.input().readNBytes(15), US_ASCII)));
+        };
+    try (ScriptedBackend backend = new ScriptedBackend(script);
+        ProxyFixture fixture = new ProxyFixture(backend);
+        RawConnection caller = fixture.connect()) {
+      caller.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+      assertThat(headArrived.await(20, TimeUnit.SECONDS)).isTrue();
+      caller.send("5\r\nhello\r\n0\r\n\r\n");
+      assertThat(caller.read().body()).isEqualTo("5\r\nhello\r\n0\r\n\r\n");
+    }
+  }
+
+  @Test
+  void aHeadThatArrivesAloneDoesNotEndAChunkedAnswer() throws Exception {
+    CountDownLatch headArrived = new CountDownLatch(1);
+    ScriptedBackend.Script script =
+        (backend, connection) -> {
+          connection.readHead();
+          connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+          awaitUninterrupted(headArrived);
+          connection.send("5\r\nhello\r\n0\r\n\r\n");
+          connection.endsNow();
+        };
+    try (ScriptedBackend backend = new ScriptedBackend(script);
+        ProxyFixture fixture = new ProxyFixture(backend);
+        RawConnection caller = fixture.connect()) {
+      caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+      assertThat(caller.readHead()).startsWith("HTTP/1.1 200");
+      headArrived.countDown();
+      assertThat(new String(caller.input().readNBytes(15), US_ASCII))
+          .isEqualTo("5\r\nhello\r\n0\r\n\r\n");
+    }
+  }
+
+  private static String ok(String body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  private static void awaitUninterrupted(CountDownLatch latch) {
+    try {
+      assertThat(latch.await(20, TimeUnit.SECONDS)).isTrue();
+    } catch (InterruptedException interrupted) {
+      throw new AssertionError(interrupted);
+    }
+  }
 }
