Tests: the proxy's fault rows wait until the proxy is where the row says

FaultTableTest.cutsOffAnswersThatCannotBeFinished rows 3 and 6 failed on a busy machine. A race in the test: the virtual clock passed the deadline when the back end had sent the beginning of the answer, not when the proxy had passed it on. Before that a whole 504 on a connection that stays open is the truthful answer. The row now moves the clock when the caller has received the beginning; what it asserts is unchanged. answersTruthfully had the same race in AFTER_ANSWER x SILENCE: the answer is now read before the clock moves. Ruled out: a cut that is not made; with the order certain each is.

BackendMonitorTest.publishesOnlyChangesAndFollowsTheBackEnd failed once: a race in ScriptedBackend.stop, which missed an accepted connection whose thread had not begun; it went on answering "ready". Connections are now known as soon as they are accepted.

--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/FaultTableTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/FaultTableTest.java
@@ -190,11 +190,13 @@
         ProxyFixture fixture = new ProxyFixture(one, other);
         RawConnection caller = fixture.connect()) {
       caller.send(request(method, DEADLINE_MILLIS));
+      boolean answeredFirst = point == Point.AFTER_ANSWER;
+      RawConnection.Message answer = answeredFirst ? caller.read() : null;
       if (fault == Fault.SILENCE) {
         await(script.silent);
         fixture.advance(DEADLINE_MILLIS);
       }
-      RawConnection.Message answer = caller.read();
+      answer = answeredFirst ? answer : caller.read();
       assertThat(answer.status()).isEqualTo(status);
       assertThat(answer.header("Umberpath-Verdict")).isEqualTo(verdict);
       assertThat(answer.body()).isEqualTo(status == 200 ? "ok" : verdict + "\n");
@@ -276,17 +278,30 @@
         ProxyFixture fixture = new ProxyFixture(one, other);
         RawConnection caller = fixture.connect()) {
       caller.send(request("PUT", DEADLINE_MILLIS));
+      String begun = "";
       if (fault == Fault.SILENCE) {
-        await(script.silent);
+        // The back end has sent the beginning, but until the proxy has passed it on the deadline
+        // ends the request with a whole 504, and rightly so.
+        begun = readUntil(caller, "01234");
         fixture.advance(DEADLINE_MILLIS);
       }
-      String received = readUntilCut(caller);
+      String received = begun + readUntilCut(caller);
       assertThat(received).doesNotContain("stray").doesNotContain("late").doesNotContain("\r\n0\r");
       assertThat(script.deliveries).hasValue(1);
       script.callerIsAnswered.countDown();
     }
   }
 
+  private static String readUntil(RawConnection caller, String end) throws IOException {
+    StringBuilder received = new StringBuilder();
+    while (received.indexOf(end) < 0) {
+      int value = caller.input().read();
+      assertThat(value).as("after " + received).isNotNegative();
+      received.append((char) value);
+    }
+    return received.toString();
+  }
+
   private static String readUntilCut(RawConnection caller) {
     StringBuilder received = new StringBuilder();
     try {
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ScriptedBackend.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ScriptedBackend.java
@@ -57,6 +57,12 @@
     while (!server.isClosed()) {
       try {
         Socket socket = server.accept();
+        // Known before stop() looks, or else it sees that the server is closed.
+        sockets.add(socket);
+        if (server.isClosed()) {
+          socket.close();
+          return;
+        }
         connections.incrementAndGet();
         start(() -> serve(socket));
       } catch (IOException closed) {
@@ -74,7 +80,6 @@
   }
 
   private void serve(Socket socket) {
-    sockets.add(socket);
     try (RawConnection connection = new RawConnection(socket)) {
       script.run(this, connection);
     } catch (IOException ended) {
