Control: nothing is activated first below the highest revision among the voters

Cause: the leader of a fleet formed from nothing took its own platform revision as known at once, and its members took whatever their parent stated.

Ruled out: the leader alone waiting is not enough.

Change: VoteAnswer carries the highest revision of its subtree, granted or not. A leader waits for it before its first activation, whatever its verdict. A node that knows of a newer revision than it holds states its own complemented in Deliver, so that its children, too, wait; the latest statement counts.

Left: a restarted process that runs alone below a parent learns only what that parent and those above it know; a revision that only a cut-off part held is still unknown to it.

--- a/umberpath-control/src/main/java/io/umberpath/control/Children.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Children.java
@@ -318,7 +318,7 @@
         track.fedLeader().orElse(context.address()),
         track.fedLeaderSlot(),
         acceptor.committed().version(),
-        documents.revision(),
+        documents.stated(),
         deltas,
         track.readers());
   }
--- a/umberpath-control/src/main/java/io/umberpath/control/ControlMessage.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/ControlMessage.java
@@ -107,7 +107,8 @@
    * @param leader the leader of that round
    * @param leaderSlot its slot
    * @param committed newest version known to be committed
-   * @param revision platform revision the sender holds
+   * @param revision platform revision the sender holds, or its bitwise complement while the sender
+   *     knows of a newer one that it lacks
    * @param deltas states the receiver lacks, each applying to the one before
    * @param readers slots that may read the platform while their leader is heard
    */
@@ -195,6 +196,7 @@
    * @param candidate address of the candidate, as in the request
    * @param attempt as in the request
    * @param promised highest epoch promised in the subtree; above {@code epoch} for a refusal
+   * @param revision highest platform revision held in the subtree
    * @param committed newest version known to be committed in the subtree
    * @param groups members that granted, by the state they hold
    * @param fresh processes without a seat that granted
@@ -206,6 +208,7 @@
       @JsonProperty("c") PeerAddress candidate,
       @JsonProperty("a") int attempt,
       @JsonProperty("p") long promised,
+      @JsonProperty("v") long revision,
       @JsonProperty("m") Version committed,
       @JsonProperty("g") List<HeldGroup> groups,
       @JsonProperty("f") List<Member> fresh)
--- a/umberpath-control/src/main/java/io/umberpath/control/DocumentSpread.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/DocumentSpread.java
@@ -23,6 +23,7 @@
   private final Deque<PlatformDocument> recent = new ArrayDeque<>();
   private PlatformDocument current = PlatformDocument.NONE;
   private long wentBackTo = Long.MAX_VALUE;
+  private long knownRevision;
   private long nextRequestAt;
   private long nextPushAt;
   private PeerAddress source;
@@ -40,6 +41,26 @@
     return current.revision();
   }
 
+  /** Learns that a process holds, or held, this revision. */
+  void known(long revision) {
+    knownRevision = Math.max(knownRevision, revision);
+  }
+
+  /** Whether no newer revision than the held one is known to exist. */
+  boolean isNewestKnown() {
+    return current.revision() >= knownRevision;
+  }
+
+  /** The held revision as children are told it: complemented while a newer one is known. */
+  long stated() {
+    return isNewestKnown() ? current.revision() : ~current.revision();
+  }
+
+  /** Whether a stated revision is the newest its sender knew. */
+  static boolean isNewest(long stated) {
+    return stated >= 0;
+  }
+
   /** The platform answered a read. */
   void read(PlatformDocument document) {
     if (document.revision() < current.revision()) {
@@ -110,8 +131,10 @@
     context.send(peer, new DocumentUpdate(context.shared().difference(base, current)));
   }
 
-  /** The parent told its revision. */
-  void parentHolds(PeerAddress parent, long revision) {
+  /** The parent told its revision, see {@link #stated()}. */
+  void parentHolds(PeerAddress parent, long stated) {
+    long revision = isNewest(stated) ? stated : ~stated;
+    known(revision);
     if (revision > current.revision()) {
       request(parent, current.revision());
     } else if (revision < current.revision() && context.now() >= nextPushAt) {
--- a/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
@@ -54,7 +54,7 @@
   private final ReformCalls reformCalls;
   private FleetState lastHeld = FleetState.EMPTY;
   private FleetState lastCommitted = FleetState.EMPTY;
-  private long revisionWanted = -1;
+  private boolean revisionTold;
 
   FleetNode(NodeContext context) {
     this.context = context;
@@ -66,7 +66,7 @@
     reports = new Reports(context, acceptor, track, children, activation);
     choice = new ParentChoice(context, acceptor, track);
     parentLink = new ParentLink(context, acceptor, track, choice, documents);
-    relay = new VoteRelay(context, acceptor, track, children);
+    relay = new VoteRelay(context, acceptor, track, children, documents);
     formation = new Formation(context, acceptor, reports);
     election = new Election(context, acceptor, track, children, relay, choice);
     decider = new ChangeDecider(context, acceptor);
@@ -184,7 +184,7 @@
     if (fromParent) {
       documents.parentHolds(from, delivery.revision());
       if (!delivery.round().equals(Round.NONE)) {
-        revisionWanted = Math.max(revisionWanted, delivery.revision());
+        revisionTold = DocumentSpread.isNewest(delivery.revision());
       }
     }
   }
@@ -265,10 +265,8 @@
   private void lead(Election.Victory victory) {
     parentLink.disable();
     election.quiet();
+    documents.known(victory.tally().revision());
     leadership.start(victory);
-    if (victory.verdict() == VoteVerdict.NEW_FLEET) {
-      activation.revisionKnown();
-    }
   }
 
   /** Lets every part act on what changed; what is sent to one peer is sent once. */
@@ -368,14 +366,14 @@
   }
 
   private boolean isRevisionLearnt() {
-    if (activation.isRevisionKnown()) {
+    if (activation.isRevisionKnown() || !documents.isNewestKnown()) {
       return false;
     }
     if (leadership.leads()) {
       return leadership.isSettled()
           && reports.groups().stream().allMatch(group -> group.revision() <= documents.revision());
     }
-    return revisionWanted >= 0 && documents.revision() >= revisionWanted;
+    return revisionTold;
   }
 
   @Override
--- a/umberpath-control/src/main/java/io/umberpath/control/Leadership.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Leadership.java
@@ -149,7 +149,7 @@
             context.address(),
             acceptor.slot(),
             acceptor.committed().version(),
-            documents.revision(),
+            documents.stated(),
             List.of(),
             readers);
     track.hear(own, true);
--- a/umberpath-control/src/main/java/io/umberpath/control/VoteRelay.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/VoteRelay.java
@@ -24,6 +24,7 @@
   private final Acceptor acceptor;
   private final LeaderTrack track;
   private final Children children;
+  private final DocumentSpread documents;
   private final Map<Key, Poll> polls = new LinkedHashMap<>();
 
   /** One request at a time is remembered of each candidate and kind. */
@@ -42,11 +43,17 @@
     }
   }
 
-  VoteRelay(NodeContext context, Acceptor acceptor, LeaderTrack track, Children children) {
+  VoteRelay(
+      NodeContext context,
+      Acceptor acceptor,
+      LeaderTrack track,
+      Children children,
+      DocumentSpread documents) {
     this.context = context;
     this.acceptor = acceptor;
     this.track = track;
     this.children = children;
+    this.documents = documents;
   }
 
   /**
@@ -68,6 +75,7 @@
     boolean granted = grants(request, leads);
     poll = new Poll(request);
     poll.tally.promised(acceptor.promised());
+    poll.tally.revision(documents.revision());
     poll.requesters.add(from);
     if (granted) {
       grant(poll.tally);
@@ -150,6 +158,7 @@
             request.candidate().address(),
             request.attempt(),
             poll.tally.promised(),
+            poll.tally.revision(),
             poll.tally.committed(),
             poll.tally.groups(),
             java.util.List.copyOf(poll.tally.fresh().values()));
--- a/umberpath-control/src/main/java/io/umberpath/control/VoteTally.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/VoteTally.java
@@ -20,6 +20,7 @@
   private final TreeMap<PeerAddress, Member> fresh = new TreeMap<>();
   private final RoaringBitmap granted = new RoaringBitmap();
   private long promised;
+  private long revision;
   private Version committed = Version.NONE;
 
   private static final class Holders {
@@ -33,15 +34,18 @@
     int freshBefore = fresh.size();
     int heldBefore = byHeld.size();
     long promisedBefore = promised;
+    long revisionBefore = revision;
     Version committedBefore = committed;
     answer.groups().forEach(this::add);
     answer.fresh().forEach(this::addFresh);
     promised = Math.max(promised, answer.promised());
+    revision(answer.revision());
     committed(answer.committed());
     return slotsBefore != granted.getCardinality()
         || freshBefore != fresh.size()
         || heldBefore != byHeld.size()
         || promisedBefore != promised
+        || revisionBefore != revision
         || !committedBefore.equals(committed);
   }
 
@@ -67,6 +71,15 @@
     promised = Math.max(promised, epoch);
   }
 
+  /** Highest platform revision held by anyone who answered. */
+  long revision() {
+    return revision;
+  }
+
+  void revision(long held) {
+    revision = Math.max(revision, held);
+  }
+
   /** Newest version that anyone who granted knows to be committed. */
   Version committed() {
     return committed;
--- a/umberpath-control/src/test/java/io/umberpath/control/CodecTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/CodecTest.java
@@ -62,6 +62,7 @@
             ADDRESS,
             1,
             3,
+            4,
             VERSION,
             List.of(new ControlMessage.HeldGroup(VERSION, ADDRESS, SLOTS)),
             List.of()),
--- a/umberpath-lab/src/test/java/io/umberpath/lab/simulate/FaultCaseTest.java
+++ b/umberpath-lab/src/test/java/io/umberpath/lab/simulate/FaultCaseTest.java
@@ -23,6 +23,11 @@
           "everyone-reconnects+kill-all-relays",
           "kill-all+platform-back");
 
+  /** Pairs that once broke an invariant with the seed below. */
+  private static final List<String> FOUND = List.of("rolling-restart+kill-all-but-one");
+
+  private static final long FOUND_SEED = 11;
+
   static Stream<Arguments> singly() {
     return FaultTable.names().stream()
         .flatMap(name -> Stream.of(1L, 2L).map(seed -> Arguments.of(name, seed)));
@@ -32,8 +37,12 @@
     return PAIRS.stream().map(name -> Arguments.of(name, 3L));
   }
 
+  static Stream<Arguments> found() {
+    return FOUND.stream().map(name -> Arguments.of(name, FOUND_SEED));
+  }
+
   @ParameterizedTest
-  @MethodSource({"singly", "inPairs"})
+  @MethodSource({"singly", "inPairs", "found"})
   void keepsEveryInvariant(String fault, long seed) {
     SimulationSettings settings =
         TestSettings.small(Subject.PRODUCT, FaultTable.named(fault), seed);
--- a/umberpath-transport/src/test/java/io/umberpath/transport/ControlMessageCodecTest.java
+++ b/umberpath-transport/src/test/java/io/umberpath/transport/ControlMessageCodecTest.java
@@ -73,6 +73,7 @@
             ADDRESS,
             1,
             2,
+            7,
             VERSION,
             List.of(new ControlMessage.HeldGroup(VERSION, ADDRESS, slots)),
             List.of(MEMBER)),
