Launcher: a node runs with both compilers

The launcher's -XX:TieredStopAtLevel=1 forbade the server compiler also for nodes, whose request path runs the same code for every call. Other commands and the lab keep the client compiler, since they end soon or run many JVMs.

Resident memory and long runs were not measured. The launcher's choice of options was checked for node, status, no command and demo with a stand-in for java.

--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -49,7 +49,13 @@
   if [ -n "${JAVA_HOME:-}" ]; then
     java=$JAVA_HOME/bin/java
   fi
+  # The client compiler alone starts with less work; a node's request path is faster with both
+  # compilers (docs/measurements/request-path.md).
+  local compiler=-XX:TieredStopAtLevel=1
+  if [ "$module ${1:-}" = "umberpath-node node" ]; then
+    compiler=-XX:+TieredCompilation
+  fi
   # shellcheck disable=SC2086 # the options are several words
-  exec "$java" ${UMBERPATH_JAVA_OPTIONS:--XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xss512k -Xmx256m} \
+  exec "$java" ${UMBERPATH_JAVA_OPTIONS:--XX:+UseSerialGC $compiler -Xss512k -Xmx256m} \
     -jar "$(executable_jar "$module")" "$@"
 }
