Node: the operators' calls say what they promise

Cause: the handlers' methods had no contract; what "any" and the grace time stand for had to be guessed. Ruled out: dividing FleetHandler; its two kinds of long calls share the view and the scheduler. Change: comments and one named constant.

--- a/umberpath-node/src/main/java/io/umberpath/node/cli/ExplainCommand.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/ExplainCommand.java
@@ -6,8 +6,11 @@
 
 /** Says where a request goes or what became of a change. */
 final class ExplainCommand extends OperatorCommand {
+  /** Unless a route names it, only routes for any host match it. */
+  private static final String UNNAMED_HOST = "any";
+
   @Option(name = "--host", metaVar = "HOST", usage = "host of a request (default: any)")
-  private String host = "any";
+  private String host = UNNAMED_HOST;
 
   @Option(name = "--path", metaVar = "PATH", usage = "path of a request, beginning with /")
   private String path;
--- a/umberpath-node/src/main/java/io/umberpath/node/operator/ChangeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/ChangeHandler.java
@@ -36,6 +36,8 @@
   private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
   private static final Duration LONGEST_TIMEOUT = Duration.ofSeconds(60);
   private static final int MAX_REQUEST_ID_LENGTH = 64;
+
+  /** How much later than its own timeout the control side may answer. */
   private static final Duration GRACE = Duration.ofSeconds(1);
 
   private final ControlService control;
@@ -46,6 +48,10 @@
     this.refusals = refusals;
   }
 
+  /**
+   * Submits a change that is well formed, permitted and names services the platform has. The error
+   * says whether the change may have run; a refusal is remembered for explanations.
+   */
   CompletableFuture<Either<OperatorError, ApplyResponse>> apply(
       Principal principal, ApplyRequest request) {
     Either<OperatorError, ChangeSet> change = ChangeSetReader.read(principal, request);
@@ -61,6 +67,7 @@
         version -> ApplyResponse.newBuilder().setVersion(ResourceCodec.version(version)).build());
   }
 
+  /** Starts or ends the draining of a back end, or of all beside a node; for administrators. */
   CompletableFuture<Either<OperatorError, DrainResponse>> drain(
       Principal principal, DrainRequest request) {
     if (!principal.fleetAdmin()) {
@@ -96,6 +103,7 @@
                 .build());
   }
 
+  /** Re-forms the fleet without the members named as lost; for administrators. */
   CompletableFuture<Either<OperatorError, ReformResponse>> reform(
       Principal principal, ReformRequest request) {
     if (!principal.fleetAdmin()) {
--- a/umberpath-node/src/main/java/io/umberpath/node/operator/ExplainHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/ExplainHandler.java
@@ -32,6 +32,10 @@
     this.refusals = refusals;
   }
 
+  /**
+   * Explains a request by the snapshot in force here, or a change by what this node remembers.
+   * Routes of other tenants are shown to fleet administrators only, changes of others to nobody.
+   */
   Either<OperatorError, ExplainResponse> explain(Principal principal, ExplainRequest request) {
     return switch (request.getSubjectCase()) {
       case REQUEST -> route(principal, request.getRequest());
--- a/umberpath-node/src/main/java/io/umberpath/node/operator/FleetHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/FleetHandler.java
@@ -38,6 +38,10 @@
     this.scheduler = scheduler;
   }
 
+  /**
+   * Completes when every member runs the version or a newer one, or with a deadline error that says
+   * how many are behind; a call without a deadline waits for {@link #LONGEST_WAIT}.
+   */
   CompletableFuture<Either<OperatorError, WaitResponse>> waitFor(WaitRequest request) {
     Version version = ResourceCodec.version(request.getVersion());
     if (!request.hasVersion() || version.compareTo(Version.NONE) <= 0) {
@@ -51,7 +55,7 @@
     return wait.result;
   }
 
-  /** One waiting call. */
+  /** One waiting call; asks again at growing intervals. */
   private final class Wait {
     private final CompletableFuture<Either<OperatorError, WaitResponse>> result =
         new CompletableFuture<>();
@@ -104,6 +108,7 @@
         .build();
   }
 
+  /** One report; the list of nodes is for fleet administrators only. */
   CompletableFuture<Either<OperatorError, FleetStatusResponse>> status(Principal principal) {
     return fleetView.get().thenApply(nodes -> Either.right(report(principal, nodes)));
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/operator/ReadHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/operator/ReadHandler.java
@@ -27,6 +27,7 @@
     this.control = control;
   }
 
+  /** One resource, a secret without its value; not found if it is another tenant's. */
   Either<OperatorError, GetResponse> get(Principal principal, GetRequest request) {
     Optional<ResourceKind> kind = ResourceCodec.kind(request.getKey().getKind());
     if (kind.isEmpty()) {
@@ -51,6 +52,7 @@
                     .build());
   }
 
+  /** One page of the tenant's resources in order of their keys; every wrong field is named. */
   Either<OperatorError, ListResponse> list(Principal principal, ListRequest request) {
     Optional<ResourceKind> kind = ResourceCodec.kind(request.getKind());
     List<Violation> violations = new ArrayList<>();
