Control: reports leave out the slots that follow from the former report

Ruled out: a denser set encoding alone, as it still grows with the fleet.

Change: the largest group's slots are left empty if they are what the sender's former report named and no other group names now. A parent that lacks the former report (loss, reordering) keeps what it knows and answers AttachAccepted; a child sends a complete report after each AttachAccepted. No field of a message changes; an empty slot set in a group has this meaning now.

--- a/umberpath-control/src/main/java/io/umberpath/control/Child.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Child.java
@@ -6,6 +6,7 @@
 import io.umberpath.model.Member;
 import io.umberpath.model.Version;
 import java.util.List;
+import java.util.Optional;
 
 /** What a parent knows of one child and its subtree. */
 final class Child {
@@ -18,6 +19,8 @@
   private long epoch;
   private Round round = Round.NONE;
   private List<ReportGroup> groups = List.of();
+  private long groupsNumber = -1;
+  private boolean reportWanted;
   private List<Member> joins = List.of();
   private boolean joinsChanged;
 
@@ -39,6 +42,7 @@
     sent = newHeld;
     heardAt = now;
     reportNumber = -1;
+    groupsNumber = -1;
   }
 
   /**
@@ -54,8 +58,7 @@
     }
     heardAt = now;
     reportNumber = report.number();
-    boolean changed = !groups.equals(report.groups()) || epoch != report.epoch();
-    groups = report.groups();
+    boolean changed = takeGroups(report) | epoch != report.epoch();
     epoch = report.epoch();
     round = report.round();
     if (!report.joinsKept()) {
@@ -69,6 +72,27 @@
     return changed;
   }
 
+  private boolean takeGroups(Report report) {
+    boolean formerKnown = groupsNumber == report.number() - 1;
+    Optional<List<ReportGroup>> former = formerKnown ? Optional.of(groups) : Optional.empty();
+    Optional<List<ReportGroup>> complete = ReportDifference.complete(former, report.groups());
+    reportWanted = complete.isEmpty();
+    if (reportWanted) {
+      return false;
+    }
+    boolean changed = !groups.equals(complete.get());
+    groups = complete.get();
+    groupsNumber = report.number();
+    return changed;
+  }
+
+  /**
+   * Whether the last report builds on one that did not arrive, so that a complete one is needed.
+   */
+  boolean isReportWanted() {
+    return reportWanted;
+  }
+
   private Version ownHeld(int slot) {
     for (ReportGroup group : groups) {
       if (slot != Member.NO_SLOT && group.slots().contains(slot)) {
--- a/umberpath-control/src/main/java/io/umberpath/control/Children.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Children.java
@@ -221,7 +221,9 @@
     }
     changed |= child.take(report, slotOf(child.process()), context.now());
     joinsChanged |= child.takeJoinsChanged();
-    if (report.wholeStateWanted()) {
+    if (child.isReportWanted()) {
+      context.send(from, new AttachAccepted(delivery(child)));
+    } else if (report.wholeStateWanted()) {
       deliver(from, child);
     }
     return true;
--- a/umberpath-control/src/main/java/io/umberpath/control/ControlMessage.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/ControlMessage.java
@@ -62,7 +62,8 @@
       implements ControlMessage {}
 
   /**
-   * The receiver is now a child of the sender.
+   * The receiver is now a child of the sender and must send a complete report. Also sent to a child
+   * whose last report builds on one that did not arrive.
    *
    * @param delivery what the child lacks
    */
@@ -129,13 +130,14 @@
   }
 
   /**
-   * From child to parent: everything known of the child's subtree; replaces its former report.
+   * From child to parent: everything known of the child's subtree; replaces its former report. A
+   * parent that lacks the report a new one builds on answers {@link AttachAccepted}.
    *
    * @param incarnation incarnation of the sender
    * @param number rises with each report of the sender
    * @param epoch highest epoch promised in the subtree
    * @param round newest heartbeat round the sender heard
-   * @param groups members by what they hold and run
+   * @param groups members by what they hold and run; see {@link ReportGroup} for what is left out
    * @param joins processes that wait to become members
    * @param joinsKept whether {@code joins} is left out because it is as in the former report
    * @param wholeStateWanted whether the sender refused a delta and wants the whole state
@@ -164,7 +166,8 @@
    * @param held newest state they hold
    * @param active agreed version they run
    * @param revision platform revision they run
-   * @param slots the members
+   * @param slots the members; empty, in at most one group, for all slots of the sender's report
+   *     with the number before that no other group names
    */
   record ReportGroup(
       @JsonProperty("h") Version held,
--- a/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
@@ -220,8 +220,8 @@
     boolean isNew = !parentLink.isParent(from);
     if (parentLink.accepted(from)) {
       delivered(from, accepted.delivery());
+      reports.sendWhole(from);
       if (isNew) {
-        reports.sendWhole(from);
         observed.catchUp(from, parentLink.missedMillis());
       }
     }
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/ReportDifference.java
@@ -0,0 +1,82 @@
+package io.umberpath.control;
+
+import io.umberpath.control.ControlMessage.ReportGroup;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.roaringbitmap.RoaringBitmap;
+
+/**
+ * Shortens a report against the sender's former one. The slots of its largest group are left out
+ * (empty) if they are exactly the slots of the former report that no other group names. While a
+ * subtree keeps its members, a report's size thus does not depend on their number.
+ */
+final class ReportDifference {
+  private ReportDifference() {}
+
+  /**
+   * The groups to send.
+   *
+   * @param former complete groups of the former report
+   * @param groups complete groups of this one
+   */
+  static List<ReportGroup> of(List<ReportGroup> former, List<ReportGroup> groups) {
+    int largest = largest(groups);
+    if (largest < 0) {
+      return groups;
+    }
+    List<ReportGroup> shortened = new ArrayList<>(groups);
+    ReportGroup group = groups.get(largest);
+    shortened.set(largest, withSlots(group, SlotSet.EMPTY));
+    return rest(former, shortened).equals(group.slots()) ? shortened : groups;
+  }
+
+  /**
+   * The complete groups of a report.
+   *
+   * @param former complete groups of the report with the number before; empty if it is not known
+   * @return empty if the report needs a former one that is not known
+   */
+  static Optional<List<ReportGroup>> complete(
+      Optional<List<ReportGroup>> former, List<ReportGroup> groups) {
+    if (groups.stream().allMatch(group -> group.slots().size() > 0)) {
+      return Optional.of(groups);
+    }
+    return former.map(known -> filled(known, groups));
+  }
+
+  private static List<ReportGroup> filled(List<ReportGroup> former, List<ReportGroup> groups) {
+    SlotSet rest = rest(former, groups);
+    List<ReportGroup> complete = new ArrayList<>();
+    for (ReportGroup group : groups) {
+      complete.add(group.slots().size() > 0 ? group : withSlots(group, rest));
+    }
+    return List.copyOf(complete);
+  }
+
+  private static int largest(List<ReportGroup> groups) {
+    int largest = -1;
+    for (int index = 0; index < groups.size(); index++) {
+      if (largest < 0 || groups.get(index).slots().size() > groups.get(largest).slots().size()) {
+        largest = index;
+      }
+    }
+    return largest;
+  }
+
+  private static SlotSet rest(List<ReportGroup> former, List<ReportGroup> groups) {
+    RoaringBitmap slots = union(former);
+    slots.andNot(union(groups));
+    return SlotSet.copyOf(slots);
+  }
+
+  private static RoaringBitmap union(List<ReportGroup> groups) {
+    RoaringBitmap slots = new RoaringBitmap();
+    groups.forEach(group -> group.slots().addTo(slots));
+    return slots;
+  }
+
+  private static ReportGroup withSlots(ReportGroup group, SlotSet slots) {
+    return new ReportGroup(group.held(), group.active(), group.revision(), slots);
+  }
+}
--- a/umberpath-control/src/main/java/io/umberpath/control/Reports.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Reports.java
@@ -12,9 +12,10 @@
 import org.roaringbitmap.RoaringBitmap;
 
 /**
- * Gathers what a node's subtree holds and runs and reports it to the parent. Each report is
- * complete. A relay waits until its whole subtree holds a proposal, runs a commit or has answered a
- * round, so that one message answers for all; it waits a bounded time only.
+ * Gathers what a node's subtree holds and runs and reports it to the parent. A report leaves out
+ * the slots that follow from the former one; a parent that lacks that asks anew. A relay waits
+ * until its whole subtree holds a proposal, runs a commit or has answered a round, so that one
+ * message answers for all; it waits a bounded time only.
  */
 final class Reports {
   /** How long the first report of a proposal waits for members that do not hold it yet. */
@@ -45,6 +46,7 @@
   private Version partlyReported = Version.NONE;
   private Version fullyReported = Version.NONE;
   private long reportedEpoch;
+  private List<ReportGroup> lastGroups = List.of();
 
   private record Key(Version held, Version active, long revision) {}
 
@@ -185,9 +187,10 @@
     }
   }
 
-  /** Sends the report now, for a parent that knows nothing yet. */
+  /** Sends a complete report now, for a parent that lacks the former one. */
   void sendWhole(PeerAddress parent) {
     lastJoins = null;
+    lastGroups = List.of();
     send(parent);
   }
 
@@ -199,6 +202,9 @@
     List<Member> waiting = joins();
     boolean kept = waiting == lastJoins && number % JOINS_REPEAT != 0;
     lastJoins = waiting;
+    List<ReportGroup> groups = groups();
+    List<ReportGroup> difference = ReportDifference.of(lastGroups, groups);
+    lastGroups = groups;
     context.send(
         parent,
         new Report(
@@ -206,7 +212,7 @@
             number,
             epoch(),
             track.round(),
-            groups(),
+            difference,
             kept ? List.of() : waiting,
             kept,
             acceptor.wholeStateWanted()));
