Control: a leader announces itself to listed machines that have no member

Ruled out: the election (accepted loss was counted), refused attaches (none were sent that anyone could answer).

Change: the scan of the roster every ten seconds also notes which listed machines have no member; the leader sends its round to three of them in each round, in turn. The announcement lets a process without a seat attach, as before.

--- a/umberpath-control/src/main/java/io/umberpath/control/Leadership.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Leadership.java
@@ -157,7 +157,7 @@
     announce(own);
   }
 
-  /** Tells the first unreachable members of each zone who leads. */
+  /** Tells the first unreachable members of each zone, and machines without a seat, who leads. */
   private void announce(Deliver own) {
     for (RosterView.Zone zone : context.view(acceptor.held().roster()).zones()) {
       int heard = RoaringBitmap.andCardinality(zone.slots(), reachable);
@@ -168,6 +168,7 @@
         context.send(peer, own);
       }
     }
+    membership.unseated(round).forEach(peer -> context.send(peer, own));
   }
 
   private List<PeerAddress> announcees(RosterView.Zone zone) {
--- a/umberpath-control/src/main/java/io/umberpath/control/Membership.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Membership.java
@@ -24,10 +24,12 @@
   static final long REMOVAL_MILLIS = 60_000;
 
   private static final long SCAN_MILLIS = 10_000;
+  private static final int UNSEATED_PER_ROUND = 3;
 
   private final NodeContext context;
   private final Map<Integer, Long> unreachableSince = new LinkedHashMap<>();
   private Set<Integer> removable = Set.of();
+  private List<PeerAddress> unseated = List.of();
   private long nextScanAt;
 
   /** One step from a roster to the next. */
@@ -50,6 +52,7 @@
   void reset() {
     unreachableSince.clear();
     removable = Set.of();
+    unseated = List.of();
     nextScanAt = context.now() + SCAN_MILLIS;
   }
 
@@ -75,6 +78,21 @@
       }
     }
     removable = gone;
+    unseated = listed.stream().filter(address -> roster.at(address).isEmpty()).sorted().toList();
+  }
+
+  /**
+   * Some of the machines that the platform listed at the last scan and that had no member; others
+   * in each round. A process whose seeds are all gone learns of the fleet in no other way.
+   */
+  List<PeerAddress> unseated(long round) {
+    int size = unseated.size();
+    int count = Math.min(size, UNSEATED_PER_ROUND);
+    List<PeerAddress> some = new ArrayList<>();
+    for (int place = 0; place < count; place++) {
+      some.add(unseated.get((int) ((round * UNSEATED_PER_ROUND + place) % size)));
+    }
+    return some;
   }
 
   /** Whether a roster change may be wanted. */
--- a/umberpath-lab/src/test/java/io/umberpath/lab/simulate/FaultCaseTest.java
+++ b/umberpath-lab/src/test/java/io/umberpath/lab/simulate/FaultCaseTest.java
@@ -33,7 +33,8 @@
           "rolling-restart+leader-cut-off",
           "rolling-restart+leader-cannot-send",
           "rolling-restart+leader-cannot-hear",
-          "kill-40-percent+zone-lost-for-good");
+          "kill-40-percent+zone-lost-for-good",
+          "majority-lost-then-reform+machines-replaced");
 
   private static final long FOUND_SEED = 11;
 
