Control: processes that a dead leader had fed take children again

Change: "was never fed" becomes "was not fed for the election time" where such a process takes children, sends them to its parent, and follows announcements. The forming of a fleet still asks every process it names to promise.

Verified: mvn -pl umberpath-control -am verify; mvn -pl umberpath-lab -am verify -Dtest=FaultCaseTest,SeededFaultTest,ReplayTest.

--- a/umberpath-control/src/main/java/io/umberpath/control/Children.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Children.java
@@ -5,7 +5,6 @@
 import io.umberpath.control.ControlMessage.Deliver;
 import io.umberpath.control.ControlMessage.Redirect;
 import io.umberpath.control.ControlMessage.Report;
-import io.umberpath.control.ControlMessage.Round;
 import io.umberpath.model.Member;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Roster;
@@ -158,7 +157,7 @@
       return request.member().slot() == Member.NO_SLOT
           && request.held().equals(Version.NONE)
           && request.equalSuffices()
-          && track.fedRound().equals(Round.NONE)
+          && !track.isFed()
           && ranksBefore(context.address(), request.member().address());
     }
     if (track.fedRound().newerThan(request.round())) {
--- a/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
@@ -279,7 +279,7 @@
       leadership.collect();
       reports.due();
     }
-    if (!acceptor.isMember() && !track.fedRound().equals(Round.NONE)) {
+    if (!acceptor.isMember() && track.isFed()) {
       parentLink.parent().ifPresent(children::dissolve);
     }
     checkTerm();
--- a/umberpath-control/src/main/java/io/umberpath/control/LeaderTrack.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/LeaderTrack.java
@@ -104,6 +104,11 @@
     return fedLeader != null && context.now() - fedAt < millis;
   }
 
+  /** Whether a round came down the tree within the election time. */
+  boolean isFed() {
+    return fedWithin(context.settings().electionMillis());
+  }
+
   /**
    * Whether rounds come at their own pace. Rounds that were held up and arrive in a burst, for
    * example after this process was paused, tell nothing of the present.
--- a/umberpath-control/src/main/java/io/umberpath/control/ParentLink.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/ParentLink.java
@@ -2,7 +2,6 @@
 
 import io.umberpath.control.ControlMessage.Attach;
 import io.umberpath.control.ControlMessage.Detach;
-import io.umberpath.control.ControlMessage.Round;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Version;
 import java.util.ArrayDeque;
@@ -92,7 +91,7 @@
 
   /** A leader or candidate made itself known; it takes this node if nobody better does. */
   void announced(PeerAddress member) {
-    boolean unled = !acceptor.isMember() && track.fedRound().equals(Round.NONE);
+    boolean unled = !acceptor.isMember() && !track.isFed();
     boolean lacking = parent == null || context.now() - parentHeardAt >= stall() / 2 || unled;
     boolean useful = !member.equals(parent) && !redirects.contains(member);
     if (enabled && lacking && useful && (attempt > 0 || unled)) {
--- a/umberpath-lab/src/test/java/io/umberpath/lab/simulate/FaultCaseTest.java
+++ b/umberpath-lab/src/test/java/io/umberpath/lab/simulate/FaultCaseTest.java
@@ -34,7 +34,11 @@
           "rolling-restart+leader-cannot-send",
           "rolling-restart+leader-cannot-hear",
           "kill-40-percent+zone-lost-for-good",
-          "majority-lost-then-reform+machines-replaced");
+          "majority-lost-then-reform+machines-replaced",
+          "kill-all-but-one+leader-killed-at-step-5",
+          "leader-killed-at-step-5+kill-all-but-one",
+          "restarts-in-an-election+kill-75-percent",
+          "restarts-in-an-election+kill-all-but-one");
 
   private static final long FOUND_SEED = 11;
 
