Control: a new fleet needs every listed machine, or every seed

Cause: any initialMembers processes that held nothing could form a fleet, so two groups of fresh processes each formed one, and restarted processes on one side of a cut could form one beside the survivors beyond it.

Ruled out: not counting given-up machines at all, since a fleet with machines lost for good could then never form anew; a machine that answers and is given up now counts once.

Change: besides initialMembers, every machine of the candidate's document must have granted or be given up, and the document must be as new as any voter's (it asks the voter for it); with no document, every seed. TestFleet names as seeds only machines that exist; with one process it named two that never did.

Before (trial with the new condition taken out): FormationTest's new case and VoteVerdictTest's two rows with a silent machine or seed fail. After: all pass.

--- a/umberpath-control/src/main/java/io/umberpath/control/DocumentSpread.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/DocumentSpread.java
@@ -143,6 +143,13 @@
     }
   }
 
+  /** A voter told the highest revision of its subtree. */
+  void voterHolds(PeerAddress voter, long revision) {
+    if (revision > current.revision()) {
+      request(voter, current.revision());
+    }
+  }
+
   /** A new child told its revision. */
   void childHolds(PeerAddress child, long revision) {
     if (revision < current.revision()) {
--- a/umberpath-control/src/main/java/io/umberpath/control/Election.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/Election.java
@@ -41,6 +41,7 @@
   private final Children children;
   private final VoteRelay relay;
   private final ParentChoice choice;
+  private final DocumentSpread documents;
   private final Set<PeerAddress> acceptedLoss = new LinkedHashSet<>();
   private Phase phase = Phase.IDLE;
   private long epoch;
@@ -61,13 +62,15 @@
       LeaderTrack track,
       Children children,
       VoteRelay relay,
-      ParentChoice choice) {
+      ParentChoice choice,
+      DocumentSpread documents) {
     this.context = context;
     this.acceptor = acceptor;
     this.track = track;
     this.children = children;
     this.relay = relay;
     this.choice = choice;
+    this.documents = documents;
   }
 
   boolean isCandidate() {
@@ -245,7 +248,8 @@
       fetch();
       return Optional.empty();
     }
-    VoteVerdict verdict = VoteVerdict.of(context, adopted, tally, acceptedLoss);
+    VoteVerdict verdict =
+        VoteVerdict.of(context, adopted, documents.current(), tally, acceptedLoss);
     if (verdict == VoteVerdict.INSUFFICIENT) {
       return Optional.empty();
     }
--- a/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/FleetNode.java
@@ -68,7 +68,7 @@
     parentLink = new ParentLink(context, acceptor, track, choice, documents);
     relay = new VoteRelay(context, acceptor, track, children, documents);
     formation = new Formation(context, acceptor, reports);
-    election = new Election(context, acceptor, track, children, relay, choice);
+    election = new Election(context, acceptor, track, children, relay, choice, documents);
     decider = new ChangeDecider(context, acceptor);
     desk = new ChangeDesk(context, track, acceptor, decider);
     leadership =
@@ -153,6 +153,7 @@
     if (message instanceof VoteRequest request) {
       requestedVote(from, request);
     } else if (message instanceof VoteAnswer answer) {
+      documents.voterHolds(from, answer.revision());
       if (answer.candidate().equals(context.address())) {
         election.answer(answer).ifPresent(this::lead);
       } else {
--- a/umberpath-control/src/main/java/io/umberpath/control/VoteVerdict.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/VoteVerdict.java
@@ -3,8 +3,12 @@
 import io.umberpath.model.FleetState;
 import io.umberpath.model.Member;
 import io.umberpath.model.PeerAddress;
+import io.umberpath.model.PlatformDocument;
+import io.umberpath.model.PlatformDocument.Machine;
 import io.umberpath.model.Roster;
 import io.umberpath.model.Version;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 /** What a set of votes allows a candidate to do. */
@@ -17,20 +21,24 @@
    * Every member is accounted for: it granted, is certainly gone, or is given up by an operator.
    */
   FULL_ACCOUNT,
-  /** Nobody holds any state and every expected process granted. */
+  /** Nobody holds any state and every expected process granted or is given up. */
   NEW_FLEET;
 
   /**
    * Judges votes.
    *
    * @param state the newest state found
+   * @param document the platform's document that the candidate holds
    * @param acceptedLoss addresses that an operator gives up
    */
   static VoteVerdict of(
-      NodeContext context, FleetState state, VoteTally tally, Set<PeerAddress> acceptedLoss) {
+      NodeContext context,
+      FleetState state,
+      PlatformDocument document,
+      VoteTally tally,
+      Set<PeerAddress> acceptedLoss) {
     if (state.version().equals(Version.NONE)) {
-      int seen = tally.fresh().size() + acceptedLoss.size();
-      return seen >= context.settings().initialMembers() ? NEW_FLEET : INSUFFICIENT;
+      return mayForm(context, document, tally, acceptedLoss) ? NEW_FLEET : INSUFFICIENT;
     }
     Roster previous = tally.settles(state) ? state.roster() : state.previousRoster();
     if (isQuorum(context, state.roster(), tally) && isQuorum(context, previous, tally)) {
@@ -42,6 +50,28 @@
     return accounted ? FULL_ACCOUNT : INSUFFICIENT;
   }
 
+  /**
+   * As many processes as expected, and among them every machine of the newest document that a voter
+   * holds, or every seed if nobody holds one: a survivor of a former fleet is one of them.
+   */
+  private static boolean mayForm(
+      NodeContext context,
+      PlatformDocument document,
+      VoteTally tally,
+      Set<PeerAddress> acceptedLoss) {
+    Set<PeerAddress> seen = new HashSet<>(acceptedLoss);
+    seen.addAll(tally.fresh().keySet());
+    boolean newestDocument = document.revision() >= tally.revision();
+    return newestDocument
+        && seen.size() >= context.settings().initialMembers()
+        && seen.containsAll(expected(context, document));
+  }
+
+  private static List<PeerAddress> expected(NodeContext context, PlatformDocument document) {
+    List<PeerAddress> machines = document.machines().stream().map(Machine::control).toList();
+    return machines.isEmpty() ? context.settings().seeds() : machines;
+  }
+
   private static boolean isQuorum(NodeContext context, Roster roster, VoteTally tally) {
     return context.quorum().isQuorum(context.view(roster), tally.granted());
   }
--- a/umberpath-control/src/test/java/io/umberpath/control/FormationTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/FormationTest.java
@@ -3,6 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.umberpath.model.ChangeResult;
+import io.umberpath.model.PeerAddress;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -28,6 +32,22 @@
     assertThat(fleet.maxConcurrentReaders).isBetween(1, 2);
   }
 
+  @Test
+  void partsThatEachSeeEnoughProcessesFormNoFleetWithoutEverySeed() {
+    TestFleet fleet = new TestFleet(9, 12, 4);
+    fleet.initialMembers = 5;
+    Set<PeerAddress> part = new HashSet<>();
+    IntStream.of(0, 3, 4, 5, 6).mapToObj(fleet::address).forEach(part::add);
+    fleet.cut = (from, to) -> part.contains(from) != part.contains(to);
+    fleet.startAll();
+    fleet.run(30_000);
+    assertThat(fleet.leader()).isEmpty();
+    assertThat(fleet.violations).isEmpty();
+    fleet.cut = (from, to) -> false;
+    assertThat(fleet.runUntil(30_000, fleet::converged)).isNotNegative();
+    assertThat(fleet.violations).isEmpty();
+  }
+
   @Test
   void aJoinerIsCaughtUpAndARestartedProcessIsANewMember() {
     TestFleet fleet = new TestFleet(8, 6, 2);
--- a/umberpath-control/src/test/java/io/umberpath/control/TestFleet.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/TestFleet.java
@@ -154,7 +154,8 @@
   }
 
   Process start(int index) {
-    List<PeerAddress> seeds = List.of(address(0), address(1), address(2));
+    List<PeerAddress> seeds =
+        List.of(address(0), address(1), address(2)).subList(0, Math.min(3, size));
     Member member =
         new Member(
             Member.NO_SLOT, address(index), ++lastIncarnation, "z" + index % zones, "region");
--- a/umberpath-control/src/test/java/io/umberpath/control/VoteVerdictTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/VoteVerdictTest.java
@@ -6,12 +6,17 @@
 import io.umberpath.model.FleetState;
 import io.umberpath.model.Member;
 import io.umberpath.model.PeerAddress;
+import io.umberpath.model.PlatformDocument;
+import io.umberpath.model.PlatformDocument.Machine;
+import io.umberpath.model.PlatformDocument.MachineState;
 import io.umberpath.model.Roster;
 import io.umberpath.model.Version;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -93,6 +98,55 @@
         .map(part -> member(Member.NO_SLOT, Integer.parseInt(part[0]), Long.parseLong(part[1])))
         .forEach(tally::addFresh);
 
-    assertThat(VoteVerdict.of(context(), unsettledSwap(), tally, Set.of())).isEqualTo(expected);
+    assertThat(VoteVerdict.of(context(), unsettledSwap(), PlatformDocument.NONE, tally, Set.of()))
+        .isEqualTo(expected);
+  }
+
+  private static Set<PeerAddress> addresses(String machines) {
+    return machines.isEmpty()
+        ? Set.of()
+        : Stream.of(machines.split(" "))
+            .map(machine -> address(Integer.parseInt(machine)))
+            .collect(Collectors.toSet());
+  }
+
+  private static PlatformDocument document(String machines) {
+    List<Machine> listed =
+        addresses(machines).stream()
+            .map(address -> new Machine(address, "z", "r", MachineState.LIVE))
+            .toList();
+    return listed.isEmpty()
+        ? PlatformDocument.NONE
+        : new PlatformDocument(3, new TreeMap<>(), listed);
+  }
+
+  /** Five processes are expected, machine 0 is the only seed. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "every listed machine, 0 1 2 3 4, 0 1 2 3 4, '', 3, NEW_FLEET",
+    "a listed machine is silent, 0 1 2 3 4, 0 1 2 3 4 5, '', 3, INSUFFICIENT",
+    "the silent machine is given up, 0 1 2 3 4, 0 1 2 3 4 5, 5, 3, NEW_FLEET",
+    "a voter holds a newer document, 0 1 2 3 4, 0 1 2 3 4, '', 4, INSUFFICIENT",
+    "no document and every seed, 0 1 2 3 4, '', '', 0, NEW_FLEET",
+    "no document and no seed, 1 2 3 4 5, '', '', 0, INSUFFICIENT",
+    "no document and the seed is given up, 1 2 3 4 5, '', 0, 0, NEW_FLEET",
+    "a machine that answers and is given up counts once, 0 1 2 3, '', 3, 0, INSUFFICIENT",
+    "too few, 0 1 2 3, 0 1 2 3, '', 3, INSUFFICIENT"
+  })
+  void aNewFleetNeedsEveryMachineThatMayHoldAFormerOne(
+      String why,
+      String machines,
+      String listed,
+      String givenUp,
+      long revision,
+      VoteVerdict expected) {
+    VoteTally tally = new VoteTally();
+    addresses(machines).forEach(each -> tally.addFresh(new Member(-1, each, 1, "z", "r")));
+    tally.revision(revision);
+
+    VoteVerdict verdict =
+        VoteVerdict.of(context(), FleetState.EMPTY, document(listed), tally, addresses(givenUp));
+
+    assertThat(verdict).isEqualTo(expected);
   }
 }
