Command line: an accepted change is not called not run because the wait ended

Ruled out: exit code 0, which would hide that the change is not in force yet. Measured: exit 1 before, seen by hand on real nodes; the new test was not run against the old code; it and the command line's other tests pass after.

--- a/umberpath-node/src/main/java/io/umberpath/node/cli/ApplyCommand.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/ApplyCommand.java
@@ -62,7 +62,13 @@
       return exitCode;
     }
     WaitRequest wait = WaitRequest.newBuilder().setVersion(answer.get().getVersion()).build();
-    return print(output, read(server -> server.wait(wait)), WaitCommand::text);
+    ExitCode waited = print(output, read(server -> server.wait(wait)), WaitCommand::text);
+    if (waited == ExitCode.OK) {
+      return waited;
+    }
+    // The change itself ran: an exit code that says "not run" would be untrue.
+    output.err().println("the change was accepted; only the wait for it ended early");
+    return ExitCode.MAY_HAVE_RUN;
   }
 
   private ApplyRequest withRequestId(ApplyRequest request) {
--- a/umberpath-node/src/test/java/io/umberpath/node/cli/CommandLineTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/cli/CommandLineTest.java
@@ -85,6 +85,15 @@
     return out.toString(StandardCharsets.UTF_8) + err.toString(StandardCharsets.UTF_8);
   }
 
+  @Test
+  void anAcceptedChangeIsNeverCalledNotRunBecauseTheWaitEnded() throws Exception {
+    String file = write("change.yaml", CHANGE);
+    fixture.control.nodes = List.of(FakeControlService.node(1, new Version(0, 1)));
+    assertThat(call("apply", "-f", file, "--wait", "--timeout", "2s"))
+        .isEqualTo(ExitCode.MAY_HAVE_RUN);
+    assertThat(printed()).contains("accepted version 1.1");
+  }
+
   @Test
   void changeIsAppliedReadAndExplained() throws Exception {
     String file = write("change.yaml", CHANGE);
