--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreEvent.java
@@ -0,0 +1,26 @@
+package io.umberpath.control.store;
+
+/** One change in the store. */
+public sealed interface StoreEvent {
+  /** Key of the item. */
+  String key();
+
+  /** The store's revision of the change. */
+  long revision();
+
+  /** An item was written. */
+  record Put(StoreItem item) implements StoreEvent {
+    @Override
+    public String key() {
+      return item.key();
+    }
+
+    @Override
+    public long revision() {
+      return item.revision();
+    }
+  }
+
+  /** An item was removed. */
+  record Gone(String key, long revision) implements StoreEvent {}
+}
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -0,0 +1,194 @@
+package io.umberpath.control.store;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Follows the items below one prefix: reads them all, then watches from the revision of the first
+ * page on, and reads again when the store has forgotten that revision. Changes are applied by
+ * revision, so that what is heard twice or late changes nothing. Owner synchronizes.
+ */
+public final class StoreWatcher {
+  /** What to do next. */
+  public sealed interface Step {
+    /** Make this call and report its answer. */
+    record Call(StoreCall call) implements Step {}
+
+    /** Ask again at this time, milliseconds. */
+    record Wait(long untilMillis) implements Step {}
+  }
+
+  private final String prefix;
+  private final StoreWatcherSettings settings;
+  private final DoubleSupplier random;
+  private Map<String, StoreItem> items = new HashMap<>();
+  private Map<String, StoreItem> pages = new HashMap<>();
+  private String lastKey;
+  private long firstPageAt = -1;
+  private long at = -1;
+  private boolean reading = true;
+  private int failures;
+  private long notBeforeMillis;
+  private long heardAtMillis = -1;
+
+  /**
+   * Creates a watcher that knows nothing.
+   *
+   * @param prefix beginning of the keys; may be empty
+   * @param random numbers from 0 to 1, for the pauses after failures
+   */
+  public StoreWatcher(String prefix, StoreWatcherSettings settings, DoubleSupplier random) {
+    this.prefix = prefix;
+    this.settings = settings;
+    this.random = random;
+  }
+
+  /** What to do now. */
+  public Step next(long nowMillis) {
+    if (nowMillis < notBeforeMillis) {
+      return new Step.Wait(notBeforeMillis);
+    }
+    if (reading) {
+      return new Step.Call(new StoreCall.Read(prefix, Optional.ofNullable(lastKey)));
+    }
+    return new Step.Call(new StoreCall.Watch(prefix, at, settings.waitMillis()));
+  }
+
+  /**
+   * Takes the answer of the last call.
+   *
+   * @return whether the items have changed
+   */
+  public boolean answered(long nowMillis, StoreAnswer answer) {
+    if (answer instanceof StoreAnswer.Page page) {
+      heard(nowMillis);
+      return takePage(page);
+    }
+    if (answer instanceof StoreAnswer.Events events) {
+      heard(nowMillis);
+      return takeEvents(nowMillis, events);
+    }
+    if (answer instanceof StoreAnswer.HistoryGone) {
+      heard(nowMillis);
+      beginReading();
+      return false;
+    }
+    if (answer instanceof StoreAnswer.Unavailable && reading) {
+      beginReading();
+    }
+    backOff(nowMillis);
+    return false;
+  }
+
+  private void heard(long nowMillis) {
+    failures = 0;
+    heardAtMillis = nowMillis;
+  }
+
+  private void beginReading() {
+    reading = true;
+    pages = new HashMap<>();
+    lastKey = null;
+    firstPageAt = -1;
+  }
+
+  private void backOff(long nowMillis) {
+    long pause = settings.minBackoffMillis() << Math.min(failures, 10);
+    failures++;
+    long bounded = Math.min(pause, settings.maxBackoffMillis());
+    notBeforeMillis = nowMillis + Math.round(bounded * (0.5 + 0.5 * random.getAsDouble()));
+  }
+
+  private boolean takePage(StoreAnswer.Page page) {
+    if (!reading) {
+      return false;
+    }
+    if (firstPageAt < 0) {
+      firstPageAt = page.at();
+    }
+    page.items().forEach(item -> pages.put(item.key(), item));
+    if (page.more() && !page.items().isEmpty()) {
+      lastKey = page.items().get(page.items().size() - 1).key();
+      return false;
+    }
+    reading = false;
+    Map<String, StoreItem> read = pages;
+    long readAt = firstPageAt;
+    pages = new HashMap<>();
+    lastKey = null;
+    return replace(read, readAt);
+  }
+
+  /** Takes a whole state unless a newer one is held; whether something changed. */
+  private boolean replace(Map<String, StoreItem> newItems, long newAt) {
+    if (newAt < at) {
+      return false;
+    }
+    boolean changed = at < 0 || !items.equals(newItems);
+    items = newItems;
+    at = newAt;
+    return changed;
+  }
+
+  private boolean takeEvents(long nowMillis, StoreAnswer.Events events) {
+    boolean changed = false;
+    for (StoreEvent event : events.events()) {
+      // What was adopted meanwhile already holds older changes.
+      changed |= event.revision() > at && apply(event);
+    }
+    at = Math.max(at, events.at());
+    if (!events.events().isEmpty()) {
+      notBeforeMillis = nowMillis + settings.pauseMillis();
+    }
+    return changed;
+  }
+
+  private boolean apply(StoreEvent event) {
+    StoreItem held = items.get(event.key());
+    if (held != null && held.revision() >= event.revision()) {
+      return false;
+    }
+    if (event instanceof StoreEvent.Put put) {
+      items.put(event.key(), put.item());
+      return true;
+    }
+    return items.remove(event.key()) != null;
+  }
+
+  /**
+   * Takes a whole state that another node holds, if it is newer than this one.
+   *
+   * @return whether the items have changed
+   */
+  public boolean adopt(Collection<StoreItem> newItems, long newAt) {
+    if (newAt <= at) {
+      return false;
+    }
+    Map<String, StoreItem> adopted = new HashMap<>();
+    newItems.forEach(item -> adopted.put(item.key(), item));
+    boolean changed = replace(adopted, newAt);
+    if (reading && firstPageAt < 0) {
+      reading = false;
+    }
+    return changed;
+  }
+
+  /** The items by key order of no meaning; empty before the first whole read. */
+  public List<StoreItem> items() {
+    return List.copyOf(items.values());
+  }
+
+  /** Revision of the items; -1 before the first whole read. */
+  public long at() {
+    return at;
+  }
+
+  /** When the store last answered a call, milliseconds; -1 if never. */
+  public long heardAtMillis() {
+    return heardAtMillis;
+  }
+}
--- a/umberpath-model/src/main/java/io/umberpath/model/Verdict.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/Verdict.java
@@ -38,6 +38,8 @@
     NO_BACKEND(503),
     /** Every permitted slot and queue place is taken. */
     OVERLOADED(503),
+    /** The back end itself said that it did not run the request. */
+    REJECTED(503),
     /** The back end or node is leaving. */
     DRAINING(503),
     /** The node or back end could not be reached before the request was handed over. */
--- /dev/null
+++ b/umberpath-model/src/main/java/io/umberpath/model/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Routes, services and back ends as an external ordered store states them. */
+package io.umberpath.model.routing;
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLines.java
@@ -0,0 +1,131 @@
+package io.umberpath.node.logs;
+
+import com.google.common.flogger.backend.LogData;
+import com.google.common.flogger.backend.Metadata;
+import com.google.common.flogger.backend.system.AbstractLogRecord;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/**
+ * Writes log records to standard output, a JSON object a line, from a thread of its own. Whoever
+ * logs never waits: when the bounded buffer is full a line is dropped and counted, and the count is
+ * a line itself.
+ */
+public final class JsonLines extends Handler {
+  private static final int BUFFERED_LINES = 2_048;
+  private static final long FLUSH_MILLIS = 200;
+
+  private static volatile JsonLines installed;
+
+  private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(BUFFERED_LINES);
+  private final AtomicLong dropped = new AtomicLong();
+  private final AtomicInteger writing = new AtomicInteger();
+  private final FileOutputStream out = new FileOutputStream(FileDescriptor.out);
+
+  private JsonLines() {}
+
+  /** Makes all log records of the process JSON lines. */
+  public static void install() {
+    LogManager.getLogManager().reset();
+    JsonLines handler = new JsonLines();
+    Logger root = Logger.getLogger("");
+    root.setLevel(Level.INFO);
+    root.addHandler(handler);
+    Thread thread = new Thread(handler::write, "umberpath-log");
+    thread.setDaemon(true);
+    thread.start();
+    installed = handler;
+  }
+
+  /** Waits a little for the lines so far to be written. */
+  public static void awaitWritten() {
+    JsonLines handler = installed;
+    if (handler != null) {
+      handler.flush();
+    }
+  }
+
+  @Override
+  public void publish(LogRecord record) {
+    if (isLoggable(record) && !lines.offer(line(record))) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  private static String line(LogRecord record) {
+    StringBuilder line = new StringBuilder(256);
+    line.append("{\"time\":\"").append(Instant.ofEpochMilli(record.getMillis())).append('"');
+    line.append(",\"level\":\"").append(record.getLevel().getName()).append('"');
+    if (record instanceof AbstractLogRecord structured) {
+      appendFields(line, structured.getLogData());
+    }
+    JsonText.appendField(line, "message", String.valueOf(record.getMessage()));
+    if (record.getThrown() != null) {
+      JsonText.appendField(line, "thrown", thrown(record.getThrown()));
+    }
+    return line.append("}\n").toString();
+  }
+
+  private static void appendFields(StringBuilder line, LogData data) {
+    Metadata metadata = data.getMetadata();
+    for (int index = 0; index < metadata.size(); index++) {
+      Object value = metadata.getValue(index);
+      if (value instanceof String || value instanceof Number) {
+        JsonText.appendField(line, metadata.getKey(index).getLabel(), value);
+      }
+    }
+  }
+
+  private static String thrown(Throwable thrown) {
+    StackTraceElement[] stack = thrown.getStackTrace();
+    return thrown + (stack.length == 0 ? "" : " at " + stack[0]);
+  }
+
+  private void write() {
+    while (true) {
+      try {
+        String line = lines.poll(1, TimeUnit.HOURS);
+        if (line == null) {
+          continue;
+        }
+        writing.incrementAndGet();
+        long lost = dropped.getAndSet(0);
+        if (lost > 0) {
+          line = "{\"event\":\"lines-dropped\",\"count\":" + lost + "}\n" + line;
+        }
+        out.write(line.getBytes(StandardCharsets.UTF_8));
+        writing.decrementAndGet();
+      } catch (InterruptedException ended) {
+        return;
+      } catch (IOException closed) {
+        return;
+      }
+    }
+  }
+
+  @Override
+  public void flush() {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_MILLIS);
+    while ((!lines.isEmpty() || writing.get() > 0) && System.nanoTime() < end) {
+      Thread.yield();
+    }
+  }
+
+  @Override
+  public void close() {
+    flush();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendDirectory.java
@@ -0,0 +1,62 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.routing.BackendEntry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** The back ends at one revision of the store. Immutable. */
+final class BackendDirectory {
+  static final BackendDirectory EMPTY = new BackendDirectory(List.of());
+
+  private final Map<String, BackendEntry> byId = new HashMap<>();
+  private final Map<String, List<BackendEntry>> ready = new HashMap<>();
+  private final Map<String, List<BackendEntry>> byHost = new HashMap<>();
+
+  BackendDirectory(Collection<BackendEntry> entries) {
+    for (BackendEntry entry : entries) {
+      byId.put(entry.id(), entry);
+      byHost.computeIfAbsent(entry.address().host(), host -> new ArrayList<>()).add(entry);
+      if (entry.state() == BackendEntry.State.READY) {
+        ready.computeIfAbsent(entry.service(), service -> new ArrayList<>()).add(entry);
+      }
+    }
+    ready.values().forEach(list -> list.sort(Comparator.comparing(BackendEntry::id)));
+  }
+
+  /** Those of a service that take new work. */
+  List<BackendEntry> ready(String service) {
+    return ready.getOrDefault(service, List.of());
+  }
+
+  Optional<BackendEntry> byId(String id) {
+    return Optional.ofNullable(byId.get(id));
+  }
+
+  /** The entries at an address; several while a new start has not replaced the old one. */
+  List<BackendEntry> at(PeerAddress address) {
+    return atHost(address.host()).stream()
+        .filter(entry -> entry.address().equals(address))
+        .toList();
+  }
+
+  /** The entries at an IP address. */
+  List<BackendEntry> atHost(String host) {
+    return byHost.getOrDefault(host, List.of());
+  }
+
+  /** IP addresses of the machines. */
+  Set<String> hosts() {
+    return byHost.keySet();
+  }
+
+  Collection<BackendEntry> all() {
+    return byId.values();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/HeaderNames.java
@@ -0,0 +1,17 @@
+package io.umberpath.node.mesh;
+
+/**
+ * Names of the headers that callers and back ends speak.
+ *
+ * @param requestId names one attempt of a caller; every answer carries it back
+ * @param deadline milliseconds until the caller gives up
+ * @param expectedInstance the only back end that may run the request
+ * @param callerService service beside the node where the request began
+ * @param notExecuted on an answer: the back end did not run the request
+ */
+public record HeaderNames(
+    String requestId,
+    String deadline,
+    String expectedInstance,
+    String callerService,
+    String notExecuted) {}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -0,0 +1,318 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Verdict;
+import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.RoutingRule;
+import io.umberpath.node.proxy.http.ProxyHeaders;
+import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.node.proxy.inbound.Exchange;
+import io.umberpath.node.proxy.inbound.Headers;
+import io.umberpath.node.proxy.inbound.Refusal;
+import io.umberpath.node.proxy.inbound.RefusalStyle;
+import io.umberpath.node.proxy.inbound.RequestHandler;
+import io.umberpath.node.proxy.inbound.RequestPlan;
+import io.umberpath.node.proxy.origin.OriginManager;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.traffic.routing.GateBalancer;
+import io.umberpath.traffic.routing.GateLoad;
+import io.umberpath.traffic.routing.RetryWindow;
+import io.umberpath.traffic.routing.WeightedSplit;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.Header;
+
+/** Requests of callers: finds the route, picks a back end, sends to the node beside it. */
+final class MeshEdgeHandler implements RequestHandler {
+  /** Most nodes that one request is offered to. */
+  private static final int MAX_OFFERS = 5;
+
+  /** Offers that a full node may refuse instead of queueing the request. */
+  private static final int MAX_BOUNCES = 2;
+
+  /** Largest body that is sent on the chance of a free slot, bytes. */
+  private static final long MAX_BOUNCED_BYTES = 16 * 1024;
+
+  /** Time a further attempt needs at least, milliseconds. */
+  private static final long MIN_REMAINING_MILLIS = 15;
+
+  private static final long RETRY_WHEN_UNREADY_MILLIS = 300;
+  private static final long RETRY_WHEN_NOBODY_MILLIS = 100;
+
+  private final MeshSettings settings;
+  private final Supplier<MeshView> view;
+  private final OriginManager origins;
+  private final GateBalancer balancer;
+  private final PeerExchange peers;
+  private final MeshEvents events;
+  private final LongSupplier clockMillis;
+  private final WeightedSplit split = new WeightedSplit();
+  private final RetryWindow retries;
+  private final RefusalStyle style = new MeshRefusalStyle();
+  private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+  private volatile boolean leaving;
+
+  MeshEdgeHandler(
+      MeshSettings settings,
+      Supplier<MeshView> view,
+      OriginManager origins,
+      GateBalancer balancer,
+      PeerExchange peers,
+      MeshEvents events,
+      LongSupplier clockMillis) {
+    this.settings = settings;
+    this.view = view;
+    this.origins = origins;
+    this.balancer = balancer;
+    this.peers = peers;
+    this.events = events;
+    this.clockMillis = clockMillis;
+    MeshSettings.Retry bounds = settings.retry();
+    this.retries = new RetryWindow(bounds.windowMillis(), bounds.ratio(), bounds.extra());
+    replacedHeaders.add(settings.headers().deadline());
+    replacedHeaders.add(settings.headers().callerService());
+    replacedHeaders.add(settings.headers().expectedInstance());
+  }
+
+  /** From now on answers ask callers to go elsewhere with their next request. */
+  void leave() {
+    leaving = true;
+  }
+
+  @Override
+  public ProxyStats.Side side() {
+    return ProxyStats.Side.EDGE;
+  }
+
+  @Override
+  public RefusalStyle refusalStyle() {
+    return style;
+  }
+
+  @Override
+  public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
+    if (leaving) {
+      head.getProcessingState().setKeepAlive(false);
+    }
+    MeshView current = view.get();
+    if (!current.isComplete()) {
+      return Either.left(
+          new Refusal(new Verdict.NotRun(Verdict.Reason.NOT_READY), RETRY_WHEN_UNREADY_MILLIS));
+    }
+    String requestId = head.getHeader(settings.headers().requestId());
+    Optional<Long> stated = statedDeadline(head);
+    if (requestId == null || stated.isEmpty()) {
+      return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
+    }
+    String host = head.getHeader(Header.Host);
+    Optional<RoutingRule> rule =
+        current.table().match(host == null ? "" : host, head.getRequestURI());
+    if (rule.isEmpty()) {
+      return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
+    }
+    long timeout = Math.min(stated.get(), rule.get().timeoutMillis());
+    return Either.right(plan(requestId, rule.get(), current.version(), nowMillis, timeout));
+  }
+
+  private MeshEdgePlan plan(
+      String requestId, RoutingRule rule, long version, long nowMillis, long timeoutMillis) {
+    String service;
+    synchronized (split) {
+      service = split.next(rule);
+    }
+    synchronized (retries) {
+      retries.requestStarted(nowMillis, service);
+    }
+    return new MeshEdgePlan(
+        requestId,
+        rule,
+        service,
+        version,
+        nowMillis + timeoutMillis,
+        nowMillis,
+        replacedHeaders,
+        new AttemptTally());
+  }
+
+  /** The caller's deadline; very long if it states none, empty if it is malformed. */
+  private Optional<Long> statedDeadline(HttpRequestPacket head) {
+    String text = head.getHeader(settings.headers().deadline());
+    return text == null ? Optional.of((long) Integer.MAX_VALUE) : Headers.number(text);
+  }
+
+  @Override
+  public void dispatch(Exchange exchange) {
+    long now = clockMillis.getAsLong();
+    MeshEdgePlan plan = planOf(exchange);
+    if (plan.deadlineMillis() <= now) {
+      exchange.refuse(Refusal.notRun(Verdict.Reason.DEADLINE));
+      return;
+    }
+    List<BackendEntry> candidates = view.get().backends().ready(plan.service());
+    Set<String> silent = peers.silentBackends(candidates);
+    Set<String> leftOut = plan.tally().leftOut(mayBounce(exchange, plan));
+    Optional<BackendEntry> choice;
+    synchronized (balancer) {
+      choice = balancer.pick(now, candidates, leftOut, silent);
+      if (choice.isEmpty()) {
+        choice = balancer.pick(now, candidates, plan.tally().leftOut(false), silent);
+      }
+      choice.ifPresent(chosen -> balancer.started(now, chosen.id()));
+    }
+    if (choice.isEmpty()) {
+      exchange.refuse(exchange.lastRefusal().orElseGet(MeshEdgeHandler::nobody));
+      return;
+    }
+    BackendEntry chosen = choice.get();
+    PeerAddress gate = new PeerAddress(chosen.address().host(), settings.inbound().port());
+    if (!exchange.sendTo(origins.poolOf(gate), chosen.id())) {
+      synchronized (balancer) {
+        balancer.finished(now, chosen.id(), new Verdict.NotRun(Verdict.Reason.CANCELLED));
+      }
+    }
+  }
+
+  private static Refusal nobody() {
+    return new Refusal(new Verdict.NotRun(Verdict.Reason.NO_BACKEND), RETRY_WHEN_NOBODY_MILLIS);
+  }
+
+  @Override
+  public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
+    MeshEdgePlan plan = planOf(exchange);
+    HeaderNames names = settings.headers();
+    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    set(outgoing, names.deadline(), Long.toString(left));
+    set(outgoing, names.callerService(), settings.service());
+    HopLine hop =
+        new HopLine(exchange.currentOrigin(), plan.rule().priority(), mayBounce(exchange, plan));
+    set(outgoing, HopLine.HEADER, hop.encode());
+  }
+
+  private static boolean mayBounce(Exchange exchange, MeshEdgePlan plan) {
+    return plan.tally().bounces() < MAX_BOUNCES
+        && exchange.request().getContentLength() <= MAX_BOUNCED_BYTES
+        && exchange.isBodyReplayable();
+  }
+
+  private static void set(HttpRequestPacket packet, String name, String value) {
+    packet.getHeaders().setValue(name).setString(value);
+  }
+
+  @Override
+  public String echoedId(RequestPlan plan) {
+    return null;
+  }
+
+  @Override
+  public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+    stated(exchange.currentOrigin(), head);
+    MeshEdgePlan plan = planOf(exchange);
+    String verdict = head.getHeader(ProxyHeaders.VERDICT);
+    if (verdict != null) {
+      return VerdictHeader.parse(verdict)
+          .map(each -> new Refusal(each, retryAfterMillis(head), true));
+    }
+    boolean own = plan.requestId().equals(head.getHeader(settings.headers().requestId()));
+    return own ? Optional.empty() : Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
+  }
+
+  private void stated(String backend, HttpResponsePacket head) {
+    String text = head.getHeader(MeshGateHandler.LOAD_HEADER);
+    GateLoad load = text == null ? null : GateLoad.decode(text);
+    if (load != null) {
+      synchronized (balancer) {
+        balancer.stated(clockMillis.getAsLong(), backend, load);
+      }
+    }
+  }
+
+  private static long retryAfterMillis(HttpResponsePacket head) {
+    return Headers.text(head, ProxyHeaders.RETRY_AFTER_MILLIS).flatMap(Headers::number).orElse(0L);
+  }
+
+  @Override
+  public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
+    Verdict verdict = refusal == null ? new Verdict.Completed() : refusal.verdict();
+    synchronized (balancer) {
+      balancer.finished(clockMillis.getAsLong(), originId, verdict);
+    }
+    AttemptTally tally = planOf(exchange).tally();
+    if (arrived(verdict)) {
+      tally.arrived(originId);
+    } else if (((Verdict.NotRun) verdict).reason() == Verdict.Reason.OVERLOADED) {
+      tally.bounced(originId);
+    } else {
+      tally.refused(originId);
+    }
+  }
+
+  private static boolean arrived(Verdict verdict) {
+    return !(verdict instanceof Verdict.NotRun notRun)
+        || notRun.reason() == Verdict.Reason.REJECTED;
+  }
+
+  @Override
+  public boolean mayRetry(Exchange exchange, Verdict verdict) {
+    MeshEdgePlan plan = planOf(exchange);
+    String decision = againstRetry(exchange, plan, verdict);
+    boolean again = decision.isEmpty();
+    events.attemptFailed(
+        plan, String.valueOf(exchange.lastOrigin()), verdict, again, again ? "" : decision);
+    return again;
+  }
+
+  /** Why the request is not sent again; empty if it is. */
+  private String againstRetry(Exchange exchange, MeshEdgePlan plan, Verdict verdict) {
+    long now = clockMillis.getAsLong();
+    if (!exchange.isBodyReplayable()) {
+      return "body not kept";
+    }
+    if (now + MIN_REMAINING_MILLIS > plan.deadlineMillis()) {
+      return "no time left";
+    }
+    if (exchange.attempts() >= MAX_OFFERS) {
+      return "offered often enough";
+    }
+    if (verdict instanceof Verdict.NotRun notRun && !arrived(verdict)) {
+      return switch (notRun.reason()) {
+        case OVERLOADED, DRAINING, UNREACHABLE, NOT_READY -> "";
+        default -> "refused for good";
+      };
+    }
+    boolean firm = verdict instanceof Verdict.NotRun;
+    if (!firm && !plan.rule().kind().isRepeatable()) {
+      return "may have run and must not run twice";
+    }
+    if (plan.tally().arrivals() >= plan.rule().maxAttempts()) {
+      return "attempts of the route used up";
+    }
+    synchronized (retries) {
+      return retries.tryRetry(now, plan.service(), peers.nodes()) ? "" : "retry budget used up";
+    }
+  }
+
+  @Override
+  public void ended(Exchange exchange, Verdict verdict) {
+    MeshEdgePlan plan = planOf(exchange);
+    if (plan == null) {
+      return;
+    }
+    long millis = clockMillis.getAsLong() - plan.beganMillis();
+    if (verdict instanceof Verdict.Completed) {
+      events.requestServed(plan, exchange.attempts(), millis);
+    } else {
+      events.requestFailed(plan, exchange.attempts(), verdict, millis);
+    }
+  }
+
+  private static MeshEdgePlan planOf(Exchange exchange) {
+    return (MeshEdgePlan) exchange.plan();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgePlan.java
@@ -0,0 +1,33 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.model.routing.RoutingRule;
+import io.umberpath.node.proxy.inbound.RequestPlan;
+import java.util.Set;
+
+/**
+ * Plan of a caller's request.
+ *
+ * @param requestId the caller's id of this attempt
+ * @param rule its route
+ * @param service the part of the route it goes to
+ * @param configurationVersion version of the configuration that said so
+ * @param deadlineMillis when it is given up, on the proxy's clock
+ * @param beganMillis when its head arrived, on the proxy's clock
+ * @param replacedHeaders headers this node sets itself
+ * @param tally what its attempts have used
+ */
+record MeshEdgePlan(
+    String requestId,
+    RoutingRule rule,
+    String service,
+    long configurationVersion,
+    long deadlineMillis,
+    long beganMillis,
+    Set<String> replacedHeaders,
+    AttemptTally tally)
+    implements RequestPlan {
+  @Override
+  public String route() {
+    return rule.name();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -0,0 +1,67 @@
+package io.umberpath.node.mesh;
+
+import java.util.Locale;
+
+/** Kinds of log lines; {@code docs/OPERATIONS.md} explains each. */
+public enum MeshEvent {
+  /** The process takes requests. */
+  NODE_STARTED(10),
+  /** The process was told to stop. */
+  NODE_STOPPING(10),
+  /** The process ends. */
+  NODE_STOPPED(10),
+  /** The settings were read again. */
+  SETTINGS_RELOADED(10),
+  /** Changed settings were refused; the old ones hold. */
+  SETTINGS_REFUSED(10),
+  /** The store does not answer. */
+  STORE_LOST(10),
+  /** The store answers again. */
+  STORE_REGAINED(10),
+  /** A newer configuration is in force. */
+  CONFIGURATION_TAKEN(20),
+  /** A configuration was refused whole; the old one holds. */
+  CONFIGURATION_REFUSED(10),
+  /** A back end takes work. */
+  BACKEND_ADDED(50),
+  /** A back end takes no new work. */
+  BACKEND_DRAINING(50),
+  /** A back end is no longer listed. */
+  BACKEND_GONE(50),
+  /** A back end's entry cannot be read. */
+  BACKEND_REFUSED(10),
+  /** Another node has not been heard of for too long. */
+  PEER_SILENT(20),
+  /** A silent node is heard again. */
+  PEER_HEARD(20),
+  /** A newer state was taken from another node. */
+  STATE_ADOPTED(20),
+  /** A request of a caller ended without an answer of a back end. */
+  REQUEST_FAILED(40),
+  /** A request of a caller was answered; a sample. */
+  REQUEST_SERVED(2),
+  /** An attempt failed, and whether another follows. */
+  ATTEMPT_FAILED(40),
+  /** The node beside the back end refused a request, or its back end failed it. */
+  GATE_FAILED(40),
+  /** Lines of other kinds were dropped. */
+  LINES_DROPPED(5),
+  /** A fault in the program itself. */
+  FAULT(10);
+
+  private final int linesPerSecond;
+
+  MeshEvent(int linesPerSecond) {
+    this.linesPerSecond = linesPerSecond;
+  }
+
+  /** Most lines of this kind in a second. */
+  public int linesPerSecond() {
+    return linesPerSecond;
+  }
+
+  /** Name in log lines. */
+  public String label() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -0,0 +1,214 @@
+package io.umberpath.node.mesh;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.MetadataKey;
+import io.umberpath.control.store.StoreAnswer;
+import io.umberpath.model.Verdict;
+import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.RoutingConfiguration;
+import io.umberpath.node.logs.LogFields;
+import io.umberpath.node.proxy.http.VerdictHeader;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+/**
+ * Writes a line for what the node decides and believes, within a bound for each kind of line.
+ * Thread-safe; never waits.
+ */
+public final class MeshEvents {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final MetadataKey<String> BACKEND = MetadataKey.single("backend", String.class);
+  private static final MetadataKey<String> SERVICE = MetadataKey.single("service", String.class);
+  private static final MetadataKey<String> SOURCE = MetadataKey.single("source", String.class);
+  private static final MetadataKey<String> CAUSE = MetadataKey.single("cause", String.class);
+  private static final MetadataKey<String> ROUTE = MetadataKey.single("route", String.class);
+  private static final MetadataKey<Long> REVISION = MetadataKey.single("revision", Long.class);
+  private static final MetadataKey<Long> CONFIGURATION =
+      MetadataKey.single("configuration", Long.class);
+  private static final MetadataKey<Long> MILLIS = MetadataKey.single("millis", Long.class);
+  private static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
+
+  private final LongSupplier clockMillis;
+  private final Map<MeshEvent, LineBudget> budgets = new EnumMap<>(MeshEvent.class);
+
+  /** Creates a log on a rising clock, milliseconds. */
+  public MeshEvents(LongSupplier clockMillis) {
+    this.clockMillis = clockMillis;
+    for (MeshEvent event : MeshEvent.values()) {
+      budgets.put(event, new LineBudget(event.linesPerSecond()));
+    }
+  }
+
+  private FluentLogger.Api line(MeshEvent event) {
+    boolean allowed = budgets.get(event).take(clockMillis.getAsLong());
+    FluentLogger.Api api = allowed ? logger.atInfo() : logger.atFinest();
+    return api.with(LogFields.EVENT, event.label());
+  }
+
+  /** Writes how many lines were dropped since the last call. */
+  void reportDropped() {
+    budgets.forEach(
+        (event, budget) -> {
+          long dropped = budget.takeDropped();
+          if (dropped > 0) {
+            line(MeshEvent.LINES_DROPPED).with(COUNT, dropped).log("%s", event.label());
+          }
+        });
+  }
+
+  /** The process takes requests. */
+  public void started(MeshSettings settings, long millisSinceStart) {
+    line(MeshEvent.NODE_STARTED)
+        .with(SERVICE, settings.service())
+        .with(LogFields.ADDRESS, settings.outbound().toString())
+        .with(MILLIS, millisSinceStart)
+        .log("%s", settings.name());
+  }
+
+  void stopping(int inFlight) {
+    line(MeshEvent.NODE_STOPPING).with(COUNT, (long) inFlight).log("planned stop");
+  }
+
+  void stopped(int cutOff, long millis) {
+    line(MeshEvent.NODE_STOPPED)
+        .with(COUNT, (long) cutOff)
+        .with(MILLIS, millis)
+        .log("requests cut off: %d", cutOff);
+  }
+
+  /** The settings were read again. */
+  public void reloaded(String outcome) {
+    line(MeshEvent.SETTINGS_RELOADED).log("%s", outcome);
+  }
+
+  /** Changed settings were refused. */
+  public void settingsRefused(String problem) {
+    line(MeshEvent.SETTINGS_REFUSED).with(CAUSE, problem).log("settings kept");
+  }
+
+  void storeCalled(StoreAnswer answer) {
+    if (answer instanceof StoreAnswer.Throttled) {
+      line(MeshEvent.STORE_LOST).with(CAUSE, "throttled").log("store");
+    }
+  }
+
+  void storeLost(String cause) {
+    line(MeshEvent.STORE_LOST).with(CAUSE, cause).log("store");
+  }
+
+  void storeRegained(long awayMillis) {
+    line(MeshEvent.STORE_REGAINED).with(MILLIS, awayMillis).log("store");
+  }
+
+  void configurationTaken(RoutingConfiguration configuration, long revision, String source) {
+    line(MeshEvent.CONFIGURATION_TAKEN)
+        .with(CONFIGURATION, configuration.version())
+        .with(REVISION, revision)
+        .with(SOURCE, source)
+        .with(COUNT, (long) configuration.rules().size())
+        .log("in force");
+  }
+
+  void configurationRefused(long revision, String problem, String source) {
+    line(MeshEvent.CONFIGURATION_REFUSED)
+        .with(REVISION, revision)
+        .with(SOURCE, source)
+        .with(CAUSE, problem)
+        .log("the configuration before it stays in force");
+  }
+
+  void backendRefused(String key, long revision, String problem) {
+    line(MeshEvent.BACKEND_REFUSED)
+        .with(BACKEND, key)
+        .with(REVISION, revision)
+        .with(CAUSE, problem)
+        .log("entry passed over");
+  }
+
+  void backendsChanged(
+      BackendDirectory before, BackendDirectory after, long revision, String source) {
+    for (BackendEntry entry : after.all()) {
+      boolean isNew = before.byId(entry.id()).isEmpty();
+      boolean changed =
+          before.byId(entry.id()).filter(old -> old.state() == entry.state()).isEmpty();
+      if (isNew || changed) {
+        boolean ready = entry.state() == BackendEntry.State.READY;
+        backend(ready ? MeshEvent.BACKEND_ADDED : MeshEvent.BACKEND_DRAINING, entry)
+            .with(REVISION, revision)
+            .log("%s", source);
+      }
+    }
+    for (BackendEntry entry : before.all()) {
+      if (after.byId(entry.id()).isEmpty()) {
+        backend(MeshEvent.BACKEND_GONE, entry).with(REVISION, revision).log("%s", source);
+      }
+    }
+  }
+
+  private FluentLogger.Api backend(MeshEvent event, BackendEntry entry) {
+    return line(event)
+        .with(BACKEND, entry.id())
+        .with(SERVICE, entry.service())
+        .with(LogFields.ADDRESS, entry.address().toString());
+  }
+
+  void peerSilent(String host) {
+    line(MeshEvent.PEER_SILENT).with(LogFields.ADDRESS, host).log("no report");
+  }
+
+  void peerHeard(String host) {
+    line(MeshEvent.PEER_HEARD).with(LogFields.ADDRESS, host).log("reports again");
+  }
+
+  void stateAdopted(String peer, long version, long revision) {
+    line(MeshEvent.STATE_ADOPTED)
+        .with(LogFields.ADDRESS, peer)
+        .with(CONFIGURATION, version)
+        .with(REVISION, revision)
+        .log("from another node");
+  }
+
+  void requestFailed(MeshEdgePlan plan, int attempts, Verdict verdict, long millis) {
+    line(MeshEvent.REQUEST_FAILED)
+        .with(LogFields.REQUEST_ID, plan.requestId())
+        .with(ROUTE, plan.route())
+        .with(CONFIGURATION, plan.configurationVersion())
+        .with(LogFields.OUTCOME, VerdictHeader.format(verdict))
+        .with(MILLIS, millis)
+        .log("attempts %d, sent to back ends %d", attempts, plan.tally().arrivals());
+  }
+
+  void requestServed(MeshEdgePlan plan, int attempts, long millis) {
+    line(MeshEvent.REQUEST_SERVED)
+        .with(LogFields.REQUEST_ID, plan.requestId())
+        .with(ROUTE, plan.route())
+        .with(CONFIGURATION, plan.configurationVersion())
+        .with(MILLIS, millis)
+        .log("attempts %d", attempts);
+  }
+
+  void attemptFailed(
+      MeshEdgePlan plan, String backend, Verdict verdict, boolean again, String known) {
+    line(MeshEvent.ATTEMPT_FAILED)
+        .with(LogFields.REQUEST_ID, plan.requestId())
+        .with(BACKEND, backend)
+        .with(LogFields.OUTCOME, VerdictHeader.format(verdict))
+        .with(CAUSE, known)
+        .log("%s", again ? "sent again" : "not sent again");
+  }
+
+  void gateFailed(MeshGatePlan plan, Verdict verdict, String load, long millis) {
+    line(MeshEvent.GATE_FAILED)
+        .with(LogFields.REQUEST_ID, plan.requestId())
+        .with(BACKEND, plan.instance())
+        .with(LogFields.OUTCOME, VerdictHeader.format(verdict))
+        .with(MILLIS, millis)
+        .log("load %s", load);
+  }
+
+  void fault(String where, Throwable fault) {
+    line(MeshEvent.FAULT).withCause(fault).log("%s", where);
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -0,0 +1,179 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.model.Tier;
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.SlotGate;
+import io.umberpath.node.proxy.inbound.Exchange;
+import io.umberpath.node.proxy.inbound.Headers;
+import io.umberpath.node.proxy.inbound.Refusal;
+import io.umberpath.node.proxy.inbound.RefusalStyle;
+import io.umberpath.node.proxy.inbound.RequestHandler;
+import io.umberpath.node.proxy.inbound.RequestPlan;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.traffic.AdmissionController;
+import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.routing.GateLoad;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.LongSupplier;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+
+/**
+ * Requests of other nodes for the back end beside this one. It is the only way to that back end, so
+ * that it knows exactly how many requests run there; what it refuses before the first byte
+ * certainly did not run.
+ */
+final class MeshGateHandler implements RequestHandler {
+  /** Load of the back end, on every answer to another node. */
+  static final String LOAD_HEADER = "Umberpath-Load";
+
+  private static final int MISDIRECTED = 421;
+
+  private final MeshSettings settings;
+  private final ConnectionPool pool;
+  private final SlotGate gate;
+  private final LocalBackend backend;
+  private final MeshEvents events;
+  private final LongSupplier clockMillis;
+  private final RefusalStyle style = new MeshRefusalStyle();
+  private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+
+  MeshGateHandler(
+      MeshSettings settings,
+      ConnectionPool pool,
+      AdmissionController admission,
+      LocalBackend backend,
+      MeshEvents events,
+      LongSupplier clockMillis) {
+    this.settings = settings;
+    this.pool = pool;
+    this.backend = backend;
+    this.events = events;
+    this.clockMillis = clockMillis;
+    this.gate = new SlotGate(admission, this::send, clockMillis);
+    replacedHeaders.add(settings.headers().deadline());
+    replacedHeaders.add(settings.headers().expectedInstance());
+  }
+
+  private boolean send(Exchange exchange) {
+    return exchange.sendTo(pool, planOf(exchange).instance());
+  }
+
+  SlotGate gate() {
+    return gate;
+  }
+
+  /** What this node states of its back end. */
+  GateLoad load() {
+    return new GateLoad(gate.running(), gate.queued(), backend.slots(), gate.meanServiceMicros());
+  }
+
+  @Override
+  public ProxyStats.Side side() {
+    return ProxyStats.Side.HOP;
+  }
+
+  @Override
+  public RefusalStyle refusalStyle() {
+    return style;
+  }
+
+  @Override
+  public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
+    String requestId = head.getHeader(settings.headers().requestId());
+    Optional<HopLine> hop = HopLine.decode(head.getHeader(HopLine.HEADER));
+    Optional<Long> left =
+        Headers.text(head, settings.headers().deadline()).flatMap(Headers::number);
+    if (requestId == null || hop.isEmpty() || left.isEmpty()) {
+      return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
+    }
+    return Either.right(
+        new MeshGatePlan(requestId, hop.get(), nowMillis + left.get(), nowMillis, replacedHeaders));
+  }
+
+  @Override
+  public void dispatch(Exchange exchange) {
+    MeshGatePlan plan = planOf(exchange);
+    if (!backend.takes(plan.instance())) {
+      exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
+      return;
+    }
+    boolean full = gate.queued() > 0 || gate.running() >= backend.slots();
+    if (full && plan.hop().mayBounce()) {
+      exchange.refuse(new Refusal(new Verdict.NotRun(Verdict.Reason.OVERLOADED), 0));
+      return;
+    }
+    Tier tier = tier(plan.hop().priority());
+    gate.ask(exchange, id -> new Ask(id, "", tier, plan.deadlineMillis()));
+  }
+
+  private static Tier tier(int priority) {
+    Tier[] tiers = Tier.values();
+    return tiers[Math.max(0, Math.min(tiers.length - 1, priority))];
+  }
+
+  @Override
+  public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
+    MeshGatePlan plan = planOf(exchange);
+    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    HeaderNames names = settings.headers();
+    outgoing.getHeaders().setValue(names.deadline()).setString(Long.toString(left));
+    outgoing.getHeaders().setValue(names.expectedInstance()).setString(plan.instance());
+  }
+
+  @Override
+  public String echoedId(RequestPlan plan) {
+    return plan == null ? null : plan.requestId();
+  }
+
+  @Override
+  public void addAnswerHeaders(RequestPlan plan, HttpResponsePacket answer) {
+    answer.getHeaders().setValue(LOAD_HEADER).setString(load().encode());
+  }
+
+  @Override
+  public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+    HeaderNames names = settings.headers();
+    MeshGatePlan plan = planOf(exchange);
+    String answered = head.getHeader(names.requestId());
+    if (answered != null && !answered.equals(plan.requestId())) {
+      return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
+    }
+    boolean notExecuted = head.getHeader(names.notExecuted()) != null;
+    if (notExecuted || head.getStatus() == MISDIRECTED) {
+      return Optional.of(new Refusal(new Verdict.NotRun(Verdict.Reason.REJECTED), 0, true));
+    }
+    if (answered == null) {
+      return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
+    }
+    return Optional.empty();
+  }
+
+  @Override
+  public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
+    // The slot is given back when the request ends; there is one attempt.
+  }
+
+  @Override
+  public boolean mayRetry(Exchange exchange, Verdict verdict) {
+    return false;
+  }
+
+  @Override
+  public void ended(Exchange exchange, Verdict verdict) {
+    gate.ended(exchange);
+    MeshGatePlan plan = planOf(exchange);
+    if (plan != null && !(verdict instanceof Verdict.Completed)) {
+      long millis = clockMillis.getAsLong() - plan.beganMillis();
+      events.gateFailed(plan, verdict, load().encode(), millis);
+    }
+  }
+
+  private static MeshGatePlan planOf(Exchange exchange) {
+    return (MeshGatePlan) exchange.plan();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
@@ -0,0 +1,30 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.node.proxy.inbound.RequestPlan;
+import java.util.Set;
+
+/**
+ * Plan of another node's request for the back end beside this node.
+ *
+ * @param requestId the caller's id of its attempt
+ * @param hop what the other node says
+ * @param deadlineMillis when it is given up, on the proxy's clock
+ * @param beganMillis when its head arrived, on the proxy's clock
+ * @param replacedHeaders headers this node sets itself
+ */
+record MeshGatePlan(
+    String requestId,
+    HopLine hop,
+    long deadlineMillis,
+    long beganMillis,
+    Set<String> replacedHeaders)
+    implements RequestPlan {
+  @Override
+  public String route() {
+    return "";
+  }
+
+  String instance() {
+    return hop.instance();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -0,0 +1,205 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.control.store.StoreWatcher;
+import io.umberpath.control.store.StoreWatcherSettings;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.traffic.routing.GateBalancer;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * A node that follows an external store: one process beside each back end. {@link #start} is called
+ * once; {@link #stop} ends it in good order.
+ */
+public final class MeshNode {
+  private static final StoreWatcherSettings WATCHER =
+      new StoreWatcherSettings(4_000, 200, 150, 1_000);
+
+  private static final long DEADLINE_TICK_MILLIS = 20;
+  private static final long SWEEP_MILLIS = 100;
+  private static final long REPORT_MILLIS = 250;
+  private static final long SECOND_MILLIS = 1_000;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  /** How long callers and other nodes have to notice that this node leaves. */
+  private static final long LEAVE_NOTICE_MILLIS = 3_200;
+
+  /** Time before the kill at which what is left is cut off. */
+  private static final long LAST_MILLIS = 400;
+
+  private static final long STOP_CHECK_MILLIS = 20;
+  private static final long QUIET_MILLIS = 300;
+
+  private final MeshSettings settings;
+  private final MeshEvents events;
+  private final LongSupplier clockMillis = () -> System.nanoTime() / NANOS_PER_MILLI;
+  private final MeshState state;
+  private final StoreFollower follower;
+  private final StatePuller puller;
+  private final GateBalancer balancer;
+  private final PeerExchange peers;
+  private final LocalBackend backend;
+  private final MeshProxy proxy;
+  private final String readyPath;
+  private final List<StateServer> stateServers = new ArrayList<>();
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(MeshNode::timerThread);
+  private volatile boolean leaving;
+
+  /**
+   * Creates a node that is not listening yet.
+   *
+   * @param readyPath path at which readiness is asked for
+   */
+  public MeshNode(
+      MeshSettings settings,
+      StoreClient client,
+      StoreDocuments documents,
+      String readyPath,
+      MeshEvents events) {
+    this.settings = settings;
+    this.events = events;
+    this.readyPath = readyPath;
+    StoreWatcher watcher =
+        new StoreWatcher(
+            documents.prefix(), WATCHER, () -> ThreadLocalRandom.current().nextDouble());
+    this.state = new MeshState(documents, watcher, events);
+    this.follower = new StoreFollower(state, client, events, clockMillis);
+    this.puller = new StatePuller(settings, state, events, clockMillis);
+    this.balancer =
+        new GateBalancer(settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
+    this.peers = new PeerExchange(settings, state::view, balancer, events, clockMillis);
+    this.backend = new LocalBackend(settings, state::view);
+    this.proxy =
+        new MeshProxy(settings, state::view, balancer, peers, backend, events, clockMillis);
+  }
+
+  private static Thread timerThread(Runnable task) {
+    Thread thread = new Thread(task, "umberpath-timer");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  /**
+   * Listens and begins to follow the store.
+   *
+   * @throws IOException if an address cannot be bound
+   */
+  public void start() throws IOException {
+    follower.start();
+    proxy.start();
+    proxy.listen(settings.ready(), new StatusFilter(this::status));
+    stateServers.add(StateServer.open(settings.exchange(), this::transfer));
+    if (settings.control().isPresent()) {
+      stateServers.add(StateServer.open(settings.control().get(), this::transfer));
+    }
+    peers.onAhead(puller::ahead);
+    peers.start();
+    puller.start();
+    every(DEADLINE_TICK_MILLIS, () -> proxy.keepDeadlines(clockMillis.getAsLong()));
+    every(SWEEP_MILLIS, this::sweep);
+    every(REPORT_MILLIS, () -> peers.tick(report()));
+    every(SECOND_MILLIS, this::second);
+  }
+
+  private void every(long millis, Runnable task) {
+    timer.scheduleWithFixedDelay(() -> guarded(task), millis, millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** A task that throws would not be run again. */
+  private void guarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException fault) {
+      events.fault("timer", fault);
+    }
+  }
+
+  private void sweep() {
+    proxy.sweep();
+    if (backend.refresh()) {
+      proxy.gate().gate().resize(backend.slots());
+    }
+  }
+
+  private void second() {
+    events.reportDropped();
+    synchronized (balancer) {
+      balancer.forget(clockMillis.getAsLong());
+    }
+  }
+
+  private PeerReport report() {
+    MeshView view = state.view();
+    return new PeerReport(
+        proxy.gate().load(), backend.isLeaving(), view.version(), view.revision());
+  }
+
+  private StateTransfer transfer() {
+    synchronized (state) {
+      return new StateTransfer(state.watcher().at(), state.watcher().items());
+    }
+  }
+
+  private StatusFilter.Answer status(String path) {
+    if (!path.equals(readyPath)) {
+      return new StatusFilter.Answer(404, "");
+    }
+    boolean ready = state.view().isComplete() && !leaving;
+    return new StatusFilter.Answer(ready ? OK : UNAVAILABLE, ready ? "ready" : "not ready");
+  }
+
+  /**
+   * Stops in good order: no longer ready, takes what still comes until callers have noticed, then
+   * finishes what is in flight.
+   */
+  public void stop() throws InterruptedException {
+    long began = clockMillis.getAsLong();
+    long end = began + settings.graceMillis() - LAST_MILLIS;
+    leaving = true;
+    events.stopping(proxy.inFlight());
+    proxy.leave();
+    backend.leave();
+    peers.tick(report());
+    long quietSince = began;
+    while (clockMillis.getAsLong() < end) {
+      long now = clockMillis.getAsLong();
+      quietSince = proxy.inFlight() > 0 ? now : quietSince;
+      if (now >= began + LEAVE_NOTICE_MILLIS && now >= quietSince + QUIET_MILLIS) {
+        break;
+      }
+      Thread.sleep(STOP_CHECK_MILLIS);
+    }
+    int cutOff = proxy.abortAll();
+    events.stopped(cutOff, clockMillis.getAsLong() - began);
+    close();
+  }
+
+  /** Ends at once. */
+  public void close() {
+    timer.shutdownNow();
+    follower.close();
+    puller.close();
+    peers.close();
+    stateServers.forEach(StateServer::close);
+    proxy.close();
+  }
+
+  /** Whether it holds a configuration. */
+  public boolean isReady() {
+    return state.view().isComplete();
+  }
+
+  /** Where callers send requests to. */
+  public PeerAddress outbound() {
+    return settings.outbound();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -0,0 +1,162 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.routing.RequestLimits;
+import io.umberpath.node.proxy.ProxyTransport;
+import io.umberpath.node.proxy.inbound.ActiveExchanges;
+import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
+import io.umberpath.node.proxy.inbound.InboundFilter;
+import io.umberpath.node.proxy.origin.AttemptLog;
+import io.umberpath.node.proxy.origin.OriginManager;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.traffic.AdmissionControllers;
+import io.umberpath.traffic.AdmissionSettings;
+import io.umberpath.traffic.routing.GateBalancer;
+import java.io.IOException;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.filterchain.Filter;
+
+/** The request path: listeners, connections and the two handlers. */
+final class MeshProxy implements AutoCloseable {
+  private static final int MAX_HEADER_BYTES = 64 * 1024;
+  private static final long DEFAULT_MAX_BODY_BYTES = 64L * 1024 * 1024;
+  private static final long DEFAULT_IDLE_MILLIS = 15_000;
+  private static final int MAX_BACKEND_CONNECTIONS = 64;
+  private static final long CONNECT_TIMEOUT_MILLIS = 300;
+  private static final long IDLE_BACKEND_MILLIS = 4_000;
+  private static final long IDLE_PEER_MILLIS = 20_000;
+  private static final long IDLE_HOP_MILLIS = 60_000;
+  private static final long DISCARD_MILLIS = 2_000;
+  private static final int INITIAL_SERVICE_MICROS = 50_000;
+  private static final int QUEUE_LIMIT = 256;
+  private static final int STARVATION_BOUND = 32;
+  private static final long MIN_RETRY_AFTER_MILLIS = 30;
+  private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
+
+  private final MeshSettings settings;
+  private final Supplier<MeshView> view;
+  private final ProxyTransport transport;
+  private final OriginManager origins;
+  private final ConnectionPool backendPool;
+  private final ActiveExchanges active = new ActiveExchanges();
+  private final MeshEdgeHandler edge;
+  private final MeshGateHandler gate;
+  private final InboundFilter edgeFilter;
+  private final InboundFilter gateFilter;
+
+  MeshProxy(
+      MeshSettings settings,
+      Supplier<MeshView> view,
+      GateBalancer balancer,
+      PeerExchange peers,
+      LocalBackend backend,
+      MeshEvents events,
+      LongSupplier clockMillis) {
+    this.settings = settings;
+    this.view = view;
+    this.transport = new ProxyTransport(MAX_HEADER_BYTES, ConnectionPool::giveBack, 1);
+    this.origins = new OriginManager(transport, clockMillis, CONNECT_TIMEOUT_MILLIS);
+    this.backendPool =
+        new ConnectionPool(
+            settings.backend(),
+            transport,
+            MAX_BACKEND_CONNECTIONS,
+            clockMillis,
+            CONNECT_TIMEOUT_MILLIS);
+    this.edge = new MeshEdgeHandler(settings, view, origins, balancer, peers, events, clockMillis);
+    this.gate =
+        new MeshGateHandler(
+            settings,
+            backendPool,
+            AdmissionControllers.create(admission(backend.slots())),
+            backend,
+            events,
+            clockMillis);
+    ExchangeEnvironment environment =
+        new ExchangeEnvironment(
+            clockMillis, ProxyStats.NONE, new AttemptLog(), active, this::maxBodyBytes);
+    this.edgeFilter = new InboundFilter(edge, environment);
+    this.gateFilter = new InboundFilter(gate, environment);
+  }
+
+  private static AdmissionSettings admission(int slots) {
+    return new AdmissionSettings(
+        slots,
+        QUEUE_LIMIT,
+        STARVATION_BOUND,
+        INITIAL_SERVICE_MICROS,
+        MIN_RETRY_AFTER_MILLIS,
+        MAX_RETRY_AFTER_MILLIS);
+  }
+
+  private long maxBodyBytes() {
+    MeshView current = view.get();
+    return current.isComplete()
+        ? current.configuration().limits().maxBodyBytes()
+        : DEFAULT_MAX_BODY_BYTES;
+  }
+
+  /** Opens the listeners. */
+  void start() throws IOException {
+    transport.start();
+    listen(settings.inbound(), gateFilter);
+    listen(settings.outbound(), edgeFilter);
+  }
+
+  /** Opens a further listener. */
+  void listen(PeerAddress address, Filter last) throws IOException {
+    transport.listen(address.host(), address.port(), last);
+  }
+
+  MeshGateHandler gate() {
+    return gate;
+  }
+
+  /** Requests in flight. */
+  int inFlight() {
+    return active.size();
+  }
+
+  /** From now on callers are asked to go elsewhere with their next request. */
+  void leave() {
+    edge.leave();
+  }
+
+  /** Ends what is past its deadline. */
+  void keepDeadlines(long nowMillis) {
+    if (active.size() > 0) {
+      active.expire(nowMillis);
+      gate.gate().tick(nowMillis);
+    }
+  }
+
+  /** Closes connections that have rested for too long, gives up those that do not open. */
+  void sweep() {
+    MeshView current = view.get();
+    RequestLimits limits = current.isComplete() ? current.configuration().limits() : null;
+    long idleMillis = limits == null ? DEFAULT_IDLE_MILLIS : limits.idleTimeoutMillis();
+    backendPool.expire(IDLE_BACKEND_MILLIS);
+    origins.expire(IDLE_PEER_MILLIS);
+    edgeFilter.expire(idleMillis, DISCARD_MILLIS);
+    gateFilter.expire(IDLE_HOP_MILLIS, DISCARD_MILLIS);
+  }
+
+  /** Cuts off what is in flight; returns how many requests. */
+  int abortAll() {
+    int left = active.size();
+    active.abortAll();
+    return left;
+  }
+
+  @Override
+  public void close() {
+    try {
+      transport.stop();
+    } catch (IOException ignored) {
+      // The process ends.
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshSettings.java
@@ -0,0 +1,48 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.model.PeerAddress;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Settings of a node that follows an external store.
+ *
+ * @param name name of the node, for logs
+ * @param zone its zone
+ * @param service service of the back end beside it
+ * @param backend where that back end listens
+ * @param outbound where callers and the back end beside it send requests to
+ * @param inbound where other nodes send requests for the back end beside it to
+ * @param ready where readiness is asked for
+ * @param exchange where other nodes ask for its state (TCP) and send reports to (UDP)
+ * @param control where restarted nodes ask for its state too, if they are told of it
+ * @param seeds such addresses of other nodes; may be out of date
+ * @param metricsPort port of the metrics, 0 for none
+ * @param retry bounds of retries
+ * @param graceMillis time from the order to stop until the process is killed, milliseconds
+ * @param headers names of headers
+ */
+public record MeshSettings(
+    String name,
+    String zone,
+    String service,
+    PeerAddress backend,
+    PeerAddress outbound,
+    PeerAddress inbound,
+    PeerAddress ready,
+    PeerAddress exchange,
+    Optional<PeerAddress> control,
+    List<PeerAddress> seeds,
+    int metricsPort,
+    Retry retry,
+    long graceMillis,
+    HeaderNames headers) {
+  /**
+   * Bounds of what all nodes together send again.
+   *
+   * @param windowMillis sliding window, milliseconds
+   * @param ratio share of the requests for a service
+   * @param extra beyond that
+   */
+  public record Retry(long windowMillis, double ratio, double extra) {}
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -0,0 +1,107 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.StoreWatcher;
+import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.RoutingConfiguration;
+import io.umberpath.traffic.routing.RoutingTable;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What this node has taken from the store or from other nodes. A configuration is only replaced by
+ * one with a higher version, and taken whole or not at all. Thread-safe; readers never wait.
+ */
+final class MeshState {
+  private final StoreDocuments documents;
+  private final StoreWatcher watcher;
+  private final MeshEvents events;
+  private final Map<StoreItem, BackendEntry> parsed = new HashMap<>();
+  private long seenRevision = -1;
+  private volatile MeshView view = MeshView.NOTHING;
+
+  MeshState(StoreDocuments documents, StoreWatcher watcher, MeshEvents events) {
+    this.documents = documents;
+    this.watcher = watcher;
+    this.events = events;
+  }
+
+  /** What this node believes now. */
+  MeshView view() {
+    return view;
+  }
+
+  /** The watcher; guarded by this object's lock. */
+  StoreWatcher watcher() {
+    return watcher;
+  }
+
+  /** Takes items of another node that are newer than this node's. */
+  synchronized void adopt(Collection<StoreItem> items, long at, String peer) {
+    if (watcher.adopt(items, at)) {
+      refresh(peer);
+    } else if (watcher.at() != view.revision()) {
+      view = new MeshView(view.configuration(), view.table(), view.backends(), watcher.at());
+    }
+  }
+
+  /** The watcher's items have changed. */
+  synchronized void refresh(String source) {
+    List<StoreItem> items = watcher.items();
+    RoutingConfiguration configuration = view.configuration();
+    RoutingTable table = view.table();
+    List<BackendEntry> entries = new ArrayList<>();
+    for (StoreItem item : items) {
+      if (documents.isConfiguration(item.key())) {
+        configuration = newer(configuration, item, source);
+      } else if (documents.isBackend(item.key())) {
+        BackendEntry entry = entry(item);
+        if (entry != null) {
+          entries.add(entry);
+        }
+      }
+    }
+    parsed.keySet().retainAll(items);
+    if (configuration != view.configuration()) {
+      table = RoutingTable.of(configuration);
+    }
+    BackendDirectory backends = new BackendDirectory(entries);
+    events.backendsChanged(view.backends(), backends, watcher.at(), source);
+    view = new MeshView(configuration, table, backends, watcher.at());
+  }
+
+  private RoutingConfiguration newer(RoutingConfiguration held, StoreItem item, String source) {
+    if (item.revision() == seenRevision) {
+      return held;
+    }
+    seenRevision = item.revision();
+    Either<String, RoutingConfiguration> read = documents.configuration(item);
+    if (read.isLeft()) {
+      events.configurationRefused(item.revision(), read.getLeft(), source);
+      return held;
+    }
+    if (held != null && read.get().version() <= held.version()) {
+      return held;
+    }
+    events.configurationTaken(read.get(), item.revision(), source);
+    return read.get();
+  }
+
+  private BackendEntry entry(StoreItem item) {
+    BackendEntry known = parsed.get(item);
+    if (known != null) {
+      return known;
+    }
+    Either<String, BackendEntry> read = documents.backend(item);
+    if (read.isLeft()) {
+      events.backendRefused(item.key(), item.revision(), read.getLeft());
+      return null;
+    }
+    parsed.put(item, read.get());
+    return read.get();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
@@ -0,0 +1,65 @@
+package io.umberpath.node.mesh;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import io.umberpath.traffic.routing.GateLoad;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+
+/**
+ * What a node regularly tells the others, in one datagram.
+ *
+ * @param load load of the back end beside it
+ * @param leaving whether it takes no new work for that back end
+ * @param version its configuration's version; -1 before the first
+ * @param revision its back ends' revision; -1 before the first read
+ */
+record PeerReport(GateLoad load, boolean leaving, long version, long revision) {
+  private static final CBORFactory CBOR = new CBORFactory();
+  private static final int MAX_BYTES = 96;
+
+  byte[] encode() {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(MAX_BYTES);
+    try (JsonGenerator out = CBOR.createGenerator(bytes)) {
+      out.writeStartArray();
+      out.writeNumber(load.running());
+      out.writeNumber(load.queued());
+      out.writeNumber(load.slots());
+      out.writeNumber(load.serviceMicros());
+      out.writeBoolean(leaving);
+      out.writeNumber(version);
+      out.writeNumber(revision);
+      out.writeEndArray();
+    } catch (IOException impossible) {
+      throw new IllegalStateException("a report cannot be written", impossible);
+    }
+    return bytes.toByteArray();
+  }
+
+  /**
+   * Reads a datagram.
+   *
+   * @throws IOException if it is no report
+   */
+  static PeerReport decode(byte[] bytes, int length) throws IOException {
+    try (JsonParser in = CBOR.createParser(bytes, 0, length)) {
+      if (in.nextToken() != JsonToken.START_ARRAY) {
+        throw new IOException("report is not a list");
+      }
+      GateLoad load =
+          new GateLoad(
+              (int) number(in), (int) number(in), Math.max(1, (int) number(in)), number(in));
+      Boolean leaving = in.nextBooleanValue();
+      return new PeerReport(load, Boolean.TRUE.equals(leaving), number(in), number(in));
+    }
+  }
+
+  private static long number(JsonParser in) throws IOException {
+    if (in.nextToken() != JsonToken.VALUE_NUMBER_INT) {
+      throw new IOException("report has no number where one is due");
+    }
+    return in.getLongValue();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatusFilter.java
@@ -0,0 +1,49 @@
+package io.umberpath.node.mesh;
+
+import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/** Answers small questions about this node: ready, metrics. */
+final class StatusFilter extends BaseFilter {
+  /**
+   * An answer.
+   *
+   * @param status HTTP status
+   * @param text body
+   */
+  record Answer(int status, String text) {}
+
+  private final Function<String, Answer> answers;
+
+  /** Creates a filter that looks up the answer of a path. */
+  StatusFilter(Function<String, Answer> answers) {
+    this.answers = answers;
+  }
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) {
+    HttpContent content = context.getMessage();
+    if (!content.isLast()) {
+      return context.getStopAction();
+    }
+    HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
+    Answer answer = answers.apply(request.getRequestURI());
+    byte[] text = answer.text().getBytes(StandardCharsets.UTF_8);
+    HttpResponsePacket response = request.getResponse();
+    response.setStatus(answer.status());
+    response.setContentType("text/plain; charset=utf-8");
+    response.setContentLength(text.length);
+    Buffer buffer = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, text);
+    context.write(response.httpContentBuilder().content(buffer).last(true).build());
+    return context.getStopAction();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreDocuments.java
@@ -0,0 +1,24 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.control.store.StoreItem;
+import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.RoutingConfiguration;
+import io.vavr.control.Either;
+
+/** Reads the store's items. Thread-safe. */
+public interface StoreDocuments {
+  /** Beginning of the keys to follow. */
+  String prefix();
+
+  /** Whether the item is the configuration. */
+  boolean isConfiguration(String key);
+
+  /** Whether the item is a back end's entry. */
+  boolean isBackend(String key);
+
+  /** The configuration, or what is wrong with it: field and value. */
+  Either<String, RoutingConfiguration> configuration(StoreItem item);
+
+  /** A back end's entry, or what is wrong with it: field and value. */
+  Either<String, BackendEntry> backend(StoreItem item);
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -13,6 +13,7 @@
 import io.umberpath.node.proxy.http.VerdictHeader;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
+import io.umberpath.node.proxy.inbound.PoolRequestPlan;
 import io.umberpath.node.proxy.inbound.Refusal;
 import io.umberpath.node.proxy.inbound.RequestHandler;
 import io.umberpath.node.proxy.inbound.RequestPlan;
@@ -111,7 +112,7 @@
     if (timeout <= 0) {
       return Either.left(Refusal.notRun(Verdict.Reason.DEADLINE));
     }
-    RequestPlan plan = plan(head, snapshot, route.get(), nowMillis + timeout);
+    PoolRequestPlan plan = plan(head, snapshot, route.get(), nowMillis + timeout);
     RetryPolicy policy = retries.get(plan.tier());
     synchronized (policy) {
       policy.requestStarted(nowMillis, plan.chain());
@@ -119,9 +120,9 @@
     return Either.right(plan);
   }
 
-  private RequestPlan plan(
+  private PoolRequestPlan plan(
       HttpRequestPacket head, ProxySnapshot snapshot, Route route, long deadlineMillis) {
-    return new RequestPlan(
+    return new PoolRequestPlan(
         idPrefix + lastId.incrementAndGet(),
         route.name(),
         route.tenant(),
@@ -160,8 +161,8 @@
       choice =
           balancer.pick(
               now,
-              exchange.plan().pool().orElseThrow(),
-              exchange.plan().tier(),
+              planOf(exchange).pool().orElseThrow(),
+              planOf(exchange).tier(),
               ThreadLocalRandom.current().nextLong(),
               exchange.triedOrigins());
       if (choice.isRight()) {
@@ -177,7 +178,7 @@
   }
 
   private Refusal noneLeft(Exchange exchange, Verdict.Reason reason, long nowMillis) {
-    RequestPlan plan = exchange.plan();
+    PoolRequestPlan plan = planOf(exchange);
     long retryAfterMillis;
     synchronized (balancer) {
       retryAfterMillis =
@@ -199,7 +200,7 @@
 
   @Override
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
-    RequestPlan plan = exchange.plan();
+    PoolRequestPlan plan = planOf(exchange);
     long left = Math.max(1, plan.deadlineMillis() - nowMillis);
     set(outgoing, ProxyHeaders.DEADLINE, Long.toString(left));
     set(outgoing, ProxyHeaders.REQUEST_ID, attemptId(exchange));
@@ -211,7 +212,7 @@
   }
 
   private static String attemptId(Exchange exchange) {
-    return exchange.plan().requestId() + "." + exchange.attempts();
+    return planOf(exchange).requestId() + "." + exchange.attempts();
   }
 
   private static void set(HttpRequestPacket packet, String name, String value) {
@@ -244,14 +245,14 @@
     synchronized (balancer) {
       balancer.finished(now, originId, verdict, micros);
       if (refusal != null && refusal.fromOrigin() && refusal.retryAfterMillis() > 0) {
-        balancer.shed(now, originId, exchange.plan().tier(), refusal.retryAfterMillis());
+        balancer.shed(now, originId, planOf(exchange).tier(), refusal.retryAfterMillis());
       }
     }
   }
 
   @Override
   public boolean mayRetry(Exchange exchange, Verdict verdict) {
-    RequestPlan plan = exchange.plan();
+    PoolRequestPlan plan = planOf(exchange);
     RetryPolicy.FailedAttempt failed =
         new RetryPolicy.FailedAttempt(
             verdict,
@@ -268,11 +269,15 @@
   /** What is left of the request's chain budget after the retries made here. */
   private static ChainBudget chainLeft(Exchange exchange) {
     int made = exchange.attempts() - 1;
-    return new ChainBudget(Math.max(0, exchange.plan().chain().retriesLeft() - made));
+    return new ChainBudget(Math.max(0, planOf(exchange).chain().retriesLeft() - made));
   }
 
   @Override
   public void ended(Exchange exchange, Verdict verdict) {
     // Nothing is held for a request at the edge.
   }
+
+  private static PoolRequestPlan planOf(Exchange exchange) {
+    return (PoolRequestPlan) exchange.plan();
+  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -90,7 +90,7 @@
     this.origins = new OriginManager(transport, clockMillis);
     this.environment =
         new ExchangeEnvironment(
-            clockMillis, stats, new AttemptLog(), active, settings.maxBodyBytes());
+            clockMillis, stats, new AttemptLog(), active, settings::maxBodyBytes);
     this.edge =
         new EdgeHandler(
             control,
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -3,7 +3,6 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.node.proxy.http.ClientCodecFilter;
 import io.umberpath.node.proxy.http.ServerCodecFilter;
-import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OriginFilter;
 import io.umberpath.node.proxy.pool.Connector;
@@ -12,6 +11,7 @@
 import java.util.function.Consumer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.Filter;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
@@ -26,7 +26,7 @@
  * Grizzly's TCP transport with the proxy's filter chains. Everything runs on the selector threads,
  * without hand-over to a worker: no filter blocks.
  */
-final class ProxyTransport implements Connector {
+public final class ProxyTransport implements Connector {
   private static final int MAX_SELECTOR_THREADS = 4;
   private static final int WRITE_QUEUE_BYTES = 256 * 1024;
   private static final int READ_BUFFER_BYTES = 32 * 1024;
@@ -37,8 +37,18 @@
   private final int maxHeaderBytes;
 
   ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable) {
+    this(maxHeaderBytes, onReusable, selectorThreads());
+  }
+
+  /**
+   * Creates a transport that is not started yet.
+   *
+   * @param maxHeaderBytes largest head of a message
+   * @param onReusable takes a connection whose attempt left it in order
+   * @param threads selector threads
+   */
+  public ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable, int threads) {
     this.maxHeaderBytes = maxHeaderBytes;
-    int threads = Math.min(MAX_SELECTOR_THREADS, Runtime.getRuntime().availableProcessors());
     this.transport =
         TCPNIOTransportBuilder.newInstance()
             .setName("umberpath-proxy")
@@ -53,6 +63,10 @@
         TCPNIOConnectorHandler.builder(transport).processor(clientChain(onReusable)).build();
   }
 
+  private static int selectorThreads() {
+    return Math.min(MAX_SELECTOR_THREADS, Runtime.getRuntime().availableProcessors());
+  }
+
   private FilterChain clientChain(Consumer<OriginConnection> onReusable) {
     OriginFilter last = new OriginFilter(onReusable);
     return FilterChainBuilder.stateless()
@@ -62,12 +76,17 @@
         .build();
   }
 
-  void start() throws IOException {
+  /** Starts the selector threads. */
+  public void start() throws IOException {
     transport.start();
   }
 
-  /** Listens; returns the port. */
-  TCPNIOServerConnection listen(String host, int port, InboundFilter last) throws IOException {
+  /**
+   * Listens.
+   *
+   * @param last takes the decoded requests
+   */
+  public TCPNIOServerConnection listen(String host, int port, Filter last) throws IOException {
     FilterChain chain =
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
@@ -86,7 +105,8 @@
     connector.connect(new InetSocketAddress(address.host(), address.port()), handler);
   }
 
-  void stop() throws IOException {
+  /** Stops and closes every connection. */
+  public void stop() throws IOException {
     transport.shutdownNow();
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -20,14 +20,14 @@
 
 /** Writes the answer of one exchange to its caller. The exchange's lock guards it. */
 final class AnswerWriter {
-  private static final long MILLIS_PER_SECOND = 1_000;
-
   private final Connection<?> connection;
+  private final RequestHandler handler;
   private final HttpRequestPacket request;
   private final HttpResponsePacket response;
 
-  AnswerWriter(Connection<?> connection, HttpRequestPacket request) {
+  AnswerWriter(Connection<?> connection, HttpRequestPacket request, RequestHandler handler) {
     this.connection = connection;
+    this.handler = handler;
     this.request = request;
     this.response = request.getResponse();
   }
@@ -40,12 +40,14 @@
   }
 
   /** Writes a piece of a back end's answer. */
-  void part(AnswerPart part, String requestId) {
+  void part(AnswerPart part, RequestPlan plan) {
     if (part.first()) {
       head(part.head());
+      String requestId = handler.echoedId(plan);
       if (requestId != null) {
         response.getHeaders().setValue(ProxyHeaders.REQUEST_ID).setString(requestId);
       }
+      handler.addAnswerHeaders(plan, response);
     }
     boolean hasContent = part.content() != null && part.content().hasRemaining();
     if (part.first() || hasContent || part.last()) {
@@ -90,10 +92,11 @@
   }
 
   /** Writes a refusal as the whole answer. */
-  void refusal(Refusal refusal, String requestId, boolean bodyComplete) {
+  void refusal(Refusal refusal, RequestPlan plan, boolean bodyComplete) {
+    String requestId = handler.echoedId(plan);
     String verdict = VerdictHeader.format(refusal.verdict());
     byte[] text = (verdict + "\n").getBytes(StandardCharsets.US_ASCII);
-    response.setStatus(refusal.reason().status());
+    response.setStatus(handler.refusalStyle().status(refusal.verdict()));
     response.getHeaders().setValue(ProxyHeaders.VERDICT).setString(verdict);
     response.getHeaders().setValue(Header.ContentType).setString("text/plain");
     if (requestId != null) {
@@ -103,9 +106,8 @@
       response.getHeaders().setValue(ChainBudget.HEADER).setString(ChainBudget.NONE.encode());
     }
     if (refusal.retryAfterMillis() > 0) {
-      long seconds =
-          Math.max(1, (refusal.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
-      response.getHeaders().setValue(Header.RetryAfter).setString(Long.toString(seconds));
+      String retryAfter = handler.refusalStyle().retryAfter(refusal.retryAfterMillis());
+      response.getHeaders().setValue(Header.RetryAfter).setString(retryAfter);
       if (requestId != null) {
         response
             .getHeaders()
@@ -113,6 +115,7 @@
             .setString(Long.toString(refusal.retryAfterMillis()));
       }
     }
+    handler.addAnswerHeaders(plan, response);
     if (!bodyComplete || refusal.reason() == Verdict.Reason.DRAINING) {
       closeAfter();
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -51,6 +51,8 @@
   private Refusal lastRefusal;
   private boolean cutOff;
   private boolean dispatchAgain;
+  private long sentNanos;
+  private String lastOrigin;
 
   Exchange(
       CallerConnection caller,
@@ -61,7 +63,7 @@
     this.request = request;
     this.handler = handler;
     this.environment = environment;
-    this.answer = new AnswerWriter(caller.connection(), request);
+    this.answer = new AnswerWriter(caller.connection(), request, handler);
   }
 
   /** The caller's request. */
@@ -89,11 +91,26 @@
     return (System.nanoTime() - startNanos) / 1_000;
   }
 
+  /** Microseconds since the last attempt was handed to its connection; 0 if none was. */
+  public synchronized long sinceSentMicros() {
+    return sentNanos == 0 ? 0 : (System.nanoTime() - sentNanos) / 1_000;
+  }
+
   /** How the last attempt ended, if one did. */
   public synchronized Optional<Refusal> lastRefusal() {
     return Optional.ofNullable(lastRefusal);
   }
 
+  /** The origin of the attempt under way; null if there is none. */
+  public synchronized String currentOrigin() {
+    return attempt == null ? null : attempt.originId();
+  }
+
+  /** The origin of the last attempt; null before the first. */
+  public synchronized String lastOrigin() {
+    return lastOrigin;
+  }
+
   /** Origins that have been tried. */
   public synchronized Set<String> triedOrigins() {
     return Set.copyOf(triedOrigins);
@@ -129,7 +146,8 @@
   }
 
   private synchronized boolean refuseTooLarge() {
-    if (Math.max(request.getContentLength(), body.received()) <= environment.maxBodyBytes()) {
+    if (Math.max(request.getContentLength(), body.received())
+        <= environment.maxBodyBytes().getAsLong()) {
       return false;
     }
     fail(Refusal.notRun(Verdict.Reason.TOO_LARGE), false);
@@ -248,6 +266,7 @@
       stage = Stage.CONNECTING;
       attempts++;
       triedOrigins.add(originId);
+      lastOrigin = originId;
       next = new Attempt(this, pool, originId, attempts);
       attempt = next;
     }
@@ -293,7 +312,7 @@
   private void refuseFinally(Refusal refusal) {
     boolean overstates = mayHaveRun && refusal.verdict() instanceof Verdict.NotRun;
     Refusal truthful = overstates ? Refusal.mayHaveRun(refusal.reason()) : refusal;
-    answer.refusal(truthful, handler.echoedId(plan), body.isComplete());
+    answer.refusal(truthful, plan, body.isComplete());
     finish(truthful.verdict());
   }
 
@@ -354,6 +373,7 @@
       wanted = attempt == connected && stage == Stage.CONNECTING;
       if (wanted) {
         stage = Stage.SENT;
+        sentNanos = System.nanoTime();
         long now = environment.clockMillis().getAsLong();
         handler.addHeaders(this, connected.prepare().packet(), now);
         connected.send(connection, body);
@@ -401,7 +421,7 @@
       }
       stage = Stage.ANSWERING;
     }
-    answer.part(part, handler.echoedId(plan));
+    answer.part(part, plan);
     if (part.last()) {
       attempt.detach();
       Attempt completed = attempt;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeEnvironment.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeEnvironment.java
@@ -18,4 +18,4 @@
     ProxyStats stats,
     AttemptLog attemptLog,
     ActiveExchanges active,
-    long maxBodyBytes) {}
+    LongSupplier maxBodyBytes) {}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
@@ -40,7 +40,8 @@
       builder.contentLength(request.getContentLength());
     }
     HttpRequestPacket packet = builder.build();
-    Set<String> leftOut = plan.authorization().isPresent() ? REPLACED_BY_SECRET : Set.of();
+    Set<String> leftOut =
+        plan.authorization().isPresent() ? REPLACED_BY_SECRET : plan.replacedHeaders();
     HeaderCopier.copy(request, packet, leftOut);
     if (request.getHeader(Header.Host) == null) {
       set(packet, Header.Host.toString(), origin.toString());
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -27,6 +27,18 @@
   /** The id to send back with the answer, so that the other node can match it; null for none. */
   String echoedId(RequestPlan plan);
 
+  /** How refusals are told to the callers of this listener. */
+  default RefusalStyle refusalStyle() {
+    return RefusalStyle.WHOLE_SECONDS;
+  }
+
+  /**
+   * Adds the handler's own headers to an answer or refusal.
+   *
+   * @param plan the request's plan, or null if it was refused before there was one
+   */
+  default void addAnswerHeaders(RequestPlan plan, HttpResponsePacket answer) {}
+
   /** Looks at an answer's head: a refusal that another node answered, if it is one. */
   Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head);
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestPlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestPlan.java
@@ -1,31 +1,29 @@
 package io.umberpath.node.proxy.inbound;
 
-import io.umberpath.model.ProxySnapshot;
-import io.umberpath.model.Tier;
-import io.umberpath.traffic.ChainBudget;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * What is decided about a request when its head has arrived, from one snapshot, and holds until its
- * end.
- *
- * @param requestId names the request between nodes and in logs
- * @param route name of its route
- * @param tenant tenant of the route
- * @param tier tier of the route
- * @param repeatable whether it may run more than once
- * @param deadlineMillis when its caller gives up, on the proxy's clock
- * @param authorization value of the Authorization header to send, if the route has a secret
- * @param pool the back ends to choose from, at an edge
- * @param chain retries its chain of calls may still make, when it arrived
+ * end. Each handler has its own kind of plan.
  */
-public record RequestPlan(
-    String requestId,
-    String route,
-    String tenant,
-    Tier tier,
-    boolean repeatable,
-    long deadlineMillis,
-    Optional<String> authorization,
-    Optional<ProxySnapshot.PoolView> pool,
-    ChainBudget chain) {}
+public interface RequestPlan {
+  /** Names the request between nodes and in logs. */
+  String requestId();
+
+  /** Name of its route. */
+  String route();
+
+  /** When its caller gives up, on the proxy's clock, milliseconds. */
+  long deadlineMillis();
+
+  /** Value of the Authorization header to send in place of the caller's, if any. */
+  default Optional<String> authorization() {
+    return Optional.empty();
+  }
+
+  /** Names of headers that are not copied from the caller's request; compared without case. */
+  default Set<String> replacedHeaders() {
+    return Set.of();
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginManager.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginManager.java
@@ -11,13 +11,25 @@
 public final class OriginManager {
   private static final int MAX_CONNECTIONS_PER_NODE = 256;
   private static final long DISUSED_MILLIS = 60_000;
+  private static final long DEFAULT_CONNECT_TIMEOUT_MILLIS = 1_000;
 
   private final Connector connector;
   private final LongSupplier clockMillis;
+  private final long connectTimeoutMillis;
   private final Map<PeerAddress, ConnectionPool> pools = new ConcurrentHashMap<>();
 
   /** Creates a manager without pools. */
   public OriginManager(Connector connector, LongSupplier clockMillis) {
+    this(connector, clockMillis, DEFAULT_CONNECT_TIMEOUT_MILLIS);
+  }
+
+  /**
+   * Creates a manager without pools.
+   *
+   * @param connectTimeoutMillis how long opening a connection may take
+   */
+  public OriginManager(Connector connector, LongSupplier clockMillis, long connectTimeoutMillis) {
+    this.connectTimeoutMillis = connectTimeoutMillis;
     this.connector = connector;
     this.clockMillis = clockMillis;
   }
@@ -29,7 +41,8 @@
   }
 
   private ConnectionPool newPool(PeerAddress address) {
-    return new ConnectionPool(address, connector, MAX_CONNECTIONS_PER_NODE, clockMillis);
+    return new ConnectionPool(
+        address, connector, MAX_CONNECTIONS_PER_NODE, clockMillis, connectTimeoutMillis);
   }
 
   /** Closes aged connections and forgets disused pools. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
@@ -19,12 +19,13 @@
  * most recently used idle connection goes first, so that the others can age and close. Thread-safe.
  */
 public final class ConnectionPool {
-  private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final long DEFAULT_CONNECT_TIMEOUT_MILLIS = 1_000;
 
   private final PeerAddress address;
   private final Connector connector;
   private final int maxConnections;
   private final LongSupplier clockMillis;
+  private final long connectTimeoutMillis;
   private final Deque<OriginConnection> idle = new ArrayDeque<>();
   private final Set<Opening> openings = new HashSet<>();
   private int open;
@@ -38,6 +39,23 @@
    */
   public ConnectionPool(
       PeerAddress address, Connector connector, int maxConnections, LongSupplier clockMillis) {
+    this(address, connector, maxConnections, clockMillis, DEFAULT_CONNECT_TIMEOUT_MILLIS);
+  }
+
+  /**
+   * Creates an empty pool.
+   *
+   * @param maxConnections most connections at a time
+   * @param clockMillis rising clock, milliseconds
+   * @param connectTimeoutMillis how long opening a connection may take; kept by {@link #expire}
+   */
+  public ConnectionPool(
+      PeerAddress address,
+      Connector connector,
+      int maxConnections,
+      LongSupplier clockMillis,
+      long connectTimeoutMillis) {
+    this.connectTimeoutMillis = connectTimeoutMillis;
     this.address = address;
     this.connector = connector;
     this.maxConnections = maxConnections;
@@ -107,7 +125,7 @@
       }
       for (Iterator<Opening> each = openings.iterator(); each.hasNext(); ) {
         Opening opening = each.next();
-        if (opening.startedMillis + CONNECT_TIMEOUT_MILLIS <= now) {
+        if (opening.startedMillis + connectTimeoutMillis <= now) {
           each.remove();
           late.add(opening);
         }
--- a/umberpath-node/src/main/java/io/umberpath/node/settings/MappingReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/settings/MappingReader.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.settings;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -26,6 +27,7 @@
   private final List<SettingsProblem> problems;
   private final Set<String> known = new HashSet<>();
   private boolean sensitive = false;
+  private boolean lenient = false;
 
   private MappingReader(String path, YamlValue.Mapping mapping, List<SettingsProblem> problems) {
     this.path = path;
@@ -38,6 +40,13 @@
     return of("", root, problems);
   }
 
+  /** Reads the root of a document whose unknown fields, at any depth, are passed over. */
+  public static MappingReader lenientRoot(YamlValue root, List<SettingsProblem> problems) {
+    MappingReader reader = of("", root, problems);
+    reader.lenient = true;
+    return reader;
+  }
+
   private static MappingReader of(String path, YamlValue value, List<SettingsProblem> problems) {
     if (value instanceof YamlValue.Mapping mapping) {
       return new MappingReader(path, mapping, problems);
@@ -167,6 +176,7 @@
               : item;
       MappingReader reader = of(itemPath, shown, problems);
       reader.sensitive = redact;
+      reader.lenient = lenient;
       groups.add(read.apply(reader));
       reader.refuseUnknown();
     }
@@ -181,6 +191,7 @@
       return Optional.empty();
     }
     MappingReader reader = of(field(key), value, problems);
+    reader.lenient = lenient;
     T result = read.apply(reader);
     reader.refuseUnknown();
     return Optional.of(result);
@@ -229,6 +240,9 @@
 
   /** Adds a problem for every key that was not asked for. */
   public void refuseUnknown() {
+    if (lenient) {
+      return;
+    }
     String message = "unknown field; known here: " + known.stream().sorted().toList();
     for (String key : mapping.entries().keySet()) {
       if (known.contains(key)) {
@@ -290,6 +304,21 @@
     return type.getEnumConstants()[0];
   }
 
+  /** A text that a function reads; a problem names the field if the function finds one. */
+  public <T> T parsed(String key, T placeholder, Function<String, Either<String, T>> parse) {
+    Optional<YamlValue.Scalar> found = scalar(key);
+    if (found.isEmpty()) {
+      missing(key, "is required");
+      return placeholder;
+    }
+    Either<String, T> value = parse.apply(found.get().text());
+    if (value.isLeft()) {
+      problem(key, found.get(), value.getLeft());
+      return placeholder;
+    }
+    return value.get();
+  }
+
   private void problem(String key, YamlValue value, String message) {
     problems.add(new SettingsProblem(value.line(), field(key), value.describe(), message));
   }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -68,4 +68,7 @@
 
   /** Requests that wait. */
   int queued();
+
+  /** Mean time that a request holds its slot, microseconds. */
+  long meanServiceMicros();
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/BudgetedRetryPolicy.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/BudgetedRetryPolicy.java
@@ -61,7 +61,14 @@
 
   private static boolean mayPass(Verdict.Reason reason) {
     return switch (reason) {
-      case OVERLOADED, DRAINING, UNREACHABLE, NOT_READY, DEADLINE, CONNECTION_LOST, BAD_ANSWER ->
+      case OVERLOADED,
+          REJECTED,
+          DRAINING,
+          UNREACHABLE,
+          NOT_READY,
+          DEADLINE,
+          CONNECTION_LOST,
+          BAD_ANSWER ->
           true;
       case NO_ROUTE, BAD_REQUEST, TOO_LARGE, NO_BACKEND, CANCELLED, DUPLICATE, INTERNAL -> false;
       default -> throw new IllegalArgumentException("reason " + reason + " is not known");
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/SlotAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/SlotAdmissionController.java
@@ -66,7 +66,9 @@
     if (ended == null) {
       return List.of();
     }
-    service.add(serviceMicros);
+    if (serviceMicros > 0) {
+      service.add(serviceMicros);
+    }
     queues
         .get(ended.ask.tier())
         .ended(ended.ask.tenant(), ended.chargedMicros, Math.max(0, serviceMicros));
@@ -126,6 +128,11 @@
     return queued;
   }
 
+  @Override
+  public long meanServiceMicros() {
+    return Math.round(service.meanMicros());
+  }
+
   private Decision hold(Ask ask, double charge) {
     running.put(ask.id(), new Running(ask, charge));
     return new Decision.Admitted(ask.id());
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
@@ -0,0 +1,183 @@
+package io.umberpath.traffic.routing;
+
+import io.umberpath.model.Verdict;
+import io.umberpath.model.routing.BackendEntry;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Chooses among the back ends of a service by least expected time to an answer: the wait that the
+ * gate beside each stated, carried on by this node's own sends since, and its service time. Owner
+ * synchronizes.
+ */
+public final class GateBalancer {
+  /** Cost of leaving the zone, milliseconds, beside what the wire takes. */
+  private static final double OTHER_ZONE_MILLIS = 3;
+
+  private static final double UNKNOWN_SERVICE_MILLIS = 60;
+  private static final double COLD_FACTOR = 2;
+
+  /** Weight of how full a back end is while it still has a free slot. */
+  private static final double FULLNESS_WEIGHT = 0.4;
+
+  /** Share of the cost that is drawn at random, so that nodes with equal views part. */
+  private static final double SPREAD = 0.15;
+
+  /** Choice is made among this many at most, so that its cost does not grow with the service. */
+  private static final int MAX_CANDIDATES = 24;
+
+  private static final long UNREACHABLE_MILLIS = 300;
+  private static final long REFUSED_MILLIS = 1_000;
+  private static final long FORGET_MILLIS = 60_000;
+
+  private static final class View {
+    private final long firstSeenMillis;
+    private double outstanding;
+    private int own;
+    private int slots = 1;
+    private double serviceMillis;
+    private long avoidUntilMillis;
+    private long touchedMillis;
+
+    View(long nowMillis) {
+      firstSeenMillis = nowMillis;
+      touchedMillis = nowMillis;
+    }
+  }
+
+  private final String zone;
+  private final DoubleSupplier random;
+  private final Map<String, View> views = new HashMap<>();
+
+  /**
+   * Creates one that knows nothing.
+   *
+   * @param zone zone of this node
+   * @param random numbers from 0 to 1
+   */
+  public GateBalancer(String zone, DoubleSupplier random) {
+    this.zone = zone;
+    this.random = random;
+  }
+
+  /**
+   * Picks a back end.
+   *
+   * @param candidates those of the service that take new work
+   * @param excluded ids not to pick
+   * @param silent ids whose node has not been heard of for too long; picked only if nothing else is
+   *     left
+   */
+  public Optional<BackendEntry> pick(
+      long nowMillis, List<BackendEntry> candidates, Set<String> excluded, Set<String> silent) {
+    BackendEntry best = null;
+    double bestCost = Double.MAX_VALUE;
+    double mean = meanServiceMillis(candidates);
+    int first =
+        candidates.size() <= MAX_CANDIDATES
+            ? 0
+            : (int) (random.getAsDouble() * candidates.size()) % candidates.size();
+    int count = Math.min(candidates.size(), MAX_CANDIDATES);
+    for (int index = 0; index < count; index++) {
+      BackendEntry candidate = candidates.get((first + index) % candidates.size());
+      if (excluded.contains(candidate.id()) || silent.contains(candidate.id())) {
+        continue;
+      }
+      double cost = cost(nowMillis, candidate, mean);
+      if (cost < bestCost) {
+        best = candidate;
+        bestCost = cost;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private double meanServiceMillis(List<BackendEntry> candidates) {
+    double sum = 0;
+    int known = 0;
+    for (BackendEntry candidate : candidates) {
+      View view = views.get(candidate.id());
+      if (view != null && view.serviceMillis > 0) {
+        sum += view.serviceMillis;
+        known++;
+      }
+    }
+    return known == 0 ? UNKNOWN_SERVICE_MILLIS : sum / known;
+  }
+
+  private double cost(long nowMillis, BackendEntry candidate, double meanServiceMillis) {
+    View view = view(nowMillis, candidate.id());
+    view.slots = Math.max(view.slots, candidate.slots());
+    double service = view.serviceMillis > 0 ? view.serviceMillis : meanServiceMillis;
+    if (nowMillis < view.firstSeenMillis + candidate.warmupMillis()) {
+      service = Math.max(service, meanServiceMillis * COLD_FACTOR);
+    }
+    double outstanding = Math.max(view.outstanding, view.own);
+    double ahead = Math.max(0, outstanding + 1 - view.slots);
+    double wait = ahead * service / view.slots;
+    double fullness = FULLNESS_WEIGHT * service * Math.min(1, outstanding / view.slots);
+    double distance = candidate.zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS;
+    double avoided = Math.max(0, view.avoidUntilMillis - nowMillis);
+    double cost = service + wait + fullness + distance + avoided;
+    return cost * (1 + SPREAD * random.getAsDouble());
+  }
+
+  /** A request was sent towards the back end. */
+  public void started(long nowMillis, String id) {
+    View view = view(nowMillis, id);
+    view.own++;
+    view.outstanding++;
+  }
+
+  /**
+   * A request sent towards the back end has ended.
+   *
+   * @param verdict how
+   */
+  public void finished(long nowMillis, String id, Verdict verdict) {
+    View view = view(nowMillis, id);
+    view.own = Math.max(0, view.own - 1);
+    view.outstanding = Math.max(0, view.outstanding - 1);
+    if (verdict instanceof Verdict.NotRun notRun) {
+      avoid(nowMillis, view, notRun.reason());
+    } else if (verdict instanceof Verdict.MayHaveRun mayHaveRun
+        && mayHaveRun.reason() == Verdict.Reason.CONNECTION_LOST) {
+      view.avoidUntilMillis = nowMillis + UNREACHABLE_MILLIS;
+    }
+  }
+
+  private static void avoid(long nowMillis, View view, Verdict.Reason reason) {
+    switch (reason) {
+      case UNREACHABLE -> view.avoidUntilMillis = nowMillis + UNREACHABLE_MILLIS;
+      case DRAINING, NOT_READY, REJECTED -> view.avoidUntilMillis = nowMillis + REFUSED_MILLIS;
+      default -> {
+        // The stated load says the rest.
+      }
+    }
+  }
+
+  /** Takes what the node beside the back end stated. */
+  public void stated(long nowMillis, String id, GateLoad load) {
+    View view = view(nowMillis, id);
+    view.outstanding = load.running() + load.queued();
+    view.slots = load.slots();
+    view.serviceMillis = load.serviceMicros() / 1_000.0;
+  }
+
+  /** Forgets back ends of which nothing has been heard for long. */
+  public void forget(long nowMillis) {
+    views
+        .values()
+        .removeIf(view -> view.own == 0 && view.touchedMillis + FORGET_MILLIS < nowMillis);
+  }
+
+  private View view(long nowMillis, String id) {
+    View view = views.computeIfAbsent(id, absent -> new View(nowMillis));
+    view.touchedMillis = nowMillis;
+    return view;
+  }
+}
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/RetryWindow.java
@@ -0,0 +1,80 @@
+package io.umberpath.traffic.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Retries a node may make to each service within a sliding window: a share of its own requests for
+ * the service, and a few more. The bound of the whole fleet is kept because each node keeps its
+ * share of it. Owner synchronizes.
+ */
+public final class RetryWindow {
+  private static final int BUCKETS = 10;
+
+  private static final class Counts {
+    private final long[] requests = new long[BUCKETS];
+    private final long[] retries = new long[BUCKETS];
+    private long bucket;
+
+    private void advance(long now) {
+      for (long each = Math.max(bucket + 1, now - BUCKETS + 1); each <= now; each++) {
+        requests[(int) (each % BUCKETS)] = 0;
+        retries[(int) (each % BUCKETS)] = 0;
+      }
+      bucket = Math.max(bucket, now);
+    }
+
+    private static long sum(long[] counts) {
+      long sum = 0;
+      for (long count : counts) {
+        sum += count;
+      }
+      return sum;
+    }
+  }
+
+  private final long bucketMillis;
+  private final double ratio;
+  private final double extra;
+  private final Map<String, Counts> byService = new HashMap<>();
+
+  /**
+   * Creates a window without counts.
+   *
+   * @param windowMillis length of the window, milliseconds
+   * @param ratio retries per request
+   * @param extra retries beyond that, of all nodes together
+   */
+  public RetryWindow(long windowMillis, double ratio, double extra) {
+    this.bucketMillis = Math.max(1, windowMillis / BUCKETS);
+    this.ratio = ratio;
+    this.extra = extra;
+  }
+
+  /** A request for the service began here. */
+  public void requestStarted(long nowMillis, String service) {
+    Counts counts = counts(nowMillis, service);
+    counts.requests[(int) (counts.bucket % BUCKETS)]++;
+  }
+
+  /**
+   * Whether a further arrival at the service is within the bound; counts it if so.
+   *
+   * @param nodes nodes that share the extra retries
+   */
+  public boolean tryRetry(long nowMillis, String service, int nodes) {
+    Counts counts = counts(nowMillis, service);
+    double allowed = ratio * Counts.sum(counts.requests) + extra / Math.max(1, nodes);
+    if (Counts.sum(counts.retries) + 1 > allowed) {
+      return false;
+    }
+    counts.retries[(int) (counts.bucket % BUCKETS)]++;
+    return true;
+  }
+
+  private Counts counts(long nowMillis, String service) {
+    Counts counts = byService.computeIfAbsent(service, absent -> new Counts());
+    counts.advance(nowMillis / bucketMillis);
+    return counts;
+  }
+}
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/WeightedSplit.java
@@ -0,0 +1,59 @@
+package io.umberpath.traffic.routing;
+
+import io.umberpath.model.routing.RoutingRule;
+import io.umberpath.model.routing.WeightedService;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Deals a route's requests to its parts by weight, evenly spread over time (smooth weighted round
+ * robin): after any number of requests each part is within one request of its share. Owner
+ * synchronizes.
+ */
+public final class WeightedSplit {
+  private static final int MAX_ROUTES = 10_000;
+
+  private static final class Credits {
+    private final List<WeightedService> targets;
+    private final long[] credits;
+
+    Credits(List<WeightedService> targets) {
+      this.targets = targets;
+      this.credits = new long[targets.size()];
+    }
+
+    String next() {
+      long total = 0;
+      int best = 0;
+      for (int index = 0; index < credits.length; index++) {
+        int weight = targets.get(index).weight();
+        total += weight;
+        credits[index] += weight;
+        if (credits[index] > credits[best]) {
+          best = index;
+        }
+      }
+      credits[best] -= total;
+      return targets.get(best).service();
+    }
+  }
+
+  private final Map<String, Credits> byRoute = new HashMap<>();
+
+  /** The service that the next request of the route goes to. */
+  public String next(RoutingRule rule) {
+    if (rule.targets().size() == 1) {
+      return rule.targets().get(0).service();
+    }
+    Credits credits = byRoute.get(rule.name());
+    if (credits == null || !credits.targets.equals(rule.targets())) {
+      if (byRoute.size() >= MAX_ROUTES) {
+        byRoute.clear();
+      }
+      credits = new Credits(rule.targets());
+      byRoute.put(rule.name(), credits);
+    }
+    return credits.next();
+  }
+}
