--- a/umberpath-control/src/main/java/io/umberpath/control/store/KnownPeers.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/KnownPeers.java
@@ -6,40 +6,59 @@
 import java.util.Set;
 
 /**
- * Which other nodes have been silent for too long. A pause of this node itself counts for none of
- * them. Owner synchronizes.
+ * The other nodes that this one exchanges reports with: those that the store lists, each silent
+ * after a time of its own, and guests, which are not listed but report. A pause of this node itself
+ * counts for none of them. Owner synchronizes.
  */
 public final class KnownPeers {
   private final String self;
-  private final long silentMillis;
+  private final long guestMillis;
   private final long ownPauseMillis;
   private final Map<String, Long> heardAt = new HashMap<>();
+  private final Map<String, Long> guestHeardAt = new HashMap<>();
+  private Map<String, Long> silentMillis = Map.of();
   private long lastTickMillis = -1;
 
   /**
    * Creates a set without peers.
    *
    * @param self address of this node, which is never silent
-   * @param silentMillis silence after which a peer counts as out of reach
+   * @param guestMillis how long a node that is not listed counts after its last report
    * @param ownPauseMillis gap between two ticks from which on this node itself stood still
    */
-  public KnownPeers(String self, long silentMillis, long ownPauseMillis) {
+  public KnownPeers(String self, long guestMillis, long ownPauseMillis) {
     this.self = self;
-    this.silentMillis = silentMillis;
+    this.guestMillis = guestMillis;
     this.ownPauseMillis = ownPauseMillis;
   }
 
-  /** The addresses there are now; new ones have the whole time to be heard of. */
-  public void replace(long nowMillis, Set<String> addresses) {
-    heardAt.keySet().retainAll(addresses);
-    for (String address : addresses) {
+  /**
+   * The addresses that are listed now; new ones have the whole time to be heard of.
+   *
+   * @param listed address to the silence after which it counts as out of reach, milliseconds
+   */
+  public void replace(long nowMillis, Map<String, Long> listed) {
+    silentMillis = Map.copyOf(listed);
+    for (Map.Entry<String, Long> heard : heardAt.entrySet()) {
+      if (!listed.containsKey(heard.getKey())) {
+        guestHeardAt.put(heard.getKey(), heard.getValue());
+      }
+    }
+    heardAt.keySet().retainAll(listed.keySet());
+    for (String address : listed.keySet()) {
       heardAt.putIfAbsent(address, nowMillis);
+      guestHeardAt.remove(address);
     }
+    guestHeardAt.values().removeIf(heard -> heard + guestMillis < nowMillis);
   }
 
-  /** Something was heard of a peer. */
+  /** Something was heard of a node. */
   public void heard(long nowMillis, String address) {
-    heardAt.computeIfPresent(address, (each, before) -> Math.max(before, nowMillis));
+    if (address.equals(self)) {
+      return;
+    }
+    Map<String, Long> where = silentMillis.containsKey(address) ? heardAt : guestHeardAt;
+    where.merge(address, nowMillis, Math::max);
   }
 
   /** Lets time pass; to be called regularly. */
@@ -51,21 +70,22 @@
     }
   }
 
-  /** Addresses that have been silent for too long. */
+  /** Listed addresses that have been silent for too long. */
   public Set<String> silent(long nowMillis) {
     Set<String> silent = new HashSet<>();
     heardAt.forEach(
         (address, heard) -> {
-          if (heard + silentMillis < nowMillis && !address.equals(self)) {
+          if (heard + silentMillis.get(address) < nowMillis && !address.equals(self)) {
             silent.add(address);
           }
         });
     return silent;
   }
 
-  /** All addresses but this node's own. */
+  /** All addresses, listed and guests, but this node's own. */
   public Set<String> others() {
     Set<String> others = new HashSet<>(heardAt.keySet());
+    others.addAll(guestHeardAt.keySet());
     others.remove(self);
     return others;
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLines.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLines.java
@@ -27,6 +27,7 @@
 public final class JsonLines extends Handler {
   private static final int BUFFERED_LINES = 2_048;
   private static final long FLUSH_MILLIS = 200;
+  private static final String CONTEXT = " [CONTEXT ";
 
   private static volatile JsonLines installed;
 
@@ -72,13 +73,19 @@
     if (record instanceof AbstractLogRecord structured) {
       appendFields(line, structured.getLogData());
     }
-    JsonText.appendField(line, "message", String.valueOf(record.getMessage()));
+    JsonText.appendField(line, "message", withoutContext(String.valueOf(record.getMessage())));
     if (record.getThrown() != null) {
       JsonText.appendField(line, "thrown", thrown(record.getThrown()));
     }
     return line.append("}\n").toString();
   }
 
+  /** The message alone: Flogger repeats the fields behind it. */
+  private static String withoutContext(String message) {
+    int context = message.indexOf(CONTEXT);
+    return context < 0 ? message : message.substring(0, context);
+  }
+
   private static void appendFields(StringBuilder line, LogData data) {
     Metadata metadata = data.getMetadata();
     for (int index = 0; index < metadata.size(); index++) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/AttemptTally.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/AttemptTally.java
@@ -7,6 +7,7 @@
 final class AttemptTally {
   private int arrivals;
   private int bounces;
+  private long toleratedWaitMillis;
   private final Set<String> failed = new HashSet<>();
   private final Set<String> full = new HashSet<>();
 
@@ -40,6 +41,16 @@
     return leftOut;
   }
 
+  /** Notes the wait beyond which the next attempt is better refused than queued. */
+  synchronized void tolerate(long waitMillis) {
+    toleratedWaitMillis = waitMillis;
+  }
+
+  /** Wait beyond which the attempt under way is better refused than queued, milliseconds. */
+  synchronized long toleratedWaitMillis() {
+    return toleratedWaitMillis;
+  }
+
   /** Attempts that may have arrived at a back end. */
   synchronized int arrivals() {
     return arrivals;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
@@ -7,14 +7,14 @@
  *
  * @param instance the chosen back end
  * @param priority rank of its route, 0 is highest
- * @param mayBounce whether to refuse rather than queue, for another back end may be free
+ * @param toleratedWaitMillis expected wait beyond which to refuse rather than queue, milliseconds
  */
-record HopLine(String instance, int priority, boolean mayBounce) {
+record HopLine(String instance, int priority, long toleratedWaitMillis) {
   static final String HEADER = "Umberpath-Hop";
   private static final int FIELDS = 3;
 
   String encode() {
-    return instance + "," + priority + "," + (mayBounce ? 1 : 0);
+    return instance + "," + priority + "," + toleratedWaitMillis;
   }
 
   static Optional<HopLine> decode(String text) {
@@ -24,7 +24,7 @@
     }
     try {
       return Optional.of(
-          new HopLine(fields[0], Integer.parseInt(fields[1]), fields[2].equals("1")));
+          new HopLine(fields[0], Integer.parseInt(fields[1]), Long.parseLong(fields[2])));
     } catch (NumberFormatException malformed) {
       return Optional.empty();
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -27,10 +27,6 @@
     leaving = true;
   }
 
-  boolean isLeaving() {
-    return leaving;
-  }
-
   /** Requests that the back end works on at once. */
   int slots() {
     return slots;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -40,6 +40,12 @@
   /** Largest body that is sent on the chance of a free slot, bytes. */
   private static final long MAX_BOUNCED_BYTES = 16 * 1024;
 
+  /** Share of a route's target latency that a request may wait to stay in the zone. */
+  private static final double STAY_SHARE = 0.4;
+
+  /** Body from which on a request may wait the whole target latency to stay in the zone. */
+  private static final long LARGE_BODY_BYTES = 32 * 1024;
+
   /** Time a further attempt needs at least, milliseconds. */
   private static final long MIN_REMAINING_MILLIS = 15;
 
@@ -158,19 +164,23 @@
     List<BackendEntry> candidates = view.get().backends().ready(plan.service());
     Set<String> silent = peers.silentBackends(candidates);
     Set<String> leftOut = plan.tally().leftOut(mayBounce(exchange, plan));
-    Optional<BackendEntry> choice;
+    double zoneMillis = otherZoneMillis(exchange, plan);
+    Optional<GateBalancer.Choice> choice;
     synchronized (balancer) {
-      choice = balancer.pick(now, candidates, leftOut, silent);
+      choice = balancer.pick(now, candidates, zoneMillis, leftOut, silent);
       if (choice.isEmpty()) {
-        choice = balancer.pick(now, candidates, plan.tally().leftOut(false), silent);
+        Set<String> failed = plan.tally().leftOut(false);
+        choice = balancer.pick(now, candidates, zoneMillis, failed, silent);
       }
-      choice.ifPresent(chosen -> balancer.started(now, chosen.id()));
+      choice.ifPresent(chosen -> balancer.started(now, chosen.backend().id()));
     }
     if (choice.isEmpty()) {
       exchange.refuse(exchange.lastRefusal().orElseGet(MeshEdgeHandler::nobody));
       return;
     }
-    BackendEntry chosen = choice.get();
+    BackendEntry chosen = choice.get().backend();
+    boolean last = !mayBounce(exchange, plan);
+    plan.tally().tolerate(last ? GateBalancer.ANY_WAIT_MILLIS : choice.get().toleratedWaitMillis());
     PeerAddress gate = new PeerAddress(chosen.address().host(), settings.inbound().port());
     if (!exchange.sendTo(origins.poolOf(gate), chosen.id())) {
       synchronized (balancer) {
@@ -179,6 +189,13 @@
     }
   }
 
+  /** Wait worth bearing to stay in the zone: other zones cost bytes, and more with a large body. */
+  private static double otherZoneMillis(Exchange exchange, MeshEdgePlan plan) {
+    double bodyShare = exchange.request().getContentLength() / (double) LARGE_BODY_BYTES;
+    double share = STAY_SHARE + Math.max(0, Math.min(1, bodyShare)) * (1 - STAY_SHARE);
+    return share * plan.rule().targetLatencyMillis();
+  }
+
   private static Refusal nobody() {
     return new Refusal(new Verdict.NotRun(Verdict.Reason.NO_BACKEND), RETRY_WHEN_NOBODY_MILLIS);
   }
@@ -191,7 +208,8 @@
     set(outgoing, names.deadline(), Long.toString(left));
     set(outgoing, names.callerService(), settings.service());
     HopLine hop =
-        new HopLine(exchange.currentOrigin(), plan.rule().priority(), mayBounce(exchange, plan));
+        new HopLine(
+            exchange.currentOrigin(), plan.rule().priority(), plan.tally().toleratedWaitMillis());
     set(outgoing, HopLine.HEADER, hop.encode());
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -32,6 +32,7 @@
   static final String LOAD_HEADER = "Umberpath-Load";
 
   private static final int MISDIRECTED = 421;
+  private static final double MICROS_PER_MILLI = 1_000;
 
   private final MeshSettings settings;
   private final ConnectionPool pool;
@@ -102,8 +103,7 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return;
     }
-    boolean full = gate.queued() > 0 || gate.running() >= backend.slots();
-    if (full && plan.hop().mayBounce()) {
+    if (expectedWaitMillis() > plan.hop().toleratedWaitMillis()) {
       exchange.refuse(new Refusal(new Verdict.NotRun(Verdict.Reason.OVERLOADED), 0));
       return;
     }
@@ -111,6 +111,12 @@
     gate.ask(exchange, id -> new Ask(id, "", tier, plan.deadlineMillis()));
   }
 
+  /** Expected wait of one more request, milliseconds; 0 while a slot is free. */
+  private double expectedWaitMillis() {
+    int ahead = gate.running() + gate.queued() + 1 - backend.slots();
+    return ahead <= 0 ? 0 : ahead * gate.meanServiceMicros() / MICROS_PER_MILLI / backend.slots();
+  }
+
   private static Tier tier(int priority) {
     Tier[] tiers = Tier.values();
     return tiers[Math.max(0, Math.min(tiers.length - 1, priority))];
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -32,6 +32,9 @@
   /** How long callers and other nodes have to notice that this node leaves. */
   private static final long LEAVE_NOTICE_MILLIS = 3_200;
 
+  /** How long other nodes have to hear it; until then their requests are taken. */
+  private static final long PEER_NOTICE_MILLIS = 800;
+
   /** Time before the kill at which what is left is cut off. */
   private static final long LAST_MILLIS = 400;
 
@@ -139,8 +142,7 @@
 
   private PeerReport report() {
     MeshView view = state.view();
-    return new PeerReport(
-        proxy.gate().load(), backend.isLeaving(), view.version(), view.revision());
+    return new PeerReport(proxy.gate().load(), leaving, view.version(), view.revision());
   }
 
   private StateTransfer transfer() {
@@ -167,11 +169,13 @@
     leaving = true;
     events.stopping(proxy.inFlight());
     proxy.leave();
-    backend.leave();
     peers.tick(report());
     long quietSince = began;
     while (clockMillis.getAsLong() < end) {
       long now = clockMillis.getAsLong();
+      if (now >= began + PEER_NOTICE_MILLIS) {
+        backend.leave();
+      }
       quietSince = proxy.inFlight() > 0 ? now : quietSince;
       if (now >= began + LEAVE_NOTICE_MILLIS && now >= quietSince + QUIET_MILLIS) {
         break;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -76,7 +76,7 @@
             clockMillis);
     ExchangeEnvironment environment =
         new ExchangeEnvironment(
-            clockMillis, ProxyStats.NONE, new AttemptLog(), active, this::maxBodyBytes);
+            clockMillis, ProxyStats.NONE, AttemptLog.CUT_OFF_ONLY, active, this::maxBodyBytes);
     this.edgeFilter = new InboundFilter(edge, environment);
     this.gateFilter = new InboundFilter(gate, environment);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -10,8 +10,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -26,7 +28,12 @@
   /** Nodes that one round of reports goes to at most, drawn anew each round. */
   private static final int MAX_RECEIVERS = 40;
 
-  private static final long SILENT_MILLIS = 900;
+  /** Rounds of reports in the own zone for each round to other zones, whose bytes cost. */
+  private static final int ROUNDS_PER_FAR_ROUND = 6;
+
+  private static final long NEAR_SILENT_MILLIS = 900;
+  private static final long FAR_SILENT_MILLIS = 4_000;
+  private static final long GUEST_MILLIS = 10_000;
   private static final long OWN_PAUSE_MILLIS = 600;
   private static final int MAX_DATAGRAM_BYTES = 512;
 
@@ -46,6 +53,7 @@
   private volatile AheadListener aheadListener = (host, version, revision) -> {};
   private volatile Set<String> silent = Set.of();
   private volatile int nodes = 1;
+  private int round;
   private DatagramSocket socket;
 
   PeerExchange(
@@ -59,7 +67,7 @@
     this.balancer = balancer;
     this.events = events;
     this.clockMillis = clockMillis;
-    this.known = new KnownPeers(settings.exchange().host(), SILENT_MILLIS, OWN_PAUSE_MILLIS);
+    this.known = new KnownPeers(settings.exchange().host(), GUEST_MILLIS, OWN_PAUSE_MILLIS);
   }
 
   void onAhead(AheadListener listener) {
@@ -82,12 +90,16 @@
     Set<String> before = silent;
     synchronized (known) {
       known.tick(now);
-      known.replace(now, view.get().backends().hosts());
+      known.replace(now, silenceByHost());
       silent = known.silent(now);
       receivers = new ArrayList<>(known.others());
     }
     nodes = receivers.size() + 1;
     note(before, silent);
+    boolean farRound = round++ % ROUNDS_PER_FAR_ROUND == 0;
+    if (!farRound && !report.leaving()) {
+      receivers.removeIf(host -> !isNear(host));
+    }
     if (receivers.size() > MAX_RECEIVERS) {
       Collections.shuffle(receivers, ThreadLocalRandom.current());
       receivers = receivers.subList(0, MAX_RECEIVERS);
@@ -98,6 +110,20 @@
     }
   }
 
+  private Map<String, Long> silenceByHost() {
+    Map<String, Long> silence = new HashMap<>();
+    for (String host : view.get().backends().hosts()) {
+      silence.put(host, isNear(host) ? NEAR_SILENT_MILLIS : FAR_SILENT_MILLIS);
+    }
+    return silence;
+  }
+
+  /** Whether a node is in the own zone; one that is not listed may be. */
+  private boolean isNear(String host) {
+    List<BackendEntry> entries = view.get().backends().atHost(host);
+    return entries.isEmpty() || entries.get(0).zone().equals(settings.zone());
+  }
+
   private void note(Set<String> before, Set<String> after) {
     for (String host : after) {
       if (!before.contains(host)) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/AttemptLog.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/AttemptLog.java
@@ -4,9 +4,16 @@
 import io.umberpath.node.proxy.http.VerdictHeader;
 
 /** Logs attempts that failed. Thread-safe. */
-public final class AttemptLog {
+public class AttemptLog {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** For handlers that log the attempts that failed themselves. */
+  public static final AttemptLog CUT_OFF_ONLY =
+      new AttemptLog() {
+        @Override
+        public void failed(RequestAttempt attempt) {}
+      };
+
   /** Logs an attempt that ended without a whole answer. */
   public void failed(RequestAttempt attempt) {
     logger.atInfo().log(
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
@@ -15,8 +15,17 @@
  * synchronizes.
  */
 public final class GateBalancer {
-  /** Cost of leaving the zone, milliseconds, beside what the wire takes. */
-  private static final double OTHER_ZONE_MILLIS = 3;
+  /**
+   * A choice.
+   *
+   * @param backend the back end
+   * @param toleratedWaitMillis wait there beyond which another one is better; {@link
+   *     #ANY_WAIT_MILLIS} if there is no other
+   */
+  public record Choice(BackendEntry backend, long toleratedWaitMillis) {}
+
+  /** Tolerated wait where nothing else is left. */
+  public static final long ANY_WAIT_MILLIS = Integer.MAX_VALUE;
 
   private static final double UNKNOWN_SERVICE_MILLIS = 60;
   private static final double COLD_FACTOR = 2;
@@ -68,14 +77,20 @@
    * Picks a back end.
    *
    * @param candidates those of the service that take new work
+   * @param otherZoneMillis wait that is worth bearing to stay in the zone, milliseconds
    * @param excluded ids not to pick
    * @param silent ids whose node has not been heard of for too long; picked only if nothing else is
    *     left
    */
-  public Optional<BackendEntry> pick(
-      long nowMillis, List<BackendEntry> candidates, Set<String> excluded, Set<String> silent) {
+  public Optional<Choice> pick(
+      long nowMillis,
+      List<BackendEntry> candidates,
+      double otherZoneMillis,
+      Set<String> excluded,
+      Set<String> silent) {
     BackendEntry best = null;
     double bestCost = Double.MAX_VALUE;
+    double secondCost = Double.MAX_VALUE;
     double mean = meanServiceMillis(candidates);
     int first =
         candidates.size() <= MAX_CANDIDATES
@@ -87,13 +102,26 @@
       if (excluded.contains(candidate.id()) || silent.contains(candidate.id())) {
         continue;
       }
-      double cost = cost(nowMillis, candidate, mean);
+      double distance = candidate.zone().equals(zone) ? 0 : otherZoneMillis;
+      double cost = cost(nowMillis, candidate, mean) + distance;
       if (cost < bestCost) {
         best = candidate;
+        secondCost = bestCost;
         bestCost = cost;
+      } else if (cost < secondCost) {
+        secondCost = cost;
       }
     }
-    return Optional.ofNullable(best);
+    return best == null ? Optional.empty() : Optional.of(choice(best, mean, secondCost));
+  }
+
+  private Choice choice(BackendEntry best, double meanServiceMillis, double secondCost) {
+    if (secondCost == Double.MAX_VALUE) {
+      return new Choice(best, ANY_WAIT_MILLIS);
+    }
+    double known = views.get(best.id()).serviceMillis;
+    double service = known > 0 ? known : meanServiceMillis;
+    return new Choice(best, Math.max(0, Math.round(secondCost - service)));
   }
 
   private double meanServiceMillis(List<BackendEntry> candidates) {
@@ -120,9 +148,8 @@
     double ahead = Math.max(0, outstanding + 1 - view.slots);
     double wait = ahead * service / view.slots;
     double fullness = FULLNESS_WEIGHT * service * Math.min(1, outstanding / view.slots);
-    double distance = candidate.zone().equals(zone) ? 0 : OTHER_ZONE_MILLIS;
     double avoided = Math.max(0, view.avoidUntilMillis - nowMillis);
-    double cost = service + wait + fullness + distance + avoided;
+    double cost = service + wait + fullness + avoided;
     return cost * (1 + SPREAD * random.getAsDouble());
   }
 
