--- /dev/null
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/KnownPeersTest.java
@@ -0,0 +1,62 @@
+package io.umberpath.control.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+final class KnownPeersTest {
+  private static final Map<String, Long> LISTED = Map.of("self", 900L, "a", 900L, "b", 4_000L);
+  private final KnownPeers peers = new KnownPeers("self", 10_000, 600);
+
+  private void run(long from, long to, String... heard) {
+    for (long now = from; now <= to; now += 250) {
+      for (String each : heard) {
+        peers.heard(now, each);
+      }
+      peers.tick(now);
+      peers.replace(now, LISTED);
+    }
+  }
+
+  @Test
+  void eachIsSilentAfterItsOwnTime() {
+    run(0, 2_000);
+
+    assertThat(peers.silent(2_000)).containsExactly("a");
+    assertThat(peers.silent(4_500)).containsExactlyInAnyOrder("a", "b");
+  }
+
+  @Test
+  void whoReportsIsNotSilent() {
+    run(0, 6_000, "a", "b");
+
+    assertThat(peers.silent(6_000)).isEmpty();
+  }
+
+  @Test
+  void aPauseOfThisNodeCountsForNobody() {
+    run(0, 2_000, "a", "b");
+    peers.tick(8_000);
+
+    assertThat(peers.silent(8_000)).isEmpty();
+  }
+
+  @Test
+  void whoIsNotListedButReportsIsReportedTo() {
+    run(0, 500, "a", "guest");
+
+    assertThat(peers.others()).containsExactlyInAnyOrder("a", "b", "guest");
+    assertThat(peers.silent(20_000)).doesNotContain("guest");
+  }
+
+  @Test
+  void whoIsNoLongerListedIsReportedToWhileItReports() {
+    run(0, 500, "a", "b");
+    peers.replace(750, Map.of("b", 900L));
+    assertThat(peers.others()).containsExactlyInAnyOrder("a", "b");
+
+    peers.replace(20_000, Map.of("b", 900L));
+    assertThat(peers.others()).containsExactly("b");
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
@@ -0,0 +1,144 @@
+package io.umberpath.control.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.control.store.StoreWatcher.Step;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+final class StoreWatcherTest {
+  private static final StoreWatcherSettings SETTINGS =
+      new StoreWatcherSettings(4_000, 200, 100, 1_000);
+
+  private final StoreWatcher watcher = new StoreWatcher("", SETTINGS, () -> 1);
+
+  private static StoreItem item(String key, String value, long revision) {
+    return new StoreItem(key, value, revision);
+  }
+
+  private static StoreAnswer.Page page(boolean more, long at, StoreItem... items) {
+    return new StoreAnswer.Page(List.of(items), more, at);
+  }
+
+  private static StoreAnswer.Events events(long at, StoreEvent... events) {
+    return new StoreAnswer.Events(List.of(events), at);
+  }
+
+  private StoreCall call(long now) {
+    return ((Step.Call) watcher.next(now)).call();
+  }
+
+  @Test
+  void readsAllPagesAndWatchesFromTheFirst() {
+    assertThat(call(0)).isEqualTo(new StoreCall.Read("", Optional.empty()));
+    watcher.answered(0, page(true, 10, item("a", "1", 3)));
+    assertThat(watcher.items()).isEmpty();
+    assertThat(call(0)).isEqualTo(new StoreCall.Read("", Optional.of("a")));
+
+    assertThat(watcher.answered(0, page(false, 12, item("b", "1", 12)))).isTrue();
+
+    assertThat(watcher.items()).hasSize(2);
+    assertThat(call(0)).isEqualTo(new StoreCall.Watch("", 10, 4_000));
+  }
+
+  @Test
+  void whatAPageAlreadyHadIsNotTakenBackByTheWatch() {
+    watcher.answered(0, page(true, 10, item("a", "1", 3)));
+    watcher.answered(0, page(false, 14, item("b", "new", 14)));
+
+    boolean changed =
+        watcher.answered(
+            0,
+            events(
+                14,
+                new StoreEvent.Put(item("b", "old", 11)),
+                new StoreEvent.Gone("b", 12),
+                new StoreEvent.Put(item("b", "new", 14))));
+
+    assertThat(changed).isFalse();
+    assertThat(watcher.items()).contains(item("b", "new", 14));
+  }
+
+  @Test
+  void eventsChangeTheItems() {
+    watcher.answered(0, page(false, 10, item("a", "1", 3), item("b", "1", 4)));
+
+    watcher.answered(
+        0, events(12, new StoreEvent.Put(item("a", "2", 11)), new StoreEvent.Gone("b", 12)));
+
+    assertThat(watcher.items()).containsExactly(item("a", "2", 11));
+    assertThat(watcher.at()).isEqualTo(12);
+  }
+
+  @Test
+  void pausesAfterEventsButNotAfterAnEmptyWatch() {
+    watcher.answered(0, page(false, 10));
+    watcher.answered(1_000, events(10));
+    assertThat(watcher.next(1_000)).isInstanceOf(Step.Call.class);
+
+    watcher.answered(1_000, events(11, new StoreEvent.Put(item("a", "1", 11))));
+
+    assertThat(watcher.next(1_000)).isEqualTo(new Step.Wait(1_200));
+  }
+
+  @Test
+  void readsAgainWhenHistoryIsGoneAndKeepsWhatItHasMeanwhile() {
+    watcher.answered(0, page(false, 10, item("a", "1", 3)));
+
+    watcher.answered(0, new StoreAnswer.HistoryGone());
+
+    assertThat(watcher.items()).hasSize(1);
+    assertThat(call(0)).isInstanceOf(StoreCall.Read.class);
+    assertThat(watcher.answered(0, page(false, 30, item("c", "1", 25)))).isTrue();
+    assertThat(watcher.items()).containsExactly(item("c", "1", 25));
+  }
+
+  @Test
+  void backsOffWhileTheStoreFails() {
+    watcher.answered(0, new StoreAnswer.Unavailable("reset"));
+    assertThat(watcher.next(0)).isEqualTo(new Step.Wait(100));
+    watcher.answered(100, new StoreAnswer.Throttled());
+    assertThat(watcher.next(100)).isEqualTo(new Step.Wait(300));
+    for (int index = 0; index < 10; index++) {
+      watcher.answered(1_000, new StoreAnswer.Unavailable("reset"));
+    }
+    assertThat(watcher.next(1_000)).isEqualTo(new Step.Wait(2_000));
+
+    watcher.answered(2_000, page(false, 10));
+    assertThat(watcher.next(2_000)).isInstanceOf(Step.Call.class);
+  }
+
+  @Test
+  void takesANewerStateOfAnotherNode() {
+    watcher.answered(0, page(false, 10, item("a", "1", 3)));
+
+    assertThat(watcher.adopt(List.of(item("a", "2", 15)), 20)).isTrue();
+    assertThat(watcher.adopt(List.of(item("a", "1", 3)), 19)).isFalse();
+
+    assertThat(watcher.items()).containsExactly(item("a", "2", 15));
+    assertThat(call(0)).isEqualTo(new StoreCall.Watch("", 20, 4_000));
+  }
+
+  @Test
+  void aLateAnswerToAnOlderWatchDoesNotBringBackWhatWasRemoved() {
+    watcher.answered(0, page(false, 10, item("a", "1", 3)));
+    watcher.adopt(List.of(), 20);
+
+    boolean changed = watcher.answered(0, events(15, new StoreEvent.Put(item("a", "2", 14))));
+
+    assertThat(changed).isFalse();
+    assertThat(watcher.items()).isEmpty();
+    assertThat(watcher.at()).isEqualTo(20);
+  }
+
+  @Test
+  void anOlderReadDoesNotReplaceANewerState() {
+    watcher.answered(0, page(true, 10, item("a", "1", 3)));
+    watcher.adopt(List.of(item("a", "2", 15)), 20);
+
+    assertThat(watcher.answered(0, page(false, 11))).isFalse();
+
+    assertThat(watcher.items()).containsExactly(item("a", "2", 15));
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -2,7 +2,6 @@
 
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.control.store.StoreWatcherSettings;
-import io.umberpath.model.PeerAddress;
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -202,8 +201,13 @@
     return state.view().isComplete();
   }
 
-  /** Where callers send requests to. */
-  public PeerAddress outbound() {
-    return settings.outbound();
+  /** Version of the configuration in force; -1 before the first. */
+  public long configurationVersion() {
+    return state.view().version();
+  }
+
+  /** Back ends of a service that take new work, as far as this node knows. */
+  public int readyBackends(String service) {
+    return state.view().backends().ready(service).size();
   }
 }
--- /dev/null
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
@@ -0,0 +1,104 @@
+package io.umberpath.traffic.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Verdict;
+import io.umberpath.model.routing.BackendEntry;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+final class GateBalancerTest {
+  private static final long NOW = 1_000_000;
+  private static final BackendEntry NEAR = entry("near", "a");
+  private static final BackendEntry NEAR_TOO = entry("near-too", "a");
+  private static final BackendEntry FAR = entry("far", "b");
+
+  private final GateBalancer balancer = new GateBalancer("a", () -> 0);
+
+  private static BackendEntry entry(String id, String zone) {
+    return new BackendEntry(
+        id, "service", new PeerAddress("10.0.0.1", 1), zone, 6, BackendEntry.State.READY, 0);
+  }
+
+  private Optional<String> pick(List<BackendEntry> candidates, Set<String> silent) {
+    return balancer
+        .pick(NOW, candidates, 80, Set.of(), silent)
+        .map(choice -> choice.backend().id());
+  }
+
+  private void stated(BackendEntry backend, int running, int queued, int serviceMillis) {
+    balancer.stated(NOW, backend.id(), new GateLoad(running, queued, 6, serviceMillis * 1_000L));
+  }
+
+  @Test
+  void staysInTheZoneWhileTheWaitIsShort() {
+    stated(NEAR, 6, 3, 60);
+    stated(FAR, 0, 0, 60);
+
+    assertThat(pick(List.of(NEAR, FAR), Set.of())).contains("near");
+  }
+
+  @Test
+  void leavesTheZoneWhenTheWaitIsLong() {
+    stated(NEAR, 6, 20, 60);
+    stated(FAR, 0, 0, 60);
+
+    assertThat(pick(List.of(NEAR, FAR), Set.of())).contains("far");
+  }
+
+  @Test
+  void prefersTheFasterOfTwoFreeOnes() {
+    stated(NEAR, 0, 0, 120);
+    stated(NEAR_TOO, 0, 0, 40);
+
+    assertThat(pick(List.of(NEAR, NEAR_TOO), Set.of())).contains("near-too");
+  }
+
+  @Test
+  void ownRequestsCountBeforeTheyAreStated() {
+    stated(NEAR, 0, 0, 60);
+    stated(NEAR_TOO, 1, 0, 60);
+    balancer.started(NOW, "near");
+    balancer.started(NOW, "near");
+
+    assertThat(pick(List.of(NEAR, NEAR_TOO), Set.of())).contains("near-too");
+  }
+
+  @Test
+  void anUnreachableOneIsAvoidedForAWhile() {
+    balancer.started(NOW, "near");
+    balancer.finished(NOW, "near", new Verdict.NotRun(Verdict.Reason.UNREACHABLE));
+
+    assertThat(pick(List.of(NEAR, FAR), Set.of())).contains("far");
+    assertThat(balancer.pick(NOW + 1_000, List.of(NEAR, FAR), 80, Set.of(), Set.of()))
+        .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("near"));
+  }
+
+  @Test
+  void silentOnesAreNotPicked() {
+    assertThat(pick(List.of(NEAR, FAR), Set.of("near"))).contains("far");
+    assertThat(pick(List.of(NEAR, FAR), Set.of("near", "far"))).isEmpty();
+  }
+
+  @Test
+  void toleratesTheWaitThatMakesTheNextBestOneBetter() {
+    stated(NEAR, 0, 0, 60);
+    stated(FAR, 0, 0, 60);
+
+    GateBalancer.Choice choice =
+        balancer.pick(NOW, List.of(NEAR, FAR), 80, Set.of(), Set.of()).orElseThrow();
+
+    assertThat(choice.toleratedWaitMillis()).isEqualTo(80);
+  }
+
+  @Test
+  void toleratesAnyWaitWhereThereIsNoOther() {
+    GateBalancer.Choice choice =
+        balancer.pick(NOW, List.of(NEAR), 80, Set.of(), Set.of()).orElseThrow();
+
+    assertThat(choice.toleratedWaitMillis()).isEqualTo(GateBalancer.ANY_WAIT_MILLIS);
+  }
+}
--- /dev/null
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateLoadTest.java
@@ -0,0 +1,22 @@
+package io.umberpath.traffic.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class GateLoadTest {
+  @Test
+  void isReadAsItWasWritten() {
+    GateLoad load = new GateLoad(5, 2, 6, 61_250);
+
+    assertThat(GateLoad.decode(load.encode())).isEqualTo(load);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "1,2,3", "1,2,3,4,5", "a,2,3,4", "1,2,3,"})
+  void whatIsNoLoadIsNone(String text) {
+    assertThat(GateLoad.decode(text)).isNull();
+  }
+}
--- /dev/null
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/WeightedSplitTest.java
@@ -0,0 +1,50 @@
+package io.umberpath.traffic.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.model.routing.RequestKind;
+import io.umberpath.model.routing.RoutingRule;
+import io.umberpath.model.routing.WeightedService;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+final class WeightedSplitTest {
+  private static RoutingRule rule(WeightedService... targets) {
+    return new RoutingRule(
+        "route", "host", "/", RequestKind.SAFE, List.of(targets), 1_000, 2, 200, 1);
+  }
+
+  private static Map<String, Integer> deal(WeightedSplit split, RoutingRule rule, int requests) {
+    Map<String, Integer> dealt = new HashMap<>();
+    for (int index = 0; index < requests; index++) {
+      dealt.merge(split.next(rule), 1, Integer::sum);
+    }
+    return dealt;
+  }
+
+  @Test
+  void dealsByWeight() {
+    RoutingRule rule = rule(new WeightedService("a", 90), new WeightedService("b", 10));
+
+    assertThat(deal(new WeightedSplit(), rule, 300)).containsEntry("a", 270).containsEntry("b", 30);
+  }
+
+  @Test
+  void aPartWithoutWeightGetsNothing() {
+    RoutingRule rule = rule(new WeightedService("a", 1), new WeightedService("b", 0));
+
+    assertThat(deal(new WeightedSplit(), rule, 50)).containsOnlyKeys("a");
+  }
+
+  @Test
+  void changedWeightsHoldFromTheNextRequest() {
+    WeightedSplit split = new WeightedSplit();
+    deal(split, rule(new WeightedService("a", 90), new WeightedService("b", 10)), 55);
+
+    RoutingRule changed = rule(new WeightedService("a", 10), new WeightedService("b", 90));
+
+    assertThat(deal(split, changed, 100)).containsEntry("a", 10).containsEntry("b", 90);
+  }
+}
