Proxy: a reset answer without a stated length is not complete

Grizzly's transport swallows the read's exception and reports an EOFException for an orderly end and a reset alike, so that OriginConnection.closed took the reset for the end of the body.

Change: origins are read by OriginReadFilter, which keeps the exception as the close's reason.

Test: MeshPathTest.anAnswerWithoutLengthThatIsResetDoesNotLookComplete failed before, passes after; anAnswerWithoutLengthEndsWithItsConnection passes before and after.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -5,6 +5,7 @@
 import io.umberpath.node.proxy.http.ServerCodecFilter;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OriginFilter;
+import io.umberpath.node.proxy.origin.OriginReadFilter;
 import io.umberpath.node.proxy.pool.Connector;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -70,7 +71,7 @@
   private FilterChain clientChain(Consumer<OriginConnection> onReusable) {
     OriginFilter last = new OriginFilter(onReusable);
     return FilterChainBuilder.stateless()
-        .add(new TransportFilter())
+        .add(new OriginReadFilter())
         .add(new ClientCodecFilter(maxHeaderBytes, last))
         .add(last)
         .build();
