Node: waits bounded by the target latency; stop in stages; store paced

A stopping node refused its back end's work after 0.8 s though it lived 3.2 s longer.

Ruled out: connections (fell over: 0), lost reports (no peer-silent lines but for the stopped).

Change: an ask carries the expected work of its route, as measured at this back end, and the wait it tolerates, at most 0.6 of the route's target latency; refused offers end after three. A stopping node works on for its back end for 1.8 s and leaves after 2.2 s when quiet. Watches pause 600 ms after changes (was 200) and last a drawn time, so that nodes do not all hang on a silent store at once.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -55,7 +55,9 @@
     if (reading) {
       return new Step.Call(new StoreCall.Read(prefix, Optional.ofNullable(lastKey)));
     }
-    return new Step.Call(new StoreCall.Watch(prefix, at, settings.waitMillis()));
+    // Drawn anew each time, so that the nodes do not all find out at once, and late, that it hangs.
+    long wait = Math.round(settings.waitMillis() * (0.5 + random.getAsDouble()));
+    return new Step.Call(new StoreCall.Watch(prefix, at, wait));
   }
 
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
@@ -6,15 +6,16 @@
  * What a node tells the node beside the chosen back end about a request, in one header.
  *
  * @param instance the chosen back end
+ * @param route name of its route
  * @param priority rank of its route, 0 is highest
  * @param toleratedWaitMillis expected wait beyond which to refuse rather than queue, milliseconds
  */
-record HopLine(String instance, int priority, long toleratedWaitMillis) {
+record HopLine(String instance, String route, int priority, long toleratedWaitMillis) {
   static final String HEADER = "Umberpath-Hop";
-  private static final int FIELDS = 3;
+  private static final int FIELDS = 4;
 
   String encode() {
-    return instance + "," + priority + "," + toleratedWaitMillis;
+    return instance + "," + route + "," + priority + "," + toleratedWaitMillis;
   }
 
   static Optional<HopLine> decode(String text) {
@@ -24,7 +25,8 @@
     }
     try {
       return Optional.of(
-          new HopLine(fields[0], Integer.parseInt(fields[1]), Long.parseLong(fields[2])));
+          new HopLine(
+              fields[0], fields[1], Integer.parseInt(fields[2]), Long.parseLong(fields[3])));
     } catch (NumberFormatException malformed) {
       return Optional.empty();
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -40,6 +40,12 @@
   /** Largest body that is sent on the chance of a free slot, bytes. */
   private static final long MAX_BOUNCED_BYTES = 16 * 1024;
 
+  /**
+   * Share of a route's target latency that a request may wait for a slot. What waits longer is
+   * answered late: under lasting overload no more is served by a longer queue, only later.
+   */
+  private static final double WAIT_SHARE = 0.6;
+
   /** Share of a route's target latency that a request may wait to stay in the zone. */
   private static final double STAY_SHARE = 0.4;
 
@@ -209,7 +215,10 @@
     set(outgoing, names.callerService(), settings.service());
     HopLine hop =
         new HopLine(
-            exchange.currentOrigin(), plan.rule().priority(), plan.tally().toleratedWaitMillis());
+            exchange.currentOrigin(),
+            plan.route(),
+            plan.rule().priority(),
+            plan.tally().toleratedWaitMillis());
     set(outgoing, HopLine.HEADER, hop.encode());
   }
 
@@ -300,7 +309,8 @@
     }
     if (verdict instanceof Verdict.NotRun notRun && !arrived(verdict)) {
       return switch (notRun.reason()) {
-        case OVERLOADED, DRAINING, UNREACHABLE, NOT_READY -> "";
+        case OVERLOADED -> plan.tally().bounces() > MAX_BOUNCES ? "all are full" : "";
+        case DRAINING, UNREACHABLE, NOT_READY -> "";
         default -> "refused for good";
       };
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -14,6 +14,7 @@
 import io.umberpath.traffic.AdmissionController;
 import io.umberpath.traffic.AdmissionController.Ask;
 import io.umberpath.traffic.routing.GateLoad;
+import io.umberpath.traffic.routing.RouteTimes;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.Set;
@@ -32,7 +33,9 @@
   static final String LOAD_HEADER = "Umberpath-Load";
 
   private static final int MISDIRECTED = 421;
-  private static final double MICROS_PER_MILLI = 1_000;
+
+  /** Time an answer takes back to the caller at least, milliseconds. */
+  private static final long ANSWER_MILLIS = 8;
 
   private final MeshSettings settings;
   private final ConnectionPool pool;
@@ -40,6 +43,7 @@
   private final LocalBackend backend;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
+  private final RouteTimes routeTimes = new RouteTimes();
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
 
@@ -103,18 +107,14 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return;
     }
-    if (expectedWaitMillis() > plan.hop().toleratedWaitMillis()) {
-      exchange.refuse(new Refusal(new Verdict.NotRun(Verdict.Reason.OVERLOADED), 0));
-      return;
-    }
     Tier tier = tier(plan.hop().priority());
-    gate.ask(exchange, id -> new Ask(id, "", tier, plan.deadlineMillis()));
-  }
-
-  /** Expected wait of one more request, milliseconds; 0 while a slot is free. */
-  private double expectedWaitMillis() {
-    int ahead = gate.running() + gate.queued() + 1 - backend.slots();
-    return ahead <= 0 ? 0 : ahead * gate.meanServiceMicros() / MICROS_PER_MILLI / backend.slots();
+    long expectedMicros;
+    synchronized (routeTimes) {
+      expectedMicros = routeTimes.expectedMicros(plan.route());
+    }
+    long deadline = plan.deadlineMillis() - ANSWER_MILLIS;
+    long wait = plan.hop().toleratedWaitMillis();
+    gate.ask(exchange, id -> new Ask(id, "", tier, deadline, expectedMicros, wait));
   }
 
   private static Tier tier(int priority) {
@@ -162,6 +162,11 @@
   @Override
   public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
     // The slot is given back when the request ends; there is one attempt.
+    if (refusal == null) {
+      synchronized (routeTimes) {
+        routeTimes.add(planOf(exchange).route(), exchange.sinceSentMicros());
+      }
+    }
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
@@ -21,7 +21,7 @@
     implements RequestPlan {
   @Override
   public String route() {
-    return "";
+    return hop.route();
   }
 
   String instance() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -18,7 +18,7 @@
  */
 public final class MeshNode {
   private static final StoreWatcherSettings WATCHER =
-      new StoreWatcherSettings(4_000, 200, 150, 1_000);
+      new StoreWatcherSettings(4_000, 600, 150, 1_000);
 
   private static final long DEADLINE_TICK_MILLIS = 20;
   private static final long SWEEP_MILLIS = 100;
@@ -28,17 +28,20 @@
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
 
-  /** How long callers and other nodes have to notice that this node leaves. */
-  private static final long LEAVE_NOTICE_MILLIS = 3_200;
+  /** How long callers have to notice that this node leaves: two questions, a second apart. */
+  private static final long CALLER_NOTICE_MILLIS = 2_200;
 
-  /** How long other nodes have to hear it; until then their requests are taken. */
-  private static final long PEER_NOTICE_MILLIS = 800;
+  /** When other nodes are told; until then this node works on for its back end. */
+  private static final long PEERS_TOLD_MILLIS = 1_400;
+
+  /** When requests of other nodes are refused, all of which have heard by then. */
+  private static final long PEERS_REFUSED_MILLIS = 1_800;
 
   /** Time before the kill at which what is left is cut off. */
-  private static final long LAST_MILLIS = 400;
+  private static final long LAST_MILLIS = 900;
 
   private static final long STOP_CHECK_MILLIS = 20;
-  private static final long QUIET_MILLIS = 300;
+  private static final long QUIET_MILLIS = 150;
 
   private final MeshSettings settings;
   private final MeshEvents events;
@@ -55,6 +58,7 @@
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(MeshNode::timerThread);
   private volatile boolean leaving;
+  private volatile boolean backendLeaving;
 
   /**
    * Creates a node that is not listening yet.
@@ -141,7 +145,7 @@
 
   private PeerReport report() {
     MeshView view = state.view();
-    return new PeerReport(proxy.gate().load(), leaving, view.version(), view.revision());
+    return new PeerReport(proxy.gate().load(), backendLeaving, view.version(), view.revision());
   }
 
   private StateTransfer transfer() {
@@ -168,15 +172,20 @@
     leaving = true;
     events.stopping(proxy.inFlight());
     proxy.leave();
-    peers.tick(report());
+    boolean told = false;
     long quietSince = began;
     while (clockMillis.getAsLong() < end) {
       long now = clockMillis.getAsLong();
-      if (now >= began + PEER_NOTICE_MILLIS) {
+      if (!told && now >= began + PEERS_TOLD_MILLIS) {
+        told = true;
+        backendLeaving = true;
+        peers.tick(report());
+      }
+      if (now >= began + PEERS_REFUSED_MILLIS) {
         backend.leave();
       }
       quietSince = proxy.inFlight() > 0 ? now : quietSince;
-      if (now >= began + LEAVE_NOTICE_MILLIS && now >= quietSince + QUIET_MILLIS) {
+      if (now >= began + CALLER_NOTICE_MILLIS && now >= quietSince + QUIET_MILLIS) {
         break;
       }
       Thread.sleep(STOP_CHECK_MILLIS);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -16,8 +16,21 @@
    * @param tenant tenant of the route
    * @param tier tier of the route
    * @param deadlineMillis when its caller gives up, on the clock of {@code nowMillis}
+   * @param expectedMicros how long it is expected to hold its slot, microseconds; 0 if not known
+   * @param toleratedWaitMillis expected wait beyond which it is refused rather than queued
    */
-  record Ask(long id, String tenant, Tier tier, long deadlineMillis) {}
+  record Ask(
+      long id,
+      String tenant,
+      Tier tier,
+      long deadlineMillis,
+      long expectedMicros,
+      long toleratedWaitMillis) {
+    /** One of which nothing is expected and that waits as long as its deadline allows. */
+    public Ask(long id, String tenant, Tier tier, long deadlineMillis) {
+      this(id, tenant, tier, deadlineMillis, 0, Long.MAX_VALUE);
+    }
+  }
 
   /** What becomes of a request. */
   sealed interface Decision {
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/SlotAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/SlotAdmissionController.java
@@ -54,7 +54,9 @@
       queues.get(ask.tier()).startedUncontended(ask.tenant(), charge);
       return List.of(hold(ask, charge));
     }
-    if (!canBeMet(nowMillis, ask, waitMicros(ask))) {
+    double waitMicros = waitMicros(ask);
+    boolean tooLong = waitMicros / MICROS_PER_MILLI > ask.toleratedWaitMillis();
+    if (tooLong || !canBeMet(nowMillis, ask, waitMicros)) {
       return List.of(overloaded(ask));
     }
     return enqueue(ask);
@@ -216,7 +218,8 @@
   }
 
   private boolean canBeMet(long nowMillis, Ask ask, double waitMicros) {
-    double needed = (waitMicros + service.fastMicros()) / MICROS_PER_MILLI;
+    double workMicros = Math.max(service.fastMicros(), ask.expectedMicros());
+    double needed = (waitMicros + workMicros) / MICROS_PER_MILLI;
     return nowMillis < ask.deadlineMillis() && nowMillis + needed <= ask.deadlineMillis();
   }
 
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/AdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/AdmissionControllerTest.java
@@ -236,4 +236,39 @@
       }
     };
   }
+
+  @Test
+  void refusesWhatWouldWaitLongerThanItTolerates() {
+    AdmissionController controller = AdmissionControllers.create(AdmissionSettings.forSlots(1));
+    controller.ask(0, new AdmissionController.Ask(1, "t", Tier.STANDARD, 60_000));
+    controller.release(100, 1, 100_000);
+    controller.ask(100, new AdmissionController.Ask(2, "t", Tier.STANDARD, 60_000));
+
+    assertThat(askTolerating(controller, 3, 50))
+        .isInstanceOf(AdmissionController.Decision.Refused.class);
+    assertThat(askTolerating(controller, 4, 150))
+        .isInstanceOf(AdmissionController.Decision.Queued.class);
+  }
+
+  private static AdmissionController.Decision askTolerating(
+      AdmissionController controller, long id, long waitMillis) {
+    return controller
+        .ask(100, new AdmissionController.Ask(id, "t", Tier.STANDARD, 60_000, 0, waitMillis))
+        .get(0);
+  }
+
+  @Test
+  void refusesWhatItsOwnWorkCannotFinishInTime() {
+    AdmissionController controller = AdmissionControllers.create(AdmissionSettings.forSlots(1));
+    controller.ask(0, new AdmissionController.Ask(1, "t", Tier.STANDARD, 60_000));
+    controller.release(10, 1, 10_000);
+    controller.ask(10, new AdmissionController.Ask(2, "t", Tier.STANDARD, 60_000));
+
+    AdmissionController.Decision decision =
+        controller
+            .ask(10, new AdmissionController.Ask(3, "t", Tier.STANDARD, 110, 240_000, 1_000))
+            .get(0);
+
+    assertThat(decision).isInstanceOf(AdmissionController.Decision.Refused.class);
+  }
 }
