Node: a back end that turns slow shows before its requests end; metrics; lines of a planned stop

Change: the load that a gate states is raised by the ages of what runs against the times of their routes; counters, gauges and histograms by Micrometer on the metrics address, begun 2 s after the start so that serving is not held up; a log manager that keeps its handlers.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,4 +9,4 @@
 # The command after the archive's name must be that of deploy/system.toml, archive apart.
 java platform/src/archive/ArchiveTraining.java target/umberpath.jsa \
   java -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData \
-  -Djava.net.preferIPv4Stack=true -jar target/umberpath.jar
+  -Djava.net.preferIPv4Stack=true -jar target/umberpath.jar --metrics-port 8199
--- a/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLines.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLines.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
@@ -38,11 +37,14 @@
 
   private JsonLines() {}
 
-  /** Makes all log records of the process JSON lines. */
+  /** Makes all log records of the process JSON lines; to be called before anything is logged. */
   public static void install() {
-    LogManager.getLogManager().reset();
+    System.setProperty(KeptLogManager.PROPERTY, KeptLogManager.class.getName());
     JsonLines handler = new JsonLines();
     Logger root = Logger.getLogger("");
+    for (Handler before : root.getHandlers()) {
+      root.removeHandler(before);
+    }
     root.setLevel(Level.INFO);
     root.addHandler(handler);
     Thread thread = new Thread(handler::write, "umberpath-log");
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -15,7 +15,10 @@
 import io.umberpath.traffic.AdmissionController.Ask;
 import io.umberpath.traffic.routing.GateLoad;
 import io.umberpath.traffic.routing.RouteTimes;
+import io.umberpath.traffic.routing.Slowness;
 import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -44,6 +47,7 @@
   private final MeshEvents events;
   private final LongSupplier clockMillis;
   private final RouteTimes routeTimes = new RouteTimes();
+  private volatile double slowness = 1;
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
 
@@ -72,9 +76,24 @@
     return gate;
   }
 
+  /** Lets time pass: refuses what can no longer be met, looks at what runs. */
+  void tick(long nowMillis) {
+    gate.tick(nowMillis);
+    List<Slowness.Running> running = new ArrayList<>();
+    for (Exchange exchange : gate.runningExchanges()) {
+      long expected;
+      synchronized (routeTimes) {
+        expected = routeTimes.expectedMicros(planOf(exchange).route());
+      }
+      running.add(new Slowness.Running(exchange.sinceSentMicros(), expected));
+    }
+    slowness = Slowness.of(running);
+  }
+
   /** What this node states of its back end. */
   GateLoad load() {
-    return new GateLoad(gate.running(), gate.queued(), backend.slots(), gate.meanServiceMicros());
+    long serviceMicros = Math.round(gate.meanServiceMicros() * slowness);
+    return new GateLoad(gate.running(), gate.queued(), backend.slots(), serviceMicros);
   }
 
   @Override
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshMetrics.java
@@ -0,0 +1,77 @@
+package io.umberpath.node.mesh;
+
+import io.micrometer.core.instrument.Meter;
+import io.micrometer.core.instrument.config.MeterFilter;
+import io.micrometer.core.instrument.distribution.DistributionStatisticConfig;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.stats.MeterRegistryStats;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import java.time.Duration;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/**
+ * Counters, gauges and latency histograms in the Prometheus text format. Made some time after the
+ * start, when the node already serves; what happened before is not counted. Thread-safe.
+ */
+final class MeshMetrics implements ProxyStats {
+  private static final String PREFIX = "umberpath.";
+  private static final Duration SHORTEST = Duration.ofMillis(1);
+  private static final Duration LONGEST = Duration.ofSeconds(10);
+
+  private volatile PrometheusMeterRegistry registry;
+  private volatile ProxyStats counted = ProxyStats.NONE;
+
+  /**
+   * Begins to count.
+   *
+   * @param gauges name of a gauge, without the prefix, to its value
+   */
+  void begin(Map<String, Supplier<Number>> gauges) {
+    PrometheusMeterRegistry created = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    created.config().meterFilter(new Histograms());
+    gauges.forEach((name, value) -> created.gauge(PREFIX + name, value, each -> of(each)));
+    counted = new MeterRegistryStats(created);
+    registry = created;
+  }
+
+  private static double of(Supplier<Number> value) {
+    return value.get().doubleValue();
+  }
+
+  /** The page; empty before counting has begun. */
+  String page() {
+    PrometheusMeterRegistry current = registry;
+    return current == null ? "" : current.scrape();
+  }
+
+  @Override
+  public void requestEnded(Side side, Verdict verdict, long micros) {
+    counted.requestEnded(side, verdict, micros);
+  }
+
+  @Override
+  public void retried(Verdict verdict) {
+    counted.retried(verdict);
+  }
+
+  @Override
+  public void inFlight(Side side, int change) {
+    counted.inFlight(side, change);
+  }
+
+  /** Gives every timer a histogram with bounded buckets. */
+  private static final class Histograms implements MeterFilter {
+    @Override
+    public DistributionStatisticConfig configure(Meter.Id id, DistributionStatisticConfig config) {
+      return DistributionStatisticConfig.builder()
+          .percentilesHistogram(true)
+          .minimumExpectedValue((double) SHORTEST.toNanos())
+          .maximumExpectedValue((double) LONGEST.toNanos())
+          .build()
+          .merge(config);
+    }
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -2,15 +2,18 @@
 
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.control.store.StoreWatcherSettings;
+import io.umberpath.model.PeerAddress;
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * A node that follows an external store: one process beside each back end. {@link #start} is called
@@ -27,6 +30,12 @@
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
+  private static final int NOT_FOUND = 404;
+  private static final String METRICS_PATH = "/metrics";
+  private static final double MICROS_PER_SECOND = 1_000_000;
+
+  /** The node serves first; its figures can wait. */
+  private static final long METRICS_DELAY_MILLIS = 2_000;
 
   /** How long callers have to notice that this node leaves: two questions, a second apart. */
   private static final long CALLER_NOTICE_MILLIS = 2_200;
@@ -53,6 +62,7 @@
   private final PeerExchange peers;
   private final LocalBackend backend;
   private final MeshProxy proxy;
+  private final MeshMetrics metrics = new MeshMetrics();
   private final String readyPath;
   private final List<StateServer> stateServers = new ArrayList<>();
   private final ScheduledExecutorService timer =
@@ -85,7 +95,8 @@
     this.peers = new PeerExchange(settings, state::view, balancer, events, clockMillis);
     this.backend = new LocalBackend(settings, state::view);
     this.proxy =
-        new MeshProxy(settings, state::view, balancer, peers, backend, events, clockMillis);
+        new MeshProxy(
+            settings, state::view, balancer, peers, backend, events, metrics, clockMillis);
   }
 
   private static Thread timerThread(Runnable task) {
@@ -107,6 +118,11 @@
     if (settings.control().isPresent()) {
       stateServers.add(StateServer.open(settings.control().get(), this::transfer));
     }
+    if (settings.metricsPort() > 0) {
+      PeerAddress address = new PeerAddress(settings.ready().host(), settings.metricsPort());
+      proxy.listen(address, new StatusFilter(this::metricsPage));
+      timer.schedule(() -> metrics.begin(gauges()), METRICS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
     peers.onAhead(puller::ahead);
     peers.start();
     puller.start();
@@ -154,9 +170,36 @@
     }
   }
 
+  private StatusFilter.Answer metricsPage(String path) {
+    return path.equals(METRICS_PATH)
+        ? new StatusFilter.Answer(OK, metrics.page())
+        : new StatusFilter.Answer(NOT_FOUND, "");
+  }
+
+  private Map<String, Supplier<Number>> gauges() {
+    return Map.of(
+        "configuration.version", () -> state.view().version(),
+        "store.revision", () -> state.view().revision(),
+        "store.heard.age.seconds", this::storeAgeSeconds,
+        "peers.known", peers::nodes,
+        "peers.silent", peers::silentNodes,
+        "gate.running", () -> proxy.gate().load().running(),
+        "gate.queued", () -> proxy.gate().load().queued(),
+        "gate.slots", () -> proxy.gate().load().slots(),
+        "gate.service.seconds", () -> proxy.gate().load().serviceMicros() / MICROS_PER_SECOND);
+  }
+
+  private double storeAgeSeconds() {
+    long heardAt;
+    synchronized (state) {
+      heardAt = state.watcher().heardAtMillis();
+    }
+    return heardAt < 0 ? -1 : (clockMillis.getAsLong() - heardAt) / (double) SECOND_MILLIS;
+  }
+
   private StatusFilter.Answer status(String path) {
     if (!path.equals(readyPath)) {
-      return new StatusFilter.Answer(404, "");
+      return new StatusFilter.Answer(NOT_FOUND, "");
     }
     boolean ready = state.view().isComplete() && !leaving;
     return new StatusFilter.Answer(ready ? OK : UNAVAILABLE, ready ? "ready" : "not ready");
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -53,6 +53,7 @@
       PeerExchange peers,
       LocalBackend backend,
       MeshEvents events,
+      ProxyStats stats,
       LongSupplier clockMillis) {
     this.settings = settings;
     this.view = view;
@@ -76,7 +77,7 @@
             clockMillis);
     ExchangeEnvironment environment =
         new ExchangeEnvironment(
-            clockMillis, ProxyStats.NONE, AttemptLog.CUT_OFF_ONLY, active, this::maxBodyBytes);
+            clockMillis, stats, AttemptLog.CUT_OFF_ONLY, active, this::maxBodyBytes);
     this.edgeFilter = new InboundFilter(edge, environment);
     this.gateFilter = new InboundFilter(gate, environment);
   }
@@ -128,7 +129,7 @@
   void keepDeadlines(long nowMillis) {
     if (active.size() > 0) {
       active.expire(nowMillis);
-      gate.gate().tick(nowMillis);
+      gate.tick(nowMillis);
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -203,6 +203,11 @@
     return ids;
   }
 
+  /** Nodes that have been silent for too long. */
+  int silentNodes() {
+    return silent.size();
+  }
+
   /** Nodes known, this one included. */
   int nodes() {
     return nodes;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
@@ -112,6 +112,14 @@
     }
   }
 
+  /** The exchanges that hold a slot. */
+  public List<Exchange> runningExchanges() {
+    return byExchange.values().stream()
+        .filter(waiting -> waiting.standing().get() == Standing.ADMITTED)
+        .map(Waiting::exchange)
+        .toList();
+  }
+
   /** The exchange is over: gives its slot or its place in the queue back. */
   public void ended(Exchange exchange) {
     Waiting waiting = byExchange.get(exchange);
