--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -47,7 +47,7 @@
   private static final double WAIT_SHARE = 0.6;
 
   /** Share of a route's target latency that a request may wait to stay in the zone. */
-  private static final double STAY_SHARE = 0.4;
+  private static final double STAY_SHARE = 0.5;
 
   /** Body from which on a request may wait the whole target latency to stay in the zone. */
   private static final long LARGE_BODY_BYTES = 32 * 1024;
@@ -70,6 +70,7 @@
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
   private volatile boolean leaving;
+  private volatile boolean refusing;
 
   MeshEdgeHandler(
       MeshSettings settings,
@@ -98,6 +99,11 @@
     leaving = true;
   }
 
+  /** From now on requests are refused as not run. */
+  void refuse() {
+    refusing = true;
+  }
+
   @Override
   public ProxyStats.Side side() {
     return ProxyStats.Side.EDGE;
@@ -113,6 +119,10 @@
     if (leaving) {
       head.getProcessingState().setKeepAlive(false);
     }
+    if (refusing) {
+      return Either.left(
+          new Refusal(new Verdict.NotRun(Verdict.Reason.DRAINING), RETRY_WHEN_NOBODY_MILLIS));
+    }
     MeshView current = view.get();
     if (!current.isComplete()) {
       return Either.left(
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -40,6 +40,9 @@
   /** How long callers have to notice that this node leaves: two questions, a second apart. */
   private static final long CALLER_NOTICE_MILLIS = 2_200;
 
+  /** When callers that come all the same are refused: what they want might not finish. */
+  private static final long CALLERS_REFUSED_MILLIS = 2_800;
+
   /** When other nodes are told; until then this node works on for its back end. */
   private static final long PEERS_TOLD_MILLIS = 1_400;
 
@@ -207,7 +210,7 @@
 
   /**
    * Stops in good order: no longer ready, takes what still comes until callers have noticed, then
-   * finishes what is in flight.
+   * finishes what is in flight. What is left is for {@link #close}, or for the end of the process.
    */
   public void stop() throws InterruptedException {
     long began = clockMillis.getAsLong();
@@ -227,6 +230,9 @@
       if (now >= began + PEERS_REFUSED_MILLIS) {
         backend.leave();
       }
+      if (now >= began + CALLERS_REFUSED_MILLIS) {
+        proxy.refuseCallers();
+      }
       quietSince = proxy.inFlight() > 0 ? now : quietSince;
       if (now >= began + CALLER_NOTICE_MILLIS && now >= quietSince + QUIET_MILLIS) {
         break;
@@ -235,7 +241,6 @@
     }
     int cutOff = proxy.abortAll();
     events.stopped(cutOff, clockMillis.getAsLong() - began);
-    close();
   }
 
   /** Ends at once. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -125,6 +125,11 @@
     edge.leave();
   }
 
+  /** From now on callers' requests are refused as not run. */
+  void refuseCallers() {
+    edge.refuse();
+  }
+
   /** Ends what is past its deadline. */
   void keepDeadlines(long nowMillis) {
     if (active.size() > 0) {
