Node: requests take slots in the order they are due

Change: DueOrderAdmissionController: a request is due after a third of its target latency for each rank of priority; what is due earlier goes first and does not wait for the rest, nothing starves since time moves on. The wait for a slot is bounded by 0.45 of the target latency (was 0.6).

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
@@ -7,15 +7,15 @@
  *
  * @param instance the chosen back end
  * @param route name of its route
- * @param priority rank of its route, 0 is highest
+ * @param dueMillis in how long it is due, milliseconds; what is due earlier goes first
  * @param toleratedWaitMillis expected wait beyond which to refuse rather than queue, milliseconds
  */
-record HopLine(String instance, String route, int priority, long toleratedWaitMillis) {
+record HopLine(String instance, String route, long dueMillis, long toleratedWaitMillis) {
   static final String HEADER = "Umberpath-Hop";
   private static final int FIELDS = 4;
 
   String encode() {
-    return instance + "," + route + "," + priority + "," + toleratedWaitMillis;
+    return instance + "," + route + "," + dueMillis + "," + toleratedWaitMillis;
   }
 
   static Optional<HopLine> decode(String text) {
@@ -25,8 +25,7 @@
     }
     try {
       return Optional.of(
-          new HopLine(
-              fields[0], fields[1], Integer.parseInt(fields[2]), Long.parseLong(fields[3])));
+          new HopLine(fields[0], fields[1], Long.parseLong(fields[2]), Long.parseLong(fields[3])));
     } catch (NumberFormatException malformed) {
       return Optional.empty();
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -40,11 +40,16 @@
   /** Largest body that is sent on the chance of a free slot, bytes. */
   private static final long MAX_BOUNCED_BYTES = 16 * 1024;
 
+  /** Share of the target latency after which a request is due, for each rank of priority. */
+  private static final double PATIENCE_PER_RANK = 0.33;
+
+  private static final double MAX_PATIENCE = 2;
+
   /**
    * Share of a route's target latency that a request may wait for a slot. What waits longer is
    * answered late: under lasting overload no more is served by a longer queue, only later.
    */
-  private static final double WAIT_SHARE = 0.6;
+  private static final double WAIT_SHARE = 0.45;
 
   /** Share of a route's target latency that a request may wait to stay in the zone. */
   private static final double STAY_SHARE = 0.5;
@@ -227,11 +232,18 @@
         new HopLine(
             exchange.currentOrigin(),
             plan.route(),
-            plan.rule().priority(),
+            dueMillis(plan, nowMillis),
             plan.tally().toleratedWaitMillis());
     set(outgoing, HopLine.HEADER, hop.encode());
   }
 
+  /** In how long a request is due: sooner with a short target latency and a high priority. */
+  private static long dueMillis(MeshEdgePlan plan, long nowMillis) {
+    double patience = Math.min(MAX_PATIENCE, (1 + plan.rule().priority()) * PATIENCE_PER_RANK);
+    long due = plan.beganMillis() + Math.round(plan.rule().targetLatencyMillis() * patience);
+    return due - nowMillis;
+  }
+
   private static boolean mayBounce(Exchange exchange, MeshEdgePlan plan) {
     return plan.tally().bounces() < MAX_BOUNCES
         && exchange.request().getContentLength() <= MAX_BOUNCED_BYTES
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -126,19 +126,14 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return;
     }
-    Tier tier = tier(plan.hop().priority());
     long expectedMicros;
     synchronized (routeTimes) {
       expectedMicros = routeTimes.expectedMicros(plan.route());
     }
     long deadline = plan.deadlineMillis() - ANSWER_MILLIS;
     long wait = plan.hop().toleratedWaitMillis();
-    gate.ask(exchange, id -> new Ask(id, "", tier, deadline, expectedMicros, wait));
-  }
-
-  private static Tier tier(int priority) {
-    Tier[] tiers = Tier.values();
-    return tiers[Math.max(0, Math.min(tiers.length - 1, priority))];
+    long due = plan.beganMillis() + plan.hop().dueMillis();
+    gate.ask(exchange, id -> new Ask(id, "", Tier.STANDARD, deadline, expectedMicros, wait, due));
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -71,7 +71,7 @@
         new MeshGateHandler(
             settings,
             backendPool,
-            AdmissionControllers.create(admission(backend.slots())),
+            AdmissionControllers.createInDueOrder(admission(backend.slots())),
             backend,
             events,
             clockMillis);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -18,6 +18,7 @@
    * @param deadlineMillis when its caller gives up, on the clock of {@code nowMillis}
    * @param expectedMicros how long it is expected to hold its slot, microseconds; 0 if not known
    * @param toleratedWaitMillis expected wait beyond which it is refused rather than queued
+   * @param dueMillis what is due earlier goes first, where requests are taken in that order
    */
   record Ask(
       long id,
@@ -25,10 +26,11 @@
       Tier tier,
       long deadlineMillis,
       long expectedMicros,
-      long toleratedWaitMillis) {
+      long toleratedWaitMillis,
+      long dueMillis) {
     /** One of which nothing is expected and that waits as long as its deadline allows. */
     public Ask(long id, String tenant, Tier tier, long deadlineMillis) {
-      this(id, tenant, tier, deadlineMillis, 0, Long.MAX_VALUE);
+      this(id, tenant, tier, deadlineMillis, 0, Long.MAX_VALUE, deadlineMillis);
     }
   }
 
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionControllers.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionControllers.java
@@ -8,4 +8,9 @@
   public static AdmissionController create(AdmissionSettings settings) {
     return new SlotAdmissionController(settings);
   }
+
+  /** Creates the controller of one back end that takes requests in the order they are due. */
+  public static AdmissionController createInDueOrder(AdmissionSettings settings) {
+    return new DueOrderAdmissionController(settings);
+  }
 }
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/AdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/AdmissionControllerTest.java
@@ -253,7 +253,8 @@
   private static AdmissionController.Decision askTolerating(
       AdmissionController controller, long id, long waitMillis) {
     return controller
-        .ask(100, new AdmissionController.Ask(id, "t", Tier.STANDARD, 60_000, 0, waitMillis))
+        .ask(
+            100, new AdmissionController.Ask(id, "t", Tier.STANDARD, 60_000, 0, waitMillis, 60_000))
         .get(0);
   }
 
@@ -266,7 +267,7 @@
 
     AdmissionController.Decision decision =
         controller
-            .ask(10, new AdmissionController.Ask(3, "t", Tier.STANDARD, 110, 240_000, 1_000))
+            .ask(10, new AdmissionController.Ask(3, "t", Tier.STANDARD, 110, 240_000, 1_000, 110))
             .get(0);
 
     assertThat(decision).isInstanceOf(AdmissionController.Decision.Refused.class);
--- /dev/null
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
@@ -0,0 +1,143 @@
+package io.umberpath.traffic;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.model.Tier;
+import io.umberpath.model.Verdict.Reason;
+import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.AdmissionController.Decision;
+import io.umberpath.traffic.AdmissionController.Decision.Admitted;
+import io.umberpath.traffic.AdmissionController.Decision.Queued;
+import io.umberpath.traffic.AdmissionController.Decision.Refused;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+final class DueOrderAdmissionControllerTest {
+  private static final long FAR = 1_000_000;
+
+  /** Two slots of 10 ms. */
+  private final AdmissionController controller =
+      AdmissionControllers.createInDueOrder(new AdmissionSettings(2, 6, 4, 10_000, 20, 5_000));
+
+  private static Ask ask(long id, long dueMillis) {
+    return new Ask(id, "", Tier.STANDARD, FAR, 0, FAR, dueMillis);
+  }
+
+  private void fillSlots() {
+    controller.ask(0, ask(-1, 0));
+    controller.ask(0, ask(-2, 0));
+  }
+
+  @Test
+  void takesWhatIsDueFirst() {
+    fillSlots();
+    controller.ask(0, ask(1, 600));
+    controller.ask(0, ask(2, 60));
+    controller.ask(0, ask(3, 300));
+
+    assertThat(controller.release(1, -1, 10_000)).containsExactly(new Admitted(2));
+    assertThat(controller.release(1, -2, 10_000)).containsExactly(new Admitted(3));
+    assertThat(controller.release(2, 2, 10_000)).containsExactly(new Admitted(1));
+  }
+
+  @Test
+  void onlyWhatIsDueEarlierCountsForTheWait() {
+    fillSlots();
+    controller.ask(0, ask(1, 600));
+    controller.ask(0, ask(2, 600));
+    controller.ask(0, ask(3, 600));
+
+    Ask urgent = new Ask(4, "", Tier.STANDARD, FAR, 0, 5, 60);
+    Ask patient = new Ask(5, "", Tier.STANDARD, FAR, 0, 5, 700);
+
+    assertThat(controller.ask(0, urgent)).containsExactly(new Queued(4));
+    assertThat(controller.ask(0, patient).get(0)).isInstanceOf(Refused.class);
+  }
+
+  @Test
+  void refusesWhatItsOwnWorkCannotFinishInTime() {
+    fillSlots();
+
+    Ask late = new Ask(1, "", Tier.STANDARD, 50, 60_000, FAR, 50);
+
+    assertThat(controller.ask(0, late).get(0)).isEqualTo(new Refused(1, Reason.OVERLOADED, 20));
+  }
+
+  @Test
+  void refusesWhatBecameTooLateInTheQueue() {
+    fillSlots();
+    controller.ask(0, new Ask(1, "", Tier.STANDARD, 100, 60_000, FAR, 50));
+
+    assertThat(controller.tick(30)).isEmpty();
+    assertThat(controller.tick(41)).containsExactly(new Refused(1, Reason.DEADLINE, 0));
+    assertThat(controller.queued()).isZero();
+  }
+
+  @Test
+  void theQueueIsBounded() {
+    fillSlots();
+    for (int id = 1; id <= 6; id++) {
+      controller.ask(0, ask(id, 600));
+    }
+
+    assertThat(controller.ask(0, ask(7, 1)).get(0)).isInstanceOf(Refused.class);
+  }
+
+  @Test
+  void whoLeavesTheQueueIsGone() {
+    fillSlots();
+    controller.ask(0, ask(1, 600));
+    controller.cancel(0, 1);
+
+    assertThat(controller.release(1, -1, 10_000)).isEmpty();
+  }
+
+  @Test
+  void drainingRefusesTheQueueAndWhatComes() {
+    fillSlots();
+    controller.ask(0, ask(1, 600));
+
+    assertThat(controller.drain(0)).containsExactly(new Refused(1, Reason.DRAINING, 0));
+    assertThat(controller.ask(0, ask(2, 600))).containsExactly(new Refused(2, Reason.DRAINING, 0));
+    assertThat(controller.running()).isEqualTo(2);
+  }
+
+  /** Random asks, ends and cancellations: never more than the slots, each decided once. */
+  @Test
+  void everyAskIsDecidedOnceAndSlotsAreNeverExceeded() {
+    SplittableRandom random = new SplittableRandom(11);
+    Set<Long> running = new HashSet<>();
+    Set<Long> waiting = new HashSet<>();
+    long nextId = 1;
+    for (long now = 0; now < 5_000; now++) {
+      List<Decision> decisions;
+      if (random.nextInt(3) > 0 || running.isEmpty()) {
+        long id = nextId++;
+        waiting.add(id);
+        long due = now + random.nextInt(500);
+        decisions =
+            controller.ask(
+                now, new Ask(id, "", Tier.BASIC, due + 100, random.nextInt(50_000), 200, due));
+      } else {
+        long id = running.iterator().next();
+        running.remove(id);
+        decisions = controller.release(now, id, random.nextInt(40_000));
+      }
+      for (Decision decision : decisions) {
+        if (!(decision instanceof Queued)) {
+          assertThat(waiting.remove(decision.id())).isTrue();
+        }
+        if (decision instanceof Admitted) {
+          running.add(decision.id());
+        }
+      }
+      assertThat(running).hasSizeLessThanOrEqualTo(2);
+      assertThat(controller.running()).isEqualTo(running.size());
+      assertThat(controller.queued()).isEqualTo(waiting.size());
+      assertThat(waiting.isEmpty() || running.size() == 2).isTrue();
+    }
+  }
+}
