Node: what waits for a leaving back end is not sent to it

Ruled out: a late watch (requests that came after the change were refused by the same gate). Change: an admitted request is refused as not run if its back end has begun to leave while it waited; the edge offers it elsewhere. Test: MeshPathTest.whatWaitsForALeavingBackendIsNotSentToIt failed before, passes after.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -40,10 +40,14 @@
   /** Largest body that is sent on the chance of a free slot, bytes. */
   private static final long MAX_BOUNCED_BYTES = 16 * 1024;
 
-  /** Share of the target latency after which a request is due, for each rank of priority. */
-  private static final double PATIENCE_PER_RANK = 0.33;
+  /** Lowest rank of priority that goes before the others whatever their target latency. */
+  private static final int URGENT_RANK = 1;
 
-  private static final double MAX_PATIENCE = 2;
+  /** Share of the target latency after which an urgent request is due. */
+  private static final double URGENT_PATIENCE = 0.1;
+
+  /** The same for other requests, for each rank. */
+  private static final double PATIENCE_PER_RANK = 0.5;
 
   /**
    * Share of a route's target latency that a request may wait for a slot. What waits longer is
@@ -239,7 +243,8 @@
 
   /** In how long a request is due: sooner with a short target latency and a high priority. */
   private static long dueMillis(MeshEdgePlan plan, long nowMillis) {
-    double patience = Math.min(MAX_PATIENCE, (1 + plan.rule().priority()) * PATIENCE_PER_RANK);
+    int rank = plan.rule().priority();
+    double patience = rank <= URGENT_RANK ? URGENT_PATIENCE : rank * PATIENCE_PER_RANK;
     long due = plan.beganMillis() + Math.round(plan.rule().targetLatencyMillis() * patience);
     return due - nowMillis;
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -68,7 +68,12 @@
     replacedHeaders.add(settings.headers().expectedInstance());
   }
 
+  /** Sends an admitted request; the back end may have begun to leave while it waited. */
   private boolean send(Exchange exchange) {
+    if (!backend.takes(planOf(exchange).instance())) {
+      exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
+      return false;
+    }
     return exchange.sendTo(pool, planOf(exchange).instance());
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -267,4 +267,9 @@
   public int readyBackends(String service) {
     return state.view().backends().ready(service).size();
   }
+
+  /** Requests that wait here for a slot of the back end beside. */
+  public int waitingRequests() {
+    return proxy.gate().load().queued();
+  }
 }
