--- a/umberpath-node/src/main/java/io/umberpath/node/control/ControlLoop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/control/ControlLoop.java
@@ -128,6 +128,10 @@
     } else if (output instanceof ControlOutput.FleetViewAnswered answered) {
       views.answer(answered.ticket(), answered.nodes());
     } else {
+      if (output instanceof ControlOutput.Activate) {
+        // Who sees the snapshot must not find an older status.
+        publish();
+      }
       outputs.carryOut(output, this::document);
     }
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/control/ControlRuntimeFleetTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/control/ControlRuntimeFleetTest.java
@@ -38,6 +38,15 @@
     }
   }
 
+  @Test
+  void theStatusNeverLagsBehindTheSnapshotInForce() throws Exception {
+    try (RuntimeFleet fleet = new RuntimeFleet(3)) {
+      fleet.awaitFormed();
+      fleet.awaitActive(accept(fleet.follower(), "first"));
+      assertThat(fleet.nodes).noneMatch(node -> node.statusLagged.get());
+    }
+  }
+
   @Test
   void killedLeaderLeavesTruthfulOutcomesAndNobodyGoesBack() throws Exception {
     try (RuntimeFleet fleet = new RuntimeFleet(5)) {
--- a/umberpath-node/src/test/java/io/umberpath/node/control/RuntimeNode.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/control/RuntimeNode.java
@@ -11,12 +11,14 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.PlatformDocument;
 import io.umberpath.model.ProxySnapshot;
+import io.umberpath.model.Version;
 import io.umberpath.node.platform.PlatformReader;
 import io.umberpath.transport.GrizzlyTransport;
 import io.umberpath.transport.MessageCodec;
 import io.umberpath.transport.TransportSecurity;
 import io.umberpath.transport.TransportSettings;
 import java.io.IOException;
+import java.util.AbstractList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -29,6 +31,7 @@
   final PeerAddress address;
   final GrizzlyTransport transport;
   final AtomicBoolean failed = new AtomicBoolean();
+  final AtomicBoolean statusLagged = new AtomicBoolean();
   final List<ProxySnapshot> activations = new CopyOnWriteArrayList<>();
   ControlRuntime runtime;
 
@@ -126,7 +129,24 @@
           activations.add(activate.snapshot());
         }
       }
-      return outputs;
+      return new AbstractList<>() {
+        @Override
+        public ControlOutput get(int index) {
+          return outputs.get(index);
+        }
+
+        @Override
+        public int size() {
+          noteLag();
+          return outputs.size();
+        }
+      };
+    }
+
+    /** The loop asks for the size between any two outputs, on its own thread. */
+    private void noteLag() {
+      Version active = runtime.status().activeVersion();
+      statusLagged.compareAndSet(false, active.compareTo(runtime.snapshot().version()) < 0);
     }
 
     @Override
