--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -49,12 +49,6 @@
   /** The same for other requests, for each rank. */
   private static final double PATIENCE_PER_RANK = 0.5;
 
-  /**
-   * Share of a route's target latency that a request may wait for a slot. What waits longer is
-   * answered late: under lasting overload no more is served by a longer queue, only later.
-   */
-  private static final double WAIT_SHARE = 0.45;
-
   /** Share of a route's target latency that a request may wait to stay in the zone. */
   private static final double STAY_SHARE = 0.5;
 
@@ -188,7 +182,8 @@
     }
     List<BackendEntry> candidates = view.get().backends().ready(plan.service());
     Set<String> silent = peers.silentBackends(candidates);
-    Set<String> leftOut = plan.tally().leftOut(mayBounce(exchange, plan));
+    boolean mayBounce = mayBounce(exchange, plan);
+    Set<String> leftOut = plan.tally().leftOut(mayBounce);
     double zoneMillis = otherZoneMillis(exchange, plan);
     Optional<GateBalancer.Choice> choice;
     synchronized (balancer) {
@@ -204,8 +199,8 @@
       return;
     }
     BackendEntry chosen = choice.get().backend();
-    boolean last = !mayBounce(exchange, plan);
-    plan.tally().tolerate(last ? GateBalancer.ANY_WAIT_MILLIS : choice.get().toleratedWaitMillis());
+    plan.tally()
+        .tolerate(mayBounce ? choice.get().toleratedWaitMillis() : GateBalancer.ANY_WAIT_MILLIS);
     PeerAddress gate = new PeerAddress(chosen.address().host(), settings.inbound().port());
     if (!exchange.sendTo(origins.poolOf(gate), chosen.id())) {
       synchronized (balancer) {
@@ -271,7 +266,7 @@
     String verdict = head.getHeader(ProxyHeaders.VERDICT);
     if (verdict != null) {
       return VerdictHeader.parse(verdict)
-          .map(each -> new Refusal(each, retryAfterMillis(head), true));
+          .map(each -> new Refusal(each, Headers.retryAfterMillis(head), true));
     }
     boolean own = plan.requestId().equals(head.getHeader(settings.headers().requestId()));
     return own ? Optional.empty() : Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
@@ -287,10 +282,6 @@
     }
   }
 
-  private static long retryAfterMillis(HttpResponsePacket head) {
-    return Headers.text(head, ProxyHeaders.RETRY_AFTER_MILLIS).flatMap(Headers::number).orElse(0L);
-  }
-
   @Override
   public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
     Verdict verdict = refusal == null ? new Verdict.Completed() : refusal.verdict();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -231,11 +231,7 @@
     }
     return Headers.text(head, ProxyHeaders.VERDICT)
         .flatMap(VerdictHeader::parse)
-        .map(verdict -> new Refusal(verdict, retryAfterMillis(head), true));
-  }
-
-  private static long retryAfterMillis(HttpResponsePacket head) {
-    return Headers.text(head, ProxyHeaders.RETRY_AFTER_MILLIS).flatMap(Headers::number).orElse(0L);
+        .map(verdict -> new Refusal(verdict, Headers.retryAfterMillis(head), true));
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Headers.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Headers.java
@@ -32,6 +32,11 @@
         : Either.left(ProxyHeaders.DEADLINE + " is not a number of milliseconds");
   }
 
+  /** How long a refusal of another node says to leave its back end alone; 0 if it does not say. */
+  public static long retryAfterMillis(HttpHeader refusal) {
+    return text(refusal, ProxyHeaders.RETRY_AFTER_MILLIS).flatMap(Headers::number).orElse(0L);
+  }
+
   /** A plain non-negative number. */
   public static Optional<Long> number(String text) {
     boolean plain =
