Proxy: a request whose caller is found gone by the write of its answer ends at once

That ends the exchange and drops its attempt; takeAnswer then went on with the attempt that was gone. The exception left the exchange among the active ones, its slot taken, until its deadline. Ruled out: a second thread (the exchange's lock is held throughout); the deadline's timer (it takes the same lock). Change: takeAnswer goes on with the attempt it was called for and stops if the write has ended it; a refusal is noted as the outcome before it is written. Test: ExchangeCallerGoneTest, with the exception before, green after.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -312,8 +312,9 @@
   private void refuseFinally(Refusal refusal) {
     boolean overstates = mayHaveRun && refusal.verdict() instanceof Verdict.NotRun;
     Refusal truthful = overstates ? Refusal.mayHaveRun(refusal.reason()) : refusal;
-    answer.refusal(truthful, plan, body.isComplete());
+    // Before the write, which may find the caller's connection broken and end the request again.
     finish(truthful.verdict());
+    answer.refusal(truthful, plan, body.isComplete());
   }
 
   private void finish(Verdict verdict) {
@@ -402,19 +403,19 @@
   boolean attemptAnswered(Attempt answered, AnswerPart part) {
     boolean readOn;
     synchronized (this) {
-      readOn = attempt != answered || takeAnswer(part);
+      readOn = attempt != answered || takeAnswer(answered, part);
     }
     afterLock();
     return readOn;
   }
 
-  private boolean takeAnswer(AnswerPart part) {
+  private boolean takeAnswer(Attempt answered, AnswerPart part) {
     if (part.first()) {
       Optional<Refusal> refusal = handler.refusalIn(this, part.head());
       if (refusal.isPresent()) {
         // A connection that carried an answer to another request is not used again.
         if (part.last() && refusal.get().fromOrigin()) {
-          attempt.detach();
+          answered.detach();
         }
         fail(refusal.get(), true);
         return true;
@@ -422,11 +423,14 @@
       stage = Stage.ANSWERING;
     }
     answer.part(part, plan);
+    if (attempt != answered) {
+      // The caller's connection broke while the piece was written, which has ended the request.
+      return true;
+    }
     if (part.last()) {
-      attempt.detach();
-      Attempt completed = attempt;
+      answered.detach();
       attempt = null;
-      handler.attemptEnded(this, completed.originId(), null, completed.elapsedMicros());
+      handler.attemptEnded(this, answered.originId(), null, answered.elapsedMicros());
       finish(new Verdict.Completed());
     }
     return part.last() || answer.canTakeMore();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
@@ -137,7 +137,8 @@
     stage = Stage.IN_BODY;
   }
 
-  AnswerListener listener() {
+  /** Who hears of the attempt under way; null if there is none. */
+  public AnswerListener listener() {
     return listener;
   }
 
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeCallerGoneTest.java
@@ -0,0 +1,198 @@
+package io.umberpath.node.proxy.inbound;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.origin.AnswerPart;
+import io.umberpath.node.proxy.origin.AttemptLog;
+import io.umberpath.node.proxy.origin.OriginConnection;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.vavr.control.Either;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.AttributeBuilder;
+import org.glassfish.grizzly.attributes.AttributeHolder;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Method;
+import org.glassfish.grizzly.http.ProcessingState;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.memory.Buffers;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The caller's connection turns out to be broken by the very write of its answer, and the transport
+ * says so before that write returns.
+ */
+class ExchangeCallerGoneTest {
+  private static final PeerAddress ORIGIN = new PeerAddress("127.0.0.1", 9);
+  private static final long DEADLINE_MILLIS = 1_000;
+  private static final AttributeBuilder ATTRIBUTES = Grizzly.DEFAULT_ATTRIBUTE_BUILDER;
+
+  private final List<Verdict> ended = new ArrayList<>();
+  private final List<String> attemptsEnded = new ArrayList<>();
+  private final ActiveExchanges active = new ActiveExchanges();
+  private final Connection<?> origin = connection(() -> {});
+  private CallerConnection caller;
+  private final Connection<?> callersConnection = connection(() -> caller.closed());
+  private final ConnectionPool pool = new ConnectionPool(ORIGIN, this::connect, 1, () -> 0);
+  private Refusal refusalOfTheHandler;
+
+  private final RequestHandler handler =
+      new RequestHandler() {
+        @Override
+        public ProxyStats.Side side() {
+          return ProxyStats.Side.HOP;
+        }
+
+        @Override
+        public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
+          return refusalOfTheHandler == null
+              ? Either.right(new Plan())
+              : Either.left(refusalOfTheHandler);
+        }
+
+        @Override
+        public void dispatch(Exchange exchange) {
+          exchange.sendTo(pool, "backend-1");
+        }
+
+        @Override
+        public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {}
+
+        @Override
+        public String echoedId(RequestPlan plan) {
+          return null;
+        }
+
+        @Override
+        public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+          return Optional.empty();
+        }
+
+        @Override
+        public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
+          attemptsEnded.add(originId);
+        }
+
+        @Override
+        public boolean mayRetry(Exchange exchange, Verdict verdict) {
+          return false;
+        }
+
+        @Override
+        public void ended(Exchange exchange, Verdict verdict) {
+          ended.add(verdict);
+        }
+      };
+
+  private record Plan() implements RequestPlan {
+    @Override
+    public String requestId() {
+      return "request-1";
+    }
+
+    @Override
+    public String route() {
+      return "route-1";
+    }
+
+    @Override
+    public long deadlineMillis() {
+      return DEADLINE_MILLIS;
+    }
+  }
+
+  /** A request as the codec hands it over, with the answer to be filled in. */
+  private static final class ReceivedRequest extends HttpRequestPacket {
+    private final ProcessingState state = new ProcessingState();
+
+    ReceivedRequest() {
+      setMethod(Method.GET);
+      setRequestURI("/");
+      setProtocol(Protocol.HTTP_1_1);
+      setResponse(HttpResponsePacket.builder(this).build());
+      state.setKeepAlive(true);
+    }
+
+    @Override
+    public ProcessingState getProcessingState() {
+      return state;
+    }
+  }
+
+  @Test
+  void endsOnceWhenTheWriteOfTheLastPieceFindsTheCallerGone() {
+    begin();
+    HttpResponsePacket head = answerHead();
+
+    OriginConnection.of(origin)
+        .listener()
+        .onAnswerPart(new AnswerPart(head, true, Buffers.EMPTY_BUFFER, true, null));
+
+    assertThat(ended).containsExactly(new Verdict.MayHaveRun(Verdict.Reason.CANCELLED));
+    assertThat(attemptsEnded).containsExactly("backend-1");
+    assertThat(active.size()).isZero();
+  }
+
+  @Test
+  void endsOnceWhenTheWriteOfARefusalFindsTheCallerGone() {
+    refusalOfTheHandler = Refusal.notRun(Verdict.Reason.NO_ROUTE);
+
+    begin();
+
+    assertThat(ended).containsExactly(new Verdict.NotRun(Verdict.Reason.NO_ROUTE));
+    assertThat(active.size()).isZero();
+  }
+
+  private void begin() {
+    HttpRequestPacket request = new ReceivedRequest();
+    caller = new CallerConnection(callersConnection, () -> 0);
+    ExchangeEnvironment environment =
+        new ExchangeEnvironment(
+            () -> 0, ProxyStats.NONE, AttemptLog.CUT_OFF_ONLY, active, () -> Long.MAX_VALUE);
+    Exchange exchange = new Exchange(caller, request, handler, environment);
+    caller.begin(exchange, request);
+    exchange.begin(HttpContent.builder(request).content(Buffers.EMPTY_BUFFER).last(true).build());
+  }
+
+  private static HttpResponsePacket answerHead() {
+    HttpResponsePacket head = HttpResponsePacket.builder(new ReceivedRequest()).status(200).build();
+    head.setContentLengthLong(0);
+    return head;
+  }
+
+  @SuppressWarnings("rawtypes") // Grizzly's own signature
+  private void connect(PeerAddress address, CompletionHandler<Connection> opened) {
+    opened.completed(origin);
+  }
+
+  /** A connection that does nothing but run an action within each write. */
+  private static Connection<?> connection(Runnable onWrite) {
+    AttributeHolder attributes = ATTRIBUTES.createSafeAttributeHolder();
+    return (Connection<?>)
+        Proxy.newProxyInstance(
+            Connection.class.getClassLoader(),
+            new Class<?>[] {Connection.class},
+            (self, method, arguments) -> {
+              switch (method.getName()) {
+                case "write" -> onWrite.run();
+                case "getAttributes" -> {
+                  return attributes;
+                }
+                default -> {
+                  // Nothing else matters here.
+                }
+              }
+              return method.getReturnType() == boolean.class ? Boolean.TRUE : null;
+            });
+  }
+}
