Gate: what can still be in time goes first, and a wait is bounded

What can no longer be in time still went before what can, by its due time, and made that late as well. Ruled out: too few slots used (no request was refused with a slot free); the balancer alone (all gates of a service were full). Change: the queue has two parts: requests whose work fits before the target, in due order, then the others. A request that has not begun after 0.45 of the time its caller gave is refused as overloaded with a time to come back, at once if the queue says so beforehand. Retry-After is the wait behind those that are in time. The hop header carries both times. Tests: DueOrderAdmissionControllerTest (four new cases), PeerMessagesTest. The same work is done, but of requests that still count.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
@@ -9,13 +9,30 @@
  * @param route name of its route
  * @param dueMillis in how long it is due, milliseconds; what is due earlier goes first
  * @param toleratedWaitMillis expected wait beyond which to refuse rather than queue, milliseconds
+ * @param targetMillis in how long its work has to be done for its answer to be in time,
+ *     milliseconds
+ * @param startByMillis in how long it is to be refused if it has not begun, milliseconds
  */
-record HopLine(String instance, String route, long dueMillis, long toleratedWaitMillis) {
+record HopLine(
+    String instance,
+    String route,
+    long dueMillis,
+    long toleratedWaitMillis,
+    long targetMillis,
+    long startByMillis) {
   static final String HEADER = "Umberpath-Hop";
-  private static final int FIELDS = 4;
+  private static final int FIELDS = 6;
+  private static final int FIRST_TIME = 2;
 
   String encode() {
-    return instance + "," + route + "," + dueMillis + "," + toleratedWaitMillis;
+    return String.join(
+        ",",
+        instance,
+        route,
+        Long.toString(dueMillis),
+        Long.toString(toleratedWaitMillis),
+        Long.toString(targetMillis),
+        Long.toString(startByMillis));
   }
 
   static Optional<HopLine> decode(String text) {
@@ -24,8 +41,11 @@
       return Optional.empty();
     }
     try {
-      return Optional.of(
-          new HopLine(fields[0], fields[1], Long.parseLong(fields[2]), Long.parseLong(fields[3])));
+      long[] times = new long[FIELDS - FIRST_TIME];
+      for (int index = 0; index < times.length; index++) {
+        times[index] = Long.parseLong(fields[FIRST_TIME + index]);
+      }
+      return Optional.of(new HopLine(fields[0], fields[1], times[0], times[1], times[2], times[3]));
     } catch (NumberFormatException malformed) {
       return Optional.empty();
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -49,6 +49,12 @@
   /** The same for other requests, for each rank. */
   private static final double PATIENCE_PER_RANK = 0.5;
 
+  /** Share of the target latency by which the back end has to be done; the rest is the way back. */
+  private static final double WORK_SHARE_OF_TARGET = 0.92;
+
+  /** Share of the time a caller gives that its request may wait for a slot. */
+  private static final double WAIT_SHARE_OF_TIME = 0.45;
+
   /** Share of a route's target latency that a request may wait to stay in the zone. */
   private static final double STAY_SHARE = 0.5;
 
@@ -232,7 +238,9 @@
             exchange.currentOrigin(),
             plan.route(),
             dueMillis(plan, nowMillis),
-            plan.tally().toleratedWaitMillis());
+            plan.tally().toleratedWaitMillis(),
+            targetMillis(plan, nowMillis),
+            startByMillis(plan, nowMillis));
     set(outgoing, HopLine.HEADER, hop.encode());
   }
 
@@ -244,6 +252,18 @@
     return due - nowMillis;
   }
 
+  /** In how long the back end has to be done for the caller to have its answer in time. */
+  private static long targetMillis(MeshEdgePlan plan, long nowMillis) {
+    long target = Math.round(plan.rule().targetLatencyMillis() * WORK_SHARE_OF_TARGET);
+    return plan.beganMillis() + target - nowMillis;
+  }
+
+  /** In how long a request that has not begun is given up, while its caller has time to return. */
+  private static long startByMillis(MeshEdgePlan plan, long nowMillis) {
+    long longest = Math.round((plan.deadlineMillis() - plan.beganMillis()) * WAIT_SHARE_OF_TIME);
+    return plan.beganMillis() + longest - nowMillis;
+  }
+
   private static boolean mayBounce(Exchange exchange, MeshEdgePlan plan) {
     return plan.tally().bounces() < MAX_BOUNCES
         && exchange.request().getContentLength() <= MAX_BOUNCED_BYTES
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -136,9 +136,21 @@
       expectedMicros = routeTimes.expectedMicros(plan.route());
     }
     long deadline = plan.deadlineMillis() - ANSWER_MILLIS;
-    long wait = plan.hop().toleratedWaitMillis();
-    long due = plan.beganMillis() + plan.hop().dueMillis();
-    gate.ask(exchange, id -> new Ask(id, "", Tier.STANDARD, deadline, expectedMicros, wait, due));
+    HopLine hop = plan.hop();
+    long began = plan.beganMillis();
+    gate.ask(
+        exchange,
+        id ->
+            new Ask(
+                id,
+                "",
+                Tier.STANDARD,
+                deadline,
+                expectedMicros,
+                hop.toleratedWaitMillis(),
+                began + hop.dueMillis(),
+                began + hop.targetMillis(),
+                began + hop.startByMillis()));
   }
 
   @Override
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -58,13 +58,21 @@
 
   @Test
   void aHopLineIsReadAsItWasWritten() {
-    HopLine hop = new HopLine("i-7f", "r-1", 2, 150);
+    HopLine hop = new HopLine("i-7f", "r-1", 2, 150, 180, -5);
 
     assertThat(HopLine.decode(hop.encode())).contains(hop);
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"", "i-7f", "i-7f,r-1,2", ",r-1,2,150", "i-7f,r-1,x,150", "a,b,1,2,3"})
+  @ValueSource(
+      strings = {
+        "",
+        "i-7f",
+        "i-7f,r-1,2,150,180",
+        ",r-1,2,150,180,-5",
+        "i-7f,r-1,x,150,180,-5",
+        "a,b,1,2,3,4,5"
+      })
   void whatIsNoHopLineIsNone(String text) {
     assertThat(HopLine.decode(text)).isEmpty();
   }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -19,6 +19,9 @@
    * @param expectedMicros how long it is expected to hold its slot, microseconds; 0 if not known
    * @param toleratedWaitMillis expected wait beyond which it is refused rather than queued
    * @param dueMillis what is due earlier goes first, where requests are taken in that order
+   * @param targetMillis when its work has to be done for its answer to be in time, on the same
+   *     clock; what can still be in time goes before what cannot
+   * @param startByMillis when it is refused if it has not begun, on the same clock
    */
   record Ask(
       long id,
@@ -27,11 +30,34 @@
       long deadlineMillis,
       long expectedMicros,
       long toleratedWaitMillis,
-      long dueMillis) {
+      long dueMillis,
+      long targetMillis,
+      long startByMillis) {
     /** One of which nothing is expected and that waits as long as its deadline allows. */
     public Ask(long id, String tenant, Tier tier, long deadlineMillis) {
       this(id, tenant, tier, deadlineMillis, 0, Long.MAX_VALUE, deadlineMillis);
     }
+
+    /** One that is in time, and may begin, until its deadline. */
+    public Ask(
+        long id,
+        String tenant,
+        Tier tier,
+        long deadlineMillis,
+        long expectedMicros,
+        long toleratedWaitMillis,
+        long dueMillis) {
+      this(
+          id,
+          tenant,
+          tier,
+          deadlineMillis,
+          expectedMicros,
+          toleratedWaitMillis,
+          dueMillis,
+          deadlineMillis,
+          deadlineMillis);
+    }
   }
 
   /** What becomes of a request. */
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -10,9 +10,10 @@
 import java.util.TreeSet;
 
 /**
- * Slots with a bounded queue in the order requests are due. Since what is due moves on with time,
- * nothing starves: a request that has waited long is due before all that come later. Owner
- * synchronizes.
+ * Slots with a bounded queue. Requests that can still be answered within their target latency go
+ * first, in the order they are due; those that can not are served from what is left over, and
+ * refused once they have waited too long. So an overload makes some requests late or refused, not
+ * all of them late. Owner synchronizes.
  *
  * <p>Invariant: a request waits only while every slot is taken.
  */
@@ -23,7 +24,8 @@
 
   private final AdmissionSettings settings;
   private final ServiceTimeEstimate service;
-  private final TreeSet<Ask> queue = new TreeSet<>(DUE_FIRST);
+  private final TreeSet<Ask> timely = new TreeSet<>(DUE_FIRST);
+  private final TreeSet<Ask> late = new TreeSet<>(DUE_FIRST);
   private final Set<Long> running = new HashSet<>();
   private int slots;
   private boolean draining;
@@ -46,12 +48,17 @@
       running.add(ask.id());
       return List.of(new Decision.Admitted(ask.id()));
     }
-    double waitMillis = waitMillis(queue.headSet(ask).size());
+    demote(nowMillis);
+    double waitMillis = waitMillis(timely.headSet(ask).size());
+    boolean isTimely = canBeTimely(nowMillis, ask, waitMillis);
+    if (!isTimely) {
+      waitMillis = waitMillis(timely.size() + late.headSet(ask).size());
+    }
     boolean tooLong = waitMillis > ask.toleratedWaitMillis();
-    if (tooLong || queue.size() >= settings.queueLimit() || !canBeMet(nowMillis, ask, waitMillis)) {
+    if (tooLong || queued() >= settings.queueLimit() || !canBegin(nowMillis, ask, waitMillis)) {
       return List.of(overloaded(ask));
     }
-    queue.add(ask);
+    (isTimely ? timely : late).add(ask);
     return List.of(new Decision.Queued(ask.id()));
   }
 
@@ -68,18 +75,19 @@
 
   @Override
   public List<Decision> cancel(long nowMillis, long id) {
-    boolean waited = queue.removeIf(ask -> ask.id() == id);
+    boolean waited = timely.removeIf(ask -> ask.id() == id) || late.removeIf(ask -> ask.id() == id);
     return waited ? List.of(new Decision.Refused(id, Reason.CANCELLED, 0)) : List.of();
   }
 
   @Override
   public List<Decision> tick(long nowMillis) {
+    demote(nowMillis);
     List<Decision> decisions = new ArrayList<>();
-    for (Iterator<Ask> waiting = queue.iterator(); waiting.hasNext(); ) {
+    for (Iterator<Ask> waiting = late.iterator(); waiting.hasNext(); ) {
       Ask ask = waiting.next();
-      if (!canBeMet(nowMillis, ask, 0)) {
+      if (!canBegin(nowMillis, ask, 0)) {
         waiting.remove();
-        decisions.add(new Decision.Refused(ask.id(), Reason.DEADLINE, 0));
+        decisions.add(tooLate(nowMillis, ask));
       }
     }
     return decisions;
@@ -89,10 +97,10 @@
   public List<Decision> drain(long nowMillis) {
     draining = true;
     List<Decision> decisions = new ArrayList<>();
-    for (Ask ask : queue) {
-      decisions.add(new Decision.Refused(ask.id(), Reason.DRAINING, 0));
+    for (TreeSet<Ask> queue : List.of(timely, late)) {
+      queue.forEach(ask -> decisions.add(new Decision.Refused(ask.id(), Reason.DRAINING, 0)));
+      queue.clear();
     }
-    queue.clear();
     return decisions;
   }
 
@@ -110,7 +118,7 @@
 
   @Override
   public int queued() {
-    return queue.size();
+    return timely.size() + late.size();
   }
 
   @Override
@@ -119,22 +127,50 @@
   }
 
   private List<Decision> dispatch(long nowMillis) {
+    demote(nowMillis);
     List<Decision> decisions = new ArrayList<>();
-    while (running.size() < slots && !queue.isEmpty()) {
-      Ask next = queue.pollFirst();
-      if (canBeMet(nowMillis, next, 0)) {
+    while (running.size() < slots && queued() > 0) {
+      Ask next = timely.isEmpty() ? late.pollFirst() : timely.pollFirst();
+      if (canBegin(nowMillis, next, 0)) {
         running.add(next.id());
         decisions.add(new Decision.Admitted(next.id()));
       } else {
-        decisions.add(new Decision.Refused(next.id(), Reason.DEADLINE, 0));
+        decisions.add(tooLate(nowMillis, next));
       }
     }
     return decisions;
   }
 
-  private boolean canBeMet(long nowMillis, Ask ask, double waitMillis) {
-    double needed = waitMillis + ask.expectedMicros() / MICROS_PER_MILLI;
-    return nowMillis < ask.deadlineMillis() && nowMillis + needed <= ask.deadlineMillis();
+  /** Those that can no longer be in time go behind the others. */
+  private void demote(long nowMillis) {
+    for (Iterator<Ask> waiting = timely.iterator(); waiting.hasNext(); ) {
+      Ask ask = waiting.next();
+      if (!canBeTimely(nowMillis, ask, 0)) {
+        waiting.remove();
+        late.add(ask);
+      }
+    }
+  }
+
+  private static boolean canBeTimely(long nowMillis, Ask ask, double waitMillis) {
+    return nowMillis + waitMillis + expectedMillis(ask) <= ask.targetMillis();
+  }
+
+  private static boolean canBegin(long nowMillis, Ask ask, double waitMillis) {
+    double beginMillis = nowMillis + waitMillis;
+    return nowMillis < ask.deadlineMillis()
+        && beginMillis <= ask.startByMillis()
+        && beginMillis + expectedMillis(ask) <= ask.deadlineMillis();
+  }
+
+  private static double expectedMillis(Ask ask) {
+    return ask.expectedMicros() / MICROS_PER_MILLI;
+  }
+
+  /** One that has waited too long: coming back makes sense only if its work still fits. */
+  private Decision tooLate(long nowMillis, Ask ask) {
+    boolean fits = nowMillis + expectedMillis(ask) < ask.deadlineMillis();
+    return fits ? overloaded(ask) : new Decision.Refused(ask.id(), Reason.DEADLINE, 0);
   }
 
   /** Expected wait behind so many, and one running to end. */
@@ -144,7 +180,7 @@
 
   private Decision overloaded(Ask ask) {
     long retryAfter =
-        Math.max(settings.minRetryAfterMillis(), Math.round(waitMillis(queue.size())));
+        Math.max(settings.minRetryAfterMillis(), Math.round(waitMillis(timely.size())));
     return new Decision.Refused(
         ask.id(), Reason.OVERLOADED, Math.min(settings.maxRetryAfterMillis(), retryAfter));
   }
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
@@ -76,6 +76,50 @@
     assertThat(controller.queued()).isZero();
   }
 
+  /** One that takes 10 ms and is in time if its work is done at a given moment. */
+  private static Ask withTarget(long id, long dueMillis, long targetMillis, long startByMillis) {
+    return new Ask(id, "", Tier.STANDARD, FAR, 10_000, FAR, dueMillis, targetMillis, startByMillis);
+  }
+
+  @Test
+  void whatCanBeInTimeGoesBeforeWhatCannot() {
+    fillSlots();
+    controller.ask(0, withTarget(1, 10, 30, 500));
+    controller.ask(0, withTarget(2, 90, 100, 500));
+
+    assertThat(controller.release(25, -1, 10_000)).containsExactly(new Admitted(2));
+    assertThat(controller.release(25, -2, 10_000)).containsExactly(new Admitted(1));
+  }
+
+  @Test
+  void whatComesTooLateToBeInTimeWaitsBehindTheOthers() {
+    fillSlots();
+    controller.ask(0, withTarget(1, 10, 12, 500));
+    controller.ask(0, withTarget(2, 90, 100, 500));
+
+    assertThat(controller.release(5, -1, 10_000)).containsExactly(new Admitted(2));
+  }
+
+  @Test
+  void whatHasWaitedTooLongIsRefusedWithATimeToComeBack() {
+    fillSlots();
+    controller.ask(0, withTarget(1, 10, 30, 50));
+
+    assertThat(controller.tick(50)).isEmpty();
+    assertThat(controller.tick(51)).containsExactly(new Refused(1, Reason.OVERLOADED, 20));
+    assertThat(controller.queued()).isZero();
+  }
+
+  @Test
+  void whatWouldWaitTooLongIsRefusedAtOnce() {
+    fillSlots();
+    for (int id = 1; id <= 4; id++) {
+      controller.ask(0, withTarget(id, 10, 200, 500));
+    }
+
+    assertThat(controller.ask(0, withTarget(5, 90, 200, 20)).get(0)).isInstanceOf(Refused.class);
+  }
+
   @Test
   void theQueueIsBounded() {
     fillSlots();
@@ -105,6 +149,13 @@
     assertThat(controller.running()).isEqualTo(2);
   }
 
+  private static Ask randomAsk(SplittableRandom random, long id, long due) {
+    int expectedMicros = random.nextInt(50_000);
+    long target = due + random.nextInt(100);
+    long startBy = due + random.nextInt(100);
+    return new Ask(id, "", Tier.BASIC, due + 100, expectedMicros, 200, due, target, startBy);
+  }
+
   /** Random asks, ends and cancellations: never more than the slots, each decided once. */
   @Test
   void everyAskIsDecidedOnceAndSlotsAreNeverExceeded() {
@@ -118,9 +169,7 @@
         long id = nextId++;
         waiting.add(id);
         long due = now + random.nextInt(500);
-        decisions =
-            controller.ask(
-                now, new Ask(id, "", Tier.BASIC, due + 100, random.nextInt(50_000), 200, due));
+        decisions = controller.ask(now, randomAsk(random, id, due));
       } else {
         long id = running.iterator().next();
         running.remove(id);
