Balancer: least expected loss instead of least time; another zone costs by its bytes

Ruled out: stale figures of other zones as the only reason (the near back end's own wait was known exactly). RouteTimes became RouteMeans, for times and sizes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -17,6 +17,7 @@
 import io.umberpath.traffic.routing.GateBalancer;
 import io.umberpath.traffic.routing.GateLoad;
 import io.umberpath.traffic.routing.RetryWindow;
+import io.umberpath.traffic.routing.RouteMeans;
 import io.umberpath.traffic.routing.WeightedSplit;
 import io.vavr.control.Either;
 import java.util.List;
@@ -55,11 +56,17 @@
   /** Share of the time a caller gives that its request may wait for a slot. */
   private static final double WAIT_SHARE_OF_TIME = 0.45;
 
-  /** Share of a route's target latency that a request may wait to stay in the zone. */
-  private static final double STAY_SHARE = 0.5;
+  /** Share of a request's worth that each byte to and from another zone costs. */
+  private static final double LOSS_PER_OTHER_ZONE_BYTE = 4.5e-5;
 
-  /** Body from which on a request may wait the whole target latency to stay in the zone. */
-  private static final long LARGE_BODY_BYTES = 32 * 1024;
+  /** Most that a request is thought to lose by its bytes: it may still be worth more elsewhere. */
+  private static final double MAX_OTHER_ZONE_LOSS = 0.8;
+
+  /** Heads of request and answer between two nodes, bytes. */
+  private static final long HEAD_BYTES = 700;
+
+  /** Body assumed where a request does not state its length, bytes. */
+  private static final long UNSTATED_BODY_BYTES = 8 * 1024;
 
   /** Time a further attempt needs at least, milliseconds. */
   private static final long MIN_REMAINING_MILLIS = 15;
@@ -76,6 +83,7 @@
   private final LongSupplier clockMillis;
   private final WeightedSplit split = new WeightedSplit();
   private final RetryWindow retries;
+  private final RouteMeans answerBytes = new RouteMeans(1);
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
   private volatile boolean leaving;
@@ -190,13 +198,13 @@
     Set<String> silent = peers.silentBackends(candidates);
     boolean mayBounce = mayBounce(exchange, plan);
     Set<String> leftOut = plan.tally().leftOut(mayBounce);
-    double zoneMillis = otherZoneMillis(exchange, plan);
+    GateBalancer.Need need = need(exchange, plan, now);
     Optional<GateBalancer.Choice> choice;
     synchronized (balancer) {
-      choice = balancer.pick(now, candidates, zoneMillis, leftOut, silent);
+      choice = balancer.pick(now, candidates, need, leftOut, silent);
       if (choice.isEmpty()) {
         Set<String> failed = plan.tally().leftOut(false);
-        choice = balancer.pick(now, candidates, zoneMillis, failed, silent);
+        choice = balancer.pick(now, candidates, need, failed, silent);
       }
       choice.ifPresent(chosen -> balancer.started(now, chosen.backend().id()));
     }
@@ -215,11 +223,15 @@
     }
   }
 
-  /** Wait worth bearing to stay in the zone: other zones cost bytes, and more with a large body. */
-  private static double otherZoneMillis(Exchange exchange, MeshEdgePlan plan) {
-    double bodyShare = exchange.request().getContentLength() / (double) LARGE_BODY_BYTES;
-    double share = STAY_SHARE + Math.max(0, Math.min(1, bodyShare)) * (1 - STAY_SHARE);
-    return share * plan.rule().targetLatencyMillis();
+  private GateBalancer.Need need(Exchange exchange, MeshEdgePlan plan, long nowMillis) {
+    HttpRequestPacket request = exchange.request();
+    long stated = request.isChunked() ? UNSTATED_BODY_BYTES : request.getContentLength();
+    long bytes = HEAD_BYTES + Math.max(0, stated);
+    synchronized (answerBytes) {
+      bytes += answerBytes.expected(plan.route());
+    }
+    double loss = Math.min(MAX_OTHER_ZONE_LOSS, bytes * LOSS_PER_OTHER_ZONE_BYTE);
+    return new GateBalancer.Need(targetMillis(plan, nowMillis), loss);
   }
 
   private static Refusal nobody() {
@@ -288,6 +300,9 @@
       return VerdictHeader.parse(verdict)
           .map(each -> new Refusal(each, Headers.retryAfterMillis(head), true));
     }
+    synchronized (answerBytes) {
+      answerBytes.add(plan.route(), Math.max(0, head.getContentLength()));
+    }
     boolean own = plan.requestId().equals(head.getHeader(settings.headers().requestId()));
     return own ? Optional.empty() : Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -14,7 +14,7 @@
 import io.umberpath.traffic.AdmissionController;
 import io.umberpath.traffic.AdmissionController.Ask;
 import io.umberpath.traffic.routing.GateLoad;
-import io.umberpath.traffic.routing.RouteTimes;
+import io.umberpath.traffic.routing.RouteMeans;
 import io.umberpath.traffic.routing.Slowness;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -40,13 +40,16 @@
   /** Time an answer takes back to the caller at least, milliseconds. */
   private static final long ANSWER_MILLIS = 8;
 
+  /** Requests of a route after which its mean time is believed. */
+  private static final int MIN_TIME_SAMPLES = 5;
+
   private final MeshSettings settings;
   private final ConnectionPool pool;
   private final SlotGate gate;
   private final LocalBackend backend;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
-  private final RouteTimes routeTimes = new RouteTimes();
+  private final RouteMeans routeTimes = new RouteMeans(MIN_TIME_SAMPLES);
   private volatile double slowness = 1;
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
@@ -88,7 +91,7 @@
     for (Exchange exchange : gate.runningExchanges()) {
       long expected;
       synchronized (routeTimes) {
-        expected = routeTimes.expectedMicros(planOf(exchange).route());
+        expected = routeTimes.expected(planOf(exchange).route());
       }
       running.add(new Slowness.Running(exchange.sinceSentMicros(), expected));
     }
@@ -133,7 +136,7 @@
     }
     long expectedMicros;
     synchronized (routeTimes) {
-      expectedMicros = routeTimes.expectedMicros(plan.route());
+      expectedMicros = routeTimes.expected(plan.route());
     }
     long deadline = plan.deadlineMillis() - ANSWER_MILLIS;
     HopLine hop = plan.hop();
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
@@ -10,9 +10,10 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * Chooses among the back ends of a service by least expected time to an answer: the wait that the
- * gate beside each stated, carried on by this node's own sends since, and its service time. Owner
- * synchronizes.
+ * Chooses among the back ends of a service by least expected loss: how likely an answer from there
+ * is late, and what its bytes cost in another zone. The expected time to an answer is the wait that
+ * the gate beside each stated, carried on by this node's own sends since, and its service time.
+ * Owner synchronizes.
  */
 public final class GateBalancer {
   /**
@@ -27,13 +28,47 @@
   /** Tolerated wait where nothing else is left. */
   public static final long ANY_WAIT_MILLIS = Integer.MAX_VALUE;
 
+  /**
+   * What a request needs.
+   *
+   * @param targetMillis time left within which its answer has full worth, milliseconds
+   * @param otherZoneLoss what an answer from another zone costs, as a share of its worth
+   */
+  public record Need(double targetMillis, double otherZoneLoss) {
+    /** Shortest time that is reckoned with, milliseconds: none is hopeless everywhere. */
+    private static final double MIN_TARGET_MILLIS = 10;
+
+    /** Takes a target that has passed for a short one. */
+    public Need {
+      targetMillis = Math.max(MIN_TARGET_MILLIS, targetMillis);
+    }
+
+    /** Share of the worth that an answer expected after so long is likely to lose. */
+    private double lateLoss(double millis) {
+      double share = Math.pow(millis / targetMillis, LATENESS_STEEPNESS);
+      return share / (1 + share);
+    }
+
+    /** The expected time that makes for such a loss; the reverse of {@link #lateLoss}. */
+    private double millisOfLoss(double loss) {
+      if (loss >= 1) {
+        return ANY_WAIT_MILLIS;
+      }
+      double share = Math.max(0, loss) / (1 - Math.max(0, loss));
+      return targetMillis * Math.pow(share, 1 / LATENESS_STEEPNESS);
+    }
+  }
+
+  /** How steeply the likelihood of a late answer rises around the target. */
+  private static final double LATENESS_STEEPNESS = 4;
+
   private static final double UNKNOWN_SERVICE_MILLIS = 60;
   private static final double COLD_FACTOR = 2;
 
   /** Weight of how full a back end is while it still has a free slot. */
   private static final double FULLNESS_WEIGHT = 0.4;
 
-  /** Share of the cost that is drawn at random, so that nodes with equal views part. */
+  /** Share of the expected time that is drawn at random, so that nodes with equal views part. */
   private static final double SPREAD = 0.15;
 
   /** Choice is made among this many at most, so that its cost does not grow with the service. */
@@ -77,7 +112,7 @@
    * Picks a back end.
    *
    * @param candidates those of the service that take new work
-   * @param otherZoneMillis wait that is worth bearing to stay in the zone, milliseconds
+   * @param need what the request needs
    * @param excluded ids not to pick
    * @param silent ids whose node has not been heard of for too long; picked only if nothing else is
    *     left
@@ -85,12 +120,12 @@
   public Optional<Choice> pick(
       long nowMillis,
       List<BackendEntry> candidates,
-      double otherZoneMillis,
+      Need need,
       Set<String> excluded,
       Set<String> silent) {
     BackendEntry best = null;
-    double bestCost = Double.MAX_VALUE;
-    double secondCost = Double.MAX_VALUE;
+    double bestLoss = Double.MAX_VALUE;
+    double secondLoss = Double.MAX_VALUE;
     double mean = meanServiceMillis(candidates);
     int first =
         candidates.size() <= MAX_CANDIDATES
@@ -102,26 +137,31 @@
       if (excluded.contains(candidate.id()) || silent.contains(candidate.id())) {
         continue;
       }
-      double distance = candidate.zone().equals(zone) ? 0 : otherZoneMillis;
-      double cost = cost(nowMillis, candidate, mean) + distance;
-      if (cost < bestCost) {
+      double loss =
+          need.lateLoss(expectedMillis(nowMillis, candidate, mean)) + distance(candidate, need);
+      if (loss < bestLoss) {
         best = candidate;
-        secondCost = bestCost;
-        bestCost = cost;
-      } else if (cost < secondCost) {
-        secondCost = cost;
+        secondLoss = bestLoss;
+        bestLoss = loss;
+      } else if (loss < secondLoss) {
+        secondLoss = loss;
       }
     }
-    return best == null ? Optional.empty() : Optional.of(choice(best, mean, secondCost));
+    return best == null ? Optional.empty() : Optional.of(choice(best, need, mean, secondLoss));
+  }
+
+  private double distance(BackendEntry candidate, Need need) {
+    return candidate.zone().equals(zone) ? 0 : need.otherZoneLoss();
   }
 
-  private Choice choice(BackendEntry best, double meanServiceMillis, double secondCost) {
-    if (secondCost == Double.MAX_VALUE) {
+  private Choice choice(BackendEntry best, Need need, double meanServiceMillis, double secondLoss) {
+    if (secondLoss == Double.MAX_VALUE) {
       return new Choice(best, ANY_WAIT_MILLIS);
     }
     double known = views.get(best.id()).serviceMillis;
     double service = known > 0 ? known : meanServiceMillis;
-    return new Choice(best, Math.max(0, Math.round(secondCost - service)));
+    double worthwhile = need.millisOfLoss(secondLoss - distance(best, need));
+    return new Choice(best, Math.max(0, Math.round(worthwhile - service)));
   }
 
   private double meanServiceMillis(List<BackendEntry> candidates) {
@@ -137,7 +177,7 @@
     return known == 0 ? UNKNOWN_SERVICE_MILLIS : sum / known;
   }
 
-  private double cost(long nowMillis, BackendEntry candidate, double meanServiceMillis) {
+  private double expectedMillis(long nowMillis, BackendEntry candidate, double meanServiceMillis) {
     View view = view(nowMillis, candidate.id());
     view.slots = Math.max(view.slots, candidate.slots());
     double service = view.serviceMillis > 0 ? view.serviceMillis : meanServiceMillis;
@@ -149,8 +189,8 @@
     double wait = ahead * service / view.slots;
     double fullness = FULLNESS_WEIGHT * service * Math.min(1, outstanding / view.slots);
     double avoided = Math.max(0, view.avoidUntilMillis - nowMillis);
-    double cost = service + wait + fullness + avoided;
-    return cost * (1 + SPREAD * random.getAsDouble());
+    double expected = service + wait + fullness + avoided;
+    return expected * (1 + SPREAD * random.getAsDouble());
   }
 
   /** A request was sent towards the back end. */
--- /dev/null
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/RouteMeans.java
@@ -0,0 +1,44 @@
+package io.umberpath.traffic.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Moving means of one figure, such as a time or a size, for each route. Owner synchronizes. */
+public final class RouteMeans {
+  private static final double SAMPLE_WEIGHT = 0.1;
+  private static final int MAX_ROUTES = 4_096;
+
+  private static final class Mean {
+    private double value;
+    private int samples;
+  }
+
+  private final int minSamples;
+  private final Map<String, Mean> byRoute = new HashMap<>();
+
+  /**
+   * Creates one that knows nothing.
+   *
+   * @param minSamples samples before a mean is believed, at least 1
+   */
+  public RouteMeans(int minSamples) {
+    this.minSamples = minSamples;
+  }
+
+  /** Adds a sample. */
+  public void add(String route, long value) {
+    if (byRoute.size() >= MAX_ROUTES && !byRoute.containsKey(route)) {
+      byRoute.clear();
+    }
+    Mean mean = byRoute.computeIfAbsent(route, absent -> new Mean());
+    mean.samples++;
+    double weight = Math.max(SAMPLE_WEIGHT, 1.0 / mean.samples);
+    mean.value += weight * (value - mean.value);
+  }
+
+  /** The expected value; 0 if too little is known. */
+  public long expected(String route) {
+    Mean mean = byRoute.get(route);
+    return mean == null || mean.samples < minSamples ? 0 : Math.round(mean.value);
+  }
+}
