Gate: a start of the back end that has ended gets nothing more though its entry stands

Cause: after a herd's death a back end's old entry stays in the store for up to three heartbeats. Each node went on to send to it; each such request reached the back end, was answered 421 and counted as an arrival against the attempts and the retry budget. Ruled out: hiding the older of two entries of one address by their revisions: a heartbeat written late by the old process would hide the new one. Change: a 421 that names another start than the one asked for ends that start at the node beside it, which refuses from then on before the back end is asked ("not run", draining).

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/HeaderNames.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/HeaderNames.java
@@ -8,10 +8,12 @@
  * @param expectedInstance the only back end that may run the request
  * @param callerService service beside the node where the request began
  * @param notExecuted on an answer: the back end did not run the request
+ * @param instance on an answer: the back end that gave it
  */
 public record HeaderNames(
     String requestId,
     String deadline,
     String expectedInstance,
     String callerService,
-    String notExecuted) {}
+    String notExecuted,
+    String instance) {}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -14,6 +14,7 @@
   private final MeshSettings settings;
   private final Supplier<MeshView> view;
   private final Set<String> known = ConcurrentHashMap.newKeySet();
+  private final Set<String> ended = ConcurrentHashMap.newKeySet();
   private volatile boolean leaving;
   private volatile int slots = DEFAULT_SLOTS;
 
@@ -42,9 +43,16 @@
     return changed;
   }
 
+  /** Asked for one start of the back end, another one has answered; so the first has ended. */
+  void isAnother(String asked, String answered) {
+    if (!asked.equals(answered)) {
+      ended.add(asked);
+    }
+  }
+
   /** Whether new work for that start of the back end is to be passed on. */
   boolean takes(String instance) {
-    if (leaving) {
+    if (leaving || ended.contains(instance)) {
       return false;
     }
     Optional<BackendEntry> entry = view.get().backends().byId(instance);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -183,6 +183,10 @@
     if (answered != null && !answered.equals(plan.requestId())) {
       return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
     }
+    String instance = head.getHeader(names.instance());
+    if (head.getStatus() == MISDIRECTED && instance != null) {
+      backend.isAnother(plan.instance(), instance);
+    }
     boolean notExecuted = head.getHeader(names.notExecuted()) != null;
     if (notExecuted || head.getStatus() == MISDIRECTED) {
       return Optional.of(new Refusal(new Verdict.NotRun(Verdict.Reason.REJECTED), 0, true));
