Balancer: a route's own time at each back end instead of the mean of its mix

A gate stated one mean of all it served. A back end that got the long reads (880 ms) looked 20 times slower for a short call (55 ms) than one that happened to get short calls, which drew still more of them: near back ends at 886 ms, far ones at 43 ms, of speeds that differ by 2.3 at most. Ruled out: the zone's weight (0.8 for uploads was outweighed by a certain miss); waits (no queue on these lines). Change: each answer carries the mean time of its route at that back end; the balancer expects that, or the mean of the route times how fast the back end is on other routes. A slow turn is stated as a factor of its own, so that it applies to every route. Tests: GateBalancerTest (three new cases, the first fails with the mean of the mix), GateLoadTest, PeerMessagesTest.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -231,7 +231,7 @@
       bytes += answerBytes.expected(plan.route());
     }
     double loss = Math.min(MAX_OTHER_ZONE_LOSS, bytes * LOSS_PER_OTHER_ZONE_BYTE);
-    return new GateBalancer.Need(targetMillis(plan, nowMillis), loss);
+    return new GateBalancer.Need(plan.route(), targetMillis(plan, nowMillis), loss);
   }
 
   private static Refusal nobody() {
@@ -293,8 +293,8 @@
 
   @Override
   public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
-    stated(exchange.currentOrigin(), head);
     MeshEdgePlan plan = planOf(exchange);
+    stated(exchange.currentOrigin(), plan.route(), head);
     String verdict = head.getHeader(ProxyHeaders.VERDICT);
     if (verdict != null) {
       return VerdictHeader.parse(verdict)
@@ -307,12 +307,13 @@
     return own ? Optional.empty() : Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
   }
 
-  private void stated(String backend, HttpResponsePacket head) {
+  private void stated(String backend, String route, HttpResponsePacket head) {
     String text = head.getHeader(MeshGateHandler.LOAD_HEADER);
     GateLoad load = text == null ? null : GateLoad.decode(text);
     if (load != null) {
       synchronized (balancer) {
         balancer.stated(clockMillis.getAsLong(), backend, load);
+        balancer.answered(backend, route, load.routeMicros());
       }
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -89,10 +89,7 @@
     gate.tick(nowMillis);
     List<Slowness.Running> running = new ArrayList<>();
     for (Exchange exchange : gate.runningExchanges()) {
-      long expected;
-      synchronized (routeTimes) {
-        expected = routeTimes.expected(planOf(exchange).route());
-      }
+      long expected = expectedMicros(planOf(exchange).route());
       running.add(new Slowness.Running(exchange.sinceSentMicros(), expected));
     }
     slowness = Slowness.of(running);
@@ -100,8 +97,20 @@
 
   /** What this node states of its back end. */
   GateLoad load() {
-    long serviceMicros = Math.round(gate.meanServiceMicros() * slowness);
-    return new GateLoad(gate.running(), gate.queued(), backend.slots(), serviceMicros);
+    int slownessPercent = (int) Math.round(slowness * GateLoad.USUAL_PERCENT);
+    return new GateLoad(
+        gate.running(),
+        gate.queued(),
+        backend.slots(),
+        gate.meanServiceMicros(),
+        slownessPercent,
+        0);
+  }
+
+  private long expectedMicros(String route) {
+    synchronized (routeTimes) {
+      return routeTimes.expected(route);
+    }
   }
 
   @Override
@@ -134,10 +143,7 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return;
     }
-    long expectedMicros;
-    synchronized (routeTimes) {
-      expectedMicros = routeTimes.expected(plan.route());
-    }
+    long expectedMicros = expectedMicros(plan.route());
     long deadline = plan.deadlineMillis() - ANSWER_MILLIS;
     HopLine hop = plan.hop();
     long began = plan.beganMillis();
@@ -172,7 +178,8 @@
 
   @Override
   public void addAnswerHeaders(RequestPlan plan, HttpResponsePacket answer) {
-    answer.getHeaders().setValue(LOAD_HEADER).setString(load().encode());
+    GateLoad load = plan == null ? load() : load().withRoute(expectedMicros(plan.route()));
+    answer.getHeaders().setValue(LOAD_HEADER).setString(load.encode());
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
@@ -28,6 +28,7 @@
       out.writeNumber(load.queued());
       out.writeNumber(load.slots());
       out.writeNumber(load.serviceMicros());
+      out.writeNumber(load.slownessPercent());
       out.writeBoolean(leaving);
       out.writeNumber(version);
       out.writeNumber(revision);
@@ -48,9 +49,12 @@
       if (in.nextToken() != JsonToken.START_ARRAY) {
         throw new IOException("report is not a list");
       }
-      GateLoad load =
-          new GateLoad(
-              (int) number(in), (int) number(in), Math.max(1, (int) number(in)), number(in));
+      int running = (int) number(in);
+      int queued = (int) number(in);
+      int slots = Math.max(1, (int) number(in));
+      long serviceMicros = number(in);
+      int slowness = Math.max(GateLoad.USUAL_PERCENT, (int) number(in));
+      GateLoad load = new GateLoad(running, queued, slots, serviceMicros, slowness, 0);
       Boolean leaving = in.nextBooleanValue();
       return new PeerReport(load, Boolean.TRUE.equals(leaving), number(in), number(in));
     }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -17,7 +17,8 @@
 final class PeerMessagesTest {
   @Test
   void aReportIsReadAsItWasWritten() throws IOException {
-    PeerReport report = new PeerReport(new GateLoad(5, 2, 6, 61_000), true, 42, 1_000_000_007);
+    PeerReport report =
+        new PeerReport(new GateLoad(5, 2, 6, 61_000, 400, 0), true, 42, 1_000_000_007);
 
     byte[] bytes = report.encode();
 
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
@@ -12,8 +12,9 @@
 /**
  * Chooses among the back ends of a service by least expected loss: how likely an answer from there
  * is late, and what its bytes cost in another zone. The expected time to an answer is the wait that
- * the gate beside each stated, carried on by this node's own sends since, and its service time.
- * Owner synchronizes.
+ * the gate beside each stated, carried on by this node's own sends since, and the time its work
+ * takes there. That is the route's own mean at that back end: the mean of all that a back end does
+ * depends on which routes it happens to serve. Owner synchronizes.
  */
 public final class GateBalancer {
   /**
@@ -31,10 +32,11 @@
   /**
    * What a request needs.
    *
+   * @param route name of its route
    * @param targetMillis time left within which its answer has full worth, milliseconds
    * @param otherZoneLoss what an answer from another zone costs, as a share of its worth
    */
-  public record Need(double targetMillis, double otherZoneLoss) {
+  public record Need(String route, double targetMillis, double otherZoneLoss) {
     /** Shortest time that is reckoned with, milliseconds: none is hopeless everywhere. */
     private static final double MIN_TARGET_MILLIS = 10;
 
@@ -62,6 +64,14 @@
   /** How steeply the likelihood of a late answer rises around the target. */
   private static final double LATENESS_STEEPNESS = 4;
 
+  private static final double MICROS_PER_MILLI = 1_000;
+
+  /** Routes remembered of one back end. */
+  private static final int MAX_ROUTES = 1_024;
+
+  /** Weight of one answer in how fast a back end is taken to be. */
+  private static final double RATIO_SAMPLE_WEIGHT = 0.2;
+
   private static final double UNKNOWN_SERVICE_MILLIS = 60;
   private static final double COLD_FACTOR = 2;
 
@@ -84,6 +94,9 @@
     private int own;
     private int slots = 1;
     private double serviceMillis;
+    private final Map<String, Double> routeMillis = new HashMap<>();
+    private double speedRatio = 1;
+    private double slowness = 1;
     private long avoidUntilMillis;
     private long touchedMillis;
 
@@ -96,6 +109,7 @@
   private final String zone;
   private final DoubleSupplier random;
   private final Map<String, View> views = new HashMap<>();
+  private final RouteMeans routeTimes = new RouteMeans(1);
 
   /**
    * Creates one that knows nothing.
@@ -127,6 +141,7 @@
     double bestLoss = Double.MAX_VALUE;
     double secondLoss = Double.MAX_VALUE;
     double mean = meanServiceMillis(candidates);
+    double usual = usualMillis(candidates, need.route(), mean);
     int first =
         candidates.size() <= MAX_CANDIDATES
             ? 0
@@ -138,7 +153,8 @@
         continue;
       }
       double loss =
-          need.lateLoss(expectedMillis(nowMillis, candidate, mean)) + distance(candidate, need);
+          need.lateLoss(expectedMillis(nowMillis, candidate, need.route(), usual, mean))
+              + distance(candidate, need);
       if (loss < bestLoss) {
         best = candidate;
         secondLoss = bestLoss;
@@ -147,19 +163,18 @@
         secondLoss = loss;
       }
     }
-    return best == null ? Optional.empty() : Optional.of(choice(best, need, mean, secondLoss));
+    return best == null ? Optional.empty() : Optional.of(choice(best, need, usual, secondLoss));
   }
 
   private double distance(BackendEntry candidate, Need need) {
     return candidate.zone().equals(zone) ? 0 : need.otherZoneLoss();
   }
 
-  private Choice choice(BackendEntry best, Need need, double meanServiceMillis, double secondLoss) {
+  private Choice choice(BackendEntry best, Need need, double usualMillis, double secondLoss) {
     if (secondLoss == Double.MAX_VALUE) {
       return new Choice(best, ANY_WAIT_MILLIS);
     }
-    double known = views.get(best.id()).serviceMillis;
-    double service = known > 0 ? known : meanServiceMillis;
+    double service = workMillis(views.get(best.id()), need.route(), usualMillis);
     double worthwhile = need.millisOfLoss(secondLoss - distance(best, need));
     return new Choice(best, Math.max(0, Math.round(worthwhile - service)));
   }
@@ -177,22 +192,50 @@
     return known == 0 ? UNKNOWN_SERVICE_MILLIS : sum / known;
   }
 
-  private double expectedMillis(long nowMillis, BackendEntry candidate, double meanServiceMillis) {
+  private double expectedMillis(
+      long nowMillis,
+      BackendEntry candidate,
+      String route,
+      double usualMillis,
+      double meanServiceMillis) {
     View view = view(nowMillis, candidate.id());
     view.slots = Math.max(view.slots, candidate.slots());
-    double service = view.serviceMillis > 0 ? view.serviceMillis : meanServiceMillis;
+    double work = workMillis(view, route, usualMillis);
     if (nowMillis < view.firstSeenMillis + candidate.warmupMillis()) {
-      service = Math.max(service, meanServiceMillis * COLD_FACTOR);
+      work = Math.max(work, COLD_FACTOR * usualMillis);
     }
+    double service = view.serviceMillis > 0 ? view.serviceMillis : meanServiceMillis;
     double outstanding = Math.max(view.outstanding, view.own);
     double ahead = Math.max(0, outstanding + 1 - view.slots);
-    double wait = ahead * service / view.slots;
-    double fullness = FULLNESS_WEIGHT * service * Math.min(1, outstanding / view.slots);
+    double wait = ahead * service * view.slowness / view.slots;
+    double fullness = FULLNESS_WEIGHT * work * Math.min(1, outstanding / view.slots);
     double avoided = Math.max(0, view.avoidUntilMillis - nowMillis);
-    double expected = service + wait + fullness + avoided;
+    double expected = work + wait + fullness + avoided;
     return expected * (1 + SPREAD * random.getAsDouble());
   }
 
+  /** How long the back end works on a request of the route, milliseconds. */
+  private static double workMillis(View view, String route, double usualMillis) {
+    Double known = view.routeMillis.get(route);
+    return (known == null ? usualMillis * view.speedRatio : known) * view.slowness;
+  }
+
+  /** How long requests of the route take on average of the back ends, milliseconds. */
+  private double usualMillis(
+      List<BackendEntry> candidates, String route, double meanServiceMillis) {
+    double sum = 0;
+    int known = 0;
+    for (BackendEntry candidate : candidates) {
+      View view = views.get(candidate.id());
+      Double millis = view == null ? null : view.routeMillis.get(route);
+      if (millis != null) {
+        sum += millis;
+        known++;
+      }
+    }
+    return known == 0 ? meanServiceMillis : sum / known;
+  }
+
   /** A request was sent towards the back end. */
   public void started(long nowMillis, String id) {
     View view = view(nowMillis, id);
@@ -232,7 +275,27 @@
     View view = view(nowMillis, id);
     view.outstanding = load.running() + load.queued();
     view.slots = load.slots();
-    view.serviceMillis = load.serviceMicros() / 1_000.0;
+    view.serviceMillis = load.serviceMicros() / MICROS_PER_MILLI;
+    view.slowness = load.slownessPercent() / (double) GateLoad.USUAL_PERCENT;
+  }
+
+  /**
+   * Takes how long requests of a route take at a back end.
+   *
+   * @param routeMicros their mean time there, microseconds; 0 if not known
+   */
+  public void answered(String id, String route, long routeMicros) {
+    View view = views.get(id);
+    if (view == null || routeMicros <= 0) {
+      return;
+    }
+    if (view.routeMillis.size() >= MAX_ROUTES) {
+      view.routeMillis.clear();
+    }
+    view.routeMillis.put(route, routeMicros / MICROS_PER_MILLI);
+    routeTimes.add(route, routeMicros);
+    double ratio = routeMicros / (double) routeTimes.expected(route);
+    view.speedRatio += RATIO_SAMPLE_WEIGHT * (ratio - view.speedRatio);
   }
 
   /** Forgets back ends of which nothing has been heard for long. */
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
@@ -12,12 +12,13 @@
 
 final class GateBalancerTest {
   private static final long NOW = 1_000_000;
+  private static final String ROUTE = "read";
   private static final BackendEntry NEAR = entry("near", "a");
   private static final BackendEntry NEAR_TOO = entry("near-too", "a");
   private static final BackendEntry FAR = entry("far", "b");
 
   /** In time within 200 ms; another zone costs a fifth of the worth. */
-  private static final GateBalancer.Need NEED = new GateBalancer.Need(200, 0.2);
+  private static final GateBalancer.Need NEED = new GateBalancer.Need(ROUTE, 200, 0.2);
 
   private final GateBalancer balancer = new GateBalancer("a", () -> 0);
 
@@ -33,7 +34,9 @@
   }
 
   private void stated(BackendEntry backend, int running, int queued, int serviceMillis) {
-    balancer.stated(NOW, backend.id(), new GateLoad(running, queued, 6, serviceMillis * 1_000L));
+    balancer.stated(
+        NOW, backend.id(), new GateLoad(running, queued, 6, serviceMillis * 1_000L, 100, 0));
+    balancer.answered(backend.id(), ROUTE, serviceMillis * 1_000L);
   }
 
   @Test
@@ -65,7 +68,7 @@
     stated(NEAR, 6, 3, 60);
     stated(FAR, 0, 0, 60);
 
-    GateBalancer.Need cheap = new GateBalancer.Need(200, 0.01);
+    GateBalancer.Need cheap = new GateBalancer.Need(ROUTE, 200, 0.01);
 
     assertThat(balancer.pick(NOW, List.of(NEAR, FAR), cheap, Set.of(), Set.of()))
         .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("far"));
@@ -76,7 +79,7 @@
     stated(NEAR, 6, 12, 60);
     stated(FAR, 0, 0, 60);
 
-    GateBalancer.Need dear = new GateBalancer.Need(200, 0.8);
+    GateBalancer.Need dear = new GateBalancer.Need(ROUTE, 200, 0.8);
 
     assertThat(balancer.pick(NOW, List.of(NEAR, FAR), dear, Set.of(), Set.of()))
         .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("near"));
@@ -90,6 +93,41 @@
     assertThat(pick(List.of(NEAR, NEAR_TOO), Set.of())).contains("near-too");
   }
 
+  /** A slow one that serves only long requests is not slow for short ones, nor the other way. */
+  @Test
+  void theTimeOfARouteCountsNotTheMeanOfWhatABackendHappensToServe() {
+    balancer.stated(NOW, "near", new GateLoad(1, 0, 6, 800_000, 100, 0));
+    balancer.stated(NOW, "far", new GateLoad(1, 0, 6, 40_000, 100, 0));
+    balancer.answered("near", ROUTE, 60_000);
+    balancer.answered("far", ROUTE, 40_000);
+
+    assertThat(pick(List.of(NEAR, FAR), Set.of())).contains("near");
+  }
+
+  @Test
+  void oneThatTurnsSlowIsLeft() {
+    stated(NEAR, 3, 0, 60);
+    stated(FAR, 3, 0, 60);
+    balancer.stated(NOW, "near", new GateLoad(3, 0, 6, 60_000, 600, 0));
+
+    assertThat(pick(List.of(NEAR, FAR), Set.of())).contains("far");
+  }
+
+  @Test
+  void howFastOneIsOnOtherRoutesSaysHowFastItIsOnANewOne() {
+    stated(NEAR, 0, 0, 30);
+    stated(NEAR_TOO, 0, 0, 90);
+    for (int answer = 0; answer < 20; answer++) {
+      balancer.answered("near", ROUTE, 30_000);
+      balancer.answered("near-too", ROUTE, 90_000);
+    }
+
+    GateBalancer.Need other = new GateBalancer.Need("other", 200, 0.2);
+
+    assertThat(balancer.pick(NOW, List.of(NEAR_TOO, NEAR), other, Set.of(), Set.of()))
+        .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("near"));
+  }
+
   @Test
   void ownRequestsCountBeforeTheyAreStated() {
     stated(NEAR, 0, 0, 60);
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateLoadTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateLoadTest.java
@@ -9,13 +9,13 @@
 final class GateLoadTest {
   @Test
   void isReadAsItWasWritten() {
-    GateLoad load = new GateLoad(5, 2, 6, 61_250);
+    GateLoad load = new GateLoad(5, 2, 6, 61_250, 250, 15_000);
 
     assertThat(GateLoad.decode(load.encode())).isEqualTo(load);
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"", "1,2,3", "1,2,3,4,5", "a,2,3,4", "1,2,3,"})
+  @ValueSource(strings = {"", "1,2,3,4,5", "1,2,3,4,5,6,7", "a,2,3,4,5,6", "1,2,3,4,5,"})
   void whatIsNoLoadIsNone(String text) {
     assertThat(GateLoad.decode(text)).isNull();
   }
