--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -6,6 +6,7 @@
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executors;
@@ -124,7 +125,7 @@
     if (settings.metricsPort() > 0) {
       PeerAddress address = new PeerAddress(settings.ready().host(), settings.metricsPort());
       proxy.listen(address, new StatusFilter(this::metricsPage));
-      timer.schedule(() -> metrics.begin(gauges()), METRICS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+      timer.schedule(this::beginMetrics, METRICS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
     peers.onAhead(puller::ahead);
     peers.start();
@@ -179,6 +180,12 @@
         : new StatusFilter.Answer(NOT_FOUND, "");
   }
 
+  private void beginMetrics() {
+    Map<String, Supplier<Number>> all = new HashMap<>(gauges());
+    all.putAll(MemoryGauges.all());
+    metrics.begin(all);
+  }
+
   private Map<String, Supplier<Number>> gauges() {
     return Map.of(
         "configuration.version", () -> state.view().version(),
