Balancer: bytes of other zones weighed by their square

Ruled out: a higher share for all sizes (small ones carry few of the bytes and profit most from other zones under load).

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -56,8 +56,11 @@
   /** Share of the time a caller gives that its request may wait for a slot. */
   private static final double WAIT_SHARE_OF_TIME = 0.45;
 
-  /** Share of a request's worth that each byte to and from another zone costs. */
-  private static final double LOSS_PER_OTHER_ZONE_BYTE = 4.5e-5;
+  /**
+   * Bytes to and from another zone that are thought to cost a whole request. The share rises with
+   * the square: most bytes are those of the few large requests, small ones hardly count.
+   */
+  private static final double OTHER_ZONE_BYTES = 8 * 1024;
 
   /** Most that a request is thought to lose by its bytes: it may still be worth more elsewhere. */
   private static final double MAX_OTHER_ZONE_LOSS = 0.8;
@@ -230,7 +233,8 @@
     synchronized (answerBytes) {
       bytes += answerBytes.expected(plan.route());
     }
-    double loss = Math.min(MAX_OTHER_ZONE_LOSS, bytes * LOSS_PER_OTHER_ZONE_BYTE);
+    double share = bytes / OTHER_ZONE_BYTES;
+    double loss = Math.min(MAX_OTHER_ZONE_LOSS, share * share);
     return new GateBalancer.Need(plan.route(), targetMillis(plan, nowMillis), loss);
   }
 
