Balancer: a node that comes back counts as full as the others until it states its load

Ruled out: pauses of its heap (3 to 7 ms there, by its collection log). Change: until a node has stated its load since it was last lost, it is taken to have as many requests as is usual among the others, and this node's own. One pass over the candidates finds what is usual, in place of two. Test: GateBalancerTest.oneThatComesBackIsTakenToBeAsFullAsTheOthersUntilItSaysOtherwise.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
@@ -90,6 +90,7 @@
 
   private static final class View {
     private final long firstSeenMillis;
+    private boolean isStated;
     private double outstanding;
     private int own;
     private int slots = 1;
@@ -140,8 +141,7 @@
     BackendEntry best = null;
     double bestLoss = Double.MAX_VALUE;
     double secondLoss = Double.MAX_VALUE;
-    double mean = meanServiceMillis(candidates);
-    double usual = usualMillis(candidates, need.route(), mean);
+    Usual usual = usual(candidates, need.route());
     int first =
         candidates.size() <= MAX_CANDIDATES
             ? 0
@@ -153,7 +153,7 @@
         continue;
       }
       double loss =
-          need.lateLoss(expectedMillis(nowMillis, candidate, need.route(), usual, mean))
+          need.lateLoss(expectedMillis(nowMillis, candidate, need.route(), usual))
               + distance(candidate, need);
       if (loss < bestLoss) {
         best = candidate;
@@ -163,7 +163,9 @@
         secondLoss = loss;
       }
     }
-    return best == null ? Optional.empty() : Optional.of(choice(best, need, usual, secondLoss));
+    return best == null
+        ? Optional.empty()
+        : Optional.of(choice(best, need, usual.routeMillis(), secondLoss));
   }
 
   private double distance(BackendEntry candidate, Need need) {
@@ -179,33 +181,59 @@
     return new Choice(best, Math.max(0, Math.round(worthwhile - service)));
   }
 
-  private double meanServiceMillis(List<BackendEntry> candidates) {
-    double sum = 0;
-    int known = 0;
+  /**
+   * What is usual among the back ends of a service.
+   *
+   * @param serviceMillis mean time that a request holds a slot, milliseconds
+   * @param routeMillis the same for requests of the route
+   * @param outstanding requests that run or wait at one of them
+   */
+  private record Usual(double serviceMillis, double routeMillis, double outstanding) {}
+
+  private Usual usual(List<BackendEntry> candidates, String route) {
+    Average service = new Average();
+    Average routeTime = new Average();
+    Average outstanding = new Average();
     for (BackendEntry candidate : candidates) {
       View view = views.get(candidate.id());
       if (view != null && view.serviceMillis > 0) {
-        sum += view.serviceMillis;
-        known++;
+        service.add(view.serviceMillis);
+      }
+      if (view != null && view.isStated) {
+        outstanding.add(view.outstanding);
+      }
+      Double known = view == null ? null : view.routeMillis.get(route);
+      if (known != null) {
+        routeTime.add(known);
       }
     }
-    return known == 0 ? UNKNOWN_SERVICE_MILLIS : sum / known;
+    double serviceMillis = service.orElse(UNKNOWN_SERVICE_MILLIS);
+    return new Usual(serviceMillis, routeTime.orElse(serviceMillis), outstanding.orElse(0));
   }
 
-  private double expectedMillis(
-      long nowMillis,
-      BackendEntry candidate,
-      String route,
-      double usualMillis,
-      double meanServiceMillis) {
+  private static final class Average {
+    private double sum;
+    private int count;
+
+    void add(double value) {
+      sum += value;
+      count++;
+    }
+
+    double orElse(double unknown) {
+      return count == 0 ? unknown : sum / count;
+    }
+  }
+
+  private double expectedMillis(long nowMillis, BackendEntry candidate, String route, Usual usual) {
     View view = view(nowMillis, candidate.id());
     view.slots = Math.max(view.slots, candidate.slots());
-    double work = workMillis(view, route, usualMillis);
+    double work = workMillis(view, route, usual.routeMillis());
     if (nowMillis < view.firstSeenMillis + candidate.warmupMillis()) {
-      work = Math.max(work, COLD_FACTOR * usualMillis);
+      work = Math.max(work, COLD_FACTOR * usual.routeMillis());
     }
-    double service = view.serviceMillis > 0 ? view.serviceMillis : meanServiceMillis;
-    double outstanding = Math.max(view.outstanding, view.own);
+    double service = view.serviceMillis > 0 ? view.serviceMillis : usual.serviceMillis();
+    double outstanding = outstanding(view, usual);
     double ahead = Math.max(0, outstanding + 1 - view.slots);
     double wait = ahead * service * view.slowness / view.slots;
     double fullness = FULLNESS_WEIGHT * work * Math.min(1, outstanding / view.slots);
@@ -214,28 +242,20 @@
     return expected * (1 + SPREAD * random.getAsDouble());
   }
 
+  /**
+   * Requests that run or wait there. Where the node has not stated them, it has as many as is
+   * usual: otherwise all nodes would send all they have to one that comes back.
+   */
+  private static double outstanding(View view, Usual usual) {
+    return view.isStated ? Math.max(view.outstanding, view.own) : usual.outstanding() + view.own;
+  }
+
   /** How long the back end works on a request of the route, milliseconds. */
   private static double workMillis(View view, String route, double usualMillis) {
     Double known = view.routeMillis.get(route);
     return (known == null ? usualMillis * view.speedRatio : known) * view.slowness;
   }
 
-  /** How long requests of the route take on average of the back ends, milliseconds. */
-  private double usualMillis(
-      List<BackendEntry> candidates, String route, double meanServiceMillis) {
-    double sum = 0;
-    int known = 0;
-    for (BackendEntry candidate : candidates) {
-      View view = views.get(candidate.id());
-      Double millis = view == null ? null : view.routeMillis.get(route);
-      if (millis != null) {
-        sum += millis;
-        known++;
-      }
-    }
-    return known == 0 ? meanServiceMillis : sum / known;
-  }
-
   /** A request was sent towards the back end. */
   public void started(long nowMillis, String id) {
     View view = view(nowMillis, id);
@@ -256,13 +276,18 @@
       avoid(nowMillis, view, notRun.reason());
     } else if (verdict instanceof Verdict.MayHaveRun mayHaveRun
         && mayHaveRun.reason() == Verdict.Reason.CONNECTION_LOST) {
-      view.avoidUntilMillis = nowMillis + UNREACHABLE_MILLIS;
+      lost(nowMillis, view);
     }
   }
 
+  private static void lost(long nowMillis, View view) {
+    view.avoidUntilMillis = nowMillis + UNREACHABLE_MILLIS;
+    view.isStated = false;
+  }
+
   private static void avoid(long nowMillis, View view, Verdict.Reason reason) {
     switch (reason) {
-      case UNREACHABLE -> view.avoidUntilMillis = nowMillis + UNREACHABLE_MILLIS;
+      case UNREACHABLE -> lost(nowMillis, view);
       case DRAINING, NOT_READY, REJECTED -> view.avoidUntilMillis = nowMillis + REFUSED_MILLIS;
       default -> {
         // The stated load says the rest.
@@ -273,6 +298,7 @@
   /** Takes what the node beside the back end stated. */
   public void stated(long nowMillis, String id, GateLoad load) {
     View view = view(nowMillis, id);
+    view.isStated = true;
     view.outstanding = load.running() + load.queued();
     view.slots = load.slots();
     view.serviceMillis = load.serviceMicros() / MICROS_PER_MILLI;
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
@@ -104,6 +104,24 @@
     assertThat(pick(List.of(NEAR, FAR), Set.of())).contains("near");
   }
 
+  /** Each node of a fleet would send all it has to one that has just come back. */
+  @Test
+  void oneThatComesBackIsTakenToBeAsFullAsTheOthersUntilItSaysOtherwise() {
+    stated(NEAR, 3, 0, 60);
+    stated(NEAR_TOO, 1, 0, 60);
+    balancer.started(NOW, "near-too");
+    balancer.finished(NOW, "near-too", new Verdict.NotRun(Verdict.Reason.UNREACHABLE));
+    long later = NOW + 1_000;
+    balancer.started(later, "near-too");
+
+    assertThat(balancer.pick(later, List.of(NEAR, NEAR_TOO), NEED, Set.of(), Set.of()))
+        .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("near"));
+
+    stated(NEAR_TOO, 1, 0, 60);
+    assertThat(balancer.pick(later, List.of(NEAR, NEAR_TOO), NEED, Set.of(), Set.of()))
+        .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("near-too"));
+  }
+
   @Test
   void oneThatTurnsSlowIsLeft() {
     stated(NEAR, 3, 0, 60);
