Proxy: an upload whose back end is found gone by the write of a piece ends at once

The write of a body's piece reports the broken connection before it returns; that ends the attempt and writes the refusal; Exchange.take then asked the attempt that was gone whether it can take more. The exception went through the filter chain, which closes the caller's connection under the refusal, and the exchange stood until its deadline. Change: take reads on when the write has ended the attempt. Tests: ExchangeBrokenWriteTest (was ExchangeCallerGoneTest) with the exception before, green after; EarlyAnswerTest stays as a guard.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -184,6 +184,10 @@
     if (buffer.hasRemaining() || last) {
       attempt.sendMore(buffer, body, last);
     }
+    if (attempt == null) {
+      // The origin's connection broke while the piece was written, which has ended the attempt.
+      return true;
+    }
     return last || attempt.origin().canWrite();
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeCallerGoneTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -26,13 +27,14 @@
 import org.glassfish.grizzly.http.ProcessingState;
 import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
 import org.junit.jupiter.api.Test;
 
 /**
- * The caller's connection turns out to be broken by the very write of its answer, and the transport
- * says so before that write returns.
+ * A connection turns out to be broken by the very write to it, and the transport says so before
+ * that write returns.
  */
-class ExchangeCallerGoneTest {
+class ExchangeBrokenWriteTest {
   private static final PeerAddress ORIGIN = new PeerAddress("127.0.0.1", 9);
   private static final long DEADLINE_MILLIS = 1_000;
   private static final AttributeBuilder ATTRIBUTES = Grizzly.DEFAULT_ATTRIBUTE_BUILDER;
@@ -40,7 +42,8 @@
   private final List<Verdict> ended = new ArrayList<>();
   private final List<String> attemptsEnded = new ArrayList<>();
   private final ActiveExchanges active = new ActiveExchanges();
-  private final Connection<?> origin = connection(() -> {});
+  private Runnable onOriginWrite = () -> {};
+  private final Connection<?> origin = connection(() -> onOriginWrite.run());
   private CallerConnection caller;
   private final Connection<?> callersConnection = connection(() -> caller.closed());
   private final ConnectionPool pool = new ConnectionPool(ORIGIN, this::connect, 1, () -> 0);
@@ -153,15 +156,42 @@
     assertThat(active.size()).isZero();
   }
 
-  private void begin() {
+  /** An upload's back end resets its connection; the write of the next piece finds out. */
+  @Test
+  void endsOnceWhenTheWriteOfABodysPieceFindsTheBackendGone() {
     HttpRequestPacket request = new ReceivedRequest();
+    request.setContentLength(2);
+    Exchange exchange = begin(request, false);
+    onOriginWrite =
+        () -> OriginConnection.of(origin).listener().onBroken(Verdict.Reason.CONNECTION_LOST);
+
+    boolean readOn = exchange.onBodyPart(piece(request, false));
+
+    assertThat(readOn).isTrue();
+    assertThat(ended).containsExactly(new Verdict.MayHaveRun(Verdict.Reason.CONNECTION_LOST));
+    assertThat(attemptsEnded).containsExactly("backend-1");
+    assertThat(active.size()).isZero();
+  }
+
+  private static HttpContent piece(HttpRequestPacket request, boolean last) {
+    Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, "x");
+    return HttpContent.builder(request).content(content).last(last).build();
+  }
+
+  private void begin() {
+    begin(new ReceivedRequest(), true);
+  }
+
+  private Exchange begin(HttpRequestPacket request, boolean complete) {
     caller = new CallerConnection(callersConnection, () -> 0);
     ExchangeEnvironment environment =
         new ExchangeEnvironment(
             () -> 0, ProxyStats.NONE, AttemptLog.CUT_OFF_ONLY, active, () -> Long.MAX_VALUE);
     Exchange exchange = new Exchange(caller, request, handler, environment);
     caller.begin(exchange, request);
-    exchange.begin(HttpContent.builder(request).content(Buffers.EMPTY_BUFFER).last(true).build());
+    exchange.begin(
+        HttpContent.builder(request).content(Buffers.EMPTY_BUFFER).last(complete).build());
+    return exchange;
   }
 
   private static HttpResponsePacket answerHead() {
