--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/DeafWatchTest.java
@@ -0,0 +1,33 @@
+package io.umberpath.node.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.control.store.StoreAnswer;
+import io.umberpath.control.store.StoreCall;
+import io.umberpath.control.store.StoreWatcher;
+import io.umberpath.control.store.StoreWatcher.Step;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A store that forgets its history first leaves watches standing that hear nothing. */
+final class DeafWatchTest {
+  /** An accepted configuration is in force after this, milliseconds. */
+  private static final long BOUND_MILLIS = 2_000;
+
+  /** For two calls after the watch: one that hears that history is gone, one that reads. */
+  private static final long CALLS_MILLIS = 500;
+
+  @ParameterizedTest
+  @ValueSource(doubles = {0, 0.5, 1})
+  void aWatchThatHearsNothingEndsWellWithinTheBound(double drawn) {
+    StoreWatcher watcher = new StoreWatcher("", MeshNode.WATCHER, () -> drawn);
+    watcher.next(0);
+    watcher.answered(0, new StoreAnswer.Page(List.of(), false, 1));
+
+    Step.Call step = (Step.Call) watcher.next(1);
+
+    StoreCall.Watch watch = (StoreCall.Watch) step.call();
+    assertThat(watch.waitMillis()).isLessThanOrEqualTo(BOUND_MILLIS - CALLS_MILLIS);
+  }
+}
