Edge: pipelined requests of a caller run side by side

Cause: CallerConnection let a pipelined request wait until the answer before it was complete.

Change: each request read is planned at once. Requests that may run twice start beside each other; others start when their turn comes. Answers go out in order (AnswerTurn); what is ready early is held within 128 KB a connection, then its origin is not read on. A broken head or body is answered in its place. A leaving node closes after the last answer that it has read a request for. What stands behind a closing answer is cancelled or never started.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -136,9 +136,6 @@
 
   @Override
   public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
-    if (leaving) {
-      head.getProcessingState().setKeepAlive(false);
-    }
     if (refusing) {
       return Either.left(
           new Refusal(new Verdict.NotRun(Verdict.Reason.DRAINING), RETRY_WHEN_NOBODY_MILLIS));
@@ -290,6 +287,16 @@
     packet.getHeaders().setValue(name).setString(value);
   }
 
+  @Override
+  public boolean mayRunBesideOthers(RequestPlan plan) {
+    return ((MeshEdgePlan) plan).rule().kind().isRepeatable();
+  }
+
+  @Override
+  public boolean isLeaving() {
+    return leaving;
+  }
+
   @Override
   public String echoedId(RequestPlan plan) {
     return null;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -278,6 +278,11 @@
     return state.view().backends().ready(service).size();
   }
 
+  /** Requests under way here, of callers and of other nodes. */
+  public int inFlight() {
+    return proxy.inFlight();
+  }
+
   /** Requests that wait here for a slot of the back end beside. */
   public int waitingRequests() {
     return proxy.gate().load().queued();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
@@ -86,7 +86,12 @@
     header.setProtocol(Protocol.HTTP_1_1);
     HttpResponsePacket response = responseOf(header);
     response.setStatus(reasonOf(error).status());
-    super.onHttpHeaderError(header, context, error);
+    PendingAnswers pending = PendingAnswers.of(context.getConnection());
+    if (pending != null && pending.isAny()) {
+      pending.writeLast(customizeErrorResponse(response));
+    } else {
+      super.onHttpHeaderError(header, context, error);
+    }
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -9,24 +9,27 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.http.util.FastHttpDateFormat;
 import org.glassfish.grizzly.http.util.Header;
+import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 
 /** Writes the answer of one exchange to its caller. The exchange's lock guards it. */
 final class AnswerWriter {
-  private final Connection<?> connection;
+  /** What holding a message costs besides its content, bytes. */
+  private static final int HEAD_BYTES = 1_024;
+
+  private final AnswerTurn turn;
   private final RequestHandler handler;
   private final HttpRequestPacket request;
   private final HttpResponsePacket response;
 
-  AnswerWriter(Connection<?> connection, HttpRequestPacket request, RequestHandler handler) {
-    this.connection = connection;
+  AnswerWriter(AnswerTurn turn, HttpRequestPacket request, RequestHandler handler) {
+    this.turn = turn;
     this.handler = handler;
     this.request = request;
     this.response = request.getResponse();
@@ -35,13 +38,14 @@
   /** Passes an interim answer on; older callers would take it for the final one. */
   void interim(byte[] head) {
     if (isVersion11()) {
-      write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, head));
+      turn.write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, head), head.length);
     }
   }
 
   /** Writes a piece of a back end's answer. */
   void part(AnswerPart part, RequestPlan plan) {
     if (part.first()) {
+      closeIfLeaving();
       head(part.head());
       String requestId = handler.echoedId(plan);
       if (requestId != null) {
@@ -52,7 +56,7 @@
     boolean hasContent = part.content() != null && part.content().hasRemaining();
     if (part.first() || hasContent || part.last()) {
       Buffer content = part.content() == null ? Buffers.EMPTY_BUFFER : part.content();
-      write(OutgoingRequest.part(response, content, part.last(), part.trailers()));
+      write(content, part.last(), part.trailers());
     }
   }
 
@@ -116,13 +120,22 @@
       }
     }
     handler.addAnswerHeaders(plan, response);
-    if (!bodyComplete || refusal.reason() == Verdict.Reason.DRAINING) {
+    closeIfLeaving();
+    boolean leaves = refusal.reason() == Verdict.Reason.DRAINING && turn.isLast();
+    if (!bodyComplete || leaves) {
       closeAfter();
     }
     response.getHeaders().setValue(Header.Date).setString(FastHttpDateFormat.getCurrentDate());
     writeUnchanged(text.length);
     Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, text);
-    write(OutgoingRequest.part(response, content, true, null));
+    write(content, true, null);
+  }
+
+  /** A node that leaves still answers what has been read behind this request. */
+  private void closeIfLeaving() {
+    if (handler.isLeaving() && turn.isLast()) {
+      closeAfter();
+    }
   }
 
   /** Announces that the connection ends with this answer. */
@@ -135,14 +148,23 @@
   }
 
   boolean canTakeMore() {
-    return connection.canWrite();
+    return turn.canTakeMore();
   }
 
   private boolean isVersion11() {
     return request.getProtocol() == Protocol.HTTP_1_1;
   }
 
-  private void write(Object message) {
-    connection.write(message, null);
+  private void write(Buffer content, boolean last, MimeHeaders trailers) {
+    int bytes = content.remaining();
+    // What is held outlives the buffer that the origin's connection was read into.
+    Buffer lasting = turn.isCurrent() ? content : copy(content);
+    turn.write(OutgoingRequest.part(response, lasting, last, trailers), HEAD_BYTES + bytes);
+  }
+
+  private static Buffer copy(Buffer content) {
+    byte[] bytes = new byte[content.remaining()];
+    content.duplicate().get(bytes);
+    return Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -1,6 +1,11 @@
 package io.umberpath.node.proxy.inbound;
 
+import io.umberpath.node.proxy.http.PendingAnswers;
 import io.umberpath.node.proxy.origin.OriginConnection;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
 import java.util.function.LongSupplier;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -11,35 +16,44 @@
 import org.glassfish.grizzly.http.HttpHeader;
 
 /**
- * One connection of a caller or another node: carries one exchange at a time. A pipelined request
- * waits until the answer before it is complete. Thread-safe.
+ * One connection of a caller or another node. Requests that arrive before earlier ones are answered
+ * run side by side where that is safe; answers go out in the order of the requests. Thread-safe; an
+ * exchange's lock may be held when its own is taken, never the other way round.
  */
-final class CallerConnection {
+final class CallerConnection implements PendingAnswers {
+  /** Requests read before the first of them is answered. */
+  private static final int MAX_PIPELINED = 16;
+
+  /** Bytes of answers held for their turn, beyond which nothing more is read. */
+  private static final long MAX_HELD_BYTES = 128 * 1024;
+
   private static final Attribute<CallerConnection> ATTRIBUTE =
       AttributeBuilder.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.callerConnection");
 
-  /** What the connection is doing with a request. */
-  private enum Mode {
-    IDLE,
-    EXCHANGE,
-    /** The answer is complete but the request's body is not; the rest is read and dropped. */
-    DISCARD
-  }
-
   private final Connection<?> connection;
   private final LongSupplier clockMillis;
-  private Mode mode = Mode.IDLE;
-  private Exchange exchange;
-  private HttpHeader request;
-  private boolean closeAfterAnswer;
-  private FilterChainContext suspended;
-  private volatile long modeSinceMillis;
+  private final Deque<AnswerTurn> turns = new ArrayDeque<>();
+  private final List<Exchange> goneLater = new ArrayList<>();
+  private long heldBytes;
+  private boolean advancing;
+  private boolean closing;
+  private boolean ending;
+  private boolean closed;
+  private Object lastAnswer;
+
+  /** The request whose answer is complete but whose body is not; the rest is read and dropped. */
+  private HttpHeader discarding;
+
+  private FilterChainContext suspendedBody;
+  private FilterChainContext suspendedHead;
+  private volatile long restsSinceMillis;
 
   CallerConnection(Connection<?> connection, LongSupplier clockMillis) {
     this.connection = connection;
     this.clockMillis = clockMillis;
-    this.modeSinceMillis = clockMillis.getAsLong();
+    this.restsSinceMillis = clockMillis.getAsLong();
     ATTRIBUTE.set(connection, this);
+    PendingAnswers.attach(connection, this);
   }
 
   static CallerConnection of(Connection<?> connection) {
@@ -50,35 +64,59 @@
     return connection;
   }
 
-  /** The exchange this content belongs to; null if it is to be dropped. */
+  /** The exchange this content belongs to; null if it begins one or is to be dropped. */
   synchronized Exchange exchangeOf(HttpContent content) {
-    return mode == Mode.EXCHANGE && request == content.getHttpHeader() ? exchange : null;
+    AnswerTurn last = turns.peekLast();
+    boolean belongs = last != null && last.request() == content.getHttpHeader();
+    return belongs ? last.exchange() : null;
+  }
+
+  synchronized boolean isDiscarding(HttpContent content) {
+    return discarding != null && discarding == content.getHttpHeader();
   }
 
   /**
-   * Lets a request whose head has just arrived wait until the answer before it is complete; it is
-   * then seen again.
+   * Lets a request whose head has just arrived wait while too much is under way; it is then seen
+   * again.
    *
    * @return the action that waits, or null if the request may begin now
    */
-  synchronized NextAction awaitTurn(FilterChainContext context) {
-    if (mode == Mode.IDLE && !closeAfterAnswer) {
+  synchronized NextAction awaitRoom(FilterChainContext context) {
+    boolean hasRoom = turns.size() < MAX_PIPELINED && heldBytes < MAX_HELD_BYTES;
+    if (hasRoom && discarding == null && !closing && !closed) {
       return null;
     }
     NextAction action = context.getSuspendAction();
     context.suspend();
-    suspended = context;
+    suspendedHead = context;
     return action;
   }
 
-  synchronized boolean isDiscarding(HttpContent content) {
-    return mode == Mode.DISCARD && request == content.getHttpHeader();
+  /** A request has been read: its answer comes after those of the requests before it. */
+  synchronized AnswerTurn begin(Exchange exchange, HttpHeader request) {
+    AnswerTurn turn = new AnswerTurn(this, request, exchange);
+    if (turns.isEmpty()) {
+      turn.makeCurrent();
+    }
+    if (!closed) {
+      turns.add(turn);
+    }
+    return turn;
   }
 
-  synchronized void begin(Exchange newExchange, HttpHeader newRequest) {
-    exchange = newExchange;
-    request = newRequest;
-    change(Mode.EXCHANGE);
+  /**
+   * Whether a request may start beside those before it. If not, it starts when its turn comes.
+   *
+   * @param runsBesideOthers whether it may run at the same time as others, and again
+   */
+  synchronized boolean mayStart(AnswerTurn turn, boolean runsBesideOthers) {
+    turn.runsBesideOthers(runsBesideOthers);
+    boolean first = turn == turns.peekFirst();
+    if (first || turns.stream().allMatch(AnswerTurn::allowsOthersBeside)) {
+      return true;
+    }
+    turn.waitToStart();
+    return false;
   }
 
   /** Stops reading until {@link #resume} is called with the same context. */
@@ -86,7 +124,7 @@
     NextAction action = context.getSuspendAction();
     context.suspend();
     synchronized (this) {
-      suspended = context;
+      suspendedBody = context;
     }
     return action;
   }
@@ -94,55 +132,205 @@
   /** Reads on after {@link #suspend}; nothing if that context goes on already. */
   void resume(FilterChainContext context) {
     synchronized (this) {
-      if (suspended != context) {
+      if (suspendedBody != context) {
         return;
       }
-      suspended = null;
+      suspendedBody = null;
     }
     context.resume(context.getStopAction());
   }
 
+  /** The request has been read whole. */
+  void bodyComplete(AnswerTurn turn) {
+    boolean dropped;
+    synchronized (this) {
+      turn.completeBody();
+      dropped = discarding == turn.request();
+    }
+    if (dropped) {
+      discard(true);
+    }
+  }
+
+  /** Holds a message whose turn has not come; false if it is to be written now. */
+  synchronized boolean hold(AnswerTurn turn, Object message, long bytes) {
+    if (turn.isCurrent()) {
+      return false;
+    }
+    if (!closed) {
+      turn.hold(message, bytes);
+      heldBytes += bytes;
+    }
+    return true;
+  }
+
+  boolean canTakeMore(AnswerTurn turn) {
+    synchronized (this) {
+      if (!turn.isCurrent()) {
+        return heldBytes < MAX_HELD_BYTES;
+      }
+    }
+    return connection.canWrite();
+  }
+
+  /** Keeps an action until the turn has come; false if it has. */
+  synchronized boolean postpone(AnswerTurn turn, Runnable action) {
+    if (turn.isCurrent()) {
+      return false;
+    }
+    turn.addWaiter(action);
+    return true;
+  }
+
+  synchronized boolean isLast(AnswerTurn turn) {
+    return turns.peekLast() == turn && suspendedHead == null;
+  }
+
   /**
-   * The answer has been written whole.
+   * The answer has been written whole, or is held whole.
    *
    * @param keepAlive whether the connection may carry another request
-   * @param bodyComplete whether the request has been read whole
    */
-  void answered(boolean keepAlive, boolean bodyComplete) {
-    FilterChainContext waiting = null;
+  void answered(AnswerTurn turn, boolean keepAlive) {
+    synchronized (this) {
+      turn.end(keepAlive);
+    }
+    advance();
+  }
+
+  /** The answer has broken off: the connection ends when its turn comes. */
+  void cutOff(AnswerTurn turn) {
+    synchronized (this) {
+      turn.cutOff();
+    }
+    advance();
+  }
+
+  /** Passes the turn on as far as it goes. Called without the lock of any exchange. */
+  private void advance() {
     synchronized (this) {
-      closeAfterAnswer = !keepAlive;
-      exchange = null;
-      if (bodyComplete && keepAlive) {
-        change(Mode.IDLE);
-        waiting = suspended;
-        suspended = null;
-      } else if (!bodyComplete) {
-        change(Mode.DISCARD);
-        waiting = suspended;
-        suspended = null;
+      if (advancing) {
+        return;
       }
+      advancing = true;
     }
-    if (bodyComplete && !keepAlive) {
-      connection.closeSilently();
-    } else if (waiting != null) {
-      // Not a pause of this request's body, whose exchange resumes it, but the next request.
-      waiting.resume();
+    for (Runnable step = nextStep(); step != null; step = nextStep()) {
+      step.run();
+    }
+  }
+
+  /** What is to be done next, without the lock; null if nothing is. */
+  private synchronized Runnable nextStep() {
+    AnswerTurn first = turns.peekFirst();
+    if (closed || ending) {
+      advancing = false;
+      return null;
+    }
+    if (first == null) {
+      advancing = false;
+      return lastStep();
+    }
+    if (!first.isCurrent()) {
+      return first.isHolding() ? flush(first) : makeCurrent(first);
+    }
+    if (first.isEnded()) {
+      return pass(first);
+    }
+    advancing = false;
+    return null;
+  }
+
+  private Runnable lastStep() {
+    Object message = lastAnswer;
+    lastAnswer = null;
+    return message == null ? null : () -> writeAndClose(message);
+  }
+
+  private Runnable flush(AnswerTurn turn) {
+    heldBytes -= turn.heldBytes();
+    List<Object> messages = turn.takeHeld();
+    return () -> messages.forEach(message -> connection.write(message, null));
+  }
+
+  private Runnable makeCurrent(AnswerTurn turn) {
+    turn.makeCurrent();
+    List<Runnable> waiters = turn.takeWaiters();
+    boolean starts = turn.takeWaitsToStart();
+    return () -> {
+      waiters.forEach(this::whenWritable);
+      if (starts) {
+        turn.exchange().onTurn();
+      }
+    };
+  }
+
+  /** The first answer is out: the turn passes on, or the connection ends. */
+  private Runnable pass(AnswerTurn turn) {
+    turns.removeFirst();
+    restsSinceMillis = clockMillis.getAsLong();
+    if (turn.isCutOff()) {
+      ending = true;
+      return this::abort;
+    }
+    closing |= !turn.isKeepAlive();
+    if (!turn.isBodyComplete()) {
+      discarding = turn.request();
+      return resumption(takeSuspendedBody());
     }
+    ending = closing;
+    return ending ? connection::closeSilently : resumption(takeSuspendedHead());
+  }
+
+  private FilterChainContext takeSuspendedBody() {
+    FilterChainContext waiting = suspendedBody;
+    suspendedBody = null;
+    return waiting;
+  }
+
+  private FilterChainContext takeSuspendedHead() {
+    FilterChainContext waiting = suspendedHead;
+    suspendedHead = null;
+    return waiting;
+  }
+
+  private static Runnable resumption(FilterChainContext waiting) {
+    return waiting == null ? () -> {} : waiting::resume;
   }
 
   /** Takes a piece of a body nobody wants. */
   void discard(boolean last) {
     boolean close;
+    FilterChainContext waiting = null;
     synchronized (this) {
-      close = last && closeAfterAnswer;
+      close = last && closing;
       if (last && !close) {
-        change(Mode.IDLE);
+        discarding = null;
+        restsSinceMillis = clockMillis.getAsLong();
+        waiting = takeSuspendedHead();
       }
     }
     if (close) {
       connection.closeSilently();
     }
+    resumption(waiting).run();
+  }
+
+  @Override
+  public synchronized boolean isAny() {
+    return !turns.isEmpty();
+  }
+
+  @Override
+  public void writeLast(Object message) {
+    synchronized (this) {
+      lastAnswer = message;
+    }
+    advance();
+  }
+
+  private void writeAndClose(Object message) {
+    connection.write(message, null);
+    connection.closeSilently();
   }
 
   void abort() {
@@ -151,23 +339,45 @@
 
   /** The peer is gone. */
   void closed() {
-    Exchange current;
+    List<Exchange> open = new ArrayList<>();
     synchronized (this) {
-      current = exchange;
-      exchange = null;
+      closed = true;
+      turns.forEach(turn -> open.add(turn.exchange()));
+      turns.clear();
+      heldBytes = 0;
     }
-    if (current != null) {
-      current.onCallerGone();
+    // The write that found the connection broken holds the lock of one of them.
+    boolean underLock = open.stream().anyMatch(Thread::holdsLock);
+    for (Exchange exchange : open) {
+      if (!underLock || Thread.holdsLock(exchange)) {
+        exchange.onCallerGone();
+      } else {
+        synchronized (this) {
+          goneLater.add(exchange);
+        }
+      }
     }
   }
 
+  /** Ends the exchanges that could not be ended under another's lock. */
+  void endThoseLeft() {
+    List<Exchange> left;
+    synchronized (this) {
+      if (goneLater.isEmpty()) {
+        return;
+      }
+      left = List.copyOf(goneLater);
+      goneLater.clear();
+    }
+    left.forEach(Exchange::onCallerGone);
+  }
+
   /** Closes the connection if it has had no request, or dropped a body, for too long. */
   void expire(long idleMillis, long discardMillis) {
-    long age = clockMillis.getAsLong() - modeSinceMillis;
+    long age = clockMillis.getAsLong() - restsSinceMillis;
     boolean expired;
     synchronized (this) {
-      expired =
-          mode == Mode.IDLE && age >= idleMillis || mode == Mode.DISCARD && age >= discardMillis;
+      expired = turns.isEmpty() && age >= (discarding == null ? idleMillis : discardMillis);
     }
     if (expired) {
       connection.closeSilently();
@@ -178,7 +388,7 @@
   void closeIfIdle() {
     boolean idle;
     synchronized (this) {
-      idle = mode == Mode.IDLE;
+      idle = turns.isEmpty() && discarding == null;
     }
     if (idle) {
       connection.closeSilently();
@@ -188,9 +398,4 @@
   void whenWritable(Runnable action) {
     connection.notifyCanWrite(new OriginConnection.WhenWritable(action));
   }
-
-  private void change(Mode newMode) {
-    mode = newMode;
-    modeSinceMillis = clockMillis.getAsLong();
-  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -34,6 +34,7 @@
   }
 
   private final CallerConnection caller;
+  private final AnswerTurn turn;
   private final HttpRequestPacket request;
   private final RequestHandler handler;
   private final ExchangeEnvironment environment;
@@ -63,7 +64,8 @@
     this.request = request;
     this.handler = handler;
     this.environment = environment;
-    this.answer = new AnswerWriter(caller.connection(), request, handler);
+    this.turn = caller.begin(this, request);
+    this.answer = new AnswerWriter(turn, request, handler);
   }
 
   /** The caller's request. */
@@ -129,22 +131,38 @@
     boolean readOn;
     synchronized (this) {
       readOn = broken || take(first);
+      if (broken) {
+        answer.closeAfter();
+        caller.bodyComplete(turn);
+      }
       if (decision.isLeft()) {
         refuse(decision.getLeft());
       } else {
         plan = decision.get();
       }
     }
-    if (decision.isRight() && !refuseTooLarge()) {
+    if (decision.isRight() && !refuseTooLarge() && mayStart()) {
       handler.dispatch(this);
     }
     afterLock();
-    if (broken) {
-      caller.connection().closeSilently();
-    }
     return readOn;
   }
 
+  private boolean mayStart() {
+    return caller.mayStart(turn, handler.mayRunBesideOthers(plan));
+  }
+
+  /** A request that waited for those before it on its connection starts. */
+  void onTurn() {
+    synchronized (this) {
+      if (stage != Stage.DECIDING) {
+        return;
+      }
+    }
+    handler.dispatch(this);
+    afterLock();
+  }
+
   private synchronized boolean refuseTooLarge() {
     if (Math.max(request.getContentLength(), body.received())
         <= environment.maxBodyBytes().getAsLong()) {
@@ -172,6 +190,7 @@
     boolean last = content.isLast();
     if (last) {
       body.complete(content instanceof HttpTrailer trailer ? trailer.getHeaders() : null);
+      caller.bodyComplete(turn);
     }
     if (stage == Stage.DONE) {
       return true;
@@ -212,9 +231,9 @@
   void onBrokenBody() {
     synchronized (this) {
       answer.closeAfter();
+      caller.bodyComplete(turn);
       fail(asFirmAsPossible(Verdict.Reason.BAD_REQUEST), false);
     }
-    caller.connection().closeSilently();
     afterLock();
   }
 
@@ -351,24 +370,17 @@
       whenBodyWanted(resume);
     }
     if (ended != null) {
-      endCaller();
+      if (cutOff) {
+        caller.cutOff(turn);
+      } else {
+        caller.answered(turn, answer.isKeepAlive());
+      }
       environment.active().remove(this);
       environment.stats().inFlight(handler.side(), -1);
       environment.stats().requestEnded(handler.side(), ended, elapsedMicros());
       handler.ended(this, ended);
     }
-  }
-
-  private void endCaller() {
-    boolean bodyComplete;
-    synchronized (this) {
-      bodyComplete = body.isComplete();
-    }
-    if (cutOff) {
-      caller.abort();
-    } else {
-      caller.answered(answer.isKeepAlive(), bodyComplete);
-    }
+    caller.endThoseLeft();
   }
 
   /** The attempt has a connection; returns whether it still wants it. */
@@ -441,6 +453,6 @@
   }
 
   void whenCallerTakesMore(Runnable resume) {
-    caller.whenWritable(resume);
+    turn.whenTakesMore(resume);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
@@ -38,7 +38,7 @@
     if (caller.isDiscarding(content)) {
       return discard(context, caller, content);
     }
-    NextAction wait = caller.awaitTurn(context);
+    NextAction wait = caller.awaitRoom(context);
     return wait != null ? wait : begin(context, caller, content);
   }
 
@@ -46,7 +46,6 @@
       FilterChainContext context, CallerConnection caller, HttpContent content) {
     HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
     Exchange exchange = new Exchange(caller, request, handler, environment);
-    caller.begin(exchange, request);
     return continueOrSuspend(context, caller, exchange, exchange.begin(content));
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -24,6 +24,19 @@
   /** Adds the handler's own headers to the request of an attempt. */
   void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis);
 
+  /**
+   * Whether a request may run at the same time as others of its caller's connection, and again if
+   * its answer cannot be sent. Others start when those before them have been answered.
+   */
+  default boolean mayRunBesideOthers(RequestPlan plan) {
+    return false;
+  }
+
+  /** Whether answers ask callers to go elsewhere with their next request. */
+  default boolean isLeaving() {
+    return false;
+  }
+
   /** The id to send back with the answer, so that the other node can match it; null for none. */
   String echoedId(RequestPlan plan);
 
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
@@ -188,7 +188,6 @@
         new ExchangeEnvironment(
             () -> 0, ProxyStats.NONE, AttemptLog.CUT_OFF_ONLY, active, () -> Long.MAX_VALUE);
     Exchange exchange = new Exchange(caller, request, handler, environment);
-    caller.begin(exchange, request);
     exchange.begin(
         HttpContent.builder(request).content(Buffers.EMPTY_BUFFER).last(complete).build());
     return exchange;
