Gate: nested requests go first and wait as long as their deadline allows

Cause: a back end that works on a browse calls other services (stock-check twice, image-info).

Ruled out: telling them by address, header or priority. The printed heads show the same address, agent and headers as callers', the printed rules the same priority 1 as orders.

Those go first at the gate, are never put behind as late, and are refused only once their deadline cannot be met.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -14,6 +14,7 @@
 import io.umberpath.traffic.AdmissionController;
 import io.umberpath.traffic.AdmissionController.Ask;
 import io.umberpath.traffic.routing.GateLoad;
+import io.umberpath.traffic.routing.NestedRoutes;
 import io.umberpath.traffic.routing.RouteMeans;
 import io.umberpath.traffic.routing.Slowness;
 import io.vavr.control.Either;
@@ -50,6 +51,7 @@
   private final MeshEvents events;
   private final LongSupplier clockMillis;
   private final RouteMeans routeTimes = new RouteMeans(MIN_TIME_SAMPLES);
+  private final NestedRoutes nestedRoutes = new NestedRoutes();
   private volatile double slowness = 1;
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
@@ -147,6 +149,7 @@
     long deadline = plan.deadlineMillis() - ANSWER_MILLIS;
     HopLine hop = plan.hop();
     long began = plan.beganMillis();
+    boolean isNested = isNested(exchange);
     gate.ask(
         exchange,
         id ->
@@ -159,7 +162,17 @@
                 hop.toleratedWaitMillis(),
                 began + hop.dueMillis(),
                 began + hop.targetMillis(),
-                began + hop.startByMillis()));
+                began + hop.startByMillis(),
+                isNested));
+  }
+
+  private boolean isNested(Exchange exchange) {
+    String callerService = exchange.request().getHeader(settings.headers().callerService());
+    String route = planOf(exchange).route();
+    synchronized (nestedRoutes) {
+      nestedRoutes.arrived(route, String.valueOf(callerService));
+      return nestedRoutes.isNested(route);
+    }
   }
 
   @Override
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -22,6 +22,8 @@
    * @param targetMillis when its work has to be done for its answer to be in time, on the same
    *     clock; what can still be in time goes before what cannot
    * @param startByMillis when it is refused if it has not begun, on the same clock
+   * @param nested whether another request holds a slot while it waits for this one: goes first, and
+   *     waits as long as its deadline allows
    */
   record Ask(
       long id,
@@ -32,7 +34,8 @@
       long toleratedWaitMillis,
       long dueMillis,
       long targetMillis,
-      long startByMillis) {
+      long startByMillis,
+      boolean nested) {
     /** One of which nothing is expected and that waits as long as its deadline allows. */
     public Ask(long id, String tenant, Tier tier, long deadlineMillis) {
       this(id, tenant, tier, deadlineMillis, 0, Long.MAX_VALUE, deadlineMillis);
@@ -56,7 +59,8 @@
           toleratedWaitMillis,
           dueMillis,
           deadlineMillis,
-          deadlineMillis);
+          deadlineMillis,
+          false);
     }
   }
 
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -10,10 +10,11 @@
 import java.util.TreeSet;
 
 /**
- * Slots with a bounded queue. Requests that can still be answered within their target latency go
- * first, in the order they are due; those that can not are served from what is left over, and
- * refused once they have waited too long. So an overload makes some requests late or refused, not
- * all of them late. Owner synchronizes.
+ * Slots with a bounded queue. Nested requests go first: for each of them another request holds a
+ * slot. Of the rest, requests that can still be answered within their target latency go first, in
+ * the order they are due; those that can not are served from what is left over, and refused once
+ * they have waited too long. So an overload makes some requests late or refused, not all of them
+ * late. Owner synchronizes.
  *
  * <p>Invariant: a request waits only while every slot is taken.
  */
@@ -24,6 +25,7 @@
 
   private final AdmissionSettings settings;
   private final ServiceTimeEstimate service;
+  private final TreeSet<Ask> nested = new TreeSet<>(DUE_FIRST);
   private final TreeSet<Ask> timely = new TreeSet<>(DUE_FIRST);
   private final TreeSet<Ask> late = new TreeSet<>(DUE_FIRST);
   private final Set<Long> running = new HashSet<>();
@@ -48,17 +50,33 @@
       running.add(ask.id());
       return List.of(new Decision.Admitted(ask.id()));
     }
+    if (ask.nested()) {
+      return askNested(nowMillis, ask);
+    }
     demote(nowMillis);
-    double waitMillis = waitMillis(timely.headSet(ask).size());
+    double waitMillis = waitMillis(nested.size() + timely.headSet(ask).size());
     boolean isTimely = canBeTimely(nowMillis, ask, waitMillis);
     if (!isTimely) {
-      waitMillis = waitMillis(timely.size() + late.headSet(ask).size());
+      waitMillis = waitMillis(nested.size() + timely.size() + late.headSet(ask).size());
     }
-    boolean tooLong = waitMillis > ask.toleratedWaitMillis();
-    if (tooLong || queued() >= settings.queueLimit() || !canBegin(nowMillis, ask, waitMillis)) {
+    if (!canBegin(nowMillis, ask, waitMillis)) {
       return List.of(overloaded(ask));
     }
-    (isTimely ? timely : late).add(ask);
+    return queue(isTimely ? timely : late, ask, waitMillis);
+  }
+
+  private List<Decision> askNested(long nowMillis, Ask ask) {
+    double waitMillis = waitMillis(nested.headSet(ask).size());
+    return canFinish(nowMillis + waitMillis, ask)
+        ? queue(nested, ask, waitMillis)
+        : List.of(overloaded(ask));
+  }
+
+  private List<Decision> queue(TreeSet<Ask> queue, Ask ask, double waitMillis) {
+    if (waitMillis > ask.toleratedWaitMillis() || queued() >= settings.queueLimit()) {
+      return List.of(overloaded(ask));
+    }
+    queue.add(ask);
     return List.of(new Decision.Queued(ask.id()));
   }
 
@@ -75,7 +93,7 @@
 
   @Override
   public List<Decision> cancel(long nowMillis, long id) {
-    boolean waited = timely.removeIf(ask -> ask.id() == id) || late.removeIf(ask -> ask.id() == id);
+    boolean waited = queues().stream().anyMatch(queue -> queue.removeIf(ask -> ask.id() == id));
     return waited ? List.of(new Decision.Refused(id, Reason.CANCELLED, 0)) : List.of();
   }
 
@@ -83,21 +101,31 @@
   public List<Decision> tick(long nowMillis) {
     demote(nowMillis);
     List<Decision> decisions = new ArrayList<>();
-    for (Iterator<Ask> waiting = late.iterator(); waiting.hasNext(); ) {
+    refuseTooLate(nowMillis, nested, decisions);
+    refuseTooLate(nowMillis, late, decisions);
+    return decisions;
+  }
+
+  private void refuseTooLate(long nowMillis, TreeSet<Ask> queue, List<Decision> decisions) {
+    for (Iterator<Ask> waiting = queue.iterator(); waiting.hasNext(); ) {
       Ask ask = waiting.next();
       if (!canBegin(nowMillis, ask, 0)) {
         waiting.remove();
         decisions.add(tooLate(nowMillis, ask));
       }
     }
-    return decisions;
+  }
+
+  /** In the order in which they are served. */
+  private List<TreeSet<Ask>> queues() {
+    return List.of(nested, timely, late);
   }
 
   @Override
   public List<Decision> drain(long nowMillis) {
     draining = true;
     List<Decision> decisions = new ArrayList<>();
-    for (TreeSet<Ask> queue : List.of(timely, late)) {
+    for (TreeSet<Ask> queue : queues()) {
       queue.forEach(ask -> decisions.add(new Decision.Refused(ask.id(), Reason.DRAINING, 0)));
       queue.clear();
     }
@@ -118,7 +146,7 @@
 
   @Override
   public int queued() {
-    return timely.size() + late.size();
+    return nested.size() + timely.size() + late.size();
   }
 
   @Override
@@ -130,7 +158,7 @@
     demote(nowMillis);
     List<Decision> decisions = new ArrayList<>();
     while (running.size() < slots && queued() > 0) {
-      Ask next = timely.isEmpty() ? late.pollFirst() : timely.pollFirst();
+      Ask next = next();
       if (canBegin(nowMillis, next, 0)) {
         running.add(next.id());
         decisions.add(new Decision.Admitted(next.id()));
@@ -141,6 +169,13 @@
     return decisions;
   }
 
+  private Ask next() {
+    if (!nested.isEmpty()) {
+      return nested.pollFirst();
+    }
+    return timely.isEmpty() ? late.pollFirst() : timely.pollFirst();
+  }
+
   /** Those that can no longer be in time go behind the others. */
   private void demote(long nowMillis) {
     for (Iterator<Ask> waiting = timely.iterator(); waiting.hasNext(); ) {
@@ -158,8 +193,12 @@
 
   private static boolean canBegin(long nowMillis, Ask ask, double waitMillis) {
     double beginMillis = nowMillis + waitMillis;
-    return nowMillis < ask.deadlineMillis()
-        && beginMillis <= ask.startByMillis()
+    boolean inTime = ask.nested() || beginMillis <= ask.startByMillis();
+    return inTime && canFinish(beginMillis, ask);
+  }
+
+  private static boolean canFinish(double beginMillis, Ask ask) {
+    return beginMillis < ask.deadlineMillis()
         && beginMillis + expectedMillis(ask) <= ask.deadlineMillis();
   }
 
@@ -180,7 +219,8 @@
 
   private Decision overloaded(Ask ask) {
     long retryAfter =
-        Math.max(settings.minRetryAfterMillis(), Math.round(waitMillis(timely.size())));
+        Math.max(
+            settings.minRetryAfterMillis(), Math.round(waitMillis(nested.size() + timely.size())));
     return new Decision.Refused(
         ask.id(), Reason.OVERLOADED, Math.min(settings.maxRetryAfterMillis(), retryAfter));
   }
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
@@ -78,7 +78,8 @@
 
   /** One that takes 10 ms and is in time if its work is done at a given moment. */
   private static Ask withTarget(long id, long dueMillis, long targetMillis, long startByMillis) {
-    return new Ask(id, "", Tier.STANDARD, FAR, 10_000, FAR, dueMillis, targetMillis, startByMillis);
+    return new Ask(
+        id, "", Tier.STANDARD, FAR, 10_000, FAR, dueMillis, targetMillis, startByMillis, false);
   }
 
   @Test
@@ -120,6 +121,40 @@
     assertThat(controller.ask(0, withTarget(5, 90, 200, 20)).get(0)).isInstanceOf(Refused.class);
   }
 
+  /** One that takes 10 ms and for which another request holds a slot. */
+  private static Ask nested(long id, long dueMillis, long deadlineMillis) {
+    return new Ask(
+        id, "", Tier.STANDARD, deadlineMillis, 10_000, FAR, dueMillis, dueMillis, dueMillis, true);
+  }
+
+  @Test
+  void nestedRequestsGoFirst() {
+    fillSlots();
+    controller.ask(0, withTarget(1, 10, 100, 500));
+    controller.ask(0, nested(2, 90, 200));
+
+    assertThat(controller.release(5, -1, 10_000)).containsExactly(new Admitted(2));
+    assertThat(controller.release(5, -2, 10_000)).containsExactly(new Admitted(1));
+  }
+
+  @Test
+  void nestedRequestsThatAreLateStillGoFirstAndWaitUntilTheirDeadline() {
+    fillSlots();
+    controller.ask(0, nested(1, 5, 60));
+    controller.ask(0, withTarget(2, 90, 100, 500));
+
+    assertThat(controller.tick(45)).isEmpty();
+    assertThat(controller.release(50, -1, 10_000)).containsExactly(new Admitted(1));
+  }
+
+  @Test
+  void nestedRequestsAreRefusedOnceTheirDeadlineCannotBeMet() {
+    fillSlots();
+    controller.ask(0, nested(1, 5, 60));
+
+    assertThat(controller.tick(51)).containsExactly(new Refused(1, Reason.DEADLINE, 0));
+  }
+
   @Test
   void theQueueIsBounded() {
     fillSlots();
@@ -153,7 +188,9 @@
     int expectedMicros = random.nextInt(50_000);
     long target = due + random.nextInt(100);
     long startBy = due + random.nextInt(100);
-    return new Ask(id, "", Tier.BASIC, due + 100, expectedMicros, 200, due, target, startBy);
+    boolean nested = random.nextInt(4) == 0;
+    return new Ask(
+        id, "", Tier.BASIC, due + 100, expectedMicros, 200, due, target, startBy, nested);
   }
 
   /** Random asks, ends and cancellations: never more than the slots, each decided once. */
