Gate: what cannot be in time in four of five cases is refused at once

Change: a request is timely if wait and mean time plus mean deviation of its route fit the target. One that is not is refused while its age is under 0.22 of its target, with a time to come back; older ones go behind as before.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
@@ -11,6 +11,8 @@
  * @param toleratedWaitMillis expected wait beyond which to refuse rather than queue, milliseconds
  * @param targetMillis in how long its work has to be done for its answer to be in time,
  *     milliseconds
+ * @param refuseByMillis until when a refusal lets its caller come back in time, milliseconds from
+ *     now
  * @param startByMillis in how long it is to be refused if it has not begun, milliseconds
  */
 record HopLine(
@@ -19,9 +21,10 @@
     long dueMillis,
     long toleratedWaitMillis,
     long targetMillis,
+    long refuseByMillis,
     long startByMillis) {
   static final String HEADER = "Umberpath-Hop";
-  private static final int FIELDS = 6;
+  private static final int FIELDS = 7;
   private static final int FIRST_TIME = 2;
 
   String encode() {
@@ -32,6 +35,7 @@
         Long.toString(dueMillis),
         Long.toString(toleratedWaitMillis),
         Long.toString(targetMillis),
+        Long.toString(refuseByMillis),
         Long.toString(startByMillis));
   }
 
@@ -45,7 +49,8 @@
       for (int index = 0; index < times.length; index++) {
         times[index] = Long.parseLong(fields[FIRST_TIME + index]);
       }
-      return Optional.of(new HopLine(fields[0], fields[1], times[0], times[1], times[2], times[3]));
+      return Optional.of(
+          new HopLine(fields[0], fields[1], times[0], times[1], times[2], times[3], times[4]));
     } catch (NumberFormatException malformed) {
       return Optional.empty();
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -53,6 +53,9 @@
   /** Share of the target latency by which the back end has to be done; the rest is the way back. */
   private static final double WORK_SHARE_OF_TARGET = 0.92;
 
+  /** Share of the target latency within which a refusal still serves the caller. */
+  private static final double REFUSAL_SHARE_OF_TARGET = 0.22;
+
   /** Share of the time a caller gives that its request may wait for a slot. */
   private static final double WAIT_SHARE_OF_TIME = 0.45;
 
@@ -253,6 +256,7 @@
             dueMillis(plan, nowMillis),
             plan.tally().toleratedWaitMillis(),
             targetMillis(plan, nowMillis),
+            refuseByMillis(plan, nowMillis),
             startByMillis(plan, nowMillis));
     set(outgoing, HopLine.HEADER, hop.encode());
   }
@@ -271,6 +275,12 @@
     return plan.beganMillis() + target - nowMillis;
   }
 
+  /** Until when a refusal is soon enough for the caller to come back. */
+  private static long refuseByMillis(MeshEdgePlan plan, long nowMillis) {
+    long soon = Math.round(plan.rule().targetLatencyMillis() * REFUSAL_SHARE_OF_TARGET);
+    return plan.beganMillis() + soon - nowMillis;
+  }
+
   /** In how long a request that has not begun is given up, while its caller has time to return. */
   private static long startByMillis(MeshEdgePlan plan, long nowMillis) {
     long longest = Math.round((plan.deadlineMillis() - plan.beganMillis()) * WAIT_SHARE_OF_TIME);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -115,6 +115,12 @@
     }
   }
 
+  private long likelyMicros(String route) {
+    synchronized (routeTimes) {
+      return routeTimes.likelyMost(route);
+    }
+  }
+
   @Override
   public ProxyStats.Side side() {
     return ProxyStats.Side.HOP;
@@ -159,9 +165,11 @@
                 Tier.STANDARD,
                 deadline,
                 expectedMicros,
+                likelyMicros(plan.route()),
                 hop.toleratedWaitMillis(),
                 began + hop.dueMillis(),
                 began + hop.targetMillis(),
+                began + hop.refuseByMillis(),
                 began + hop.startByMillis(),
                 isNested));
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -59,7 +59,7 @@
 
   @Test
   void aHopLineIsReadAsItWasWritten() {
-    HopLine hop = new HopLine("i-7f", "r-1", 2, 150, 180, -5);
+    HopLine hop = new HopLine("i-7f", "r-1", 2, 150, 180, 40, -5);
 
     assertThat(HopLine.decode(hop.encode())).contains(hop);
   }
@@ -69,10 +69,10 @@
       strings = {
         "",
         "i-7f",
-        "i-7f,r-1,2,150,180",
-        ",r-1,2,150,180,-5",
-        "i-7f,r-1,x,150,180,-5",
-        "a,b,1,2,3,4,5"
+        "i-7f,r-1,2,150,180,40",
+        ",r-1,2,150,180,40,-5",
+        "i-7f,r-1,x,150,180,40,-5",
+        "a,b,1,2,3,4,5,6"
       })
   void whatIsNoHopLineIsNone(String text) {
     assertThat(HopLine.decode(text)).isEmpty();
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -17,10 +17,14 @@
    * @param tier tier of the route
    * @param deadlineMillis when its caller gives up, on the clock of {@code nowMillis}
    * @param expectedMicros how long it is expected to hold its slot, microseconds; 0 if not known
+   * @param likelyMicros how long it holds its slot at most in about four cases of five,
+   *     microseconds; 0 if not known
    * @param toleratedWaitMillis expected wait beyond which it is refused rather than queued
    * @param dueMillis what is due earlier goes first, where requests are taken in that order
    * @param targetMillis when its work has to be done for its answer to be in time, on the same
    *     clock; what can still be in time goes before what cannot
+   * @param refuseByMillis until when it is refused rather than served late, on the same clock: its
+   *     caller comes back and may be in time then
    * @param startByMillis when it is refused if it has not begun, on the same clock
    * @param nested whether another request holds a slot while it waits for this one: goes first, and
    *     waits as long as its deadline allows
@@ -31,9 +35,11 @@
       Tier tier,
       long deadlineMillis,
       long expectedMicros,
+      long likelyMicros,
       long toleratedWaitMillis,
       long dueMillis,
       long targetMillis,
+      long refuseByMillis,
       long startByMillis,
       boolean nested) {
     /** One of which nothing is expected and that waits as long as its deadline allows. */
@@ -56,9 +62,11 @@
           tier,
           deadlineMillis,
           expectedMicros,
+          expectedMicros,
           toleratedWaitMillis,
           dueMillis,
           deadlineMillis,
+          Long.MIN_VALUE,
           deadlineMillis,
           false);
     }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -51,33 +51,42 @@
       return List.of(new Decision.Admitted(ask.id()));
     }
     if (ask.nested()) {
-      return askNested(nowMillis, ask);
+      return List.of(askNested(nowMillis, ask));
     }
-    demote(nowMillis);
+    List<Decision> decisions = new ArrayList<>();
+    decisions.add(askTimed(nowMillis, ask));
+    demote(nowMillis, decisions);
+    return decisions;
+  }
+
+  private Decision askTimed(long nowMillis, Ask ask) {
     double waitMillis = waitMillis(nested.size() + timely.headSet(ask).size());
     boolean isTimely = canBeTimely(nowMillis, ask, waitMillis);
+    if (!isTimely && nowMillis <= ask.refuseByMillis()) {
+      return overloaded(ask);
+    }
     if (!isTimely) {
       waitMillis = waitMillis(nested.size() + timely.size() + late.headSet(ask).size());
     }
     if (!canBegin(nowMillis, ask, waitMillis)) {
-      return List.of(overloaded(ask));
+      return overloaded(ask);
     }
     return queue(isTimely ? timely : late, ask, waitMillis);
   }
 
-  private List<Decision> askNested(long nowMillis, Ask ask) {
+  private Decision askNested(long nowMillis, Ask ask) {
     double waitMillis = waitMillis(nested.headSet(ask).size());
     return canFinish(nowMillis + waitMillis, ask)
         ? queue(nested, ask, waitMillis)
-        : List.of(overloaded(ask));
+        : overloaded(ask);
   }
 
-  private List<Decision> queue(TreeSet<Ask> queue, Ask ask, double waitMillis) {
+  private Decision queue(TreeSet<Ask> queue, Ask ask, double waitMillis) {
     if (waitMillis > ask.toleratedWaitMillis() || queued() >= settings.queueLimit()) {
-      return List.of(overloaded(ask));
+      return overloaded(ask);
     }
     queue.add(ask);
-    return List.of(new Decision.Queued(ask.id()));
+    return new Decision.Queued(ask.id());
   }
 
   @Override
@@ -99,8 +108,8 @@
 
   @Override
   public List<Decision> tick(long nowMillis) {
-    demote(nowMillis);
     List<Decision> decisions = new ArrayList<>();
+    demote(nowMillis, decisions);
     refuseTooLate(nowMillis, nested, decisions);
     refuseTooLate(nowMillis, late, decisions);
     return decisions;
@@ -155,8 +164,8 @@
   }
 
   private List<Decision> dispatch(long nowMillis) {
-    demote(nowMillis);
     List<Decision> decisions = new ArrayList<>();
+    demote(nowMillis, decisions);
     while (running.size() < slots && queued() > 0) {
       Ask next = next();
       if (canBegin(nowMillis, next, 0)) {
@@ -176,19 +185,23 @@
     return timely.isEmpty() ? late.pollFirst() : timely.pollFirst();
   }
 
-  /** Those that can no longer be in time go behind the others. */
-  private void demote(long nowMillis) {
+  /** Those that can no longer be in time are refused, or go behind the others. */
+  private void demote(long nowMillis, List<Decision> decisions) {
     for (Iterator<Ask> waiting = timely.iterator(); waiting.hasNext(); ) {
       Ask ask = waiting.next();
       if (!canBeTimely(nowMillis, ask, 0)) {
         waiting.remove();
-        late.add(ask);
+        if (nowMillis <= ask.refuseByMillis()) {
+          decisions.add(overloaded(ask));
+        } else {
+          late.add(ask);
+        }
       }
     }
   }
 
   private static boolean canBeTimely(long nowMillis, Ask ask, double waitMillis) {
-    return nowMillis + waitMillis + expectedMillis(ask) <= ask.targetMillis();
+    return nowMillis + waitMillis + ask.likelyMicros() / MICROS_PER_MILLI <= ask.targetMillis();
   }
 
   private static boolean canBegin(long nowMillis, Ask ask, double waitMillis) {
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
@@ -79,7 +79,18 @@
   /** One that takes 10 ms and is in time if its work is done at a given moment. */
   private static Ask withTarget(long id, long dueMillis, long targetMillis, long startByMillis) {
     return new Ask(
-        id, "", Tier.STANDARD, FAR, 10_000, FAR, dueMillis, targetMillis, startByMillis, false);
+        id,
+        "",
+        Tier.STANDARD,
+        FAR,
+        10_000,
+        10_000,
+        FAR,
+        dueMillis,
+        targetMillis,
+        -1,
+        startByMillis,
+        false);
   }
 
   @Test
@@ -124,7 +135,18 @@
   /** One that takes 10 ms and for which another request holds a slot. */
   private static Ask nested(long id, long dueMillis, long deadlineMillis) {
     return new Ask(
-        id, "", Tier.STANDARD, deadlineMillis, 10_000, FAR, dueMillis, dueMillis, dueMillis, true);
+        id,
+        "",
+        Tier.STANDARD,
+        deadlineMillis,
+        10_000,
+        10_000,
+        FAR,
+        dueMillis,
+        dueMillis,
+        -1,
+        dueMillis,
+        true);
   }
 
   @Test
@@ -190,7 +212,18 @@
     long startBy = due + random.nextInt(100);
     boolean nested = random.nextInt(4) == 0;
     return new Ask(
-        id, "", Tier.BASIC, due + 100, expectedMicros, 200, due, target, startBy, nested);
+        id,
+        "",
+        Tier.BASIC,
+        due + 100,
+        expectedMicros,
+        expectedMicros,
+        200,
+        due,
+        target,
+        random.nextInt(3) == 0 ? FAR : -1,
+        startBy,
+        nested);
   }
 
   /** Random asks, ends and cancellations: never more than the slots, each decided once. */
