Back ends: live ones whose entry lapsed are used on; an ended start is passed over

Cause: a machine that the store cuts off or turns away cannot renew its back end's entry.

Ruled out: keeping any entry that vanished. Some back ends leave without saying so, by their entry alone.

Change: the node beside a back end attests it in its reports while its entry is missing, the store does not answer this node or has for less than 2.5 s, and health probes (each 0.4 s, valid for 1.5 s) answer 200 with the same start's id. One that leaves, has ended or was replaced fails them for good. Other nodes take it as listed for 1 s a report. Of two starts at one address only the one written last is listed.

--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/AttestedBackends.java
@@ -0,0 +1,46 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.model.routing.BackendEntry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Back ends that the store lists no more, but the node beside each attests to live. Thread-safe.
+ */
+final class AttestedBackends {
+  /** How long an attestation holds without being repeated, milliseconds. */
+  private static final long VALID_MILLIS = 1_000;
+
+  private record Attested(BackendEntry entry, long untilMillis) {}
+
+  private final Map<String, Attested> byHost = new ConcurrentHashMap<>();
+
+  /** Takes what the node of a machine attests now. */
+  void heard(long nowMillis, String host, Optional<BackendEntry> entry) {
+    if (entry.isPresent()) {
+      byHost.put(host, new Attested(entry.get(), nowMillis + VALID_MILLIS));
+    } else {
+      byHost.remove(host);
+    }
+  }
+
+  /** The back ends of a service that take new work: those listed, and those attested. */
+  List<BackendEntry> ready(long nowMillis, BackendDirectory listed, String service) {
+    List<BackendEntry> ready = listed.ready(service);
+    if (byHost.isEmpty()) {
+      return ready;
+    }
+    List<BackendEntry> all = new ArrayList<>(ready);
+    for (Attested attested : byHost.values()) {
+      BackendEntry entry = attested.entry();
+      boolean holds = nowMillis < attested.untilMillis();
+      if (holds && entry.service().equals(service) && listed.at(entry.address()).isEmpty()) {
+        all.add(entry);
+      }
+    }
+    return all;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LivenessAttester.java
@@ -0,0 +1,134 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.ServiceDefinition;
+import io.umberpath.node.proxy.backend.HealthProbe;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+
+/**
+ * Attests that the back end beside this node lives although its entry has lapsed: where the store
+ * does not answer this machine, it does not hear the back end's heartbeats either. The attestation
+ * rests on health probes; a back end that leaves, has ended or was replaced fails them.
+ * Thread-safe.
+ */
+final class LivenessAttester {
+  private static final long PROBE_MILLIS = 400;
+  private static final long PROBE_TIMEOUT_MILLIS = 1_000;
+
+  /** How long a good probe is believed, from when it was sent. */
+  private static final long VALID_MILLIS = 1_500;
+
+  private static final int OK = 200;
+
+  private final MeshSettings settings;
+  private final Supplier<MeshView> view;
+  private final Supplier<StoreContact> contact;
+  private final ConnectionPool pool;
+  private final MeshEvents events;
+  private final LongSupplier clockMillis;
+  private BackendEntry lastListed;
+  private HealthProbe probe;
+  private long probeSentMillis;
+  private long goodUntilMillis = Long.MIN_VALUE;
+  private BackendEntry noted;
+
+  LivenessAttester(
+      MeshSettings settings,
+      Supplier<MeshView> view,
+      Supplier<StoreContact> contact,
+      ConnectionPool pool,
+      MeshEvents events,
+      LongSupplier clockMillis) {
+    this.settings = settings;
+    this.view = view;
+    this.contact = contact;
+    this.pool = pool;
+    this.events = events;
+    this.clockMillis = clockMillis;
+  }
+
+  /** The entry of the back end that lives though the store lists it no more; empty if none. */
+  synchronized Optional<BackendEntry> attested() {
+    boolean attests = isLapsed() && clockMillis.getAsLong() < goodUntilMillis;
+    return attests ? Optional.of(lastListed) : Optional.empty();
+  }
+
+  /** Whether that start of the back end is attested. */
+  boolean attests(String instance) {
+    return attested().filter(entry -> entry.id().equals(instance)).isPresent();
+  }
+
+  /** Looks at the entry, and probes the back end while it is missing for want of contact. */
+  synchronized void tick() {
+    long now = clockMillis.getAsLong();
+    List<BackendEntry> listed = view.get().backends().at(settings.backend());
+    if (!listed.isEmpty()) {
+      lastListed = listed.get(0).state() == BackendEntry.State.READY ? listed.get(0) : null;
+      goodUntilMillis = Long.MIN_VALUE;
+    } else if (isLapsed() && contact.get().mayMissEntries(now)) {
+      probe(now);
+    }
+    note(attested());
+  }
+
+  private boolean isLapsed() {
+    return lastListed != null && view.get().backends().at(settings.backend()).isEmpty();
+  }
+
+  private void note(Optional<BackendEntry> attested) {
+    if (attested.isPresent() && noted == null) {
+      events.attestation(attested.get(), true);
+    } else if (attested.isEmpty() && noted != null) {
+      events.attestation(noted, false);
+    }
+    noted = attested.orElse(null);
+  }
+
+  private void probe(long nowMillis) {
+    if (nowMillis < probeSentMillis + PROBE_MILLIS) {
+      return;
+    }
+    if (probe != null && probe.isUnderWay()) {
+      if (nowMillis < probeSentMillis + PROBE_TIMEOUT_MILLIS) {
+        return;
+      }
+      probe.giveUp();
+    }
+    ServiceDefinition service = view.get().configuration().services().get(lastListed.service());
+    if (service == null) {
+      return;
+    }
+    probeSentMillis = nowMillis;
+    String id = lastListed.id();
+    probe =
+        new HealthProbe(
+            pool,
+            service.healthPath(),
+            (head, body) -> answered(id, nowMillis, head),
+            () -> failed(id));
+    probe.start();
+  }
+
+  private synchronized void answered(String id, long sentMillis, HttpResponsePacket head) {
+    boolean isGood =
+        head.getStatus() == OK && id.equals(head.getHeader(settings.headers().instance()));
+    if (!isGood) {
+      failed(id);
+    } else if (lastListed != null && lastListed.id().equals(id)) {
+      goodUntilMillis = sentMillis + VALID_MILLIS;
+    }
+  }
+
+  /** What has left, ended or been replaced is not attested again before it is listed again. */
+  private synchronized void failed(String id) {
+    if (lastListed != null && lastListed.id().equals(id)) {
+      lastListed = null;
+      note(Optional.empty());
+    }
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** What this node believes of the back end beside it. Thread-safe. */
@@ -13,14 +14,21 @@
 
   private final MeshSettings settings;
   private final Supplier<MeshView> view;
+  private final Predicate<String> attested;
   private final Set<String> known = ConcurrentHashMap.newKeySet();
   private final Set<String> ended = ConcurrentHashMap.newKeySet();
   private volatile boolean leaving;
   private volatile int slots = DEFAULT_SLOTS;
 
-  LocalBackend(MeshSettings settings, Supplier<MeshView> view) {
+  /**
+   * Creates one that knows nothing of it.
+   *
+   * @param attested whether a start of the back end lives although its entry has lapsed
+   */
+  LocalBackend(MeshSettings settings, Supplier<MeshView> view, Predicate<String> attested) {
     this.settings = settings;
     this.view = view;
+    this.attested = attested;
   }
 
   /** This node takes no new work for its back end. */
@@ -61,6 +69,6 @@
       return entry.get().state() == BackendEntry.State.READY;
     }
     // What was listed and is no more has left; what was never listed here may just have begun.
-    return !known.contains(instance);
+    return !known.contains(instance) || attested.test(instance);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -197,7 +197,7 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DEADLINE));
       return;
     }
-    List<BackendEntry> candidates = view.get().backends().ready(plan.service());
+    List<BackendEntry> candidates = peers.readyBackends(plan.service());
     Set<String> silent = peers.silentBackends(candidates);
     boolean mayBounce = mayBounce(exchange, plan);
     Set<String> leftOut = plan.tally().leftOut(mayBounce);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -28,6 +28,8 @@
   BACKEND_DRAINING(50),
   /** A back end is no longer listed. */
   BACKEND_GONE(50),
+  /** A back end lives although its entry has lapsed, or is no longer known to. */
+  BACKEND_ATTESTED(10),
   /** A back end's entry cannot be read. */
   BACKEND_REFUSED(10),
   /** Another node has not been heard of for too long. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -147,6 +147,10 @@
     }
   }
 
+  void attestation(BackendEntry entry, boolean attests) {
+    backend(MeshEvent.BACKEND_ATTESTED, entry).log("%s", attests ? "begins" : "ends");
+  }
+
   private FluentLogger.Api backend(MeshEvent event, BackendEntry entry) {
     return line(event)
         .with(BACKEND, entry.id())
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
@@ -69,6 +70,7 @@
   private final PeerExchange peers;
   private final LocalBackend backend;
   private final MeshProxy proxy;
+  private final LivenessAttester attester;
   private final MeshMetrics metrics = new MeshMetrics();
   private final String readyPath;
   private final List<StateServer> stateServers = new ArrayList<>();
@@ -100,10 +102,17 @@
     this.balancer =
         new GateBalancer(settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
     this.peers = new PeerExchange(settings, state::view, balancer, events, clockMillis);
-    this.backend = new LocalBackend(settings, state::view);
+    this.backend = new LocalBackend(settings, state::view, this::attests);
     this.proxy =
         new MeshProxy(
             settings, state::view, balancer, peers, backend, events, metrics, clockMillis);
+    this.attester =
+        new LivenessAttester(
+            settings, state::view, follower::contact, proxy.backendPool(), events, clockMillis);
+  }
+
+  private boolean attests(String instance) {
+    return attester.attests(instance);
   }
 
   private static Thread timerThread(Runnable task) {
@@ -167,8 +176,14 @@
   }
 
   private PeerReport report() {
+    attester.tick();
     MeshView view = state.view();
-    return new PeerReport(proxy.gate().load(), backendLeaving, view.version(), view.revision());
+    return new PeerReport(
+        proxy.gate().load(),
+        backendLeaving,
+        view.version(),
+        view.revision(),
+        backendLeaving ? Optional.empty() : attester.attested());
   }
 
   private StateTransfer transfer() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -111,6 +111,11 @@
     transport.listen(address.host(), address.port(), last);
   }
 
+  /** Connections to the back end beside this node. */
+  ConnectionPool backendPool() {
+    return backendPool;
+  }
+
   MeshGateHandler gate() {
     return gate;
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -2,11 +2,11 @@
 
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StoreWatcher;
+import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.umberpath.traffic.routing.RoutingTable;
 import io.vavr.control.Either;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -54,14 +54,15 @@
     List<StoreItem> items = watcher.items();
     RoutingConfiguration configuration = view.configuration();
     RoutingTable table = view.table();
-    List<BackendEntry> entries = new ArrayList<>();
+    Map<PeerAddress, Listed> newest = new HashMap<>();
     for (StoreItem item : items) {
       if (documents.isConfiguration(item.key())) {
         configuration = newer(configuration, item, source);
       } else if (documents.isBackend(item.key())) {
         BackendEntry entry = entry(item);
         if (entry != null) {
-          entries.add(entry);
+          Listed listed = new Listed(entry, item.revision());
+          newest.merge(entry.address(), listed, Listed::later);
         }
       }
     }
@@ -69,11 +70,24 @@
     if (configuration != view.configuration()) {
       table = RoutingTable.of(configuration);
     }
-    BackendDirectory backends = new BackendDirectory(entries);
+    BackendDirectory backends =
+        new BackendDirectory(newest.values().stream().map(Listed::entry).toList());
     events.backendsChanged(view.backends(), backends, watcher.at(), source);
     view = new MeshView(configuration, table, backends, watcher.at());
   }
 
+  /**
+   * A back end's entry. Of two at one address only the one that was written last can be alive: the
+   * other one has ended, and its entry only stands until its lease runs out.
+   *
+   * @param revision the store's revision when it was written
+   */
+  private record Listed(BackendEntry entry, long revision) {
+    Listed later(Listed other) {
+      return other.revision > revision ? other : this;
+    }
+  }
+
   private RoutingConfiguration newer(RoutingConfiguration held, StoreItem item, String source) {
     if (item.revision() == seenRevision) {
       return held;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -48,6 +48,7 @@
   private final MeshEvents events;
   private final LongSupplier clockMillis;
   private final KnownPeers known;
+  private final AttestedBackends attested = new AttestedBackends();
   private final Set<String> leaving = ConcurrentHashMap.newKeySet();
   private final Thread thread = new Thread(this::receive, "umberpath-reports");
   private volatile AheadListener aheadListener = (host, version, revision) -> {};
@@ -96,7 +97,8 @@
     }
     nodes = receivers.size() + 1;
     note(before, silent);
-    boolean farRound = round++ % ROUNDS_PER_FAR_ROUND == 0;
+    attested.heard(now, settings.exchange().host(), report.attested());
+    boolean farRound = round++ % ROUNDS_PER_FAR_ROUND == 0 || report.attested().isPresent();
     if (!farRound && !report.leaving()) {
       receivers.removeIf(host -> !isNear(host));
     }
@@ -176,8 +178,10 @@
     } else {
       leaving.remove(host);
     }
+    attested.heard(now, host, report.attested());
     MeshView current = view.get();
     synchronized (balancer) {
+      report.attested().ifPresent(entry -> balancer.stated(now, entry.id(), report.load()));
       for (BackendEntry entry : current.backends().atHost(host)) {
         balancer.stated(now, entry.id(), report.load());
       }
@@ -187,6 +191,11 @@
     }
   }
 
+  /** The back ends of a service that take new work. */
+  List<BackendEntry> readyBackends(String service) {
+    return attested.ready(clockMillis.getAsLong(), view.get().backends(), service);
+  }
+
   /** Those of the back ends whose node is out of reach or takes no new work. */
   Set<String> silentBackends(List<BackendEntry> candidates) {
     Set<String> hosts = silent;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -15,8 +15,7 @@
   private final LongSupplier clockMillis;
   private final Thread thread = new Thread(this::run, "umberpath-store");
   private volatile boolean closed;
-  private boolean reachable = true;
-  private long lostAtMillis;
+  private volatile StoreContact contact = new StoreContact(true, Long.MIN_VALUE / 2);
 
   StoreFollower(MeshState state, StoreClient client, MeshEvents events, LongSupplier clockMillis) {
     this.state = state;
@@ -30,6 +29,11 @@
     thread.start();
   }
 
+  /** Whether the store answers. */
+  StoreContact contact() {
+    return contact;
+  }
+
   private void run() {
     while (!closed) {
       try {
@@ -71,16 +75,15 @@
   private void note(long nowMillis, StoreAnswer answer) {
     events.storeCalled(answer);
     if (answer instanceof StoreAnswer.Unavailable unavailable) {
-      if (reachable) {
-        lostAtMillis = nowMillis;
+      if (contact.reachable()) {
         events.storeLost(unavailable.cause());
+        contact = new StoreContact(false, nowMillis);
       }
-      reachable = false;
     } else if (!(answer instanceof StoreAnswer.Throttled)) {
-      if (!reachable) {
-        events.storeRegained(nowMillis - lostAtMillis);
+      if (!contact.reachable()) {
+        events.storeRegained(nowMillis - contact.sinceMillis());
+        contact = new StoreContact(true, nowMillis);
       }
-      reachable = true;
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/BackendMonitor.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/BackendMonitor.java
@@ -7,6 +7,7 @@
 import io.umberpath.node.settings.NodeSettings;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import org.glassfish.grizzly.http.HttpResponsePacket;
 
 /**
  * Probes the back end beside this node, opens connections ahead of need, and tells the fleet about
@@ -14,6 +15,7 @@
  * be ready. {@link #tick} is called by one thread.
  */
 public final class BackendMonitor {
+  private static final String PATH = "/health";
   private static final long NEVER = 0;
   private static final int LOAD_STEP_PERCENT = 25;
   private static final int FULL_LOAD_PERCENT = 100;
@@ -75,12 +77,12 @@
       }
     }
     probeStartMillis = nowMillis;
-    probe = new HealthProbe(pool, this::reported, status::probeFailed);
+    probe = new HealthProbe(pool, PATH, this::answered, status::probeFailed);
     probe.start();
   }
 
-  private void reported(HealthReport report) {
-    status.probed(report, clockMillis.getAsLong());
+  private void answered(HttpResponsePacket head, String body) {
+    status.probed(HealthReport.of(head, body), clockMillis.getAsLong());
     if (status.phase() == Phase.READY) {
       pool.openAhead(backend.slots());
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/HealthProbe.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/HealthProbe.java
@@ -1,15 +1,13 @@
 package io.umberpath.node.proxy.backend;
 
 import io.umberpath.model.Verdict;
-import io.umberpath.node.proxy.http.ProxyHeaders;
-import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.origin.AnswerListener;
 import io.umberpath.node.proxy.origin.AnswerPart;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.pool.ConnectionWaiter;
 import java.nio.charset.StandardCharsets;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -17,37 +15,48 @@
 import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.http.util.Header;
 
-/** One {@code GET /health} of a back end. Thread-safe. */
-final class HealthProbe implements ConnectionWaiter, AnswerListener {
-  private static final String PATH = "/health";
+/** One {@code GET} of a back end's health path. Thread-safe. */
+public final class HealthProbe implements ConnectionWaiter, AnswerListener {
   private static final int MAX_BODY_CHARACTERS = 4_096;
-  private static final long MILLIS_PER_SECOND = 1_000;
 
   private final ConnectionPool pool;
-  private final Consumer<HealthReport> onReport;
+  private final String path;
+  private final BiConsumer<HttpResponsePacket, String> onAnswer;
   private final Runnable onFailure;
   private final StringBuilder body = new StringBuilder();
   private OriginConnection connection;
   private boolean over;
 
-  HealthProbe(ConnectionPool pool, Consumer<HealthReport> onReport, Runnable onFailure) {
+  /**
+   * Creates a probe that has not been sent.
+   *
+   * @param path what to ask for
+   * @param onAnswer takes head and text of the answer, possibly shortened
+   * @param onFailure runs if there is no whole answer
+   */
+  public HealthProbe(
+      ConnectionPool pool,
+      String path,
+      BiConsumer<HttpResponsePacket, String> onAnswer,
+      Runnable onFailure) {
     this.pool = pool;
-    this.onReport = onReport;
+    this.path = path;
+    this.onAnswer = onAnswer;
     this.onFailure = onFailure;
   }
 
   /** Sends the probe; exactly one of the callbacks follows, unless it is given up. */
-  void start() {
+  public void start() {
     pool.acquire(this);
   }
 
   /** Whether neither callback has been called. */
-  synchronized boolean isUnderWay() {
+  public synchronized boolean isUnderWay() {
     return !over;
   }
 
   /** Gives up; returns whether it was still under way. */
-  boolean giveUp() {
+  public boolean giveUp() {
     OriginConnection used;
     synchronized (this) {
       if (over) {
@@ -78,7 +87,7 @@
   private HttpRequestPacket request() {
     return HttpRequestPacket.builder()
         .method(Method.GET)
-        .uri(PATH)
+        .uri(path)
         .protocol(Protocol.HTTP_1_1)
         .header(Header.Host, pool.address().toString())
         .build();
@@ -118,7 +127,7 @@
       }
       over = true;
     }
-    onReport.accept(report(part.head()));
+    onAnswer.accept(part.head(), body.toString());
     return true;
   }
 
@@ -130,16 +139,6 @@
     }
   }
 
-  private HealthReport report(HttpResponsePacket head) {
-    return new HealthReport(
-        head.getStatus(),
-        "true".equalsIgnoreCase(head.getHeader(ProxyHeaders.DRAINING)),
-        Headers.text(head, Header.RetryAfter.toString())
-            .flatMap(Headers::number)
-            .map(seconds -> seconds * MILLIS_PER_SECOND),
-        body.toString());
-  }
-
   @Override
   public void whenReadyForMore(Runnable resume) {
     resume.run();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/HealthReport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/HealthReport.java
@@ -1,8 +1,12 @@
 package io.umberpath.node.proxy.backend;
 
 import io.umberpath.model.ObservedBackend.Phase;
+import io.umberpath.node.proxy.http.ProxyHeaders;
+import io.umberpath.node.proxy.inbound.Headers;
 import java.util.Locale;
 import java.util.Optional;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.Header;
 
 /**
  * What a back end said in one answer.
@@ -13,10 +17,22 @@
  * @param body text of the answer, possibly shortened
  */
 record HealthReport(int status, boolean draining, Optional<Long> retryAfterMillis, String body) {
+  private static final long MILLIS_PER_SECOND = 1_000;
   private static final int OK = 200;
   private static final int MULTIPLE_CHOICES = 300;
   private static final int SERVICE_UNAVAILABLE = 503;
 
+  /** Reads an answer. */
+  static HealthReport of(HttpResponsePacket head, String body) {
+    return new HealthReport(
+        head.getStatus(),
+        "true".equalsIgnoreCase(head.getHeader(ProxyHeaders.DRAINING)),
+        Headers.text(head, Header.RetryAfter.toString())
+            .flatMap(Headers::number)
+            .map(seconds -> seconds * MILLIS_PER_SECOND),
+        body);
+  }
+
   /** The phase that an answer to a health probe stands for; empty if it proves nothing. */
   Optional<Phase> phase() {
     String text = body.toLowerCase(Locale.ROOT);
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
@@ -28,7 +28,9 @@
           new HeaderNames("Id", "Deadline", "Expected", "Caller", "Not-Executed", "Instance"));
 
   private MeshView view = viewOf(entry("first", BackendEntry.State.READY));
-  private final LocalBackend backend = new LocalBackend(SETTINGS, () -> view);
+  private String attested;
+  private final LocalBackend backend =
+      new LocalBackend(SETTINGS, () -> view, id -> id.equals(attested));
 
   private static BackendEntry entry(String id, BackendEntry.State state) {
     return new BackendEntry(id, "booking", ADDRESS, "zone", 6, state, 0);
@@ -67,6 +69,16 @@
     assertThat(backend.takes("not-listed-yet")).isTrue();
   }
 
+  @Test
+  void oneThatLivesAlthoughItsEntryHasLapsedTakesNewWork() {
+    backend.refresh();
+    view = viewOf();
+    assertThat(backend.takes("first")).isFalse();
+
+    attested = "first";
+    assertThat(backend.takes("first")).isTrue();
+  }
+
   @Test
   void aNodeThatStopsTakesNothingNew() {
     backend.leave();
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -0,0 +1,76 @@
+package io.umberpath.node.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.StoreWatcher;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.RoutingConfiguration;
+import io.vavr.control.Either;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+final class MeshStateTest {
+  /** Entries whose key is the id and whose value is the port. */
+  private static final StoreDocuments DOCUMENTS =
+      new StoreDocuments() {
+        @Override
+        public String prefix() {
+          return "";
+        }
+
+        @Override
+        public boolean isConfiguration(String key) {
+          return false;
+        }
+
+        @Override
+        public boolean isBackend(String key) {
+          return true;
+        }
+
+        @Override
+        public Either<String, RoutingConfiguration> configuration(StoreItem item) {
+          return Either.left("none");
+        }
+
+        @Override
+        public Either<String, BackendEntry> backend(StoreItem item) {
+          PeerAddress address = new PeerAddress("10.0.0.1", Integer.parseInt(item.value()));
+          return Either.right(
+              new BackendEntry(
+                  item.key(), "booking", address, "z", 6, BackendEntry.State.READY, 0));
+        }
+      };
+
+  private final MeshState state =
+      new MeshState(
+          DOCUMENTS, new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), new MeshEvents(() -> 0));
+
+  private List<String> ready() {
+    return state.view().backends().ready("booking").stream().map(BackendEntry::id).toList();
+  }
+
+  /** The store lists a start that has ended until its lease runs out. */
+  @Test
+  void ofTwoStartsAtOneAddressOnlyTheLaterIsListed() {
+    state.adopt(List.of(new StoreItem("a", "80", 3), new StoreItem("b", "81", 4)), 4, "peer");
+    assertThat(ready()).containsExactly("a", "b");
+
+    List<StoreItem> restarted =
+        List.of(
+            new StoreItem("a", "80", 3), new StoreItem("b", "81", 4), new StoreItem("c", "80", 7));
+    state.adopt(restarted, 7, "peer");
+
+    assertThat(ready()).containsExactly("b", "c");
+    assertThat(state.view().backends().byId("a")).isEmpty();
+  }
+
+  @Test
+  void theOrderInWhichTheyAreReadDoesNotMatter() {
+    state.adopt(List.of(new StoreItem("c", "80", 7), new StoreItem("a", "80", 3)), 7, "peer");
+
+    assertThat(ready()).containsExactly("c");
+  }
+}
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -4,11 +4,14 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.umberpath.control.store.StoreItem;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.traffic.routing.GateLoad;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -18,7 +21,8 @@
   @Test
   void aReportIsReadAsItWasWritten() throws IOException {
     PeerReport report =
-        new PeerReport(new GateLoad(5, 2, 6, 61_000, 400, 0), true, 42, 1_000_000_007);
+        new PeerReport(
+            new GateLoad(5, 2, 6, 61_000, 400, 0), true, 42, 1_000_000_007, Optional.empty());
 
     byte[] bytes = report.encode();
 
@@ -26,6 +30,27 @@
     assertThat(bytes.length).isLessThan(32);
   }
 
+  @Test
+  void aReportThatAttestsABackendIsReadAsItWasWritten() throws IOException {
+    BackendEntry entry =
+        new BackendEntry(
+            "i-7f",
+            "booking",
+            new PeerAddress("10.0.0.1", 80),
+            "z",
+            6,
+            BackendEntry.State.READY,
+            0);
+    PeerReport report =
+        new PeerReport(new GateLoad(5, 2, 6, 61_000, 400, 0), false, 42, 7, Optional.of(entry));
+
+    byte[] bytes = report.encode();
+
+    assertThat(PeerReport.decode(bytes, bytes.length)).isEqualTo(report);
+    assertThatThrownBy(() -> PeerReport.decode(bytes, bytes.length - 8))
+        .isInstanceOf(IOException.class);
+  }
+
   @Test
   void whatIsNoReportIsRefused() {
     byte[] garbage = {1, 2, 3, 4};
