--- a/umberpath-node/src/main/java/io/umberpath/node/cli/CommandLine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/CommandLine.java
@@ -25,6 +25,8 @@
               ExplainCommand::new),
           new Entry("drain", "start or end the draining of back ends", DrainCommand::new),
           new Entry("reform", "re-form a fleet that lost its quorum", ReformCommand::new),
+          new Entry("trace", "tell a request's story from nodes' logs", TraceCommand::new),
+          new Entry("losses", "count lost requests in nodes' logs", LossesCommand::new),
           new Entry("check-config", "check a settings file", CheckConfigCommand::new),
           new Entry("version", "print the version of this program", VersionCommand::new));
 
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/TraceCommand.java
@@ -0,0 +1,78 @@
+package io.umberpath.node.cli;
+
+import io.umberpath.node.logs.LogLine;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.kohsuke.args4j.Argument;
+
+/** Tells one request's story from the logs of all nodes, in order. */
+final class TraceCommand extends LogFilesCommand {
+  private static final String REQUEST_ID = "request_id";
+  private static final String BACKEND = "backend";
+
+  /** How long before and after a request what nodes believed of its back ends is shown. */
+  private static final Duration AROUND = Duration.ofSeconds(3);
+
+  private static final Set<String> BELIEFS =
+      Set.of(
+          "backend-added",
+          "backend-draining",
+          "backend-gone",
+          "backend-attested",
+          "lines-dropped",
+          "store-lost",
+          "store-regained");
+
+  @Argument(index = 0, required = true, metaVar = "ID", usage = "id of the request")
+  private String id;
+
+  @Argument(index = 1, required = true, metaVar = "FILE", usage = "logs of nodes")
+  private List<String> files;
+
+  @Override
+  ExitCode run(Output output) throws UsageException {
+    List<LogLine> all = readAll(files);
+    List<LogLine> own =
+        all.stream().filter(line -> line.field(REQUEST_ID).equals(id)).collect(Collectors.toList());
+    if (own.isEmpty()) {
+      output.err().println("no line of request " + id + "; served ones are only sampled");
+      return ExitCode.REFUSED;
+    }
+    List<LogLine> story = new ArrayList<>(own);
+    story.addAll(around(all, own));
+    story.sort(Comparator.comparing(LogLine::time));
+    story.forEach(line -> output.out().println(text(line)));
+    return ExitCode.OK;
+  }
+
+  /** What the nodes concerned came to believe of the back ends concerned, and what was dropped. */
+  private static List<LogLine> around(List<LogLine> all, List<LogLine> own) {
+    Set<String> backends =
+        own.stream().map(line -> line.field(BACKEND)).collect(Collectors.toSet());
+    Set<String> nodes = own.stream().map(LogLine::node).collect(Collectors.toSet());
+    Instant first = own.stream().map(LogLine::time).min(Comparator.naturalOrder()).get();
+    Instant last = own.stream().map(LogLine::time).max(Comparator.naturalOrder()).get();
+    return all.stream()
+        .filter(line -> BELIEFS.contains(line.event()) && nodes.contains(line.node()))
+        .filter(line -> line.field(BACKEND).isEmpty() || backends.contains(line.field(BACKEND)))
+        .filter(line -> !line.time().isBefore(first.minus(AROUND)))
+        .filter(line -> !line.time().isAfter(last.plus(AROUND)))
+        .toList();
+  }
+
+  private static String text(LogLine line) {
+    StringBuilder text = new StringBuilder(line.time() + " " + line.node() + " " + line.event());
+    for (String name : List.of(BACKEND, "outcome", "cause", "millis", "count", "message")) {
+      String value = line.field(name);
+      if (!value.isEmpty()) {
+        text.append(' ').append(name).append('=').append(value);
+      }
+    }
+    return text.toString();
+  }
+}
