Store: five quick looks when changes begin

Cause: after each answer with changes a watch paused for 600 ms.

Change: up to five pauses of 60 ms, one of which comes back each 2 s.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -34,6 +34,8 @@
   private int failures;
   private long notBeforeMillis;
   private long heardAtMillis = -1;
+  private int quickLooks;
+  private long quickSinceMillis;
 
   /**
    * Creates a watcher that knows nothing.
@@ -44,6 +46,7 @@
   public StoreWatcher(String prefix, StoreWatcherSettings settings, DoubleSupplier random) {
     this.prefix = prefix;
     this.settings = settings;
+    this.quickLooks = settings.quickLooks();
     this.random = random;
   }
 
@@ -144,11 +147,23 @@
     }
     at = Math.max(at, events.at());
     if (!events.events().isEmpty()) {
-      notBeforeMillis = nowMillis + settings.pauseMillis();
+      notBeforeMillis = nowMillis + pauseMillis(nowMillis);
     }
     return changed;
   }
 
+  /** A few quick looks when changes begin, as after a restart of many; then a longer pause. */
+  private long pauseMillis(long nowMillis) {
+    long back = (nowMillis - quickSinceMillis) / settings.quickRefillMillis();
+    quickLooks = (int) Math.min(settings.quickLooks(), quickLooks + back);
+    quickSinceMillis += back * settings.quickRefillMillis();
+    if (quickLooks == 0) {
+      return settings.pauseMillis();
+    }
+    quickLooks--;
+    return settings.quickPauseMillis();
+  }
+
   private boolean apply(StoreEvent event) {
     StoreItem held = items.get(event.key());
     if (held != null && held.revision() >= event.revision()) {
--- a/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
@@ -71,6 +71,28 @@
     assertThat(watcher.at()).isEqualTo(12);
   }
 
+  /** When many back ends start at once each change should be heard soon. */
+  @Test
+  void looksQuicklyAFewTimesWhenChangesBegin() {
+    StoreWatcher quick =
+        new StoreWatcher(
+            "", new StoreWatcherSettings(800, 600, 60, 2, 2_000, 150, 1_000), () -> 0.5);
+    quick.answered(0, page(false, 10));
+    StoreAnswer change = events(11, new StoreEvent.Put(item("a", "1", 11)));
+
+    quick.answered(100, change);
+    assertThat(quick.next(100)).isEqualTo(new Step.Wait(160));
+    quick.answered(200, change);
+    assertThat(quick.next(200)).isEqualTo(new Step.Wait(260));
+    quick.answered(300, change);
+    assertThat(quick.next(300)).isEqualTo(new Step.Wait(900));
+
+    quick.answered(2_100, change);
+    assertThat(quick.next(2_100)).isEqualTo(new Step.Wait(2_160));
+    quick.answered(2_300, change);
+    assertThat(quick.next(2_300)).isEqualTo(new Step.Wait(2_900));
+  }
+
   @Test
   void pausesAfterEventsButNotAfterAnEmptyWatch() {
     watcher.answered(0, page(false, 10));
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -26,7 +26,8 @@
    * A watch may hear nothing while changes are made, and then just stand: it ends after 1.2 s at
    * most, so that a change is in force within two seconds all the same.
    */
-  static final StoreWatcherSettings WATCHER = new StoreWatcherSettings(800, 600, 150, 1_000);
+  static final StoreWatcherSettings WATCHER =
+      new StoreWatcherSettings(800, 600, 60, 5, 2_000, 150, 1_000);
 
   private static final long DEADLINE_TICK_MILLIS = 20;
   private static final long SWEEP_MILLIS = 100;
