--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -29,12 +29,14 @@
   private final TreeSet<Ask> timely = new TreeSet<>(DUE_FIRST);
   private final TreeSet<Ask> late = new TreeSet<>(DUE_FIRST);
   private final Set<Long> running = new HashSet<>();
+  private final OverloadPressure pressure;
   private int slots;
   private boolean draining;
 
   DueOrderAdmissionController(AdmissionSettings settings) {
     this.settings = settings;
     this.slots = settings.slots();
+    this.pressure = new OverloadPressure(settings.maxRetryAfterMillis());
     this.service = new ServiceTimeEstimate(settings.initialServiceMicros());
   }
 
@@ -48,6 +50,7 @@
     }
     if (running.size() < slots) {
       running.add(ask.id());
+      pressure.note(false);
       return List.of(new Decision.Admitted(ask.id()));
     }
     if (ask.nested()) {
@@ -62,7 +65,9 @@
   private Decision askTimed(long nowMillis, Ask ask) {
     double waitMillis = waitMillis(nested.size() + timely.headSet(ask).size());
     boolean isTimely = canBeTimely(nowMillis, ask, waitMillis);
-    if (!isTimely && nowMillis <= ask.refuseByMillis()) {
+    boolean isRefused = !isTimely && nowMillis <= ask.refuseByMillis();
+    pressure.note(isRefused);
+    if (isRefused) {
       return overloaded(ask);
     }
     if (!isTimely) {
@@ -231,9 +236,9 @@
   }
 
   private Decision overloaded(Ask ask) {
+    long waitMillis = Math.round(waitMillis(nested.size() + timely.size()));
     long retryAfter =
-        Math.max(
-            settings.minRetryAfterMillis(), Math.round(waitMillis(nested.size() + timely.size())));
+        Math.max(settings.minRetryAfterMillis(), waitMillis + pressure.awayMillis(ask.id()));
     return new Decision.Refused(
         ask.id(), Reason.OVERLOADED, Math.min(settings.maxRetryAfterMillis(), retryAfter));
   }
