Gate: its back end's slowness counts in what it expects

A gate stated the slowness that it saw, but reckoned with the usual times itself, and queued as timely what a slow back end could not finish in time.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -151,7 +151,9 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return;
     }
-    long expectedMicros = expectedMicros(plan.route());
+    double slowness = this.slowness;
+    long expectedMicros = Math.round(slowness * expectedMicros(plan.route()));
+    long likelyMicros = Math.round(slowness * likelyMicros(plan.route()));
     long deadline = plan.deadlineMillis() - ANSWER_MILLIS;
     HopLine hop = plan.hop();
     long began = plan.beganMillis();
@@ -165,7 +167,7 @@
                 Tier.STANDARD,
                 deadline,
                 expectedMicros,
-                likelyMicros(plan.route()),
+                likelyMicros,
                 hop.toleratedWaitMillis(),
                 began + hop.dueMillis(),
                 began + hop.targetMillis(),
