Edge: callers that come back queue behind those who ask first

Cause: in an overload that lasts, half of the capacity went to callers who came back; they can no longer be in time for their first attempt, while new ones, who still could, were refused for them.

Change: CallerPatience learns per route which time callers give at first; one that gives less has asked before, and is due a whole target later. What is left over still serves them.

Ruled out: telling them by id (a new attempt has a new one).

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -14,6 +14,7 @@
 import io.umberpath.node.proxy.inbound.RequestPlan;
 import io.umberpath.node.proxy.origin.OriginManager;
 import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.traffic.routing.CallerPatience;
 import io.umberpath.traffic.routing.GateBalancer;
 import io.umberpath.traffic.routing.GateLoad;
 import io.umberpath.traffic.routing.RetryWindow;
@@ -50,6 +51,9 @@
   /** The same for other requests, for each rank. */
   private static final double PATIENCE_PER_RANK = 0.5;
 
+  /** The same, added for one whose caller comes back: it can no longer be in time for its first. */
+  private static final double RETURNED_PATIENCE = 1;
+
   /** Share of the target latency by which the back end has to be done; the rest is the way back. */
   private static final double WORK_SHARE_OF_TARGET = 0.92;
 
@@ -89,6 +93,7 @@
   private final LongSupplier clockMillis;
   private final WeightedSplit split = new WeightedSplit();
   private final RetryWindow retries;
+  private final CallerPatience patience = new CallerPatience();
   private final RouteMeans answerBytes = new RouteMeans(1);
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
@@ -160,11 +165,18 @@
       return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
     }
     long timeout = Math.min(stated.get(), rule.get().timeoutMillis());
-    return Either.right(plan(requestId, rule.get(), current.version(), nowMillis, timeout));
+    boolean returned = isReturned(rule.get(), stated.get());
+    return Either.right(
+        plan(requestId, rule.get(), current.version(), nowMillis, timeout, returned));
   }
 
   private MeshEdgePlan plan(
-      String requestId, RoutingRule rule, long version, long nowMillis, long timeoutMillis) {
+      String requestId,
+      RoutingRule rule,
+      long version,
+      long nowMillis,
+      long timeoutMillis,
+      boolean returned) {
     String service;
     synchronized (split) {
       service = split.next(rule);
@@ -179,10 +191,17 @@
         version,
         nowMillis + timeoutMillis,
         nowMillis,
+        returned,
         replacedHeaders,
         new AttemptTally());
   }
 
+  private boolean isReturned(RoutingRule rule, long statedMillis) {
+    synchronized (patience) {
+      return patience.ageMillis(rule.name(), statedMillis) > 0;
+    }
+  }
+
   /** The caller's deadline; very long if it states none, empty if it is malformed. */
   private Optional<Long> statedDeadline(HttpRequestPacket head) {
     String text = head.getHeader(settings.headers().deadline());
@@ -265,7 +284,9 @@
   private static long dueMillis(MeshEdgePlan plan, long nowMillis) {
     int rank = plan.rule().priority();
     double patience = rank <= URGENT_RANK ? URGENT_PATIENCE : rank * PATIENCE_PER_RANK;
-    long due = plan.beganMillis() + Math.round(plan.rule().targetLatencyMillis() * patience);
+    double behind = plan.returned() ? RETURNED_PATIENCE : 0;
+    long due =
+        plan.beganMillis() + Math.round(plan.rule().targetLatencyMillis() * (patience + behind));
     return due - nowMillis;
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgePlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgePlan.java
@@ -13,6 +13,7 @@
  * @param configurationVersion version of the configuration that said so
  * @param deadlineMillis when it is given up, on the proxy's clock
  * @param beganMillis when its head arrived, on the proxy's clock
+ * @param returned whether its caller comes back after an earlier attempt
  * @param replacedHeaders headers this node sets itself
  * @param tally what its attempts have used
  */
@@ -23,6 +24,7 @@
     long configurationVersion,
     long deadlineMillis,
     long beganMillis,
+    boolean returned,
     Set<String> replacedHeaders,
     AttemptTally tally)
     implements RequestPlan {
--- /dev/null
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/CallerPatienceTest.java
@@ -0,0 +1,54 @@
+package io.umberpath.traffic.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+final class CallerPatienceTest {
+  private final CallerPatience patience = new CallerPatience();
+
+  @Test
+  void whoGivesLessThanUsualHasAskedBefore() {
+    for (int index = 0; index < 10; index++) {
+      assertThat(patience.ageMillis("r", 2_500 - index % 2)).isZero();
+    }
+
+    assertThat(patience.ageMillis("r", 2_300)).isEqualTo(200);
+    assertThat(patience.ageMillis("other", 2_300)).isZero();
+  }
+
+  @Test
+  void aFewWhoGiveMoreChangeNothing() {
+    for (int index = 0; index < 50; index++) {
+      patience.ageMillis("r", index % 10 == 0 ? 9_000 : 2_500);
+    }
+
+    assertThat(patience.ageMillis("r", 2_500)).isZero();
+    assertThat(patience.ageMillis("r", 9_000)).isZero();
+  }
+
+  /** In an overload most requests may be of callers who come back. */
+  @Test
+  void manyWhoComeBackDoNotPassForNewOnes() {
+    SplittableRandom random = new SplittableRandom(3);
+    for (int index = 0; index < 1_000; index++) {
+      patience.ageMillis("r", index % 3 == 0 ? 2_500 : 500 + random.nextInt(1_900));
+    }
+
+    assertThat(patience.ageMillis("r", 2_500)).isZero();
+    assertThat(patience.ageMillis("r", 2_000)).isEqualTo(500);
+  }
+
+  @Test
+  void aChangedHabitIsLearned() {
+    for (int index = 0; index < 100; index++) {
+      patience.ageMillis("r", 2_500);
+    }
+    for (int index = 0; index < 300; index++) {
+      patience.ageMillis("r", 1_000);
+    }
+
+    assertThat(patience.ageMillis("r", 1_000)).isZero();
+  }
+}
