Choice: a gate that refused a route for overload is not offered it again for a moment

Cause: with processor charged a refused request costs up to three hops and comes back twice, just when nodes have no processor to spare. An edge asked the same full gates again for each request.

A gate that would take a request, but another one is better, says "elsewhere at once" (no time), which pauses nothing.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -220,18 +220,22 @@
     Set<String> silent = peers.silentBackends(candidates);
     boolean mayBounce = mayBounce(exchange, plan);
     Set<String> leftOut = plan.tally().leftOut(mayBounce);
+    boolean isYoung = refuseByMillis(plan, now) >= 0;
     GateBalancer.Need need = need(exchange, plan, now);
     Optional<GateBalancer.Choice> choice;
     synchronized (balancer) {
+      if (isYoung) {
+        leftOut.addAll(balancer.refusing(now, candidates, plan.route()));
+      }
       choice = balancer.pick(now, candidates, need, leftOut, silent);
-      if (choice.isEmpty()) {
+      if (choice.isEmpty() && !(isYoung && mayBounce)) {
         Set<String> failed = plan.tally().leftOut(false);
         choice = balancer.pick(now, candidates, need, failed, silent);
       }
       choice.ifPresent(chosen -> balancer.started(now, chosen.backend().id()));
     }
     if (choice.isEmpty()) {
-      exchange.refuse(exchange.lastRefusal().orElseGet(MeshEdgeHandler::nobody));
+      exchange.refuse(finalRefusal(exchange, candidates));
       return;
     }
     BackendEntry chosen = choice.get().backend();
@@ -257,8 +261,24 @@
     return new GateBalancer.Need(plan.route(), targetMillis(plan, nowMillis), loss);
   }
 
-  private static Refusal nobody() {
-    return new Refusal(new Verdict.NotRun(Verdict.Reason.NO_BACKEND), RETRY_WHEN_NOBODY_MILLIS);
+  /** What the last attempt ended with, unless that only said to go elsewhere. */
+  private Refusal finalRefusal(Exchange exchange, List<BackendEntry> candidates) {
+    Optional<Refusal> last = exchange.lastRefusal();
+    boolean saysMore =
+        last.isPresent()
+            && (last.get().reason() != Verdict.Reason.OVERLOADED
+                || last.get().retryAfterMillis() > 0);
+    return saysMore ? last.get() : nobody(candidates);
+  }
+
+  /** Nobody takes it: there is no back end, or all have refused the like a moment ago. */
+  private Refusal nobody(List<BackendEntry> candidates) {
+    if (candidates.isEmpty()) {
+      return new Refusal(new Verdict.NotRun(Verdict.Reason.NO_BACKEND), RETRY_WHEN_NOBODY_MILLIS);
+    }
+    synchronized (balancer) {
+      return new Refusal(new Verdict.NotRun(Verdict.Reason.OVERLOADED), balancer.comeBackMillis());
+    }
   }
 
   @Override
@@ -366,11 +386,16 @@
     synchronized (balancer) {
       balancer.finished(clockMillis.getAsLong(), originId, verdict);
     }
-    AttemptTally tally = planOf(exchange).tally();
+    MeshEdgePlan plan = planOf(exchange);
+    AttemptTally tally = plan.tally();
     if (arrived(verdict)) {
       tally.arrived(originId);
     } else if (((Verdict.NotRun) verdict).reason() == Verdict.Reason.OVERLOADED) {
       tally.bounced(originId);
+      synchronized (balancer) {
+        balancer.refused(
+            clockMillis.getAsLong(), originId, plan.route(), refusal.retryAfterMillis());
+      }
     } else {
       tally.refused(originId);
     }
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
@@ -39,6 +39,26 @@
     balancer.answered(backend.id(), ROUTE, serviceMillis * 1_000L);
   }
 
+  @Test
+  void aGateThatRefusedForOverloadIsNotOfferedTheRouteForAMoment() {
+    GateBalancer balancer = new GateBalancer("z", () -> 0.5);
+    List<BackendEntry> candidates =
+        List.of(
+            new BackendEntry(
+                "a", "s", new PeerAddress("10.0.0.1", 1), "z", 6, BackendEntry.State.READY, 0));
+
+    balancer.refused(1_000, "a", "r", 100);
+
+    assertThat(balancer.refusing(1_040, candidates, "r")).containsExactly("a");
+    assertThat(balancer.refusing(1_040, candidates, "other")).isEmpty();
+    assertThat(balancer.refusing(1_050, candidates, "r")).isEmpty();
+    assertThat(balancer.comeBackMillis()).isEqualTo(100);
+
+    balancer.refused(2_000, "a", "r", 0);
+
+    assertThat(balancer.refusing(2_000, candidates, "r")).isEmpty();
+  }
+
   @Test
   void staysInTheZoneWhileTheWaitIsShort() {
     stated(NEAR, 6, 3, 60);
