Edge: a full gate that would still queue a request is asked before it is refused; interim answers end with their caller

- Of two gates, one that said "elsewhere at once" and one that had just refused the route, neither was asked again: the request was refused although the first would have queued it.
The second choice now leaves out those that failed or refuse, not those that are merely fuller.
- The write of an interim answer that found the caller gone ended the request but told nobody: it stayed in flight.
ExchangeBrokenWriteTest fails first.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -219,17 +219,19 @@
     List<BackendEntry> candidates = peers.readyBackends(plan.service());
     Set<String> silent = peers.silentBackends(candidates);
     boolean mayBounce = mayBounce(exchange, plan);
+    boolean mayBeRefused = mayBounce && refuseByMillis(plan, now) >= 0;
     Set<String> leftOut = plan.tally().leftOut(mayBounce);
-    boolean isYoung = refuseByMillis(plan, now) >= 0;
+    Set<String> failed = plan.tally().leftOut(false);
     GateBalancer.Need need = need(exchange, plan, now);
     Optional<GateBalancer.Choice> choice;
     synchronized (balancer) {
-      if (isYoung) {
-        leftOut.addAll(balancer.refusing(now, candidates, plan.route()));
+      if (mayBeRefused) {
+        Set<String> refusing = balancer.refusing(now, candidates, plan.route());
+        leftOut.addAll(refusing);
+        failed.addAll(refusing);
       }
       choice = balancer.pick(now, candidates, need, leftOut, silent);
-      if (choice.isEmpty() && !(isYoung && mayBounce)) {
-        Set<String> failed = plan.tally().leftOut(false);
+      if (choice.isEmpty()) {
         choice = balancer.pick(now, candidates, need, failed, silent);
       }
       choice.ifPresent(chosen -> balancer.started(now, chosen.backend().id()));
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -409,10 +409,13 @@
     afterLock();
   }
 
-  synchronized void attemptInterim(Attempt current, byte[] head) {
-    if (attempt == current && stage == Stage.SENT) {
-      answer.interim(head);
+  void attemptInterim(Attempt current, byte[] head) {
+    synchronized (this) {
+      if (attempt == current && stage == Stage.SENT) {
+        answer.interim(head);
+      }
     }
+    afterLock();
   }
 
   /** A piece of the answer; returns whether to read on. */
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
@@ -146,6 +146,18 @@
     assertThat(active.size()).isZero();
   }
 
+  @Test
+  void endsOnceWhenTheWriteOfAnInterimAnswerFindsTheCallerGone() {
+    HttpRequestPacket request = new ReceivedRequest();
+    request.setProtocol(Protocol.HTTP_1_1);
+    begin(request, true);
+
+    OriginConnection.of(origin).listener().onInterim("HTTP/1.1 100 Continue\r\n\r\n".getBytes());
+
+    assertThat(ended).containsExactly(new Verdict.MayHaveRun(Verdict.Reason.CANCELLED));
+    assertThat(active.size()).isZero();
+  }
+
   @Test
   void endsOnceWhenTheWriteOfARefusalFindsTheCallerGone() {
     refusalOfTheHandler = Refusal.notRun(Verdict.Reason.NO_ROUTE);
