--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -18,7 +18,6 @@
 import io.umberpath.traffic.routing.GateBalancer;
 import io.umberpath.traffic.routing.GateLoad;
 import io.umberpath.traffic.routing.RetryWindow;
-import io.umberpath.traffic.routing.RouteMeans;
 import io.umberpath.traffic.routing.WeightedSplit;
 import io.vavr.control.Either;
 import java.util.List;
@@ -42,42 +41,6 @@
   /** Largest body that is sent on the chance of a free slot, bytes. */
   private static final long MAX_BOUNCED_BYTES = 16 * 1024;
 
-  /** Lowest rank of priority that goes before the others whatever their target latency. */
-  private static final int URGENT_RANK = 1;
-
-  /** Share of the target latency after which an urgent request is due. */
-  private static final double URGENT_PATIENCE = 0.1;
-
-  /** The same for other requests, for each rank. */
-  private static final double PATIENCE_PER_RANK = 0.5;
-
-  /** The same, added for one whose caller comes back: it can no longer be in time for its first. */
-  private static final double RETURNED_PATIENCE = 1;
-
-  /** Share of the target latency by which the back end has to be done; the rest is the way back. */
-  private static final double WORK_SHARE_OF_TARGET = 0.92;
-
-  /** Share of the target latency within which a refusal still serves the caller. */
-  private static final double REFUSAL_SHARE_OF_TARGET = 0.22;
-
-  /** Share of the time a caller gives that its request may wait for a slot. */
-  private static final double WAIT_SHARE_OF_TIME = 0.45;
-
-  /**
-   * Bytes to and from another zone that are thought to cost a whole request. The share rises with
-   * the square: most bytes are those of the few large requests, small ones hardly count.
-   */
-  private static final double OTHER_ZONE_BYTES = 8 * 1024;
-
-  /** Most that a request is thought to lose by its bytes: it may still be worth more elsewhere. */
-  private static final double MAX_OTHER_ZONE_LOSS = 0.8;
-
-  /** Heads of request and answer between two nodes, bytes. */
-  private static final long HEAD_BYTES = 700;
-
-  /** Body assumed where a request does not state its length, bytes. */
-  private static final long UNSTATED_BODY_BYTES = 8 * 1024;
-
   /** Time a further attempt needs at least, milliseconds. */
   private static final long MIN_REMAINING_MILLIS = 15;
 
@@ -94,7 +57,7 @@
   private final WeightedSplit split = new WeightedSplit();
   private final RetryWindow retries;
   private final CallerPatience patience = new CallerPatience();
-  private final RouteMeans answerBytes = new RouteMeans(1);
+  private final RequestCosts costs = new RequestCosts();
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
   private volatile boolean leaving;
@@ -219,10 +182,10 @@
     List<BackendEntry> candidates = peers.readyBackends(plan.service());
     Set<String> silent = peers.silentBackends(candidates);
     boolean mayBounce = mayBounce(exchange, plan);
-    boolean mayBeRefused = mayBounce && refuseByMillis(plan, now) >= 0;
+    boolean mayBeRefused = mayBounce && RequestTimes.refuseByMillis(plan, now) >= 0;
     Set<String> leftOut = plan.tally().leftOut(mayBounce);
     Set<String> failed = plan.tally().leftOut(false);
-    GateBalancer.Need need = need(exchange, plan, now);
+    GateBalancer.Need need = costs.need(exchange, plan, now);
     Optional<GateBalancer.Choice> choice;
     synchronized (balancer) {
       if (mayBeRefused) {
@@ -251,18 +214,6 @@
     }
   }
 
-  private GateBalancer.Need need(Exchange exchange, MeshEdgePlan plan, long nowMillis) {
-    HttpRequestPacket request = exchange.request();
-    long stated = request.isChunked() ? UNSTATED_BODY_BYTES : request.getContentLength();
-    long bytes = HEAD_BYTES + Math.max(0, stated);
-    synchronized (answerBytes) {
-      bytes += answerBytes.expected(plan.route());
-    }
-    double share = bytes / OTHER_ZONE_BYTES;
-    double loss = Math.min(MAX_OTHER_ZONE_LOSS, share * share);
-    return new GateBalancer.Need(plan.route(), targetMillis(plan, nowMillis), loss);
-  }
-
   /** What the last attempt ended with, unless that only said to go elsewhere. */
   private Refusal finalRefusal(Exchange exchange, List<BackendEntry> candidates) {
     Optional<Refusal> last = exchange.lastRefusal();
@@ -294,42 +245,14 @@
         new HopLine(
             exchange.currentOrigin(),
             plan.route(),
-            dueMillis(plan, nowMillis),
+            RequestTimes.dueMillis(plan, nowMillis),
             plan.tally().toleratedWaitMillis(),
-            targetMillis(plan, nowMillis),
-            refuseByMillis(plan, nowMillis),
-            startByMillis(plan, nowMillis));
+            RequestTimes.targetMillis(plan, nowMillis),
+            RequestTimes.refuseByMillis(plan, nowMillis),
+            RequestTimes.startByMillis(plan, nowMillis));
     set(outgoing, HopLine.HEADER, hop.encode());
   }
 
-  /** In how long a request is due: sooner with a short target latency and a high priority. */
-  private static long dueMillis(MeshEdgePlan plan, long nowMillis) {
-    int rank = plan.rule().priority();
-    double patience = rank <= URGENT_RANK ? URGENT_PATIENCE : rank * PATIENCE_PER_RANK;
-    double behind = plan.returned() ? RETURNED_PATIENCE : 0;
-    long due =
-        plan.beganMillis() + Math.round(plan.rule().targetLatencyMillis() * (patience + behind));
-    return due - nowMillis;
-  }
-
-  /** In how long the back end has to be done for the caller to have its answer in time. */
-  private static long targetMillis(MeshEdgePlan plan, long nowMillis) {
-    long target = Math.round(plan.rule().targetLatencyMillis() * WORK_SHARE_OF_TARGET);
-    return plan.beganMillis() + target - nowMillis;
-  }
-
-  /** Until when a refusal is soon enough for the caller to come back. */
-  private static long refuseByMillis(MeshEdgePlan plan, long nowMillis) {
-    long soon = Math.round(plan.rule().targetLatencyMillis() * REFUSAL_SHARE_OF_TARGET);
-    return plan.beganMillis() + soon - nowMillis;
-  }
-
-  /** In how long a request that has not begun is given up, while its caller has time to return. */
-  private static long startByMillis(MeshEdgePlan plan, long nowMillis) {
-    long longest = Math.round((plan.deadlineMillis() - plan.beganMillis()) * WAIT_SHARE_OF_TIME);
-    return plan.beganMillis() + longest - nowMillis;
-  }
-
   private static boolean mayBounce(Exchange exchange, MeshEdgePlan plan) {
     return plan.tally().bounces() < MAX_BOUNCES
         && exchange.request().getContentLength() <= MAX_BOUNCED_BYTES
@@ -364,9 +287,7 @@
       return VerdictHeader.parse(verdict)
           .map(each -> new Refusal(each, Headers.retryAfterMillis(head), true));
     }
-    synchronized (answerBytes) {
-      answerBytes.add(plan.route(), Math.max(0, head.getContentLength()));
-    }
+    costs.answered(plan.route(), head.getContentLength());
     boolean own = plan.requestId().equals(head.getHeader(settings.headers().requestId()));
     return own ? Optional.empty() : Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
   }
