--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,5 +8,5 @@
 rm -f target/umberpath.jsa
 # The command after the archive's name must be that of deploy/system.toml, archive apart.
 java platform/src/archive/ArchiveTraining.java target/umberpath.jsa \
-  java -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:Tier3InvocationThreshold=1500 -XX:Tier3MinInvocationThreshold=800 -XX:Tier3CompileThreshold=8000 -XX:-UsePerfData \
+  java -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:-UsePerfData \
   -Djava.net.preferIPv4Stack=true -jar target/umberpath.jar --metrics-port 8199
