--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -182,19 +182,13 @@
     List<BackendEntry> candidates = peers.readyBackends(plan.service());
     Set<String> silent = peers.silentBackends(candidates);
     boolean mayBounce = mayBounce(exchange, plan);
-    boolean mayBeRefused = mayBounce && RequestTimes.refuseByMillis(plan, now) >= 0;
     Set<String> leftOut = plan.tally().leftOut(mayBounce);
-    Set<String> failed = plan.tally().leftOut(false);
     GateBalancer.Need need = costs.need(exchange, plan, now);
     Optional<GateBalancer.Choice> choice;
     synchronized (balancer) {
-      if (mayBeRefused) {
-        Set<String> refusing = balancer.refusing(now, candidates, plan.route());
-        leftOut.addAll(refusing);
-        failed.addAll(refusing);
-      }
       choice = balancer.pick(now, candidates, need, leftOut, silent);
       if (choice.isEmpty()) {
+        Set<String> failed = plan.tally().leftOut(false);
         choice = balancer.pick(now, candidates, need, failed, silent);
       }
       choice.ifPresent(chosen -> balancer.started(now, chosen.backend().id()));
@@ -316,8 +310,7 @@
     } else if (((Verdict.NotRun) verdict).reason() == Verdict.Reason.OVERLOADED) {
       tally.bounced(originId);
       synchronized (balancer) {
-        balancer.refused(
-            clockMillis.getAsLong(), originId, plan.route(), refusal.retryAfterMillis());
+        balancer.refused(refusal.retryAfterMillis());
       }
     } else {
       tally.refused(originId);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
@@ -3,7 +3,6 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -85,9 +84,6 @@
   /** Choice is made among this many at most, so that its cost does not grow with the service. */
   private static final int MAX_CANDIDATES = 24;
 
-  /** Longest that a gate which refused a route for overload is not offered it again. */
-  private static final long MAX_REFUSING_MILLIS = 80;
-
   private static final long DEFAULT_COME_BACK_MILLIS = 100;
   private static final long UNREACHABLE_MILLIS = 300;
   private static final long REFUSED_MILLIS = 1_000;
@@ -101,7 +97,6 @@
     private int slots = 1;
     private double serviceMillis;
     private final Map<String, Double> routeMillis = new HashMap<>();
-    private final Map<String, Long> refusingUntilMillis = new HashMap<>();
     private double speedRatio = 1;
     private double slowness = 1;
     private long avoidUntilMillis;
@@ -303,17 +298,11 @@
   }
 
   /**
-   * The node beside the back end refused a route for overload: it is not offered more for a moment.
+   * A gate refused for overload.
    *
-   * @param retryAfterMillis when it said that coming back makes sense
+   * @param retryAfterMillis when it said that coming back makes sense; 0 if elsewhere at once
    */
-  public void refused(long nowMillis, String id, String route, long retryAfterMillis) {
-    View view = view(nowMillis, id);
-    if (view.refusingUntilMillis.size() >= MAX_ROUTES) {
-      view.refusingUntilMillis.clear();
-    }
-    long pause = Math.min(MAX_REFUSING_MILLIS, retryAfterMillis / 2);
-    view.refusingUntilMillis.put(route, nowMillis + pause);
+  public void refused(long retryAfterMillis) {
     if (retryAfterMillis > 0) {
       comeBackMillis = retryAfterMillis;
     }
@@ -324,19 +313,6 @@
     return comeBackMillis;
   }
 
-  /** Those of the back ends whose node has refused the route a moment ago. */
-  public Set<String> refusing(long nowMillis, List<BackendEntry> candidates, String route) {
-    Set<String> refusing = new HashSet<>();
-    for (BackendEntry candidate : candidates) {
-      View view = views.get(candidate.id());
-      Long until = view == null ? null : view.refusingUntilMillis.get(route);
-      if (until != null && until > nowMillis) {
-        refusing.add(candidate.id());
-      }
-    }
-    return refusing;
-  }
-
   /** Takes what the node beside the back end stated. */
   public void stated(long nowMillis, String id, GateLoad load) {
     View view = view(nowMillis, id);
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
@@ -40,23 +40,12 @@
   }
 
   @Test
-  void aGateThatRefusedForOverloadIsNotOfferedTheRouteForAMoment() {
+  void whenToComeBackIsWhatAGateSaidLast() {
     GateBalancer balancer = new GateBalancer("z", () -> 0.5);
-    List<BackendEntry> candidates =
-        List.of(
-            new BackendEntry(
-                "a", "s", new PeerAddress("10.0.0.1", 1), "z", 6, BackendEntry.State.READY, 0));
+    balancer.refused(250);
+    balancer.refused(0);
 
-    balancer.refused(1_000, "a", "r", 100);
-
-    assertThat(balancer.refusing(1_040, candidates, "r")).containsExactly("a");
-    assertThat(balancer.refusing(1_040, candidates, "other")).isEmpty();
-    assertThat(balancer.refusing(1_050, candidates, "r")).isEmpty();
-    assertThat(balancer.comeBackMillis()).isEqualTo(100);
-
-    balancer.refused(2_000, "a", "r", 0);
-
-    assertThat(balancer.refusing(2_000, candidates, "r")).isEmpty();
+    assertThat(balancer.comeBackMillis()).isEqualTo(250);
   }
 
   @Test
