--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -194,7 +194,7 @@
       choice.ifPresent(chosen -> balancer.started(now, chosen.backend().id()));
     }
     if (choice.isEmpty()) {
-      exchange.refuse(finalRefusal(exchange, candidates));
+      exchange.refuse(exchange.lastRefusal().orElseGet(MeshEdgeHandler::nobody));
       return;
     }
     BackendEntry chosen = choice.get().backend();
@@ -208,24 +208,8 @@
     }
   }
 
-  /** What the last attempt ended with, unless that only said to go elsewhere. */
-  private Refusal finalRefusal(Exchange exchange, List<BackendEntry> candidates) {
-    Optional<Refusal> last = exchange.lastRefusal();
-    boolean saysMore =
-        last.isPresent()
-            && (last.get().reason() != Verdict.Reason.OVERLOADED
-                || last.get().retryAfterMillis() > 0);
-    return saysMore ? last.get() : nobody(candidates);
-  }
-
-  /** Nobody takes it: there is no back end, or all have refused the like a moment ago. */
-  private Refusal nobody(List<BackendEntry> candidates) {
-    if (candidates.isEmpty()) {
-      return new Refusal(new Verdict.NotRun(Verdict.Reason.NO_BACKEND), RETRY_WHEN_NOBODY_MILLIS);
-    }
-    synchronized (balancer) {
-      return new Refusal(new Verdict.NotRun(Verdict.Reason.OVERLOADED), balancer.comeBackMillis());
-    }
+  private static Refusal nobody() {
+    return new Refusal(new Verdict.NotRun(Verdict.Reason.NO_BACKEND), RETRY_WHEN_NOBODY_MILLIS);
   }
 
   @Override
@@ -303,15 +287,11 @@
     synchronized (balancer) {
       balancer.finished(clockMillis.getAsLong(), originId, verdict);
     }
-    MeshEdgePlan plan = planOf(exchange);
-    AttemptTally tally = plan.tally();
+    AttemptTally tally = planOf(exchange).tally();
     if (arrived(verdict)) {
       tally.arrived(originId);
     } else if (((Verdict.NotRun) verdict).reason() == Verdict.Reason.OVERLOADED) {
       tally.bounced(originId);
-      synchronized (balancer) {
-        balancer.refused(refusal.retryAfterMillis());
-      }
     } else {
       tally.refused(originId);
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -146,7 +146,7 @@
     puller.start();
     every(DEADLINE_TICK_MILLIS, () -> proxy.keepDeadlines(clockMillis.getAsLong()));
     every(SWEEP_MILLIS, this::sweep);
-    every(REPORT_MILLIS, () -> peers.tick(report()));
+    every(REPORT_MILLIS, this::tellPeers);
     every(SECOND_MILLIS, this::second);
   }
 
@@ -177,8 +177,12 @@
     }
   }
 
-  private PeerReport report() {
+  private void tellPeers() {
     attester.tick();
+    peers.tick(report());
+  }
+
+  private PeerReport report() {
     MeshView view = state.view();
     return new PeerReport(
         proxy.gate().load(),
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -20,10 +20,6 @@
  */
 final class DueOrderAdmissionController implements AdmissionController {
   private static final double MICROS_PER_MILLI = 1_000.0;
-
-  /** Another back end is better; this one would still have taken it. */
-  private static final long ELSEWHERE_AT_ONCE_MILLIS = 0;
-
   private static final Comparator<Ask> DUE_FIRST =
       Comparator.comparingLong(Ask::dueMillis).thenComparingLong(Ask::id);
 
@@ -91,10 +87,7 @@
   }
 
   private Decision queue(TreeSet<Ask> queue, Ask ask, double waitMillis) {
-    if (waitMillis > ask.toleratedWaitMillis()) {
-      return new Decision.Refused(ask.id(), Reason.OVERLOADED, ELSEWHERE_AT_ONCE_MILLIS);
-    }
-    if (queued() >= settings.queueLimit()) {
+    if (waitMillis > ask.toleratedWaitMillis() || queued() >= settings.queueLimit()) {
       return overloaded(ask);
     }
     queue.add(ask);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
@@ -84,7 +84,6 @@
   /** Choice is made among this many at most, so that its cost does not grow with the service. */
   private static final int MAX_CANDIDATES = 24;
 
-  private static final long DEFAULT_COME_BACK_MILLIS = 100;
   private static final long UNREACHABLE_MILLIS = 300;
   private static final long REFUSED_MILLIS = 1_000;
   private static final long FORGET_MILLIS = 60_000;
@@ -112,7 +111,6 @@
   private final DoubleSupplier random;
   private final Map<String, View> views = new HashMap<>();
   private final RouteMeans routeTimes = new RouteMeans(1);
-  private long comeBackMillis = DEFAULT_COME_BACK_MILLIS;
 
   /**
    * Creates one that knows nothing.
@@ -297,22 +295,6 @@
     }
   }
 
-  /**
-   * A gate refused for overload.
-   *
-   * @param retryAfterMillis when it said that coming back makes sense; 0 if elsewhere at once
-   */
-  public void refused(long retryAfterMillis) {
-    if (retryAfterMillis > 0) {
-      comeBackMillis = retryAfterMillis;
-    }
-  }
-
-  /** When coming back makes sense, as a gate that refused for overload said last, milliseconds. */
-  public long comeBackMillis() {
-    return comeBackMillis;
-  }
-
   /** Takes what the node beside the back end stated. */
   public void stated(long nowMillis, String id, GateLoad load) {
     View view = view(nowMillis, id);
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
@@ -39,15 +39,6 @@
     balancer.answered(backend.id(), ROUTE, serviceMillis * 1_000L);
   }
 
-  @Test
-  void whenToComeBackIsWhatAGateSaidLast() {
-    GateBalancer balancer = new GateBalancer("z", () -> 0.5);
-    balancer.refused(250);
-    balancer.refused(0);
-
-    assertThat(balancer.comeBackMillis()).isEqualTo(250);
-  }
-
   @Test
   void staysInTheZoneWhileTheWaitIsShort() {
     stated(NEAR, 6, 3, 60);
