Choice: all back ends of the own zone are compared, also in a large service

Cause: of a service of 55 back ends a window of 24 in list order was compared, with 3 or 4 of the own zone's 8 in it, or none. A free one at home was often not looked at. Change: those of the own zone first (up to 16 where others are left), then others from a random one on, 24 in all; small services are compared whole, as before. Test: a service of 55 with one free back end at home; it failed on the window.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -84,6 +85,9 @@
   /** Choice is made among this many at most, so that its cost does not grow with the service. */
   private static final int MAX_CANDIDATES = 24;
 
+  /** Candidates of other zones that are looked at even where the own zone has many. */
+  private static final int MIN_FAR_CANDIDATES = 8;
+
   private static final long UNREACHABLE_MILLIS = 300;
   private static final long REFUSED_MILLIS = 1_000;
   private static final long FORGET_MILLIS = 60_000;
@@ -142,16 +146,7 @@
     double bestLoss = Double.MAX_VALUE;
     double secondLoss = Double.MAX_VALUE;
     Usual usual = usual(candidates, need.route());
-    int first =
-        candidates.size() <= MAX_CANDIDATES
-            ? 0
-            : (int) (random.getAsDouble() * candidates.size()) % candidates.size();
-    int count = Math.min(candidates.size(), MAX_CANDIDATES);
-    for (int index = 0; index < count; index++) {
-      BackendEntry candidate = candidates.get((first + index) % candidates.size());
-      if (excluded.contains(candidate.id()) || silent.contains(candidate.id())) {
-        continue;
-      }
+    for (BackendEntry candidate : sample(candidates, excluded, silent)) {
       double loss =
           need.lateLoss(expectedMillis(nowMillis, candidate, need.route(), usual))
               + distance(candidate, need);
@@ -168,8 +163,36 @@
         : Optional.of(choice(best, need, usual.routeMillis(), secondLoss));
   }
 
+  /**
+   * The candidates that are compared: all of a small service, else those of the own zone first, as
+   * they are the cheapest to reach, and some of the others, from a random one on.
+   */
+  private List<BackendEntry> sample(
+      List<BackendEntry> candidates, Set<String> excluded, Set<String> silent) {
+    int size = candidates.size();
+    int first = size <= MAX_CANDIDATES ? 0 : (int) (random.getAsDouble() * size) % size;
+    List<BackendEntry> near = new ArrayList<>();
+    List<BackendEntry> far = new ArrayList<>();
+    for (int index = 0; index < size; index++) {
+      BackendEntry candidate = candidates.get((first + index) % size);
+      if (!excluded.contains(candidate.id()) && !silent.contains(candidate.id())) {
+        (isNear(candidate) ? near : far).add(candidate);
+      }
+    }
+    int nearCount = Math.min(near.size(), MAX_CANDIDATES - MIN_FAR_CANDIDATES);
+    int farCount = Math.min(far.size(), MAX_CANDIDATES - nearCount);
+    nearCount = Math.min(near.size(), MAX_CANDIDATES - farCount);
+    List<BackendEntry> sample = new ArrayList<>(near.subList(0, nearCount));
+    sample.addAll(far.subList(0, farCount));
+    return sample;
+  }
+
+  private boolean isNear(BackendEntry candidate) {
+    return candidate.zone().equals(zone);
+  }
+
   private double distance(BackendEntry candidate, Need need) {
-    return candidate.zone().equals(zone) ? 0 : need.otherZoneLoss();
+    return isNear(candidate) ? 0 : need.otherZoneLoss();
   }
 
   private Choice choice(BackendEntry best, Need need, double usualMillis, double secondLoss) {
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
@@ -5,8 +5,12 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -190,4 +194,50 @@
 
     assertThat(choice.toleratedWaitMillis()).isEqualTo(GateBalancer.ANY_WAIT_MILLIS);
   }
+
+  /**
+   * A window over the list of a large service used to hold only a few back ends of the own zone, so
+   * that requests left it although others there were free.
+   */
+  @Test
+  void staysInTheZoneOfALargeServiceWhileOneBackendThereIsFree() {
+    Random draws = new Random(3);
+    GateBalancer large = new GateBalancer("zone-0", draws::nextDouble);
+    List<BackendEntry> candidates = new ArrayList<>();
+    for (int index = 0; index < 55; index++) {
+      BackendEntry backend = entry("i-" + index, "zone-" + index % 7);
+      candidates.add(backend);
+      boolean free = index % 7 != 0 || index == 28;
+      large.stated(NOW, backend.id(), new GateLoad(free ? 0 : 30, 0, 6, 60_000, 100, 0));
+      large.answered(backend.id(), ROUTE, 60_000);
+    }
+
+    for (int request = 0; request < 200; request++) {
+      assertThat(large.pick(NOW, candidates, NEED, Set.of(), Set.of()))
+          .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("i-28"));
+    }
+  }
+
+  /** All back ends elsewhere get their share, also where the own zone has many. */
+  @Test
+  void requestsThatLeaveTheZoneAreSpreadOverTheOthers() {
+    Random draws = new Random(3);
+    GateBalancer large = new GateBalancer("elsewhere", draws::nextDouble);
+    List<BackendEntry> candidates = new ArrayList<>();
+    Map<String, Integer> picked = new HashMap<>();
+    for (int index = 0; index < 100; index++) {
+      BackendEntry backend = entry("i-" + index, "zone-" + index % 7);
+      candidates.add(backend);
+      large.stated(NOW, backend.id(), new GateLoad(0, 0, 6, 60_000, 100, 0));
+    }
+
+    for (int request = 0; request < 10_000; request++) {
+      large
+          .pick(NOW, candidates, NEED, Set.of(), Set.of())
+          .ifPresent(choice -> picked.merge(choice.backend().id(), 1, Integer::sum));
+    }
+
+    assertThat(picked).hasSize(100);
+    assertThat(picked.values()).allSatisfy(count -> assertThat(count).isLessThan(200));
+  }
 }
