--- a/umberpath-control/src/main/java/io/umberpath/control/store/KnownPeers.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
@@ -1,4 +1,4 @@
-package io.umberpath.control.store;
+package io.umberpath.control.membership;
 
 import java.util.HashMap;
 import java.util.HashSet;
@@ -52,13 +52,22 @@
     guestHeardAt.values().removeIf(heard -> heard + guestMillis < nowMillis);
   }
 
-  /** Something was heard of a node. */
-  public void heard(long nowMillis, String address) {
+  /**
+   * A node was there at a time, as it said itself or as another node heard.
+   *
+   * @return whether nothing as recent was known of it
+   */
+  public boolean heard(long atMillis, String address) {
     if (address.equals(self)) {
-      return;
+      return false;
     }
     Map<String, Long> where = silentMillis.containsKey(address) ? heardAt : guestHeardAt;
-    where.merge(address, nowMillis, Math::max);
+    Long before = where.get(address);
+    if (before != null && before >= atMillis) {
+      return false;
+    }
+    where.put(address, atMillis);
+    return true;
   }
 
   /** Lets time pass; to be called regularly. */
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/ReportSchedule.java
@@ -0,0 +1,105 @@
+package io.umberpath.control.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Whom a node reports to in each round. Within a zone every node reports to every other one, in
+ * turn where the zone is large. Between zones a few delegates of each zone send a digest of all of
+ * its nodes to one node there, which relays it. So the longest time between two reports of a node
+ * is fixed, and the messages of a node do not grow with the number of nodes elsewhere. Owner
+ * synchronizes.
+ */
+public final class ReportSchedule {
+  /** Nodes of its own zone that a node reports to in one round at most. */
+  public static final int MAX_NEAR_RECEIVERS = 40;
+
+  /** Delegates of a zone for each other zone; with two, one may be lost without a gap. */
+  public static final int DELEGATES = 2;
+
+  /** Rounds from one digest of a delegate to its next. */
+  public static final int ROUNDS_PER_DIGEST = 4;
+
+  /**
+   * One round.
+   *
+   * @param reportTo nodes that get this node's own report
+   * @param digestTo nodes of other zones that get a digest of the own zone
+   */
+  public record Round(List<String> reportTo, List<String> digestTo) {}
+
+  private final String self;
+  private final int phase;
+  private int nextNear;
+  private int round;
+
+  /** Creates the schedule of the node at an address. */
+  public ReportSchedule(String self) {
+    this.self = self;
+    this.phase = Math.floorMod(self.hashCode(), ROUNDS_PER_DIGEST);
+  }
+
+  /**
+   * The next round.
+   *
+   * @param near the other nodes of the own zone
+   * @param far the nodes of each other zone
+   * @param silent nodes out of reach: they are reported to, in case they are not, but do not count
+   *     as delegates, nor get digests while others are left
+   */
+  public Round next(Collection<String> near, Map<String, List<String>> far, Set<String> silent) {
+    List<String> reportTo = nearReceivers(near);
+    List<String> digestTo = new ArrayList<>();
+    if (Math.floorMod(round, ROUNDS_PER_DIGEST) == phase) {
+      int turn = round / ROUNDS_PER_DIGEST;
+      Set<String> electable = new HashSet<>(near);
+      electable.removeAll(silent);
+      electable.add(self);
+      far.forEach(
+          (zone, hosts) -> {
+            if (Rendezvous.first(DELEGATES, electable, zone).contains(self)) {
+              digestTo.add(receiver(zone, hosts, silent, turn));
+            }
+          });
+    }
+    round++;
+    return new Round(reportTo, digestTo);
+  }
+
+  private List<String> nearReceivers(Collection<String> near) {
+    List<String> ordered = new ArrayList<>(new TreeSet<>(near));
+    if (ordered.size() <= MAX_NEAR_RECEIVERS) {
+      return ordered;
+    }
+    List<String> receivers = new ArrayList<>();
+    for (int count = 0; count < MAX_NEAR_RECEIVERS; count++) {
+      receivers.add(ordered.get(Math.floorMod(nextNear + count, ordered.size())));
+    }
+    nextNear = Math.floorMod(nextNear + MAX_NEAR_RECEIVERS, ordered.size());
+    return receivers;
+  }
+
+  /** Another one each time, so that one that is lost, or does not relay, costs a single digest. */
+  private String receiver(String zone, List<String> hosts, Set<String> silent, int turn) {
+    List<String> reachable =
+        hosts.stream().filter(host -> !silent.contains(host)).sorted().toList();
+    List<String> choice = reachable.isEmpty() ? hosts : reachable;
+    int offset = (self + '/' + zone).hashCode();
+    return choice.get(Math.floorMod(offset + turn, choice.size()));
+  }
+
+  /**
+   * Rounds from one report of a node to its next to the same node of its zone.
+   *
+   * @param zoneNodes nodes of the zone, that node included
+   */
+  public static int roundsBetweenReports(int zoneNodes) {
+    int others = Math.max(1, zoneNodes - 1);
+    return (others + MAX_NEAR_RECEIVERS - 1) / MAX_NEAR_RECEIVERS;
+  }
+}
--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -1,6 +1,6 @@
 package io.umberpath.control.store;
 
-import java.util.Collection;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,11 +22,19 @@
     record Wait(long untilMillis) implements Step {}
   }
 
+  /** Removals remembered for nodes that are behind; a release removes some hundred at most. */
+  private static final int MAX_REMOVALS = 1_024;
+
   private final String prefix;
   private final StoreWatcherSettings settings;
   private final DoubleSupplier random;
   private Map<String, StoreItem> items = new HashMap<>();
   private Map<String, StoreItem> pages = new HashMap<>();
+  private final ArrayDeque<StoreEvent.Gone> removals = new ArrayDeque<>();
+
+  /** Revision after which every removal is remembered. */
+  private long removalsSince = -1;
+
   private String lastKey;
   private long firstPageAt = -1;
   private long at = -1;
@@ -136,6 +144,8 @@
     boolean changed = at < 0 || !items.equals(newItems);
     items = newItems;
     at = newAt;
+    removals.clear();
+    removalsSince = newAt;
     return changed;
   }
 
@@ -173,27 +183,63 @@
       items.put(event.key(), put.item());
       return true;
     }
+    rememberRemoval((StoreEvent.Gone) event);
     return items.remove(event.key()) != null;
   }
 
+  private void rememberRemoval(StoreEvent.Gone gone) {
+    removals.addLast(gone);
+    if (removals.size() > MAX_REMOVALS) {
+      removalsSince = removals.removeFirst().revision();
+    }
+  }
+
   /**
-   * Takes a whole state that another node holds, if it is newer than this one.
+   * Takes changes that another node holds, if they lead further than this one is.
    *
    * @return whether the items have changed
    */
-  public boolean adopt(Collection<StoreItem> newItems, long newAt) {
-    if (newAt <= at) {
+  public boolean adopt(StoreChanges changes) {
+    if (changes.at() <= at || changes.after() > at) {
       return false;
     }
-    Map<String, StoreItem> adopted = new HashMap<>();
-    newItems.forEach(item -> adopted.put(item.key(), item));
-    boolean changed = replace(adopted, newAt);
+    boolean changed = changes.isWhole() ? adoptWhole(changes) : adoptSteps(changes);
     if (reading && firstPageAt < 0) {
       reading = false;
     }
     return changed;
   }
 
+  private boolean adoptWhole(StoreChanges changes) {
+    Map<String, StoreItem> adopted = new HashMap<>();
+    changes.items().forEach(item -> adopted.put(item.key(), item));
+    return replace(adopted, changes.at());
+  }
+
+  private boolean adoptSteps(StoreChanges changes) {
+    boolean changed = false;
+    for (StoreEvent.Gone gone : changes.gone()) {
+      changed |= apply(gone);
+    }
+    for (StoreItem item : changes.items()) {
+      changed |= apply(new StoreEvent.Put(item));
+    }
+    at = changes.at();
+    return changed;
+  }
+
+  /** What changed after a revision; the whole state if that is further back than is remembered. */
+  public StoreChanges changesSince(long after) {
+    if (at < 0 || after < removalsSince) {
+      return new StoreChanges(StoreChanges.FROM_NOTHING, at, items(), List.of());
+    }
+    List<StoreItem> written =
+        items.values().stream().filter(item -> item.revision() > after).toList();
+    List<StoreEvent.Gone> gone =
+        removals.stream().filter(removal -> removal.revision() > after).toList();
+    return new StoreChanges(after, at, written, gone);
+  }
+
   /** The items by key order of no meaning; empty before the first whole read. */
   public List<StoreItem> items() {
     return List.copyOf(items.values());
--- a/umberpath-control/src/test/java/io/umberpath/control/store/KnownPeersTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/membership/KnownPeersTest.java
@@ -1,4 +1,4 @@
-package io.umberpath.control.store;
+package io.umberpath.control.membership;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- /dev/null
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/StoreReadersTest.java
@@ -0,0 +1,60 @@
+package io.umberpath.control.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class StoreReadersTest {
+  private static List<String> nodes(int count) {
+    return IntStream.range(0, count).mapToObj(index -> "10.0.0." + index).toList();
+  }
+
+  private static Set<String> readers(List<String> nodes, Set<String> refused) {
+    Set<String> readers = new TreeSet<>();
+    for (String node : nodes) {
+      Set<String> others = new HashSet<>(nodes);
+      others.remove(node);
+      if (StoreReaders.reads(node, others, refused)) {
+        readers.add(node);
+      }
+    }
+    return readers;
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 14, 143, 1_000})
+  void aZoneOfAnySizeHasTwoReaders(int count) {
+    assertThat(readers(nodes(count), Set.of())).hasSize(Math.min(count, 2));
+  }
+
+  @Test
+  void readersThatTheStoreRefusesAreReplacedByOthers() {
+    List<String> nodes = nodes(14);
+    Set<String> refused = readers(nodes, Set.of());
+
+    assertThat(readers(nodes, refused)).hasSize(2).doesNotContainAnyElementsOf(refused);
+  }
+
+  @Test
+  void whereTheStoreRefusesAllTwoGoOnTrying() {
+    List<String> nodes = nodes(14);
+
+    assertThat(readers(nodes, new HashSet<>(nodes))).hasSize(2);
+  }
+
+  @Test
+  void readersThatFallSilentAreReplaced() {
+    List<String> nodes = nodes(14);
+    Set<String> readers = readers(nodes, Set.of());
+    List<String> left = nodes.stream().filter(node -> !readers.contains(node)).toList();
+
+    assertThat(readers(left, Set.of())).hasSize(2);
+  }
+}
--- a/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
@@ -25,6 +25,10 @@
     return new StoreAnswer.Events(List.of(events), at);
   }
 
+  private static StoreChanges whole(long at, StoreItem... items) {
+    return new StoreChanges(StoreChanges.FROM_NOTHING, at, List.of(items), List.of());
+  }
+
   private StoreCall call(long now) {
     return ((Step.Call) watcher.next(now)).call();
   }
@@ -135,8 +139,8 @@
   void takesANewerStateOfAnotherNode() {
     watcher.answered(0, page(false, 10, item("a", "1", 3)));
 
-    assertThat(watcher.adopt(List.of(item("a", "2", 15)), 20)).isTrue();
-    assertThat(watcher.adopt(List.of(item("a", "1", 3)), 19)).isFalse();
+    assertThat(watcher.adopt(whole(20, item("a", "2", 15)))).isTrue();
+    assertThat(watcher.adopt(whole(19, item("a", "1", 3)))).isFalse();
 
     assertThat(watcher.items()).containsExactly(item("a", "2", 15));
     assertThat(call(0)).isEqualTo(new StoreCall.Watch("", 20, 6_000));
@@ -145,7 +149,7 @@
   @Test
   void aLateAnswerToAnOlderWatchDoesNotBringBackWhatWasRemoved() {
     watcher.answered(0, page(false, 10, item("a", "1", 3)));
-    watcher.adopt(List.of(), 20);
+    watcher.adopt(whole(20));
 
     boolean changed = watcher.answered(0, events(15, new StoreEvent.Put(item("a", "2", 14))));
 
@@ -157,10 +161,58 @@
   @Test
   void anOlderReadDoesNotReplaceANewerState() {
     watcher.answered(0, page(true, 10, item("a", "1", 3)));
-    watcher.adopt(List.of(item("a", "2", 15)), 20);
+    watcher.adopt(whole(20, item("a", "2", 15)));
 
     assertThat(watcher.answered(0, page(false, 11))).isFalse();
 
     assertThat(watcher.items()).containsExactly(item("a", "2", 15));
   }
+
+  /** A node that is behind takes the changes of another one and then holds the same. */
+  @Test
+  void changesSinceARevisionBringAnotherWatcherToTheSameState() {
+    StoreWatcher behind = new StoreWatcher("", SETTINGS, () -> 1);
+    watcher.answered(0, page(false, 10, item("a", "1", 3), item("b", "1", 4), item("c", "1", 5)));
+    behind.adopt(watcher.changesSince(-1));
+    watcher.answered(
+        0, events(14, new StoreEvent.Gone("b", 12), new StoreEvent.Put(item("a", "2", 14))));
+
+    StoreChanges changes = watcher.changesSince(10);
+
+    assertThat(changes.isWhole()).isFalse();
+    assertThat(changes.items()).containsExactly(item("a", "2", 14));
+    assertThat(changes.gone()).containsExactly(new StoreEvent.Gone("b", 12));
+    assertThat(behind.adopt(changes)).isTrue();
+    assertThat(behind.at()).isEqualTo(14);
+    assertThat(behind.items()).containsExactlyInAnyOrderElementsOf(watcher.items());
+    assertThat(behind.changesSince(10)).isEqualTo(changes);
+  }
+
+  /** Removals before the last whole read are not known: who is further behind needs the whole. */
+  @Test
+  void aNodeThatIsBehindTheLastWholeReadGetsTheWholeState() {
+    watcher.answered(0, page(false, 10, item("a", "1", 3)));
+
+    assertThat(watcher.changesSince(9)).isEqualTo(whole(10, item("a", "1", 3)));
+    assertThat(watcher.changesSince(10).isWhole()).isFalse();
+  }
+
+  @Test
+  void removalsAreRememberedWithinABound() {
+    watcher.answered(0, page(false, 10));
+    for (int revision = 11; revision < 2_011; revision++) {
+      watcher.answered(0, events(revision, new StoreEvent.Gone("key-" + revision, revision)));
+    }
+
+    assertThat(watcher.changesSince(10).isWhole()).isTrue();
+    assertThat(watcher.changesSince(1_500).gone()).hasSize(510);
+  }
+
+  @Test
+  void changesThatBeginAfterWhatIsHeldAreNotTaken() {
+    watcher.answered(0, page(false, 10, item("a", "1", 3)));
+
+    assertThat(watcher.adopt(new StoreChanges(12, 14, List.of(), List.of()))).isFalse();
+    assertThat(watcher.at()).isEqualTo(10);
+  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/AttestedBackends.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/AttestedBackends.java
@@ -11,8 +11,11 @@
  * Back ends that the store lists no more, but the node beside each attests to live. Thread-safe.
  */
 final class AttestedBackends {
-  /** How long an attestation holds without being repeated, milliseconds. */
-  private static final long VALID_MILLIS = 1_000;
+  /**
+   * How long an attestation holds without being repeated, milliseconds: nodes of other zones hear
+   * of it by digests, one a second from each of two nodes, and one round later.
+   */
+  private static final long VALID_MILLIS = 2_500;
 
   private record Attested(BackendEntry entry, long sinceMillis, long untilMillis) {}
 
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/EncodedChanges.java
@@ -0,0 +1,31 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.control.store.StoreChanges;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Encodes changes once for all the nodes that ask for the same ones, as those of a zone do after
+ * each change. Thread-safe.
+ */
+final class EncodedChanges {
+  /** Spans of changes kept; nodes of a zone differ by a change or two. */
+  private static final int MAX_KEPT = 4;
+
+  private record Span(long after, long at) {}
+
+  private final Map<Span, byte[]> bySpan =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Span, byte[]> eldest) {
+          return size() > MAX_KEPT;
+        }
+      };
+
+  synchronized byte[] of(StoreChanges changes) {
+    Span span = new Span(changes.after(), changes.at());
+    return bySpan.computeIfAbsent(span, absent -> StateChangesCodec.encode(changes));
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LivenessAttester.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LivenessAttester.java
@@ -76,7 +76,8 @@
     note(attested());
   }
 
-  private boolean isLapsed() {
+  /** Whether the entry of a back end that did not leave is missing. */
+  synchronized boolean isLapsed() {
     return lastListed != null && view.get().backends().at(settings.backend()).isEmpty();
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -36,8 +36,16 @@
   PEER_SILENT(20),
   /** A silent node is heard again. */
   PEER_HEARD(20),
-  /** A newer state was taken from another node. */
+  /** A datagram is no message between nodes. */
+  REPORT_REFUSED(5),
+  /** A report could not be sent. */
+  REPORT_UNSENT(5),
+  /** Newer changes were taken from another node. */
   STATE_ADOPTED(20),
+  /** Newer changes could not be taken from another node. */
+  STATE_PULL_FAILED(10),
+  /** This node begins to call the store for its zone, or leaves it to others. */
+  STORE_READER(10),
   /** A request of a caller ended without an answer of a back end. */
   REQUEST_FAILED(40),
   /** A request of a caller was answered; a sample. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -9,6 +9,7 @@
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.umberpath.node.logs.LogFields;
 import io.umberpath.node.proxy.http.VerdictHeader;
+import java.io.IOException;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.function.LongSupplier;
@@ -168,6 +169,31 @@
     line(MeshEvent.PEER_HEARD).with(LogFields.ADDRESS, host).log("reports again");
   }
 
+  void reportRefused(String sender, IOException malformed) {
+    line(MeshEvent.REPORT_REFUSED)
+        .with(LogFields.ADDRESS, sender)
+        .with(CAUSE, String.valueOf(malformed.getMessage()))
+        .log("datagram dropped");
+  }
+
+  void reportUnsent(String host, IOException unreachable) {
+    line(MeshEvent.REPORT_UNSENT)
+        .with(LogFields.ADDRESS, host)
+        .with(CAUSE, String.valueOf(unreachable.getMessage()))
+        .log("the next round sends again");
+  }
+
+  void statePullFailed(String peer, IOException failure) {
+    line(MeshEvent.STATE_PULL_FAILED)
+        .with(LogFields.ADDRESS, peer)
+        .with(CAUSE, String.valueOf(failure.getMessage()))
+        .log("another node is tried");
+  }
+
+  void storeReader(boolean reads) {
+    line(MeshEvent.STORE_READER).log("%s", reads ? "begins" : "ends");
+  }
+
   void stateAdopted(String peer, long version, long revision) {
     line(MeshEvent.STATE_ADOPTED)
         .with(LogFields.ADDRESS, peer)
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -1,5 +1,7 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.control.membership.SilenceTimes;
+import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.control.store.StoreWatcherSettings;
 import io.umberpath.model.PeerAddress;
@@ -14,6 +16,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -31,7 +34,10 @@
 
   private static final long DEADLINE_TICK_MILLIS = 20;
   private static final long SWEEP_MILLIS = 100;
-  private static final long REPORT_MILLIS = 250;
+
+  /** Least time between two announcements of what this node took from the store, milliseconds. */
+  private static final long ANNOUNCE_MILLIS = 50;
+
   private static final long SECOND_MILLIS = 1_000;
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final int OK = 200;
@@ -77,6 +83,8 @@
   private final List<StateServer> stateServers = new ArrayList<>();
   private final ScheduledExecutorService timer =
       Executors.newSingleThreadScheduledExecutor(MeshNode::timerThread);
+  private final AtomicBoolean announced = new AtomicBoolean();
+  private final EncodedChanges encodedChanges = new EncodedChanges();
   private volatile boolean leaving;
   private volatile boolean backendLeaving;
 
@@ -99,18 +107,34 @@
             documents.prefix(), WATCHER, () -> ThreadLocalRandom.current().nextDouble());
     this.state = new MeshState(documents, watcher, events);
     this.follower = new StoreFollower(state, client, events, clockMillis);
-    this.puller = new StatePuller(settings, state, events, clockMillis);
+    this.puller = new StatePuller(settings, state, follower::isReading, events, clockMillis);
     this.balancer =
         new GateBalancer(settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
     this.peers =
-        new PeerExchange(settings, state::view, follower::contact, balancer, events, clockMillis);
+        new PeerExchange(settings, state::view, this::contact, balancer, events, clockMillis);
     this.backend = new LocalBackend(settings, state::view, this::attests);
     this.proxy =
         new MeshProxy(
             settings, state::view, balancer, peers, backend, events, metrics, clockMillis);
     this.attester =
         new LivenessAttester(
-            settings, state::view, follower::contact, proxy.backendPool(), events, clockMillis);
+            settings, state::view, this::contact, proxy.backendPool(), events, clockMillis);
+  }
+
+  /** Contact with the store: this node's own, or where it makes no calls, that of its zone. */
+  private StoreContact contact() {
+    StoreContact own = follower.contact();
+    return follower.isReading() ? own : peers.zoneContact().orElse(own);
+  }
+
+  /**
+   * Whether this node calls the store: as one of its zone's readers, while it holds nothing yet, or
+   * to find out why the entry of the back end beside it is missing.
+   */
+  private boolean readsStore() {
+    return !state.view().isComplete()
+        || attester.isLapsed()
+        || peers.readsStore(!follower.contact().reachable());
   }
 
   private boolean attests(String instance) {
@@ -129,12 +153,14 @@
    * @throws IOException if an address cannot be bound
    */
   public void start() throws IOException {
+    follower.onlyIf(this::readsStore);
+    follower.onChange(this::announce);
     follower.start();
     proxy.start();
     proxy.listen(settings.ready(), new StatusFilter(this::status));
-    stateServers.add(StateServer.open(settings.exchange(), this::transfer));
+    stateServers.add(StateServer.open(settings.exchange(), this::changesSince));
     if (settings.control().isPresent()) {
-      stateServers.add(StateServer.open(settings.control().get(), this::transfer));
+      stateServers.add(StateServer.open(settings.control().get(), this::changesSince));
     }
     if (settings.metricsPort() > 0) {
       PeerAddress address = new PeerAddress(settings.ready().host(), settings.metricsPort());
@@ -146,7 +172,7 @@
     puller.start();
     every(DEADLINE_TICK_MILLIS, () -> proxy.keepDeadlines(clockMillis.getAsLong()));
     every(SWEEP_MILLIS, this::sweep);
-    every(REPORT_MILLIS, this::tellPeers);
+    every(SilenceTimes.ROUND_MILLIS, this::tellPeers);
     every(SECOND_MILLIS, this::second);
   }
 
@@ -182,6 +208,18 @@
     peers.tick(report());
   }
 
+  /** The store has changed: the zone hears of it at once, whose nodes take it from here. */
+  private void announce() {
+    if (announced.compareAndSet(false, true)) {
+      timer.schedule(() -> guarded(this::tellZone), ANNOUNCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void tellZone() {
+    announced.set(false);
+    peers.announce(report());
+  }
+
   private PeerReport report() {
     MeshView view = state.view();
     return new PeerReport(
@@ -189,13 +227,16 @@
         backendLeaving,
         view.version(),
         view.revision(),
+        follower.reported(),
         backendLeaving ? Optional.empty() : attester.attested());
   }
 
-  private StateTransfer transfer() {
+  private byte[] changesSince(long revision) {
+    StoreChanges changes;
     synchronized (state) {
-      return new StateTransfer(state.watcher().at(), state.watcher().items());
+      changes = state.watcher().changesSince(revision);
     }
+    return encodedChanges.of(changes);
   }
 
   private StatusFilter.Answer metricsPage(String path) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.PeerAddress;
@@ -7,7 +8,6 @@
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.umberpath.traffic.routing.RoutingTable;
 import io.vavr.control.Either;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,9 +40,9 @@
     return watcher;
   }
 
-  /** Takes items of another node that are newer than this node's. */
-  synchronized void adopt(Collection<StoreItem> items, long at, String peer) {
-    if (watcher.adopt(items, at)) {
+  /** Takes changes of another node that lead further than this node is. */
+  synchronized void adopt(StoreChanges changes, String peer) {
+    if (watcher.adopt(changes)) {
       refresh(peer);
     } else if (watcher.at() != view.revision()) {
       view = new MeshView(view.configuration(), view.table(), view.backends(), watcher.at());
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -1,6 +1,9 @@
 package io.umberpath.node.mesh;
 
-import io.umberpath.control.store.KnownPeers;
+import io.umberpath.control.membership.KnownPeers;
+import io.umberpath.control.membership.ReportSchedule;
+import io.umberpath.control.membership.SilenceTimes;
+import io.umberpath.control.store.StoreReaders;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
@@ -9,37 +12,36 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Collections;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
- * Reports between nodes: each tells the others its load, what it holds and that it is there.
- * Reports are datagrams; one that is lost is made good by the next. Thread-safe.
+ * Reports between nodes: each tells the others its load, what it holds and that it is there, nodes
+ * of its zone directly and those of other zones by digests (see {@link ReportSchedule}). Reports
+ * are datagrams; one that is lost is made good by the next. Thread-safe.
  */
 final class PeerExchange implements AutoCloseable {
-  /** Nodes that one round of reports goes to at most, drawn anew each round. */
-  private static final int MAX_RECEIVERS = 40;
+  /** How long a node that is not listed counts after its last report, milliseconds. */
+  private static final long UNLISTED_MILLIS = 10_000;
 
-  /** Rounds of reports in the own zone for each round to other zones, whose bytes cost. */
-  private static final int ROUNDS_PER_FAR_ROUND = 6;
-
-  private static final long NEAR_SILENT_MILLIS = 900;
-  private static final long FAR_SILENT_MILLIS = 4_000;
-  private static final long GUEST_MILLIS = 10_000;
+  /** Gap between two rounds from which on this node itself stood still, milliseconds. */
   private static final long OWN_PAUSE_MILLIS = 600;
-  private static final int MAX_DATAGRAM_BYTES = 512;
+
+  /** Rounds in which a leaving node tells all others itself, so that nobody waits for digests. */
+  private static final int LEAVING_ROUNDS = 2;
 
   /** Hears of a node that holds something newer. */
   interface AheadListener {
-    void ahead(String host, long version, long revision);
+    /** A node, of the own zone or not, states a version and a revision. */
+    void ahead(String host, boolean near, long version, long revision);
   }
 
   private final MeshSettings settings;
@@ -48,14 +50,18 @@
   private final GateBalancer balancer;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
+  private final String self;
   private final KnownPeers known;
+  private final ReportSchedule schedule;
+  private final PeerReports reports = new PeerReports();
   private final AttestedBackends attested = new AttestedBackends();
   private final Set<String> leaving = ConcurrentHashMap.newKeySet();
   private final Thread thread = new Thread(this::receive, "umberpath-reports");
-  private volatile AheadListener aheadListener = (host, version, revision) -> {};
+  private volatile AheadListener aheadListener = (host, near, version, revision) -> {};
   private volatile Set<String> silent = Set.of();
+  private volatile Set<String> near = Set.of();
   private volatile int nodes = 1;
-  private int round;
+  private int leavingRounds;
   private DatagramSocket socket;
 
   PeerExchange(
@@ -71,7 +77,9 @@
     this.balancer = balancer;
     this.events = events;
     this.clockMillis = clockMillis;
-    this.known = new KnownPeers(settings.exchange().host(), GUEST_MILLIS, OWN_PAUSE_MILLIS);
+    this.self = settings.exchange().host();
+    this.known = new KnownPeers(self, UNLISTED_MILLIS, OWN_PAUSE_MILLIS);
+    this.schedule = new ReportSchedule(self);
   }
 
   void onAhead(AheadListener listener) {
@@ -80,53 +88,95 @@
 
   /** Listens for reports. */
   void start() throws IOException {
-    socket =
-        new DatagramSocket(
-            new InetSocketAddress(settings.exchange().host(), settings.exchange().port()));
+    socket = new DatagramSocket(new InetSocketAddress(self, settings.exchange().port()));
     thread.setDaemon(true);
     thread.start();
   }
 
-  /** Sends this node's report and looks who has been silent. */
+  /** One round: sends reports and looks who has been silent. */
   void tick(PeerReport report) {
     long now = clockMillis.getAsLong();
-    List<String> receivers;
-    Set<String> before = silent;
+    final Set<String> before = silent;
+    Set<String> others;
     synchronized (known) {
       known.tick(now);
       known.replace(now, silenceByHost());
       silent = known.silent(now);
-      receivers = new ArrayList<>(known.others());
+      others = known.others();
     }
-    nodes = receivers.size() + 1;
+    nodes = others.size() + 1;
     note(before, silent);
-    attested.heard(now, settings.exchange().host(), report.attested());
-    boolean farRound = round++ % ROUNDS_PER_FAR_ROUND == 0 || report.attested().isPresent();
-    if (!farRound && !report.leaving()) {
-      receivers.removeIf(host -> !isNear(host));
+    reports.forget(now);
+    attested.heard(now, self, report.attested());
+    Set<String> nearNow = new HashSet<>(others);
+    nearNow.removeIf(host -> !isNear(host));
+    near = nearNow;
+    ReportSchedule.Round round;
+    synchronized (schedule) {
+      round = schedule.next(nearNow, farByZone(others), silent);
     }
-    if (receivers.size() > MAX_RECEIVERS) {
-      Collections.shuffle(receivers, ThreadLocalRandom.current());
-      receivers = receivers.subList(0, MAX_RECEIVERS);
+    boolean toAll = report.leaving() && leavingRounds++ < LEAVING_ROUNDS;
+    send(own(report), toAll ? others : round.reportTo());
+    sendDigest(now, report, round.digestTo());
+  }
+
+  /** Tells the own zone at once what this node holds now. */
+  void announce(PeerReport report) {
+    send(own(report), near);
+  }
+
+  private PeerMessage own(PeerReport report) {
+    return new PeerMessage(
+        PeerMessage.Kind.REPORT, List.of(new PeerMessage.Entry(self, 0, report)));
+  }
+
+  private void sendDigest(long nowMillis, PeerReport report, List<String> receivers) {
+    if (receivers.isEmpty()) {
+      return;
     }
-    byte[] bytes = report.encode();
-    for (String host : receivers) {
-      send(host, bytes);
+    List<PeerMessage.Entry> entries = new ArrayList<>();
+    entries.add(new PeerMessage.Entry(self, 0, report));
+    Set<String> reachable = new HashSet<>(near);
+    reachable.removeAll(silent);
+    reports
+        .of(reachable)
+        .forEach(
+            (host, heard) ->
+                entries.add(
+                    new PeerMessage.Entry(host, nowMillis - heard.atMillis(), heard.report())));
+    for (PeerMessage message : PeerMessage.split(PeerMessage.Kind.DIGEST, entries)) {
+      send(message, receivers);
     }
   }
 
   private Map<String, Long> silenceByHost() {
+    Set<String> hosts = view.get().backends().hosts();
+    SilenceTimes times = SilenceTimes.of((int) hosts.stream().filter(this::isNear).count());
     Map<String, Long> silence = new HashMap<>();
-    for (String host : view.get().backends().hosts()) {
-      silence.put(host, isNear(host) ? NEAR_SILENT_MILLIS : FAR_SILENT_MILLIS);
+    for (String host : hosts) {
+      silence.put(host, isNear(host) ? times.nearMillis() : times.farMillis());
     }
     return silence;
   }
 
   /** Whether a node is in the own zone; one that is not listed may be. */
   private boolean isNear(String host) {
+    return zoneOf(host).map(settings.zone()::equals).orElse(true);
+  }
+
+  private Optional<String> zoneOf(String host) {
     List<BackendEntry> entries = view.get().backends().atHost(host);
-    return entries.isEmpty() || entries.get(0).zone().equals(settings.zone());
+    return entries.isEmpty() ? Optional.empty() : Optional.of(entries.get(0).zone());
+  }
+
+  private Map<String, List<String>> farByZone(Collection<String> hosts) {
+    Map<String, List<String>> byZone = new HashMap<>();
+    for (String host : hosts) {
+      zoneOf(host)
+          .filter(zone -> !zone.equals(settings.zone()))
+          .ifPresent(zone -> byZone.computeIfAbsent(zone, absent -> new ArrayList<>()).add(host));
+    }
+    return byZone;
   }
 
   private void note(Set<String> before, Set<String> after) {
@@ -142,56 +192,112 @@
     }
   }
 
-  private void send(String host, byte[] bytes) {
-    try {
-      socket.send(
-          new DatagramPacket(
-              bytes, bytes.length, InetAddress.getByName(host), settings.exchange().port()));
-    } catch (IOException unreachable) {
-      // The next report makes it good; who hears none for long treats this node as out of reach.
-      return;
+  private void send(PeerMessage message, Collection<String> hosts) {
+    byte[] bytes = message.encode();
+    int port = settings.exchange().port();
+    for (String host : hosts) {
+      try {
+        socket.send(new DatagramPacket(bytes, bytes.length, InetAddress.getByName(host), port));
+      } catch (IOException unreachable) {
+        // The next report makes it good; who hears none for long treats this node as out of reach.
+        events.reportUnsent(host, unreachable);
+      }
     }
   }
 
   private void receive() {
-    DatagramPacket packet = new DatagramPacket(new byte[MAX_DATAGRAM_BYTES], MAX_DATAGRAM_BYTES);
+    int size = PeerMessage.MAX_BYTES + 1;
+    DatagramPacket packet = new DatagramPacket(new byte[size], size);
     while (!socket.isClosed()) {
       try {
-        packet.setLength(MAX_DATAGRAM_BYTES);
+        packet.setLength(size);
         socket.receive(packet);
-        String host = packet.getAddress().getHostAddress();
-        take(host, PeerReport.decode(packet.getData(), packet.getLength()));
-      } catch (IOException malformed) {
+        take(packet);
+      } catch (IOException ended) {
         if (socket.isClosed()) {
           return;
         }
+        events.fault("reports", ended);
       } catch (RuntimeException fault) {
         events.fault("peer report", fault);
       }
     }
   }
 
-  private void take(String host, PeerReport report) {
+  private void take(DatagramPacket packet) {
+    String sender = packet.getAddress().getHostAddress();
+    PeerMessage message;
+    try {
+      message = PeerMessage.decode(packet.getData(), packet.getLength());
+    } catch (IOException malformed) {
+      events.reportRefused(sender, malformed);
+      return;
+    }
+    if (message.kind() == PeerMessage.Kind.DIGEST) {
+      send(new PeerMessage(PeerMessage.Kind.RELAYED, message.entries()), near);
+    }
     long now = clockMillis.getAsLong();
+    for (PeerMessage.Entry entry : message.entries()) {
+      if (!entry.host().equals(self)) {
+        take(entry.host(), entry.report(), now - entry.ageMillis());
+      }
+    }
+  }
+
+  private void take(String host, PeerReport report, long atMillis) {
     synchronized (known) {
-      known.heard(now, host);
+      known.heard(atMillis, host);
+    }
+    if (!reports.take(host, report, atMillis)) {
+      return;
     }
     if (report.leaving()) {
       leaving.add(host);
     } else {
       leaving.remove(host);
     }
-    attested.heard(now, host, report.attested());
+    attested.heard(atMillis, host, report.attested());
     MeshView current = view.get();
     synchronized (balancer) {
-      report.attested().ifPresent(entry -> balancer.stated(now, entry.id(), report.load()));
+      report.attested().ifPresent(entry -> balancer.stated(atMillis, entry.id(), report.load()));
       for (BackendEntry entry : current.backends().atHost(host)) {
-        balancer.stated(now, entry.id(), report.load());
+        balancer.stated(atMillis, entry.id(), report.load());
       }
     }
     if (report.version() > current.version() || report.revision() > current.revision()) {
-      aheadListener.ahead(host, report.version(), report.revision());
+      aheadListener.ahead(host, isNear(host), report.version(), report.revision());
+    }
+  }
+
+  /**
+   * Whether this node is one of those of its zone that call the store.
+   *
+   * @param refused whether the store did not answer this node lately
+   */
+  boolean readsStore(boolean refused) {
+    Set<String> reachable = new HashSet<>(near);
+    reachable.removeAll(silent);
+    reachable.removeAll(leaving);
+    Set<String> refusedNodes = new HashSet<>();
+    reports
+        .of(reachable)
+        .forEach(
+            (host, heard) -> {
+              if (heard.report().contact().state() == ReportedContact.State.LOST) {
+                refusedNodes.add(host);
+              }
+            });
+    if (refused) {
+      refusedNodes.add(self);
     }
+    return StoreReaders.reads(self, reachable, refusedNodes);
+  }
+
+  /** The contact with the store that nodes of the own zone state; empty if none calls it. */
+  Optional<StoreContact> zoneContact() {
+    Set<String> hosts = near;
+    Set<String> unheard = silent;
+    return reports.contact(host -> hosts.contains(host) && !unheard.contains(host));
   }
 
   /** The back ends of a service that take new work. */
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerMessage.java
@@ -0,0 +1,118 @@
+package io.umberpath.node.mesh;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One datagram between nodes.
+ *
+ * @param kind what the receiver does with it
+ * @param entries reports of one or more nodes
+ */
+record PeerMessage(Kind kind, List<Entry> entries) {
+  /** What a receiver does with a message. */
+  enum Kind {
+    /** The sender's own report. */
+    REPORT,
+    /** Reports of the sender's zone, for the whole zone of the receiver: it relays them. */
+    DIGEST,
+    /** A digest that was relayed already. */
+    RELAYED
+  }
+
+  /**
+   * The report of a node, as the sender heard it.
+   *
+   * @param host address of the node
+   * @param ageMillis time since the sender heard it, milliseconds; no clock of another node is
+   *     needed to tell which of two reports is the later
+   */
+  record Entry(String host, long ageMillis, PeerReport report) {}
+
+  /** Largest datagram, bytes: passes every link whole. */
+  static final int MAX_BYTES = 1_400;
+
+  /** Reports in one datagram; one without an attested back end takes about 40 bytes. */
+  static final int MAX_ENTRIES = 24;
+
+  private static final CBORFactory CBOR = new CBORFactory();
+  private static final int INITIAL_BYTES = 96;
+
+  /** Messages that hold all entries, each short enough for one datagram. */
+  static List<PeerMessage> split(Kind kind, List<Entry> entries) {
+    List<PeerMessage> messages = new ArrayList<>();
+    for (int from = 0; from < entries.size(); from += MAX_ENTRIES) {
+      int to = Math.min(entries.size(), from + MAX_ENTRIES);
+      split(new PeerMessage(kind, entries.subList(from, to)), messages);
+    }
+    return messages;
+  }
+
+  private static void split(PeerMessage message, List<PeerMessage> into) {
+    int count = message.entries().size();
+    if (count == 1 || message.encode().length <= MAX_BYTES) {
+      into.add(message);
+      return;
+    }
+    split(new PeerMessage(message.kind(), message.entries().subList(0, count / 2)), into);
+    split(new PeerMessage(message.kind(), message.entries().subList(count / 2, count)), into);
+  }
+
+  byte[] encode() {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(INITIAL_BYTES * entries.size());
+    try (JsonGenerator out = CBOR.createGenerator(bytes)) {
+      out.writeStartArray();
+      out.writeNumber(kind.ordinal());
+      for (Entry entry : entries) {
+        out.writeString(entry.host());
+        out.writeNumber(entry.ageMillis());
+        entry.report().write(out);
+      }
+      out.writeEndArray();
+    } catch (IOException impossible) {
+      throw new IllegalStateException("a message cannot be written", impossible);
+    }
+    return bytes.toByteArray();
+  }
+
+  /**
+   * Reads a datagram.
+   *
+   * @throws IOException if it is no message
+   */
+  static PeerMessage decode(byte[] bytes, int length) throws IOException {
+    try (JsonParser in = CBOR.createParser(bytes, 0, length)) {
+      require(in.nextToken() == JsonToken.START_ARRAY, "is no list");
+      require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no kind");
+      int kind = in.getIntValue();
+      require(kind >= 0 && kind < Kind.values().length, "is of an unknown kind");
+      List<Entry> entries = new ArrayList<>();
+      for (JsonToken token = in.nextToken(); token != JsonToken.END_ARRAY; token = in.nextToken()) {
+        entries.add(entry(token, in));
+      }
+      require(!entries.isEmpty(), "is empty");
+      return new PeerMessage(Kind.values()[kind], entries);
+    }
+  }
+
+  private static Entry entry(JsonToken token, JsonParser in) throws IOException {
+    require(token == JsonToken.VALUE_STRING, "has no address where one is due");
+    String host = in.getText();
+    require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no age where one is due");
+    long age = Math.max(0, in.getLongValue());
+    require(in.nextToken() == JsonToken.START_ARRAY, "has no report where one is due");
+    return new Entry(host, age, PeerReport.read(in));
+  }
+
+  private static void require(boolean wellFormed, String problem) throws IOException {
+    if (!wellFormed) {
+      throw new IOException("message between nodes " + problem);
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReports.java
@@ -0,0 +1,72 @@
+package io.umberpath.node.mesh;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/** The latest report of each other node. Thread-safe. */
+final class PeerReports {
+  /** Reports older than this say nothing any more, milliseconds: well past all silence times. */
+  private static final long MAX_AGE_MILLIS = 10_000;
+
+  /**
+   * A report and when the node made it, on this node's clock.
+   *
+   * @param atMillis when it was made, as far as known
+   */
+  record Heard(PeerReport report, long atMillis) {}
+
+  private final Map<String, Heard> byHost = new HashMap<>();
+
+  /** Takes a report; false if a later one is known. */
+  synchronized boolean take(String host, PeerReport report, long atMillis) {
+    Heard before = byHost.get(host);
+    if (before != null && before.atMillis() >= atMillis) {
+      return false;
+    }
+    byHost.put(host, new Heard(report, atMillis));
+    return true;
+  }
+
+  /** Drops what is too old. */
+  synchronized void forget(long nowMillis) {
+    byHost.values().removeIf(heard -> heard.atMillis() + MAX_AGE_MILLIS < nowMillis);
+  }
+
+  synchronized Map<String, Heard> of(Collection<String> hosts) {
+    Map<String, Heard> chosen = new HashMap<>();
+    for (String host : hosts) {
+      Heard heard = byHost.get(host);
+      if (heard != null) {
+        chosen.put(host, heard);
+      }
+    }
+    return chosen;
+  }
+
+  /** The contact with the store that nodes state: none, unless one of them calls it. */
+  synchronized Optional<StoreContact> contact(Predicate<String> host) {
+    StoreContact best = null;
+    for (Map.Entry<String, Heard> entry : byHost.entrySet()) {
+      ReportedContact stated = entry.getValue().report().contact();
+      if (stated.state() != ReportedContact.State.NONE && host.test(entry.getKey())) {
+        StoreContact contact = stated.asOf(entry.getValue().atMillis());
+        best = best == null ? contact : better(best, contact);
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /**
+   * One that reaches the store before one that does not; of two alike the later, so that entries
+   * may be missing for as long as either of them says.
+   */
+  private static StoreContact better(StoreContact one, StoreContact other) {
+    if (one.reachable() != other.reachable()) {
+      return one.reachable() ? one : other;
+    }
+    return one.sinceMillis() >= other.sinceMillis() ? one : other;
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -1,42 +1,85 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.control.store.StoreChanges;
 import io.umberpath.model.PeerAddress;
 import java.io.BufferedInputStream;
+import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
- * Takes the state of another node while this one is behind and the store itself does not help: the
- * store may refuse, throttle or drop this node alone. One transfer at a time.
+ * Takes changes from other nodes: as soon as one of the own zone is ahead where this node does not
+ * read the store itself, and after a while where it does, since the store may refuse, throttle or
+ * drop this node alone. Other zones come last, because their bytes cost. One transfer at a time.
  */
 final class StatePuller implements AutoCloseable {
-  /** How long this node gives the store before it asks another node. */
-  private static final long PATIENCE_MILLIS = 350;
+  /** How long a node that reads the store waits for it before it takes changes from another. */
+  private static final long READER_WAIT_MILLIS = 350;
+
+  /**
+   * How long a node that does not read waits for its own zone before it goes to another one: a
+   * reader there would have had its own wait, a transfer and a round of reports.
+   */
+  private static final long OTHER_ZONE_WAIT_MILLIS = 1_000;
+
+  /** Pause between two transfers, in which quick successions of changes gather, milliseconds. */
+  private static final long PAUSE_MILLIS = 200;
+
+  /** Pause after a step without a transfer, milliseconds. */
+  private static final long CHECK_MILLIS = 50;
 
-  private static final long CHECK_MILLIS = 100;
   private static final int TIMEOUT_MILLIS = 500;
 
+  /**
+   * The node that stated the newest state, among those of the own zone or of the others.
+   *
+   * @param host its address; null before the first
+   */
+  private record Ahead(String host, long version, long revision) {
+    static final Ahead NOBODY = new Ahead(null, -1, -1);
+
+    /** Of nodes that are equally far one is drawn, so that not all go to the same one. */
+    Ahead with(String other, long otherVersion, long otherRevision) {
+      boolean further = otherRevision > revision || otherVersion > version;
+      boolean equal = otherRevision == revision && otherVersion == version;
+      boolean takes = further || equal && ThreadLocalRandom.current().nextBoolean();
+      return takes
+          ? new Ahead(other, Math.max(version, otherVersion), Math.max(revision, otherRevision))
+          : this;
+    }
+
+    boolean isAheadOf(MeshView view) {
+      return view.version() < version || view.revision() < revision;
+    }
+  }
+
   private final MeshSettings settings;
   private final MeshState state;
+  private final BooleanSupplier readsStore;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
   private final Thread thread = new Thread(this::run, "umberpath-puller");
   private volatile boolean closed;
-  private String aheadHost;
-  private long aheadVersion = -1;
-  private long aheadRevision = -1;
+  private Ahead near = Ahead.NOBODY;
+  private Ahead far = Ahead.NOBODY;
   private long behindSinceMillis = -1;
 
-  StatePuller(MeshSettings settings, MeshState state, MeshEvents events, LongSupplier clockMillis) {
+  StatePuller(
+      MeshSettings settings,
+      MeshState state,
+      BooleanSupplier readsStore,
+      MeshEvents events,
+      LongSupplier clockMillis) {
     this.settings = settings;
     this.state = state;
+    this.readsStore = readsStore;
     this.events = events;
     this.clockMillis = clockMillis;
   }
@@ -48,13 +91,15 @@
   }
 
   /** Another node holds something newer. */
-  synchronized void ahead(String host, long version, long revision) {
+  synchronized void ahead(String host, boolean isNear, long version, long revision) {
     if (behindSinceMillis < 0) {
       behindSinceMillis = clockMillis.getAsLong();
     }
-    aheadHost = host;
-    aheadVersion = Math.max(aheadVersion, version);
-    aheadRevision = Math.max(aheadRevision, revision);
+    if (isNear) {
+      near = near.with(host, version, revision);
+    } else {
+      far = far.with(host, version, revision);
+    }
     notifyAll();
   }
 
@@ -62,8 +107,7 @@
     while (!closed) {
       try {
         awaitBehind();
-        step();
-        Thread.sleep(CHECK_MILLIS);
+        Thread.sleep(step() ? PAUSE_MILLIS : CHECK_MILLIS);
       } catch (InterruptedException ended) {
         return;
       } catch (RuntimeException fault) {
@@ -78,34 +122,36 @@
     }
   }
 
-  private void step() {
+  /** Tries the nodes that are ahead; whether a transfer was made. */
+  private boolean step() {
     List<PeerAddress> sources;
     synchronized (this) {
       MeshView view = state.view();
-      boolean behind =
-          !view.isComplete() || view.version() < aheadVersion || view.revision() < aheadRevision;
-      if (!behind) {
+      if (view.isComplete() && !near.isAheadOf(view) && !far.isAheadOf(view)) {
         behindSinceMillis = -1;
-        return;
-      }
-      if (clockMillis.getAsLong() < behindSinceMillis + PATIENCE_MILLIS) {
-        return;
+        return false;
       }
-      sources = sources(view);
+      sources = sources(view, clockMillis.getAsLong() - behindSinceMillis);
     }
     for (PeerAddress source : sources) {
       if (pull(source)) {
-        return;
+        return true;
       }
     }
+    return false;
   }
 
-  private List<PeerAddress> sources(MeshView view) {
+  private List<PeerAddress> sources(MeshView view, long behindMillis) {
+    boolean reads = readsStore.getAsBoolean();
     List<PeerAddress> sources = new ArrayList<>();
-    if (aheadHost != null) {
-      sources.add(new PeerAddress(aheadHost, settings.exchange().port()));
+    if (near.isAheadOf(view) && behindMillis >= (reads ? READER_WAIT_MILLIS : 0)) {
+      sources.add(new PeerAddress(near.host(), settings.exchange().port()));
+    }
+    long otherZoneWait = reads ? READER_WAIT_MILLIS : OTHER_ZONE_WAIT_MILLIS;
+    if (sources.isEmpty() && far.isAheadOf(view) && behindMillis >= otherZoneWait) {
+      sources.add(new PeerAddress(far.host(), settings.exchange().port()));
     }
-    if (!view.isComplete()) {
+    if (!view.isComplete() && behindMillis >= READER_WAIT_MILLIS) {
       List<PeerAddress> seeds = new ArrayList<>(settings.seeds());
       settings.control().ifPresent(seeds::remove);
       Collections.shuffle(seeds, ThreadLocalRandom.current());
@@ -118,16 +164,18 @@
     try (Socket socket = new Socket()) {
       socket.connect(new InetSocketAddress(source.host(), source.port()), TIMEOUT_MILLIS);
       socket.setSoTimeout(TIMEOUT_MILLIS);
-      InputStream in = new BufferedInputStream(socket.getInputStream());
-      StateTransfer transfer = StateTransfer.read(in);
       long before = state.view().revision();
-      if (transfer.at() <= before) {
+      new DataOutputStream(socket.getOutputStream()).writeLong(before);
+      StoreChanges changes =
+          StateChangesCodec.read(new BufferedInputStream(socket.getInputStream()));
+      if (changes.at() <= before) {
         return false;
       }
-      state.adopt(transfer.items(), transfer.at(), source.toString());
-      events.stateAdopted(source.toString(), state.view().version(), transfer.at());
+      state.adopt(changes, source.toString());
+      events.stateAdopted(source.toString(), state.view().version(), changes.at());
       return true;
-    } catch (IOException unreachable) {
+    } catch (IOException failure) {
+      events.statePullFailed(source.toString(), failure);
       return false;
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
@@ -1,9 +1,8 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.model.PeerAddress;
-import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
 import java.io.IOException;
-import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -11,16 +10,22 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
+import java.util.function.LongFunction;
 
-/** Gives what this node holds to each node that connects. */
+/**
+ * Gives what this node holds to each node that connects: that one sends the revision that it holds,
+ * eight bytes, and gets the encoded changes since.
+ */
 final class StateServer implements AutoCloseable {
   private static final int BACKLOG = 64;
   private static final int MAX_WRITERS = 2;
   private static final int MAX_WAITING = 64;
 
+  /** How long a connected node may take to send its revision, milliseconds. */
+  private static final int REQUEST_TIMEOUT_MILLIS = 500;
+
   private final ServerSocket server;
-  private final Supplier<StateTransfer> state;
+  private final LongFunction<byte[]> changesSince;
   private final ExecutorService writers =
       new ThreadPoolExecutor(
           0,
@@ -31,17 +36,18 @@
           StateServer::daemon,
           new ThreadPoolExecutor.DiscardPolicy());
 
-  private StateServer(ServerSocket server, Supplier<StateTransfer> state) {
+  private StateServer(ServerSocket server, LongFunction<byte[]> changesSince) {
     this.server = server;
-    this.state = state;
+    this.changesSince = changesSince;
   }
 
   /** Listens. */
-  static StateServer open(PeerAddress address, Supplier<StateTransfer> state) throws IOException {
+  static StateServer open(PeerAddress address, LongFunction<byte[]> changesSince)
+      throws IOException {
     ServerSocket socket = new ServerSocket();
     socket.setReuseAddress(true);
     socket.bind(new InetSocketAddress(address.host(), address.port()), BACKLOG);
-    StateServer server = new StateServer(socket, state);
+    StateServer server = new StateServer(socket, changesSince);
     daemon(server::accept).start();
     return server;
   }
@@ -66,12 +72,12 @@
   }
 
   private void give(Socket peer) {
-    try (peer;
-        OutputStream out = new BufferedOutputStream(peer.getOutputStream())) {
-      state.get().write(out);
-      out.flush();
+    try (peer) {
+      peer.setSoTimeout(REQUEST_TIMEOUT_MILLIS);
+      long after = new DataInputStream(peer.getInputStream()).readLong();
+      peer.getOutputStream().write(changesSince.apply(after));
     } catch (IOException gone) {
-      // The other node asks again, here or elsewhere.
+      // The other node logs why its transfer failed, and tries again, here or elsewhere.
       return;
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -3,12 +3,21 @@
 import io.umberpath.control.store.StoreAnswer;
 import io.umberpath.control.store.StoreCall;
 import io.umberpath.control.store.StoreWatcher.Step;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
-/** The thread that carries out what the watcher wants. */
+/**
+ * The thread that carries out what the watcher wants, while this node is to read the store itself.
+ */
 final class StoreFollower implements AutoCloseable {
   private static final long MAX_SLEEP_MILLIS = 1_000;
 
+  /** How soon a node that does not read notices that it is to, milliseconds. */
+  private static final long IDLE_CHECK_MILLIS = 50;
+
+  /** How long a node that stopped reading passes the last failure of its calls on, milliseconds. */
+  private static final long FAILURE_REMEMBERED_MILLIS = 5_000;
+
   private final MeshState state;
   private final StoreClient client;
   private final MeshEvents events;
@@ -16,6 +25,9 @@
   private final Thread thread = new Thread(this::run, "umberpath-store");
   private volatile boolean closed;
   private volatile StoreContact contact = StoreContact.FROM_START;
+  private volatile BooleanSupplier reads = () -> true;
+  private volatile Runnable changeListener = () -> {};
+  private volatile boolean reading = true;
 
   StoreFollower(MeshState state, StoreClient client, MeshEvents events, LongSupplier clockMillis) {
     this.state = state;
@@ -24,16 +36,37 @@
     this.clockMillis = clockMillis;
   }
 
+  /** Decides whether this node calls the store itself; until then it does. */
+  void onlyIf(BooleanSupplier condition) {
+    reads = condition;
+  }
+
+  /** Is told when the store's changes were taken. */
+  void onChange(Runnable listener) {
+    changeListener = listener;
+  }
+
   void start() {
     thread.setDaemon(true);
     thread.start();
   }
 
-  /** Whether the store answers. */
+  /** Whether the store answers, as of this node's last call. */
   StoreContact contact() {
     return contact;
   }
 
+  /** Whether this node calls the store now. */
+  boolean isReading() {
+    return reading;
+  }
+
+  /** How this node's calls go, for the others. */
+  ReportedContact reported() {
+    boolean says = reading || !contact.reachable();
+    return says ? ReportedContact.of(contact, clockMillis.getAsLong()) : ReportedContact.NO_CALLS;
+  }
+
   private void run() {
     while (!closed) {
       try {
@@ -47,6 +80,10 @@
   }
 
   private void step() throws InterruptedException {
+    if (!mayRead()) {
+      Thread.sleep(IDLE_CHECK_MILLIS);
+      return;
+    }
     Step step;
     synchronized (state) {
       step = state.watcher().next(clockMillis.getAsLong());
@@ -63,13 +100,31 @@
     }
     long now = clockMillis.getAsLong();
     note(now, answer);
+    boolean advanced;
     synchronized (state) {
       long before = state.watcher().at();
       boolean changed = state.watcher().answered(now, answer);
-      if (changed || state.watcher().at() != before) {
+      advanced = changed || state.watcher().at() != before;
+      if (advanced) {
         state.refresh("store");
       }
     }
+    if (advanced) {
+      changeListener.run();
+    }
+  }
+
+  private boolean mayRead() {
+    boolean now = reads.getAsBoolean();
+    if (now != reading) {
+      reading = now;
+      events.storeReader(now);
+    }
+    boolean expired = clockMillis.getAsLong() > contact.sinceMillis() + FAILURE_REMEMBERED_MILLIS;
+    if (!now && !contact.reachable() && expired) {
+      contact = StoreContact.FROM_START;
+    }
+    return now;
   }
 
   private void note(long nowMillis, StoreAnswer answer) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/AttestedBackendsTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/AttestedBackendsTest.java
@@ -24,12 +24,12 @@
   void anAttestedOneIsUsedUntilItsAttestationEnds() {
     backends.heard(5_000, "10.0.0.1", Optional.of(ENTRY));
 
-    assertThat(ready(5_500, StoreContact.FROM_START)).containsExactly(ENTRY);
-    assertThat(ready(6_000, StoreContact.FROM_START)).isEmpty();
+    assertThat(ready(7_499, StoreContact.FROM_START)).containsExactly(ENTRY);
+    assertThat(ready(7_500, StoreContact.FROM_START)).isEmpty();
 
-    backends.heard(6_100, "10.0.0.1", Optional.of(ENTRY));
-    backends.heard(6_200, "10.0.0.1", Optional.empty());
-    assertThat(ready(6_200, StoreContact.FROM_START)).isEmpty();
+    backends.heard(7_600, "10.0.0.1", Optional.of(ENTRY));
+    backends.heard(7_700, "10.0.0.1", Optional.empty());
+    assertThat(ready(7_700, StoreContact.FROM_START)).isEmpty();
   }
 
   @Test
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.PeerAddress;
@@ -48,6 +49,10 @@
       new MeshState(
           DOCUMENTS, new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), new MeshEvents(() -> 0));
 
+  private static StoreChanges whole(long at, List<StoreItem> items) {
+    return new StoreChanges(StoreChanges.FROM_NOTHING, at, items, List.of());
+  }
+
   private List<String> ready() {
     return state.view().backends().ready("booking").stream().map(BackendEntry::id).toList();
   }
@@ -55,13 +60,14 @@
   /** The store lists a start that has ended until its lease runs out. */
   @Test
   void ofTwoStartsAtOneAddressOnlyTheLaterIsListed() {
-    state.adopt(List.of(new StoreItem("a", "80", 3), new StoreItem("b", "81", 4)), 4, "peer");
+    state.adopt(
+        whole(4, List.of(new StoreItem("a", "80", 3), new StoreItem("b", "81", 4))), "peer");
     assertThat(ready()).containsExactly("a", "b");
 
     List<StoreItem> restarted =
         List.of(
             new StoreItem("a", "80", 3), new StoreItem("b", "81", 4), new StoreItem("c", "80", 7));
-    state.adopt(restarted, 7, "peer");
+    state.adopt(whole(7, restarted), "peer");
 
     assertThat(ready()).containsExactly("b", "c");
     assertThat(state.view().backends().byId("a")).isEmpty();
@@ -69,7 +75,8 @@
 
   @Test
   void theOrderInWhichTheyAreReadDoesNotMatter() {
-    state.adopt(List.of(new StoreItem("c", "80", 7), new StoreItem("a", "80", 3)), 7, "peer");
+    state.adopt(
+        whole(7, List.of(new StoreItem("c", "80", 7), new StoreItem("a", "80", 3))), "peer");
 
     assertThat(ready()).containsExactly("c");
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -3,82 +3,115 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.umberpath.control.store.StoreChanges;
+import io.umberpath.control.store.StoreEvent;
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.traffic.routing.GateLoad;
 import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What nodes say to each other: reports, transfers, the hop header. */
 final class PeerMessagesTest {
+  private static final BackendEntry ENTRY =
+      new BackendEntry(
+          "i-7f", "booking", new PeerAddress("10.0.0.1", 80), "z", 6, BackendEntry.State.READY, 0);
+
+  private static PeerReport report(boolean leaving, Optional<BackendEntry> attested) {
+    return new PeerReport(
+        new GateLoad(5, 2, 6, 61_000, 400, 0),
+        leaving,
+        42,
+        1_000_000_007,
+        new ReportedContact(ReportedContact.State.LOST, 1_200),
+        attested);
+  }
+
+  private static PeerMessage message(PeerMessage.Kind kind, int count, PeerReport report) {
+    return new PeerMessage(
+        kind,
+        IntStream.range(0, count)
+            .mapToObj(index -> new PeerMessage.Entry("10.0.0." + index, index, report))
+            .toList());
+  }
+
   @Test
   void aReportIsReadAsItWasWritten() throws IOException {
-    PeerReport report =
-        new PeerReport(
-            new GateLoad(5, 2, 6, 61_000, 400, 0), true, 42, 1_000_000_007, Optional.empty());
+    PeerMessage message = message(PeerMessage.Kind.REPORT, 1, report(true, Optional.empty()));
 
-    byte[] bytes = report.encode();
+    byte[] bytes = message.encode();
 
-    assertThat(PeerReport.decode(bytes, bytes.length)).isEqualTo(report);
-    assertThat(bytes.length).isLessThan(32);
+    assertThat(PeerMessage.decode(bytes, bytes.length)).isEqualTo(message);
+    assertThat(bytes.length).isLessThan(48);
   }
 
   @Test
   void aReportThatAttestsABackendIsReadAsItWasWritten() throws IOException {
-    BackendEntry entry =
-        new BackendEntry(
-            "i-7f",
-            "booking",
-            new PeerAddress("10.0.0.1", 80),
-            "z",
-            6,
-            BackendEntry.State.READY,
-            0);
-    PeerReport report =
-        new PeerReport(new GateLoad(5, 2, 6, 61_000, 400, 0), false, 42, 7, Optional.of(entry));
-
-    byte[] bytes = report.encode();
-
-    assertThat(PeerReport.decode(bytes, bytes.length)).isEqualTo(report);
-    assertThatThrownBy(() -> PeerReport.decode(bytes, bytes.length - 8))
-        .isInstanceOf(IOException.class);
+    PeerMessage message = message(PeerMessage.Kind.REPORT, 1, report(false, Optional.of(ENTRY)));
+
+    byte[] bytes = message.encode();
+
+    assertThat(PeerMessage.decode(bytes, bytes.length)).isEqualTo(message);
+    for (int length = 0; length < bytes.length; length++) {
+      int part = length;
+      assertThatThrownBy(() -> PeerMessage.decode(bytes, part)).isInstanceOf(IOException.class);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 14, 24, 25, 143})
+  void aDigestIsSplitIntoDatagramsThatPassWhole(int count) throws IOException {
+    PeerMessage whole = message(PeerMessage.Kind.DIGEST, count, report(false, Optional.of(ENTRY)));
+
+    List<PeerMessage.Entry> read = new ArrayList<>();
+    for (PeerMessage part : PeerMessage.split(PeerMessage.Kind.DIGEST, whole.entries())) {
+      byte[] bytes = part.encode();
+      assertThat(bytes.length).isLessThanOrEqualTo(PeerMessage.MAX_BYTES);
+      read.addAll(PeerMessage.decode(bytes, bytes.length).entries());
+    }
+
+    assertThat(read).isEqualTo(whole.entries());
   }
 
   @Test
-  void whatIsNoReportIsRefused() {
+  void whatIsNoMessageIsRefused() {
     byte[] garbage = {1, 2, 3, 4};
 
-    assertThatThrownBy(() -> PeerReport.decode(garbage, garbage.length))
+    assertThatThrownBy(() -> PeerMessage.decode(garbage, garbage.length))
         .isInstanceOf(IOException.class);
   }
 
   @Test
-  void aTransferIsReadAsItWasWritten() throws IOException {
-    StateTransfer transfer =
-        new StateTransfer(12, List.of(new StoreItem("a", "1", 3), new StoreItem("b", "", 12)));
-    ByteArrayOutputStream out = new ByteArrayOutputStream();
+  void changesAreReadAsTheyWereWritten() throws IOException {
+    StoreChanges changes =
+        new StoreChanges(
+            7,
+            12,
+            List.of(new StoreItem("a", "1", 8), new StoreItem("b", "", 12)),
+            List.of(new StoreEvent.Gone("c", 9)));
 
-    transfer.write(out);
+    byte[] bytes = StateChangesCodec.encode(changes);
 
-    assertThat(StateTransfer.read(new ByteArrayInputStream(out.toByteArray()))).isEqualTo(transfer);
+    assertThat(StateChangesCodec.read(new ByteArrayInputStream(bytes))).isEqualTo(changes);
   }
 
   @Test
-  void aTransferThatIsCutShortIsRefusedWhole() throws IOException {
-    ByteArrayOutputStream out = new ByteArrayOutputStream();
-    new StateTransfer(12, List.of(new StoreItem("a", "1", 3))).write(out);
-    byte[] whole = out.toByteArray();
+  void changesThatAreCutShortAreRefusedWhole() {
+    byte[] whole =
+        StateChangesCodec.encode(
+            new StoreChanges(-1, 12, List.of(new StoreItem("a", "1", 3)), List.of()));
 
     for (int length = 0; length < whole.length; length++) {
       ByteArrayInputStream part = new ByteArrayInputStream(whole, 0, length);
-      assertThatThrownBy(() -> StateTransfer.read(part)).isInstanceOf(IOException.class);
+      assertThatThrownBy(() -> StateChangesCodec.read(part)).isInstanceOf(IOException.class);
     }
   }
 
