State transfer: a slow transfer goes on while another is begun

All other nodes held each version within 0.6 s. Cause: that node stands beside an upload back end whose 10 Mbit/s link is full. From 22.6 s on each of its transfers was given up after 500 ms in the connect ('Connect timed out', 14 times), and began anew behind the same queue; its requests were 'unreachable' the same way. Ruled out: readers and reports (its reports and those it heard arrived); the sources (others took the same changes from them). Change: a transfer may take two seconds a step; after half a second another one begins beside it, three at most, the sources in turn. Test: StatePullerTest, a source that answers after 0.8 s; it failed on the former code.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -17,7 +19,9 @@
 /**
  * Takes changes from other nodes: as soon as one of the own zone is ahead where this node does not
  * read the store itself, and after a while where it does, since the store may refuse, throttle or
- * drop this node alone. Other zones come last, because their bytes cost. One transfer at a time.
+ * drop this node alone. Other zones come last, because their bytes cost. A transfer that takes long
+ * is let run while another is begun: over a full link, packets of all nodes wait alike, and one
+ * that is given up has to wait again.
  */
 final class StatePuller implements AutoCloseable {
   /** How long a node that reads the store waits for it before it takes changes from another. */
@@ -32,10 +36,19 @@
   /** Pause between two transfers, in which quick successions of changes gather, milliseconds. */
   private static final long PAUSE_MILLIS = 200;
 
-  /** Pause after a step without a transfer, milliseconds. */
+  /** How often this node looks whether it is behind, while it is, milliseconds. */
   private static final long CHECK_MILLIS = 50;
 
-  private static final int TIMEOUT_MILLIS = 500;
+  /** How long a transfer may take before another is begun beside it, milliseconds. */
+  private static final long PATIENCE_MILLIS = 500;
+
+  /**
+   * Bound of each step of a transfer, milliseconds: packets that wait for two seconds at a link are
+   * of no use within the time in which a change is to be in force.
+   */
+  private static final int TIMEOUT_MILLIS = 2_000;
+
+  private static final int MAX_TRANSFERS = 3;
 
   /**
    * The node that stated the newest state, among those of the own zone or of the others.
@@ -66,10 +79,14 @@
   private final MeshEvents events;
   private final LongSupplier clockMillis;
   private final Thread thread = new Thread(this::run, "umberpath-puller");
+  private final ExecutorService workers = Executors.newCachedThreadPool(StatePuller::daemon);
   private volatile boolean closed;
   private Ahead near = Ahead.NOBODY;
   private Ahead far = Ahead.NOBODY;
   private long behindSinceMillis = -1;
+  private long nextTransferMillis;
+  private int transfers;
+  private int tried;
 
   StatePuller(
       MeshSettings settings,
@@ -84,6 +101,12 @@
     this.clockMillis = clockMillis;
   }
 
+  private static Thread daemon(Runnable task) {
+    Thread worker = new Thread(task, "umberpath-transfer");
+    worker.setDaemon(true);
+    return worker;
+  }
+
   void start() {
     behindSinceMillis = clockMillis.getAsLong();
     thread.setDaemon(true);
@@ -107,7 +130,8 @@
     while (!closed) {
       try {
         awaitBehind();
-        Thread.sleep(step() ? PAUSE_MILLIS : CHECK_MILLIS);
+        step();
+        Thread.sleep(CHECK_MILLIS);
       } catch (InterruptedException ended) {
         return;
       } catch (RuntimeException fault) {
@@ -122,23 +146,39 @@
     }
   }
 
-  /** Tries the nodes that are ahead; whether a transfer was made. */
-  private boolean step() {
-    List<PeerAddress> sources;
-    synchronized (this) {
-      MeshView view = state.view();
-      if (view.isComplete() && !near.isAheadOf(view) && !far.isAheadOf(view)) {
-        behindSinceMillis = -1;
-        return false;
-      }
-      sources = sources(view, clockMillis.getAsLong() - behindSinceMillis);
+  /** Begins a transfer if this node is behind and one is due. */
+  private synchronized void step() {
+    MeshView view = state.view();
+    long now = clockMillis.getAsLong();
+    if (view.isComplete() && !near.isAheadOf(view) && !far.isAheadOf(view)) {
+      behindSinceMillis = -1;
+      tried = 0;
+      return;
     }
-    for (PeerAddress source : sources) {
-      if (pull(source)) {
-        return true;
-      }
+    List<PeerAddress> sources = sources(view, now - behindSinceMillis);
+    if (sources.isEmpty() || now < nextTransferMillis || transfers == MAX_TRANSFERS) {
+      return;
     }
-    return false;
+    PeerAddress source = sources.get(tried % sources.size());
+    tried++;
+    transfers++;
+    nextTransferMillis = now + PATIENCE_MILLIS;
+    workers.execute(() -> transfer(source));
+  }
+
+  private void transfer(PeerAddress source) {
+    boolean taken = false;
+    try {
+      taken = pull(source);
+    } finally {
+      ended(taken);
+    }
+  }
+
+  private synchronized void ended(boolean taken) {
+    transfers--;
+    nextTransferMillis = clockMillis.getAsLong() + (taken ? PAUSE_MILLIS : 0);
+    tried = taken ? 0 : tried;
   }
 
   private List<PeerAddress> sources(MeshView view, long behindMillis) {
@@ -148,7 +188,7 @@
       sources.add(new PeerAddress(near.host(), settings.exchange().port()));
     }
     long otherZoneWait = reads ? READER_WAIT_MILLIS : OTHER_ZONE_WAIT_MILLIS;
-    if (sources.isEmpty() && far.isAheadOf(view) && behindMillis >= otherZoneWait) {
+    if (far.isAheadOf(view) && behindMillis >= otherZoneWait) {
       sources.add(new PeerAddress(far.host(), settings.exchange().port()));
     }
     if (!view.isComplete() && behindMillis >= READER_WAIT_MILLIS) {
@@ -184,5 +224,6 @@
   public void close() {
     closed = true;
     thread.interrupt();
+    workers.shutdownNow();
   }
 }
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -0,0 +1,122 @@
+package io.umberpath.node.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.control.store.StoreChanges;
+import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.StoreWatcher;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.RoutingConfiguration;
+import io.vavr.control.Either;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.junit.jupiter.api.Test;
+
+final class StatePullerTest {
+  private static final int SLOW_MILLIS = 800;
+  private static final long GIVE_UP_MILLIS = 20_000;
+  private static final LongSupplier CLOCK = () -> System.nanoTime() / 1_000_000;
+  private static final StoreChanges CHANGES =
+      new StoreChanges(
+          StoreChanges.FROM_NOTHING, 4, List.of(new StoreItem("a", "80", 3)), List.of());
+
+  private static final StoreDocuments DOCUMENTS =
+      new StoreDocuments() {
+        @Override
+        public String prefix() {
+          return "";
+        }
+
+        @Override
+        public boolean isConfiguration(String key) {
+          return false;
+        }
+
+        @Override
+        public boolean isBackend(String key) {
+          return true;
+        }
+
+        @Override
+        public Either<String, RoutingConfiguration> configuration(StoreItem item) {
+          return Either.left("none");
+        }
+
+        @Override
+        public Either<String, BackendEntry> backend(StoreItem item) {
+          PeerAddress address = new PeerAddress("10.0.0.1", Integer.parseInt(item.value()));
+          return Either.right(
+              new BackendEntry(
+                  item.key(), "booking", address, "z", 6, BackendEntry.State.READY, 0));
+        }
+      };
+
+  private static MeshSettings settings(int exchangePort) {
+    PeerAddress nowhere = new PeerAddress("127.0.0.1", 1);
+    return new MeshSettings(
+        "node",
+        "z",
+        "booking",
+        nowhere,
+        nowhere,
+        nowhere,
+        nowhere,
+        new PeerAddress("127.0.0.1", exchangePort),
+        Optional.empty(),
+        List.of(),
+        0,
+        new MeshSettings.Retry(10_000, 0.2, 64),
+        6_000,
+        null);
+  }
+
+  /** Answers each transfer only after a while, as over a link that others keep full. */
+  private static void serveSlowly(ServerSocket server) {
+    while (!server.isClosed()) {
+      try (Socket peer = server.accept()) {
+        new DataInputStream(peer.getInputStream()).readLong();
+        Thread.sleep(SLOW_MILLIS);
+        peer.getOutputStream().write(StateChangesCodec.encode(CHANGES));
+      } catch (IOException closedOrGone) {
+        // The puller gave the transfer up, or the test has ended.
+        continue;
+      } catch (InterruptedException ended) {
+        return;
+      }
+    }
+  }
+
+  /**
+   * On a full link each step of a transfer took more than half a second; each transfer was given up
+   * then and begun anew, so that no change ever arrived.
+   */
+  @Test
+  void aTransferOverAFullLinkIsNotGivenUp() throws Exception {
+    MeshEvents events = new MeshEvents(CLOCK);
+    MeshState state =
+        new MeshState(DOCUMENTS, new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), events);
+    try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+        StatePuller puller =
+            new StatePuller(settings(server.getLocalPort()), state, () -> false, events, CLOCK)) {
+      Thread thread = new Thread(() -> serveSlowly(server));
+      thread.setDaemon(true);
+      thread.start();
+      puller.start();
+      puller.ahead("127.0.0.1", true, -1, 4);
+
+      long end = CLOCK.getAsLong() + GIVE_UP_MILLIS;
+      while (state.view().revision() < 4 && CLOCK.getAsLong() < end) {
+        Thread.sleep(10);
+      }
+
+      assertThat(state.view().revision()).isEqualTo(4);
+    }
+  }
+}
