--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreReaders.java
@@ -0,0 +1,47 @@
+package io.umberpath.control.store;
+
+import io.umberpath.control.membership.Rendezvous;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Set;
+
+/**
+ * Which nodes of a zone call the store; the others take its changes from them. Each node decides
+ * for itself by the same rank, so that no message is needed: where views differ for a moment, one
+ * more node reads, or one less of several.
+ */
+public final class StoreReaders {
+  /**
+   * Readers of all zones together at least: changes still arrive while the loss of some is not
+   * noticed. Of machines that the store turns away at random, a third say, all four are among them
+   * once in 80 times.
+   */
+  private static final int MIN_READERS = 4;
+
+  private static final String TASK = "store-reader";
+
+  private StoreReaders() {}
+
+  /**
+   * Whether a node is to call the store.
+   *
+   * @param self the node
+   * @param others the other nodes of its zone that are in reach
+   * @param refused nodes that the store did not answer lately: they read only if too few others are
+   *     left
+   * @param zones zones that have nodes, the own one included
+   */
+  public static boolean reads(
+      String self, Collection<String> others, Set<String> refused, int zones) {
+    Comparator<String> rank =
+        Comparator.<String, Boolean>comparing(refused::contains)
+            .thenComparing(Rendezvous.order(TASK));
+    long ahead = others.stream().filter(other -> rank.compare(other, self) < 0).count();
+    return ahead < readersPerZone(zones);
+  }
+
+  /** Readers of each of so many zones: one, or more where the zones are few. */
+  static int readersPerZone(int zones) {
+    return Math.max(1, (MIN_READERS + zones - 1) / Math.max(1, zones));
+  }
+}
