--- a/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
@@ -7,15 +7,15 @@
 
 /**
  * The other nodes that this one exchanges reports with: those that the store lists, each silent
- * after a time of its own, and guests, which are not listed but report. A pause of this node itself
- * counts for none of them. Owner synchronizes.
+ * after a time of its own, and unlisted ones that report. A pause of this node itself counts for
+ * none of them. Owner synchronizes.
  */
 public final class KnownPeers {
   private final String self;
-  private final long guestMillis;
+  private final long unlistedMillis;
   private final long ownPauseMillis;
   private final Map<String, Long> heardAt = new HashMap<>();
-  private final Map<String, Long> guestHeardAt = new HashMap<>();
+  private final Map<String, Long> unlistedHeardAt = new HashMap<>();
   private Map<String, Long> silentMillis = Map.of();
   private long lastTickMillis = -1;
 
@@ -23,12 +23,12 @@
    * Creates a set without peers.
    *
    * @param self address of this node, which is never silent
-   * @param guestMillis how long a node that is not listed counts after its last report
+   * @param unlistedMillis how long a node that is not listed counts after its last report
    * @param ownPauseMillis gap between two ticks from which on this node itself stood still
    */
-  public KnownPeers(String self, long guestMillis, long ownPauseMillis) {
+  public KnownPeers(String self, long unlistedMillis, long ownPauseMillis) {
     this.self = self;
-    this.guestMillis = guestMillis;
+    this.unlistedMillis = unlistedMillis;
     this.ownPauseMillis = ownPauseMillis;
   }
 
@@ -41,15 +41,15 @@
     silentMillis = Map.copyOf(listed);
     for (Map.Entry<String, Long> heard : heardAt.entrySet()) {
       if (!listed.containsKey(heard.getKey())) {
-        guestHeardAt.put(heard.getKey(), heard.getValue());
+        unlistedHeardAt.put(heard.getKey(), heard.getValue());
       }
     }
     heardAt.keySet().retainAll(listed.keySet());
     for (String address : listed.keySet()) {
       heardAt.putIfAbsent(address, nowMillis);
-      guestHeardAt.remove(address);
+      unlistedHeardAt.remove(address);
     }
-    guestHeardAt.values().removeIf(heard -> heard + guestMillis < nowMillis);
+    unlistedHeardAt.values().removeIf(heard -> heard + unlistedMillis < nowMillis);
   }
 
   /**
@@ -61,7 +61,7 @@
     if (address.equals(self)) {
       return false;
     }
-    Map<String, Long> where = silentMillis.containsKey(address) ? heardAt : guestHeardAt;
+    Map<String, Long> where = silentMillis.containsKey(address) ? heardAt : unlistedHeardAt;
     Long before = where.get(address);
     if (before != null && before >= atMillis) {
       return false;
@@ -91,10 +91,10 @@
     return silent;
   }
 
-  /** All addresses, listed and guests, but this node's own. */
+  /** All addresses, listed or not, but this node's own. */
   public Set<String> others() {
     Set<String> others = new HashSet<>(heardAt.keySet());
-    others.addAll(guestHeardAt.keySet());
+    others.addAll(unlistedHeardAt.keySet());
     others.remove(self);
     return others;
   }
--- a/umberpath-control/src/test/java/io/umberpath/control/membership/KnownPeersTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/membership/KnownPeersTest.java
@@ -44,10 +44,10 @@
 
   @Test
   void whoIsNotListedButReportsIsReportedTo() {
-    run(0, 500, "a", "guest");
+    run(0, 500, "a", "unlisted");
 
-    assertThat(peers.others()).containsExactlyInAnyOrder("a", "b", "guest");
-    assertThat(peers.silent(20_000)).doesNotContain("guest");
+    assertThat(peers.others()).containsExactlyInAnyOrder("a", "b", "unlisted");
+    assertThat(peers.silent(20_000)).doesNotContain("unlisted");
   }
 
   @Test
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -9,6 +9,7 @@
 import io.umberpath.traffic.routing.RoutingTable;
 import io.vavr.control.Either;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 
@@ -66,7 +67,7 @@
         }
       }
     }
-    parsed.keySet().retainAll(items);
+    parsed.keySet().retainAll(new HashSet<>(items));
     if (configuration != view.configuration()) {
       table = RoutingTable.of(configuration);
     }
