State transfer: other zones wait anew after each transfer from the own zone

In a succession of changes a node is never level, so that it counted as behind since the first one, and the second that other zones have to wait was long over. Change: a transfer that brought something begins that time anew. Also: a node that does not read the store looks each 100 ms, not 50, whether it is to. Test: StatePullerTest, in a set clock; it fails without the change.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -179,9 +179,15 @@
   }
 
   private synchronized void ended(boolean taken) {
+    long now = clockMillis.getAsLong();
     transfers--;
-    nextTransferMillis = clockMillis.getAsLong() + (taken ? PAUSE_MILLIS : 0);
-    tried = taken ? 0 : tried;
+    nextTransferMillis = now;
+    if (taken) {
+      // The own zone delivers: what is newer still gets the whole time to come from there.
+      nextTransferMillis = now + PAUSE_MILLIS;
+      behindSinceMillis = now;
+      tried = 0;
+    }
   }
 
   private List<PeerAddress> sources(MeshView view, long behindMillis) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
@@ -52,6 +52,11 @@
     return server;
   }
 
+  /** Port on which it listens. */
+  int port() {
+    return server.getLocalPort();
+  }
+
   private static Thread daemon(Runnable task) {
     Thread thread = new Thread(task, "umberpath-state");
     thread.setDaemon(true);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -13,7 +13,7 @@
   private static final long MAX_SLEEP_MILLIS = 1_000;
 
   /** How soon a node that does not read notices that it is to, milliseconds. */
-  private static final long IDLE_CHECK_MILLIS = 50;
+  private static final long IDLE_CHECK_MILLIS = 100;
 
   /** How long a node that stopped reading passes the last failure of its calls on, milliseconds. */
   private static final long FAILURE_REMEMBERED_MILLIS = 5_000;
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -16,6 +16,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 
@@ -119,4 +120,53 @@
       assertThat(state.view().revision()).isEqualTo(4);
     }
   }
+
+  private static StoreChanges changesTo(long revision) {
+    return new StoreChanges(
+        StoreChanges.FROM_NOTHING, revision, List.of(new StoreItem("a", "80", 3)), List.of());
+  }
+
+  private static void awaitRevision(MeshState state, long revision) throws InterruptedException {
+    long end = CLOCK.getAsLong() + GIVE_UP_MILLIS;
+    while (state.view().revision() < revision && CLOCK.getAsLong() < end) {
+      Thread.sleep(10);
+    }
+    assertThat(state.view().revision()).isEqualTo(revision);
+  }
+
+  /**
+   * In a quick succession of changes a node is never level with all others. It counted as behind
+   * since the first one, and took all of them from other zones although its own delivered.
+   */
+  @Test
+  void otherZonesWaitAnewAfterEachTransferFromTheOwnZone() throws Exception {
+    AtomicLong now = new AtomicLong();
+    MeshEvents events = new MeshEvents(CLOCK);
+    MeshState state =
+        new MeshState(DOCUMENTS, new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), events);
+    StateServer near =
+        StateServer.open(
+            new PeerAddress("127.0.0.1", 0), after -> StateChangesCodec.encode(changesTo(4)));
+    StateServer far =
+        StateServer.open(
+            new PeerAddress("127.0.0.2", near.port()),
+            after -> StateChangesCodec.encode(changesTo(5)));
+    try (near;
+        far;
+        StatePuller puller =
+            new StatePuller(settings(near.port()), state, () -> false, events, now::get)) {
+      puller.start();
+      puller.ahead("127.0.0.2", false, -1, 5);
+      now.set(900);
+      puller.ahead("127.0.0.1", true, -1, 4);
+      awaitRevision(state, 4);
+
+      now.set(1_500);
+      Thread.sleep(SLOW_MILLIS);
+      assertThat(state.view().revision()).isEqualTo(4);
+
+      now.set(10_000);
+      awaitRevision(state, 5);
+    }
+  }
 }
