Names: AdmissionRequest, RequestConstraints, Baseline, HopHeader, fast polls; the watcher's times have names

From the issue's list of what earlier work left: Ask, Need, Usual, HopLine, quickLooks said nothing to a newcomer, and StoreWatcherSettings(800, 600, 60, 5, 2_000, 150, 1_000) was a row of bare figures.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -42,8 +42,8 @@
   private int failures;
   private long notBeforeMillis;
   private long heardAtMillis = -1;
-  private int quickLooks;
-  private long quickSinceMillis;
+  private int fastPolls;
+  private long fastPollsSinceMillis;
 
   /**
    * Creates a watcher that knows nothing.
@@ -54,7 +54,7 @@
   public StoreWatcher(String prefix, StoreWatcherSettings settings, DoubleSupplier random) {
     this.prefix = prefix;
     this.settings = settings;
-    this.quickLooks = settings.quickLooks();
+    this.fastPolls = settings.fastPolls();
     this.random = random;
   }
 
@@ -162,16 +162,16 @@
     return changed;
   }
 
-  /** A few quick looks when changes begin, as after a restart of many; then a longer pause. */
+  /** A few fast polls when changes begin, as after a restart of many; then a longer pause. */
   private long pauseMillis(long nowMillis) {
-    long back = (nowMillis - quickSinceMillis) / settings.quickRefillMillis();
-    quickLooks = (int) Math.min(settings.quickLooks(), quickLooks + back);
-    quickSinceMillis += back * settings.quickRefillMillis();
-    if (quickLooks == 0) {
+    long back = (nowMillis - fastPollsSinceMillis) / settings.fastPollRefillMillis();
+    fastPolls = (int) Math.min(settings.fastPolls(), fastPolls + back);
+    fastPollsSinceMillis += back * settings.fastPollRefillMillis();
+    if (fastPolls == 0) {
       return settings.pauseMillis();
     }
-    quickLooks--;
-    return settings.quickPauseMillis();
+    fastPolls--;
+    return settings.fastPollPauseMillis();
   }
 
   private boolean apply(StoreEvent event) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/HopLine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/HopHeader.java
@@ -15,7 +15,7 @@
  *     now
  * @param startByMillis in how long it is to be refused if it has not begun, milliseconds
  */
-record HopLine(
+record HopHeader(
     String instance,
     String route,
     long dueMillis,
@@ -39,7 +39,7 @@
         Long.toString(startByMillis));
   }
 
-  static Optional<HopLine> decode(String text) {
+  static Optional<HopHeader> decode(String text) {
     String[] fields = text == null ? new String[0] : text.split(",", FIELDS + 1);
     if (fields.length != FIELDS || fields[0].isEmpty()) {
       return Optional.empty();
@@ -50,7 +50,7 @@
         times[index] = Long.parseLong(fields[FIRST_TIME + index]);
       }
       return Optional.of(
-          new HopLine(fields[0], fields[1], times[0], times[1], times[2], times[3], times[4]));
+          new HopHeader(fields[0], fields[1], times[0], times[1], times[2], times[3], times[4]));
     } catch (NumberFormatException malformed) {
       return Optional.empty();
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -183,13 +183,13 @@
     Set<String> silent = peers.silentBackends(candidates);
     boolean mayBounce = mayBounce(exchange, plan);
     Set<String> leftOut = plan.tally().leftOut(mayBounce);
-    GateBalancer.Need need = costs.need(exchange, plan, now);
+    GateBalancer.RequestConstraints constraints = costs.constraints(exchange, plan, now);
     Optional<GateBalancer.Choice> choice;
     synchronized (balancer) {
-      choice = balancer.pick(now, candidates, need, leftOut, silent);
+      choice = balancer.pick(now, candidates, constraints, leftOut, silent);
       if (choice.isEmpty()) {
         Set<String> failed = plan.tally().leftOut(false);
-        choice = balancer.pick(now, candidates, need, failed, silent);
+        choice = balancer.pick(now, candidates, constraints, failed, silent);
       }
       choice.ifPresent(chosen -> balancer.started(now, chosen.backend().id()));
     }
@@ -219,8 +219,8 @@
     long left = Math.max(1, plan.deadlineMillis() - nowMillis);
     set(outgoing, names.deadline(), Long.toString(left));
     set(outgoing, names.callerService(), settings.service());
-    HopLine hop =
-        new HopLine(
+    HopHeader hop =
+        new HopHeader(
             exchange.currentOrigin(),
             plan.route(),
             RequestTimes.dueMillis(plan, nowMillis),
@@ -228,7 +228,7 @@
             RequestTimes.targetMillis(plan, nowMillis),
             RequestTimes.refuseByMillis(plan, nowMillis),
             RequestTimes.startByMillis(plan, nowMillis));
-    set(outgoing, HopLine.HEADER, hop.encode());
+    set(outgoing, HopHeader.HEADER, hop.encode());
   }
 
   private static boolean mayBounce(Exchange exchange, MeshEdgePlan plan) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -12,7 +12,7 @@
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.umberpath.traffic.AdmissionController;
-import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.routing.GateLoad;
 import io.umberpath.traffic.routing.NestedRoutes;
 import io.umberpath.traffic.routing.RouteMeans;
@@ -134,7 +134,7 @@
   @Override
   public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
     String requestId = head.getHeader(settings.headers().requestId());
-    Optional<HopLine> hop = HopLine.decode(head.getHeader(HopLine.HEADER));
+    Optional<HopHeader> hop = HopHeader.decode(head.getHeader(HopHeader.HEADER));
     Optional<Long> left =
         Headers.text(head, settings.headers().deadline()).flatMap(Headers::number);
     if (requestId == null || hop.isEmpty() || left.isEmpty()) {
@@ -155,13 +155,13 @@
     long expectedMicros = Math.round(slowness * expectedMicros(plan.route()));
     long likelyMicros = Math.round(slowness * likelyMicros(plan.route()));
     long deadline = plan.deadlineMillis() - ANSWER_MILLIS;
-    HopLine hop = plan.hop();
+    HopHeader hop = plan.hop();
     long began = plan.beganMillis();
     boolean isNested = isNested(exchange);
     gate.ask(
         exchange,
         id ->
-            new Ask(
+            new AdmissionRequest(
                 id,
                 "",
                 Tier.STANDARD,
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
@@ -14,7 +14,7 @@
  */
 record MeshGatePlan(
     String requestId,
-    HopLine hop,
+    HopHeader hop,
     long deadlineMillis,
     long beganMillis,
     Set<String> replacedHeaders)
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -26,11 +26,35 @@
  */
 public final class MeshNode {
   /**
-   * A watch may hear nothing while changes are made, and then just stand: it ends after 1.2 s at
-   * most, so that a change is in force within two seconds all the same.
+   * Mean wait of a watch, milliseconds. A watch may hear nothing while changes are made, and then
+   * just stand: it ends after half more than this, 1.2 s, so that a change is in force within two
+   * seconds all the same.
    */
+  private static final long WATCH_MILLIS = 800;
+
+  /** Pause after changes, in which those of a quick succession gather, milliseconds. */
+  private static final long WATCH_PAUSE_MILLIS = 600;
+
+  /** The same for the first few changes after a quiet time, such as a restart of many nodes. */
+  private static final long FAST_POLL_PAUSE_MILLIS = 60;
+
+  private static final int FAST_POLLS = 5;
+  private static final long FAST_POLL_REFILL_MILLIS = 2_000;
+
+  /** Pause after a failed call: from the first to the last of a succession, milliseconds. */
+  private static final long MIN_BACKOFF_MILLIS = 150;
+
+  private static final long MAX_BACKOFF_MILLIS = 1_000;
+
   static final StoreWatcherSettings WATCHER =
-      new StoreWatcherSettings(800, 600, 60, 5, 2_000, 150, 1_000);
+      new StoreWatcherSettings(
+          WATCH_MILLIS,
+          WATCH_PAUSE_MILLIS,
+          FAST_POLL_PAUSE_MILLIS,
+          FAST_POLLS,
+          FAST_POLL_REFILL_MILLIS,
+          MIN_BACKOFF_MILLIS,
+          MAX_BACKOFF_MILLIS);
 
   private static final long DEADLINE_TICK_MILLIS = 20;
   private static final long SWEEP_MILLIS = 100;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestCosts.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestCosts.java
@@ -32,7 +32,8 @@
   }
 
   /** What the request needs, and what its bytes cost in another zone. */
-  GateBalancer.Need need(Exchange exchange, MeshEdgePlan plan, long nowMillis) {
+  GateBalancer.RequestConstraints constraints(
+      Exchange exchange, MeshEdgePlan plan, long nowMillis) {
     HttpRequestPacket request = exchange.request();
     long stated = request.isChunked() ? UNSTATED_BODY_BYTES : request.getContentLength();
     long bytes = HEAD_BYTES + Math.max(0, stated);
@@ -41,6 +42,7 @@
     }
     double share = bytes / OTHER_ZONE_BYTES;
     double loss = Math.min(MAX_OTHER_ZONE_LOSS, share * share);
-    return new GateBalancer.Need(plan.route(), RequestTimes.targetMillis(plan, nowMillis), loss);
+    return new GateBalancer.RequestConstraints(
+        plan.route(), RequestTimes.targetMillis(plan, nowMillis), loss);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
@@ -15,7 +15,7 @@
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.umberpath.node.settings.NodeSettings;
 import io.umberpath.traffic.AdmissionController;
-import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.ChainBudget;
 import io.umberpath.traffic.RetrySettings;
 import io.vavr.control.Either;
@@ -119,7 +119,9 @@
       return;
     }
     PoolRequestPlan plan = planOf(exchange);
-    gate.ask(exchange, id -> new Ask(id, plan.tenant(), plan.tier(), plan.deadlineMillis()));
+    gate.ask(
+        exchange,
+        id -> new AdmissionRequest(id, plan.tenant(), plan.tier(), plan.deadlineMillis()));
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
@@ -4,7 +4,7 @@
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Refusal;
 import io.umberpath.traffic.AdmissionController;
-import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.AdmissionController.Decision;
 import java.util.List;
 import java.util.Map;
@@ -51,12 +51,12 @@
   }
 
   /** Asks for a slot; the exchange is sent or refused, now or later. */
-  public void ask(Exchange exchange, LongFunction<Ask> askOfId) {
+  public void ask(Exchange exchange, LongFunction<AdmissionRequest> askOfId) {
     Waiting waiting =
         new Waiting(lastId.incrementAndGet(), exchange, new AtomicReference<>(Standing.ASKED));
     byId.put(waiting.id(), waiting);
     byExchange.put(exchange, waiting);
-    Ask ask = askOfId.apply(waiting.id());
+    AdmissionRequest ask = askOfId.apply(waiting.id());
     List<Decision> decisions;
     synchronized (admission) {
       decisions = admission.ask(clockMillis.getAsLong(), ask);
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -117,9 +117,9 @@
 
   @Test
   void aHopLineIsReadAsItWasWritten() {
-    HopLine hop = new HopLine("i-7f", "r-1", 2, 150, 180, 40, -5);
+    HopHeader hop = new HopHeader("i-7f", "r-1", 2, 150, 180, 40, -5);
 
-    assertThat(HopLine.decode(hop.encode())).contains(hop);
+    assertThat(HopHeader.decode(hop.encode())).contains(hop);
   }
 
   @ParameterizedTest
@@ -133,6 +133,6 @@
         "a,b,1,2,3,4,5,6"
       })
   void whatIsNoHopLineIsNone(String text) {
-    assertThat(HopLine.decode(text)).isEmpty();
+    assertThat(HopHeader.decode(text)).isEmpty();
   }
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -29,7 +29,7 @@
    * @param nested whether another request holds a slot while it waits for this one: goes first, and
    *     waits as long as its deadline allows
    */
-  record Ask(
+  record AdmissionRequest(
       long id,
       String tenant,
       Tier tier,
@@ -43,12 +43,12 @@
       long startByMillis,
       boolean nested) {
     /** One of which nothing is expected and that waits as long as its deadline allows. */
-    public Ask(long id, String tenant, Tier tier, long deadlineMillis) {
+    public AdmissionRequest(long id, String tenant, Tier tier, long deadlineMillis) {
       this(id, tenant, tier, deadlineMillis, 0, Long.MAX_VALUE, deadlineMillis);
     }
 
     /** One that is in time, and may begin, until its deadline. */
-    public Ask(
+    public AdmissionRequest(
         long id,
         String tenant,
         Tier tier,
@@ -93,7 +93,7 @@
   }
 
   /** Handles an ask; the first decision is its own, others may follow for queued ones. */
-  List<Decision> ask(long nowMillis, Ask ask);
+  List<Decision> ask(long nowMillis, AdmissionRequest ask);
 
   /** A request that held a slot has ended. */
   List<Decision> release(long nowMillis, long id, long serviceMicros);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -20,14 +20,14 @@
  */
 final class DueOrderAdmissionController implements AdmissionController {
   private static final double MICROS_PER_MILLI = 1_000.0;
-  private static final Comparator<Ask> DUE_FIRST =
-      Comparator.comparingLong(Ask::dueMillis).thenComparingLong(Ask::id);
+  private static final Comparator<AdmissionRequest> DUE_FIRST =
+      Comparator.comparingLong(AdmissionRequest::dueMillis).thenComparingLong(AdmissionRequest::id);
 
   private final AdmissionSettings settings;
   private final ServiceTimeEstimate service;
-  private final TreeSet<Ask> nested = new TreeSet<>(DUE_FIRST);
-  private final TreeSet<Ask> timely = new TreeSet<>(DUE_FIRST);
-  private final TreeSet<Ask> late = new TreeSet<>(DUE_FIRST);
+  private final TreeSet<AdmissionRequest> nested = new TreeSet<>(DUE_FIRST);
+  private final TreeSet<AdmissionRequest> timely = new TreeSet<>(DUE_FIRST);
+  private final TreeSet<AdmissionRequest> late = new TreeSet<>(DUE_FIRST);
   private final Set<Long> running = new HashSet<>();
   private final OverloadPressure pressure;
   private int slots;
@@ -41,7 +41,7 @@
   }
 
   @Override
-  public List<Decision> ask(long nowMillis, Ask ask) {
+  public List<Decision> ask(long nowMillis, AdmissionRequest ask) {
     if (draining) {
       return List.of(new Decision.Refused(ask.id(), Reason.DRAINING, 0));
     }
@@ -62,7 +62,7 @@
     return decisions;
   }
 
-  private Decision askTimed(long nowMillis, Ask ask) {
+  private Decision askTimed(long nowMillis, AdmissionRequest ask) {
     double waitMillis = waitMillis(nested.size() + timely.headSet(ask).size());
     boolean isTimely = canBeTimely(nowMillis, ask, waitMillis);
     boolean isRefused = !isTimely && nowMillis <= ask.refuseByMillis();
@@ -79,14 +79,14 @@
     return queue(isTimely ? timely : late, ask, waitMillis);
   }
 
-  private Decision askNested(long nowMillis, Ask ask) {
+  private Decision askNested(long nowMillis, AdmissionRequest ask) {
     double waitMillis = waitMillis(nested.headSet(ask).size());
     return canFinish(nowMillis + waitMillis, ask)
         ? queue(nested, ask, waitMillis)
         : overloaded(ask);
   }
 
-  private Decision queue(TreeSet<Ask> queue, Ask ask, double waitMillis) {
+  private Decision queue(TreeSet<AdmissionRequest> queue, AdmissionRequest ask, double waitMillis) {
     if (waitMillis > ask.toleratedWaitMillis() || queued() >= settings.queueLimit()) {
       return overloaded(ask);
     }
@@ -120,9 +120,10 @@
     return decisions;
   }
 
-  private void refuseTooLate(long nowMillis, TreeSet<Ask> queue, List<Decision> decisions) {
-    for (Iterator<Ask> waiting = queue.iterator(); waiting.hasNext(); ) {
-      Ask ask = waiting.next();
+  private void refuseTooLate(
+      long nowMillis, TreeSet<AdmissionRequest> queue, List<Decision> decisions) {
+    for (Iterator<AdmissionRequest> waiting = queue.iterator(); waiting.hasNext(); ) {
+      AdmissionRequest ask = waiting.next();
       if (!canBegin(nowMillis, ask, 0)) {
         waiting.remove();
         decisions.add(tooLate(nowMillis, ask));
@@ -131,7 +132,7 @@
   }
 
   /** In the order in which they are served. */
-  private List<TreeSet<Ask>> queues() {
+  private List<TreeSet<AdmissionRequest>> queues() {
     return List.of(nested, timely, late);
   }
 
@@ -139,7 +140,7 @@
   public List<Decision> drain(long nowMillis) {
     draining = true;
     List<Decision> decisions = new ArrayList<>();
-    for (TreeSet<Ask> queue : queues()) {
+    for (TreeSet<AdmissionRequest> queue : queues()) {
       queue.forEach(ask -> decisions.add(new Decision.Refused(ask.id(), Reason.DRAINING, 0)));
       queue.clear();
     }
@@ -172,7 +173,7 @@
     List<Decision> decisions = new ArrayList<>();
     demote(nowMillis, decisions);
     while (running.size() < slots && queued() > 0) {
-      Ask next = next();
+      AdmissionRequest next = next();
       if (canBegin(nowMillis, next, 0)) {
         running.add(next.id());
         decisions.add(new Decision.Admitted(next.id()));
@@ -183,7 +184,7 @@
     return decisions;
   }
 
-  private Ask next() {
+  private AdmissionRequest next() {
     if (!nested.isEmpty()) {
       return nested.pollFirst();
     }
@@ -192,8 +193,8 @@
 
   /** Those that can no longer be in time are refused, or go behind the others. */
   private void demote(long nowMillis, List<Decision> decisions) {
-    for (Iterator<Ask> waiting = timely.iterator(); waiting.hasNext(); ) {
-      Ask ask = waiting.next();
+    for (Iterator<AdmissionRequest> waiting = timely.iterator(); waiting.hasNext(); ) {
+      AdmissionRequest ask = waiting.next();
       if (!canBeTimely(nowMillis, ask, 0)) {
         waiting.remove();
         if (nowMillis <= ask.refuseByMillis()) {
@@ -205,27 +206,27 @@
     }
   }
 
-  private static boolean canBeTimely(long nowMillis, Ask ask, double waitMillis) {
+  private static boolean canBeTimely(long nowMillis, AdmissionRequest ask, double waitMillis) {
     return nowMillis + waitMillis + ask.likelyMicros() / MICROS_PER_MILLI <= ask.targetMillis();
   }
 
-  private static boolean canBegin(long nowMillis, Ask ask, double waitMillis) {
+  private static boolean canBegin(long nowMillis, AdmissionRequest ask, double waitMillis) {
     double beginMillis = nowMillis + waitMillis;
     boolean inTime = ask.nested() || beginMillis <= ask.startByMillis();
     return inTime && canFinish(beginMillis, ask);
   }
 
-  private static boolean canFinish(double beginMillis, Ask ask) {
+  private static boolean canFinish(double beginMillis, AdmissionRequest ask) {
     return beginMillis < ask.deadlineMillis()
         && beginMillis + expectedMillis(ask) <= ask.deadlineMillis();
   }
 
-  private static double expectedMillis(Ask ask) {
+  private static double expectedMillis(AdmissionRequest ask) {
     return ask.expectedMicros() / MICROS_PER_MILLI;
   }
 
   /** One that has waited too long: coming back makes sense only if its work still fits. */
-  private Decision tooLate(long nowMillis, Ask ask) {
+  private Decision tooLate(long nowMillis, AdmissionRequest ask) {
     boolean fits = nowMillis + expectedMillis(ask) < ask.deadlineMillis();
     return fits ? overloaded(ask) : new Decision.Refused(ask.id(), Reason.DEADLINE, 0);
   }
@@ -235,7 +236,7 @@
     return (ahead + 1) * service.meanMicros() / slots / MICROS_PER_MILLI;
   }
 
-  private Decision overloaded(Ask ask) {
+  private Decision overloaded(AdmissionRequest ask) {
     long waitMillis = Math.round(waitMillis(nested.size() + timely.size()));
     long retryAfter =
         Math.max(settings.minRetryAfterMillis(), waitMillis + pressure.awayMillis(ask.id()));
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/SlotAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/SlotAdmissionController.java
@@ -18,7 +18,7 @@
   private static final double MICROS_PER_MILLI = 1_000.0;
   private static final Tier[] TIERS = Tier.values();
 
-  private record Running(Ask ask, double chargedMicros) {}
+  private record Running(AdmissionRequest ask, double chargedMicros) {}
 
   private final AdmissionSettings settings;
   private final ServiceTimeEstimate service;
@@ -39,7 +39,7 @@
   }
 
   @Override
-  public List<Decision> ask(long nowMillis, Ask ask) {
+  public List<Decision> ask(long nowMillis, AdmissionRequest ask) {
     if (running.containsKey(ask.id())) {
       throw new IllegalArgumentException("request " + ask.id() + " already holds a slot");
     }
@@ -92,7 +92,7 @@
   public List<Decision> tick(long nowMillis) {
     List<Decision> decisions = new ArrayList<>();
     for (TierQueue queue : queues.values()) {
-      for (Ask late : queue.removeIf(ask -> !canBeMet(nowMillis, ask, 0))) {
+      for (AdmissionRequest late : queue.removeIf(ask -> !canBeMet(nowMillis, ask, 0))) {
         queued--;
         decisions.add(new Decision.Refused(late.id(), Reason.DEADLINE, 0));
       }
@@ -105,7 +105,7 @@
     draining = true;
     List<Decision> decisions = new ArrayList<>();
     for (TierQueue queue : queues.values()) {
-      for (Ask ask : queue.removeIf(any -> true)) {
+      for (AdmissionRequest ask : queue.removeIf(any -> true)) {
         decisions.add(new Decision.Refused(ask.id(), Reason.DRAINING, 0));
       }
     }
@@ -135,15 +135,15 @@
     return Math.round(service.meanMicros());
   }
 
-  private Decision hold(Ask ask, double charge) {
+  private Decision hold(AdmissionRequest ask, double charge) {
     running.put(ask.id(), new Running(ask, charge));
     return new Decision.Admitted(ask.id());
   }
 
-  private List<Decision> enqueue(Ask ask) {
+  private List<Decision> enqueue(AdmissionRequest ask) {
     List<Decision> decisions = new ArrayList<>();
     if (placesFor(ask.tier()) <= 0) {
-      Optional<Ask> displaced = displaceFor(ask);
+      Optional<AdmissionRequest> displaced = displaceFor(ask);
       if (displaced.isEmpty()) {
         return List.of(overloaded(ask));
       }
@@ -168,7 +168,7 @@
   }
 
   /** A lower tier gives way first; within the tier, the tenant furthest beyond its share. */
-  private Optional<Ask> displaceFor(Ask ask) {
+  private Optional<AdmissionRequest> displaceFor(AdmissionRequest ask) {
     for (int tier = TIERS.length - 1; tier > ask.tier().ordinal(); tier--) {
       TierQueue lower = queues.get(TIERS[tier]);
       if (lower.size() > AdmissionSettings.RESERVED_PLACES) {
@@ -182,7 +182,7 @@
     List<Decision> decisions = new ArrayList<>();
     while (running.size() < slots && queued > 0) {
       Tier tier = nextTier();
-      Ask next = queues.get(tier).poll();
+      AdmissionRequest next = queues.get(tier).poll();
       queued--;
       if (canBeMet(nowMillis, next, 0)) {
         countPassedOver(tier);
@@ -217,14 +217,14 @@
     }
   }
 
-  private boolean canBeMet(long nowMillis, Ask ask, double waitMicros) {
+  private boolean canBeMet(long nowMillis, AdmissionRequest ask, double waitMicros) {
     double workMicros = Math.max(service.fastMicros(), ask.expectedMicros());
     double needed = (waitMicros + workMicros) / MICROS_PER_MILLI;
     return nowMillis < ask.deadlineMillis() && nowMillis + needed <= ask.deadlineMillis();
   }
 
   /** Expected wait of a further request: all that go before it, and one running to end. */
-  private double waitMicros(Ask ask) {
+  private double waitMicros(AdmissionRequest ask) {
     int ahead = queues.get(ask.tier()).ahead(ask.tenant());
     for (Tier tier : TIERS) {
       int waiting = queues.get(tier).size();
@@ -241,7 +241,7 @@
     return requests * service.meanMicros() / slots;
   }
 
-  private Decision overloaded(Ask ask) {
+  private Decision overloaded(AdmissionRequest ask) {
     long drainMillis = Math.round(drainMicros(queued + 1) / MICROS_PER_MILLI);
     long retryAfter = Math.max(settings.minRetryAfterMillis(), drainMillis);
     return new Decision.Refused(
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/TierQueue.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/TierQueue.java
@@ -1,6 +1,6 @@
 package io.umberpath.traffic;
 
-import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -22,7 +22,7 @@
   private static final int MAX_IDLE_TENANTS = 1_024;
 
   private static final class Tenant {
-    private final Deque<Ask> waiting = new ArrayDeque<>();
+    private final Deque<AdmissionRequest> waiting = new ArrayDeque<>();
     private double virtualMicros;
     private int running;
   }
@@ -35,7 +35,7 @@
     return size;
   }
 
-  void add(Ask ask) {
+  void add(AdmissionRequest ask) {
     Tenant tenant = tenant(ask.tenant());
     if (tenant.waiting.isEmpty()) {
       tenant.virtualMicros = Math.max(tenant.virtualMicros, floorMicros);
@@ -45,7 +45,7 @@
   }
 
   /** Takes the request that goes next; the queue must not be empty. */
-  Ask poll() {
+  AdmissionRequest poll() {
     Tenant next = null;
     for (Tenant tenant : tenants.values()) {
       if (!tenant.waiting.isEmpty()
@@ -102,7 +102,7 @@
    *
    * @param requestMicros slot time of one request
    */
-  Optional<Ask> removeLast(double requestMicros) {
+  Optional<AdmissionRequest> removeLast(double requestMicros) {
     return removeLast(requestMicros, Double.NEGATIVE_INFINITY);
   }
 
@@ -112,7 +112,7 @@
    *
    * @param requestMicros slot time of one request
    */
-  Optional<Ask> removeLastAfter(String tenantName, double requestMicros) {
+  Optional<AdmissionRequest> removeLastAfter(String tenantName, double requestMicros) {
     Tenant own = tenants.get(tenantName);
     double ownFinish =
         own == null
@@ -121,7 +121,7 @@
     return removeLast(requestMicros, ownFinish);
   }
 
-  private Optional<Ask> removeLast(double requestMicros, double laterThan) {
+  private Optional<AdmissionRequest> removeLast(double requestMicros, double laterThan) {
     Tenant last = null;
     double lastFinish = laterThan;
     for (Tenant tenant : tenants.values()) {
@@ -144,11 +144,11 @@
   }
 
   /** Removes the requests that match, oldest first within each tenant. */
-  List<Ask> removeIf(Predicate<Ask> condition) {
-    List<Ask> removed = new ArrayList<>();
+  List<AdmissionRequest> removeIf(Predicate<AdmissionRequest> condition) {
+    List<AdmissionRequest> removed = new ArrayList<>();
     for (Tenant tenant : tenants.values()) {
-      for (Iterator<Ask> asks = tenant.waiting.iterator(); asks.hasNext(); ) {
-        Ask ask = asks.next();
+      for (Iterator<AdmissionRequest> asks = tenant.waiting.iterator(); asks.hasNext(); ) {
+        AdmissionRequest ask = asks.next();
         if (condition.test(ask)) {
           asks.remove();
           removed.add(ask);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
@@ -37,12 +37,12 @@
    * @param targetMillis time left within which its answer has full worth, milliseconds
    * @param otherZoneLoss what an answer from another zone costs, as a share of its worth
    */
-  public record Need(String route, double targetMillis, double otherZoneLoss) {
+  public record RequestConstraints(String route, double targetMillis, double otherZoneLoss) {
     /** Shortest time that is reckoned with, milliseconds: none is hopeless everywhere. */
     private static final double MIN_TARGET_MILLIS = 10;
 
     /** Takes a target that has passed for a short one. */
-    public Need {
+    public RequestConstraints {
       targetMillis = Math.max(MIN_TARGET_MILLIS, targetMillis);
     }
 
@@ -139,17 +139,17 @@
   public Optional<Choice> pick(
       long nowMillis,
       List<BackendEntry> candidates,
-      Need need,
+      RequestConstraints constraints,
       Set<String> excluded,
       Set<String> silent) {
     BackendEntry best = null;
     double bestLoss = Double.MAX_VALUE;
     double secondLoss = Double.MAX_VALUE;
-    Usual usual = usual(candidates, need.route());
+    Baseline baseline = baseline(candidates, constraints.route());
     for (BackendEntry candidate : sample(candidates, excluded, silent)) {
       double loss =
-          need.lateLoss(expectedMillis(nowMillis, candidate, need.route(), usual))
-              + distance(candidate, need);
+          constraints.lateLoss(expectedMillis(nowMillis, candidate, constraints.route(), baseline))
+              + distance(candidate, constraints);
       if (loss < bestLoss) {
         best = candidate;
         secondLoss = bestLoss;
@@ -160,7 +160,7 @@
     }
     return best == null
         ? Optional.empty()
-        : Optional.of(choice(best, need, usual.routeMillis(), secondLoss));
+        : Optional.of(choice(best, constraints, baseline.routeMillis(), secondLoss));
   }
 
   /**
@@ -191,16 +191,17 @@
     return candidate.zone().equals(zone);
   }
 
-  private double distance(BackendEntry candidate, Need need) {
-    return isNear(candidate) ? 0 : need.otherZoneLoss();
+  private double distance(BackendEntry candidate, RequestConstraints constraints) {
+    return isNear(candidate) ? 0 : constraints.otherZoneLoss();
   }
 
-  private Choice choice(BackendEntry best, Need need, double usualMillis, double secondLoss) {
+  private Choice choice(
+      BackendEntry best, RequestConstraints constraints, double usualMillis, double secondLoss) {
     if (secondLoss == Double.MAX_VALUE) {
       return new Choice(best, ANY_WAIT_MILLIS);
     }
-    double service = workMillis(views.get(best.id()), need.route(), usualMillis);
-    double worthwhile = need.millisOfLoss(secondLoss - distance(best, need));
+    double service = workMillis(views.get(best.id()), constraints.route(), usualMillis);
+    double worthwhile = constraints.millisOfLoss(secondLoss - distance(best, constraints));
     return new Choice(best, Math.max(0, Math.round(worthwhile - service)));
   }
 
@@ -211,9 +212,9 @@
    * @param routeMillis the same for requests of the route
    * @param outstanding requests that run or wait at one of them
    */
-  private record Usual(double serviceMillis, double routeMillis, double outstanding) {}
+  private record Baseline(double serviceMillis, double routeMillis, double outstanding) {}
 
-  private Usual usual(List<BackendEntry> candidates, String route) {
+  private Baseline baseline(List<BackendEntry> candidates, String route) {
     Average service = new Average();
     Average routeTime = new Average();
     Average outstanding = new Average();
@@ -231,7 +232,7 @@
       }
     }
     double serviceMillis = service.orElse(UNKNOWN_SERVICE_MILLIS);
-    return new Usual(serviceMillis, routeTime.orElse(serviceMillis), outstanding.orElse(0));
+    return new Baseline(serviceMillis, routeTime.orElse(serviceMillis), outstanding.orElse(0));
   }
 
   private static final class Average {
@@ -248,15 +249,16 @@
     }
   }
 
-  private double expectedMillis(long nowMillis, BackendEntry candidate, String route, Usual usual) {
+  private double expectedMillis(
+      long nowMillis, BackendEntry candidate, String route, Baseline baseline) {
     View view = view(nowMillis, candidate.id());
     view.slots = Math.max(view.slots, candidate.slots());
-    double work = workMillis(view, route, usual.routeMillis());
+    double work = workMillis(view, route, baseline.routeMillis());
     if (nowMillis < view.firstSeenMillis + candidate.warmupMillis()) {
-      work = Math.max(work, COLD_FACTOR * usual.routeMillis());
+      work = Math.max(work, COLD_FACTOR * baseline.routeMillis());
     }
-    double service = view.serviceMillis > 0 ? view.serviceMillis : usual.serviceMillis();
-    double outstanding = outstanding(view, usual);
+    double service = view.serviceMillis > 0 ? view.serviceMillis : baseline.serviceMillis();
+    double outstanding = outstanding(view, baseline);
     double ahead = Math.max(0, outstanding + 1 - view.slots);
     double wait = ahead * service * view.slowness / view.slots;
     double fullness = FULLNESS_WEIGHT * work * Math.min(1, outstanding / view.slots);
@@ -269,8 +271,8 @@
    * Requests that run or wait there. Where the node has not stated them, it has as many as is
    * usual: otherwise all nodes would send all they have to one that comes back.
    */
-  private static double outstanding(View view, Usual usual) {
-    return view.isStated ? Math.max(view.outstanding, view.own) : usual.outstanding() + view.own;
+  private static double outstanding(View view, Baseline baseline) {
+    return view.isStated ? Math.max(view.outstanding, view.own) : baseline.outstanding() + view.own;
   }
 
   /** How long the back end works on a request of the route, milliseconds. */
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/AdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/AdmissionControllerTest.java
@@ -5,7 +5,7 @@
 
 import io.umberpath.model.Tier;
 import io.umberpath.model.Verdict.Reason;
-import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.AdmissionController.Decision;
 import io.umberpath.traffic.AdmissionController.Decision.Admitted;
 import io.umberpath.traffic.AdmissionController.Decision.Queued;
@@ -31,8 +31,8 @@
   private final AdmissionController controller =
       AdmissionControllers.create(new AdmissionSettings(2, 6, 4, 10_000, 20, 5_000));
 
-  private static Ask ask(long id, String tenant, Tier tier) {
-    return new Ask(id, tenant, tier, FAR);
+  private static AdmissionRequest ask(long id, String tenant, Tier tier) {
+    return new AdmissionRequest(id, tenant, tier, FAR);
   }
 
   private void fillSlots() {
@@ -55,7 +55,8 @@
     for (int i = 0; i < before; i++) {
       controller.ask(0, ask(i, "a", Tier.STANDARD));
     }
-    List<Decision> decisions = controller.ask(0, new Ask(9, "a", Tier.STANDARD, deadline));
+    List<Decision> decisions =
+        controller.ask(0, new AdmissionRequest(9, "a", Tier.STANDARD, deadline));
     if (expected.equals("QUEUED")) {
       assertThat(decisions).containsExactly(new Queued(9));
     } else {
@@ -69,13 +70,14 @@
   void aFreeSlotIsNeverRefusedForASlowPast() {
     controller.ask(0, ask(1, "a", Tier.BASIC));
     controller.release(0, 1, 60_000_000);
-    assertThat(controller.ask(0, new Ask(2, "a", Tier.BASIC, 5))).containsExactly(new Admitted(2));
+    assertThat(controller.ask(0, new AdmissionRequest(2, "a", Tier.BASIC, 5)))
+        .containsExactly(new Admitted(2));
   }
 
   @Test
   void whatWaitedTooLongIsRefusedAndNotRun() {
     fillSlots();
-    controller.ask(0, new Ask(1, "a", Tier.STANDARD, 30));
+    controller.ask(0, new AdmissionRequest(1, "a", Tier.STANDARD, 30));
     assertThat(controller.tick(29)).isEmpty();
     assertThat(controller.tick(30)).containsExactly(new Refused(1, Reason.DEADLINE, 0));
     assertThat(controller.queued()).isZero();
@@ -147,18 +149,18 @@
         AdmissionControllers.create(new AdmissionSettings(1, 60, 4, 1_000, 20, 5_000));
     Map<Tier, Integer> byTier = new EnumMap<>(Tier.class);
     Map<String, Double> timeByTenant = new HashMap<>();
-    Map<Long, Ask> asks = new HashMap<>();
+    Map<Long, AdmissionRequest> asks = new HashMap<>();
     Deque<Long> running = new ArrayDeque<>();
     long id = 0;
     for (int round = 0; round < 3_000; round++) {
       for (Tier tier : Tier.values()) {
         for (String tenant : List.of("slow", "b", "c")) {
-          Ask ask = ask(id++, tenant, tier);
+          AdmissionRequest ask = ask(id++, tenant, tier);
           asks.put(ask.id(), ask);
           admitted(one.ask(0, ask), running);
         }
       }
-      Ask ended = asks.get(running.poll());
+      AdmissionRequest ended = asks.get(running.poll());
       byTier.merge(ended.tier(), 1, Integer::sum);
       long used = ended.tenant().equals("slow") ? 4_000 : 1_000;
       timeByTenant.merge(ended.tenant(), (double) used, Double::sum);
@@ -222,7 +224,8 @@
       case 0, 1, 2, 3 -> {
         Tier tier = Tier.values()[random.nextInt(3)];
         yield controller.ask(
-            step, new Ask(step, "t" + random.nextInt(4), tier, step + random.nextInt(60)));
+            step,
+            new AdmissionRequest(step, "t" + random.nextInt(4), tier, step + random.nextInt(60)));
       }
       case 4 -> controller.tick(step);
       case 5 -> waiting.isEmpty() ? List.of() : controller.cancel(step, waiting.iterator().next());
@@ -240,9 +243,9 @@
   @Test
   void refusesWhatWouldWaitLongerThanItTolerates() {
     AdmissionController controller = AdmissionControllers.create(AdmissionSettings.forSlots(1));
-    controller.ask(0, new AdmissionController.Ask(1, "t", Tier.STANDARD, 60_000));
+    controller.ask(0, new AdmissionController.AdmissionRequest(1, "t", Tier.STANDARD, 60_000));
     controller.release(100, 1, 100_000);
-    controller.ask(100, new AdmissionController.Ask(2, "t", Tier.STANDARD, 60_000));
+    controller.ask(100, new AdmissionController.AdmissionRequest(2, "t", Tier.STANDARD, 60_000));
 
     assertThat(askTolerating(controller, 3, 50))
         .isInstanceOf(AdmissionController.Decision.Refused.class);
@@ -254,20 +257,25 @@
       AdmissionController controller, long id, long waitMillis) {
     return controller
         .ask(
-            100, new AdmissionController.Ask(id, "t", Tier.STANDARD, 60_000, 0, waitMillis, 60_000))
+            100,
+            new AdmissionController.AdmissionRequest(
+                id, "t", Tier.STANDARD, 60_000, 0, waitMillis, 60_000))
         .get(0);
   }
 
   @Test
   void refusesWhatItsOwnWorkCannotFinishInTime() {
     AdmissionController controller = AdmissionControllers.create(AdmissionSettings.forSlots(1));
-    controller.ask(0, new AdmissionController.Ask(1, "t", Tier.STANDARD, 60_000));
+    controller.ask(0, new AdmissionController.AdmissionRequest(1, "t", Tier.STANDARD, 60_000));
     controller.release(10, 1, 10_000);
-    controller.ask(10, new AdmissionController.Ask(2, "t", Tier.STANDARD, 60_000));
+    controller.ask(10, new AdmissionController.AdmissionRequest(2, "t", Tier.STANDARD, 60_000));
 
     AdmissionController.Decision decision =
         controller
-            .ask(10, new AdmissionController.Ask(3, "t", Tier.STANDARD, 110, 240_000, 1_000, 110))
+            .ask(
+                10,
+                new AdmissionController.AdmissionRequest(
+                    3, "t", Tier.STANDARD, 110, 240_000, 1_000, 110))
             .get(0);
 
     assertThat(decision).isInstanceOf(AdmissionController.Decision.Refused.class);
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/DecisionCosts.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DecisionCosts.java
@@ -36,12 +36,15 @@
     time("ask and release, free slots", i -> askAndRelease(free, i, i));
     AdmissionController full = AdmissionControllers.create(AdmissionSettings.forSlots(6));
     for (int i = 1; i <= 26; i++) {
-      full.ask(0, new AdmissionController.Ask(-i, "t" + i % 5, Tier.STANDARD, Long.MAX_VALUE));
+      full.ask(
+          0,
+          new AdmissionController.AdmissionRequest(-i, "t" + i % 5, Tier.STANDARD, Long.MAX_VALUE));
     }
     time(
         "ask and cancel, full slots, 20 queued",
         i -> {
-          full.ask(i, new AdmissionController.Ask(i, "t", Tier.STANDARD, Long.MAX_VALUE));
+          full.ask(
+              i, new AdmissionController.AdmissionRequest(i, "t", Tier.STANDARD, Long.MAX_VALUE));
           full.cancel(i, i);
         });
     RetryPolicy retries = RetryPolicies.create(RetrySettings.DEFAULT);
@@ -57,7 +60,8 @@
   }
 
   private static void askAndRelease(AdmissionController controller, long now, long id) {
-    controller.ask(now, new AdmissionController.Ask(id, "t", Tier.STANDARD, Long.MAX_VALUE));
+    controller.ask(
+        now, new AdmissionController.AdmissionRequest(id, "t", Tier.STANDARD, Long.MAX_VALUE));
     controller.release(now, id, 5_000);
   }
 
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
@@ -4,7 +4,7 @@
 
 import io.umberpath.model.Tier;
 import io.umberpath.model.Verdict.Reason;
-import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.AdmissionController.Decision;
 import io.umberpath.traffic.AdmissionController.Decision.Admitted;
 import io.umberpath.traffic.AdmissionController.Decision.Queued;
@@ -22,8 +22,8 @@
   private final AdmissionController controller =
       AdmissionControllers.createInDueOrder(new AdmissionSettings(2, 6, 4, 10_000, 20, 5_000));
 
-  private static Ask ask(long id, long dueMillis) {
-    return new Ask(id, "", Tier.STANDARD, FAR, 0, FAR, dueMillis);
+  private static AdmissionRequest ask(long id, long dueMillis) {
+    return new AdmissionRequest(id, "", Tier.STANDARD, FAR, 0, FAR, dueMillis);
   }
 
   private void fillSlots() {
@@ -50,8 +50,8 @@
     controller.ask(0, ask(2, 600));
     controller.ask(0, ask(3, 600));
 
-    Ask urgent = new Ask(4, "", Tier.STANDARD, FAR, 0, 5, 60);
-    Ask patient = new Ask(5, "", Tier.STANDARD, FAR, 0, 5, 700);
+    AdmissionRequest urgent = new AdmissionRequest(4, "", Tier.STANDARD, FAR, 0, 5, 60);
+    AdmissionRequest patient = new AdmissionRequest(5, "", Tier.STANDARD, FAR, 0, 5, 700);
 
     assertThat(controller.ask(0, urgent)).containsExactly(new Queued(4));
     assertThat(controller.ask(0, patient).get(0)).isInstanceOf(Refused.class);
@@ -61,7 +61,7 @@
   void refusesWhatItsOwnWorkCannotFinishInTime() {
     fillSlots();
 
-    Ask late = new Ask(1, "", Tier.STANDARD, 50, 60_000, FAR, 50);
+    AdmissionRequest late = new AdmissionRequest(1, "", Tier.STANDARD, 50, 60_000, FAR, 50);
 
     assertThat(controller.ask(0, late).get(0)).isEqualTo(new Refused(1, Reason.OVERLOADED, 20));
   }
@@ -69,7 +69,7 @@
   @Test
   void refusesWhatBecameTooLateInTheQueue() {
     fillSlots();
-    controller.ask(0, new Ask(1, "", Tier.STANDARD, 100, 60_000, FAR, 50));
+    controller.ask(0, new AdmissionRequest(1, "", Tier.STANDARD, 100, 60_000, FAR, 50));
 
     assertThat(controller.tick(30)).isEmpty();
     assertThat(controller.tick(41)).containsExactly(new Refused(1, Reason.DEADLINE, 0));
@@ -77,8 +77,9 @@
   }
 
   /** One that takes 10 ms and is in time if its work is done at a given moment. */
-  private static Ask withTarget(long id, long dueMillis, long targetMillis, long startByMillis) {
-    return new Ask(
+  private static AdmissionRequest withTarget(
+      long id, long dueMillis, long targetMillis, long startByMillis) {
+    return new AdmissionRequest(
         id,
         "",
         Tier.STANDARD,
@@ -133,8 +134,8 @@
   }
 
   /** One that takes 10 ms and for which another request holds a slot. */
-  private static Ask nested(long id, long dueMillis, long deadlineMillis) {
-    return new Ask(
+  private static AdmissionRequest nested(long id, long dueMillis, long deadlineMillis) {
+    return new AdmissionRequest(
         id,
         "",
         Tier.STANDARD,
@@ -206,12 +207,12 @@
     assertThat(controller.running()).isEqualTo(2);
   }
 
-  private static Ask randomAsk(SplittableRandom random, long id, long due) {
+  private static AdmissionRequest randomAsk(SplittableRandom random, long id, long due) {
     int expectedMicros = random.nextInt(50_000);
     long target = due + random.nextInt(100);
     long startBy = due + random.nextInt(100);
     boolean nested = random.nextInt(4) == 0;
-    return new Ask(
+    return new AdmissionRequest(
         id,
         "",
         Tier.BASIC,
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/GateBalancerTest.java
@@ -22,7 +22,8 @@
   private static final BackendEntry FAR = entry("far", "b");
 
   /** In time within 200 ms; another zone costs a fifth of the worth. */
-  private static final GateBalancer.Need NEED = new GateBalancer.Need(ROUTE, 200, 0.2);
+  private static final GateBalancer.RequestConstraints NEED =
+      new GateBalancer.RequestConstraints(ROUTE, 200, 0.2);
 
   private final GateBalancer balancer = new GateBalancer("a", () -> 0);
 
@@ -72,7 +73,7 @@
     stated(NEAR, 6, 3, 60);
     stated(FAR, 0, 0, 60);
 
-    GateBalancer.Need cheap = new GateBalancer.Need(ROUTE, 200, 0.01);
+    GateBalancer.RequestConstraints cheap = new GateBalancer.RequestConstraints(ROUTE, 200, 0.01);
 
     assertThat(balancer.pick(NOW, List.of(NEAR, FAR), cheap, Set.of(), Set.of()))
         .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("far"));
@@ -83,7 +84,7 @@
     stated(NEAR, 6, 12, 60);
     stated(FAR, 0, 0, 60);
 
-    GateBalancer.Need dear = new GateBalancer.Need(ROUTE, 200, 0.8);
+    GateBalancer.RequestConstraints dear = new GateBalancer.RequestConstraints(ROUTE, 200, 0.8);
 
     assertThat(balancer.pick(NOW, List.of(NEAR, FAR), dear, Set.of(), Set.of()))
         .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("near"));
@@ -144,7 +145,7 @@
       balancer.answered("near-too", ROUTE, 90_000);
     }
 
-    GateBalancer.Need other = new GateBalancer.Need("other", 200, 0.2);
+    GateBalancer.RequestConstraints other = new GateBalancer.RequestConstraints("other", 200, 0.2);
 
     assertThat(balancer.pick(NOW, List.of(NEAR_TOO, NEAR), other, Set.of(), Set.of()))
         .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("near"));
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/simulation/SimulatedBackend.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/simulation/SimulatedBackend.java
@@ -2,7 +2,7 @@
 
 import io.umberpath.model.Verdict;
 import io.umberpath.traffic.AdmissionController;
-import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.AdmissionController.Decision;
 import io.umberpath.traffic.AdmissionControllers;
 import io.umberpath.traffic.AdmissionSettings;
@@ -39,7 +39,7 @@
   }
 
   /** Calls back with null when the request was served, or with its refusal. */
-  void handle(Ask ask, Consumer<Decision.Refused> done) {
+  void handle(AdmissionRequest ask, Consumer<Decision.Refused> done) {
     if (admission) {
       asked.put(ask.id(), done);
       apply(controller.ask(loop.nowMillis(), ask));
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/simulation/TrafficSimulation.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/simulation/TrafficSimulation.java
@@ -7,7 +7,7 @@
 import io.umberpath.model.ProxySnapshot.PoolView;
 import io.umberpath.model.Tier;
 import io.umberpath.model.Verdict;
-import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.AdmissionController.Decision.Refused;
 import io.umberpath.traffic.BalancerSettings;
 import io.umberpath.traffic.LoadBalancer;
@@ -169,7 +169,8 @@
     long sentMicros = loop.nowMicros();
     edge.balancer.started(loop.nowMillis(), id);
     request.tried.add(id);
-    Ask ask = new Ask(nextId++, "t", request.tier, request.deadlineMillis());
+    AdmissionRequest ask =
+        new AdmissionRequest(nextId++, "t", request.tier, request.deadlineMillis());
     loop.after(
         hop,
         () ->
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/trace/TraceReplay.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/trace/TraceReplay.java
@@ -8,7 +8,7 @@
 import io.umberpath.model.Tier;
 import io.umberpath.model.Verdict;
 import io.umberpath.traffic.AdmissionController;
-import io.umberpath.traffic.AdmissionController.Ask;
+import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.AdmissionController.Decision;
 import io.umberpath.traffic.AdmissionControllers;
 import io.umberpath.traffic.AdmissionSettings;
@@ -41,7 +41,8 @@
       case "ask" ->
           texts(
               admission.ask(
-                  line.at(), new Ask(line.id(), line.tenant(), line.tier(), line.deadline())));
+                  line.at(),
+                  new AdmissionRequest(line.id(), line.tenant(), line.tier(), line.deadline())));
       case "release" -> texts(admission.release(line.at(), line.id(), line.micros()));
       case "cancel" -> texts(admission.cancel(line.at(), line.id()));
       case "tick" -> texts(admission.tick(line.at()));
