--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -58,10 +58,7 @@
   private final Set<String> leaving = ConcurrentHashMap.newKeySet();
   private final Thread thread = new Thread(this::receive, "umberpath-reports");
   private volatile AheadListener aheadListener = (host, near, version, revision) -> {};
-  private volatile Set<String> silent = Set.of();
-  private volatile Set<String> near = Set.of();
-  private volatile Map<String, List<String>> far = Map.of();
-  private volatile int nodes = 1;
+  private volatile PeerView peers = PeerView.NOBODY;
   private int leavingRounds;
   private DatagramSocket socket;
 
@@ -94,41 +91,40 @@
     thread.start();
   }
 
-  /** One round: sends reports and looks who has been silent. */
+  /** One round: looks who has been silent, and sends reports. */
   void tick(PeerReport report) {
     long now = clockMillis.getAsLong();
-    final Set<String> before = silent;
-    Set<String> others;
-    synchronized (known) {
-      known.tick(now);
-      known.replace(now, silenceByHost());
-      silent = known.silent(now);
-      others = known.others();
-    }
-    nodes = others.size() + 1;
-    note(before, silent);
+    PeerView before = peers;
+    PeerView current = look(now);
+    peers = current;
+    note(before.silent(), current.silent());
     reports.forget(now);
     attested.heard(now, self, report.attested());
-    Set<String> nearNow = new HashSet<>(others);
-    nearNow.removeIf(host -> !isNear(host));
-    near = nearNow;
-    far = farByZone(others);
     ReportSchedule.Round round;
     synchronized (schedule) {
-      round = schedule.next(nearNow, far, silent);
+      round = schedule.next(current.near(), current.farByZone(), current.silent());
     }
     boolean toAll = report.leaving() && leavingRounds++ < LEAVING_ROUNDS;
-    send(own(PeerMessage.Kind.REPORT, report), toAll ? others : round.reportTo());
+    send(own(PeerMessage.Kind.REPORT, report), toAll ? current.others() : round.reportTo());
     sendDigest(now, report, round.digestTo());
   }
 
+  private PeerView look(long nowMillis) {
+    synchronized (known) {
+      known.tick(nowMillis);
+      known.replace(nowMillis, silenceByHost());
+      return PeerView.of(known.others(), known.silent(nowMillis), settings.zone(), this::zoneOf);
+    }
+  }
+
   /** Tells the own zone at once what this node holds now, and by a relay each other zone. */
   void announce(PeerReport report) {
+    PeerView current = peers;
     List<String> relays;
     synchronized (schedule) {
-      relays = schedule.relays(far, silent);
+      relays = schedule.relays(current.farByZone(), current.silent());
     }
-    send(own(PeerMessage.Kind.REPORT, report), near);
+    send(own(PeerMessage.Kind.REPORT, report), current.near());
     send(own(PeerMessage.Kind.DIGEST, report), relays);
   }
 
@@ -142,10 +138,8 @@
     }
     List<PeerMessage.Entry> entries = new ArrayList<>();
     entries.add(new PeerMessage.Entry(self, 0, report));
-    Set<String> reachable = new HashSet<>(near);
-    reachable.removeAll(silent);
     reports
-        .of(reachable)
+        .of(peers.reachableNear())
         .forEach(
             (host, heard) ->
                 entries.add(
@@ -175,16 +169,6 @@
     return entries.isEmpty() ? Optional.empty() : Optional.of(entries.get(0).zone());
   }
 
-  private Map<String, List<String>> farByZone(Collection<String> hosts) {
-    Map<String, List<String>> byZone = new HashMap<>();
-    for (String host : hosts) {
-      zoneOf(host)
-          .filter(zone -> !zone.equals(settings.zone()))
-          .ifPresent(zone -> byZone.computeIfAbsent(zone, absent -> new ArrayList<>()).add(host));
-    }
-    return byZone;
-  }
-
   private void note(Set<String> before, Set<String> after) {
     for (String host : after) {
       if (!before.contains(host)) {
@@ -240,7 +224,7 @@
       return;
     }
     if (message.kind() == PeerMessage.Kind.DIGEST) {
-      send(new PeerMessage(PeerMessage.Kind.RELAYED, message.entries()), near);
+      send(new PeerMessage(PeerMessage.Kind.RELAYED, message.entries()), peers.near());
     }
     long now = clockMillis.getAsLong();
     for (PeerMessage.Entry entry : message.entries()) {
@@ -281,8 +265,8 @@
    * @param refused whether the store did not answer this node lately
    */
   boolean readsStore(boolean refused) {
-    Set<String> reachable = new HashSet<>(near);
-    reachable.removeAll(silent);
+    PeerView current = peers;
+    Set<String> reachable = current.reachableNear();
     reachable.removeAll(leaving);
     Set<String> refusedNodes = new HashSet<>();
     reports
@@ -296,14 +280,12 @@
     if (refused) {
       refusedNodes.add(self);
     }
-    return StoreReaders.reads(self, reachable, refusedNodes, far.size() + 1);
+    return StoreReaders.reads(self, reachable, refusedNodes, current.zones());
   }
 
   /** The contact with the store that nodes of the own zone state; empty if none calls it. */
   Optional<StoreContact> zoneContact() {
-    Set<String> hosts = near;
-    Set<String> unheard = silent;
-    return reports.contact(host -> hosts.contains(host) && !unheard.contains(host));
+    return reports.contact(peers.reachableNear()::contains);
   }
 
   /** The back ends of a service that take new work. */
@@ -313,7 +295,7 @@
 
   /** Those of the back ends whose node is out of reach or takes no new work. */
   Set<String> silentBackends(List<BackendEntry> candidates) {
-    Set<String> hosts = silent;
+    Set<String> hosts = peers.silent();
     if (hosts.isEmpty() && leaving.isEmpty()) {
       return Set.of();
     }
@@ -329,12 +311,12 @@
 
   /** Nodes that have been silent for too long. */
   int silentNodes() {
-    return silent.size();
+    return peers.silent().size();
   }
 
   /** Nodes known, this one included. */
   int nodes() {
-    return nodes;
+    return peers.others().size() + 1;
   }
 
   @Override
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerView.java
@@ -0,0 +1,54 @@
+package io.umberpath.node.mesh;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * The other nodes as one round of reports sees them. Immutable.
+ *
+ * @param others all of them
+ * @param near those of the own zone, and those whose zone is not known
+ * @param farByZone those of each other zone
+ * @param silent those that have been silent for too long
+ */
+record PeerView(
+    Set<String> others, Set<String> near, Map<String, List<String>> farByZone, Set<String> silent) {
+  static final PeerView NOBODY = new PeerView(Set.of(), Set.of(), Map.of(), Set.of());
+
+  /** Sorts nodes by zone. */
+  static PeerView of(
+      Set<String> others,
+      Set<String> silent,
+      String ownZone,
+      Function<String, Optional<String>> zoneOf) {
+    Set<String> near = new HashSet<>();
+    Map<String, List<String>> far = new HashMap<>();
+    for (String host : others) {
+      String zone = zoneOf.apply(host).orElse(ownZone);
+      if (zone.equals(ownZone)) {
+        near.add(host);
+      } else {
+        far.computeIfAbsent(zone, absent -> new ArrayList<>()).add(host);
+      }
+    }
+    return new PeerView(others, near, far, silent);
+  }
+
+  /** Nodes of the own zone that are not silent. */
+  Set<String> reachableNear() {
+    Set<String> reachable = new HashSet<>(near);
+    reachable.removeAll(silent);
+    return reachable;
+  }
+
+  /** Zones that have nodes, the own one included. */
+  int zones() {
+    return farByZone.size() + 1;
+  }
+}
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -5,49 +5,16 @@
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StoreWatcher;
-import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
-import io.umberpath.model.routing.RoutingConfiguration;
-import io.vavr.control.Either;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
 final class MeshStateTest {
-  /** Entries whose key is the id and whose value is the port. */
-  private static final StoreDocuments DOCUMENTS =
-      new StoreDocuments() {
-        @Override
-        public String prefix() {
-          return "";
-        }
-
-        @Override
-        public boolean isConfiguration(String key) {
-          return false;
-        }
-
-        @Override
-        public boolean isBackend(String key) {
-          return true;
-        }
-
-        @Override
-        public Either<String, RoutingConfiguration> configuration(StoreItem item) {
-          return Either.left("none");
-        }
-
-        @Override
-        public Either<String, BackendEntry> backend(StoreItem item) {
-          PeerAddress address = new PeerAddress("10.0.0.1", Integer.parseInt(item.value()));
-          return Either.right(
-              new BackendEntry(
-                  item.key(), "booking", address, "z", 6, BackendEntry.State.READY, 0));
-        }
-      };
-
   private final MeshState state =
       new MeshState(
-          DOCUMENTS, new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), new MeshEvents(() -> 0));
+          new PortDocuments(),
+          new StoreWatcher("", MeshNode.WATCHER, () -> 0.5),
+          new MeshEvents(() -> 0));
 
   private static StoreChanges whole(long at, List<StoreItem> items) {
     return new StoreChanges(StoreChanges.FROM_NOTHING, at, items, List.of());
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -6,9 +6,6 @@
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.PeerAddress;
-import io.umberpath.model.routing.BackendEntry;
-import io.umberpath.model.routing.RoutingConfiguration;
-import io.vavr.control.Either;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -28,37 +25,6 @@
       new StoreChanges(
           StoreChanges.FROM_NOTHING, 4, List.of(new StoreItem("a", "80", 3)), List.of());
 
-  private static final StoreDocuments DOCUMENTS =
-      new StoreDocuments() {
-        @Override
-        public String prefix() {
-          return "";
-        }
-
-        @Override
-        public boolean isConfiguration(String key) {
-          return false;
-        }
-
-        @Override
-        public boolean isBackend(String key) {
-          return true;
-        }
-
-        @Override
-        public Either<String, RoutingConfiguration> configuration(StoreItem item) {
-          return Either.left("none");
-        }
-
-        @Override
-        public Either<String, BackendEntry> backend(StoreItem item) {
-          PeerAddress address = new PeerAddress("10.0.0.1", Integer.parseInt(item.value()));
-          return Either.right(
-              new BackendEntry(
-                  item.key(), "booking", address, "z", 6, BackendEntry.State.READY, 0));
-        }
-      };
-
   private static MeshSettings settings(int exchangePort) {
     PeerAddress nowhere = new PeerAddress("127.0.0.1", 1);
     return new MeshSettings(
@@ -102,7 +68,8 @@
   void aTransferOverAFullLinkIsNotGivenUp() throws Exception {
     MeshEvents events = new MeshEvents(CLOCK);
     MeshState state =
-        new MeshState(DOCUMENTS, new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), events);
+        new MeshState(
+            new PortDocuments(), new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), events);
     try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
         StatePuller puller =
             new StatePuller(settings(server.getLocalPort()), state, () -> false, events, CLOCK)) {
@@ -143,7 +110,8 @@
     AtomicLong now = new AtomicLong();
     MeshEvents events = new MeshEvents(CLOCK);
     MeshState state =
-        new MeshState(DOCUMENTS, new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), events);
+        new MeshState(
+            new PortDocuments(), new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), events);
     StateServer near =
         StateServer.open(
             new PeerAddress("127.0.0.1", 0), after -> StateChangesCodec.encode(changesTo(4)));
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
@@ -0,0 +1,63 @@
+package io.umberpath.node.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.control.store.StoreAnswer;
+import io.umberpath.control.store.StoreCall;
+import io.umberpath.control.store.StoreWatcher;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
+import org.junit.jupiter.api.Test;
+
+final class StoreFollowerTest {
+  private static final LongSupplier CLOCK = () -> System.nanoTime() / 1_000_000;
+  private static final long PATIENCE_SECONDS = 20;
+  private static final int LOOKS = 4;
+
+  /** Answers each call at once, and counts them. */
+  private static final class CountingClient implements StoreClient {
+    private final AtomicInteger calls = new AtomicInteger();
+
+    @Override
+    public StoreAnswer call(StoreCall call) {
+      int revision = calls.incrementAndGet();
+      return call instanceof StoreCall.Read
+          ? new StoreAnswer.Page(List.of(), false, revision)
+          : new StoreAnswer.Events(List.of(), revision);
+    }
+
+    @Override
+    public void close() {}
+  }
+
+  @Test
+  void onlyANodeThatIsToReadCallsTheStore() throws Exception {
+    MeshEvents events = new MeshEvents(CLOCK);
+    StoreWatcher watcher = new StoreWatcher("", MeshNode.WATCHER, () -> 0.5);
+    MeshState state = new MeshState(new PortDocuments(), watcher, events);
+    CountingClient client = new CountingClient();
+    AtomicBoolean reads = new AtomicBoolean();
+    CountDownLatch looks = new CountDownLatch(LOOKS);
+    CountDownLatch changed = new CountDownLatch(1);
+    try (StoreFollower follower = new StoreFollower(state, client, events, CLOCK)) {
+      follower.onlyIf(
+          () -> {
+            looks.countDown();
+            return reads.get();
+          });
+      follower.onChange(changed::countDown);
+      follower.start();
+      assertThat(looks.await(PATIENCE_SECONDS, TimeUnit.SECONDS)).isTrue();
+      assertThat(client.calls).hasValue(0);
+      assertThat(follower.reported()).isEqualTo(ReportedContact.NO_CALLS);
+
+      reads.set(true);
+      assertThat(changed.await(PATIENCE_SECONDS, TimeUnit.SECONDS)).isTrue();
+      assertThat(follower.reported().state()).isEqualTo(ReportedContact.State.REACHABLE);
+    }
+  }
+}
