Choice: the contact with the store is asked for only where a back end is attested

Read again: readyBackends, called for each request, worked out the zone's contact each time (a set of the zone's nodes and a pass over all reports, under their lock), though it matters only while a back end is attested. It is a supplier now. Also: KnownPeers.heard gave back what nobody used; a catch that ISO 8859-1 cannot reach is gone; a test copies its map once. No behaviour changes; assertions as they were. mvn verify green (MembershipAtScaleTest takes 88 s, the copy was not its cause: open).

--- a/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
@@ -52,22 +52,13 @@
     unlistedHeardAt.values().removeIf(heard -> heard + unlistedMillis < nowMillis);
   }
 
-  /**
-   * A node was there at a time, as it said itself or as another node heard.
-   *
-   * @return whether nothing as recent was known of it
-   */
-  public boolean heard(long atMillis, String address) {
+  /** A node was there at a time, as it said itself or as another node heard. */
+  public void heard(long atMillis, String address) {
     if (address.equals(self)) {
-      return false;
+      return;
     }
     Map<String, Long> where = silentMillis.containsKey(address) ? heardAt : unlistedHeardAt;
-    Long before = where.get(address);
-    if (before != null && before >= atMillis) {
-      return false;
-    }
-    where.put(address, atMillis);
-    return true;
+    where.merge(address, atMillis, Math::max);
   }
 
   /** Lets time pass; to be called regularly. */
--- a/umberpath-control/src/test/java/io/umberpath/control/membership/MembershipAtScaleTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/membership/MembershipAtScaleTest.java
@@ -65,7 +65,8 @@
       Map<String, Long> silence = new HashMap<>();
       nodes.keySet().forEach(host -> silence.put(host, times.farMillis()));
       node.near.forEach(host -> silence.put(host, times.nearMillis()));
-      node.silenceByHost = silence;
+      // Immutable, so that no round copies it.
+      node.silenceByHost = Map.copyOf(silence);
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/LogFilesCommand.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/LogFilesCommand.java
@@ -3,7 +3,6 @@
 import io.umberpath.node.logs.LogLine;
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.nio.charset.MalformedInputException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -23,8 +22,6 @@
           Optional<LogLine> read = LogLine.read(line);
           read.map(each -> named(each, file)).ifPresent(onLine);
         }
-      } catch (MalformedInputException malformed) {
-        throw new UsageException("FILE " + file + " is not text");
       } catch (IOException unreadable) {
         throw new UsageException("FILE " + file + " cannot be read");
       }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/AttestedBackends.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/AttestedBackends.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 
 /**
  * Back ends that the store lists no more, but the node beside each attests to live. Thread-safe.
@@ -36,19 +37,21 @@
   /**
    * The back ends of a service that take new work: those listed, and those attested.
    *
-   * @param contact of this node with the store
+   * @param contact of this node with the store; asked for only if a back end is attested, as this
+   *     is called for each request
    */
   List<BackendEntry> ready(
-      long nowMillis, BackendDirectory listed, StoreContact contact, String service) {
+      long nowMillis, BackendDirectory listed, Supplier<StoreContact> contact, String service) {
     List<BackendEntry> ready = listed.ready(service);
     if (byHost.isEmpty()) {
       return ready;
     }
+    StoreContact current = contact.get();
     List<BackendEntry> all = new ArrayList<>(ready);
     for (Attested attested : byHost.values()) {
       BackendEntry entry = attested.entry();
       boolean holds =
-          nowMillis < attested.untilMillis() && !contact.settles(attested.sinceMillis(), nowMillis);
+          nowMillis < attested.untilMillis() && !current.settles(attested.sinceMillis(), nowMillis);
       if (holds && entry.service().equals(service) && listed.at(entry.address()).isEmpty()) {
         all.add(entry);
       }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -290,7 +290,7 @@
 
   /** The back ends of a service that take new work. */
   List<BackendEntry> readyBackends(String service) {
-    return attested.ready(clockMillis.getAsLong(), view.get().backends(), contact.get(), service);
+    return attested.ready(clockMillis.getAsLong(), view.get().backends(), contact, service);
   }
 
   /** Those of the back ends whose node is out of reach or takes no new work. */
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/AttestedBackendsTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/AttestedBackendsTest.java
@@ -17,7 +17,7 @@
   private final AttestedBackends backends = new AttestedBackends();
 
   private List<BackendEntry> ready(long now, StoreContact contact, BackendEntry... listed) {
-    return backends.ready(now, new BackendDirectory(List.of(listed)), contact, "booking");
+    return backends.ready(now, new BackendDirectory(List.of(listed)), () -> contact, "booking");
   }
 
   @Test
