Zones can be evacuated; cold back ends get what they bear

Ruled out: a slow start at each edge alone. Edges do not see each other's requests, and an edge that restarts counts the warm-up from when it first sees the entry.

Change: an evacuation in the store takes the zone's back ends out of the choice, the node beside one refuses new work and hands waiting work back as not run, running work finishes. The node beside a back end, which sees all its requests, bounds their rate by a token bucket while it is cold (ColdStartLimiter): coldPerS and warmup of the service, warmupOverage and warmupSlack of the settings, nine tenths of the bound. Cold is what the entry says when it is written anew, a start that is not listed yet, and the warm-up after an evacuation. The slots that a gate states shrink with it, so that edges share out what there is.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/AttestedBackends.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/AttestedBackends.java
@@ -52,7 +52,8 @@
       BackendEntry entry = attested.entry();
       boolean holds =
           nowMillis < attested.untilMillis() && !current.settles(attested.sinceMillis(), nowMillis);
-      if (holds && entry.service().equals(service) && listed.at(entry.address()).isEmpty()) {
+      boolean replaces = listed.at(entry.address()).isEmpty() && !listed.isEvacuated(entry.zone());
+      if (holds && replaces && entry.service().equals(service)) {
         all.add(entry);
       }
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendDirectory.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendDirectory.java
@@ -13,17 +13,24 @@
 
 /** The back ends at one revision of the store. Immutable. */
 final class BackendDirectory {
-  static final BackendDirectory EMPTY = new BackendDirectory(List.of());
+  static final BackendDirectory EMPTY = new BackendDirectory(List.of(), Set.of());
 
   private final Map<String, BackendEntry> byId = new HashMap<>();
   private final Map<String, List<BackendEntry>> ready = new HashMap<>();
   private final Map<String, List<BackendEntry>> byHost = new HashMap<>();
+  private final Set<String> evacuatedZones;
 
-  BackendDirectory(Collection<BackendEntry> entries) {
+  /**
+   * Sorts entries.
+   *
+   * @param evacuatedZones zones whose back ends take no new work
+   */
+  BackendDirectory(Collection<BackendEntry> entries, Set<String> evacuatedZones) {
+    this.evacuatedZones = Set.copyOf(evacuatedZones);
     for (BackendEntry entry : entries) {
       byId.put(entry.id(), entry);
       byHost.computeIfAbsent(entry.address().host(), host -> new ArrayList<>()).add(entry);
-      if (entry.state() == BackendEntry.State.READY) {
+      if (entry.state() == BackendEntry.State.READY && !isEvacuated(entry.zone())) {
         ready.computeIfAbsent(entry.service(), service -> new ArrayList<>()).add(entry);
       }
     }
@@ -35,6 +42,16 @@
     return ready.getOrDefault(service, List.of());
   }
 
+  /** Whether the back ends of a zone are to get no new work. */
+  boolean isEvacuated(String zone) {
+    return evacuatedZones.contains(zone);
+  }
+
+  /** Zones whose back ends are to get no new work. */
+  Set<String> evacuatedZones() {
+    return evacuatedZones;
+  }
+
   Optional<BackendEntry> byId(String id) {
     return Optional.ofNullable(byId.get(id));
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -1,10 +1,13 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.ServiceDefinition;
+import io.umberpath.traffic.ColdStartLimiter;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -17,6 +20,10 @@
   private final Predicate<String> attested;
   private final Set<String> known = ConcurrentHashMap.newKeySet();
   private final Set<String> ended = ConcurrentHashMap.newKeySet();
+  private final ColdStartLimiter coldStarts;
+  private final LongSupplier clockMillis;
+  private BackendEntry seen;
+  private boolean wasEvacuated;
   private volatile boolean leaving;
   private volatile int slots = DEFAULT_SLOTS;
 
@@ -24,11 +31,18 @@
    * Creates one that knows nothing of it.
    *
    * @param attested whether a start of the back end lives although its entry has lapsed
+   * @param clockMillis rising clock, milliseconds
    */
-  LocalBackend(MeshSettings settings, Supplier<MeshView> view, Predicate<String> attested) {
+  LocalBackend(
+      MeshSettings settings,
+      Supplier<MeshView> view,
+      Predicate<String> attested,
+      LongSupplier clockMillis) {
     this.settings = settings;
     this.view = view;
     this.attested = attested;
+    this.clockMillis = clockMillis;
+    this.coldStarts = new ColdStartLimiter(settings.coldStarts());
   }
 
   /** This node takes no new work for its back end. */
@@ -36,6 +50,11 @@
     leaving = true;
   }
 
+  /** Whether the zone of this node is evacuated: its back ends finish what they have. */
+  boolean isEvacuated() {
+    return view.get().backends().isEvacuated(settings.zone());
+  }
+
   /** Requests that the back end works on at once. */
   int slots() {
     return slots;
@@ -48,9 +67,46 @@
     int stated = entries.stream().mapToInt(BackendEntry::slots).max().orElse(slots);
     boolean changed = stated != slots;
     slots = stated;
+    entries.forEach(this::refreshColdness);
+    boolean evacuated = isEvacuated();
+    if (wasEvacuated && !evacuated) {
+      // A back end may turn cold while its zone is evacuated, and its entry may say so later.
+      coldFor(warmupMillis());
+    }
+    wasEvacuated = evacuated;
     return changed;
   }
 
+  /** An entry that was written anew tells for how long the back end was cold then. */
+  private void refreshColdness(BackendEntry entry) {
+    if (entry != seen) {
+      seen = entry;
+      coldFor(entry.warmupMillis());
+    }
+  }
+
+  private void coldFor(long millis) {
+    MeshView current = view.get();
+    ServiceDefinition service =
+        current.isComplete() ? current.configuration().services().get(settings.service()) : null;
+    if (service != null) {
+      long now = clockMillis.getAsLong();
+      coldStarts.cold(now, now + millis, service.coldPerSecond());
+    }
+  }
+
+  private long warmupMillis() {
+    MeshView current = view.get();
+    ServiceDefinition service =
+        current.isComplete() ? current.configuration().services().get(settings.service()) : null;
+    return service == null ? 0 : service.warmupMillis();
+  }
+
+  /** Bounds what the back end gets while it is cold. */
+  ColdStartLimiter coldStarts() {
+    return coldStarts;
+  }
+
   /** Asked for one start of the back end, another one has answered; so the first has ended. */
   void isAnother(String asked, String answered) {
     if (!asked.equals(answered)) {
@@ -60,7 +116,7 @@
 
   /** Whether new work for that start of the back end is to be passed on. */
   boolean takes(String instance) {
-    if (leaving || ended.contains(instance)) {
+    if (leaving || ended.contains(instance) || isEvacuated()) {
       return false;
     }
     Optional<BackendEntry> entry = view.get().backends().byId(instance);
@@ -68,7 +124,12 @@
       known.add(instance);
       return entry.get().state() == BackendEntry.State.READY;
     }
-    // What was listed and is no more has left; what was never listed here may just have begun.
-    return !known.contains(instance) || attested.test(instance);
+    if (known.contains(instance)) {
+      // What was listed and is no more has left, unless its entry only lapsed.
+      return attested.test(instance);
+    }
+    // What was never listed here has just begun, for all that this node knows.
+    coldFor(warmupMillis());
+    return true;
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
@@ -24,6 +25,7 @@
   private static final MetadataKey<String> BACKEND = MetadataKey.single("backend", String.class);
   private static final MetadataKey<String> SERVICE = MetadataKey.single("service", String.class);
   private static final MetadataKey<String> SOURCE = MetadataKey.single("source", String.class);
+  private static final MetadataKey<String> ZONE = MetadataKey.single("zone", String.class);
   private static final MetadataKey<String> CAUSE = MetadataKey.single("cause", String.class);
   private static final MetadataKey<String> ROUTE = MetadataKey.single("route", String.class);
   private static final MetadataKey<Long> REVISION = MetadataKey.single("revision", Long.class);
@@ -143,6 +145,7 @@
             .log("%s", source);
       }
     }
+    evacuations(before.evacuatedZones(), after.evacuatedZones(), revision, source);
     for (BackendEntry entry : before.all()) {
       if (after.byId(entry.id()).isEmpty()) {
         backend(MeshEvent.BACKEND_GONE, entry).with(REVISION, revision).log("%s", source);
@@ -150,6 +153,26 @@
     }
   }
 
+  private void evacuations(Set<String> before, Set<String> after, long revision, String source) {
+    for (String zone : after) {
+      if (!before.contains(zone)) {
+        evacuation(zone, revision, source).log("begins");
+      }
+    }
+    for (String zone : before) {
+      if (!after.contains(zone)) {
+        evacuation(zone, revision, source).log("ends");
+      }
+    }
+  }
+
+  private FluentLogger.Api evacuation(String zone, long revision, String source) {
+    return line(MeshEvent.ZONE_EVACUATION)
+        .with(ZONE, zone)
+        .with(REVISION, revision)
+        .with(SOURCE, source);
+  }
+
   void attestation(BackendEntry entry, boolean attests) {
     backend(MeshEvent.BACKEND_ATTESTED, entry).log("%s", attests ? "begins" : "ends");
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -100,13 +100,10 @@
   /** What this node states of its back end. */
   GateLoad load() {
     int slownessPercent = (int) Math.round(slowness * GateLoad.USUAL_PERCENT);
-    return new GateLoad(
-        gate.running(),
-        gate.queued(),
-        backend.slots(),
-        gate.meanServiceMicros(),
-        slownessPercent,
-        0);
+    long serviceMicros = gate.meanServiceMicros();
+    int slots =
+        backend.coldStarts().usableSlots(clockMillis.getAsLong(), backend.slots(), serviceMicros);
+    return new GateLoad(gate.running(), gate.queued(), slots, serviceMicros, slownessPercent, 0);
   }
 
   private long expectedMicros(String route) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -136,7 +136,7 @@
         new GateBalancer(settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
     this.peers =
         new PeerExchange(settings, state::view, this::contact, balancer, events, clockMillis);
-    this.backend = new LocalBackend(settings, state::view, this::attests);
+    this.backend = new LocalBackend(settings, state::view, this::attests, clockMillis);
     this.proxy =
         new MeshProxy(
             settings, state::view, balancer, peers, backend, events, metrics, clockMillis);
@@ -218,6 +218,9 @@
     if (backend.refresh()) {
       proxy.gate().gate().resize(backend.slots());
     }
+    if (backend.isEvacuated()) {
+      proxy.gate().gate().handBackWaiting();
+    }
   }
 
   private void second() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -71,7 +71,7 @@
         new MeshGateHandler(
             settings,
             backendPool,
-            AdmissionControllers.createInDueOrder(admission(backend.slots())),
+            AdmissionControllers.createInDueOrder(admission(backend.slots()), backend.coldStarts()),
             backend,
             events,
             clockMillis);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshSettings.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshSettings.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.model.PeerAddress;
+import io.umberpath.traffic.ColdStartLimiter;
 import java.util.List;
 import java.util.Optional;
 
@@ -19,6 +20,7 @@
  * @param seeds such addresses of other nodes; may be out of date
  * @param metricsPort port of the metrics, 0 for none
  * @param retry bounds of retries
+ * @param coldStarts bounds of what a cold back end gets
  * @param graceMillis time from the order to stop until the process is killed, milliseconds
  * @param headers names of headers
  */
@@ -35,6 +37,7 @@
     List<PeerAddress> seeds,
     int metricsPort,
     Retry retry,
+    ColdStartLimiter.Bounds coldStarts,
     long graceMillis,
     HeaderNames headers) {
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -12,6 +12,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What this node has taken from the store or from other nodes. A configuration is only replaced by
@@ -56,6 +57,7 @@
     RoutingConfiguration configuration = view.configuration();
     RoutingTable table = view.table();
     Map<PeerAddress, Listed> newest = new HashMap<>();
+    Set<String> evacuated = new HashSet<>();
     for (StoreItem item : items) {
       if (documents.isConfiguration(item.key())) {
         configuration = newer(configuration, item, source);
@@ -65,6 +67,8 @@
           Listed listed = new Listed(entry, item.revision());
           newest.merge(entry.address(), listed, Listed::later);
         }
+      } else {
+        documents.evacuatedZone(item.key()).ifPresent(evacuated::add);
       }
     }
     parsed.keySet().retainAll(new HashSet<>(items));
@@ -72,7 +76,7 @@
       table = RoutingTable.of(configuration);
     }
     BackendDirectory backends =
-        new BackendDirectory(newest.values().stream().map(Listed::entry).toList());
+        new BackendDirectory(newest.values().stream().map(Listed::entry).toList(), evacuated);
     events.backendsChanged(view.backends(), backends, watcher.at(), source);
     view = new MeshView(configuration, table, backends, watcher.at());
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreDocuments.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreDocuments.java
@@ -4,6 +4,7 @@
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.vavr.control.Either;
+import java.util.Optional;
 
 /** Reads the store's items. Thread-safe. */
 public interface StoreDocuments {
@@ -16,6 +17,9 @@
   /** Whether the item is a back end's entry. */
   boolean isBackend(String key);
 
+  /** The zone whose evacuation the item is; empty if it is none. */
+  Optional<String> evacuatedZone(String key);
+
   /** The configuration, or what is wrong with it: field and value. */
   Either<String, RoutingConfiguration> configuration(StoreItem item);
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
@@ -82,6 +82,18 @@
     carryOut(decisions);
   }
 
+  /** Refuses what waits for a slot as not run, so that it goes elsewhere at once. */
+  public void handBackWaiting() {
+    for (Waiting waiting : byExchange.values()) {
+      // Only what has not been admitted in this moment: the refusal says that it did not run.
+      if (waiting.standing().compareAndSet(Standing.ASKED, Standing.ENDED)) {
+        forget(waiting);
+        cancel(waiting.id());
+        waiting.exchange().refuse(Refusal.notRun(Verdict.Reason.DRAINING));
+      }
+    }
+  }
+
   /** Changes the number of slots; running requests are not touched. */
   public void resize(int slots) {
     List<Decision> decisions;
@@ -131,9 +143,13 @@
       release(waiting.id(), exchange.sinceSentMicros());
       return;
     }
+    cancel(waiting.id());
+  }
+
+  private void cancel(long id) {
     List<Decision> decisions;
     synchronized (admission) {
-      decisions = admission.cancel(clockMillis.getAsLong(), waiting.id());
+      decisions = admission.cancel(clockMillis.getAsLong(), id);
     }
     carryOut(decisions);
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/AttestedBackendsTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/AttestedBackendsTest.java
@@ -6,6 +6,7 @@
 import io.umberpath.model.routing.BackendEntry;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 final class AttestedBackendsTest {
@@ -17,7 +18,8 @@
   private final AttestedBackends backends = new AttestedBackends();
 
   private List<BackendEntry> ready(long now, StoreContact contact, BackendEntry... listed) {
-    return backends.ready(now, new BackendDirectory(List.of(listed)), () -> contact, "booking");
+    return backends.ready(
+        now, new BackendDirectory(List.of(listed), Set.of()), () -> contact, "booking");
   }
 
   @Test
@@ -61,4 +63,12 @@
 
     assertThat(ready(9_000, regained)).containsExactly(ENTRY);
   }
+
+  @Test
+  void oneOfAnEvacuatedZoneIsNotUsed() {
+    backends.heard(5_000, "10.0.0.1", Optional.of(ENTRY));
+    BackendDirectory evacuated = new BackendDirectory(List.of(), Set.of("z"));
+
+    assertThat(backends.ready(5_000, evacuated, () -> LOST, "booking")).isEmpty();
+  }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
@@ -4,8 +4,14 @@
 
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.RequestLimits;
+import io.umberpath.model.routing.RoutingConfiguration;
+import io.umberpath.model.routing.ServiceDefinition;
+import io.umberpath.traffic.ColdStartLimiter;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 final class LocalBackendTest {
@@ -24,20 +30,35 @@
           List.of(),
           0,
           new MeshSettings.Retry(10_000, 0.2, 64),
+          ColdStartLimiter.Bounds.RATE_ALONE,
           6_000,
           new HeaderNames("Id", "Deadline", "Expected", "Caller", "Not-Executed", "Instance"));
 
   private MeshView view = viewOf(entry("first", BackendEntry.State.READY));
   private String attested;
+  private long nowMillis = 50_000;
   private final LocalBackend backend =
-      new LocalBackend(SETTINGS, () -> view, id -> id.equals(attested));
+      new LocalBackend(SETTINGS, () -> view, id -> id.equals(attested), () -> nowMillis);
 
   private static BackendEntry entry(String id, BackendEntry.State state) {
-    return new BackendEntry(id, "booking", ADDRESS, "zone", 6, state, 0);
+    return entry(id, state, 0);
+  }
+
+  private static BackendEntry entry(String id, BackendEntry.State state, long warmupMillis) {
+    return new BackendEntry(id, "booking", ADDRESS, "zone", 6, state, warmupMillis);
+  }
+
+  /** Cold back ends of the service bear ten requests a second, for three seconds. */
+  private static MeshView viewOf(Set<String> evacuated, BackendEntry... entries) {
+    ServiceDefinition service = new ServiceDefinition("booking", "/health", 130, 3_000, 10);
+    RoutingConfiguration configuration =
+        new RoutingConfiguration(
+            1, new RequestLimits(1, 1, 1, 1), List.of(), Map.of("booking", service));
+    return new MeshView(configuration, null, new BackendDirectory(List.of(entries), evacuated), 1);
   }
 
   private static MeshView viewOf(BackendEntry... entries) {
-    return new MeshView(null, null, new BackendDirectory(List.of(entries)), 1);
+    return new MeshView(null, null, new BackendDirectory(List.of(entries), Set.of()), 1);
   }
 
   /** The entry of a back end that was replaced stands in the store for some seconds more. */
@@ -85,4 +106,45 @@
 
     assertThat(backend.takes("first")).isFalse();
   }
+
+  /** The operator empties a zone; its back ends may come back cold without saying so yet. */
+  @Test
+  void anEvacuatedZoneTakesNothingNewAndIsColdAfterwards() {
+    BackendEntry first = entry("first", BackendEntry.State.READY);
+    view = viewOf(Set.of("zone"), first);
+    backend.refresh();
+    assertThat(backend.takes("first")).isFalse();
+
+    view = viewOf(Set.of("elsewhere"), first);
+    backend.refresh();
+    assertThat(backend.takes("first")).isTrue();
+    assertThat(backend.coldStarts().isCold(nowMillis + 2_999)).isTrue();
+    assertThat(backend.coldStarts().isCold(nowMillis + 3_000)).isFalse();
+  }
+
+  @Test
+  void anEntryThatSaysSoMakesTheBackendColdAtAnyTimeAndOnlyOnce() {
+    view = viewOf(Set.of(), entry("first", BackendEntry.State.READY));
+    backend.refresh();
+    assertThat(backend.coldStarts().isCold(nowMillis)).isFalse();
+
+    view = viewOf(Set.of(), entry("first", BackendEntry.State.READY, 1_500));
+    backend.refresh();
+    assertThat(backend.coldStarts().isCold(nowMillis + 1_499)).isTrue();
+
+    nowMillis += 1_500;
+    backend.refresh();
+    assertThat(backend.coldStarts().isCold(nowMillis)).isFalse();
+  }
+
+  /** Another node may hear of a start first and send to it. */
+  @Test
+  void aStartThatIsNotListedYetIsTakenForCold() {
+    view = viewOf(Set.of(), entry("first", BackendEntry.State.READY));
+    backend.refresh();
+
+    assertThat(backend.takes("second")).isTrue();
+
+    assertThat(backend.coldStarts().isCold(nowMillis)).isTrue();
+  }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -47,4 +47,15 @@
 
     assertThat(ready()).containsExactly("c");
   }
+
+  @Test
+  void theBackendsOfAnEvacuatedZoneAreNotReadyUntilTheEvacuationIsTakenBack() {
+    StoreItem backend = new StoreItem("a", "80", 3);
+    state.adopt(whole(4, List.of(backend, new StoreItem("evacuate/z", "{}", 4))), "peer");
+    assertThat(ready()).isEmpty();
+    assertThat(state.view().backends().byId("a")).isPresent();
+
+    state.adopt(whole(5, List.of(backend)), "peer");
+    assertThat(ready()).containsExactly("a");
+  }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PortDocuments.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PortDocuments.java
@@ -5,9 +5,14 @@
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.vavr.control.Either;
+import java.util.Optional;
 
-/** Entries of back ends whose key is the id and whose value is the port; no configurations. */
+/**
+ * Entries of back ends whose key is the id and whose value is the port, and evacuations whose key
+ * is {@code evacuate/} and the zone; no configurations.
+ */
 final class PortDocuments implements StoreDocuments {
+  private static final String EVACUATION = "evacuate/";
 
   @Override
   public String prefix() {
@@ -21,7 +26,14 @@
 
   @Override
   public boolean isBackend(String key) {
-    return true;
+    return evacuatedZone(key).isEmpty();
+  }
+
+  @Override
+  public Optional<String> evacuatedZone(String key) {
+    return key.startsWith(EVACUATION)
+        ? Optional.of(key.substring(EVACUATION.length()))
+        : Optional.empty();
   }
 
   @Override
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -6,6 +6,7 @@
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.PeerAddress;
+import io.umberpath.traffic.ColdStartLimiter;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -40,6 +41,7 @@
         List.of(),
         0,
         new MeshSettings.Retry(10_000, 0.2, 64),
+        ColdStartLimiter.Bounds.RATE_ALONE,
         6_000,
         null);
   }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionControllers.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionControllers.java
@@ -9,8 +9,13 @@
     return new SlotAdmissionController(settings);
   }
 
-  /** Creates the controller of one back end that takes requests in the order they are due. */
-  public static AdmissionController createInDueOrder(AdmissionSettings settings) {
-    return new DueOrderAdmissionController(settings);
+  /**
+   * Creates the controller of one back end that takes requests in the order they are due.
+   *
+   * @param coldStarts bounds what the back end gets while it is cold
+   */
+  public static AdmissionController createInDueOrder(
+      AdmissionSettings settings, ColdStartLimiter coldStarts) {
+    return new DueOrderAdmissionController(settings, coldStarts);
   }
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -16,7 +16,7 @@
  * they have waited too long. So an overload makes some requests late or refused, not all of them
  * late. Owner synchronizes.
  *
- * <p>Invariant: a request waits only while every slot is taken.
+ * <p>Invariant: a request waits only while every slot is taken or the back end is cold.
  */
 final class DueOrderAdmissionController implements AdmissionController {
   private static final double MICROS_PER_MILLI = 1_000.0;
@@ -24,6 +24,7 @@
       Comparator.comparingLong(AdmissionRequest::dueMillis).thenComparingLong(AdmissionRequest::id);
 
   private final AdmissionSettings settings;
+  private final ColdStartLimiter coldStarts;
   private final ServiceTimeEstimate service;
   private final TreeSet<AdmissionRequest> nested = new TreeSet<>(DUE_FIRST);
   private final TreeSet<AdmissionRequest> timely = new TreeSet<>(DUE_FIRST);
@@ -33,8 +34,9 @@
   private int slots;
   private boolean draining;
 
-  DueOrderAdmissionController(AdmissionSettings settings) {
+  DueOrderAdmissionController(AdmissionSettings settings, ColdStartLimiter coldStarts) {
     this.settings = settings;
+    this.coldStarts = coldStarts;
     this.slots = settings.slots();
     this.pressure = new OverloadPressure(settings.maxRetryAfterMillis());
     this.service = new ServiceTimeEstimate(settings.initialServiceMicros());
@@ -48,8 +50,8 @@
     if (ask.deadlineMillis() <= nowMillis) {
       return List.of(new Decision.Refused(ask.id(), Reason.DEADLINE, 0));
     }
-    if (running.size() < slots) {
-      running.add(ask.id());
+    if (queued() == 0 && mayBegin(nowMillis)) {
+      begin(nowMillis, ask);
       pressure.note(false);
       return List.of(new Decision.Admitted(ask.id()));
     }
@@ -62,33 +64,43 @@
     return decisions;
   }
 
+  private boolean mayBegin(long nowMillis) {
+    return running.size() < slots && coldStarts.mayBegin(nowMillis);
+  }
+
+  private void begin(long nowMillis, AdmissionRequest ask) {
+    running.add(ask.id());
+    coldStarts.begins(nowMillis);
+  }
+
   private Decision askTimed(long nowMillis, AdmissionRequest ask) {
-    double waitMillis = waitMillis(nested.size() + timely.headSet(ask).size());
+    double waitMillis = waitMillis(nowMillis, nested.size() + timely.headSet(ask).size());
     boolean isTimely = canBeTimely(nowMillis, ask, waitMillis);
     boolean isRefused = !isTimely && nowMillis <= ask.refuseByMillis();
     pressure.note(isRefused);
     if (isRefused) {
-      return overloaded(ask);
+      return overloaded(nowMillis, ask);
     }
     if (!isTimely) {
-      waitMillis = waitMillis(nested.size() + timely.size() + late.headSet(ask).size());
+      waitMillis = waitMillis(nowMillis, nested.size() + timely.size() + late.headSet(ask).size());
     }
     if (!canBegin(nowMillis, ask, waitMillis)) {
-      return overloaded(ask);
+      return overloaded(nowMillis, ask);
     }
-    return queue(isTimely ? timely : late, ask, waitMillis);
+    return queue(nowMillis, isTimely ? timely : late, ask, waitMillis);
   }
 
   private Decision askNested(long nowMillis, AdmissionRequest ask) {
-    double waitMillis = waitMillis(nested.headSet(ask).size());
+    double waitMillis = waitMillis(nowMillis, nested.headSet(ask).size());
     return canFinish(nowMillis + waitMillis, ask)
-        ? queue(nested, ask, waitMillis)
-        : overloaded(ask);
+        ? queue(nowMillis, nested, ask, waitMillis)
+        : overloaded(nowMillis, ask);
   }
 
-  private Decision queue(TreeSet<AdmissionRequest> queue, AdmissionRequest ask, double waitMillis) {
+  private Decision queue(
+      long nowMillis, TreeSet<AdmissionRequest> queue, AdmissionRequest ask, double waitMillis) {
     if (waitMillis > ask.toleratedWaitMillis() || queued() >= settings.queueLimit()) {
-      return overloaded(ask);
+      return overloaded(nowMillis, ask);
     }
     queue.add(ask);
     return new Decision.Queued(ask.id());
@@ -117,6 +129,7 @@
     demote(nowMillis, decisions);
     refuseTooLate(nowMillis, nested, decisions);
     refuseTooLate(nowMillis, late, decisions);
+    decisions.addAll(dispatch(nowMillis));
     return decisions;
   }
 
@@ -172,10 +185,10 @@
   private List<Decision> dispatch(long nowMillis) {
     List<Decision> decisions = new ArrayList<>();
     demote(nowMillis, decisions);
-    while (running.size() < slots && queued() > 0) {
+    while (queued() > 0 && mayBegin(nowMillis)) {
       AdmissionRequest next = next();
       if (canBegin(nowMillis, next, 0)) {
-        running.add(next.id());
+        begin(nowMillis, next);
         decisions.add(new Decision.Admitted(next.id()));
       } else {
         decisions.add(tooLate(nowMillis, next));
@@ -198,7 +211,7 @@
       if (!canBeTimely(nowMillis, ask, 0)) {
         waiting.remove();
         if (nowMillis <= ask.refuseByMillis()) {
-          decisions.add(overloaded(ask));
+          decisions.add(overloaded(nowMillis, ask));
         } else {
           late.add(ask);
         }
@@ -228,16 +241,17 @@
   /** One that has waited too long: coming back makes sense only if its work still fits. */
   private Decision tooLate(long nowMillis, AdmissionRequest ask) {
     boolean fits = nowMillis + expectedMillis(ask) < ask.deadlineMillis();
-    return fits ? overloaded(ask) : new Decision.Refused(ask.id(), Reason.DEADLINE, 0);
+    return fits ? overloaded(nowMillis, ask) : new Decision.Refused(ask.id(), Reason.DEADLINE, 0);
   }
 
   /** Expected wait behind so many, and one running to end. */
-  private double waitMillis(int ahead) {
-    return (ahead + 1) * service.meanMicros() / slots / MICROS_PER_MILLI;
+  private double waitMillis(long nowMillis, int ahead) {
+    double forSlot = (ahead + 1) * service.meanMicros() / slots / MICROS_PER_MILLI;
+    return Math.max(forSlot, coldStarts.waitMillis(nowMillis, ahead));
   }
 
-  private Decision overloaded(AdmissionRequest ask) {
-    long waitMillis = Math.round(waitMillis(nested.size() + timely.size()));
+  private Decision overloaded(long nowMillis, AdmissionRequest ask) {
+    long waitMillis = Math.round(waitMillis(nowMillis, nested.size() + timely.size()));
     long retryAfter =
         Math.max(settings.minRetryAfterMillis(), waitMillis + pressure.awayMillis(ask.id()));
     return new Decision.Refused(
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
@@ -18,9 +18,13 @@
 final class DueOrderAdmissionControllerTest {
   private static final long FAR = 1_000_000;
 
+  private final ColdStartLimiter coldStarts =
+      new ColdStartLimiter(new ColdStartLimiter.Bounds(1, 0));
+
   /** Two slots of 10 ms. */
   private final AdmissionController controller =
-      AdmissionControllers.createInDueOrder(new AdmissionSettings(2, 6, 4, 10_000, 20, 5_000));
+      AdmissionControllers.createInDueOrder(
+          new AdmissionSettings(2, 6, 4, 10_000, 20, 5_000), coldStarts);
 
   private static AdmissionRequest ask(long id, long dueMillis) {
     return new AdmissionRequest(id, "", Tier.STANDARD, FAR, 0, FAR, dueMillis);
@@ -260,4 +264,26 @@
       assertThat(waiting.isEmpty() || running.size() == 2).isTrue();
     }
   }
+
+  /** Ten requests a second are let in, one each 111 ms at nine tenths of the bound. */
+  @Test
+  void aColdBackendIsGivenWhatItBearsThoughSlotsAreFree() {
+    coldStarts.cold(0, 3_000, 10);
+
+    assertThat(controller.ask(0, ask(1, 600))).containsExactly(new Admitted(1));
+    assertThat(controller.ask(0, ask(2, 600))).containsExactly(new Queued(2));
+    assertThat(controller.tick(100)).isEmpty();
+    assertThat(controller.tick(130)).containsExactly(new Admitted(2));
+  }
+
+  @Test
+  void aColdBackendsWaitCountsWhereARequestMayGoElsewhere() {
+    coldStarts.cold(0, 3_000, 10);
+    controller.ask(0, ask(1, 600));
+
+    AdmissionRequest elsewhere = new AdmissionRequest(2, "", Tier.STANDARD, FAR, 0, 100, 700);
+
+    assertThat(controller.ask(0, elsewhere).get(0)).isInstanceOf(Refused.class);
+    assertThat(controller.ask(3_000, ask(3, 700))).containsExactly(new Admitted(3));
+  }
 }
