Reports between nodes: what a round works out is kept while nothing changes

Change: addresses, delegates, ordered receivers and the election of readers are kept until the nodes or their silence change; connections at rest are looked at once a second, openings and the back end's pool each 100 ms as before; slowness is worked out each 100 ms instead of 20.

--- a/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
@@ -49,6 +49,10 @@
       heardAt.putIfAbsent(address, nowMillis);
       unlistedHeardAt.remove(address);
     }
+    forgetUnlisted(nowMillis);
+  }
+
+  private void forgetUnlisted(long nowMillis) {
     unlistedHeardAt.values().removeIf(heard -> heard + unlistedMillis < nowMillis);
   }
 
@@ -68,6 +72,7 @@
     if (gap > ownPauseMillis) {
       heardAt.replaceAll((address, heard) -> heard + gap);
     }
+    forgetUnlisted(nowMillis);
   }
 
   /** Listed addresses that have been silent for too long. */
--- a/umberpath-control/src/main/java/io/umberpath/control/membership/ReportSchedule.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/ReportSchedule.java
@@ -35,6 +35,7 @@
 
   private final String self;
   private final int phase;
+  private Duties duties;
   private int nextNear;
   private int round;
   private int relayTurn;
@@ -54,24 +55,55 @@
    *     as delegates, nor get digests while others are left
    */
   public Round next(Collection<String> near, Map<String, List<String>> far, Set<String> silent) {
-    List<String> reportTo = nearReceivers(near);
+    if (duties == null || !duties.holdFor(near, far, silent)) {
+      duties = duties(near, far, silent);
+    }
+    List<String> reportTo = nearReceivers(duties.orderedNear());
     List<String> digestTo = new ArrayList<>();
     if (Math.floorMod(round, ROUNDS_PER_DIGEST) == phase) {
       int turn = round / ROUNDS_PER_DIGEST;
-      Set<String> electable = new HashSet<>(near);
-      electable.removeAll(silent);
-      electable.add(self);
-      far.forEach(
-          (zone, hosts) -> {
-            if (Rendezvous.first(DELEGATES, electable, zone).contains(self)) {
-              digestTo.add(receiver(zone, hosts, silent, turn));
-            }
-          });
+      for (String zone : duties.zones()) {
+        digestTo.add(receiver(zone, far.get(zone), silent, turn));
+      }
     }
     round++;
     return new Round(reportTo, digestTo);
   }
 
+  /**
+   * What this node has to do while the nodes stay the same ones: ranking them costs some hundred
+   * hashes, which are not made again each round.
+   *
+   * @param near the nodes that it was worked out from; compared by identity, as callers pass the
+   *     same collections on until something changes
+   * @param orderedNear the nodes of the own zone in order
+   * @param zones zones for which this node is a delegate
+   */
+  private record Duties(
+      Collection<String> near,
+      Map<String, List<String>> far,
+      Set<String> silent,
+      List<String> orderedNear,
+      List<String> zones) {
+    boolean holdFor(Collection<String> near, Map<String, List<String>> far, Set<String> silent) {
+      return this.near == near && this.far == far && this.silent == silent;
+    }
+  }
+
+  private Duties duties(
+      Collection<String> near, Map<String, List<String>> far, Set<String> silent) {
+    Set<String> electable = new HashSet<>(near);
+    electable.removeAll(silent);
+    electable.add(self);
+    List<String> zones = new ArrayList<>();
+    for (String zone : far.keySet()) {
+      if (Rendezvous.first(DELEGATES, electable, zone).contains(self)) {
+        zones.add(zone);
+      }
+    }
+    return new Duties(near, far, silent, List.copyOf(new TreeSet<>(near)), zones);
+  }
+
   /** One reachable node of each other zone, for news that it is to relay there at once. */
   public List<String> relays(Map<String, List<String>> far, Set<String> silent) {
     int turn = relayTurn++;
@@ -80,8 +112,7 @@
     return relays;
   }
 
-  private List<String> nearReceivers(Collection<String> near) {
-    List<String> ordered = new ArrayList<>(new TreeSet<>(near));
+  private List<String> nearReceivers(List<String> ordered) {
     if (ordered.size() <= MAX_NEAR_RECEIVERS) {
       return ordered;
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -86,9 +86,13 @@
     return gate;
   }
 
-  /** Lets time pass: refuses what can no longer be met, looks at what runs. */
+  /** Lets time pass: refuses what can no longer be met. */
   void tick(long nowMillis) {
     gate.tick(nowMillis);
+  }
+
+  /** Looks how slow the back end is by the ages of what runs there. */
+  void observe() {
     List<Slowness.Running> running = new ArrayList<>();
     for (Exchange exchange : gate.runningExchanges()) {
       long expected = expectedMicros(planOf(exchange).route());
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -225,6 +225,7 @@
 
   private void second() {
     events.reportDropped();
+    proxy.closeIdle();
     synchronized (balancer) {
       balancer.forget(clockMillis.getAsLong());
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -143,12 +143,18 @@
     }
   }
 
-  /** Closes connections that have rested for too long, gives up those that do not open. */
+  /** Gives up connections that do not open, and looks how fast the back end is. */
   void sweep() {
+    backendPool.expire(IDLE_BACKEND_MILLIS);
+    origins.giveUpLate();
+    gate.observe();
+  }
+
+  /** Closes connections of callers and other nodes that have rested for too long. */
+  void closeIdle() {
     MeshView current = view.get();
     RequestLimits limits = current.isComplete() ? current.configuration().limits() : null;
     long idleMillis = limits == null ? DEFAULT_IDLE_MILLIS : limits.idleTimeoutMillis();
-    backendPool.expire(IDLE_BACKEND_MILLIS);
     origins.expire(IDLE_PEER_MILLIS);
     edgeFilter.expire(idleMillis, DISCARD_MILLIS);
     gateFilter.expire(IDLE_HOP_MILLIS, DISCARD_MILLIS);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -9,7 +9,6 @@
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -56,9 +55,18 @@
   private final PeerReports reports = new PeerReports();
   private final AttestedBackends attested = new AttestedBackends();
   private final Set<String> leaving = ConcurrentHashMap.newKeySet();
+
+  /** Addresses that were parsed once; a node sends a hundred reports a second. */
+  private final Map<String, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+
   private final Thread thread = new Thread(this::receive, "umberpath-reports");
   private volatile AheadListener aheadListener = (host, near, version, revision) -> {};
   private volatile PeerView peers = PeerView.NOBODY;
+
+  /** Back ends that {@link #known} was made of; guarded by it. */
+  private BackendDirectory listed;
+
+  private volatile Election election = new Election(PeerView.NOBODY, false, Long.MIN_VALUE, false);
   private int leavingRounds;
   private DatagramSocket socket;
 
@@ -112,8 +120,17 @@
   private PeerView look(long nowMillis) {
     synchronized (known) {
       known.tick(nowMillis);
-      known.replace(nowMillis, silenceByHost());
-      return PeerView.of(known.others(), known.silent(nowMillis), settings.zone(), this::zoneOf);
+      BackendDirectory current = view.get().backends();
+      boolean sameBackends = current == listed;
+      if (!sameBackends) {
+        known.replace(nowMillis, silenceByHost(current.hosts()));
+        listed = current;
+      }
+      Set<String> others = known.others();
+      Set<String> silent = known.silent(nowMillis);
+      boolean unchanged =
+          sameBackends && others.equals(peers.others()) && silent.equals(peers.silent());
+      return unchanged ? peers : PeerView.of(others, silent, settings.zone(), this::zoneOf);
     }
   }
 
@@ -149,8 +166,7 @@
     }
   }
 
-  private Map<String, Long> silenceByHost() {
-    Set<String> hosts = view.get().backends().hosts();
+  private Map<String, Long> silenceByHost(Set<String> hosts) {
     SilenceTimes times = SilenceTimes.of((int) hosts.stream().filter(this::isNear).count());
     Map<String, Long> silence = new HashMap<>();
     for (String host : hosts) {
@@ -187,7 +203,9 @@
     int port = settings.exchange().port();
     for (String host : hosts) {
       try {
-        socket.send(new DatagramPacket(bytes, bytes.length, InetAddress.getByName(host), port));
+        InetSocketAddress address =
+            addresses.computeIfAbsent(host, each -> new InetSocketAddress(each, port));
+        socket.send(new DatagramPacket(bytes, bytes.length, address));
       } catch (IOException unreachable) {
         // The next report makes it good; who hears none for long treats this node as out of reach.
         events.reportUnsent(host, unreachable);
@@ -260,12 +278,36 @@
   }
 
   /**
-   * Whether this node is one of those of its zone that call the store.
+   * Whether this node reads the store, and what that was decided from.
+   *
+   * @param refused whether the store did not answer this node lately
+   */
+  private record Election(PeerView peers, boolean refused, long atMillis, boolean reads) {
+    boolean holds(PeerView current, boolean nowRefused, long nowMillis) {
+      return peers == current
+          && refused == nowRefused
+          && nowMillis < atMillis + SilenceTimes.ROUND_MILLIS;
+    }
+  }
+
+  /**
+   * Whether this node is one of those of its zone that call the store; decided once a round of
+   * reports at most, since nothing else changes it.
    *
    * @param refused whether the store did not answer this node lately
    */
   boolean readsStore(boolean refused) {
     PeerView current = peers;
+    long now = clockMillis.getAsLong();
+    Election last = election;
+    if (!last.holds(current, refused, now)) {
+      last = new Election(current, refused, now, electsSelf(current, refused));
+      election = last;
+    }
+    return last.reads();
+  }
+
+  private boolean electsSelf(PeerView current, boolean refused) {
     Set<String> reachable = current.reachableNear();
     reachable.removeAll(leaving);
     Set<String> refusedNodes = new HashSet<>();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginManager.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginManager.java
@@ -52,4 +52,9 @@
     }
     pools.values().removeIf(pool -> pool.isDisused(DISUSED_MILLIS));
   }
+
+  /** Gives up connections that have not opened within their time. */
+  public void giveUpLate() {
+    pools.values().forEach(ConnectionPool::giveUpLate);
+  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
@@ -118,11 +118,24 @@
   public void expire(long idleMillis) {
     long now = clockMillis.getAsLong();
     List<OriginConnection> aged = new ArrayList<>();
-    List<Opening> late = new ArrayList<>();
     synchronized (this) {
       while (!idle.isEmpty() && idle.peekLast().idleSinceMillis() + idleMillis <= now) {
         aged.add(idle.pollLast());
       }
+    }
+    aged.forEach(OriginConnection::close);
+    giveUpLate();
+  }
+
+  /** Gives up connections that have not opened within their time. */
+  public void giveUpLate() {
+    List<Opening> late;
+    synchronized (this) {
+      if (openings.isEmpty()) {
+        return;
+      }
+      long now = clockMillis.getAsLong();
+      late = new ArrayList<>();
       for (Iterator<Opening> each = openings.iterator(); each.hasNext(); ) {
         Opening opening = each.next();
         if (opening.startedMillis + connectTimeoutMillis <= now) {
@@ -131,7 +144,6 @@
         }
       }
     }
-    aged.forEach(OriginConnection::close);
     late.forEach(Opening::giveUp);
   }
 
