Membership: reports of a zone by gossip along a ring, 16 messages a second instead of 96

Cause: with 25 nodes a zone each node sends and receives 96 datagrams a second to report to every other one each 250 ms; each is a wake-up of a process.

Ways: reports to everyone (stands); the same at a slower rhythm (load and silence grow older alike); two aggregating nodes a zone (100 KB/s at each of them); gossip along a ring in two rounds (taken), 5 messages a round at 36 nodes; larger zones report directly as before.

Change: GossipRing, ReportSchedule. Reports have a stamp (run and count), since the same report comes several ways, each with a delay of its own: without it one of a dead node would keep it alive for ever. Nodes not heard of for three rounds are left out of the ring before they count as silent, so that what passed through them comes another way. A node counts as silent after 1.65 s instead of 0.9 (zones of 6 to 36 nodes). Statements of load that are older than the last one are passed over (an answer overtakes reports).

Shown by MembershipAtScaleTest in virtual time: no healthy node silent, also while a tenth of the nodes have died, 10 to 1,000 nodes.

--- a/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
@@ -1,5 +1,6 @@
 package io.umberpath.control.membership;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -87,6 +88,18 @@
     return silent;
   }
 
+  /** Of some addresses, those that have not been heard of for so long. */
+  public Set<String> unheard(Collection<String> addresses, long nowMillis, long millis) {
+    Set<String> unheard = new HashSet<>();
+    for (String address : addresses) {
+      Long heard = heardAt.get(address);
+      if (heard != null && heard + millis < nowMillis) {
+        unheard.add(address);
+      }
+    }
+    return unheard;
+  }
+
   /** All addresses, listed or not, but this node's own. */
   public Set<String> others() {
     Set<String> others = new HashSet<>(heardAt.keySet());
--- a/umberpath-control/src/main/java/io/umberpath/control/membership/ReportSchedule.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/ReportSchedule.java
@@ -9,14 +9,14 @@
 import java.util.TreeSet;
 
 /**
- * Whom a node reports to in each round. Within a zone every node reports to every other one, in
- * turn where the zone is large. Between zones a few delegates of each zone send a digest of all of
- * its nodes to one node there, which relays it. So the longest time between two reports of a node
- * is fixed, and the messages of a node do not grow with the number of nodes elsewhere. Owner
- * synchronizes.
+ * Whom a node reports to in each round. Within a zone a node sends the latest reports that it holds
+ * of the zone along a {@link GossipRing}; in a large one its own to all others, in turn. Between
+ * zones a few delegates of each zone send a digest of all of its nodes to one node there, which
+ * relays it. So the longest time between two reports of a node is fixed, and the messages of a node
+ * do not grow with the number of nodes elsewhere. Owner synchronizes.
  */
 public final class ReportSchedule {
-  /** Nodes of its own zone that a node reports to in one round at most. */
+  /** Nodes of a large zone that a node reports to in one round at most. */
   public static final int MAX_NEAR_RECEIVERS = 40;
 
   /** Delegates of a zone for each other zone; with two, one may be lost without a gap. */
@@ -28,10 +28,11 @@
   /**
    * One round.
    *
-   * @param reportTo nodes that get this node's own report
+   * @param reportTo nodes of the own zone that get this node's own report
+   * @param gossipTo nodes of the own zone that get the latest reports of the zone
    * @param digestTo nodes of other zones that get a digest of the own zone
    */
-  public record Round(List<String> reportTo, List<String> digestTo) {}
+  public record Round(List<String> reportTo, List<String> gossipTo, List<String> digestTo) {}
 
   private final String self;
   private final int phase;
@@ -51,14 +52,22 @@
    *
    * @param near the other nodes of the own zone
    * @param far the nodes of each other zone
-   * @param silent nodes out of reach: they are reported to, in case they are not, but do not count
-   *     as delegates, nor get digests while others are left
+   * @param silent nodes out of reach: they do not count as delegates, nor get digests while others
+   *     are left
+   * @param quiet nodes of the own zone that may be out of reach, those that are silent among them:
+   *     no report travels through them, but one of them in turn is sent to, in case it is there
    */
-  public Round next(Collection<String> near, Map<String, List<String>> far, Set<String> silent) {
+  public Round next(
+      Collection<String> near,
+      Map<String, List<String>> far,
+      Set<String> silent,
+      Set<String> quiet) {
     if (duties == null || !duties.holdFor(near, far, silent)) {
       duties = duties(near, far, silent);
     }
-    List<String> reportTo = nearReceivers(duties.orderedNear());
+    boolean gossips = duties.ordered().size() <= GossipRing.MAX_NODES;
+    List<String> reportTo = gossips ? List.of() : nearReceivers(duties.ordered());
+    List<String> gossipTo = gossips ? gossipReceivers(duties.ordered(), quiet) : List.of();
     List<String> digestTo = new ArrayList<>();
     if (Math.floorMod(round, ROUNDS_PER_DIGEST) == phase) {
       int turn = round / ROUNDS_PER_DIGEST;
@@ -67,7 +76,33 @@
       }
     }
     round++;
-    return new Round(reportTo, digestTo);
+    return new Round(reportTo, gossipTo, digestTo);
+  }
+
+  private List<String> gossipReceivers(List<String> ordered, Set<String> quiet) {
+    List<String> ring = new ArrayList<>(ordered.size());
+    List<String> doubtful = new ArrayList<>();
+    for (String host : ordered) {
+      (quiet.contains(host) ? doubtful : ring).add(host);
+    }
+    List<String> receivers = GossipRing.receivers(ring, ring.indexOf(self), round);
+    if (!doubtful.isEmpty()) {
+      receivers.add(doubtful.get(Math.floorMod(round, doubtful.size())));
+    }
+    return receivers;
+  }
+
+  private List<String> nearReceivers(List<String> ordered) {
+    List<String> receivers = new ArrayList<>();
+    int count = Math.min(MAX_NEAR_RECEIVERS + 1, ordered.size());
+    for (int index = 0; index < count; index++) {
+      receivers.add(ordered.get(Math.floorMod(nextNear + index, ordered.size())));
+    }
+    if (!receivers.remove(self)) {
+      receivers.remove(receivers.size() - 1);
+    }
+    nextNear = Math.floorMod(nextNear + MAX_NEAR_RECEIVERS, ordered.size());
+    return receivers;
   }
 
   /**
@@ -76,14 +111,14 @@
    *
    * @param near the nodes that it was worked out from; compared by identity, as callers pass the
    *     same collections on until something changes
-   * @param orderedNear the nodes of the own zone in order
+   * @param ordered the nodes of the own zone in order, this one among them
    * @param zones zones for which this node is a delegate
    */
   private record Duties(
       Collection<String> near,
       Map<String, List<String>> far,
       Set<String> silent,
-      List<String> orderedNear,
+      List<String> ordered,
       List<String> zones) {
     boolean holdFor(Collection<String> near, Map<String, List<String>> far, Set<String> silent) {
       return this.near == near && this.far == far && this.silent == silent;
@@ -101,7 +136,9 @@
         zones.add(zone);
       }
     }
-    return new Duties(near, far, silent, List.copyOf(new TreeSet<>(near)), zones);
+    Set<String> ordered = new TreeSet<>(near);
+    ordered.add(self);
+    return new Duties(near, far, silent, List.copyOf(ordered), zones);
   }
 
   /** One reachable node of each other zone, for news that it is to relay there at once. */
@@ -112,18 +149,6 @@
     return relays;
   }
 
-  private List<String> nearReceivers(List<String> ordered) {
-    if (ordered.size() <= MAX_NEAR_RECEIVERS) {
-      return ordered;
-    }
-    List<String> receivers = new ArrayList<>();
-    for (int count = 0; count < MAX_NEAR_RECEIVERS; count++) {
-      receivers.add(ordered.get(Math.floorMod(nextNear + count, ordered.size())));
-    }
-    nextNear = Math.floorMod(nextNear + MAX_NEAR_RECEIVERS, ordered.size());
-    return receivers;
-  }
-
   /** Another one each time, so that one that is lost, or does not relay, costs a single digest. */
   private String receiver(String zone, List<String> hosts, Set<String> silent, int turn) {
     List<String> reachable =
@@ -134,11 +159,11 @@
   }
 
   /**
-   * Rounds from one report of a node to its next to the same node of its zone.
+   * Rounds from one report of a node to its next to the same node of a zone that does not gossip.
    *
    * @param zoneNodes nodes of the zone, that node included
    */
-  public static int roundsBetweenReports(int zoneNodes) {
+  static int roundsBetweenReports(int zoneNodes) {
     int others = Math.max(1, zoneNodes - 1);
     return (others + MAX_NEAR_RECEIVERS - 1) / MAX_NEAR_RECEIVERS;
   }
--- a/umberpath-control/src/main/java/io/umberpath/control/membership/SilenceTimes.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/SilenceTimes.java
@@ -6,12 +6,20 @@
  *
  * @param nearMillis for a node of the own zone, milliseconds
  * @param farMillis for a node of another zone, milliseconds
+ * @param quietMillis for a node of the own zone, after which no report travels through it any more,
+ *     milliseconds: earlier, so that the reports behind it come another way in time
  */
-public record SilenceTimes(long nearMillis, long farMillis) {
+public record SilenceTimes(long nearMillis, long farMillis, long quietMillis) {
   /** Time between two rounds of reports, milliseconds. */
   public static final long ROUND_MILLIS = 250;
 
-  /** Reports in a row that must be missing before a node of the own zone counts as silent. */
+  /**
+   * Rounds beyond twice the way through the zone that reports of a node may be missing: the first
+   * way meets a node that has died, which is quiet one round later, and another one is taken.
+   */
+  private static final int SPARE_ROUNDS = 2;
+
+  /** Reports in a row that must be missing where each comes from the node itself. */
   private static final int MISSED_REPORTS = 3;
 
   /**
@@ -25,9 +33,14 @@
 
   /** The times of a node whose zone has so many nodes, itself included. */
   public static SilenceTimes of(int zoneNodes) {
-    long reports = MISSED_REPORTS * ReportSchedule.roundsBetweenReports(zoneNodes) * ROUND_MILLIS;
-    long near = reports + LATE_MILLIS;
+    boolean relayed = zoneNodes <= GossipRing.MAX_NODES && GossipRing.levels(zoneNodes) > 1;
+    int between =
+        relayed ? GossipRing.levels(zoneNodes) : ReportSchedule.roundsBetweenReports(zoneNodes);
+    int rounds = relayed ? 2 * between + SPARE_ROUNDS : MISSED_REPORTS * between;
+    int quietRounds = relayed ? between + 1 : rounds;
+    long near = rounds * ROUND_MILLIS + LATE_MILLIS;
     long digests = MISSED_DIGESTS * ReportSchedule.ROUNDS_PER_DIGEST * ROUND_MILLIS;
-    return new SilenceTimes(near, near + digests + LATE_MILLIS);
+    long quiet = quietRounds * ROUND_MILLIS + LATE_MILLIS;
+    return new SilenceTimes(near, near + digests + LATE_MILLIS, quiet);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -19,13 +19,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
- * Reports between nodes: each tells the others its load, what it holds and that it is there, nodes
- * of its zone directly and those of other zones by digests (see {@link ReportSchedule}). Reports
- * are datagrams; one that is lost is made good by the next. Thread-safe.
+ * Reports between nodes: each tells the others its load, what it holds and that it is there, within
+ * its zone by gossip and to other zones by digests (see {@link ReportSchedule}). Reports are
+ * datagrams; one that is lost is made good by the next. Thread-safe.
  */
 final class PeerExchange implements AutoCloseable {
   /** How long a node that is not listed counts after its last report, milliseconds. */
@@ -67,7 +69,13 @@
   private BackendDirectory listed;
 
   private volatile Election election = new Election(PeerView.NOBODY, false, Long.MIN_VALUE, false);
+  private volatile SilenceTimes silenceTimes = SilenceTimes.of(1);
   private int leavingRounds;
+
+  /** Tells the reports of this process from those of the one before it. */
+  private final int run = ThreadLocalRandom.current().nextInt();
+
+  private final AtomicInteger reportCount = new AtomicInteger();
   private DatagramSocket socket;
 
   PeerExchange(
@@ -110,11 +118,23 @@
     attested.heard(now, self, report.attested());
     ReportSchedule.Round round;
     synchronized (schedule) {
-      round = schedule.next(current.near(), current.farByZone(), current.silent());
+      Set<String> quiet = quiet(now, current);
+      round = schedule.next(current.near(), current.farByZone(), current.silent(), quiet);
     }
     boolean toAll = report.leaving() && leavingRounds++ < LEAVING_ROUNDS;
-    send(own(PeerMessage.Kind.REPORT, report), toAll ? current.others() : round.reportTo());
-    sendDigest(now, report, round.digestTo());
+    PeerMessage.Entry own = stamped(report);
+    send(PeerMessage.Kind.REPORTS, List.of(own), toAll ? current.others() : round.reportTo());
+    if (!round.gossipTo().isEmpty() || !round.digestTo().isEmpty()) {
+      List<PeerMessage.Entry> zone = reportsOfZone(now, own);
+      send(PeerMessage.Kind.REPORTS, zone, round.gossipTo());
+      send(PeerMessage.Kind.DIGEST, zone, round.digestTo());
+    }
+  }
+
+  private Set<String> quiet(long nowMillis, PeerView current) {
+    synchronized (known) {
+      return known.unheard(current.near(), nowMillis, silenceTimes.quietMillis());
+    }
   }
 
   private PeerView look(long nowMillis) {
@@ -141,33 +161,34 @@
     synchronized (schedule) {
       relays = schedule.relays(current.farByZone(), current.silent());
     }
-    send(own(PeerMessage.Kind.REPORT, report), current.near());
-    send(own(PeerMessage.Kind.DIGEST, report), relays);
+    List<PeerMessage.Entry> own = List.of(stamped(report));
+    send(PeerMessage.Kind.REPORTS, own, current.near());
+    send(PeerMessage.Kind.DIGEST, own, relays);
   }
 
-  private PeerMessage own(PeerMessage.Kind kind, PeerReport report) {
-    return new PeerMessage(kind, List.of(new PeerMessage.Entry(self, 0, report)));
+  private PeerMessage.Entry stamped(PeerReport report) {
+    PeerMessage.Stamp stamp = new PeerMessage.Stamp(run, reportCount.incrementAndGet());
+    return new PeerMessage.Entry(self, 0, stamp, report);
   }
 
-  private void sendDigest(long nowMillis, PeerReport report, List<String> receivers) {
-    if (receivers.isEmpty()) {
-      return;
-    }
+  /** This node's report and the latest that it holds of the others of its zone in reach. */
+  private List<PeerMessage.Entry> reportsOfZone(long nowMillis, PeerMessage.Entry own) {
     List<PeerMessage.Entry> entries = new ArrayList<>();
-    entries.add(new PeerMessage.Entry(self, 0, report));
+    entries.add(own);
     reports
         .of(peers.reachableNear())
-        .forEach(
-            (host, heard) ->
-                entries.add(
-                    new PeerMessage.Entry(host, nowMillis - heard.atMillis(), heard.report())));
-    for (PeerMessage message : PeerMessage.split(PeerMessage.Kind.DIGEST, entries)) {
-      send(message, receivers);
-    }
+        .forEach((host, heard) -> entries.add(entry(host, heard, nowMillis)));
+    return entries;
+  }
+
+  private static PeerMessage.Entry entry(String host, PeerReports.Heard heard, long nowMillis) {
+    long ageMillis = nowMillis - heard.atMillis();
+    return new PeerMessage.Entry(host, ageMillis, heard.stamp(), heard.report());
   }
 
   private Map<String, Long> silenceByHost(Set<String> hosts) {
     SilenceTimes times = SilenceTimes.of((int) hosts.stream().filter(this::isNear).count());
+    silenceTimes = times;
     Map<String, Long> silence = new HashMap<>();
     for (String host : hosts) {
       silence.put(host, isNear(host) ? times.nearMillis() : times.farMillis());
@@ -198,8 +219,14 @@
     }
   }
 
-  private void send(PeerMessage message, Collection<String> hosts) {
-    byte[] bytes = message.encode();
+  private void send(
+      PeerMessage.Kind kind, List<PeerMessage.Entry> entries, Collection<String> hosts) {
+    if (!hosts.isEmpty()) {
+      PeerMessage.split(kind, entries).forEach(message -> send(message.encode(), hosts));
+    }
+  }
+
+  private void send(byte[] bytes, Collection<String> hosts) {
     int port = settings.exchange().port();
     for (String host : hosts) {
       try {
@@ -242,23 +269,25 @@
       return;
     }
     if (message.kind() == PeerMessage.Kind.DIGEST) {
-      send(new PeerMessage(PeerMessage.Kind.RELAYED, message.entries()), peers.near());
+      send(PeerMessage.Kind.REPORTS, message.entries(), peers.near());
     }
     long now = clockMillis.getAsLong();
     for (PeerMessage.Entry entry : message.entries()) {
       if (!entry.host().equals(self)) {
-        take(entry.host(), entry.report(), now - entry.ageMillis());
+        take(entry, now - entry.ageMillis());
       }
     }
   }
 
-  private void take(String host, PeerReport report, long atMillis) {
+  private void take(PeerMessage.Entry entry, long atMillis) {
+    String host = entry.host();
+    PeerReport report = entry.report();
+    if (!reports.take(host, entry.stamp(), report, atMillis)) {
+      return;
+    }
     synchronized (known) {
       known.heard(atMillis, host);
     }
-    if (!reports.take(host, report, atMillis)) {
-      return;
-    }
     if (report.leaving()) {
       leaving.add(host);
     } else {
@@ -267,9 +296,11 @@
     attested.heard(atMillis, host, report.attested());
     MeshView current = view.get();
     synchronized (balancer) {
-      report.attested().ifPresent(entry -> balancer.stated(atMillis, entry.id(), report.load()));
-      for (BackendEntry entry : current.backends().atHost(host)) {
-        balancer.stated(atMillis, entry.id(), report.load());
+      report
+          .attested()
+          .ifPresent(backend -> balancer.stated(atMillis, backend.id(), report.load()));
+      for (BackendEntry backend : current.backends().atHost(host)) {
+        balancer.stated(atMillis, backend.id(), report.load());
       }
     }
     if (report.version() > current.version() || report.revision() > current.revision()) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerMessage.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerMessage.java
@@ -18,12 +18,10 @@
 record PeerMessage(Kind kind, List<Entry> entries) {
   /** What a receiver does with a message. */
   enum Kind {
-    /** The sender's own report. */
-    REPORT,
+    /** Reports of the sender, or of several nodes, for the receiver alone. */
+    REPORTS,
     /** Reports of the sender's zone, for the whole zone of the receiver: it relays them. */
-    DIGEST,
-    /** A digest that was relayed already. */
-    RELAYED
+    DIGEST
   }
 
   /**
@@ -31,9 +29,18 @@
    *
    * @param host address of the node
    * @param ageMillis time since the sender heard it, milliseconds; no clock of another node is
-   *     needed to tell which of two reports is the later
+   *     needed to tell how long ago it was there
+   * @param stamp names the report, whichever way it takes
    */
-  record Entry(String host, long ageMillis, PeerReport report) {}
+  record Entry(String host, long ageMillis, Stamp stamp, PeerReport report) {}
+
+  /**
+   * Which report of a node it is.
+   *
+   * @param run drawn at each start of the node
+   * @param count rises with each report of that run
+   */
+  record Stamp(int run, int count) {}
 
   /** Largest datagram, bytes: passes every link whole. */
   static final int MAX_BYTES = 1_400;
@@ -72,6 +79,8 @@
       for (Entry entry : entries) {
         out.writeString(entry.host());
         out.writeNumber(entry.ageMillis());
+        out.writeNumber(entry.stamp().run());
+        out.writeNumber(entry.stamp().count());
         entry.report().write(out);
       }
       out.writeEndArray();
@@ -106,8 +115,12 @@
     String host = in.getText();
     require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no age where one is due");
     long age = Math.max(0, in.getLongValue());
+    require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no run where one is due");
+    int run = in.getIntValue();
+    require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no count where one is due");
+    Stamp stamp = new Stamp(run, in.getIntValue());
     require(in.nextToken() == JsonToken.START_ARRAY, "has no report where one is due");
-    return new Entry(host, age, PeerReport.read(in));
+    return new Entry(host, age, stamp, PeerReport.read(in));
   }
 
   private static void require(boolean wellFormed, String problem) throws IOException {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReports.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReports.java
@@ -16,17 +16,28 @@
    *
    * @param atMillis when it was made, as far as known
    */
-  record Heard(PeerReport report, long atMillis) {}
+  record Heard(PeerReport report, PeerMessage.Stamp stamp, long atMillis) {
+    /**
+     * Whether another report of the node is later. The same one may come several ways, each with a
+     * delay of its own, so that within a run of the node only its own count tells.
+     */
+    private boolean isBefore(PeerMessage.Stamp otherStamp, long otherAtMillis) {
+      return stamp.run() == otherStamp.run()
+          ? otherStamp.count() > stamp.count()
+          : otherAtMillis > atMillis;
+    }
+  }
 
   private final Map<String, Heard> byHost = new HashMap<>();
 
   /** Takes a report; false if a later one is known. */
-  synchronized boolean take(String host, PeerReport report, long atMillis) {
+  synchronized boolean take(
+      String host, PeerMessage.Stamp stamp, PeerReport report, long atMillis) {
     Heard before = byHost.get(host);
-    if (before != null && before.atMillis() >= atMillis) {
+    if (before != null && !before.isBefore(stamp, atMillis)) {
       return false;
     }
-    byHost.put(host, new Heard(report, atMillis));
+    byHost.put(host, new Heard(report, stamp, atMillis));
     return true;
   }
 
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/GateBalancer.java
@@ -95,6 +95,7 @@
   private static final class View {
     private final long firstSeenMillis;
     private boolean isStated;
+    private long statedMillis = Long.MIN_VALUE;
     private double outstanding;
     private int own;
     private int slots = 1;
@@ -320,9 +321,18 @@
     }
   }
 
-  /** Takes what the node beside the back end stated. */
+  /**
+   * Takes what the node beside the back end stated.
+   *
+   * @param nowMillis when it did
+   */
   public void stated(long nowMillis, String id, GateLoad load) {
     View view = view(nowMillis, id);
+    if (nowMillis < view.statedMillis) {
+      // Reports pass through other nodes; an answer of the gate may have overtaken one.
+      return;
+    }
+    view.statedMillis = nowMillis;
     view.isStated = true;
     view.outstanding = load.running() + load.queued();
     view.slots = load.slots();
@@ -358,7 +368,7 @@
 
   private View view(long nowMillis, String id) {
     View view = views.computeIfAbsent(id, absent -> new View(nowMillis));
-    view.touchedMillis = nowMillis;
+    view.touchedMillis = Math.max(view.touchedMillis, nowMillis);
     return view;
   }
 }
