--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreChanges.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreChanges.java
@@ -9,8 +9,19 @@
  * @param at revision that they lead to; -1 if nothing is held
  * @param items items that were written since
  * @param gone items that were removed since
+ * @param patches changes of large items, each of the item that the one before it makes
  */
-public record StoreChanges(long after, long at, List<StoreItem> items, List<StoreEvent.Gone> gone) {
+public record StoreChanges(
+    long after,
+    long at,
+    List<StoreItem> items,
+    List<StoreEvent.Gone> gone,
+    List<ItemPatch> patches) {
+  /** Changes without patches. */
+  public StoreChanges(long after, long at, List<StoreItem> items, List<StoreEvent.Gone> gone) {
+    this(after, at, items, gone, List.of());
+  }
+
   /** Start of changes that are the whole state. */
   public static final long FROM_NOTHING = -1;
 
--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -1,6 +1,7 @@
 package io.umberpath.control.store;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,7 @@
   private final DoubleSupplier random;
   private Map<String, StoreItem> items = new HashMap<>();
   private Map<String, StoreItem> pages = new HashMap<>();
+  private final PatchHistory history = new PatchHistory();
   private final ArrayDeque<StoreEvent.Gone> removals = new ArrayDeque<>();
 
   /** Revision after which every removal is remembered. */
@@ -142,6 +144,12 @@
       return false;
     }
     boolean changed = at < 0 || !items.equals(newItems);
+    for (StoreItem item : newItems.values()) {
+      StoreItem held = items.get(item.key());
+      if (held != null) {
+        history.replaced(held, item);
+      }
+    }
     items = newItems;
     at = newAt;
     removals.clear();
@@ -180,6 +188,9 @@
       return false;
     }
     if (event instanceof StoreEvent.Put put) {
+      if (held != null) {
+        history.replaced(held, put.item());
+      }
       items.put(event.key(), put.item());
       return true;
     }
@@ -194,20 +205,47 @@
     }
   }
 
-  /**
-   * Takes changes that another node holds, if they lead further than this one is.
-   *
-   * @return whether the items have changed
-   */
-  public boolean adopt(StoreChanges changes) {
+  /** What became of the changes of another node. */
+  public enum Adoption {
+    /** The items have changed. */
+    CHANGED,
+    /** The items are as before. */
+    UNCHANGED,
+    /** A patch is not for the item that is held: nothing was taken, the whole state is needed. */
+    UNFIT
+  }
+
+  /** Takes changes that another node holds, whole or not at all, if they lead further. */
+  public Adoption adopt(StoreChanges changes) {
     if (changes.at() <= at || changes.after() > at) {
-      return false;
+      return Adoption.UNCHANGED;
     }
-    boolean changed = changes.isWhole() ? adoptWhole(changes) : adoptSteps(changes);
+    Optional<Map<String, StoreItem>> patched = patched(changes.patches());
+    if (patched.isEmpty()) {
+      return Adoption.UNFIT;
+    }
+    boolean changed = changes.isWhole() ? adoptWhole(changes) : adoptSteps(changes, patched.get());
     if (reading && firstPageAt < 0) {
       reading = false;
     }
-    return changed;
+    return changed ? Adoption.CHANGED : Adoption.UNCHANGED;
+  }
+
+  /** The items that patches make of those held; empty if one does not fit. */
+  private Optional<Map<String, StoreItem>> patched(List<ItemPatch> patches) {
+    Map<String, StoreItem> made = new HashMap<>();
+    for (ItemPatch patch : patches) {
+      StoreItem held = made.getOrDefault(patch.key(), items.get(patch.key()));
+      if (held != null && held.revision() >= patch.revision()) {
+        continue;
+      }
+      Optional<StoreItem> item = patch.applyTo(held);
+      if (item.isEmpty()) {
+        return Optional.empty();
+      }
+      made.put(patch.key(), item.get());
+    }
+    return Optional.of(made);
   }
 
   private boolean adoptWhole(StoreChanges changes) {
@@ -216,8 +254,15 @@
     return replace(adopted, changes.at());
   }
 
-  private boolean adoptSteps(StoreChanges changes) {
-    boolean changed = false;
+  private boolean adoptSteps(StoreChanges changes, Map<String, StoreItem> patched) {
+    boolean changed = !patched.isEmpty();
+    for (ItemPatch patch : changes.patches()) {
+      StoreItem held = items.get(patch.key());
+      if (held != null && held.revision() < patch.revision()) {
+        history.remember(patch);
+      }
+    }
+    items.putAll(patched);
     for (StoreEvent.Gone gone : changes.gone()) {
       changed |= apply(gone);
     }
@@ -228,16 +273,35 @@
     return changed;
   }
 
-  /** What changed after a revision; the whole state if that is further back than is remembered. */
-  public StoreChanges changesSince(long after) {
+  /** What a node lacks; the whole state if it is further back than is remembered. */
+  public StoreChanges changesSince(StateRequest request) {
+    long after = request.after();
     if (at < 0 || after < removalsSince) {
       return new StoreChanges(StoreChanges.FROM_NOTHING, at, items(), List.of());
     }
-    List<StoreItem> written =
-        items.values().stream().filter(item -> item.revision() > after).toList();
+    List<StoreItem> written = new ArrayList<>();
+    List<ItemPatch> patches = new ArrayList<>();
+    for (StoreItem item : items.values()) {
+      if (item.revision() > after) {
+        history
+            .between(item.key(), request.largestRevision(), item.revision())
+            .ifPresentOrElse(patches::addAll, () -> written.add(item));
+      }
+    }
     List<StoreEvent.Gone> gone =
         removals.stream().filter(removal -> removal.revision() > after).toList();
-    return new StoreChanges(after, at, written, gone);
+    return new StoreChanges(after, at, written, gone, patches);
+  }
+
+  /** What this node holds, for another one to carry on from. */
+  public StateRequest request() {
+    StoreItem largest = null;
+    for (StoreItem item : items.values()) {
+      if (largest == null || item.value().length() > largest.value().length()) {
+        largest = item;
+      }
+    }
+    return new StateRequest(at, largest == null ? StoreChanges.FROM_NOTHING : largest.revision());
   }
 
   /** The items by key order of no meaning; empty before the first whole read. */
--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/TextPatch.java
@@ -0,0 +1,160 @@
+package io.umberpath.control.store;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.zip.CRC32;
+
+/**
+ * What makes one text of another: pieces that are copied from the old one and pieces that are new.
+ * A change of one rule in a configuration of 1,600 (260 KB) is some hundred bytes. Immutable.
+ *
+ * @param pieces in the order of the new text
+ * @param length length of the new text, characters
+ * @param checksum CRC-32 of the new text in UTF-8
+ */
+public record TextPatch(List<Piece> pieces, int length, long checksum) {
+  /** One piece of the new text. */
+  public sealed interface Piece {
+    /** A range of the old text. */
+    record Copy(int from, int length) implements Piece {}
+
+    /** Text that the old one does not have there. */
+    record Insert(String text) implements Piece {}
+  }
+
+  /**
+   * Where texts are cut for the comparison: structured documents repeat whole objects, so that cuts
+   * at their beginnings find the same pieces again wherever they have moved to.
+   */
+  private static final char CUT = '{';
+
+  /** Copies the pieces. */
+  public TextPatch {
+    pieces = List.copyOf(pieces);
+  }
+
+  /** The patch that makes the new text of the old one. */
+  public static TextPatch between(String old, String text) {
+    List<int[]> oldCuts = cuts(old);
+    Map<String, Integer> firstByText = new HashMap<>();
+    for (int index = 0; index < oldCuts.size(); index++) {
+      firstByText.putIfAbsent(piece(old, oldCuts.get(index)), index);
+    }
+    PieceList pieces = new PieceList();
+    int next = 0;
+    for (int[] cut : cuts(text)) {
+      String piece = piece(text, cut);
+      boolean follows = next < oldCuts.size() && piece(old, oldCuts.get(next)).equals(piece);
+      Integer found = follows ? Integer.valueOf(next) : firstByText.get(piece);
+      if (found == null) {
+        pieces.insert(piece);
+      } else {
+        pieces.copy(oldCuts.get(found)[0], piece.length());
+        next = found + 1;
+      }
+    }
+    return new TextPatch(pieces.all(), text.length(), checksumOf(text));
+  }
+
+  /** The new text; empty if the old one is not that which the patch was made for. */
+  public Optional<String> applyTo(String old) {
+    StringBuilder text = new StringBuilder(length);
+    for (Piece piece : pieces) {
+      if (piece instanceof Piece.Insert insert) {
+        text.append(insert.text());
+      } else if (piece instanceof Piece.Copy copy) {
+        int end = copy.from() + copy.length();
+        if (copy.from() < 0 || copy.length() < 0 || end < 0 || end > old.length()) {
+          return Optional.empty();
+        }
+        text.append(old, copy.from(), end);
+      }
+      if (text.length() > length) {
+        return Optional.empty();
+      }
+    }
+    String made = text.toString();
+    boolean fits = made.length() == length && checksumOf(made) == checksum;
+    return fits ? Optional.of(made) : Optional.empty();
+  }
+
+  /** Characters that the patch itself carries. */
+  int insertedLength() {
+    int inserted = 0;
+    for (Piece piece : pieces) {
+      inserted += piece instanceof Piece.Insert insert ? insert.text().length() : 0;
+    }
+    return inserted;
+  }
+
+  private static long checksumOf(String text) {
+    CRC32 checksum = new CRC32();
+    checksum.update(text.getBytes(StandardCharsets.UTF_8));
+    return checksum.getValue();
+  }
+
+  /** Ranges from one cut to the next: begin and end. */
+  private static List<int[]> cuts(String text) {
+    List<int[]> cuts = new ArrayList<>();
+    int begin = 0;
+    while (begin < text.length()) {
+      int end = text.indexOf(CUT, begin + 1);
+      end = end < 0 ? text.length() : end;
+      cuts.add(new int[] {begin, end});
+      begin = end;
+    }
+    return cuts;
+  }
+
+  private static String piece(String text, int[] cut) {
+    return text.substring(cut[0], cut[1]);
+  }
+
+  /** Pieces, of which those that follow on each other are one. */
+  private static final class PieceList {
+    private final List<Piece> done = new ArrayList<>();
+    private final StringBuilder inserted = new StringBuilder();
+    private int copyFrom;
+    private int copied;
+
+    void insert(String text) {
+      endCopy();
+      inserted.append(text);
+    }
+
+    void copy(int from, int length) {
+      endInsert();
+      if (copied > 0 && copyFrom + copied == from) {
+        copied += length;
+        return;
+      }
+      endCopy();
+      copyFrom = from;
+      copied = length;
+    }
+
+    private void endInsert() {
+      if (inserted.length() > 0) {
+        done.add(new Piece.Insert(inserted.toString()));
+        inserted.setLength(0);
+      }
+    }
+
+    private void endCopy() {
+      if (copied > 0) {
+        done.add(new Piece.Copy(copyFrom, copied));
+        copied = 0;
+      }
+    }
+
+    List<Piece> all() {
+      endInsert();
+      endCopy();
+      return done;
+    }
+  }
+}
--- a/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.umberpath.control.store.StoreWatcher.Adoption;
 import io.umberpath.control.store.StoreWatcher.Step;
 import java.util.List;
 import java.util.Optional;
@@ -29,6 +30,15 @@
     return new StoreChanges(StoreChanges.FROM_NOTHING, at, List.of(items), List.of());
   }
 
+  private static StateRequest since(long revision) {
+    return new StateRequest(revision, StoreChanges.FROM_NOTHING);
+  }
+
+  /** An item long enough for patches, of which only the end differs. */
+  private static StoreItem large(int end, long revision) {
+    return item("large", "{some text}".repeat(1_000) + "{" + end + "}", revision);
+  }
+
   private StoreCall call(long now) {
     return ((Step.Call) watcher.next(now)).call();
   }
@@ -139,8 +149,8 @@
   void takesANewerStateOfAnotherNode() {
     watcher.answered(0, page(false, 10, item("a", "1", 3)));
 
-    assertThat(watcher.adopt(whole(20, item("a", "2", 15)))).isTrue();
-    assertThat(watcher.adopt(whole(19, item("a", "1", 3)))).isFalse();
+    assertThat(watcher.adopt(whole(20, item("a", "2", 15)))).isEqualTo(Adoption.CHANGED);
+    assertThat(watcher.adopt(whole(19, item("a", "1", 3)))).isEqualTo(Adoption.UNCHANGED);
 
     assertThat(watcher.items()).containsExactly(item("a", "2", 15));
     assertThat(call(0)).isEqualTo(new StoreCall.Watch("", 20, 6_000));
@@ -173,19 +183,19 @@
   void changesSinceARevisionBringAnotherWatcherToTheSameState() {
     StoreWatcher behind = new StoreWatcher("", SETTINGS, () -> 1);
     watcher.answered(0, page(false, 10, item("a", "1", 3), item("b", "1", 4), item("c", "1", 5)));
-    behind.adopt(watcher.changesSince(-1));
+    behind.adopt(watcher.changesSince(since(-1)));
     watcher.answered(
         0, events(14, new StoreEvent.Gone("b", 12), new StoreEvent.Put(item("a", "2", 14))));
 
-    StoreChanges changes = watcher.changesSince(10);
+    StoreChanges changes = watcher.changesSince(since(10));
 
     assertThat(changes.isWhole()).isFalse();
     assertThat(changes.items()).containsExactly(item("a", "2", 14));
     assertThat(changes.gone()).containsExactly(new StoreEvent.Gone("b", 12));
-    assertThat(behind.adopt(changes)).isTrue();
+    assertThat(behind.adopt(changes)).isEqualTo(Adoption.CHANGED);
     assertThat(behind.at()).isEqualTo(14);
     assertThat(behind.items()).containsExactlyInAnyOrderElementsOf(watcher.items());
-    assertThat(behind.changesSince(10)).isEqualTo(changes);
+    assertThat(behind.changesSince(since(10))).isEqualTo(changes);
   }
 
   /** Removals before the last whole read are not known: who is further behind needs the whole. */
@@ -193,8 +203,8 @@
   void aNodeThatIsBehindTheLastWholeReadGetsTheWholeState() {
     watcher.answered(0, page(false, 10, item("a", "1", 3)));
 
-    assertThat(watcher.changesSince(9)).isEqualTo(whole(10, item("a", "1", 3)));
-    assertThat(watcher.changesSince(10).isWhole()).isFalse();
+    assertThat(watcher.changesSince(since(9))).isEqualTo(whole(10, item("a", "1", 3)));
+    assertThat(watcher.changesSince(since(10)).isWhole()).isFalse();
   }
 
   @Test
@@ -204,15 +214,73 @@
       watcher.answered(0, events(revision, new StoreEvent.Gone("key-" + revision, revision)));
     }
 
-    assertThat(watcher.changesSince(10).isWhole()).isTrue();
-    assertThat(watcher.changesSince(1_500).gone()).hasSize(510);
+    assertThat(watcher.changesSince(since(10)).isWhole()).isTrue();
+    assertThat(watcher.changesSince(since(1_500)).gone()).hasSize(510);
   }
 
   @Test
   void changesThatBeginAfterWhatIsHeldAreNotTaken() {
     watcher.answered(0, page(false, 10, item("a", "1", 3)));
 
-    assertThat(watcher.adopt(new StoreChanges(12, 14, List.of(), List.of()))).isFalse();
+    assertThat(watcher.adopt(new StoreChanges(12, 14, List.of(), List.of())))
+        .isEqualTo(Adoption.UNCHANGED);
     assertThat(watcher.at()).isEqualTo(10);
   }
+
+  private StoreWatcher watcherOf(StoreItem item, long at) {
+    StoreWatcher other = new StoreWatcher("", SETTINGS, () -> 1);
+    other.answered(0, page(false, at, item));
+    return other;
+  }
+
+  @Test
+  void aLargeItemTravelsAsPatchesThatAreHandedOn() {
+    StoreWatcher second = watcherOf(large(1, 5), 5);
+    StoreWatcher third = watcherOf(large(1, 5), 5);
+    watcher.answered(0, page(false, 5, large(1, 5)));
+    watcher.answered(0, events(8, new StoreEvent.Put(large(2, 8))));
+    watcher.answered(1_000, events(9, new StoreEvent.Put(large(3, 9))));
+
+    StoreChanges changes = watcher.changesSince(second.request());
+    assertThat(changes.items()).isEmpty();
+    assertThat(changes.patches()).hasSize(2);
+    assertThat(second.adopt(changes)).isEqualTo(Adoption.CHANGED);
+    assertThat(second.items()).containsExactly(large(3, 9));
+
+    StoreChanges handedOn = second.changesSince(third.request());
+    assertThat(handedOn.patches()).isEqualTo(changes.patches());
+    assertThat(third.adopt(handedOn)).isEqualTo(Adoption.CHANGED);
+    assertThat(third.items()).containsExactly(large(3, 9));
+  }
+
+  @Test
+  void aNodeWhoseItemNoPatchLeadsOnFromGetsItWhole() {
+    watcher.answered(0, page(false, 5, large(1, 5)));
+    watcher.answered(0, events(9, new StoreEvent.Put(large(3, 9))));
+    StoreWatcher between = watcherOf(large(2, 8), 8);
+
+    StoreChanges changes = watcher.changesSince(between.request());
+
+    assertThat(changes.patches()).isEmpty();
+    assertThat(between.adopt(changes)).isEqualTo(Adoption.CHANGED);
+    assertThat(between.items()).containsExactly(large(3, 9));
+  }
+
+  /** Never a half state: the other changes that came with an unfit patch are not taken either. */
+  @Test
+  void changesWithAPatchThatDoesNotFitAreNotTakenAtAll() {
+    watcher.answered(0, page(false, 5, large(1, 5)));
+    watcher.answered(
+        0, events(9, new StoreEvent.Put(large(3, 8)), new StoreEvent.Put(item("a", "1", 9))));
+    StoreItem otherText = item("large", large(1, 5).value().replaceFirst("some", "same"), 5);
+    StoreWatcher other = watcherOf(otherText, 5);
+
+    StoreChanges changes = watcher.changesSince(other.request());
+
+    assertThat(other.adopt(changes)).isEqualTo(Adoption.UNFIT);
+    assertThat(other.items()).containsExactly(otherText);
+    assertThat(other.at()).isEqualTo(5);
+    assertThat(other.adopt(watcher.changesSince(StateRequest.WHOLE))).isEqualTo(Adoption.CHANGED);
+    assertThat(other.items()).containsExactlyInAnyOrderElementsOf(watcher.items());
+  }
 }
--- a/umberpath-model/src/main/java/io/umberpath/model/routing/RoutingRule.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/routing/RoutingRule.java
@@ -29,4 +29,9 @@
   public RoutingRule {
     targets = List.copyOf(targets);
   }
+
+  /** The services that its requests go to. */
+  public List<String> services() {
+    return targets.stream().map(WeightedService::service).toList();
+  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/EncodedChanges.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/EncodedChanges.java
@@ -12,7 +12,12 @@
   /** Spans of changes kept; nodes of a zone differ by a change or two. */
   private static final int MAX_KEPT = 4;
 
-  private record Span(long after, long at) {}
+  /**
+   * What an encoding holds.
+   *
+   * @param firstPatched revision of the item that the first patch applies to; -1 without patches
+   */
+  private record Span(long after, long at, long firstPatched) {}
 
   private final Map<Span, byte[]> bySpan =
       new LinkedHashMap<>() {
@@ -25,7 +30,11 @@
       };
 
   synchronized byte[] of(StoreChanges changes) {
-    Span span = new Span(changes.after(), changes.at());
+    Span span = new Span(changes.after(), changes.at(), firstPatched(changes));
     return bySpan.computeIfAbsent(span, absent -> StateChangesCodec.encode(changes));
   }
+
+  private static long firstPatched(StoreChanges changes) {
+    return changes.patches().isEmpty() ? -1 : changes.patches().get(0).fromRevision();
+  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.control.membership.SilenceTimes;
+import io.umberpath.control.store.StateRequest;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.control.store.StoreWatcherSettings;
@@ -274,10 +275,10 @@
         backendLeaving ? Optional.empty() : attester.attested());
   }
 
-  private byte[] changesSince(long revision) {
+  private byte[] changesSince(StateRequest request) {
     StoreChanges changes;
     synchronized (state) {
-      changes = state.watcher().changesSince(revision);
+      changes = state.watcher().changesSince(request);
     }
     return encodedChanges.of(changes);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.control.store.StateRequest;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StoreWatcher;
@@ -42,13 +43,24 @@
     return watcher;
   }
 
-  /** Takes changes of another node that lead further than this node is. */
-  synchronized void adopt(StoreChanges changes, String peer) {
-    if (watcher.adopt(changes)) {
+  /**
+   * Takes changes of another node that lead further than this node is.
+   *
+   * @return whether they fit what this node holds; if not, nothing was taken
+   */
+  synchronized boolean adopt(StoreChanges changes, String peer) {
+    StoreWatcher.Adoption adoption = watcher.adopt(changes);
+    if (adoption == StoreWatcher.Adoption.CHANGED) {
       refresh(peer);
     } else if (watcher.at() != view.revision()) {
       view = new MeshView(view.configuration(), view.table(), view.backends(), watcher.at());
     }
+    return adoption != StoreWatcher.Adoption.UNFIT;
+  }
+
+  /** What this node holds, for another one to carry on from. */
+  synchronized StateRequest request() {
+    return watcher.request();
   }
 
   /** The watcher's items have changed. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateChangesCodec.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateChangesCodec.java
@@ -4,9 +4,11 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import io.umberpath.control.store.ItemPatch;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreEvent;
 import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.TextPatch;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -24,6 +26,9 @@
   private static final CBORFactory CBOR = new CBORFactory();
   private static final int MAX_ITEMS = 100_000;
 
+  /** Longest text that a patch may make, characters: a store's item has a megabyte at most. */
+  private static final int MAX_TEXT_LENGTH = 4 * 1024 * 1024;
+
   private StateChangesCodec() {}
 
   static byte[] encode(StoreChanges changes) {
@@ -39,6 +44,9 @@
       for (StoreItem item : changes.items()) {
         write(out, item.key(), item.value(), item.revision());
       }
+      for (ItemPatch patch : changes.patches()) {
+        write(out, patch);
+      }
       out.writeEndArray();
     } catch (IOException impossible) {
       throw new IllegalStateException("changes cannot be written", impossible);
@@ -55,6 +63,47 @@
     out.writeNumber(revision);
   }
 
+  private static void write(JsonGenerator out, ItemPatch patch) throws IOException {
+    out.writeString(patch.key());
+    out.writeStartArray();
+    out.writeNumber(patch.fromRevision());
+    out.writeNumber(patch.patch().length());
+    out.writeNumber(patch.patch().checksum());
+    for (TextPatch.Piece piece : patch.patch().pieces()) {
+      if (piece instanceof TextPatch.Piece.Copy copy) {
+        out.writeNumber(copy.from());
+        out.writeNumber(copy.length());
+      } else if (piece instanceof TextPatch.Piece.Insert insert) {
+        out.writeString(insert.text());
+      }
+    }
+    out.writeEndArray();
+    out.writeNumber(patch.revision());
+  }
+
+  /** Reads a patch whose list has begun. */
+  private static ItemPatch patch(JsonParser in, String key) throws IOException {
+    final long fromRevision = number(in);
+    final int length = size(number(in));
+    final long checksum = number(in);
+    List<TextPatch.Piece> pieces = new ArrayList<>();
+    for (JsonToken token = in.nextToken(); token != JsonToken.END_ARRAY; token = in.nextToken()) {
+      if (token == JsonToken.VALUE_STRING) {
+        pieces.add(new TextPatch.Piece.Insert(in.getText()));
+      } else {
+        require(token == JsonToken.VALUE_NUMBER_INT);
+        int from = size(in.getLongValue());
+        pieces.add(new TextPatch.Piece.Copy(from, size(number(in))));
+      }
+    }
+    return new ItemPatch(key, fromRevision, number(in), new TextPatch(pieces, length, checksum));
+  }
+
+  private static int size(long number) throws IOException {
+    require(number >= 0 && number <= MAX_TEXT_LENGTH);
+    return (int) number;
+  }
+
   /**
    * Reads changes.
    *
@@ -67,12 +116,15 @@
     final long at = number(in);
     List<StoreItem> items = new ArrayList<>();
     List<StoreEvent.Gone> gone = new ArrayList<>();
+    List<ItemPatch> patches = new ArrayList<>();
     for (JsonToken token = in.nextToken(); token != JsonToken.END_ARRAY; token = in.nextToken()) {
       require(token == JsonToken.VALUE_STRING && items.size() + gone.size() < MAX_ITEMS);
       String key = in.getText();
       JsonToken value = in.nextToken();
       if (value == JsonToken.VALUE_NULL) {
         gone.add(new StoreEvent.Gone(key, number(in)));
+      } else if (value == JsonToken.START_ARRAY) {
+        patches.add(patch(in, key));
       } else {
         require(value == JsonToken.VALUE_STRING);
         String text = in.getText();
@@ -81,7 +133,7 @@
     }
     // Reads on to the checksum of the compression.
     require(in.nextToken() == null);
-    return new StoreChanges(after, at, items, gone);
+    return new StoreChanges(after, at, items, gone, patches);
   }
 
   private static long number(JsonParser in) throws IOException {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -1,8 +1,10 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.control.store.StateRequest;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.model.PeerAddress;
 import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -84,6 +86,10 @@
   private final Thread thread = new Thread(this::run, "umberpath-puller");
   private final ExecutorService workers = Executors.newCachedThreadPool(StatePuller::daemon);
   private volatile boolean closed;
+
+  /** Whether changes of another node did not fit what this one holds. */
+  private volatile boolean wantsWhole;
+
   private Ahead near = Ahead.NOBODY;
   private Ahead far = Ahead.NOBODY;
   private long behindSinceMillis = -1;
@@ -213,14 +219,21 @@
     try (Socket socket = new Socket()) {
       socket.connect(new InetSocketAddress(source.host(), source.port()), TIMEOUT_MILLIS);
       socket.setSoTimeout(TIMEOUT_MILLIS);
-      long before = state.view().revision();
-      new DataOutputStream(socket.getOutputStream()).writeLong(before);
+      StateRequest request = wantsWhole ? StateRequest.WHOLE : state.request();
+      DataOutputStream out =
+          new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
+      out.writeLong(request.after());
+      out.writeLong(request.largestRevision());
+      out.flush();
       StoreChanges changes =
           StateChangesCodec.read(new BufferedInputStream(socket.getInputStream()));
-      if (changes.at() <= before) {
+      if (changes.at() <= state.view().revision()) {
         return false;
       }
-      state.adopt(changes, source.toString());
+      wantsWhole = !state.adopt(changes, source.toString());
+      if (wantsWhole) {
+        throw new IOException("a patch does not fit the item that it is for");
+      }
       events.stateAdopted(source.toString(), state.view().version(), changes.at());
       return true;
     } catch (IOException failure) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.control.store.StateRequest;
 import io.umberpath.model.PeerAddress;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -10,11 +11,11 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongFunction;
+import java.util.function.Function;
 
 /**
- * Gives what this node holds to each node that connects: that one sends the revision that it holds,
- * eight bytes, and gets the encoded changes since.
+ * Gives what this node holds to each node that connects: that one sends the revisions that it
+ * holds, two numbers of eight bytes, and gets the encoded changes since.
  */
 final class StateServer implements AutoCloseable {
   private static final int BACKLOG = 64;
@@ -25,7 +26,7 @@
   private static final int REQUEST_TIMEOUT_MILLIS = 500;
 
   private final ServerSocket server;
-  private final LongFunction<byte[]> changesSince;
+  private final Function<StateRequest, byte[]> changesSince;
   private final ExecutorService writers =
       new ThreadPoolExecutor(
           0,
@@ -36,13 +37,13 @@
           StateServer::daemon,
           new ThreadPoolExecutor.DiscardPolicy());
 
-  private StateServer(ServerSocket server, LongFunction<byte[]> changesSince) {
+  private StateServer(ServerSocket server, Function<StateRequest, byte[]> changesSince) {
     this.server = server;
     this.changesSince = changesSince;
   }
 
   /** Listens. */
-  static StateServer open(PeerAddress address, LongFunction<byte[]> changesSince)
+  static StateServer open(PeerAddress address, Function<StateRequest, byte[]> changesSince)
       throws IOException {
     ServerSocket socket = new ServerSocket();
     socket.setReuseAddress(true);
@@ -79,8 +80,9 @@
   private void give(Socket peer) {
     try (peer) {
       peer.setSoTimeout(REQUEST_TIMEOUT_MILLIS);
-      long after = new DataInputStream(peer.getInputStream()).readLong();
-      peer.getOutputStream().write(changesSince.apply(after));
+      DataInputStream in = new DataInputStream(peer.getInputStream());
+      StateRequest request = new StateRequest(in.readLong(), in.readLong());
+      peer.getOutputStream().write(changesSince.apply(request));
     } catch (IOException gone) {
       // The other node logs why its transfer failed, and tries again, here or elsewhere.
       return;
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -3,9 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.umberpath.control.store.ItemPatch;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreEvent;
 import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.TextPatch;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.traffic.routing.GateLoad;
@@ -98,7 +100,8 @@
             7,
             12,
             List.of(new StoreItem("a", "1", 8), new StoreItem("b", "", 12)),
-            List.of(new StoreEvent.Gone("c", 9)));
+            List.of(new StoreEvent.Gone("c", 9)),
+            List.of(new ItemPatch("d", 6, 11, TextPatch.between("{old}{text}", "{text}{new}"))));
 
     byte[] bytes = StateChangesCodec.encode(changes);
 
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -116,11 +116,11 @@
             new PortDocuments(), new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), events);
     StateServer near =
         StateServer.open(
-            new PeerAddress("127.0.0.1", 0), after -> StateChangesCodec.encode(changesTo(4)));
+            new PeerAddress("127.0.0.1", 0), request -> StateChangesCodec.encode(changesTo(4)));
     StateServer far =
         StateServer.open(
             new PeerAddress("127.0.0.2", near.port()),
-            after -> StateChangesCodec.encode(changesTo(5)));
+            request -> StateChangesCodec.encode(changesTo(5)));
     try (near;
         far;
         StatePuller puller =
