Retries count as the users' rule counts; reports of others pass on as bytes

Two changes that share PeerMessagesTest.

Each node lets through a share of the requests that begin there; the rule earns retries by callers' requests alone, and counts what a back end calls while it works on a repeat as repeats. Both were missed: nested requests earned retries and never counted as repeats. Now gates say on answers which routes are nested (they know by where requests begin), edges count those by the share of repeats among what the back end beside them works on, and the hop header says whether a request is a repeat. Ruled out: refusals by back ends (those sent again did count already). RetryWindowTest.

Reports: a node on the ring reads each report of its zone four times. A report now travels as an embedded CBOR value; a receiver reads it only if its stamp is news, and passes on the bytes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/HopHeader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/HopHeader.java
@@ -14,6 +14,7 @@
  * @param refuseByMillis until when a refusal lets its caller come back in time, milliseconds from
  *     now
  * @param startByMillis in how long it is to be refused if it has not begun, milliseconds
+ * @param isRepeat whether it may have run at another back end before
  */
 record HopHeader(
     String instance,
@@ -22,10 +23,14 @@
     long toleratedWaitMillis,
     long targetMillis,
     long refuseByMillis,
-    long startByMillis) {
+    long startByMillis,
+    boolean isRepeat) {
   static final String HEADER = "Umberpath-Hop";
-  private static final int FIELDS = 7;
+  private static final int FIELDS = 8;
   private static final int FIRST_TIME = 2;
+  private static final int TIMES = 5;
+  private static final String REPEAT = "1";
+  private static final String FIRST = "0";
 
   String encode() {
     return String.join(
@@ -36,7 +41,8 @@
         Long.toString(toleratedWaitMillis),
         Long.toString(targetMillis),
         Long.toString(refuseByMillis),
-        Long.toString(startByMillis));
+        Long.toString(startByMillis),
+        isRepeat ? REPEAT : FIRST);
   }
 
   static Optional<HopHeader> decode(String text) {
@@ -45,12 +51,20 @@
       return Optional.empty();
     }
     try {
-      long[] times = new long[FIELDS - FIRST_TIME];
+      long[] times = new long[TIMES];
       for (int index = 0; index < times.length; index++) {
         times[index] = Long.parseLong(fields[FIRST_TIME + index]);
       }
       return Optional.of(
-          new HopHeader(fields[0], fields[1], times[0], times[1], times[2], times[3], times[4]));
+          new HopHeader(
+              fields[0],
+              fields[1],
+              times[0],
+              times[1],
+              times[2],
+              times[3],
+              times[4],
+              fields[FIELDS - 1].equals(REPEAT)));
     } catch (NumberFormatException malformed) {
       return Optional.empty();
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -24,6 +24,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -56,6 +58,11 @@
   private final LongSupplier clockMillis;
   private final WeightedSplit split = new WeightedSplit();
   private final RetryWindow retries;
+
+  /** Routes whose requests the back end beside this node sends, as gates have said of them. */
+  private final Set<String> nestedRoutes = ConcurrentHashMap.newKeySet();
+
+  private final DoubleSupplier repeatShare;
   private final CallerPatience patience = new CallerPatience();
   private final RequestCosts costs = new RequestCosts();
   private final RefusalStyle style = new MeshRefusalStyle();
@@ -63,12 +70,19 @@
   private volatile boolean leaving;
   private volatile boolean refusing;
 
+  /**
+   * Creates the handler.
+   *
+   * @param repeatShare share of what the back end beside this node works on that may have run
+   *     elsewhere before: what it calls meanwhile counts as repeated by that share
+   */
   MeshEdgeHandler(
       MeshSettings settings,
       Supplier<MeshView> view,
       OriginManager origins,
       GateBalancer balancer,
       PeerExchange peers,
+      DoubleSupplier repeatShare,
       MeshEvents events,
       LongSupplier clockMillis) {
     this.settings = settings;
@@ -76,6 +90,7 @@
     this.origins = origins;
     this.balancer = balancer;
     this.peers = peers;
+    this.repeatShare = repeatShare;
     this.events = events;
     this.clockMillis = clockMillis;
     MeshSettings.Retry bounds = settings.retry();
@@ -145,7 +160,11 @@
       service = split.next(rule);
     }
     synchronized (retries) {
-      retries.requestStarted(nowMillis, service);
+      if (nestedRoutes.contains(rule.name())) {
+        retries.repeated(nowMillis, service, repeatShare.getAsDouble());
+      } else {
+        retries.requestStarted(nowMillis, service);
+      }
     }
     return new MeshEdgePlan(
         requestId,
@@ -227,7 +246,8 @@
             plan.tally().toleratedWaitMillis(),
             RequestTimes.targetMillis(plan, nowMillis),
             RequestTimes.refuseByMillis(plan, nowMillis),
-            RequestTimes.startByMillis(plan, nowMillis));
+            RequestTimes.startByMillis(plan, nowMillis),
+            plan.tally().arrivals() > 0);
     set(outgoing, HopHeader.HEADER, hop.encode());
   }
 
@@ -273,6 +293,9 @@
   private void stated(String backend, String route, HttpResponsePacket head) {
     String text = head.getHeader(MeshGateHandler.LOAD_HEADER);
     GateLoad load = text == null ? null : GateLoad.decode(text);
+    if (head.getHeader(MeshGateHandler.NESTED_HEADER) != null) {
+      nestedRoutes.add(route);
+    }
     if (load != null) {
       synchronized (balancer) {
         balancer.stated(clockMillis.getAsLong(), backend, load);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -36,6 +36,9 @@
   /** Load of the back end, on every answer to another node. */
   static final String LOAD_HEADER = "Umberpath-Load";
 
+  /** On answers of routes whose requests back ends send, not callers. */
+  static final String NESTED_HEADER = "Umberpath-Nested";
+
   private static final int MISDIRECTED = 421;
 
   /** Time an answer takes back to the caller at least, milliseconds. */
@@ -53,6 +56,7 @@
   private final RouteMeans routeTimes = new RouteMeans(MIN_TIME_SAMPLES);
   private final NestedRoutes nestedRoutes = new NestedRoutes();
   private volatile double slowness = 1;
+  private volatile double repeatShare;
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
 
@@ -91,14 +95,22 @@
     gate.tick(nowMillis);
   }
 
-  /** Looks how slow the back end is by the ages of what runs there. */
+  /** Looks at what runs: how slow the back end is by its age, and how much of it is repeated. */
   void observe() {
     List<Slowness.Running> running = new ArrayList<>();
+    int repeats = 0;
     for (Exchange exchange : gate.runningExchanges()) {
       long expected = expectedMicros(planOf(exchange).route());
       running.add(new Slowness.Running(exchange.sinceSentMicros(), expected));
+      repeats += planOf(exchange).hop().isRepeat() ? 1 : 0;
     }
     slowness = Slowness.of(running);
+    repeatShare = running.isEmpty() ? 0 : repeats / (double) running.size();
+  }
+
+  /** Share of what the back end works on that may have run elsewhere before. */
+  double repeatShare() {
+    return repeatShare;
   }
 
   /** What this node states of its back end. */
@@ -186,6 +198,12 @@
     }
   }
 
+  private boolean isNested(String route) {
+    synchronized (nestedRoutes) {
+      return nestedRoutes.isNested(route);
+    }
+  }
+
   @Override
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
     MeshGatePlan plan = planOf(exchange);
@@ -204,6 +222,9 @@
   public void addAnswerHeaders(RequestPlan plan, HttpResponsePacket answer) {
     GateLoad load = plan == null ? load() : load().withRoute(expectedMicros(plan.route()));
     answer.getHeaders().setValue(LOAD_HEADER).setString(load.encode());
+    if (plan != null && isNested(plan.route())) {
+      answer.getHeaders().setValue(NESTED_HEADER).setString("1");
+    }
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -66,7 +66,6 @@
             MAX_BACKEND_CONNECTIONS,
             clockMillis,
             CONNECT_TIMEOUT_MILLIS);
-    this.edge = new MeshEdgeHandler(settings, view, origins, balancer, peers, events, clockMillis);
     this.gate =
         new MeshGateHandler(
             settings,
@@ -75,6 +74,9 @@
             backend,
             events,
             clockMillis);
+    this.edge =
+        new MeshEdgeHandler(
+            settings, view, origins, balancer, peers, gate::repeatShare, events, clockMillis);
     ExchangeEnvironment environment =
         new ExchangeEnvironment(
             clockMillis, stats, AttemptLog.CUT_OFF_ONLY, active, this::maxBodyBytes);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -168,7 +168,7 @@
 
   private PeerMessage.Entry stamped(PeerReport report) {
     PeerMessage.Stamp stamp = new PeerMessage.Stamp(run, reportCount.incrementAndGet());
-    return new PeerMessage.Entry(self, 0, stamp, report);
+    return new PeerMessage.Entry(self, 0, stamp, EncodedReport.of(report));
   }
 
   /** This node's report and the latest that it holds of the others of its zone in reach. */
@@ -183,7 +183,7 @@
 
   private static PeerMessage.Entry entry(String host, PeerReports.Heard heard, long nowMillis) {
     long ageMillis = nowMillis - heard.atMillis();
-    return new PeerMessage.Entry(host, ageMillis, heard.stamp(), heard.report());
+    return new PeerMessage.Entry(host, ageMillis, heard.stamp(), heard.encoded());
   }
 
   private Map<String, Long> silenceByHost(Set<String> hosts) {
@@ -260,31 +260,27 @@
   }
 
   private void take(DatagramPacket packet) {
-    String sender = packet.getAddress().getHostAddress();
-    PeerMessage message;
     try {
-      message = PeerMessage.decode(packet.getData(), packet.getLength());
+      take(PeerMessage.decode(packet.getData(), packet.getLength()));
     } catch (IOException malformed) {
-      events.reportRefused(sender, malformed);
-      return;
+      events.reportRefused(packet.getAddress().getHostAddress(), malformed);
     }
+  }
+
+  private void take(PeerMessage message) throws IOException {
     if (message.kind() == PeerMessage.Kind.DIGEST) {
       send(PeerMessage.Kind.REPORTS, message.entries(), peers.near());
     }
     long now = clockMillis.getAsLong();
     for (PeerMessage.Entry entry : message.entries()) {
       if (!entry.host().equals(self)) {
-        take(entry, now - entry.ageMillis());
+        long atMillis = now - entry.ageMillis();
+        reports.take(entry, atMillis).ifPresent(report -> take(entry.host(), report, atMillis));
       }
     }
   }
 
-  private void take(PeerMessage.Entry entry, long atMillis) {
-    String host = entry.host();
-    PeerReport report = entry.report();
-    if (!reports.take(host, entry.stamp(), report, atMillis)) {
-      return;
-    }
+  private void take(String host, PeerReport report, long atMillis) {
     synchronized (known) {
       known.heard(atMillis, host);
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerMessage.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerMessage.java
@@ -32,7 +32,7 @@
    *     needed to tell how long ago it was there
    * @param stamp names the report, whichever way it takes
    */
-  record Entry(String host, long ageMillis, Stamp stamp, PeerReport report) {}
+  record Entry(String host, long ageMillis, Stamp stamp, EncodedReport report) {}
 
   /**
    * Which report of a node it is.
@@ -119,8 +119,8 @@
     int run = in.getIntValue();
     require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no count where one is due");
     Stamp stamp = new Stamp(run, in.getIntValue());
-    require(in.nextToken() == JsonToken.START_ARRAY, "has no report where one is due");
-    return new Entry(host, age, stamp, PeerReport.read(in));
+    require(in.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT, "has no report where one is due");
+    return new Entry(host, age, stamp, EncodedReport.read(in));
   }
 
   private static void require(boolean wellFormed, String problem) throws IOException {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReports.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReports.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import java.io.IOException;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -14,9 +15,11 @@
   /**
    * A report and when the node made it, on this node's clock.
    *
+   * @param encoded the same, to be passed on
+   * @param stamp which report of the node it is
    * @param atMillis when it was made, as far as known
    */
-  record Heard(PeerReport report, PeerMessage.Stamp stamp, long atMillis) {
+  record Heard(PeerReport report, EncodedReport encoded, PeerMessage.Stamp stamp, long atMillis) {
     /**
      * Whether another report of the node is later. The same one may come several ways, each with a
      * delay of its own, so that within a run of the node only its own count tells.
@@ -30,15 +33,22 @@
 
   private final Map<String, Heard> byHost = new HashMap<>();
 
-  /** Takes a report; false if a later one is known. */
-  synchronized boolean take(
-      String host, PeerMessage.Stamp stamp, PeerReport report, long atMillis) {
-    Heard before = byHost.get(host);
-    if (before != null && !before.isBefore(stamp, atMillis)) {
-      return false;
+  /**
+   * Takes a report, unless it or a later one is known.
+   *
+   * @param atMillis when it was made, as far as known
+   * @return the report if it is news
+   * @throws IOException if it cannot be read
+   */
+  synchronized Optional<PeerReport> take(PeerMessage.Entry entry, long atMillis)
+      throws IOException {
+    Heard before = byHost.get(entry.host());
+    if (before != null && !before.isBefore(entry.stamp(), atMillis)) {
+      return Optional.empty();
     }
-    byHost.put(host, new Heard(report, stamp, atMillis));
-    return true;
+    PeerReport report = entry.report().decode();
+    byHost.put(entry.host(), new Heard(report, entry.report(), entry.stamp(), atMillis));
+    return Optional.of(report);
   }
 
   /** Drops what is too old. */
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -40,10 +40,11 @@
   }
 
   private static PeerMessage message(PeerMessage.Kind kind, int count, PeerReport report) {
+    EncodedReport encoded = EncodedReport.of(report);
     return new PeerMessage(
         kind,
         IntStream.range(0, count)
-            .mapToObj(index -> new PeerMessage.Entry("10.0.0." + index, index, STAMP, report))
+            .mapToObj(index -> new PeerMessage.Entry("10.0.0." + index, index, STAMP, encoded))
             .toList());
   }
 
@@ -63,7 +64,10 @@
 
     byte[] bytes = message.encode();
 
-    assertThat(PeerMessage.decode(bytes, bytes.length)).isEqualTo(message);
+    PeerMessage read = PeerMessage.decode(bytes, bytes.length);
+    assertThat(read).isEqualTo(message);
+    assertThat(read.entries().get(0).report().decode())
+        .isEqualTo(report(false, Optional.of(ENTRY)));
     for (int length = 0; length < bytes.length; length++) {
       int part = length;
       assertThatThrownBy(() -> PeerMessage.decode(bytes, part)).isInstanceOf(IOException.class);
@@ -85,6 +89,18 @@
     assertThat(read).isEqualTo(whole.entries());
   }
 
+  /** What a message holds in place of a report is refused when it is read. */
+  @Test
+  void aReportOfAnotherFormIsRefused() throws IOException {
+    byte[] bytes = message(PeerMessage.Kind.REPORTS, 1, report(false, Optional.empty())).encode();
+    // The last byte ends the message, the one before it the report's list.
+    bytes[bytes.length - 2] = 0;
+    PeerMessage read = PeerMessage.decode(bytes, bytes.length);
+
+    assertThatThrownBy(() -> read.entries().get(0).report().decode())
+        .isInstanceOf(IOException.class);
+  }
+
   @Test
   void whatIsNoMessageIsRefused() {
     byte[] garbage = {1, 2, 3, 4};
@@ -122,7 +138,7 @@
 
   @Test
   void aHopLineIsReadAsItWasWritten() {
-    HopHeader hop = new HopHeader("i-7f", "r-1", 2, 150, 180, 40, -5);
+    HopHeader hop = new HopHeader("i-7f", "r-1", 2, 150, 180, 40, -5, true);
 
     assertThat(HopHeader.decode(hop.encode())).contains(hop);
   }
@@ -132,10 +148,10 @@
       strings = {
         "",
         "i-7f",
-        "i-7f,r-1,2,150,180,40",
-        ",r-1,2,150,180,40,-5",
-        "i-7f,r-1,x,150,180,40,-5",
-        "a,b,1,2,3,4,5,6"
+        "i-7f,r-1,2,150,180,40,-5",
+        ",r-1,2,150,180,40,-5,0",
+        "i-7f,r-1,x,150,180,40,-5,0",
+        "a,b,1,2,3,4,5,6,7"
       })
   void whatIsNoHopLineIsNone(String text) {
     assertThat(HopHeader.decode(text)).isEmpty();
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerReportsTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerReportsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.umberpath.traffic.routing.GateLoad;
+import java.io.IOException;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -16,13 +17,19 @@
   }
 
   /** Stamps of one run whose counts are the times. */
-  private boolean take(String host, PeerReport report, int atMillis) {
-    return reports.take(host, new PeerMessage.Stamp(7, atMillis), report, atMillis);
+  private boolean take(String host, PeerReport report, int atMillis) throws IOException {
+    return take(host, new PeerMessage.Stamp(7, atMillis), report, atMillis);
+  }
+
+  private boolean take(String host, PeerMessage.Stamp stamp, PeerReport report, long atMillis)
+      throws IOException {
+    PeerMessage.Entry entry = new PeerMessage.Entry(host, 0, stamp, EncodedReport.of(report));
+    return reports.take(entry, atMillis).isPresent();
   }
 
   /** Digests overtake each other: an older report of a node does not replace a later one. */
   @Test
-  void theLatestReportOfANodeStands() {
+  void theLatestReportOfANodeStands() throws IOException {
     assertThat(take("a", report(ReportedContact.NO_CALLS, 3), 1_000)).isTrue();
     assertThat(take("a", report(ReportedContact.NO_CALLS, 5), 900)).isFalse();
 
@@ -30,7 +37,7 @@
   }
 
   @Test
-  void reportsThatAreTooOldAreForgotten() {
+  void reportsThatAreTooOldAreForgotten() throws IOException {
     take("a", report(ReportedContact.NO_CALLS, 3), 1_000);
     reports.forget(12_000);
 
@@ -38,7 +45,7 @@
   }
 
   @Test
-  void theContactOfAZoneIsThatOfItsReaders() {
+  void theContactOfAZoneIsThatOfItsReaders() throws IOException {
     ReportedContact lost = new ReportedContact(ReportedContact.State.LOST, 300);
     ReportedContact reachable = new ReportedContact(ReportedContact.State.REACHABLE, 700);
     take("idle", report(ReportedContact.NO_CALLS, 0), 1_000);
@@ -55,20 +62,20 @@
 
   /** Passed on and on, the report of a node that has died would keep it alive for ever. */
   @Test
-  void theSameReportThatCameALongerWayIsNotNews() {
+  void theSameReportThatCameALongerWayIsNotNews() throws IOException {
     PeerReport report = report(ReportedContact.NO_CALLS, 3);
     assertThat(take("a", report, 1_000)).isTrue();
 
-    assertThat(reports.take("a", new PeerMessage.Stamp(7, 1_000), report, 1_050)).isFalse();
+    assertThat(take("a", new PeerMessage.Stamp(7, 1_000), report, 1_050)).isFalse();
     assertThat(reports.of(Set.of("a")).get("a").atMillis()).isEqualTo(1_000);
   }
 
   @Test
-  void aNodeThatStartedAgainBeginsToCountAgain() {
+  void aNodeThatStartedAgainBeginsToCountAgain() throws IOException {
     PeerReport report = report(ReportedContact.NO_CALLS, 3);
     take("a", report, 1_000);
 
-    assertThat(reports.take("a", new PeerMessage.Stamp(8, 1), report, 1_500)).isTrue();
-    assertThat(reports.take("a", new PeerMessage.Stamp(7, 1_001), report, 1_100)).isFalse();
+    assertThat(take("a", new PeerMessage.Stamp(8, 1), report, 1_500)).isTrue();
+    assertThat(take("a", new PeerMessage.Stamp(7, 1_001), report, 1_100)).isFalse();
   }
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/RetryWindow.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/RetryWindow.java
@@ -12,8 +12,8 @@
   private static final int BUCKETS = 10;
 
   private static final class Counts {
-    private final long[] requests = new long[BUCKETS];
-    private final long[] retries = new long[BUCKETS];
+    private final double[] requests = new double[BUCKETS];
+    private final double[] retries = new double[BUCKETS];
     private long bucket;
 
     private void advance(long now) {
@@ -24,9 +24,9 @@
       bucket = Math.max(bucket, now);
     }
 
-    private static long sum(long[] counts) {
-      long sum = 0;
-      for (long count : counts) {
+    private static double sum(double[] counts) {
+      double sum = 0;
+      for (double count : counts) {
         sum += count;
       }
       return sum;
@@ -51,7 +51,7 @@
     this.extra = extra;
   }
 
-  /** A request for the service began here. */
+  /** A request of a caller for the service began here; what back ends call earns no retries. */
   public void requestStarted(long nowMillis, String service) {
     Counts counts = counts(nowMillis, service);
     counts.requests[(int) (counts.bucket % BUCKETS)]++;
@@ -72,6 +72,17 @@
     return true;
   }
 
+  /**
+   * Counts arrivals that are repeats without being asked for: what a back end calls while it works
+   * on a request that is itself a repeat.
+   *
+   * @param repeats how many; a share where only the likelihood is known
+   */
+  public void repeated(long nowMillis, String service, double repeats) {
+    Counts counts = counts(nowMillis, service);
+    counts.retries[(int) (counts.bucket % BUCKETS)] += repeats;
+  }
+
   private Counts counts(long nowMillis, String service) {
     Counts counts = byService.computeIfAbsent(service, absent -> new Counts());
     counts.advance(nowMillis / bucketMillis);
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/RetryWindowTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/RetryWindowTest.java
@@ -57,4 +57,17 @@
 
     assertThat(total).isLessThanOrEqualTo((int) (0.2 * 10 * nodes + 64));
   }
+
+  /** A request that runs again makes its calls again, which the called service counts. */
+  @Test
+  void callsOfRepeatedRequestsUseUpTheWindow() {
+    for (int index = 0; index < 100; index++) {
+      window.requestStarted(1_000, "service");
+    }
+    for (int index = 0; index < 20; index++) {
+      window.repeated(1_000, "service", 0.5);
+    }
+
+    assertThat(granted(1_500, 100, 12)).isEqualTo(11);
+  }
 }
