State transfer: the last source is kept among equals; the planned stop is its own class

Cause: readers that call the store at different times skip different versions, so that a patch of one does not lead on from what another gave; a node that drew its source anew each time got whole configurations.

Change: among nodes that are equally far ahead the last source is kept. The line state-adopted says whole or changes, items and patches.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -4,6 +4,7 @@
 import com.google.common.flogger.LogSite;
 import com.google.common.flogger.MetadataKey;
 import io.umberpath.control.store.StoreAnswer;
+import io.umberpath.control.store.StoreChanges;
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingConfiguration;
@@ -217,12 +218,16 @@
     line(MeshEvent.STORE_READER).log("%s", reads ? "begins" : "ends");
   }
 
-  void stateAdopted(String peer, long version, long revision) {
+  void stateAdopted(String peer, long version, StoreChanges changes) {
     line(MeshEvent.STATE_ADOPTED)
         .with(LogFields.ADDRESS, peer)
         .with(CONFIGURATION, version)
-        .with(REVISION, revision)
-        .log("from another node");
+        .with(REVISION, changes.at())
+        .log(
+            "%s: %d items, %d patches",
+            changes.isWhole() ? "whole state" : "changes",
+            changes.items().size(),
+            changes.patches().size());
   }
 
   void requestFailed(MeshEdgePlan plan, int attempts, Verdict verdict, long millis) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -81,24 +81,6 @@
   /** The node serves first; its figures can wait. */
   private static final long METRICS_DELAY_MILLIS = 2_000;
 
-  /** How long callers have to notice that this node leaves: two questions, a second apart. */
-  private static final long CALLER_NOTICE_MILLIS = 2_200;
-
-  /** When callers that come all the same are refused: what they want might not finish. */
-  private static final long CALLERS_REFUSED_MILLIS = 2_800;
-
-  /** When other nodes are told; until then this node works on for its back end. */
-  private static final long PEERS_TOLD_MILLIS = 1_400;
-
-  /** When requests of other nodes are refused, all of which have heard by then. */
-  private static final long PEERS_REFUSED_MILLIS = 1_800;
-
-  /** Time before the kill at which what is left is cut off. */
-  private static final long LAST_MILLIS = 900;
-
-  private static final long STOP_CHECK_MILLIS = 20;
-  private static final long QUIET_MILLIS = 150;
-
   private final MeshSettings settings;
   private final MeshEvents events;
   private final LongSupplier clockMillis = () -> System.nanoTime() / NANOS_PER_MILLI;
@@ -329,34 +311,14 @@
    * finishes what is in flight. What is left is for {@link #close}, or for the end of the process.
    */
   public void stop() throws InterruptedException {
-    long began = clockMillis.getAsLong();
-    long end = began + settings.graceMillis() - LAST_MILLIS;
     leaving = true;
-    events.stopping(proxy.inFlight());
-    proxy.leave();
-    boolean told = false;
-    long quietSince = began;
-    while (clockMillis.getAsLong() < end) {
-      long now = clockMillis.getAsLong();
-      if (!told && now >= began + PEERS_TOLD_MILLIS) {
-        told = true;
-        backendLeaving = true;
-        peers.tick(report());
-      }
-      if (now >= began + PEERS_REFUSED_MILLIS) {
-        backend.leave();
-      }
-      if (now >= began + CALLERS_REFUSED_MILLIS) {
-        proxy.refuseCallers();
-      }
-      quietSince = proxy.inFlight() > 0 ? now : quietSince;
-      if (now >= began + CALLER_NOTICE_MILLIS && now >= quietSince + QUIET_MILLIS) {
-        break;
-      }
-      Thread.sleep(STOP_CHECK_MILLIS);
-    }
-    int cutOff = proxy.abortAll();
-    events.stopped(cutOff, clockMillis.getAsLong() - began);
+    new PlannedStop(proxy, backend, this::tellPeersThatBackendLeaves, events, clockMillis)
+        .run(settings.graceMillis());
+  }
+
+  private void tellPeersThatBackendLeaves() {
+    backendLeaving = true;
+    peers.tick(report());
   }
 
   /** Ends at once. */
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -0,0 +1,85 @@
+package io.umberpath.node.mesh;
+
+import java.util.function.LongSupplier;
+
+/**
+ * A planned stop of a node, in steps: callers notice, other nodes are told, what still comes is
+ * refused as not run, what is in flight finishes.
+ */
+final class PlannedStop {
+  /** How long callers have to notice that this node leaves: two questions, a second apart. */
+  private static final long CALLER_NOTICE_MILLIS = 2_200;
+
+  /** When callers that come all the same are refused: what they want might not finish. */
+  private static final long CALLERS_REFUSED_MILLIS = 2_800;
+
+  /** When other nodes are told; until then this node works on for its back end. */
+  private static final long PEERS_TOLD_MILLIS = 1_400;
+
+  /** When requests of other nodes are refused, all of which have heard by then. */
+  private static final long PEERS_REFUSED_MILLIS = 1_800;
+
+  /** Time before the kill at which what is left is cut off. */
+  private static final long LAST_MILLIS = 900;
+
+  private static final long STOP_CHECK_MILLIS = 20;
+  private static final long QUIET_MILLIS = 150;
+
+  private final MeshProxy proxy;
+  private final LocalBackend backend;
+  private final Runnable tellPeers;
+  private final MeshEvents events;
+  private final LongSupplier clockMillis;
+
+  /**
+   * Creates a stop that has not begun.
+   *
+   * @param tellPeers tells the other nodes that the back end beside this one takes no new work
+   */
+  PlannedStop(
+      MeshProxy proxy,
+      LocalBackend backend,
+      Runnable tellPeers,
+      MeshEvents events,
+      LongSupplier clockMillis) {
+    this.proxy = proxy;
+    this.backend = backend;
+    this.tellPeers = tellPeers;
+    this.events = events;
+    this.clockMillis = clockMillis;
+  }
+
+  /**
+   * Stops; returns when nothing is in flight any more, or what is left was cut off.
+   *
+   * @param graceMillis time until the process is killed, milliseconds
+   */
+  void run(long graceMillis) throws InterruptedException {
+    long began = clockMillis.getAsLong();
+    long end = began + graceMillis - LAST_MILLIS;
+    events.stopping(proxy.inFlight());
+    proxy.leave();
+    boolean told = false;
+    long quietSince = began;
+    while (clockMillis.getAsLong() < end) {
+      long now = clockMillis.getAsLong();
+      if (!told && now >= began + PEERS_TOLD_MILLIS) {
+        told = true;
+        tellPeers.run();
+      }
+      if (now >= began + PEERS_REFUSED_MILLIS) {
+        backend.leave();
+      }
+      if (now >= began + CALLERS_REFUSED_MILLIS) {
+        proxy.refuseCallers();
+      }
+      quietSince = proxy.inFlight() > 0 ? now : quietSince;
+      if (now >= began + CALLER_NOTICE_MILLIS && now >= quietSince + QUIET_MILLIS) {
+        break;
+      }
+      Thread.sleep(STOP_CHECK_MILLIS);
+    }
+    int cutOff = proxy.abortAll();
+    events.stopped(cutOff, clockMillis.getAsLong() - began);
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -59,16 +59,21 @@
   /**
    * The node that stated the newest state, among those of the own zone or of the others.
    *
-   * @param host its address; null before the first
+   * @param host its address; empty before the first
    */
   private record Ahead(String host, long version, long revision) {
-    static final Ahead NOBODY = new Ahead(null, -1, -1);
+    static final Ahead NOBODY = new Ahead("", -1, -1);
 
-    /** Of nodes that are equally far one is drawn, so that not all go to the same one. */
-    Ahead with(String other, long otherVersion, long otherRevision) {
+    /**
+     * Of nodes that are equally far the last source is kept, whose patches lead on from what it
+     * gave: readers that call the store at different times skip different versions. Else one is
+     * drawn, so that not all go to the same one.
+     */
+    Ahead with(String other, long otherVersion, long otherRevision, String lastSource) {
       boolean further = otherRevision > revision || otherVersion > version;
       boolean equal = otherRevision == revision && otherVersion == version;
-      boolean takes = further || equal && ThreadLocalRandom.current().nextBoolean();
+      boolean drawn = !host().equals(lastSource) && ThreadLocalRandom.current().nextBoolean();
+      boolean takes = further || equal && (other.equals(lastSource) || drawn);
       return takes
           ? new Ahead(other, Math.max(version, otherVersion), Math.max(revision, otherRevision))
           : this;
@@ -91,6 +96,9 @@
   /** Whether changes of another node did not fit what this one holds. */
   private volatile boolean wantsWhole;
 
+  /** The node that changes were last taken from; empty before the first. */
+  private volatile String lastSource = "";
+
   private Ahead near = Ahead.NOBODY;
   private Ahead far = Ahead.NOBODY;
   private long behindSinceMillis = -1;
@@ -129,9 +137,9 @@
       behindSinceMillis = clockMillis.getAsLong();
     }
     if (isNear) {
-      near = near.with(host, version, revision);
+      near = near.with(host, version, revision, lastSource);
     } else {
-      far = far.with(host, version, revision);
+      far = far.with(host, version, revision, lastSource);
     }
     notifyAll();
   }
@@ -235,7 +243,8 @@
       if (wantsWhole) {
         throw new IOException("a patch does not fit the item that it is for");
       }
-      events.stateAdopted(source.toString(), state.view().version(), changes.at());
+      lastSource = source.host();
+      events.stateAdopted(source.toString(), state.view().version(), changes);
       return true;
     } catch (IOException failure) {
       events.statePullFailed(source.toString(), failure);
