Start: the state comes from another node first, the store's pages only where none has it

At the first start of the whole system (the settings say so) only seeds read the store for 3 s; traffic begins 13 s after the machines at the earliest.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -69,6 +69,18 @@
   /** Least time between two announcements of what this node took from the store, milliseconds. */
   private static final long ANNOUNCE_MILLIS = 50;
 
+  /**
+   * How long a node that starts again waits for the answer of another node before it reads the
+   * store, milliseconds; one that holds nothing, or is not there, answers at once.
+   */
+  private static final long RESTART_WAIT_MILLIS = 250;
+
+  /**
+   * The same at the first start of the whole system, where only the nodes that others are told to
+   * ask read the store, milliseconds; traffic begins 13 s after the machines at the earliest.
+   */
+  private static final long FIRST_START_WAIT_MILLIS = 3_000;
+
   private static final long SECOND_MILLIS = 1_000;
   private static final int TICKS_PER_SECOND = (int) (SECOND_MILLIS / TICK_MILLIS);
   private static final long NANOS_PER_MILLI = 1_000_000;
@@ -100,6 +112,7 @@
   private final AtomicBoolean announced = new AtomicBoolean();
   private final EncodedChanges encodedChanges = new EncodedChanges();
   private long ticks;
+  private volatile long startedMillis;
   private volatile boolean leaving;
   private volatile boolean backendLeaving;
 
@@ -147,9 +160,24 @@
    * to find out why the entry of the back end beside it is missing.
    */
   private boolean readsStore() {
-    return !state.view().isComplete()
-        || attester.isLapsed()
-        || peers.readsStore(!follower.contact().reachable());
+    if (!state.view().isComplete()) {
+      return !waitsForPeers();
+    }
+    return attester.isLapsed() || peers.readsStore(!follower.contact().reachable());
+  }
+
+  /**
+   * Whether the state is to come from another node first: compressed, it takes a tenth of the bytes
+   * of the store's pages and no calls to the store, three a start.
+   */
+  private boolean waitsForPeers() {
+    if (settings.otherSeeds().isEmpty()) {
+      return false;
+    }
+    long waited = clockMillis.getAsLong() - startedMillis;
+    return settings.isFirstStart()
+        ? !settings.isSeed() && waited < FIRST_START_WAIT_MILLIS
+        : !puller.hasAsked() && waited < RESTART_WAIT_MILLIS;
   }
 
   private boolean attests(String instance) {
@@ -168,6 +196,7 @@
    * @throws IOException if an address cannot be bound
    */
   public void start() throws IOException {
+    startedMillis = clockMillis.getAsLong();
     follower.onlyIf(this::readsStore);
     follower.onChange(this::announce);
     follower.start();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshSettings.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshSettings.java
@@ -18,6 +18,8 @@
  * @param exchange where other nodes ask for its state (TCP) and send reports to (UDP)
  * @param control where restarted nodes ask for its state too, if they are told of it
  * @param seeds such addresses of other nodes; may be out of date
+ * @param isFirstStart whether the whole system starts for the first time, so that no other node
+ *     holds anything yet
  * @param metricsPort port of the metrics, 0 for none
  * @param retry bounds of retries
  * @param coldStarts bounds of what a cold back end gets
@@ -35,6 +37,7 @@
     PeerAddress exchange,
     Optional<PeerAddress> control,
     List<PeerAddress> seeds,
+    boolean isFirstStart,
     int metricsPort,
     Retry retry,
     ColdStartLimiter.Bounds coldStarts,
@@ -48,4 +51,14 @@
    * @param extra beyond that
    */
   public record Retry(long windowMillis, double ratio, double extra) {}
+
+  /** The seeds but this node itself. */
+  List<PeerAddress> otherSeeds() {
+    return seeds.stream().filter(seed -> !control.equals(Optional.of(seed))).toList();
+  }
+
+  /** Whether other nodes are told to ask this one. */
+  boolean isSeed() {
+    return control.filter(seeds::contains).isPresent();
+  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -56,6 +56,9 @@
 
   private static final int MAX_TRANSFERS = 3;
 
+  /** Pause between two transfers while this node holds no configuration yet, milliseconds. */
+  private static final long START_PAUSE_MILLIS = 200;
+
   /**
    * The node that stated the newest state, among those of the own zone or of the others.
    *
@@ -99,6 +102,8 @@
   /** The node that changes were last taken from; empty before the first. */
   private volatile String lastSource = "";
 
+  private volatile boolean hasAsked;
+
   private Ahead near = Ahead.NOBODY;
   private Ahead far = Ahead.NOBODY;
   private long behindSinceMillis = -1;
@@ -131,6 +136,11 @@
     thread.start();
   }
 
+  /** Whether another node has been asked, with whatever outcome. */
+  boolean hasAsked() {
+    return hasAsked;
+  }
+
   /** Another node holds something newer. */
   synchronized void ahead(String host, boolean isNear, long version, long revision) {
     if (behindSinceMillis < 0) {
@@ -196,7 +206,9 @@
   private synchronized void ended(boolean taken) {
     long now = clockMillis.getAsLong();
     transfers--;
-    nextTransferMillis = now;
+    // Other nodes that start too hold nothing yet, and are asked again a little later.
+    nextTransferMillis = state.view().isComplete() ? now : now + START_PAUSE_MILLIS;
+    hasAsked = true;
     if (taken) {
       // The own zone delivers: what is newer still gets the whole time to come from there.
       nextTransferMillis = now + PAUSE_MILLIS;
@@ -215,9 +227,8 @@
     if (far.isAheadOf(view) && behindMillis >= otherZoneWait) {
       sources.add(new PeerAddress(far.host(), settings.exchange().port()));
     }
-    if (!view.isComplete() && behindMillis >= READER_WAIT_MILLIS) {
-      List<PeerAddress> seeds = new ArrayList<>(settings.seeds());
-      settings.control().ifPresent(seeds::remove);
+    if (!view.isComplete()) {
+      List<PeerAddress> seeds = new ArrayList<>(settings.otherSeeds());
       Collections.shuffle(seeds, ThreadLocalRandom.current());
       sources.addAll(seeds);
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -19,6 +19,9 @@
    */
   private static final long IDLE_CHECK_MILLIS = SilenceTimes.ROUND_MILLIS;
 
+  /** The same while it holds nothing: until then it refuses callers, milliseconds. */
+  private static final long START_CHECK_MILLIS = 25;
+
   /** How long a node that stopped reading passes the last failure of its calls on, milliseconds. */
   private static final long FAILURE_REMEMBERED_MILLIS = 5_000;
 
@@ -85,7 +88,8 @@
 
   private void step() throws InterruptedException {
     if (!mayRead()) {
-      Thread.sleep(IDLE_CHECK_MILLIS);
+      boolean starts = state.view().revision() < 0;
+      Thread.sleep(starts ? START_CHECK_MILLIS : IDLE_CHECK_MILLIS);
       return;
     }
     Step step;
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
@@ -28,6 +28,7 @@
           new PeerAddress("10.0.0.1", 4),
           Optional.empty(),
           List.of(),
+          false,
           0,
           new MeshSettings.Retry(10_000, 0.2, 64),
           ColdStartLimiter.Bounds.RATE_ALONE,
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -39,6 +39,7 @@
         new PeerAddress("127.0.0.1", exchangePort),
         Optional.empty(),
         List.of(),
+        false,
         0,
         new MeshSettings.Retry(10_000, 0.2, 64),
         ColdStartLimiter.Bounds.RATE_ALONE,
