--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -86,20 +86,23 @@
   }
 
   private void coldFor(long millis) {
-    MeshView current = view.get();
-    ServiceDefinition service =
-        current.isComplete() ? current.configuration().services().get(settings.service()) : null;
-    if (service != null) {
-      long now = clockMillis.getAsLong();
-      coldStarts.cold(now, now + millis, service.coldPerSecond());
-    }
+    ownService()
+        .ifPresent(
+            service -> {
+              long now = clockMillis.getAsLong();
+              coldStarts.cold(now, now + millis, service.coldPerSecond());
+            });
   }
 
   private long warmupMillis() {
+    return ownService().map(ServiceDefinition::warmupMillis).orElse(0L);
+  }
+
+  private Optional<ServiceDefinition> ownService() {
     MeshView current = view.get();
-    ServiceDefinition service =
-        current.isComplete() ? current.configuration().services().get(settings.service()) : null;
-    return service == null ? 0 : service.warmupMillis();
+    return current.isComplete()
+        ? Optional.ofNullable(current.configuration().services().get(settings.service()))
+        : Optional.empty();
   }
 
   /** Bounds what the back end gets while it is cold. */
