Membership: a node that is not listed any more is still where it was, and silent if it is not heard of

Cause: the removal of a dead node's entry cleared its silence (unlisted nodes were never silent, and known for 10 s after their last report) and its zone (a node without a listed zone counted to the own zone, in each zone). The first in rank of all readers was so taken for the reader of every zone: nobody read the store for 5.2 s. The same cause sent reports through a dead node, counted its last contact with the store as the zone's, and offered it attested back ends. Ruled out: deaf watches (the store counts no call by any node), failed transfers (no node had the version). Change: KnownPeers keeps one record a node: last heard, zone and silence as last listed; listed or not, it is silent after its time. A node that was never listed is unplaced: it reports and is reported to, but reads for nobody. PeerView says so. whoIsNotListedButReportsIsReportedTo asserted that an unlisted node is not silent 19.5 s after its last report: that was the fault; it now asserts when it turns silent, to the millisecond, and that it is forgotten 10 s after its last report.

--- a/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
@@ -4,66 +4,96 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
- * The other nodes that this one exchanges reports with: those that the store lists, each silent
- * after a time of its own, and unlisted ones that report. A pause of this node itself counts for
- * none of them. Owner synchronizes.
+ * The other nodes that this one exchanges reports with: those that the store lists, and unlisted
+ * ones that report. Each is silent after a time of its own since it was last heard of; whether it
+ * is listed is no sign of life. A pause of this node itself counts for none of them. Owner
+ * synchronizes.
  */
 public final class KnownPeers {
+  /**
+   * What the list of nodes says of one.
+   *
+   * @param zone its zone
+   * @param silentMillis silence after which it counts as out of reach, milliseconds
+   */
+  public record ListedPeer(String zone, long silentMillis) {}
+
+  private static final class Peer {
+    private Optional<String> zone = Optional.empty();
+    private long silentMillis;
+    private long heardAtMillis;
+    private boolean listed;
+
+    Peer(long heardAtMillis) {
+      this.heardAtMillis = heardAtMillis;
+    }
+
+    void list(ListedPeer entry, long nowMillis) {
+      if (!listed) {
+        heardAtMillis = nowMillis;
+      }
+      listed = true;
+      zone = Optional.of(entry.zone());
+      silentMillis = entry.silentMillis();
+    }
+
+    boolean isUnheard(long nowMillis, long millis) {
+      return heardAtMillis + millis < nowMillis;
+    }
+  }
+
   private final String self;
   private final long unlistedMillis;
   private final long ownPauseMillis;
-  private final Map<String, Long> heardAt = new HashMap<>();
-  private final Map<String, Long> unlistedHeardAt = new HashMap<>();
-  private Map<String, Long> silentMillis = Map.of();
+  private final Map<String, Peer> peers = new HashMap<>();
+
+  /** Silence of a node that was never listed and may be in any zone: the longest of the others. */
+  private long unplacedSilentMillis;
+
   private long lastTickMillis = -1;
 
   /**
    * Creates a set without peers.
    *
    * @param self address of this node, which is never silent
-   * @param unlistedMillis how long a node that is not listed counts after its last report
+   * @param unlistedMillis how long a node that is not listed is known after its last report
    * @param ownPauseMillis gap between two ticks from which on this node itself stood still
    */
   public KnownPeers(String self, long unlistedMillis, long ownPauseMillis) {
     this.self = self;
     this.unlistedMillis = unlistedMillis;
+    this.unplacedSilentMillis = unlistedMillis;
     this.ownPauseMillis = ownPauseMillis;
   }
 
-  /**
-   * The addresses that are listed now; new ones have the whole time to be heard of.
-   *
-   * @param listed address to the silence after which it counts as out of reach, milliseconds
-   */
-  public void replace(long nowMillis, Map<String, Long> listed) {
-    silentMillis = Map.copyOf(listed);
-    for (Map.Entry<String, Long> heard : heardAt.entrySet()) {
-      if (!listed.containsKey(heard.getKey())) {
-        unlistedHeardAt.put(heard.getKey(), heard.getValue());
-      }
-    }
-    heardAt.keySet().retainAll(listed.keySet());
-    for (String address : listed.keySet()) {
-      heardAt.putIfAbsent(address, nowMillis);
-      unlistedHeardAt.remove(address);
-    }
+  /** The nodes that are listed now, by address; new ones have the whole time to be heard of. */
+  public void replace(long nowMillis, Map<String, ListedPeer> listed) {
+    unplacedSilentMillis =
+        listed.values().stream().mapToLong(ListedPeer::silentMillis).max().orElse(unlistedMillis);
+    peers.forEach((address, peer) -> peer.listed &= listed.containsKey(address));
+    listed.forEach(
+        (address, entry) -> {
+          if (!address.equals(self)) {
+            peers.computeIfAbsent(address, absent -> new Peer(nowMillis)).list(entry, nowMillis);
+          }
+        });
     forgetUnlisted(nowMillis);
   }
 
   private void forgetUnlisted(long nowMillis) {
-    unlistedHeardAt.values().removeIf(heard -> heard + unlistedMillis < nowMillis);
+    peers.values().removeIf(peer -> !peer.listed && peer.isUnheard(nowMillis, unlistedMillis));
   }
 
   /** A node was there at a time, as it said itself or as another node heard. */
   public void heard(long atMillis, String address) {
-    if (address.equals(self)) {
-      return;
+    if (!address.equals(self)) {
+      Peer peer = peers.computeIfAbsent(address, absent -> new Peer(atMillis));
+      peer.heardAtMillis = Math.max(peer.heardAtMillis, atMillis);
     }
-    Map<String, Long> where = silentMillis.containsKey(address) ? heardAt : unlistedHeardAt;
-    where.merge(address, atMillis, Math::max);
   }
 
   /** Lets time pass; to be called regularly. */
@@ -71,17 +101,18 @@
     long gap = lastTickMillis < 0 ? 0 : nowMillis - lastTickMillis;
     lastTickMillis = nowMillis;
     if (gap > ownPauseMillis) {
-      heardAt.replaceAll((address, heard) -> heard + gap);
+      peers.values().forEach(peer -> peer.heardAtMillis += gap);
     }
     forgetUnlisted(nowMillis);
   }
 
-  /** Listed addresses that have been silent for too long. */
+  /** Addresses that have been silent for too long, listed or not. */
   public Set<String> silent(long nowMillis) {
     Set<String> silent = new HashSet<>();
-    heardAt.forEach(
-        (address, heard) -> {
-          if (heard + silentMillis.get(address) < nowMillis && !address.equals(self)) {
+    peers.forEach(
+        (address, peer) -> {
+          long millis = peer.zone.isEmpty() ? unplacedSilentMillis : peer.silentMillis;
+          if (peer.isUnheard(nowMillis, millis)) {
             silent.add(address);
           }
         });
@@ -92,19 +123,22 @@
   public Set<String> unheard(Collection<String> addresses, long nowMillis, long millis) {
     Set<String> unheard = new HashSet<>();
     for (String address : addresses) {
-      Long heard = heardAt.get(address);
-      if (heard != null && heard + millis < nowMillis) {
+      Peer peer = peers.get(address);
+      if (peer != null && peer.isUnheard(nowMillis, millis)) {
         unheard.add(address);
       }
     }
     return unheard;
   }
 
+  /** The zone in which a node is, or was when it was last listed; empty if it never was. */
+  public Optional<String> zoneOf(String address) {
+    Peer peer = peers.get(address);
+    return peer == null ? Optional.empty() : peer.zone;
+  }
+
   /** All addresses, listed or not, but this node's own. */
   public Set<String> others() {
-    Set<String> others = new HashSet<>(heardAt.keySet());
-    others.addAll(unlistedHeardAt.keySet());
-    others.remove(self);
-    return others;
+    return new HashSet<>(peers.keySet());
   }
 }
--- a/umberpath-control/src/test/java/io/umberpath/control/membership/KnownPeersTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/membership/KnownPeersTest.java
@@ -2,14 +2,20 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.umberpath.control.membership.KnownPeers.ListedPeer;
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 final class KnownPeersTest {
-  private static final Map<String, Long> LISTED = Map.of("self", 900L, "a", 900L, "b", 4_000L);
+  private static final Map<String, ListedPeer> LISTED =
+      Map.of("self", in("z", 900), "a", in("z", 900), "b", in("z", 4_000));
   private final KnownPeers peers = new KnownPeers("self", 10_000, 600);
 
+  private static ListedPeer in(String zone, long silentMillis) {
+    return new ListedPeer(zone, silentMillis);
+  }
+
   private void run(long from, long to, String... heard) {
     for (long now = from; now <= to; now += 250) {
       for (String each : heard) {
@@ -48,16 +54,20 @@
     run(0, 500, "a", "unlisted");
 
     assertThat(peers.others()).containsExactlyInAnyOrder("a", "b", "unlisted");
-    assertThat(peers.silent(20_000)).doesNotContain("unlisted");
+    assertThat(peers.silent(4_500)).doesNotContain("unlisted");
+    assertThat(peers.silent(4_501)).contains("unlisted");
+
+    peers.replace(10_501, LISTED);
+    assertThat(peers.others()).containsExactlyInAnyOrder("a", "b");
   }
 
   @Test
   void whoIsNoLongerListedIsReportedToWhileItReports() {
     run(0, 500, "a", "b");
-    peers.replace(750, Map.of("b", 900L));
+    peers.replace(750, Map.of("b", in("z", 900)));
     assertThat(peers.others()).containsExactlyInAnyOrder("a", "b");
 
-    peers.replace(20_000, Map.of("b", 900L));
+    peers.replace(20_000, Map.of("b", in("z", 900)));
     assertThat(peers.others()).containsExactly("b");
   }
 
@@ -67,7 +77,7 @@
     run(0, 2_000, "b");
     assertThat(peers.silent(2_000)).containsExactly("a");
 
-    peers.replace(2_250, Map.of("self", 900L, "b", 4_000L));
+    peers.replace(2_250, Map.of("self", in("z", 900), "b", in("z", 4_000)));
 
     assertThat(peers.silent(2_250)).containsExactly("a");
   }
@@ -76,7 +86,7 @@
   @Test
   void whoIsNoLongerListedIsUnheardOfAllTheSame() {
     run(0, 2_000, "b");
-    peers.replace(2_250, Map.of("self", 900L, "b", 4_000L));
+    peers.replace(2_250, Map.of("self", in("z", 900), "b", in("z", 4_000)));
 
     assertThat(peers.unheard(Set.of("a", "b"), 2_250, 600)).containsExactly("a");
   }
--- a/umberpath-control/src/test/java/io/umberpath/control/membership/MembershipAtScaleTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/membership/MembershipAtScaleTest.java
@@ -73,10 +73,13 @@
       }
       SilenceTimes times = SilenceTimes.of(node.near.size() + 1);
       node.times = times;
-      Map<String, Long> silence = new HashMap<>();
-      nodes.keySet().forEach(host -> silence.put(host, times.farMillis()));
-      node.near.forEach(host -> silence.put(host, times.nearMillis()));
-      node.known.replace(0, silence);
+      Map<String, KnownPeers.ListedPeer> listed = new HashMap<>();
+      for (Node other : nodes.values()) {
+        boolean isNear = other.zone.equals(node.zone);
+        long silentMillis = isNear ? times.nearMillis() : times.farMillis();
+        listed.put(other.host, new KnownPeers.ListedPeer(other.zone, silentMillis));
+      }
+      node.known.replace(0, listed);
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -135,14 +135,14 @@
       BackendDirectory current = view.get().backends();
       boolean sameBackends = current == listed;
       if (!sameBackends) {
-        known.replace(nowMillis, silenceByHost(current.hosts()));
+        known.replace(nowMillis, listedPeers(current));
         listed = current;
       }
       Set<String> others = known.others();
       Set<String> silent = known.silent(nowMillis);
       boolean unchanged =
           sameBackends && others.equals(peers.others()) && silent.equals(peers.silent());
-      return unchanged ? peers : PeerView.of(others, silent, settings.zone(), this::zoneOf);
+      return unchanged ? peers : PeerView.of(others, silent, settings.zone(), known::zoneOf);
     }
   }
 
@@ -178,24 +178,29 @@
     return new PeerMessage.Entry(host, ageMillis, heard.stamp(), heard.encoded());
   }
 
-  private Map<String, Long> silenceByHost(Set<String> hosts) {
-    SilenceTimes times = SilenceTimes.of((int) hosts.stream().filter(this::isNear).count());
-    silenceTimes = times;
-    Map<String, Long> silence = new HashMap<>();
-    for (String host : hosts) {
-      silence.put(host, isNear(host) ? times.nearMillis() : times.farMillis());
+  private Map<String, KnownPeers.ListedPeer> listedPeers(BackendDirectory directory) {
+    Map<String, String> zones = new HashMap<>();
+    for (String host : directory.hosts()) {
+      zones.put(host, directory.atHost(host).get(0).zone());
     }
-    return silence;
+    SilenceTimes times =
+        SilenceTimes.of((int) zones.values().stream().filter(settings.zone()::equals).count());
+    silenceTimes = times;
+    Map<String, KnownPeers.ListedPeer> listedPeers = new HashMap<>();
+    zones.forEach(
+        (host, zone) -> {
+          boolean isNear = zone.equals(settings.zone());
+          long silentMillis = isNear ? times.nearMillis() : times.farMillis();
+          listedPeers.put(host, new KnownPeers.ListedPeer(zone, silentMillis));
+        });
+    return listedPeers;
   }
 
-  /** Whether a node is in the own zone; one that is not listed may be. */
+  /** Whether a node is in the own zone; one whose zone is not known may be. */
   private boolean isNear(String host) {
-    return zoneOf(host).map(settings.zone()::equals).orElse(true);
-  }
-
-  private Optional<String> zoneOf(String host) {
-    List<BackendEntry> entries = view.get().backends().atHost(host);
-    return entries.isEmpty() ? Optional.empty() : Optional.of(entries.get(0).zone());
+    synchronized (known) {
+      return known.zoneOf(host).map(settings.zone()::equals).orElse(true);
+    }
   }
 
   private void note(Set<String> before, Set<String> after) {
@@ -279,7 +284,7 @@
   }
 
   private boolean electsSelf(PeerView current, boolean refused) {
-    Set<String> reachable = current.reachableNear();
+    Set<String> reachable = current.reachableInZone();
     reachable.removeAll(leaving);
     Set<String> refusedNodes = new HashSet<>();
     reports
@@ -298,7 +303,7 @@
 
   /** The contact with the store that nodes of the own zone state; empty if none calls it. */
   Optional<StoreContact> zoneContact() {
-    return reports.contact(peers.reachableNear()::contains);
+    return reports.contact(peers.reachableInZone()::contains);
   }
 
   /** The back ends of a service that take new work. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerView.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerView.java
@@ -13,13 +13,19 @@
  * The other nodes as one round of reports sees them. Immutable.
  *
  * @param others all of them
- * @param near those of the own zone, and those whose zone is not known
+ * @param near those of the own zone, and the unplaced ones
+ * @param unplaced those whose zone is not known: they report and are reported to, but nothing that
+ *     one node does for its zone is left to them
  * @param farByZone those of each other zone
  * @param silent those that have been silent for too long
  */
 record PeerView(
-    Set<String> others, Set<String> near, Map<String, List<String>> farByZone, Set<String> silent) {
-  static final PeerView NOBODY = new PeerView(Set.of(), Set.of(), Map.of(), Set.of());
+    Set<String> others,
+    Set<String> near,
+    Set<String> unplaced,
+    Map<String, List<String>> farByZone,
+    Set<String> silent) {
+  static final PeerView NOBODY = new PeerView(Set.of(), Set.of(), Set.of(), Map.of(), Set.of());
 
   /** Sorts nodes by zone. */
   static PeerView of(
@@ -28,25 +34,36 @@
       String ownZone,
       Function<String, Optional<String>> zoneOf) {
     Set<String> near = new HashSet<>();
+    Set<String> unplaced = new HashSet<>();
     Map<String, List<String>> far = new HashMap<>();
     for (String host : others) {
-      String zone = zoneOf.apply(host).orElse(ownZone);
-      if (zone.equals(ownZone)) {
+      Optional<String> zone = zoneOf.apply(host);
+      if (zone.isEmpty()) {
+        unplaced.add(host);
+        near.add(host);
+      } else if (zone.get().equals(ownZone)) {
         near.add(host);
       } else {
-        far.computeIfAbsent(zone, absent -> new ArrayList<>()).add(host);
+        far.computeIfAbsent(zone.get(), absent -> new ArrayList<>()).add(host);
       }
     }
-    return new PeerView(others, near, far, silent);
+    return new PeerView(others, near, unplaced, far, silent);
   }
 
-  /** Nodes of the own zone that are not silent. */
+  /** Nodes of the own zone, and unplaced ones, that are not silent. */
   Set<String> reachableNear() {
     Set<String> reachable = new HashSet<>(near);
     reachable.removeAll(silent);
     return reachable;
   }
 
+  /** Nodes known to be of the own zone that are not silent. */
+  Set<String> reachableInZone() {
+    Set<String> reachable = reachableNear();
+    reachable.removeAll(unplaced);
+    return reachable;
+  }
+
   /** Zones that have nodes, the own one included. */
   int zones() {
     return farByZone.size() + 1;
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/ReadersAfterALossTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/ReadersAfterALossTest.java
@@ -11,7 +11,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
@@ -82,11 +81,12 @@
     }
     node.listed = listed;
     SilenceTimes times = SilenceTimes.of((int) listed.stream().filter(near(node)).count());
-    Map<String, Long> silence = new HashMap<>();
+    Map<String, KnownPeers.ListedPeer> entries = new HashMap<>();
     for (String host : listed) {
-      silence.put(host, near(node).test(host) ? times.nearMillis() : times.farMillis());
+      long silentMillis = near(node).test(host) ? times.nearMillis() : times.farMillis();
+      entries.put(host, new KnownPeers.ListedPeer(zones.get(host), silentMillis));
     }
-    node.known.replace(now, silence);
+    node.known.replace(now, entries);
   }
 
   private Predicate<String> near(Node node) {
@@ -95,12 +95,8 @@
 
   private boolean reads(long now, Node node) {
     PeerView view =
-        PeerView.of(
-            node.known.others(),
-            node.known.silent(now),
-            node.zone,
-            host -> node.listed.contains(host) ? Optional.of(zones.get(host)) : Optional.empty());
-    return StoreReaders.reads(node.host, view.reachableNear(), Set.of(), view.zones());
+        PeerView.of(node.known.others(), node.known.silent(now), node.zone, node.known::zoneOf);
+    return StoreReaders.reads(node.host, view.reachableInZone(), Set.of(), view.zones());
   }
 
   /** Each round every living node is heard of by all others. */
