Store readers: a node leaves reading to others only while they say that they call the store

Cause (class of the stop of all readers): the election trusted a rank; whoever was wrongly ranked ahead, for whatever reason, was waited for without bound. Weighed: every node reads when it has heard nothing new for a while (needs a rhythm of changes that nobody promises); readers named by an agreement (no place to keep it). Change: ReaderElection. The first in rank read at once; the others give way while as many of those ahead as are due state in their reports that they call; else they take over one after the other, the first of them after the time in which a live node's report is due. A reader ends only when one ahead says that it calls. The line store-reader names the inputs (rank, readers due, nodes ahead, how many of them call): without it the stop could only be inferred from other lines. Figures: ReaderElectionTest, 4 cases: with a silent reader ahead the second takes over after 1.15 s, the third 0.25 s later (virtual time); before, never.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreReaders.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreReaders.java
@@ -3,6 +3,7 @@
 import io.umberpath.control.membership.Rendezvous;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -33,11 +34,15 @@
    */
   public static boolean reads(
       String self, Collection<String> others, Set<String> refused, int zones) {
+    return ahead(self, others, refused).size() < readersPerZone(zones);
+  }
+
+  /** The other nodes that rank before a node as readers, first ones first. */
+  static List<String> ahead(String self, Collection<String> others, Set<String> refused) {
     Comparator<String> rank =
         Comparator.<String, Boolean>comparing(refused::contains)
             .thenComparing(Rendezvous.order(TASK));
-    long ahead = others.stream().filter(other -> rank.compare(other, self) < 0).count();
-    return ahead < readersPerZone(zones);
+    return others.stream().filter(other -> rank.compare(other, self) < 0).sorted(rank).toList();
   }
 
   /** Readers of each of so many zones: one, or more where the zones are few. */
--- /dev/null
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/ReaderElectionTest.java
@@ -0,0 +1,84 @@
+package io.umberpath.control.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A zone went without a reader for as long as its nodes waited for one that was not there. However
+ * a node comes to be waited for in vain, another one reads within a bounded time.
+ */
+final class ReaderElectionTest {
+  private static final long ROUND_MILLIS = 250;
+  private static final long NOTICE_MILLIS = 1_150;
+  private static final int ZONES = 4;
+  private static final List<String> RANKED =
+      StoreReaders.ahead("", List.of("10.0.0.3", "10.0.0.4", "10.0.0.5"), Set.of(""));
+
+  private final Set<String> calling = new HashSet<>();
+
+  private boolean reads(ReaderElection election, String self, long now) {
+    return reads(election, self, now, Set.of());
+  }
+
+  private boolean reads(ReaderElection election, String self, long now, Set<String> refused) {
+    List<String> others = new ArrayList<>(RANKED);
+    others.remove(self);
+    return election.decide(now, others, calling, refused, ZONES, NOTICE_MILLIS).reads();
+  }
+
+  private static ReaderElection electionOf(int rank) {
+    return new ReaderElection(RANKED.get(rank), ROUND_MILLIS);
+  }
+
+  @Test
+  void theFirstReadsAtOnceAndTheOthersLeaveItToOneThatCalls() {
+    calling.add(RANKED.get(0));
+
+    assertThat(reads(electionOf(0), RANKED.get(0), 0)).isTrue();
+    assertThat(reads(electionOf(1), RANKED.get(1), 0)).isFalse();
+    assertThat(reads(electionOf(2), RANKED.get(2), 0)).isFalse();
+  }
+
+  @Test
+  void oneAfterAnotherTakesOverFromAReaderThatDoesNotCall() {
+    ReaderElection second = electionOf(1);
+    ReaderElection third = electionOf(2);
+
+    for (long now = 0; now < NOTICE_MILLIS; now += ROUND_MILLIS) {
+      assertThat(reads(second, RANKED.get(1), now)).as("at %d ms", now).isFalse();
+      assertThat(reads(third, RANKED.get(2), now)).as("at %d ms", now).isFalse();
+    }
+    assertThat(reads(second, RANKED.get(1), NOTICE_MILLIS)).isTrue();
+    assertThat(reads(third, RANKED.get(2), NOTICE_MILLIS)).isFalse();
+    assertThat(reads(third, RANKED.get(2), NOTICE_MILLIS + ROUND_MILLIS)).isTrue();
+  }
+
+  @Test
+  void aReaderEndsOnlyOnceOneAheadSaysThatItCalls() {
+    ReaderElection second = electionOf(1);
+    reads(second, RANKED.get(1), 0);
+    assertThat(reads(second, RANKED.get(1), NOTICE_MILLIS)).isTrue();
+    assertThat(reads(second, RANKED.get(1), 60_000)).isTrue();
+
+    calling.add(RANKED.get(0));
+
+    assertThat(reads(second, RANKED.get(1), 60_250)).isFalse();
+  }
+
+  @Test
+  void aReaderThatTheStoreRefusesReadsOnUntilAnotherOneCalls() {
+    ReaderElection first = electionOf(0);
+    assertThat(reads(first, RANKED.get(0), 0)).isTrue();
+
+    Set<String> refused = Set.of(RANKED.get(0));
+    assertThat(reads(first, RANKED.get(0), 250, refused)).isTrue();
+    calling.add(RANKED.get(1));
+
+    assertThat(reads(first, RANKED.get(0), 500, refused)).isFalse();
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -214,8 +214,13 @@
         .log("another node is tried");
   }
 
-  void storeReader(boolean reads) {
-    line(MeshEvent.STORE_READER).log("%s", reads ? "begins" : "ends");
+  /**
+   * This node begins to call the store, or ends.
+   *
+   * @param inputs what that was decided from
+   */
+  void storeReader(boolean reads, String inputs) {
+    line(MeshEvent.STORE_READER).with(CAUSE, inputs).log("%s", reads ? "begins" : "ends");
   }
 
   void stateAdopted(String peer, long version, StoreChanges changes) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.control.membership.SilenceTimes;
+import io.umberpath.control.store.ReaderElection;
 import io.umberpath.control.store.StateRequest;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreWatcher;
@@ -159,11 +160,15 @@
    * Whether this node calls the store: as one of its zone's readers, while it holds nothing yet, or
    * to find out why the entry of the back end beside it is missing.
    */
-  private boolean readsStore() {
+  private ReadDecision readsStore() {
     if (!state.view().isComplete()) {
-      return !waitsForPeers();
+      return new ReadDecision(!waitsForPeers(), () -> "holds no state yet");
     }
-    return attester.isLapsed() || peers.readsStore(!follower.contact().reachable());
+    if (attester.isLapsed()) {
+      return new ReadDecision(true, () -> "the entry of its back end is missing");
+    }
+    ReaderElection.Decision elected = peers.electReader(!follower.contact().reachable());
+    return new ReadDecision(elected.reads(), elected::inputs);
   }
 
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -3,7 +3,7 @@
 import io.umberpath.control.membership.KnownPeers;
 import io.umberpath.control.membership.ReportSchedule;
 import io.umberpath.control.membership.SilenceTimes;
-import io.umberpath.control.store.StoreReaders;
+import io.umberpath.control.store.ReaderElection;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
@@ -61,7 +61,11 @@
   /** Back ends that {@link #known} was made of; guarded by it. */
   private BackendDirectory listed;
 
-  private volatile Election election = new Election(PeerView.NOBODY, false, Long.MIN_VALUE, false);
+  private final ReaderElection readers;
+
+  /** The last decision of {@link #readers}; guarded by this object's lock. */
+  private LastElection lastElection;
+
   private volatile SilenceTimes silenceTimes = SilenceTimes.of(1);
   private int leavingRounds;
 
@@ -86,6 +90,7 @@
     this.self = settings.exchange().host();
     this.known = new KnownPeers(self, UNLISTED_MILLIS, OWN_PAUSE_MILLIS);
     this.schedule = new ReportSchedule(self);
+    this.readers = new ReaderElection(self, SilenceTimes.ROUND_MILLIS);
     this.socket = new ReportSocket(settings.exchange(), this::take, events);
   }
 
@@ -258,7 +263,8 @@
    *
    * @param refused whether the store did not answer this node lately
    */
-  private record Election(PeerView peers, boolean refused, long atMillis, boolean reads) {
+  private record LastElection(
+      PeerView peers, boolean refused, long atMillis, ReaderElection.Decision decision) {
     boolean holds(PeerView current, boolean nowRefused, long nowMillis) {
       return peers == current
           && refused == nowRefused
@@ -272,33 +278,37 @@
    *
    * @param refused whether the store did not answer this node lately
    */
-  boolean readsStore(boolean refused) {
+  synchronized ReaderElection.Decision electReader(boolean refused) {
     PeerView current = peers;
     long now = clockMillis.getAsLong();
-    Election last = election;
-    if (!last.holds(current, refused, now)) {
-      last = new Election(current, refused, now, electsSelf(current, refused));
-      election = last;
+    if (lastElection == null || !lastElection.holds(current, refused, now)) {
+      lastElection = new LastElection(current, refused, now, elect(now, current, refused));
     }
-    return last.reads();
+    return lastElection.decision();
   }
 
-  private boolean electsSelf(PeerView current, boolean refused) {
+  private ReaderElection.Decision elect(long nowMillis, PeerView current, boolean refused) {
     Set<String> reachable = current.reachableInZone();
     reachable.removeAll(leaving);
+    Set<String> calling = new HashSet<>();
     Set<String> refusedNodes = new HashSet<>();
     reports
         .of(reachable)
         .forEach(
             (host, heard) -> {
-              if (heard.report().contact().state() == ReportedContact.State.LOST) {
+              ReportedContact.State state = heard.report().contact().state();
+              if (state != ReportedContact.State.NONE) {
+                calling.add(host);
+              }
+              if (state == ReportedContact.State.LOST) {
                 refusedNodes.add(host);
               }
             });
     if (refused) {
       refusedNodes.add(self);
     }
-    return StoreReaders.reads(self, reachable, refusedNodes, current.zones());
+    return readers.decide(
+        nowMillis, reachable, calling, refusedNodes, current.zones(), silenceTimes.nearMillis());
   }
 
   /** The contact with the store that nodes of the own zone state; empty if none calls it. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -4,8 +4,8 @@
 import io.umberpath.control.store.StoreAnswer;
 import io.umberpath.control.store.StoreCall;
 import io.umberpath.control.store.StoreWatcher.Step;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * The thread that carries out what the watcher wants, while this node is to read the store itself.
@@ -32,7 +32,7 @@
   private final Thread thread = new Thread(this::run, "umberpath-store");
   private volatile boolean closed;
   private volatile StoreContact contact = StoreContact.FROM_START;
-  private volatile BooleanSupplier reads = () -> true;
+  private volatile Supplier<ReadDecision> decision = () -> new ReadDecision(true, () -> "always");
   private volatile Runnable changeListener = () -> {};
   private volatile boolean reading = true;
 
@@ -44,8 +44,8 @@
   }
 
   /** Decides whether this node calls the store itself; until then it does. */
-  void onlyIf(BooleanSupplier condition) {
-    reads = condition;
+  void onlyIf(Supplier<ReadDecision> condition) {
+    decision = condition;
   }
 
   /** Is told when the store's changes were taken. */
@@ -123,10 +123,11 @@
   }
 
   private boolean mayRead() {
-    boolean now = reads.getAsBoolean();
+    ReadDecision current = decision.get();
+    boolean now = current.reads();
     if (now != reading) {
       reading = now;
-      events.storeReader(now);
+      events.storeReader(now, current.inputs().get());
     }
     boolean expired = clockMillis.getAsLong() > contact.sinceMillis() + FAILURE_REMEMBERED_MILLIS;
     if (!now && !contact.reachable() && expired) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
@@ -47,7 +47,7 @@
       follower.onlyIf(
           () -> {
             looks.countDown();
-            return reads.get();
+            return new ReadDecision(reads.get(), () -> "set by the test");
           });
       follower.onChange(changed::countDown);
       follower.start();
