--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
 
@@ -60,4 +61,42 @@
       assertThat(follower.reported().state()).isEqualTo(ReportedContact.State.REACHABLE);
     }
   }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).isLessThan(end);
+      Thread.sleep(5);
+    }
+  }
+
+  /**
+   * The store answers one machine "too many" for seconds and serves the others. The node there went
+   * on as its zone's reader, said that its calls are answered, and nobody else read.
+   */
+  @Test
+  void aNodeThatTheStoreKeepsThrottlingIsNoReaderToRelyOn() throws Exception {
+    MeshEvents events = new MeshEvents(CLOCK);
+    StoreWatcher watcher = new StoreWatcher("", MeshNode.WATCHER, () -> 0.5);
+    MeshState state = new MeshState(new PortDocuments(), watcher, events);
+    CountDownLatch calls = new CountDownLatch(8);
+    StoreClient client =
+        new StoreClient() {
+          @Override
+          public StoreAnswer call(StoreCall call) {
+            calls.countDown();
+            return calls.getCount() > 0
+                ? new StoreAnswer.Throttled()
+                : new StoreAnswer.Page(List.of(), false, 1);
+          }
+
+          @Override
+          public void close() {}
+        };
+    try (StoreFollower follower = new StoreFollower(state, client, events, CLOCK)) {
+      follower.start();
+      await(() -> follower.reported().state() == ReportedContact.State.LOST);
+      await(() -> follower.reported().state() == ReportedContact.State.REACHABLE);
+    }
+  }
 }
