Store readers: a node that the store keeps throttling gives its place as a reader up

Cause: 429 never counted as a lost contact, so a reader that the store throttles alone said for as long as that lasted that its calls are answered, and its zone relied on it. Same class as the stop of all readers: a reader that does not read. Change: four throttled calls in a row (0.5 to 1 s with the pauses between them) count as contact lost; the next answer ends it. Figures: StoreFollowerTest.aNodeThatTheStoreKeepsThrottlingIsNoReaderToRelyOn failed (state REACHABLE for 20 s), passes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -25,6 +25,12 @@
   /** How long a node that stopped reading passes the last failure of its calls on, milliseconds. */
   private static final long FAILURE_REMEMBERED_MILLIS = 5_000;
 
+  /**
+   * Calls in a row that the store may throttle before it counts as not answering this node: with
+   * the pauses between them 0.5 to 1 s, past a rush of many nodes at once.
+   */
+  private static final int MAX_THROTTLED_IN_A_ROW = 4;
+
   private final MeshState state;
   private final StoreClient client;
   private final MeshEvents events;
@@ -35,6 +41,7 @@
   private volatile Supplier<ReadDecision> decision = () -> new ReadDecision(true, () -> "always");
   private volatile Runnable changeListener = () -> {};
   private volatile boolean reading = true;
+  private int throttledInARow;
 
   StoreFollower(MeshState state, StoreClient client, MeshEvents events, LongSupplier clockMillis) {
     this.state = state;
@@ -138,16 +145,27 @@
 
   private void note(long nowMillis, StoreAnswer answer) {
     events.storeCalled(answer);
-    if (answer instanceof StoreAnswer.Unavailable unavailable) {
-      if (contact.reachable()) {
-        events.storeLost(unavailable.cause());
-        contact = new StoreContact(false, nowMillis);
-      }
-    } else if (!(answer instanceof StoreAnswer.Throttled)) {
-      if (!contact.reachable()) {
-        events.storeRegained(nowMillis - contact.sinceMillis());
-        contact = new StoreContact(true, nowMillis);
+    if (answer instanceof StoreAnswer.Throttled) {
+      throttledInARow++;
+      if (throttledInARow >= MAX_THROTTLED_IN_A_ROW) {
+        // Others of the zone are to read: the store may throttle this node alone.
+        lost(nowMillis, "throttled");
       }
+      return;
+    }
+    throttledInARow = 0;
+    if (answer instanceof StoreAnswer.Unavailable unavailable) {
+      lost(nowMillis, unavailable.cause());
+    } else if (!contact.reachable()) {
+      events.storeRegained(nowMillis - contact.sinceMillis());
+      contact = new StoreContact(true, nowMillis);
+    }
+  }
+
+  private void lost(long nowMillis, String cause) {
+    if (contact.reachable()) {
+      events.storeLost(cause);
+      contact = new StoreContact(false, nowMillis);
     }
   }
 
