Membership: nodes whose zone is not known are no delegates of a zone either

Change: PeerView states who is ineligible (silent, or of unknown zone); delegates and readers are drawn from the others.

--- a/umberpath-control/src/main/java/io/umberpath/control/membership/ReportSchedule.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/ReportSchedule.java
@@ -52,18 +52,18 @@
    *
    * @param near the other nodes of the own zone
    * @param far the nodes of each other zone
-   * @param silent nodes out of reach: they do not count as delegates, nor get digests while others
-   *     are left
-   * @param quiet nodes of the own zone that may be out of reach, those that are silent among them:
-   *     no report travels through them, but one of them in turn is sent to, in case it is there
+   * @param ineligible nodes that are out of reach, or of a zone that is not known: they do not
+   *     count as delegates, nor get digests while others are left
+   * @param quiet nodes of the own zone that may be out of reach, silent ones among them: no report
+   *     travels through them, but one of them in turn is sent to, in case it is there
    */
   public Round next(
       Collection<String> near,
       Map<String, List<String>> far,
-      Set<String> silent,
+      Set<String> ineligible,
       Set<String> quiet) {
-    if (duties == null || !duties.holdFor(near, far, silent)) {
-      duties = duties(near, far, silent);
+    if (duties == null || !duties.holdFor(near, far, ineligible)) {
+      duties = duties(near, far, ineligible);
     }
     boolean gossips = duties.ordered().size() <= GossipRing.MAX_NODES;
     List<String> reportTo = gossips ? List.of() : nearReceivers(duties.ordered());
@@ -72,7 +72,7 @@
     if (Math.floorMod(round, ROUNDS_PER_DIGEST) == phase) {
       int turn = round / ROUNDS_PER_DIGEST;
       for (String zone : duties.zones()) {
-        digestTo.add(receiver(zone, far.get(zone), silent, turn));
+        digestTo.add(receiver(zone, far.get(zone), ineligible, turn));
       }
     }
     round++;
@@ -117,18 +117,19 @@
   private record Duties(
       Collection<String> near,
       Map<String, List<String>> far,
-      Set<String> silent,
+      Set<String> ineligible,
       List<String> ordered,
       List<String> zones) {
-    boolean holdFor(Collection<String> near, Map<String, List<String>> far, Set<String> silent) {
-      return this.near == near && this.far == far && this.silent == silent;
+    boolean holdFor(
+        Collection<String> near, Map<String, List<String>> far, Set<String> ineligible) {
+      return this.near == near && this.far == far && this.ineligible == ineligible;
     }
   }
 
   private Duties duties(
-      Collection<String> near, Map<String, List<String>> far, Set<String> silent) {
+      Collection<String> near, Map<String, List<String>> far, Set<String> ineligible) {
     Set<String> electable = new HashSet<>(near);
-    electable.removeAll(silent);
+    electable.removeAll(ineligible);
     electable.add(self);
     List<String> zones = new ArrayList<>();
     for (String zone : far.keySet()) {
@@ -138,7 +139,7 @@
     }
     Set<String> ordered = new TreeSet<>(near);
     ordered.add(self);
-    return new Duties(near, far, silent, List.copyOf(ordered), zones);
+    return new Duties(near, far, ineligible, List.copyOf(ordered), zones);
   }
 
   /** One reachable node of each other zone, for news that it is to relay there at once. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -115,7 +115,7 @@
     ReportSchedule.Round round;
     synchronized (schedule) {
       Set<String> quiet = quiet(now, current);
-      round = schedule.next(current.near(), current.farByZone(), current.silent(), quiet);
+      round = schedule.next(current.near(), current.farByZone(), current.ineligible(), quiet);
     }
     boolean toAll = report.leaving() && leavingRounds++ < LEAVING_ROUNDS;
     PeerMessage.Entry own = stamped(report);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerView.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerView.java
@@ -13,19 +13,19 @@
  * The other nodes as one round of reports sees them. Immutable.
  *
  * @param others all of them
- * @param near those of the own zone, and the unplaced ones
- * @param unplaced those whose zone is not known: they report and are reported to, but nothing that
- *     one node does for its zone is left to them
+ * @param near those of the own zone, and those whose zone is not known
  * @param farByZone those of each other zone
  * @param silent those that have been silent for too long
+ * @param ineligible those to whom nothing is left that one node does for its zone: the silent ones,
+ *     and those whose zone is not known, which may be counted in each zone
  */
 record PeerView(
     Set<String> others,
     Set<String> near,
-    Set<String> unplaced,
     Map<String, List<String>> farByZone,
-    Set<String> silent) {
-  static final PeerView NOBODY = new PeerView(Set.of(), Set.of(), Set.of(), Map.of(), Set.of());
+    Set<String> silent,
+    Set<String> ineligible) {
+  static final PeerView NOBODY = new PeerView(Set.of(), Set.of(), Map.of(), Set.of(), Set.of());
 
   /** Sorts nodes by zone. */
   static PeerView of(
@@ -34,12 +34,12 @@
       String ownZone,
       Function<String, Optional<String>> zoneOf) {
     Set<String> near = new HashSet<>();
-    Set<String> unplaced = new HashSet<>();
+    Set<String> ineligible = new HashSet<>(silent);
     Map<String, List<String>> far = new HashMap<>();
     for (String host : others) {
       Optional<String> zone = zoneOf.apply(host);
       if (zone.isEmpty()) {
-        unplaced.add(host);
+        ineligible.add(host);
         near.add(host);
       } else if (zone.get().equals(ownZone)) {
         near.add(host);
@@ -47,10 +47,10 @@
         far.computeIfAbsent(zone.get(), absent -> new ArrayList<>()).add(host);
       }
     }
-    return new PeerView(others, near, unplaced, far, silent);
+    return new PeerView(others, near, far, silent, ineligible);
   }
 
-  /** Nodes of the own zone, and unplaced ones, that are not silent. */
+  /** Nodes of the own zone, and those whose zone is not known, that are not silent. */
   Set<String> reachableNear() {
     Set<String> reachable = new HashSet<>(near);
     reachable.removeAll(silent);
@@ -59,8 +59,8 @@
 
   /** Nodes known to be of the own zone that are not silent. */
   Set<String> reachableInZone() {
-    Set<String> reachable = reachableNear();
-    reachable.removeAll(unplaced);
+    Set<String> reachable = new HashSet<>(near);
+    reachable.removeAll(ineligible);
     return reachable;
   }
 
