Store readers: whether a node reads is decided in one place

Change: StoreReaders keeps rank and number of readers; its own decision, which only tests still used, is gone, and they drive ReaderElection. No behaviour changes.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreReaders.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreReaders.java
@@ -7,9 +7,8 @@
 import java.util.Set;
 
 /**
- * Which nodes of a zone call the store; the others take its changes from them. Each node decides
- * for itself by the same rank, so that no message is needed: where views differ for a moment, one
- * more node reads, or one less of several.
+ * Which nodes of a zone are due to call the store; the others take its changes from them. Each node
+ * ranks them alike by itself, without a message; {@link ReaderElection} decides by the rank.
  */
 public final class StoreReaders {
   /**
@@ -24,20 +23,13 @@
   private StoreReaders() {}
 
   /**
-   * Whether a node is to call the store.
+   * The other nodes that rank before a node as readers, first ones first.
    *
    * @param self the node
    * @param others the other nodes of its zone that are in reach
    * @param refused nodes that the store did not answer lately: they read only if too few others are
    *     left
-   * @param zones zones that have nodes, the own one included
    */
-  public static boolean reads(
-      String self, Collection<String> others, Set<String> refused, int zones) {
-    return ahead(self, others, refused).size() < readersPerZone(zones);
-  }
-
-  /** The other nodes that rank before a node as readers, first ones first. */
   static List<String> ahead(String self, Collection<String> others, Set<String> refused) {
     Comparator<String> rank =
         Comparator.<String, Boolean>comparing(refused::contains)
--- a/umberpath-control/src/test/java/io/umberpath/control/store/StoreReadersTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/StoreReadersTest.java
@@ -24,13 +24,17 @@
     for (String node : nodes) {
       Set<String> others = new HashSet<>(nodes);
       others.remove(node);
-      if (StoreReaders.reads(node, others, refused, ZONES)) {
+      if (reads(node, others, refused)) {
         readers.add(node);
       }
     }
     return readers;
   }
 
+  private static boolean reads(String self, Set<String> others, Set<String> refused) {
+    return new ReaderElection(self, 0).decide(0, others, others, refused, ZONES, 0).reads();
+  }
+
   @ParameterizedTest
   @ValueSource(ints = {1, 2, 3, 14, 143, 1_000})
   void aZoneOfAnySizeHasTwoReaders(int count) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/ReadersAfterALossTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/ReadersAfterALossTest.java
@@ -4,7 +4,7 @@
 
 import io.umberpath.control.membership.KnownPeers;
 import io.umberpath.control.membership.SilenceTimes;
-import io.umberpath.control.store.StoreReaders;
+import io.umberpath.control.store.ReaderElection;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -72,7 +72,13 @@
   private static boolean ahead(String host, Collection<String> all) {
     List<String> others = new ArrayList<>(all);
     others.remove(host);
-    return StoreReaders.reads(host, others, Set.of(), ONE_READER_ZONES);
+    return reads(host, new HashSet<>(others), ONE_READER_ZONES);
+  }
+
+  /** By the rank alone: all that rank before it are believed to call the store. */
+  private static boolean reads(String host, Set<String> others, int zones) {
+    ReaderElection election = new ReaderElection(host, SilenceTimes.ROUND_MILLIS);
+    return election.decide(0, others, others, Set.of(), zones, 0).reads();
   }
 
   private void list(long now, Node node, Set<String> listed) {
@@ -96,7 +102,7 @@
   private boolean reads(long now, Node node) {
     PeerView view =
         PeerView.of(node.known.others(), node.known.silent(now), node.zone, node.known::zoneOf);
-    return StoreReaders.reads(node.host, view.reachableInZone(), Set.of(), view.zones());
+    return reads(node.host, view.reachableInZone(), view.zones());
   }
 
   /** Each round every living node is heard of by all others. */
