--- a/umberpath-control/src/test/java/io/umberpath/control/membership/KnownPeersTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/membership/KnownPeersTest.java
@@ -90,4 +90,27 @@
 
     assertThat(peers.unheard(Set.of("a", "b"), 2_250, 600)).containsExactly("a");
   }
+
+  /** Its entry may come back before the node does: that is no sign of life either. */
+  @Test
+  void whoIsListedAgainIsSilentUntilItIsHeardOf() {
+    run(0, 2_000, "b");
+    peers.replace(2_250, Map.of("self", in("z", 900), "b", in("z", 4_000)));
+    peers.replace(2_500, LISTED);
+
+    assertThat(peers.silent(2_500)).containsExactly("a");
+
+    peers.heard(2_600, "a");
+    assertThat(peers.silent(2_600)).isEmpty();
+  }
+
+  /** A report that arrived before the clock was looked at after a pause is not from the future. */
+  @Test
+  void aPauseOfThisNodePutsNoReportIntoTheFuture() {
+    run(0, 2_000, "a", "b");
+    peers.heard(22_000, "a");
+    peers.tick(22_000);
+
+    assertThat(peers.silent(22_901)).containsExactly("a");
+  }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -12,8 +12,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
@@ -140,4 +142,60 @@
       awaitRevision(state, 5);
     }
   }
+
+  /**
+   * A reader announced a change and died. Its zone's nodes tried it a third time when the turn of
+   * another zone had come, and had no transfer left to begin until the first one timed out: a
+   * change took 2.2 s in place of one.
+   */
+  @Test
+  void aSourceThatDoesNotAnswerDoesNotTakeTheTurnOfAnotherZone() throws Exception {
+    AtomicLong now = new AtomicLong();
+    MeshEvents events = new MeshEvents(CLOCK);
+    MeshState state =
+        new MeshState(
+            new PortDocuments(), new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), events);
+    AtomicInteger asked = new AtomicInteger();
+    try (ServerSocket near = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+        StateServer far =
+            StateServer.open(
+                new PeerAddress("127.0.0.2", near.getLocalPort()),
+                request -> StateChangesCodec.encode(changesTo(5)));
+        StatePuller puller =
+            new StatePuller(settings(far.port()), state, () -> false, events, now::get)) {
+      Thread thread = new Thread(() -> acceptAndSayNothing(near, asked));
+      thread.setDaemon(true);
+      thread.start();
+      puller.start();
+      puller.ahead("127.0.0.2", false, -1, 5);
+      puller.ahead("127.0.0.1", true, -1, 4);
+      awaitCount(asked, 1);
+      now.set(500);
+      awaitCount(asked, 2);
+      now.set(1_000);
+      awaitRevision(state, 5);
+
+      assertThat(asked).hasValue(2);
+    }
+  }
+
+  private static void acceptAndSayNothing(ServerSocket server, AtomicInteger accepted) {
+    List<Socket> peers = new ArrayList<>();
+    while (!server.isClosed()) {
+      try {
+        peers.add(server.accept());
+        accepted.incrementAndGet();
+      } catch (IOException ended) {
+        // The test is over.
+        return;
+      }
+    }
+  }
+
+  private static void awaitCount(AtomicInteger counter, int count) throws InterruptedException {
+    long end = CLOCK.getAsLong() + GIVE_UP_MILLIS;
+    while (counter.get() < count && CLOCK.getAsLong() < end) {
+      Thread.sleep(10);
+    }
+  }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
@@ -7,9 +7,11 @@
 import io.umberpath.control.store.StoreWatcher;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.junit.jupiter.api.Test;
@@ -99,4 +101,38 @@
       await(() -> follower.reported().state() == ReportedContact.State.REACHABLE);
     }
   }
+
+  /** A node said that its calls are answered before the first was, and while one hung for good. */
+  @Test
+  void aNodeSaysThatItsCallsAreAnsweredOnlyWhileTheyAre() throws Exception {
+    AtomicLong now = new AtomicLong();
+    MeshEvents events = new MeshEvents(CLOCK);
+    StoreWatcher watcher = new StoreWatcher("", MeshNode.WATCHER, () -> 0.5);
+    MeshState state = new MeshState(new PortDocuments(), watcher, events);
+    SynchronousQueue<StoreAnswer> answers = new SynchronousQueue<>();
+    StoreClient client =
+        new StoreClient() {
+          @Override
+          public StoreAnswer call(StoreCall call) {
+            try {
+              return answers.take();
+            } catch (InterruptedException ended) {
+              return new StoreAnswer.Unavailable("ended");
+            }
+          }
+
+          @Override
+          public void close() {}
+        };
+    try (StoreFollower follower = new StoreFollower(state, client, events, now::get)) {
+      follower.start();
+      assertThat(follower.reported().state()).isEqualTo(ReportedContact.State.NONE);
+
+      answers.put(new StoreAnswer.Page(List.of(), false, 1));
+      await(() -> follower.reported().state() == ReportedContact.State.REACHABLE);
+
+      now.addAndGet(10_000);
+      assertThat(follower.reported().state()).isEqualTo(ReportedContact.State.LOST);
+    }
+  }
 }
