Logs: an exception's line carries its stack and causes, bounded

Cause: the line of an exception held its first frame only. For an exception thrown within a library that says what broke but not how it was reached; a line "Position exceeds a limit: 608>225 at BuffersBuffer.setPosLim" left open which of two connections was written to, and from within what.

Weighed: 12 frames, against more. The stack that settled this fault names the library's failing write at frame 38, below the answer written from within it; 12 frames would have ended in the library. Such lines are rare, and the buffer of lines is bounded by number as before.

Change: up to 48 frames of the exception and of up to 3 causes, in the same field.

--- a/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLines.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLines.java
@@ -77,7 +77,7 @@
     }
     JsonText.appendField(line, "message", withoutContext(String.valueOf(record.getMessage())));
     if (record.getThrown() != null) {
-      JsonText.appendField(line, "thrown", thrown(record.getThrown()));
+      JsonText.appendField(line, "thrown", ThrownText.of(record.getThrown()));
     }
     return line.append("}\n").toString();
   }
@@ -98,11 +98,6 @@
     }
   }
 
-  private static String thrown(Throwable thrown) {
-    StackTraceElement[] stack = thrown.getStackTrace();
-    return thrown + (stack.length == 0 ? "" : " at " + stack[0]);
-  }
-
   private void write() {
     while (true) {
       try {
