--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -0,0 +1,307 @@
+package io.umberpath.node.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.inbound.ActiveExchanges;
+import io.umberpath.node.proxy.inbound.Exchange;
+import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
+import io.umberpath.node.proxy.inbound.InboundFilter;
+import io.umberpath.node.proxy.inbound.Refusal;
+import io.umberpath.node.proxy.inbound.RequestHandler;
+import io.umberpath.node.proxy.inbound.RequestPlan;
+import io.umberpath.node.proxy.origin.AttemptLog;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/**
+ * A proxy on one selector thread with two origins whose sockets hold so little that what is written
+ * to them soon waits in the proxy's queue. The origins are played by the test.
+ */
+final class QueuedWriteFixture implements AutoCloseable {
+  private static final int SOCKET_BYTES = 2_048;
+  private static final int TIMEOUT_MILLIS = 5_000;
+  private static final int POLL_MILLIS = 2;
+
+  /** Turns of the selector thread after which everything sent before them has been read. */
+  private static final int TURNS = 8;
+
+  private final ProxyTransport transport =
+      new ProxyTransport(ProxyFixture.MAX_HEADER_BYTES, ConnectionPool::giveBack, 1);
+  private final List<ServerSocket> servers = List.of(server(), server());
+  private final List<ConnectionPool> pools = new ArrayList<>();
+  private final Map<Integer, NIOConnection> opened = new ConcurrentHashMap<>();
+  private final int port;
+  private volatile NIOConnection narrowCaller;
+  private volatile boolean retryPermitted;
+  private volatile Exchange heldBack;
+
+  QueuedWriteFixture() throws IOException {
+    for (ServerSocket server : servers) {
+      PeerAddress address = new PeerAddress("127.0.0.1", server.getLocalPort());
+      pools.add(new ConnectionPool(address, this::open, 2, () -> 0));
+    }
+    transport.start();
+    ExchangeEnvironment environment =
+        new ExchangeEnvironment(
+            () -> 0,
+            ProxyStats.NONE,
+            AttemptLog.CUT_OFF_ONLY,
+            new ActiveExchanges(),
+            () -> Long.MAX_VALUE);
+    InboundFilter filter = new InboundFilter(new Handler(), environment);
+    var listener = transport.listen("127.0.0.1", 0, filter);
+    port = ((InetSocketAddress) listener.getLocalAddress()).getPort();
+  }
+
+  private static ServerSocket server() throws IOException {
+    ServerSocket server = new ServerSocket();
+    server.setReceiveBufferSize(SOCKET_BYTES);
+    server.setSoTimeout(TIMEOUT_MILLIS);
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    return server;
+  }
+
+  @SuppressWarnings("rawtypes") // Grizzly's own signature
+  private void open(PeerAddress address, CompletionHandler<Connection> handler) {
+    transport.connect(
+        address,
+        new EmptyCompletionHandler<>() {
+          @Override
+          public void completed(Connection connection) {
+            narrow((NIOConnection) connection);
+            opened.put(address.port(), (NIOConnection) connection);
+            handler.completed(connection);
+          }
+
+          @Override
+          public void failed(Throwable error) {
+            handler.failed(error);
+          }
+        });
+  }
+
+  private static void narrow(NIOConnection connection) {
+    try {
+      ((SocketChannel) connection.getChannel())
+          .setOption(StandardSocketOptions.SO_SNDBUF, SOCKET_BYTES);
+    } catch (IOException error) {
+      throw new java.io.UncheckedIOException(error);
+    }
+  }
+
+  private NIOConnection opened(int origin) {
+    return opened.get(servers.get(origin).getLocalPort());
+  }
+
+  RawConnection connect() throws IOException {
+    RawConnection caller = new RawConnection(port);
+    caller.socket.setSoTimeout(TIMEOUT_MILLIS);
+    return caller;
+  }
+
+  /** A caller whose socket takes little. */
+  RawConnection connectNarrow() throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(SOCKET_BYTES);
+    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    return new RawConnection(socket);
+  }
+
+  /** The other end of a connection that the proxy has opened to an origin. */
+  RawConnection acceptOrigin(int origin) throws IOException {
+    RawConnection accepted = new RawConnection(servers.get(origin).accept());
+    accepted.socket.setSoTimeout(TIMEOUT_MILLIS);
+    return accepted;
+  }
+
+  /** An origin's end of a connection that has served a request and rests. */
+  RawConnection restingOrigin(int origin, RawConnection caller) throws IOException {
+    caller.send("GET /rest HTTP/1.1\r\nHost: a\r\n\r\n");
+    RawConnection accepted = acceptOrigin(origin);
+    accepted.readHead();
+    accepted.send("HTTP/1.1 204 No Content\r\n\r\n");
+    caller.read();
+    return accepted;
+  }
+
+  /** The next attempt that fails is followed by another. */
+  void permitRetry() {
+    retryPermitted = true;
+  }
+
+  /** Waits until a request is held back until another ends. */
+  void awaitHeldBack() throws Exception {
+    await(() -> heldBack != null);
+  }
+
+  /**
+   * Sends the beginning of a request, and its end once some of the beginning waits in the queue of
+   * the origin's connection. Then several pieces wait, which the transport writes together.
+   */
+  void sendPieces(RawConnection caller, int origin, String beginning, String end) throws Exception {
+    caller.send(beginning);
+    await(() -> opened(origin) != null && hasQueue(opened(origin)));
+    awaitRead();
+    caller.send(end);
+    awaitRead();
+  }
+
+  /** Sends an answer likewise, to a caller with a narrow socket. */
+  void answerInPieces(RawConnection origin, String beginning, String end) throws Exception {
+    origin.send(beginning);
+    await(() -> hasQueue(narrowCaller));
+    awaitRead();
+    origin.send(end);
+    awaitRead();
+  }
+
+  private static boolean hasQueue(NIOConnection connection) {
+    return connection.getAsyncWriteQueue().spaceInBytes() > 0;
+  }
+
+  /** Waits until the proxy has read all that was sent before. */
+  private void awaitRead() throws IOException {
+    try (RawConnection caller = connect()) {
+      for (int turn = 0; turn < TURNS; turn++) {
+        caller.send("GET /refused HTTP/1.1\r\nHost: a\r\n\r\n");
+        caller.read();
+      }
+    }
+  }
+
+  private static void await(BooleanSupplier condition) throws Exception {
+    long end = System.nanoTime() + TIMEOUT_MILLIS * 1_000_000L;
+    while (!condition.getAsBoolean()) {
+      assertThat(System.nanoTime()).as("waited for too long").isLessThan(end);
+      Thread.sleep(POLL_MILLIS);
+    }
+  }
+
+  /** Resets an origin's connection, in such a way that a write finds out. */
+  void breakOrigin(int origin) throws IOException {
+    RawConnection accepted = acceptOrigin(origin);
+    opened(origin).disableIOEvent(IOEvent.READ);
+    accepted.reset();
+  }
+
+  /** Resets a caller's connection, in such a way that a write finds out. */
+  void breakCaller(RawConnection caller) throws IOException {
+    narrowCaller.disableIOEvent(IOEvent.READ);
+    caller.reset();
+  }
+
+  @Override
+  public void close() throws IOException {
+    transport.stop();
+    for (ServerSocket server : servers) {
+      server.close();
+    }
+  }
+
+  private record Plan(String path) implements RequestPlan {
+    @Override
+    public String requestId() {
+      return "request-1";
+    }
+
+    @Override
+    public String route() {
+      return "route-1";
+    }
+
+    @Override
+    public long deadlineMillis() {
+      return Long.MAX_VALUE;
+    }
+  }
+
+  private final class Handler implements RequestHandler {
+    @Override
+    public ProxyStats.Side side() {
+      return ProxyStats.Side.EDGE;
+    }
+
+    @Override
+    public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
+      String path = head.getRequestURI();
+      if (path.equals("/refused")) {
+        return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
+      }
+      if (path.equals("/answered")) {
+        narrowCaller = (NIOConnection) head.getConnection();
+        narrow(narrowCaller);
+      }
+      return Either.right(new Plan(path));
+    }
+
+    @Override
+    public void dispatch(Exchange exchange) {
+      String path = ((Plan) exchange.plan()).path();
+      if (path.equals("/after")) {
+        heldBack = exchange;
+      } else {
+        send(exchange, path.equals("/rest") || exchange.attempts() > 0 ? 1 : 0);
+      }
+    }
+
+    private void send(Exchange exchange, int origin) {
+      exchange.sendTo(pools.get(origin), "backend-" + origin);
+    }
+
+    @Override
+    public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {}
+
+    @Override
+    public String echoedId(RequestPlan plan) {
+      return null;
+    }
+
+    @Override
+    public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+      return Optional.empty();
+    }
+
+    @Override
+    public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {}
+
+    @Override
+    public boolean mayRetry(Exchange exchange, Verdict verdict) {
+      boolean permitted = retryPermitted;
+      retryPermitted = false;
+      return permitted;
+    }
+
+    /** The end of a request lets in the one that was held back. */
+    @Override
+    public void ended(Exchange exchange, Verdict verdict) {
+      Exchange next = heldBack;
+      if (next != null && ((Plan) exchange.plan()) != null) {
+        heldBack = null;
+        send(next, 1);
+      }
+    }
+  }
+}
