Proxy: what follows from the end of a connection runs in a turn of its own

Cause: the transport reports a failed write of several queued pieces as the end of the connection while the selector thread's direct buffer still holds them (TCPNIOAsyncQueueWriter.writeCompositeRecord, terminate0, handleClose). The proxy wrote from within that report: the refusal to the caller, the same request to the next origin, or the next request that a freed place let in. Each went out behind the pieces that had failed: a caller read its own upload, an origin bytes of a request that was not its own.

Ruled out: a body piece owned by two connections, and parsing on after the refusal. A copy of each piece would not have helped, the shared buffer is the transport's; so none is made, and there is no cost per byte. No second thread takes part: it happens with one.

Weighed: (1) empty the direct buffer before each write of the proxy (DirectByteBufferRecord.release). It mends this one buffer, leaves the proxy inside a library call that has not returned, and would empty the buffer under whoever fills it. (2) never act within the report: the end of a connection is queued to its selector thread. Taken, since no write can then begin within another, whichever write fails.

Change: OwnTurn queues a task to the selector thread of a connection and logs what it throws. Used for the end of an origin's connection, for its failed writes, for the end of a caller's connection, and for waits for room that end with the connection. The pool still hears of a closed connection at once: otherwise the request that follows would find it full.

StatusFilter writes one piece from a read event.

Not mended: the transport only logs an exception that a write throws (GRIZZLY0013). This change takes away the one known reason of such an exception, not its treatment.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -396,6 +396,6 @@
   }
 
   void whenWritable(Runnable action) {
-    connection.notifyCanWrite(new OriginConnection.WhenWritable(action));
+    connection.notifyCanWrite(new OriginConnection.WhenWritable(connection, action));
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.proxy.inbound;
 
+import io.umberpath.node.proxy.origin.OwnTurn;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -83,7 +84,7 @@
     CallerConnection caller = CallerConnection.of(context.getConnection());
     if (caller != null) {
       connections.remove(caller);
-      caller.closed();
+      OwnTurn.run(context.getConnection(), caller::closed);
     }
     return context.getStopAction();
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
@@ -98,7 +98,7 @@
 
   /** Runs the action when {@link #canWrite} holds again or the connection is gone. */
   public void whenWritable(Runnable action) {
-    connection.notifyCanWrite(new WhenWritable(action));
+    connection.notifyCanWrite(new WhenWritable(connection, action));
   }
 
   /** Gives the attempt up: the connection is closed and its listener hears nothing more. */
@@ -173,7 +173,8 @@
   }
 
   /**
-   * The connection is gone; only the first call counts.
+   * The connection is gone; only the first call counts. Its owner hears at once, so that another
+   * may be opened in its place, and the attempt under way in a turn of its own.
    *
    * @param inGoodOrder whether the peer ended it, and not a fault
    */
@@ -181,6 +182,11 @@
     if (!gone.compareAndSet(false, true)) {
       return;
     }
+    onClosed.accept(this);
+    OwnTurn.run(connection, () -> endAttempt(inGoodOrder));
+  }
+
+  private void endAttempt(boolean inGoodOrder) {
     HttpResponsePacket head = endsWithConnection;
     AnswerListener current = listener;
     if (head != null && current != null && inGoodOrder) {
@@ -189,18 +195,17 @@
     } else {
       fail(Verdict.Reason.CONNECTION_LOST);
     }
-    onClosed.accept(this);
   }
 
   private final class WriteFailure<M, L> extends EmptyCompletionHandler<WriteResult<M, L>> {
     @Override
     public void failed(Throwable error) {
-      fail(Verdict.Reason.CONNECTION_LOST);
+      OwnTurn.run(connection, () -> fail(Verdict.Reason.CONNECTION_LOST));
     }
   }
 
   /** Adapts an action to Grizzly's write handler. */
-  public record WhenWritable(Runnable action) implements WriteHandler {
+  public record WhenWritable(Connection<?> connection, Runnable action) implements WriteHandler {
     @Override
     public void onWritePossible() {
       action.run();
@@ -208,7 +213,7 @@
 
     @Override
     public void onError(Throwable error) {
-      action.run();
+      OwnTurn.run(connection, action);
     }
   }
 }
