--- a/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/membership/KnownPeers.java
@@ -15,7 +15,7 @@
  */
 public final class KnownPeers {
   /**
-   * What the list of nodes says of one.
+   * Where a node is.
    *
    * @param zone its zone
    * @param silentMillis silence after which it counts as out of reach, milliseconds
@@ -32,11 +32,7 @@
       this.heardAtMillis = heardAtMillis;
     }
 
-    void list(ListedPeer entry, long nowMillis) {
-      if (!listed) {
-        heardAtMillis = nowMillis;
-      }
-      listed = true;
+    void place(ListedPeer entry) {
       zone = Optional.of(entry.zone());
       silentMillis = entry.silentMillis();
     }
@@ -70,7 +66,10 @@
     this.ownPauseMillis = ownPauseMillis;
   }
 
-  /** The nodes that are listed now, by address; new ones have the whole time to be heard of. */
+  /**
+   * The nodes that are listed now, by address. Those that were not known have the whole time to be
+   * heard of.
+   */
   public void replace(long nowMillis, Map<String, ListedPeer> listed) {
     unplacedSilentMillis =
         listed.values().stream().mapToLong(ListedPeer::silentMillis).max().orElse(unlistedMillis);
@@ -78,7 +77,9 @@
     listed.forEach(
         (address, entry) -> {
           if (!address.equals(self)) {
-            peers.computeIfAbsent(address, absent -> new Peer(nowMillis)).list(entry, nowMillis);
+            Peer peer = peers.computeIfAbsent(address, absent -> new Peer(nowMillis));
+            peer.listed = true;
+            peer.place(entry);
           }
         });
     forgetUnlisted(nowMillis);
@@ -96,12 +97,22 @@
     }
   }
 
+  /** Takes what a node that is not listed says of itself. */
+  public void place(String address, ListedPeer stated) {
+    Peer peer = peers.get(address);
+    if (peer != null && !peer.listed) {
+      peer.place(stated);
+    }
+  }
+
   /** Lets time pass; to be called regularly. */
   public void tick(long nowMillis) {
     long gap = lastTickMillis < 0 ? 0 : nowMillis - lastTickMillis;
     lastTickMillis = nowMillis;
     if (gap > ownPauseMillis) {
-      peers.values().forEach(peer -> peer.heardAtMillis += gap);
+      for (Peer peer : peers.values()) {
+        peer.heardAtMillis = Math.min(nowMillis, peer.heardAtMillis + gap);
+      }
     }
     forgetUnlisted(nowMillis);
   }
@@ -131,7 +142,7 @@
     return unheard;
   }
 
-  /** The zone in which a node is, or was when it was last listed; empty if it never was. */
+  /** The zone in which a node is or last was, as listed or as it said itself; empty if unknown. */
   public Optional<String> zoneOf(String address) {
     Peer peer = peers.get(address);
     return peer == null ? Optional.empty() : peer.zone;
--- a/umberpath-control/src/main/java/io/umberpath/control/store/ReaderElection.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/ReaderElection.java
@@ -6,9 +6,8 @@
 
 /**
  * Whether this node calls the store for its zone. The nodes that rank first do; a node leaves it to
- * them only while they say that they call. So whatever makes a node wrongly wait for another one, a
- * view that differs or a thread that hangs, costs the zone a bounded time: nobody waits for a
- * reader that does not read. Owner synchronizes.
+ * them only while they say that their calls were answered lately, or that they fail. So a node that
+ * is wrongly waited for costs the zone a bounded time. Owner synchronizes.
  */
 public final class ReaderElection {
   /**
@@ -16,18 +15,24 @@
    *
    * @param reads whether this node is to call the store
    * @param ahead the nodes that rank before this one, first ones first
-   * @param calling how many of them say that they call it
+   * @param calling those of them that say that they call it
    * @param due how many nodes of the zone are to call it
    */
-  public record Decision(boolean reads, List<String> ahead, int calling, int due) {
-    /** What it was decided from, for a log line; of the nodes ahead only those that are due. */
+  public record Decision(boolean reads, List<String> ahead, List<String> calling, int due) {
+    /** What it was decided from, for a log line: the first few nodes of each kind. */
     public String inputs() {
-      List<String> awaited = ahead.subList(0, Math.min(due, ahead.size()));
-      return "rank %d of %d due, ahead %s, of whom %d call"
-          .formatted(ahead.size() + 1, due, awaited, calling);
+      return "due: %d, ahead: %d %s, of them call: %d %s"
+          .formatted(due, ahead.size(), first(ahead), calling.size(), first(calling));
+    }
+
+    private static List<String> first(List<String> nodes) {
+      return nodes.subList(0, Math.min(NAMED_NODES, nodes.size()));
     }
   }
 
+  /** Most nodes of a kind that a log line names. */
+  private static final int NAMED_NODES = 4;
+
   private final String self;
   private final long roundMillis;
   private boolean reads;
@@ -62,11 +67,11 @@
       long noticeMillis) {
     List<String> ahead = StoreReaders.ahead(self, others, refused);
     int due = StoreReaders.readersPerZone(zones);
-    int callers = (int) ahead.stream().filter(calling::contains).count();
+    List<String> callers = ahead.stream().filter(calling::contains).toList();
     int surplus = ahead.size() - due;
     if (surplus < 0) {
       settle(true);
-    } else if (callers >= due) {
+    } else if (callers.size() >= due) {
       settle(false);
     } else if (!reads) {
       takeOverIfDue(nowMillis, noticeMillis + surplus * roundMillis);
--- a/umberpath-control/src/test/java/io/umberpath/control/membership/KnownPeersTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/membership/KnownPeersTest.java
@@ -91,6 +91,21 @@
     assertThat(peers.unheard(Set.of("a", "b"), 2_250, 600)).containsExactly("a");
   }
 
+  /** Where no node is listed yet, each would read the store beside all others. */
+  @Test
+  void whoIsNotListedIsWhereItSaysItIs() {
+    peers.heard(0, "c");
+    assertThat(peers.zoneOf("c")).isEmpty();
+
+    peers.place("c", in("y", 900));
+    assertThat(peers.zoneOf("c")).contains("y");
+    assertThat(peers.silent(901)).containsExactly("c");
+
+    peers.replace(0, Map.of("c", in("z", 4_000)));
+    peers.place("c", in("y", 900));
+    assertThat(peers.zoneOf("c")).contains("z");
+  }
+
   /** Its entry may come back before the node does: that is no sign of life either. */
   @Test
   void whoIsListedAgainIsSilentUntilItIsHeardOf() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/AttestedBackends.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/AttestedBackends.java
@@ -34,6 +34,11 @@
     }
   }
 
+  /** Drops attestations that hold no more, so that requests need not look at them. */
+  void forget(long nowMillis) {
+    byHost.values().removeIf(attested -> nowMillis >= attested.untilMillis());
+  }
+
   /**
    * The back ends of a service that take new work: those listed, and those attested.
    *
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -164,10 +164,10 @@
     if (!state.view().isComplete()) {
       return new ReadDecision(!waitsForPeers(), () -> "holds no state yet");
     }
+    ReaderElection.Decision elected = peers.electReader(!follower.contact().reachable());
     if (attester.isLapsed()) {
       return new ReadDecision(true, () -> "the entry of its back end is missing");
     }
-    ReaderElection.Decision elected = peers.electReader(!follower.contact().reachable());
     return new ReadDecision(elected.reads(), elected::inputs);
   }
 
@@ -288,9 +288,14 @@
         view.version(),
         view.revision(),
         follower.reported(),
+        isListed(view) ? Optional.empty() : Optional.of(settings.zone()),
         backendLeaving ? Optional.empty() : attester.attested());
   }
 
+  private boolean isListed(MeshView view) {
+    return !view.backends().atHost(settings.exchange().host()).isEmpty();
+  }
+
   private byte[] changesSince(StateRequest request) {
     StoreChanges changes;
     synchronized (state) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -111,6 +111,7 @@
     peers = current;
     note(before.silent(), current.silent());
     reports.forget(now);
+    attested.forget(now);
     attested.heard(now, self, report.attested());
     ReportSchedule.Round round;
     synchronized (schedule) {
@@ -192,15 +193,15 @@
         SilenceTimes.of((int) zones.values().stream().filter(settings.zone()::equals).count());
     silenceTimes = times;
     Map<String, KnownPeers.ListedPeer> listedPeers = new HashMap<>();
-    zones.forEach(
-        (host, zone) -> {
-          boolean isNear = zone.equals(settings.zone());
-          long silentMillis = isNear ? times.nearMillis() : times.farMillis();
-          listedPeers.put(host, new KnownPeers.ListedPeer(zone, silentMillis));
-        });
+    zones.forEach((host, zone) -> listedPeers.put(host, peerIn(zone, times)));
     return listedPeers;
   }
 
+  private KnownPeers.ListedPeer peerIn(String zone, SilenceTimes times) {
+    boolean isNear = zone.equals(settings.zone());
+    return new KnownPeers.ListedPeer(zone, isNear ? times.nearMillis() : times.farMillis());
+  }
+
   /** Whether a node is in the own zone; one whose zone is not known may be. */
   private boolean isNear(String host) {
     synchronized (known) {
@@ -237,6 +238,7 @@
   private void take(String host, PeerReport report, long atMillis) {
     synchronized (known) {
       known.heard(atMillis, host);
+      report.statedZone().ifPresent(zone -> known.place(host, peerIn(zone, silenceTimes)));
     }
     if (report.leaving()) {
       leaving.add(host);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
@@ -17,6 +17,8 @@
  * @param version its configuration's version; -1 before the first
  * @param revision its back ends' revision; -1 before the first read
  * @param contact how its calls to the store go
+ * @param unlistedZone its zone, where the store does not list it as far as it knows; empty else, as
+ *     that would be told in each report between zones
  * @param attested entry of the back end beside it, which lives though the store lists it no more
  */
 record PeerReport(
@@ -25,8 +27,14 @@
     long version,
     long revision,
     ReportedContact contact,
+    Optional<String> unlistedZone,
     Optional<BackendEntry> attested) {
 
+  /** The zone that it states, itself or in the entry that it attests. */
+  Optional<String> statedZone() {
+    return unlistedZone.or(() -> attested.map(BackendEntry::zone));
+  }
+
   /** Writes the report as a list. */
   void write(JsonGenerator out) throws IOException {
     out.writeStartArray();
@@ -42,6 +50,8 @@
     out.writeNumber(contact.forMillis());
     if (attested.isPresent()) {
       write(out, attested.get());
+    } else if (unlistedZone.isPresent()) {
+      out.writeString(unlistedZone.get());
     }
     out.writeEndArray();
   }
@@ -59,7 +69,20 @@
     int slowness = Math.max(GateLoad.USUAL_PERCENT, (int) number(in));
     GateLoad load = new GateLoad(running, queued, slots, serviceMicros, slowness, 0);
     boolean leaving = Boolean.TRUE.equals(in.nextBooleanValue());
-    return new PeerReport(load, leaving, number(in), number(in), contact(in), attested(in));
+    long version = number(in);
+    long revision = number(in);
+    ReportedContact contact = contact(in);
+    if (in.nextToken() == JsonToken.END_ARRAY) {
+      return new PeerReport(
+          load, leaving, version, revision, contact, Optional.empty(), Optional.empty());
+    }
+    String first = in.getText();
+    if (in.nextToken() == JsonToken.END_ARRAY) {
+      return new PeerReport(
+          load, leaving, version, revision, contact, Optional.of(first), Optional.empty());
+    }
+    Optional<BackendEntry> attested = Optional.of(attested(first, in));
+    return new PeerReport(load, leaving, version, revision, contact, Optional.empty(), attested);
   }
 
   private static ReportedContact contact(JsonParser in) throws IOException {
@@ -80,20 +103,16 @@
     out.writeNumber(entry.slots());
   }
 
-  private static Optional<BackendEntry> attested(JsonParser in) throws IOException {
-    if (in.nextToken() == JsonToken.END_ARRAY) {
-      return Optional.empty();
-    }
-    String id = in.getText();
-    String service = text(in);
+  /** Reads an entry whose identity has been read, and which stands on its service. */
+  private static BackendEntry attested(String id, JsonParser in) throws IOException {
+    String service = in.getText();
     PeerAddress address = new PeerAddress(text(in), (int) number(in));
     String zone = text(in);
     int slots = Math.max(1, (int) number(in));
     if (in.nextToken() != JsonToken.END_ARRAY) {
       throw new IOException("report does not end where it is due");
     }
-    return Optional.of(
-        new BackendEntry(id, service, address, zone, slots, BackendEntry.State.READY, 0));
+    return new BackendEntry(id, service, address, zone, slots, BackendEntry.State.READY, 0);
   }
 
   private static String text(JsonParser in) throws IOException {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -109,7 +109,9 @@
   private long behindSinceMillis = -1;
   private long nextTransferMillis;
   private int transfers;
-  private int tried;
+
+  /** The source of the last transfer since this node is behind; null before the first. */
+  private PeerAddress lastTried;
 
   StatePuller(
       MeshSettings settings,
@@ -180,15 +182,17 @@
     long now = clockMillis.getAsLong();
     if (view.isComplete() && !near.isAheadOf(view) && !far.isAheadOf(view)) {
       behindSinceMillis = -1;
-      tried = 0;
+      lastTried = null;
       return;
     }
     List<PeerAddress> sources = sources(view, now - behindSinceMillis);
     if (sources.isEmpty() || now < nextTransferMillis || transfers == MAX_TRANSFERS) {
       return;
     }
-    PeerAddress source = sources.get(tried % sources.size());
-    tried++;
+    // One that does not answer must not take the turn of another that could.
+    PeerAddress source =
+        sources.stream().filter(each -> !each.equals(lastTried)).findFirst().orElse(sources.get(0));
+    lastTried = source;
     transfers++;
     nextTransferMillis = now + PATIENCE_MILLIS;
     workers.execute(() -> transfer(source));
@@ -213,7 +217,7 @@
       // The own zone delivers: what is newer still gets the whole time to come from there.
       nextTransferMillis = now + PAUSE_MILLIS;
       behindSinceMillis = now;
-      tried = 0;
+      lastTried = null;
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -31,6 +31,17 @@
    */
   private static final int MAX_THROTTLED_IN_A_ROW = 4;
 
+  /**
+   * Time since the last answer from which on a call counts as not answered, milliseconds: a watch
+   * waits 1.2 s at most, and the pause before it is 0.6 s.
+   */
+  private static final long LATE_ANSWER_MILLIS = 2_500;
+
+  /** Pause after a fault in the program, so that it is not met as fast as a core runs. */
+  private static final long FAULT_PAUSE_MILLIS = 1_000;
+
+  private static final long NEVER = -1;
+
   private final MeshState state;
   private final StoreClient client;
   private final MeshEvents events;
@@ -43,6 +54,9 @@
   private volatile boolean reading = true;
   private int throttledInARow;
 
+  /** When a call was last answered since this node began to read; NEVER before the first. */
+  private volatile long answeredAtMillis = NEVER;
+
   StoreFollower(MeshState state, StoreClient client, MeshEvents events, LongSupplier clockMillis) {
     this.state = state;
     this.client = client;
@@ -77,8 +91,16 @@
 
   /** How this node's calls go, for the others. */
   ReportedContact reported() {
-    boolean says = reading || !contact.reachable();
-    return says ? ReportedContact.of(contact, clockMillis.getAsLong()) : ReportedContact.NO_CALLS;
+    long now = clockMillis.getAsLong();
+    long answeredAt = answeredAtMillis;
+    if (!contact.reachable()) {
+      return ReportedContact.of(contact, now);
+    }
+    if (!reading || answeredAt == NEVER) {
+      return ReportedContact.NO_CALLS;
+    }
+    boolean isLate = now > answeredAt + LATE_ANSWER_MILLIS;
+    return ReportedContact.of(isLate ? new StoreContact(false, answeredAt) : contact, now);
   }
 
   private void run() {
@@ -89,10 +111,19 @@
         return;
       } catch (RuntimeException fault) {
         events.fault("store follower", fault);
+        pauseAfterFault();
       }
     }
   }
 
+  private void pauseAfterFault() {
+    try {
+      Thread.sleep(FAULT_PAUSE_MILLIS);
+    } catch (InterruptedException ended) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void step() throws InterruptedException {
     if (!mayRead()) {
       boolean starts = state.view().revision() < 0;
@@ -133,6 +164,8 @@
     ReadDecision current = decision.get();
     boolean now = current.reads();
     if (now != reading) {
+      throttledInARow = 0;
+      answeredAtMillis = NEVER;
       reading = now;
       events.storeReader(now, current.inputs().get());
     }
@@ -149,11 +182,14 @@
       throttledInARow++;
       if (throttledInARow >= MAX_THROTTLED_IN_A_ROW) {
         // Others of the zone are to read: the store may throttle this node alone.
-        lost(nowMillis, "throttled");
+        lost(nowMillis, "throttled " + throttledInARow + " times in a row");
       }
       return;
     }
     throttledInARow = 0;
+    if (!(answer instanceof StoreAnswer.Unavailable)) {
+      answeredAtMillis = nowMillis;
+    }
     if (answer instanceof StoreAnswer.Unavailable unavailable) {
       lost(nowMillis, unavailable.cause());
     } else if (!contact.reachable()) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -36,6 +36,7 @@
         42,
         1_000_000_007,
         new ReportedContact(ReportedContact.State.LOST, 1_200),
+        Optional.empty(),
         attested);
   }
 
@@ -48,6 +49,28 @@
             .toList());
   }
 
+  @Test
+  void theZoneOfANodeThatIsNotListedIsReadAsItWasWritten() throws IOException {
+    PeerReport listed = report(false, Optional.empty());
+    PeerReport unlisted =
+        new PeerReport(
+            listed.load(),
+            false,
+            listed.version(),
+            listed.revision(),
+            listed.contact(),
+            Optional.of("z"),
+            Optional.empty());
+    PeerMessage message = message(PeerMessage.Kind.REPORTS, 1, unlisted);
+
+    byte[] bytes = message.encode();
+
+    assertThat(PeerMessage.decode(bytes, bytes.length)).isEqualTo(message);
+    assertThat(unlisted.statedZone()).contains("z");
+    assertThat(listed.statedZone()).isEmpty();
+    assertThat(report(false, Optional.of(ENTRY)).statedZone()).contains(ENTRY.zone());
+  }
+
   @Test
   void aReportIsReadAsItWasWritten() throws IOException {
     PeerMessage message = message(PeerMessage.Kind.REPORTS, 1, report(true, Optional.empty()));
