Test, failing: only the furthest source is asked, though it does not answer

Cause: of what other nodes state, StatePuller kept the furthest alone. When the node that stated it dies, the others of its zone that are ahead too are never asked until they have caught up with the dead one. Fails: anotherSourceOfTheSameZoneIsAskedAfterOneThatDoesNotAnswer.

--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -179,6 +179,36 @@
     }
   }
 
+  /** The node that stated the newest version was killed; it alone was asked, though others live. */
+  @Test
+  void anotherSourceOfTheSameZoneIsAskedAfterOneThatDoesNotAnswer() throws Exception {
+    AtomicLong now = new AtomicLong();
+    MeshEvents events = new MeshEvents(CLOCK);
+    MeshState state =
+        new MeshState(
+            new PortDocuments(), new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), events);
+    AtomicInteger asked = new AtomicInteger();
+    try (ServerSocket dead = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+        StateServer other =
+            StateServer.open(
+                new PeerAddress("127.0.0.2", dead.getLocalPort()),
+                request -> StateChangesCodec.encode(changesTo(5)));
+        StatePuller puller =
+            new StatePuller(settings(other.port()), state, () -> false, events, now::get)) {
+      Thread thread = new Thread(() -> acceptAndSayNothing(dead, asked));
+      thread.setDaemon(true);
+      thread.start();
+      puller.start();
+      puller.ahead("127.0.0.2", true, -1, 5);
+      puller.ahead("127.0.0.1", true, -1, 6);
+      awaitCount(asked, 1);
+      now.set(500);
+      awaitRevision(state, 5);
+
+      assertThat(asked).hasValue(1);
+    }
+  }
+
   private static void acceptAndSayNothing(ServerSocket server, AtomicInteger accepted) {
     List<Socket> peers = new ArrayList<>();
     while (!server.isClosed()) {
