State transfer: all nodes that are ahead are sources, one after the other, silent ones left out

Change: StateSources keeps what each node stated last; asked are first those not asked since the last transfer that gave something, of these the furthest, of equals the last source. Own zone and other zones take turns as before. A node out of reach is not asked. Weighed: forgetting the furthest when its transfer fails (costs the 2 s of its time-out before another is asked); asking several at once (bytes on full links).

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -217,6 +217,7 @@
       timer.schedule(this::beginMetrics, METRICS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
     peers.onAhead(puller::ahead);
+    puller.avoid(peers::isSilent);
     peers.start();
     puller.start();
     timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -339,6 +339,11 @@
     return ids;
   }
 
+  /** Whether a node has been silent for too long. */
+  boolean isSilent(String host) {
+    return peers.silent().contains(host);
+  }
+
   /** Nodes that have been silent for too long. */
   int silentNodes() {
     return peers.silent().size();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * Takes changes from other nodes: as soon as one of the own zone is ahead where this node does not
@@ -59,34 +60,6 @@
   /** Pause between two transfers while this node holds no configuration yet, milliseconds. */
   private static final long START_PAUSE_MILLIS = 200;
 
-  /**
-   * The node that stated the newest state, among those of the own zone or of the others.
-   *
-   * @param host its address; empty before the first
-   */
-  private record Ahead(String host, long version, long revision) {
-    static final Ahead NOBODY = new Ahead("", -1, -1);
-
-    /**
-     * Of nodes that are equally far the last source is kept, whose patches lead on from what it
-     * gave: readers that call the store at different times skip different versions. Else one is
-     * drawn, so that not all go to the same one.
-     */
-    Ahead with(String other, long otherVersion, long otherRevision, String lastSource) {
-      boolean further = otherRevision > revision || otherVersion > version;
-      boolean equal = otherRevision == revision && otherVersion == version;
-      boolean drawn = !host().equals(lastSource) && ThreadLocalRandom.current().nextBoolean();
-      boolean takes = further || equal && (other.equals(lastSource) || drawn);
-      return takes
-          ? new Ahead(other, Math.max(version, otherVersion), Math.max(revision, otherRevision))
-          : this;
-    }
-
-    boolean isAheadOf(MeshView view) {
-      return view.version() < version || view.revision() < revision;
-    }
-  }
-
   private final MeshSettings settings;
   private final MeshState state;
   private final BooleanSupplier readsStore;
@@ -104,8 +77,9 @@
 
   private volatile boolean hasAsked;
 
-  private Ahead near = Ahead.NOBODY;
-  private Ahead far = Ahead.NOBODY;
+  private final StateSources near = new StateSources();
+  private final StateSources far = new StateSources();
+  private volatile Predicate<String> isSilent = host -> false;
   private long behindSinceMillis = -1;
   private long nextTransferMillis;
   private int transfers;
@@ -143,15 +117,20 @@
     return hasAsked;
   }
 
+  /** Nodes that are not asked, since they are out of reach. */
+  void avoid(Predicate<String> condition) {
+    isSilent = condition;
+  }
+
   /** Another node holds something newer. */
   synchronized void ahead(String host, boolean isNear, long version, long revision) {
     if (behindSinceMillis < 0) {
       behindSinceMillis = clockMillis.getAsLong();
     }
     if (isNear) {
-      near = near.with(host, version, revision, lastSource);
+      near.state(host, version, revision);
     } else {
-      far = far.with(host, version, revision, lastSource);
+      far.state(host, version, revision);
     }
     notifyAll();
   }
@@ -180,7 +159,8 @@
   private synchronized void step() {
     MeshView view = state.view();
     long now = clockMillis.getAsLong();
-    if (view.isComplete() && !near.isAheadOf(view) && !far.isAheadOf(view)) {
+    boolean isBehind = near.isAnyAhead(view) | far.isAnyAhead(view);
+    if (view.isComplete() && !isBehind) {
       behindSinceMillis = -1;
       lastTried = null;
       return;
@@ -193,6 +173,8 @@
     PeerAddress source =
         sources.stream().filter(each -> !each.equals(lastTried)).findFirst().orElse(sources.get(0));
     lastTried = source;
+    near.asked(source.host());
+    far.asked(source.host());
     transfers++;
     nextTransferMillis = now + PATIENCE_MILLIS;
     workers.execute(() -> transfer(source));
@@ -218,18 +200,19 @@
       nextTransferMillis = now + PAUSE_MILLIS;
       behindSinceMillis = now;
       lastTried = null;
+      near.given();
+      far.given();
     }
   }
 
   private List<PeerAddress> sources(MeshView view, long behindMillis) {
     boolean reads = readsStore.getAsBoolean();
     List<PeerAddress> sources = new ArrayList<>();
-    if (near.isAheadOf(view) && behindMillis >= (reads ? READER_WAIT_MILLIS : 0)) {
-      sources.add(new PeerAddress(near.host(), settings.exchange().port()));
+    if (behindMillis >= (reads ? READER_WAIT_MILLIS : 0)) {
+      near.next(view, lastSource, isSilent).ifPresent(host -> sources.add(exchangeOf(host)));
     }
-    long otherZoneWait = reads ? READER_WAIT_MILLIS : OTHER_ZONE_WAIT_MILLIS;
-    if (far.isAheadOf(view) && behindMillis >= otherZoneWait) {
-      sources.add(new PeerAddress(far.host(), settings.exchange().port()));
+    if (behindMillis >= (reads ? READER_WAIT_MILLIS : OTHER_ZONE_WAIT_MILLIS)) {
+      far.next(view, lastSource, isSilent).ifPresent(host -> sources.add(exchangeOf(host)));
     }
     if (!view.isComplete()) {
       List<PeerAddress> seeds = new ArrayList<>(settings.otherSeeds());
@@ -239,6 +222,10 @@
     return sources;
   }
 
+  private PeerAddress exchangeOf(String host) {
+    return new PeerAddress(host, settings.exchange().port());
+  }
+
   private boolean pull(PeerAddress source) {
     try (Socket socket = new Socket()) {
       socket.connect(new InetSocketAddress(source.host(), source.port()), TIMEOUT_MILLIS);
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
@@ -0,0 +1,74 @@
+package io.umberpath.node.mesh;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Predicate;
+
+/**
+ * Nodes that stated something newer than this node holds, and which of them is to be asked next:
+ * one after the other, so that one that does not answer costs its turn only. Owner synchronizes.
+ */
+final class StateSources {
+  /** What a node stated last. */
+  private record Stated(String host, long version, long revision) {
+    boolean isAheadOf(MeshView view) {
+      return view.version() < version || view.revision() < revision;
+    }
+  }
+
+  private final Map<String, Stated> statedByHost = new HashMap<>();
+  private final Set<String> tried = new HashSet<>();
+
+  /** A node states what it holds. */
+  void state(String host, long version, long revision) {
+    statedByHost.put(host, new Stated(host, version, revision));
+  }
+
+  /** Whether a node that may be asked holds something newer. */
+  boolean isAnyAhead(MeshView view) {
+    statedByHost.values().removeIf(stated -> !stated.isAheadOf(view));
+    return !statedByHost.isEmpty();
+  }
+
+  /**
+   * The node to ask next: first those that were not asked since the last transfer that gave
+   * something, of these the one that is furthest, of equals the last source, whose patches lead on
+   * from what it gave. Else one is drawn, so that not all nodes go to the same one.
+   *
+   * @param isSilent whether a node is out of reach
+   */
+  Optional<String> next(MeshView view, String lastSource, Predicate<String> isSilent) {
+    isAnyAhead(view);
+    List<Stated> candidates = new ArrayList<>(statedByHost.values());
+    candidates.removeIf(stated -> isSilent.test(stated.host()));
+    if (candidates.stream().allMatch(stated -> tried.contains(stated.host()))) {
+      tried.clear();
+    }
+    candidates.removeIf(stated -> tried.contains(stated.host()));
+    Collections.shuffle(candidates, ThreadLocalRandom.current());
+    return candidates.stream()
+        .max(
+            Comparator.comparingLong(Stated::revision)
+                .thenComparingLong(Stated::version)
+                .thenComparing(stated -> stated.host().equals(lastSource)))
+        .map(Stated::host);
+  }
+
+  /** A node is being asked. */
+  void asked(String host) {
+    tried.add(host);
+  }
+
+  /** A transfer gave something: all may be asked again. */
+  void given() {
+    tried.clear();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StateSourcesTest.java
@@ -0,0 +1,62 @@
+package io.umberpath.node.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * A route was served 2.0 to 2.7 s after it had been added: the node that had stated the newest
+ * version was killed, and nodes of other zones asked it again and again, though others lived that
+ * were a little less far. Of all statements only the furthest was kept.
+ */
+final class StateSourcesTest {
+  private final StateSources sources = new StateSources();
+
+  private String next() {
+    String host =
+        sources.next(MeshView.NOTHING, "last", host1 -> host1.equals("silent")).orElse("");
+    sources.asked(host);
+    return host;
+  }
+
+  @Test
+  void oneThatDoesNotAnswerIsFollowedByTheNextFurthest() {
+    sources.state("a", 5, 50);
+    sources.state("b", 4, 40);
+    sources.state("c", 3, 30);
+
+    assertThat(next()).isEqualTo("a");
+    assertThat(next()).isEqualTo("b");
+    assertThat(next()).isEqualTo("c");
+    assertThat(next()).isEqualTo("a");
+  }
+
+  @Test
+  void ofEqualsTheLastSourceComesFirst() {
+    sources.state("a", 5, 50);
+    sources.state("last", 5, 50);
+    sources.state("b", 5, 50);
+
+    assertThat(next()).isEqualTo("last");
+  }
+
+  @Test
+  void aSilentNodeIsNotAsked() {
+    sources.state("silent", 5, 50);
+    sources.state("a", 4, 40);
+
+    assertThat(next()).isEqualTo("a");
+    assertThat(next()).isEqualTo("a");
+  }
+
+  @Test
+  void afterATransferThatGaveSomethingAllMayBeAskedAgain() {
+    sources.state("a", 5, 50);
+    sources.state("b", 4, 40);
+
+    assertThat(next()).isEqualTo("a");
+    sources.given();
+
+    assertThat(next()).isEqualTo("a");
+  }
+}
