StatePullerTest: the two cases of a dead source share their course

Change: one method with what differs as parameters; both cases assert what they did (how often the dead source is asked before the other gives its state).

--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -150,38 +150,23 @@
    */
   @Test
   void aSourceThatDoesNotAnswerDoesNotTakeTheTurnOfAnotherZone() throws Exception {
-    AtomicLong now = new AtomicLong();
-    MeshEvents events = new MeshEvents(CLOCK);
-    MeshState state =
-        new MeshState(
-            new PortDocuments(), new StoreWatcher("", MeshNode.WATCHER, () -> 0.5), events);
-    AtomicInteger asked = new AtomicInteger();
-    try (ServerSocket near = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
-        StateServer far =
-            StateServer.open(
-                new PeerAddress("127.0.0.2", near.getLocalPort()),
-                request -> StateChangesCodec.encode(changesTo(5)));
-        StatePuller puller =
-            new StatePuller(settings(far.port()), state, () -> false, events, now::get)) {
-      Thread thread = new Thread(() -> acceptAndSayNothing(near, asked));
-      thread.setDaemon(true);
-      thread.start();
-      puller.start();
-      puller.ahead("127.0.0.2", false, -1, 5);
-      puller.ahead("127.0.0.1", true, -1, 4);
-      awaitCount(asked, 1);
-      now.set(500);
-      awaitCount(asked, 2);
-      now.set(1_000);
-      awaitRevision(state, 5);
-
-      assertThat(asked).hasValue(2);
-    }
+    takesTheStateAfterADeadSource(false, 2);
   }
 
   /** The node that stated the newest version was killed; it alone was asked, though others live. */
   @Test
   void anotherSourceOfTheSameZoneIsAskedAfterOneThatDoesNotAnswer() throws Exception {
+    takesTheStateAfterADeadSource(true, 1);
+  }
+
+  /**
+   * A node of the own zone states the newest version and does not answer; another one does.
+   *
+   * @param otherIsNear whether the other one is of the own zone too
+   * @param deadTurns how often the dead one is asked before it, each half a second
+   */
+  private static void takesTheStateAfterADeadSource(boolean otherIsNear, int deadTurns)
+      throws Exception {
     AtomicLong now = new AtomicLong();
     MeshEvents events = new MeshEvents(CLOCK);
     MeshState state =
@@ -199,13 +184,15 @@
       thread.setDaemon(true);
       thread.start();
       puller.start();
-      puller.ahead("127.0.0.2", true, -1, 5);
+      puller.ahead("127.0.0.2", otherIsNear, -1, 5);
       puller.ahead("127.0.0.1", true, -1, 6);
-      awaitCount(asked, 1);
-      now.set(500);
+      for (int turn = 1; turn <= deadTurns; turn++) {
+        awaitCount(asked, turn);
+        now.addAndGet(500);
+      }
       awaitRevision(state, 5);
 
-      assertThat(asked).hasValue(1);
+      assertThat(asked).hasValue(deadTurns);
     }
   }
 
