--- a/umberpath-control/src/main/java/io/umberpath/control/store/ReaderElection.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/ReaderElection.java
@@ -10,6 +10,9 @@
  * is wrongly waited for costs the zone a bounded time. Owner synchronizes.
  */
 public final class ReaderElection {
+  /** Most nodes of a kind that a log line names. */
+  private static final int NAMED_NODES = 4;
+
   /**
    * Outcome, and what it was decided from.
    *
@@ -30,9 +33,6 @@
     }
   }
 
-  /** Most nodes of a kind that a log line names. */
-  private static final int NAMED_NODES = 4;
-
   private final String self;
   private final long roundMillis;
   private boolean reads;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -261,9 +261,11 @@
   }
 
   /**
-   * Whether this node reads the store, and what that was decided from.
+   * The last decision about reading the store, and from what it was made.
    *
+   * @param peers the other nodes as they were seen
    * @param refused whether the store did not answer this node lately
+   * @param atMillis when it was made
    */
   private record LastElection(
       PeerView peers, boolean refused, long atMillis, ReaderElection.Decision decision) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
@@ -76,7 +76,7 @@
       return new PeerReport(
           load, leaving, version, revision, contact, Optional.empty(), Optional.empty());
     }
-    String first = in.getText();
+    String first = currentText(in);
     if (in.nextToken() == JsonToken.END_ARRAY) {
       return new PeerReport(
           load, leaving, version, revision, contact, Optional.of(first), Optional.empty());
@@ -105,7 +105,7 @@
 
   /** Reads an entry whose identity has been read, and which stands on its service. */
   private static BackendEntry attested(String id, JsonParser in) throws IOException {
-    String service = in.getText();
+    String service = currentText(in);
     PeerAddress address = new PeerAddress(text(in), (int) number(in));
     String zone = text(in);
     int slots = Math.max(1, (int) number(in));
@@ -116,7 +116,12 @@
   }
 
   private static String text(JsonParser in) throws IOException {
-    if (in.nextToken() != JsonToken.VALUE_STRING) {
+    in.nextToken();
+    return currentText(in);
+  }
+
+  private static String currentText(JsonParser in) throws IOException {
+    if (in.currentToken() != JsonToken.VALUE_STRING) {
       throw new IOException("report has no text where one is due");
     }
     return in.getText();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -162,7 +162,7 @@
     boolean isBehind = near.isAnyAhead(view) | far.isAnyAhead(view);
     if (view.isComplete() && !isBehind) {
       behindSinceMillis = -1;
-      lastTried = null;
+      beginAnew();
       return;
     }
     List<PeerAddress> sources = sources(view, now - behindSinceMillis);
@@ -199,12 +199,17 @@
       // The own zone delivers: what is newer still gets the whole time to come from there.
       nextTransferMillis = now + PAUSE_MILLIS;
       behindSinceMillis = now;
-      lastTried = null;
-      near.given();
-      far.given();
+      beginAnew();
     }
   }
 
+  /** All sources may be asked again. */
+  private void beginAnew() {
+    lastTried = null;
+    near.beginAnew();
+    far.beginAnew();
+  }
+
   private List<PeerAddress> sources(MeshView view, long behindMillis) {
     boolean reads = readsStore.getAsBoolean();
     List<PeerAddress> sources = new ArrayList<>();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
@@ -32,21 +32,25 @@
     statedByHost.put(host, new Stated(host, version, revision));
   }
 
-  /** Whether a node that may be asked holds something newer. */
+  /** Whether a node holds something newer. */
   boolean isAnyAhead(MeshView view) {
-    statedByHost.values().removeIf(stated -> !stated.isAheadOf(view));
+    dropOvertaken(view);
     return !statedByHost.isEmpty();
   }
 
+  private void dropOvertaken(MeshView view) {
+    statedByHost.values().removeIf(stated -> !stated.isAheadOf(view));
+  }
+
   /**
-   * The node to ask next: first those that were not asked since the last transfer that gave
-   * something, of these the one that is furthest, of equals the last source, whose patches lead on
-   * from what it gave. Else one is drawn, so that not all nodes go to the same one.
+   * The node to ask next: first those that were not asked since {@link #beginAnew}, of these the
+   * one that is furthest, of equals the last source, whose patches lead on from what it gave. Else
+   * one is drawn, so that not all nodes go to the same one.
    *
    * @param isSilent whether a node is out of reach
    */
   Optional<String> next(MeshView view, String lastSource, Predicate<String> isSilent) {
-    isAnyAhead(view);
+    dropOvertaken(view);
     List<Stated> candidates = new ArrayList<>(statedByHost.values());
     candidates.removeIf(stated -> isSilent.test(stated.host()));
     if (candidates.stream().allMatch(stated -> tried.contains(stated.host()))) {
@@ -67,8 +71,8 @@
     tried.add(host);
   }
 
-  /** A transfer gave something: all may be asked again. */
-  void given() {
+  /** All may be asked again: a transfer gave something, or this node is level with them. */
+  void beginAnew() {
     tried.clear();
   }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StateSourcesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StateSourcesTest.java
@@ -13,8 +13,7 @@
   private final StateSources sources = new StateSources();
 
   private String next() {
-    String host =
-        sources.next(MeshView.NOTHING, "last", host1 -> host1.equals("silent")).orElse("");
+    String host = sources.next(MeshView.NOTHING, "last", "silent"::equals).orElse("");
     sources.asked(host);
     return host;
   }
@@ -55,7 +54,7 @@
     sources.state("b", 4, 40);
 
     assertThat(next()).isEqualTo("a");
-    sources.given();
+    sources.beginAnew();
 
     assertThat(next()).isEqualTo("a");
   }
