Logs: the same request is known again by its fingerprint; refusals of a gate have lines of their own

Cause: of a request that comes again with a new id no line said that it is the same one, and 1,324 lines about the ends of back ends were dropped beside the refusals that follow them. Change: attempt-failed and gate-failed name the request's fingerprint (SipHash of method, host, path with query, credential; and of the body's first 16 KiB). gate-refused, with a bound of its own, is split off from gate-failed. No decision changes. The hash of a head is worked out for each request, that of a body only when it is asked for.

--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/Fingerprints.java
@@ -0,0 +1,42 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.inbound.Exchange;
+import io.umberpath.traffic.quarantine.RequestFingerprint;
+import java.util.Optional;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.util.Header;
+
+/** Fingerprints of requests on the wire; every node works out the same from what it gets. */
+final class Fingerprints {
+  private Fingerprints() {}
+
+  /** The part of a request's fingerprint that its head tells. */
+  static long targetOf(HttpRequestPacket head) {
+    String query = head.getQueryString();
+    String path = head.getRequestURI();
+    return RequestFingerprint.targetOf(
+        head.getMethod().getMethodString(),
+        head.getHeader(Header.Host),
+        query == null ? path : path + '?' + query,
+        head.getHeader(Header.Authorization));
+  }
+
+  /** The fingerprint; empty while too little of the body has been received to tell. */
+  static Optional<RequestFingerprint> of(Exchange exchange, long target) {
+    return exchange.bodyHash().stream()
+        .mapToObj(body -> new RequestFingerprint(target, body))
+        .findFirst();
+  }
+
+  /**
+   * Its form in a log line about a request that ended so; empty if it is not known, or the request
+   * certainly did not run: those lines are many, and what they refuse has done no harm.
+   */
+  static String text(Exchange exchange, long target, Verdict verdict) {
+    if (verdict instanceof Verdict.NotRun) {
+      return "";
+    }
+    return of(exchange, target).map(RequestFingerprint::text).orElse("");
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -145,10 +145,11 @@
     long timeout = Math.min(stated.get(), rule.get().timeoutMillis());
     boolean returned = isReturned(rule.get(), stated.get());
     return Either.right(
-        plan(requestId, rule.get(), current.version(), nowMillis, timeout, returned));
+        plan(head, requestId, rule.get(), current.version(), nowMillis, timeout, returned));
   }
 
   private MeshEdgePlan plan(
+      HttpRequestPacket head,
       String requestId,
       RoutingRule rule,
       long version,
@@ -173,6 +174,7 @@
         version,
         nowMillis + timeoutMillis,
         nowMillis,
+        Fingerprints.targetOf(head),
         returned,
         replacedHeaders,
         new AttemptTally());
@@ -331,7 +333,11 @@
     String decision = againstRetry(exchange, plan, verdict);
     boolean again = decision.isEmpty();
     events.attemptFailed(
-        plan, String.valueOf(exchange.lastOrigin()), verdict, again, again ? "" : decision);
+        plan,
+        String.valueOf(exchange.lastOrigin()),
+        Fingerprints.text(exchange, plan.target(), verdict),
+        verdict,
+        again ? "" : decision);
     return again;
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgePlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgePlan.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.model.routing.RoutingRule;
 import io.umberpath.node.proxy.inbound.RequestPlan;
+import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.util.Set;
 
 /**
@@ -13,6 +14,8 @@
  * @param configurationVersion version of the configuration that said so
  * @param deadlineMillis when it is given up, on the proxy's clock
  * @param beganMillis when its head arrived, on the proxy's clock
+ * @param target what makes it the same request as another, but for the body; see {@link
+ *     RequestFingerprint#target}
  * @param returned whether its caller comes back after an earlier attempt
  * @param replacedHeaders headers this node sets itself
  * @param tally what its attempts have used
@@ -24,6 +27,7 @@
     long configurationVersion,
     long deadlineMillis,
     long beganMillis,
+    long target,
     boolean returned,
     Set<String> replacedHeaders,
     AttemptTally tally)
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -54,7 +54,9 @@
   REQUEST_SERVED(2),
   /** An attempt failed, and whether another follows. */
   ATTEMPT_FAILED(40),
-  /** The node beside the back end refused a request, or its back end failed it. */
+  /** The node beside the back end refused a request as not run. */
+  GATE_REFUSED(40),
+  /** The back end beside this node failed a request that may have run. */
   GATE_FAILED(40),
   /** Lines of other kinds were dropped. */
   LINES_DROPPED(5),
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -29,6 +29,8 @@
   private static final MetadataKey<String> ZONE = MetadataKey.single("zone", String.class);
   private static final MetadataKey<String> CAUSE = MetadataKey.single("cause", String.class);
   private static final MetadataKey<String> ROUTE = MetadataKey.single("route", String.class);
+  private static final MetadataKey<String> FINGERPRINT =
+      MetadataKey.single("fingerprint", String.class);
   private static final MetadataKey<Long> REVISION = MetadataKey.single("revision", Long.class);
   private static final MetadataKey<Long> CONFIGURATION =
       MetadataKey.single("configuration", Long.class);
@@ -254,21 +256,34 @@
         .log("attempts %d", attempts);
   }
 
+  /**
+   * An attempt failed.
+   *
+   * @param against why the request is not sent again; empty if it is
+   */
   void attemptFailed(
-      MeshEdgePlan plan, String backend, Verdict verdict, boolean again, String known) {
+      MeshEdgePlan plan, String backend, String fingerprint, Verdict verdict, String against) {
     line(MeshEvent.ATTEMPT_FAILED)
         .with(LogFields.REQUEST_ID, plan.requestId())
         .with(BACKEND, backend)
         .with(LogFields.OUTCOME, VerdictHeader.format(verdict))
-        .with(CAUSE, known)
-        .log("%s", again ? "sent again" : "not sent again");
+        .with(FINGERPRINT, fingerprint)
+        .with(CAUSE, against)
+        .log("%s", against.isEmpty() ? "sent again" : "not sent again");
   }
 
-  void gateFailed(MeshGatePlan plan, Verdict verdict, String load, long millis) {
-    line(MeshEvent.GATE_FAILED)
+  /**
+   * A request for the back end beside this node was refused or failed. Refusals have a bound of
+   * their own: while a back end is away they are so many that they would crowd out its failures.
+   */
+  void gateFailed(
+      MeshGatePlan plan, String fingerprint, Verdict verdict, String load, long millis) {
+    boolean refused = verdict instanceof Verdict.NotRun;
+    line(refused ? MeshEvent.GATE_REFUSED : MeshEvent.GATE_FAILED)
         .with(LogFields.REQUEST_ID, plan.requestId())
         .with(BACKEND, plan.instance())
         .with(LogFields.OUTCOME, VerdictHeader.format(verdict))
+        .with(FINGERPRINT, fingerprint)
         .with(MILLIS, millis)
         .log("load %s", load);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -154,7 +154,13 @@
       return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
     }
     return Either.right(
-        new MeshGatePlan(requestId, hop.get(), nowMillis + left.get(), nowMillis, replacedHeaders));
+        new MeshGatePlan(
+            requestId,
+            hop.get(),
+            nowMillis + left.get(),
+            nowMillis,
+            Fingerprints.targetOf(head),
+            replacedHeaders));
   }
 
   @Override
@@ -270,7 +276,12 @@
     MeshGatePlan plan = planOf(exchange);
     if (plan != null && !(verdict instanceof Verdict.Completed)) {
       long millis = clockMillis.getAsLong() - plan.beganMillis();
-      events.gateFailed(plan, verdict, load().encode(), millis);
+      events.gateFailed(
+          plan,
+          Fingerprints.text(exchange, plan.target(), verdict),
+          verdict,
+          load().encode(),
+          millis);
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.node.proxy.inbound.RequestPlan;
+import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.util.Set;
 
 /**
@@ -10,6 +11,8 @@
  * @param hop what the other node says
  * @param deadlineMillis when it is given up, on the proxy's clock
  * @param beganMillis when its head arrived, on the proxy's clock
+ * @param target what makes it the same request as another, but for the body; see {@link
+ *     RequestFingerprint#target}
  * @param replacedHeaders headers this node sets itself
  */
 record MeshGatePlan(
@@ -17,6 +20,7 @@
     HopHeader hop,
     long deadlineMillis,
     long beganMillis,
+    long target,
     Set<String> replacedHeaders)
     implements RequestPlan {
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.HttpBrokenContent;
@@ -88,6 +89,11 @@
     return body.isReplayable();
   }
 
+  /** Hash of the body's beginning; empty while too little of it has been received to tell. */
+  public synchronized OptionalLong bodyHash() {
+    return body.hash();
+  }
+
   /** Microseconds since the request's head arrived. */
   public long elapsedMicros() {
     return (System.nanoTime() - startNanos) / 1_000;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
@@ -1,6 +1,8 @@
 package io.umberpath.node.proxy.inbound;
 
+import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.io.ByteArrayOutputStream;
+import java.util.OptionalLong;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.util.MimeHeaders;
 
@@ -17,6 +19,7 @@
   private boolean complete;
   private long received;
   private MimeHeaders trailers;
+  private OptionalLong hash = OptionalLong.empty();
 
   /** Adds bytes that no attempt has taken yet; they are kept whatever their number. */
   void hold(Buffer content) {
@@ -27,6 +30,9 @@
   /** Notes bytes that are passed on to the attempt under way. */
   void passOn(Buffer content) {
     received += content.remaining();
+    if (replayable && kept.size() + content.remaining() > REPLAY_LIMIT_BYTES) {
+      hash = OptionalLong.of(RequestFingerprint.bodyOf(beginningWith(content)));
+    }
     if (replayable && kept.size() + content.remaining() <= REPLAY_LIMIT_BYTES) {
       keep(content);
     } else {
@@ -36,12 +42,36 @@
   }
 
   private void keep(Buffer content) {
-    byte[] bytes = new byte[content.remaining()];
+    byte[] bytes = copy(content, content.remaining());
+    kept.write(bytes, 0, bytes.length);
+  }
+
+  private static byte[] copy(Buffer content, int count) {
+    byte[] bytes = new byte[count];
     int start = content.position();
     for (int index = 0; index < bytes.length; index++) {
       bytes[index] = content.get(start + index);
     }
-    kept.write(bytes, 0, bytes.length);
+    return bytes;
+  }
+
+  /** The beginning of the body, as far as it counts for its hash: what is kept, and more of it. */
+  private byte[] beginningWith(Buffer content) {
+    int missing = Math.max(0, RequestFingerprint.BODY_PREFIX_BYTES - kept.size());
+    kept.writeBytes(copy(content, Math.min(missing, content.remaining())));
+    return kept.toByteArray();
+  }
+
+  /**
+   * Hash of its beginning, worked out when it is asked for; empty while too little has been
+   * received to tell. See {@link RequestFingerprint#body}.
+   */
+  OptionalLong hash() {
+    boolean enough = complete || kept.size() >= RequestFingerprint.BODY_PREFIX_BYTES;
+    if (hash.isEmpty() && enough) {
+      hash = OptionalLong.of(RequestFingerprint.bodyOf(kept.toByteArray()));
+    }
+    return hash;
   }
 
   void complete(MimeHeaders newTrailers) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/RequestTimesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/RequestTimesTest.java
@@ -26,7 +26,7 @@
             400,
             priority);
     return new MeshEdgePlan(
-        "id", rule, "s", 1, BEGAN + 1_200, BEGAN, returned, Set.of(), new AttemptTally());
+        "id", rule, "s", 1, BEGAN + 1_200, BEGAN, 0, returned, Set.of(), new AttemptTally());
   }
 
   @Test
