--- a/umberpath-model/src/main/java/io/umberpath/model/Verdict.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/Verdict.java
@@ -38,6 +38,8 @@
     NO_BACKEND(503),
     /** Every permitted slot and queue place is taken. */
     OVERLOADED(503),
+    /** Back ends end under this very request, which is sent to none any more. */
+    QUARANTINED(503),
     /** The back end itself said that it did not run the request. */
     REJECTED(503),
     /** The back end or node is leaving. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/Fingerprints.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/Fingerprints.java
@@ -34,9 +34,11 @@
    * certainly did not run: those lines are many, and what they refuse has done no harm.
    */
   static String text(Exchange exchange, long target, Verdict verdict) {
-    if (verdict instanceof Verdict.NotRun) {
-      return "";
-    }
+    return verdict instanceof Verdict.NotRun ? "" : text(exchange, target);
+  }
+
+  /** Its form in log lines; empty if it is not known. */
+  static String text(Exchange exchange, long target) {
     return of(exchange, target).map(RequestFingerprint::text).orElse("");
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -117,6 +117,15 @@
     }
   }
 
+  /** Whether that start of the back end has not left as far as is known: its end is a crash. */
+  boolean isServing(String instance) {
+    return view.get()
+        .backends()
+        .byId(instance)
+        .map(entry -> entry.state() == BackendEntry.State.READY)
+        .orElseGet(() -> !known.contains(instance) || attested.test(instance));
+  }
+
   /** Whether new work for that start of the back end is to be passed on. */
   boolean takes(String instance) {
     if (leaving || ended.contains(instance) || isEvacuated()) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -14,6 +14,7 @@
 import io.umberpath.node.proxy.inbound.RequestPlan;
 import io.umberpath.node.proxy.origin.OriginManager;
 import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.traffic.quarantine.RequestFingerprint;
 import io.umberpath.traffic.routing.CallerPatience;
 import io.umberpath.traffic.routing.GateBalancer;
 import io.umberpath.traffic.routing.GateLoad;
@@ -54,6 +55,7 @@
   private final OriginManager origins;
   private final GateBalancer balancer;
   private final PeerExchange peers;
+  private final RequestQuarantine quarantine;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
   private final WeightedSplit split = new WeightedSplit();
@@ -90,6 +92,7 @@
     this.origins = origins;
     this.balancer = balancer;
     this.peers = peers;
+    this.quarantine = peers.quarantine();
     this.repeatShare = repeatShare;
     this.events = events;
     this.clockMillis = clockMillis;
@@ -200,6 +203,9 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DEADLINE));
       return;
     }
+    if (isHeld(exchange, plan)) {
+      return;
+    }
     List<BackendEntry> candidates = peers.readyBackends(plan.service());
     Set<String> silent = peers.silentBackends(candidates);
     boolean mayBounce = mayBounce(exchange, plan);
@@ -229,6 +235,28 @@
     }
   }
 
+  /**
+   * Whether the request is kept from all back ends, and so refused; or waits for as much of its
+   * body as tells that. No time to come back is named: whoever comes again is refused again.
+   */
+  private boolean isHeld(Exchange exchange, MeshEdgePlan plan) {
+    // What earlier tries of the request have done counts too: one ended 25 back ends, two a try,
+    // as each try began at nought.
+    if (!quarantine.concerns(plan.target())) {
+      return false;
+    }
+    Optional<RequestFingerprint> request = Fingerprints.of(exchange, plan.target());
+    if (request.isEmpty()) {
+      exchange.dispatchOnceBodyIsKnown();
+      return true;
+    }
+    if (!quarantine.holdsAtEdge(request.get())) {
+      return false;
+    }
+    exchange.refuse(Refusal.notRun(Verdict.Reason.QUARANTINED));
+    return true;
+  }
+
   private static Refusal nobody() {
     return new Refusal(new Verdict.NotRun(Verdict.Reason.NO_BACKEND), RETRY_WHEN_NOBODY_MILLIS);
   }
@@ -382,7 +410,9 @@
     if (verdict instanceof Verdict.Completed) {
       events.requestServed(plan, exchange.attempts(), millis);
     } else {
-      events.requestFailed(plan, exchange.attempts(), verdict, millis);
+      boolean held = VerdictHeader.reasonOf(verdict) == Verdict.Reason.QUARANTINED;
+      String fingerprint = held ? Fingerprints.text(exchange, plan.target()) : "";
+      events.requestFailed(plan, fingerprint, exchange.attempts(), verdict, millis);
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -58,6 +58,14 @@
   GATE_REFUSED(40),
   /** The back end beside this node failed a request that may have run. */
   GATE_FAILED(40),
+  /** The back end beside this node ended while it ran a request; a line for each. */
+  BACKEND_ENDED(20),
+  /** A request is kept from all back ends. */
+  REQUEST_HELD(20),
+  /** A request is no longer kept from back ends. */
+  REQUEST_CLEARED(20),
+  /** A request that is held is sent to a back end once more. */
+  REQUEST_TRIED(5),
   /** Lines of other kinds were dropped. */
   LINES_DROPPED(5),
   /** A fault in the program itself. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -10,6 +10,7 @@
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.umberpath.node.logs.LogFields;
 import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.io.IOException;
 import java.util.EnumMap;
 import java.util.Map;
@@ -237,12 +238,14 @@
             changes.patches().size());
   }
 
-  void requestFailed(MeshEdgePlan plan, int attempts, Verdict verdict, long millis) {
+  void requestFailed(
+      MeshEdgePlan plan, String fingerprint, int attempts, Verdict verdict, long millis) {
     line(MeshEvent.REQUEST_FAILED)
         .with(LogFields.REQUEST_ID, plan.requestId())
         .with(ROUTE, plan.route())
         .with(CONFIGURATION, plan.configurationVersion())
         .with(LogFields.OUTCOME, VerdictHeader.format(verdict))
+        .with(FINGERPRINT, fingerprint)
         .with(MILLIS, millis)
         .log("attempts %d, sent to back ends %d", attempts, plan.tally().arrivals());
   }
@@ -288,6 +291,31 @@
         .log("load %s", load);
   }
 
+  /** The back end beside this node ended; one line for each request that it ran. */
+  void backendEnded(String backend, RequestFingerprint request, int running) {
+    line(MeshEvent.BACKEND_ENDED)
+        .with(BACKEND, backend)
+        .with(FINGERPRINT, request.text())
+        .with(COUNT, (long) running)
+        .log("while it ran this request");
+  }
+
+  /**
+   * A request is from now on kept from all back ends, or no longer.
+   *
+   * @param ends ends of back ends that are held against it
+   */
+  void requestHeld(RequestFingerprint request, boolean isHeld, int ends) {
+    line(isHeld ? MeshEvent.REQUEST_HELD : MeshEvent.REQUEST_CLEARED)
+        .with(FINGERPRINT, request.text())
+        .with(COUNT, (long) ends)
+        .log("%s", isHeld ? "back ends ended under it" : "it ran to a good end");
+  }
+
+  void requestTried(RequestFingerprint request) {
+    line(MeshEvent.REQUEST_TRIED).with(FINGERPRINT, request.text()).log("once more");
+  }
+
   void fault(String where, Throwable fault) {
     line(MeshEvent.FAULT).withCause(fault).log("%s", where);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -41,6 +41,12 @@
 
   private static final int MISDIRECTED = 421;
 
+  /** From here on an answer does not show that the request ran to a good end. */
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private static final Verdict LOST = new Verdict.MayHaveRun(Verdict.Reason.CONNECTION_LOST);
+  private static final long MICROS_PER_MILLI = 1_000;
+
   /** Time an answer takes back to the caller at least, milliseconds. */
   private static final long ANSWER_MILLIS = 8;
 
@@ -51,6 +57,8 @@
   private final ConnectionPool pool;
   private final SlotGate gate;
   private final LocalBackend backend;
+  private final RequestQuarantine quarantine;
+  private final BackendCrashDetector crashes;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
   private final RouteMeans routeTimes = new RouteMeans(MIN_TIME_SAMPLES);
@@ -65,11 +73,14 @@
       ConnectionPool pool,
       AdmissionController admission,
       LocalBackend backend,
+      RequestQuarantine quarantine,
       MeshEvents events,
       LongSupplier clockMillis) {
     this.settings = settings;
     this.pool = pool;
     this.backend = backend;
+    this.quarantine = quarantine;
+    this.crashes = new BackendCrashDetector(pool, clockMillis);
     this.events = events;
     this.clockMillis = clockMillis;
     this.gate = new SlotGate(admission, this::send, clockMillis);
@@ -95,6 +106,27 @@
     gate.tick(nowMillis);
   }
 
+  /** Looks whether the back end has ended; what it ran is suspected, unless it was leaving. */
+  void lookForCrash() {
+    crashes
+        .tick(this::isAnySentBefore)
+        .filter(crash -> backend.isServing(crash.backend()))
+        .ifPresent(this::crashed);
+  }
+
+  private boolean isAnySentBefore(String instance, long atMillis) {
+    long sinceMicros = (clockMillis.getAsLong() - atMillis) * MICROS_PER_MILLI;
+    return gate.runningExchanges().stream()
+        .filter(exchange -> planOf(exchange).instance().equals(instance))
+        .anyMatch(exchange -> exchange.sinceSentMicros() > sinceMicros);
+  }
+
+  private void crashed(BackendCrashDetector.Crash crash) {
+    int running = crash.requests().size();
+    crash.requests().forEach(request -> events.backendEnded(crash.backend(), request, running));
+    quarantine.backendEnded(crash.backend(), crash.requests());
+  }
+
   /** Looks at what runs: how slow the back end is by its age, and how much of it is repeated. */
   void observe() {
     List<Slowness.Running> running = new ArrayList<>();
@@ -170,6 +202,10 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return;
     }
+    if (isHeld(exchange, plan)) {
+      exchange.refuse(Refusal.notRun(Verdict.Reason.QUARANTINED));
+      return;
+    }
     double slowness = this.slowness;
     long expectedMicros = Math.round(slowness * expectedMicros(plan.route()));
     long likelyMicros = Math.round(slowness * likelyMicros(plan.route()));
@@ -195,6 +231,12 @@
                 isNested));
   }
 
+  /** The edge decides; this one helps out where it has not heard yet. */
+  private boolean isHeld(Exchange exchange, MeshGatePlan plan) {
+    return quarantine.concerns(plan.target())
+        && Fingerprints.of(exchange, plan.target()).filter(quarantine::holdsAtGate).isPresent();
+  }
+
   private boolean isNested(Exchange exchange) {
     String callerService = exchange.request().getHeader(settings.headers().callerService());
     String route = planOf(exchange).route();
@@ -258,10 +300,17 @@
   @Override
   public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
     // The slot is given back when the request ends; there is one attempt.
+    MeshGatePlan plan = planOf(exchange);
     if (refusal == null) {
       synchronized (routeTimes) {
-        routeTimes.add(planOf(exchange).route(), exchange.sinceSentMicros());
+        routeTimes.add(plan.route(), exchange.sinceSentMicros());
+      }
+      if (exchange.answeredStatus() < FIRST_SERVER_ERROR) {
+        Fingerprints.of(exchange, plan.target()).ifPresent(quarantine::succeeded);
       }
+    } else if (refusal.verdict().equals(LOST)) {
+      Fingerprints.of(exchange, plan.target())
+          .ifPresent(request -> crashes.lost(plan.instance(), request));
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -7,6 +7,7 @@
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.control.store.StoreWatcherSettings;
 import io.umberpath.model.PeerAddress;
+import io.umberpath.traffic.quarantine.RequestFingerprint;
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -101,6 +102,7 @@
   private final StoreFollower follower;
   private final StatePuller puller;
   private final GateBalancer balancer;
+  private final RequestQuarantine quarantine;
   private final PeerExchange peers;
   private final LocalBackend backend;
   private final MeshProxy proxy;
@@ -139,8 +141,10 @@
     this.puller = new StatePuller(settings, state, follower::isReading, events, clockMillis);
     this.balancer =
         new GateBalancer(settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
+    this.quarantine = new RequestQuarantine(this::triesAgain, events, clockMillis);
     this.peers =
-        new PeerExchange(settings, state::view, this::contact, balancer, events, clockMillis);
+        new PeerExchange(
+            settings, state::view, this::contact, balancer, quarantine, events, clockMillis);
     this.backend = new LocalBackend(settings, state::view, this::attests, clockMillis);
     this.proxy =
         new MeshProxy(
@@ -189,6 +193,11 @@
     return attester.attests(instance);
   }
 
+  /** Of the nodes in reach, one may try a request that is held. */
+  private boolean triesAgain(RequestFingerprint request) {
+    return peers.isFirstFor(request.text());
+  }
+
   private static Thread timerThread(Runnable task) {
     Thread thread = new Thread(task, "umberpath-timer");
     thread.setDaemon(true);
@@ -226,6 +235,7 @@
   private void tick() {
     ticks++;
     guarded(() -> proxy.keepDeadlines(clockMillis.getAsLong()));
+    guarded(this::shareSuspects);
     everyFew(TICKS_PER_SWEEP, this::sweep);
     everyFew(TICKS_PER_ROUND, this::tellPeers);
     everyFew(TICKS_PER_SECOND, this::second);
@@ -256,8 +266,15 @@
     }
   }
 
+  /** What the back end beside this node ended under is news for all. */
+  private void shareSuspects() {
+    proxy.gate().lookForCrash();
+    peers.tellSuspects();
+  }
+
   private void second() {
     events.reportDropped();
+    quarantine.forget();
     proxy.closeIdle();
     synchronized (balancer) {
       balancer.forget(clockMillis.getAsLong());
@@ -289,6 +306,7 @@
         view.version(),
         view.revision(),
         follower.reported(),
+        quarantine.digest(),
         isListed(view) ? Optional.empty() : Optional.of(settings.zone()),
         backendLeaving ? Optional.empty() : attester.attested());
   }
@@ -318,16 +336,19 @@
   }
 
   private Map<String, Supplier<Number>> gauges() {
-    return Map.of(
-        "configuration.version", () -> state.view().version(),
-        "store.revision", () -> state.view().revision(),
-        "store.heard.age.seconds", this::storeAgeSeconds,
-        "peers.known", peers::nodes,
-        "peers.silent", peers::silentNodes,
-        "gate.running", () -> proxy.gate().load().running(),
-        "gate.queued", () -> proxy.gate().load().queued(),
-        "gate.slots", () -> proxy.gate().load().slots(),
-        "gate.service.seconds", () -> proxy.gate().load().serviceMicros() / MICROS_PER_SECOND);
+    return Map.ofEntries(
+        Map.entry("quarantine.suspects", quarantine::suspects),
+        Map.entry("quarantine.held", quarantine::held),
+        Map.entry("configuration.version", () -> state.view().version()),
+        Map.entry("store.revision", () -> state.view().revision()),
+        Map.entry("store.heard.age.seconds", this::storeAgeSeconds),
+        Map.entry("peers.known", peers::nodes),
+        Map.entry("peers.silent", peers::silentNodes),
+        Map.entry("gate.running", () -> proxy.gate().load().running()),
+        Map.entry("gate.queued", () -> proxy.gate().load().queued()),
+        Map.entry("gate.slots", () -> proxy.gate().load().slots()),
+        Map.entry(
+            "gate.service.seconds", () -> proxy.gate().load().serviceMicros() / MICROS_PER_SECOND));
   }
 
   private double storeAgeSeconds() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -72,6 +72,7 @@
             backendPool,
             AdmissionControllers.createInDueOrder(admission(backend.slots()), backend.coldStarts()),
             backend,
+            peers.quarantine(),
             events,
             clockMillis);
     this.edge =
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.control.membership.KnownPeers;
+import io.umberpath.control.membership.Rendezvous;
 import io.umberpath.control.membership.ReportSchedule;
 import io.umberpath.control.membership.SilenceTimes;
 import io.umberpath.control.store.ReaderElection;
@@ -54,6 +55,8 @@
   private final AttestedBackends attested = new AttestedBackends();
   private final Set<String> leaving = ConcurrentHashMap.newKeySet();
 
+  private final RequestQuarantine quarantine;
+  private final SuspectExchange suspects;
   private final ReportSocket socket;
   private volatile AheadListener aheadListener = (host, near, version, revision) -> {};
   private volatile PeerView peers = PeerView.NOBODY;
@@ -79,12 +82,14 @@
       Supplier<MeshView> view,
       Supplier<StoreContact> contact,
       GateBalancer balancer,
+      RequestQuarantine quarantine,
       MeshEvents events,
       LongSupplier clockMillis) {
     this.settings = settings;
     this.view = view;
     this.contact = contact;
     this.balancer = balancer;
+    this.quarantine = quarantine;
     this.events = events;
     this.clockMillis = clockMillis;
     this.self = settings.exchange().host();
@@ -92,6 +97,8 @@
     this.schedule = new ReportSchedule(self);
     this.readers = new ReaderElection(self, SilenceTimes.ROUND_MILLIS);
     this.socket = new ReportSocket(settings.exchange(), this::take, events);
+    this.suspects =
+        new SuspectExchange(quarantine, () -> peers.others(), socket::send, clockMillis);
   }
 
   void onAhead(AheadListener listener) {
@@ -103,6 +110,16 @@
     socket.open();
   }
 
+  /** What all nodes together know of requests under which back ends end. */
+  RequestQuarantine quarantine() {
+    return quarantine;
+  }
+
+  /** Tells the other nodes at once under which requests back ends ended. */
+  void tellSuspects() {
+    suspects.tick();
+  }
+
   /** One round: looks who has been silent, and sends reports. */
   void tick(PeerReport report) {
     long now = clockMillis.getAsLong();
@@ -222,6 +239,14 @@
     }
   }
 
+  private void take(PeerDatagram message) throws IOException {
+    if (message instanceof SuspectMessage suspected) {
+      quarantine.take(suspected);
+    } else if (message instanceof PeerMessage reported) {
+      take(reported);
+    }
+  }
+
   private void take(PeerMessage message) throws IOException {
     if (message.kind() == PeerMessage.Kind.DIGEST) {
       socket.send(PeerMessage.Kind.REPORTS, message.entries(), peers.near());
@@ -246,6 +271,7 @@
       leaving.remove(host);
     }
     attested.heard(atMillis, host, report.attested());
+    suspects.heard(host, report.suspects());
     MeshView current = view.get();
     synchronized (balancer) {
       report
@@ -351,6 +377,15 @@
     return peers.silent().size();
   }
 
+  /** Whether, of the nodes in reach, this one comes first for a task that one of them does. */
+  boolean isFirstFor(String task) {
+    PeerView current = peers;
+    Set<String> reachable = new HashSet<>(current.others());
+    reachable.removeAll(current.silent());
+    reachable.add(self);
+    return Rendezvous.first(1, reachable, task).contains(self);
+  }
+
   /** Nodes known, this one included. */
   int nodes() {
     return peers.others().size() + 1;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerMessage.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerMessage.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -15,7 +14,7 @@
  * @param kind what the receiver does with it
  * @param entries reports of one or more nodes
  */
-record PeerMessage(Kind kind, List<Entry> entries) {
+record PeerMessage(Kind kind, List<Entry> entries) implements PeerDatagram {
   /** What a receiver does with a message. */
   enum Kind {
     /** Reports of the sender, or of several nodes, for the receiver alone. */
@@ -42,13 +41,9 @@
    */
   record Stamp(int run, int count) {}
 
-  /** Largest datagram, bytes: passes every link whole. */
-  static final int MAX_BYTES = 1_400;
-
   /** Reports in one datagram; one without an attested back end takes 45 to 50 bytes. */
   static final int MAX_ENTRIES = 28;
 
-  private static final CBORFactory CBOR = new CBORFactory();
   private static final int INITIAL_BYTES = 96;
 
   /** Datagrams that hold all entries, each short enough to pass whole. */
@@ -92,41 +87,34 @@
   }
 
   /**
-   * Reads a datagram.
+   * Reads the entries of a datagram whose kind has been read.
    *
-   * @throws IOException if it is no message
+   * @throws IOException if they are none
    */
-  static PeerMessage decode(byte[] bytes, int length) throws IOException {
-    try (JsonParser in = CBOR.createParser(bytes, 0, length)) {
-      require(in.nextToken() == JsonToken.START_ARRAY, "is no list");
-      require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no kind");
-      int kind = in.getIntValue();
-      require(kind >= 0 && kind < Kind.values().length, "is of an unknown kind");
-      List<Entry> entries = new ArrayList<>();
-      for (JsonToken token = in.nextToken(); token != JsonToken.END_ARRAY; token = in.nextToken()) {
-        entries.add(entry(token, in));
-      }
-      require(!entries.isEmpty(), "is empty");
-      return new PeerMessage(Kind.values()[kind], entries);
+  static PeerMessage readEntries(int kind, JsonParser in) throws IOException {
+    PeerDatagram.require(kind >= 0 && kind < Kind.values().length, "is of an unknown kind");
+    List<Entry> entries = new ArrayList<>();
+    for (JsonToken token = in.nextToken(); token != JsonToken.END_ARRAY; token = in.nextToken()) {
+      entries.add(entry(token, in));
     }
+    PeerDatagram.require(!entries.isEmpty(), "is empty");
+    return new PeerMessage(Kind.values()[kind], entries);
   }
 
   private static Entry entry(JsonToken token, JsonParser in) throws IOException {
-    require(token == JsonToken.VALUE_STRING, "has no address where one is due");
+    PeerDatagram.require(token == JsonToken.VALUE_STRING, "has no address where one is due");
     String host = in.getText();
-    require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no age where one is due");
+    PeerDatagram.require(
+        in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no age where one is due");
     long age = Math.max(0, in.getLongValue());
-    require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no run where one is due");
+    PeerDatagram.require(
+        in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no run where one is due");
     int run = in.getIntValue();
-    require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no count where one is due");
+    PeerDatagram.require(
+        in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no count where one is due");
     Stamp stamp = new Stamp(run, in.getIntValue());
-    require(in.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT, "has no report where one is due");
+    PeerDatagram.require(
+        in.nextToken() == JsonToken.VALUE_EMBEDDED_OBJECT, "has no report where one is due");
     return new Entry(host, age, stamp, EncodedReport.read(in));
   }
-
-  private static void require(boolean wellFormed, String problem) throws IOException {
-    if (!wellFormed) {
-      throw new IOException("message between nodes " + problem);
-    }
-  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
@@ -19,6 +19,7 @@
  * @param contact how its calls to the store go
  * @param unlistedZone its zone, where the store does not list it as far as it knows; empty else, as
  *     that would be told in each report between zones
+ * @param suspects digest of what it knows of requests under which back ends end, 0 if nothing
  * @param attested entry of the back end beside it, which lives though the store lists it no more
  */
 record PeerReport(
@@ -27,6 +28,7 @@
     long version,
     long revision,
     ReportedContact contact,
+    long suspects,
     Optional<String> unlistedZone,
     Optional<BackendEntry> attested) {
 
@@ -48,6 +50,7 @@
     out.writeNumber(revision);
     out.writeNumber(contact.state().ordinal());
     out.writeNumber(contact.forMillis());
+    out.writeNumber(suspects);
     if (attested.isPresent()) {
       write(out, attested.get());
     } else if (unlistedZone.isPresent()) {
@@ -72,17 +75,17 @@
     long version = number(in);
     long revision = number(in);
     ReportedContact contact = contact(in);
-    if (in.nextToken() == JsonToken.END_ARRAY) {
-      return new PeerReport(
-          load, leaving, version, revision, contact, Optional.empty(), Optional.empty());
-    }
-    String first = currentText(in);
-    if (in.nextToken() == JsonToken.END_ARRAY) {
-      return new PeerReport(
-          load, leaving, version, revision, contact, Optional.of(first), Optional.empty());
+    long suspects = number(in);
+    Optional<String> unlistedZone = Optional.empty();
+    Optional<BackendEntry> attested = Optional.empty();
+    if (in.nextToken() != JsonToken.END_ARRAY) {
+      String first = currentText(in);
+      boolean isZone = in.nextToken() == JsonToken.END_ARRAY;
+      unlistedZone = isZone ? Optional.of(first) : Optional.empty();
+      attested = isZone ? Optional.empty() : Optional.of(attested(first, in));
     }
-    Optional<BackendEntry> attested = Optional.of(attested(first, in));
-    return new PeerReport(load, leaving, version, revision, contact, Optional.empty(), attested);
+    return new PeerReport(
+        load, leaving, version, revision, contact, suspects, unlistedZone, attested);
   }
 
   private static ReportedContact contact(JsonParser in) throws IOException {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ReportSocket.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ReportSocket.java
@@ -19,7 +19,7 @@
      *
      * @throws IOException if what it holds cannot be read
      */
-    void take(PeerMessage message) throws IOException;
+    void take(PeerDatagram message) throws IOException;
   }
 
   private final PeerAddress own;
@@ -57,10 +57,15 @@
   /** Sends reports to nodes. */
   void send(PeerMessage.Kind kind, List<PeerMessage.Entry> entries, Collection<String> hosts) {
     if (!hosts.isEmpty()) {
-      PeerMessage.encode(kind, entries).forEach(bytes -> send(bytes, hosts));
+      send(PeerMessage.encode(kind, entries), hosts);
     }
   }
 
+  /** Sends each datagram to each node. */
+  void send(List<byte[]> datagrams, Collection<String> hosts) {
+    datagrams.forEach(bytes -> send(bytes, hosts));
+  }
+
   private void send(byte[] bytes, Collection<String> hosts) {
     for (String host : hosts) {
       try {
@@ -75,7 +80,7 @@
   }
 
   private void receive() {
-    int size = PeerMessage.MAX_BYTES + 1;
+    int size = PeerDatagram.MAX_BYTES + 1;
     DatagramPacket packet = new DatagramPacket(new byte[size], size);
     while (!socket.isClosed()) {
       try {
@@ -95,7 +100,7 @@
 
   private void take(DatagramPacket packet) {
     try {
-      receiver.take(PeerMessage.decode(packet.getData(), packet.getLength()));
+      receiver.take(PeerDatagram.decode(packet.getData(), packet.getLength()));
     } catch (IOException malformed) {
       events.reportRefused(packet.getAddress().getHostAddress(), malformed);
     }
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
@@ -0,0 +1,166 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.traffic.quarantine.RequestFingerprint;
+import io.umberpath.traffic.quarantine.SuspectLedger;
+import io.umberpath.traffic.quarantine.Suspicion;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+
+/**
+ * Keeps requests from back ends that would end under them, by what all nodes have seen ({@link
+ * SuspectLedger}). Thread-safe; never waits for anything but its own lock.
+ */
+final class RequestQuarantine {
+  private final SuspectLedger ledger = new SuspectLedger();
+  private final Predicate<RequestFingerprint> owner;
+  private final MeshEvents events;
+  private final LongSupplier clockMillis;
+
+  /** What other nodes have not been told yet; guarded by this object's lock. */
+  private final List<Suspicion> news = new ArrayList<>();
+
+  private volatile Set<Long> heldTargets = Set.of();
+  private volatile int suspects;
+  private volatile long digest;
+
+  /**
+   * Creates one that knows nothing.
+   *
+   * @param owner whether this node is the one that may try a request that is held once more
+   */
+  RequestQuarantine(
+      Predicate<RequestFingerprint> owner, MeshEvents events, LongSupplier clockMillis) {
+    this.owner = owner;
+    this.events = events;
+    this.clockMillis = clockMillis;
+  }
+
+  /** Whether a request of that target may be held; most often the body need not be looked at. */
+  boolean concerns(long target) {
+    Set<Long> targets = heldTargets;
+    return !targets.isEmpty() && targets.contains(target);
+  }
+
+  /** Whether this node keeps a caller's request from all back ends; if not, it may be a trial. */
+  boolean holdsAtEdge(RequestFingerprint request) {
+    long now = clockMillis.getAsLong();
+    synchronized (this) {
+      if (!ledger.isHeld(request)) {
+        return false;
+      }
+      if (!ledger.isTrialDue(now, request) || !owner.test(request)) {
+        return true;
+      }
+      ledger.beginTrial(now, request);
+      events.requestTried(request);
+      return false;
+    }
+  }
+
+  /** Whether a request of another node is kept from the back end beside this one. */
+  boolean holdsAtGate(RequestFingerprint request) {
+    long now = clockMillis.getAsLong();
+    synchronized (this) {
+      return ledger.isHeld(request) && !ledger.isTrialDue(now, request);
+    }
+  }
+
+  /** The back end beside this node ended while it ran these requests. */
+  synchronized void backendEnded(String backend, Collection<RequestFingerprint> running) {
+    Set<RequestFingerprint> heldBefore = held(running);
+    news.addAll(ledger.ended(clockMillis.getAsLong(), backend, running));
+    changed(heldBefore, running);
+  }
+
+  /** A request ran to a good end on the back end beside this node. */
+  synchronized void succeeded(RequestFingerprint request) {
+    boolean heldBefore = ledger.isHeld(request);
+    Optional<Suspicion> cleared = ledger.succeeded(clockMillis.getAsLong(), request);
+    if (cleared.isPresent()) {
+      news.add(cleared.get());
+      changed(heldBefore ? Set.of(request) : Set.of(), List.of(request));
+    }
+  }
+
+  /** Takes what another node knows; what this node knows against it is news for all. */
+  synchronized void take(SuspectMessage message) {
+    long now = clockMillis.getAsLong();
+    for (Suspicion heard : message.asOf(now)) {
+      List<RequestFingerprint> concerned = List.of(heard.request());
+      Set<RequestFingerprint> heldBefore = held(concerned);
+      List<Suspicion> taken = ledger.take(now, heard);
+      if (!taken.isEmpty()) {
+        news.addAll(taken.subList(1, taken.size()));
+        changed(heldBefore, concerned);
+      }
+    }
+  }
+
+  private Set<RequestFingerprint> held(Collection<RequestFingerprint> requests) {
+    Set<RequestFingerprint> held = new HashSet<>();
+    for (RequestFingerprint request : requests) {
+      if (ledger.isHeld(request)) {
+        held.add(request);
+      }
+    }
+    return held;
+  }
+
+  private void changed(
+      Set<RequestFingerprint> heldBefore, Collection<RequestFingerprint> concerned) {
+    for (RequestFingerprint request : concerned) {
+      boolean isHeld = ledger.isHeld(request);
+      if (isHeld != heldBefore.contains(request)) {
+        events.requestHeld(request, isHeld, ledger.weight(request));
+      }
+    }
+    publish();
+  }
+
+  private void publish() {
+    heldTargets = ledger.heldTargets();
+    suspects = ledger.size();
+    digest = ledger.digest();
+  }
+
+  /** Drops what is too old to count. */
+  synchronized void forget() {
+    if (suspects > 0) {
+      ledger.forget(clockMillis.getAsLong());
+      publish();
+    }
+  }
+
+  /** What the other nodes are to be told since the last call. */
+  synchronized List<Suspicion> takeNews() {
+    List<Suspicion> taken = List.copyOf(news);
+    news.clear();
+    return taken;
+  }
+
+  /** All that is known, for a node that knows less. */
+  synchronized List<Suspicion> all() {
+    return ledger.all();
+  }
+
+  /** The same at all nodes that know the same; 0 if nothing is known. */
+  long digest() {
+    return digest;
+  }
+
+  /** Requests under which back ends ended, whether or not they are held. */
+  int suspects() {
+    return suspects;
+  }
+
+  /** Targets of requests that are held. */
+  int held() {
+    return heldTargets.size();
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/SuspectExchange.java
@@ -0,0 +1,74 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.traffic.quarantine.Suspicion;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * Tells the other nodes under which requests back ends end: news to all of them at once, and
+ * everything to a node whose report shows that it knows something else. Thread-safe.
+ */
+final class SuspectExchange {
+  /** Least time between two times that one node is told everything, milliseconds. */
+  private static final long RETELL_MILLIS = 1_000;
+
+  /** Nodes that are told everything in a second at most. */
+  private static final int MAX_RETOLD = 8;
+
+  /** Sends datagrams to nodes. */
+  interface Sender {
+    void send(List<byte[]> datagrams, Collection<String> hosts);
+  }
+
+  private final RequestQuarantine quarantine;
+  private final Supplier<Collection<String>> others;
+  private final Sender sender;
+  private final LongSupplier clockMillis;
+
+  /** When nodes were told everything in the last second; guarded by this object's lock. */
+  private final Map<String, Long> retoldMillis = new HashMap<>();
+
+  SuspectExchange(
+      RequestQuarantine quarantine,
+      Supplier<Collection<String>> others,
+      Sender sender,
+      LongSupplier clockMillis) {
+    this.quarantine = quarantine;
+    this.others = others;
+    this.sender = sender;
+    this.clockMillis = clockMillis;
+  }
+
+  /** Tells what is new. */
+  void tick() {
+    List<Suspicion> news = quarantine.takeNews();
+    if (!news.isEmpty()) {
+      sender.send(SuspectMessage.encode(clockMillis.getAsLong(), news), others.get());
+    }
+  }
+
+  /** Another node has reported what it knows: the digest of it. */
+  void heard(String host, long digest) {
+    if (digest == quarantine.digest()) {
+      return;
+    }
+    List<Suspicion> all = quarantine.all();
+    long now = clockMillis.getAsLong();
+    if (!all.isEmpty() && mayRetell(host, now)) {
+      sender.send(SuspectMessage.encode(now, all), List.of(host));
+    }
+  }
+
+  private synchronized boolean mayRetell(String host, long nowMillis) {
+    retoldMillis.values().removeIf(at -> at + RETELL_MILLIS <= nowMillis);
+    boolean may = retoldMillis.size() < MAX_RETOLD && !retoldMillis.containsKey(host);
+    if (may) {
+      retoldMillis.put(host, nowMillis);
+    }
+    return may;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/SuspectMessage.java
@@ -0,0 +1,115 @@
+package io.umberpath.node.mesh;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import io.umberpath.traffic.quarantine.CrashMark;
+import io.umberpath.traffic.quarantine.RequestFingerprint;
+import io.umberpath.traffic.quarantine.Suspicion;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One datagram about requests under which back ends ended.
+ *
+ * @param suspicions with ages in place of times: no clock of another node is needed to tell how
+ *     long ago something was
+ */
+record SuspectMessage(List<Suspicion> suspicions) implements PeerDatagram {
+  /** Tells it from the kinds of {@link PeerMessage}. */
+  static final int KIND = 2;
+
+  private static final int INITIAL_BYTES = 128;
+
+  /** Datagrams that hold all suspicions, each short enough to pass whole. */
+  static List<byte[]> encode(long nowMillis, List<Suspicion> suspicions) {
+    List<byte[]> datagrams = new ArrayList<>();
+    encode(nowMillis, suspicions, datagrams);
+    return datagrams;
+  }
+
+  private static void encode(long nowMillis, List<Suspicion> suspicions, List<byte[]> into) {
+    byte[] bytes = write(nowMillis, suspicions);
+    int count = suspicions.size();
+    if (count == 1 || bytes.length <= MAX_BYTES) {
+      into.add(bytes);
+      return;
+    }
+    encode(nowMillis, suspicions.subList(0, count / 2), into);
+    encode(nowMillis, suspicions.subList(count / 2, count), into);
+  }
+
+  private static byte[] write(long nowMillis, List<Suspicion> suspicions) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(INITIAL_BYTES);
+    try (JsonGenerator out = CBOR.createGenerator(bytes)) {
+      out.writeStartArray();
+      out.writeNumber(KIND);
+      for (Suspicion suspicion : suspicions) {
+        write(nowMillis, suspicion, out);
+      }
+      out.writeEndArray();
+    } catch (IOException impossible) {
+      throw new IllegalStateException("a message cannot be written", impossible);
+    }
+    return bytes.toByteArray();
+  }
+
+  private static void write(long nowMillis, Suspicion suspicion, JsonGenerator out)
+      throws IOException {
+    out.writeStartArray();
+    out.writeNumber(suspicion.request().target());
+    out.writeNumber(suspicion.request().body());
+    for (CrashMark mark : suspicion.marks()) {
+      out.writeNumber(mark.crash());
+      out.writeNumber(nowMillis - mark.atMillis());
+      out.writeBoolean(mark.cleared());
+    }
+    out.writeEndArray();
+  }
+
+  /** Reads the suspicions of a datagram whose kind has been read; their times are ages. */
+  static SuspectMessage readEntries(JsonParser in) throws IOException {
+    List<Suspicion> suspicions = new ArrayList<>();
+    for (JsonToken token = in.nextToken(); token != JsonToken.END_ARRAY; token = in.nextToken()) {
+      PeerDatagram.require(token == JsonToken.START_ARRAY, "has no suspicion where one is due");
+      suspicions.add(readSuspicion(in));
+    }
+    return new SuspectMessage(List.copyOf(suspicions));
+  }
+
+  private static Suspicion readSuspicion(JsonParser in) throws IOException {
+    PeerDatagram.require(in.nextToken() == JsonToken.VALUE_NUMBER_INT, "names no request");
+    RequestFingerprint request = new RequestFingerprint(in.getLongValue(), number(in));
+    List<CrashMark> marks = new ArrayList<>();
+    for (JsonToken token = in.nextToken(); token != JsonToken.END_ARRAY; token = in.nextToken()) {
+      PeerDatagram.require(token == JsonToken.VALUE_NUMBER_INT, "has no mark where one is due");
+      int crash = in.getIntValue();
+      long ageMillis = Math.max(0, number(in));
+      Boolean cleared = in.nextBooleanValue();
+      PeerDatagram.require(cleared != null, "does not say whether a mark is cleared");
+      marks.add(new CrashMark(crash, ageMillis, cleared));
+    }
+    return new Suspicion(request, List.copyOf(marks));
+  }
+
+  private static long number(JsonParser in) throws IOException {
+    PeerDatagram.require(
+        in.nextToken() == JsonToken.VALUE_NUMBER_INT, "has no number where one is due");
+    return in.getLongValue();
+  }
+
+  /** The suspicions with times on this node's clock. */
+  List<Suspicion> asOf(long nowMillis) {
+    return suspicions.stream()
+        .map(each -> new Suspicion(each.request(), asOf(nowMillis, each.marks())))
+        .toList();
+  }
+
+  private static List<CrashMark> asOf(long nowMillis, List<CrashMark> marks) {
+    return marks.stream()
+        .map(mark -> new CrashMark(mark.crash(), nowMillis - mark.atMillis(), mark.cleared()))
+        .toList();
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -53,6 +53,8 @@
   private Refusal lastRefusal;
   private boolean cutOff;
   private boolean dispatchAgain;
+  private boolean awaitsBody;
+  private int answeredStatus;
   private long sentNanos;
   private String lastOrigin;
 
@@ -94,6 +96,11 @@
     return body.hash();
   }
 
+  /** Status of the answer that the caller has got the beginning of; 0 before. */
+  public synchronized int answeredStatus() {
+    return answeredStatus;
+  }
+
   /** Microseconds since the request's head arrived. */
   public long elapsedMicros() {
     return (System.nanoTime() - startNanos) / 1_000;
@@ -186,6 +193,7 @@
       if (stage != Stage.DONE) {
         refuseTooLarge();
       }
+      dispatchIfBodyIsKnown();
     }
     afterLock();
     return readOn;
@@ -303,6 +311,25 @@
     return true;
   }
 
+  /**
+   * Has the handler dispatch again once {@link #bodyHash} can be told; called by the handler
+   * instead of {@link #sendTo}.
+   */
+  public void dispatchOnceBodyIsKnown() {
+    synchronized (this) {
+      awaitsBody = true;
+      dispatchIfBodyIsKnown();
+    }
+    afterLock();
+  }
+
+  private void dispatchIfBodyIsKnown() {
+    if (awaitsBody && stage == Stage.DECIDING && body.hash().isPresent()) {
+      awaitsBody = false;
+      dispatchAgain = true;
+    }
+  }
+
   /** Ends the request with a refusal; called by the handler instead of {@link #sendTo}. */
   public void refuse(Refusal refusal) {
     synchronized (this) {
@@ -446,6 +473,7 @@
         return true;
       }
       stage = Stage.ANSWERING;
+      answeredStatus = part.head().getStatus();
     }
     answer.part(part, plan);
     if (attempt != answered) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
@@ -71,18 +71,28 @@
   /** Gives the waiter an idle connection at once, or opens one. */
   public void acquire(ConnectionWaiter waiter) {
     OriginConnection connection;
-    Opening opening = null;
     synchronized (this) {
       lastUsedMillis = clockMillis.getAsLong();
       connection = pollIdle();
-      if (connection == null && open + openings.size() < maxConnections) {
+    }
+    if (connection != null) {
+      waiter.connected(connection);
+    } else {
+      acquireNew(waiter);
+    }
+  }
+
+  /** Opens a connection for the waiter, also if others are idle: tells whether somebody listens. */
+  public void acquireNew(ConnectionWaiter waiter) {
+    Opening opening = null;
+    synchronized (this) {
+      lastUsedMillis = clockMillis.getAsLong();
+      if (open + openings.size() < maxConnections) {
         opening = new Opening(waiter, lastUsedMillis);
         openings.add(opening);
       }
     }
-    if (connection != null) {
-      waiter.connected(connection);
-    } else if (opening != null) {
+    if (opening != null) {
       connector.connect(address, opening);
     } else {
       waiter.notConnected(Verdict.Reason.OVERLOADED);
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -10,6 +10,9 @@
 import io.umberpath.control.store.TextPatch;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.traffic.quarantine.CrashMark;
+import io.umberpath.traffic.quarantine.RequestFingerprint;
+import io.umberpath.traffic.quarantine.Suspicion;
 import io.umberpath.traffic.routing.GateLoad;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
@@ -36,6 +39,7 @@
         42,
         1_000_000_007,
         new ReportedContact(ReportedContact.State.LOST, 1_200),
+        0,
         Optional.empty(),
         attested);
   }
@@ -59,25 +63,64 @@
             listed.version(),
             listed.revision(),
             listed.contact(),
+            listed.suspects(),
             Optional.of("z"),
             Optional.empty());
     PeerMessage message = message(PeerMessage.Kind.REPORTS, 1, unlisted);
 
     byte[] bytes = message.encode();
 
-    assertThat(PeerMessage.decode(bytes, bytes.length)).isEqualTo(message);
+    assertThat(PeerDatagram.decode(bytes, bytes.length)).isEqualTo(message);
     assertThat(unlisted.statedZone()).contains("z");
     assertThat(listed.statedZone()).isEmpty();
     assertThat(report(false, Optional.of(ENTRY)).statedZone()).contains(ENTRY.zone());
   }
 
+  @Test
+  void suspicionsAreReadAsTheyWereWritten() throws IOException {
+    CrashMark mark = new CrashMark(-7, 90_000, false);
+    CrashMark cleared = new CrashMark(1_234_567_890, 99_750, true);
+    Suspicion first = new Suspicion(new RequestFingerprint(-1, Long.MAX_VALUE), List.of(mark));
+    Suspicion second = new Suspicion(new RequestFingerprint(2, 3), List.of(mark, cleared));
+
+    byte[] bytes = SuspectMessage.encode(100_000, List.of(first, second)).get(0);
+    SuspectMessage read = (SuspectMessage) PeerDatagram.decode(bytes, bytes.length);
+
+    // The receiver's clock is another one.
+    CrashMark moved = new CrashMark(-7, 490_000, false);
+    CrashMark clearedMoved = new CrashMark(1_234_567_890, 499_750, true);
+    assertThat(read.asOf(500_000))
+        .containsExactly(
+            new Suspicion(first.request(), List.of(moved)),
+            new Suspicion(second.request(), List.of(moved, clearedMoved)));
+    assertThat(bytes.length).isLessThan(80);
+  }
+
+  @Test
+  void manySuspicionsTravelInDatagramsThatPassWhole() throws IOException {
+    List<CrashMark> marks =
+        IntStream.range(0, 64).mapToObj(crash -> new CrashMark(crash << 24, 0, true)).toList();
+    List<Suspicion> many =
+        IntStream.range(0, 50)
+            .mapToObj(index -> new Suspicion(new RequestFingerprint(index, -index), marks))
+            .toList();
+
+    List<Suspicion> read = new ArrayList<>();
+    for (byte[] bytes : SuspectMessage.encode(3_600_000, many)) {
+      assertThat(bytes.length).isLessThanOrEqualTo(PeerDatagram.MAX_BYTES);
+      read.addAll(((SuspectMessage) PeerDatagram.decode(bytes, bytes.length)).asOf(3_600_000));
+    }
+
+    assertThat(read).isEqualTo(many);
+  }
+
   @Test
   void aReportIsReadAsItWasWritten() throws IOException {
     PeerMessage message = message(PeerMessage.Kind.REPORTS, 1, report(true, Optional.empty()));
 
     byte[] bytes = message.encode();
 
-    assertThat(PeerMessage.decode(bytes, bytes.length)).isEqualTo(message);
+    assertThat(PeerDatagram.decode(bytes, bytes.length)).isEqualTo(message);
     assertThat(bytes.length).isLessThan(58);
   }
 
@@ -95,13 +138,13 @@
 
     byte[] bytes = message.encode();
 
-    PeerMessage read = PeerMessage.decode(bytes, bytes.length);
+    PeerMessage read = (PeerMessage) PeerDatagram.decode(bytes, bytes.length);
     assertThat(read).isEqualTo(message);
     assertThat(read.entries().get(0).report().decode())
         .isEqualTo(report(false, Optional.of(ENTRY)));
     for (int length = 0; length < bytes.length; length++) {
       int part = length;
-      assertThatThrownBy(() -> PeerMessage.decode(bytes, part)).isInstanceOf(IOException.class);
+      assertThatThrownBy(() -> PeerDatagram.decode(bytes, part)).isInstanceOf(IOException.class);
     }
   }
 
@@ -113,7 +156,7 @@
     List<PeerMessage.Entry> read = new ArrayList<>();
     for (byte[] bytes : PeerMessage.encode(PeerMessage.Kind.DIGEST, whole.entries())) {
       assertThat(bytes.length).isLessThanOrEqualTo(PeerMessage.MAX_BYTES);
-      read.addAll(PeerMessage.decode(bytes, bytes.length).entries());
+      read.addAll(((PeerMessage) PeerDatagram.decode(bytes, bytes.length)).entries());
     }
 
     assertThat(read).isEqualTo(whole.entries());
@@ -125,7 +168,7 @@
     byte[] bytes = message(PeerMessage.Kind.REPORTS, 1, report(false, Optional.empty())).encode();
     // The last byte ends the message, the one before it the report's list.
     bytes[bytes.length - 2] = 0;
-    PeerMessage read = PeerMessage.decode(bytes, bytes.length);
+    PeerMessage read = (PeerMessage) PeerDatagram.decode(bytes, bytes.length);
 
     assertThatThrownBy(() -> read.entries().get(0).report().decode())
         .isInstanceOf(IOException.class);
@@ -135,7 +178,7 @@
   void whatIsNoMessageIsRefused() {
     byte[] garbage = {1, 2, 3, 4};
 
-    assertThatThrownBy(() -> PeerMessage.decode(garbage, garbage.length))
+    assertThatThrownBy(() -> PeerDatagram.decode(garbage, garbage.length))
         .isInstanceOf(IOException.class);
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerReportsTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerReportsTest.java
@@ -13,7 +13,7 @@
 
   private static PeerReport report(ReportedContact contact, int running) {
     GateLoad load = new GateLoad(running, 0, 6, 60_000, GateLoad.USUAL_PERCENT, 0);
-    return new PeerReport(load, false, 1, 1, contact, Optional.empty(), Optional.empty());
+    return new PeerReport(load, false, 1, 1, contact, 0, Optional.empty(), Optional.empty());
   }
 
   /** Stamps of one run whose counts are the times. */
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/SuspectExchangeTest.java
@@ -0,0 +1,153 @@
+package io.umberpath.node.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.traffic.quarantine.RequestFingerprint;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Nodes that tell each other of suspected requests, in virtual time, over a network with loss. */
+final class SuspectExchangeTest {
+  private static final RequestFingerprint CULPRIT = new RequestFingerprint(1, 1);
+  private static final long TICK_MILLIS = 50;
+
+  /** Each node reports what it knows to two others in this time. */
+  private static final long ROUND_MILLIS = 250;
+
+  private final List<Node> nodes = new ArrayList<>();
+  private Random random = new Random(1);
+  private double loss;
+  private long now = 10_000;
+  private int datagrams;
+
+  private final class Node {
+    private final RequestQuarantine quarantine =
+        new RequestQuarantine(request -> false, new MeshEvents(() -> now), () -> now);
+    private final SuspectExchange exchange;
+
+    Node(int index) {
+      this.exchange = new SuspectExchange(quarantine, () -> others(index), this::send, () -> now);
+    }
+
+    private void send(List<byte[]> sent, Collection<String> hosts) {
+      for (String host : hosts) {
+        sent.forEach(bytes -> deliver(bytes, nodes.get(Integer.parseInt(host))));
+      }
+    }
+  }
+
+  private Collection<String> others(int index) {
+    return IntStream.range(0, nodes.size())
+        .filter(each -> each != index)
+        .mapToObj(Integer::toString)
+        .toList();
+  }
+
+  private void deliver(byte[] bytes, Node to) {
+    datagrams++;
+    if (random.nextDouble() < loss) {
+      return;
+    }
+    try {
+      to.quarantine.take((SuspectMessage) PeerDatagram.decode(bytes, bytes.length));
+    } catch (IOException malformed) {
+      throw new UncheckedIOException(malformed);
+    }
+  }
+
+  private void grow(int count) {
+    IntStream.range(nodes.size(), count).forEach(index -> nodes.add(new Node(index)));
+  }
+
+  private void run(long millis) {
+    for (long end = now + millis; now < end; now += TICK_MILLIS) {
+      nodes.forEach(node -> node.exchange.tick());
+      if (now % ROUND_MILLIS == 0) {
+        IntStream.range(0, nodes.size()).forEach(this::report);
+      }
+    }
+  }
+
+  private void report(int index) {
+    for (int copy = 0; copy < 2; copy++) {
+      Node to = nodes.get(random.nextInt(nodes.size()));
+      if (random.nextDouble() >= loss) {
+        to.exchange.heard(Integer.toString(index), nodes.get(index).quarantine.digest());
+      }
+    }
+  }
+
+  private boolean isHeldEverywhere() {
+    return nodes.stream().allMatch(node -> node.quarantine.holdsAtEdge(CULPRIT));
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void allNodesKnowWithinTwoSecondsWhileThirtyOfAHundredDatagramsAreLost(long seed) {
+    random = new Random(seed);
+    loss = 0.3;
+    grow(95);
+    for (int backend = 0; backend < 3; backend++) {
+      nodes.get(backend).quarantine.backendEnded("b-" + backend, List.of(CULPRIT));
+    }
+    run(2_000);
+
+    assertThat(isHeldEverywhere()).isTrue();
+  }
+
+  @Test
+  void withoutLossEachNodeIsToldOnceOfEachEnd() {
+    grow(12);
+    for (int backend = 0; backend < 3; backend++) {
+      nodes.get(backend).quarantine.backendEnded("b-" + backend, List.of(CULPRIT));
+      run(500);
+    }
+
+    assertThat(isHeldEverywhere()).isTrue();
+    assertThat(datagrams).isEqualTo(3 * 11);
+  }
+
+  @Test
+  void aNodeThatStartsLaterIsToldEverything() {
+    grow(12);
+    for (int backend = 0; backend < 3; backend++) {
+      nodes.get(0).quarantine.backendEnded("b-" + backend, List.of(CULPRIT));
+    }
+    run(1_000);
+    grow(13);
+    run(1_500);
+
+    assertThat(isHeldEverywhere()).isTrue();
+  }
+
+  @Test
+  void nothingIsSentWhereNoBackendHasEnded() {
+    grow(12);
+    nodes.forEach(node -> node.quarantine.succeeded(CULPRIT));
+    run(5_000);
+
+    assertThat(datagrams).isZero();
+  }
+
+  @Test
+  void aGoodEndAnywhereReleasesTheRequestEverywhere() {
+    grow(12);
+    for (int backend = 0; backend < 3; backend++) {
+      nodes.get(backend).quarantine.backendEnded("b-" + backend, List.of(CULPRIT));
+    }
+    run(500);
+    nodes.get(7).quarantine.succeeded(CULPRIT);
+    run(500);
+
+    assertThat(nodes).noneMatch(node -> node.quarantine.holdsAtEdge(CULPRIT));
+    assertThat(nodes).noneMatch(node -> node.quarantine.concerns(CULPRIT.target()));
+  }
+}
