--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -372,6 +372,8 @@
    * finishes what is in flight. What is left is for {@link #close}, or for the end of the process.
    */
   public void stop() throws InterruptedException {
+    // Whoever sees that this node is not ready gets no connection that it may keep from it.
+    proxy.leave();
     leaving = true;
     new PlannedStop(proxy, backend, this::tellPeersThatBackendLeaves, events, clockMillis)
         .run(settings.graceMillis());
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -3,8 +3,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * A planned stop of a node, in steps: callers notice, other nodes are told, what still comes is
- * refused as not run, what is in flight finishes.
+ * A planned stop of a node that says it is not ready, in steps: callers notice, other nodes are
+ * told, what still comes is refused as not run, what is in flight finishes.
  */
 final class PlannedStop {
   /** How long callers have to notice that this node leaves: two questions, a second apart. */
@@ -58,7 +58,6 @@
     long began = clockMillis.getAsLong();
     long end = began + graceMillis - LAST_MILLIS;
     events.stopping(proxy.inFlight());
-    proxy.leave();
     boolean told = false;
     long quietSince = began;
     while (clockMillis.getAsLong() < end) {
