--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -8,6 +8,7 @@
 import io.umberpath.control.store.StoreWatcherSettings;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
+import io.umberpath.traffic.quarantine.SuspectLedger;
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -83,6 +84,9 @@
    */
   private static final long FIRST_START_WAIT_MILLIS = 3_000;
 
+  /** Ends of back ends under a request from which on it is held: the fewest that single it out. */
+  static final int MARKS_TO_HOLD = 3;
+
   private static final long SECOND_MILLIS = 1_000;
   private static final int TICKS_PER_SECOND = (int) (SECOND_MILLIS / TICK_MILLIS);
   private static final long NANOS_PER_MILLI = 1_000_000;
@@ -141,7 +145,9 @@
     this.puller = new StatePuller(settings, state, follower::isReading, events, clockMillis);
     this.balancer =
         new GateBalancer(settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
-    this.quarantine = new RequestQuarantine(this::triesAgain, events, clockMillis);
+    this.quarantine =
+        new RequestQuarantine(
+            new SuspectLedger(MARKS_TO_HOLD), this::triesAgain, events, clockMillis);
     this.peers =
         new PeerExchange(
             settings, state::view, this::contact, balancer, quarantine, events, clockMillis);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
@@ -17,7 +17,7 @@
  * SuspectLedger}). Thread-safe; never waits for anything but its own lock.
  */
 final class RequestQuarantine {
-  private final SuspectLedger ledger = new SuspectLedger();
+  private final SuspectLedger ledger;
   private final Predicate<RequestFingerprint> owner;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
@@ -32,10 +32,15 @@
   /**
    * Creates one that knows nothing.
    *
+   * @param ledger empty
    * @param owner whether this node is the one that may try a request that is held once more
    */
   RequestQuarantine(
-      Predicate<RequestFingerprint> owner, MeshEvents events, LongSupplier clockMillis) {
+      SuspectLedger ledger,
+      Predicate<RequestFingerprint> owner,
+      MeshEvents events,
+      LongSupplier clockMillis) {
+    this.ledger = ledger;
     this.owner = owner;
     this.events = events;
     this.clockMillis = clockMillis;
@@ -71,6 +76,11 @@
     }
   }
 
+  /** Whether back ends ended under a request that it has not been cleared of. */
+  synchronized boolean isSuspect(RequestFingerprint request) {
+    return ledger.weight(request) > 0;
+  }
+
   /** The back end beside this node ended while it ran these requests. */
   synchronized void backendEnded(String backend, Collection<RequestFingerprint> running) {
     Set<RequestFingerprint> heldBefore = held(running);
@@ -91,15 +101,13 @@
   /** Takes what another node knows; what this node knows against it is news for all. */
   synchronized void take(SuspectMessage message) {
     long now = clockMillis.getAsLong();
-    for (Suspicion heard : message.asOf(now)) {
-      List<RequestFingerprint> concerned = List.of(heard.request());
-      Set<RequestFingerprint> heldBefore = held(concerned);
-      List<Suspicion> taken = ledger.take(now, heard);
-      if (!taken.isEmpty()) {
-        news.addAll(taken.subList(1, taken.size()));
-        changed(heldBefore, concerned);
-      }
+    List<Suspicion> heard = message.asOf(now);
+    List<RequestFingerprint> concerned = heard.stream().map(Suspicion::request).toList();
+    Set<RequestFingerprint> heldBefore = held(concerned);
+    for (Suspicion each : heard) {
+      ledger.take(now, each).stream().skip(1).forEach(news::add);
     }
+    changed(heldBefore, concerned);
   }
 
   private Set<RequestFingerprint> held(Collection<RequestFingerprint> requests) {
@@ -114,26 +122,24 @@
 
   private void changed(
       Set<RequestFingerprint> heldBefore, Collection<RequestFingerprint> concerned) {
+    suspects = ledger.size();
+    digest = ledger.digest();
     for (RequestFingerprint request : concerned) {
       boolean isHeld = ledger.isHeld(request);
       if (isHeld != heldBefore.contains(request)) {
         events.requestHeld(request, isHeld, ledger.weight(request));
+        heldTargets = ledger.heldTargets();
       }
     }
-    publish();
-  }
-
-  private void publish() {
-    heldTargets = ledger.heldTargets();
-    suspects = ledger.size();
-    digest = ledger.digest();
   }
 
   /** Drops what is too old to count. */
   synchronized void forget() {
     if (suspects > 0) {
       ledger.forget(clockMillis.getAsLong());
-      publish();
+      heldTargets = ledger.heldTargets();
+      suspects = ledger.size();
+      digest = ledger.digest();
     }
   }
 
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/quarantine/Suspect.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/quarantine/Suspect.java
@@ -8,9 +8,6 @@
 
 /** One request under which back ends ended. Owner synchronizes. */
 final class Suspect {
-  /** Ends of back ends, none of them cleared, from which on a request is kept from all others. */
-  static final int MARKS_TO_HOLD = 3;
-
   /** Marks kept; more would tell nothing. They fit one datagram. */
   private static final int MAX_MARKS = 64;
 
@@ -34,8 +31,25 @@
   /** How long a trial may go without an outcome before another may begin, milliseconds. */
   private static final long TRIAL_MILLIS = 10_000;
 
+  /** Constants of the finalizer of SplitMix64, which spreads the bits of the digest's parts. */
+  private static final long MIX_1 = 0xbf58476d1ce4e5b9L;
+
+  private static final long MIX_2 = 0x94d049bb133111ebL;
+  private static final long FACTOR = 31;
+
   private final Map<Integer, CrashMark> marks = new HashMap<>();
+  private final int marksToHold;
   private long trialUntilMillis = Long.MIN_VALUE;
+  private long digest;
+
+  /**
+   * Creates one against whom nothing is held yet.
+   *
+   * @param marksToHold ends of back ends, none of them cleared, from which on it is held
+   */
+  Suspect(int marksToHold) {
+    this.marksToHold = marksToHold;
+  }
 
   /** Takes marks; returns those that are news. */
   List<CrashMark> take(long nowMillis, Collection<CrashMark> heard) {
@@ -71,7 +85,7 @@
   }
 
   boolean isHeld() {
-    return weight() >= MARKS_TO_HOLD;
+    return weight() >= marksToHold;
   }
 
   long lastMillis() {
@@ -86,7 +100,7 @@
 
   private boolean isCurrent(long nowMillis, CrashMark mark) {
     int weight = weight();
-    long kept = weight >= MARKS_TO_HOLD ? HELD_MILLIS : SEVERAL_MILLIS;
+    long kept = weight >= marksToHold ? HELD_MILLIS : SEVERAL_MILLIS;
     return mark.atMillis() + (weight <= 1 ? SINGLE_MILLIS : kept) > nowMillis;
   }
 
@@ -98,7 +112,7 @@
             .mapToLong(CrashMark::atMillis)
             .sorted()
             .toArray();
-    long knownMillis = ends[MARKS_TO_HOLD - 1] + KNOWN_MILLIS;
+    long knownMillis = ends[marksToHold - 1] + KNOWN_MILLIS;
     int failedTrials = (int) LongStream.of(ends).filter(end -> end > knownMillis).count();
     boolean isLeft = failedTrials < TRIAL_PAUSES_MILLIS.length;
     return isLeft
@@ -110,6 +124,26 @@
     trialUntilMillis = nowMillis + TRIAL_MILLIS;
   }
 
+  void dropMarks() {
+    marks.clear();
+  }
+
+  /** By how much the digest of its marks has changed since the last call. */
+  long digestChange(RequestFingerprint request) {
+    long before = digest;
+    digest = marks.values().stream().mapToLong(mark -> digest(request, mark)).sum();
+    return digest - before;
+  }
+
+  private static long digest(RequestFingerprint request, CrashMark mark) {
+    long mixed = request.target() * FACTOR + request.body();
+    mixed = mixed * FACTOR + mark.crash();
+    mixed = mixed * FACTOR + (mark.cleared() ? 1 : 2);
+    mixed = (mixed ^ (mixed >>> 30)) * MIX_1;
+    mixed = (mixed ^ (mixed >>> 27)) * MIX_2;
+    return mixed ^ (mixed >>> 31);
+  }
+
   List<CrashMark> marks() {
     return List.copyOf(marks.values());
   }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/quarantine/SuspectLedger.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/quarantine/SuspectLedger.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,14 +33,23 @@
   /** Ends from which on a good end is told to others; a single one decides nothing. */
   private static final int MARKS_WORTH_CLEARING = 2;
 
-  /** Constants of the finalizer of SplitMix64, which spreads the bits of the digest's parts. */
-  private static final long MIX_1 = 0xbf58476d1ce4e5b9L;
-
-  private static final long MIX_2 = 0x94d049bb133111ebL;
-  private static final int BITS = 31;
+  /** Suspects that make room when there are too many: to look for them costs a sort of all. */
+  private static final int SUSPECTS_DROPPED = MAX_SUSPECTS / 8;
 
   private final Map<RequestFingerprint, Suspect> suspects = new HashMap<>();
   private final RecentSuccesses successes = new RecentSuccesses();
+  private final int marksToHold;
+  private final Set<RequestFingerprint> held = new HashSet<>();
+  private long digest;
+
+  /**
+   * Creates a ledger that holds nothing.
+   *
+   * @param marksToHold ends of back ends from which on a request is held
+   */
+  public SuspectLedger(int marksToHold) {
+    this.marksToHold = marksToHold;
+  }
 
   /**
    * A back end ended.
@@ -69,10 +79,12 @@
     return suspect == null ? Optional.empty() : clear(request, suspect, nowMillis);
   }
 
-  private static Optional<Suspicion> clear(
-      RequestFingerprint request, Suspect suspect, long untilMillis) {
-    List<CrashMark> cleared =
-        suspect.weight() < MARKS_WORTH_CLEARING ? List.of() : suspect.clear(untilMillis);
+  private Optional<Suspicion> clear(RequestFingerprint request, Suspect suspect, long untilMillis) {
+    if (suspect.weight() < MARKS_WORTH_CLEARING) {
+      return Optional.empty();
+    }
+    List<CrashMark> cleared = suspect.clear(untilMillis);
+    changed(request, suspect);
     return cleared.isEmpty() ? Optional.empty() : Optional.of(new Suspicion(request, cleared));
   }
 
@@ -83,36 +95,56 @@
    */
   public List<Suspicion> take(long nowMillis, Suspicion heard) {
     RequestFingerprint request = heard.request();
-    Suspect suspect = suspects.getOrDefault(request, new Suspect());
+    Suspect suspect = suspects.getOrDefault(request, new Suspect(marksToHold));
     List<CrashMark> news = suspect.take(nowMillis, heard.marks());
     if (news.isEmpty()) {
       return List.of();
     }
     suspects.put(request, suspect);
+    changed(request, suspect);
     List<Suspicion> told = new ArrayList<>(List.of(new Suspicion(request, news)));
     if (successes.containsSince(suspect.lastMillis() - SUCCESS_MILLIS, request)) {
       clear(request, suspect, suspect.lastMillis()).ifPresent(told::add);
     }
-    makeRoom();
+    if (suspects.size() > MAX_SUSPECTS) {
+      makeRoom();
+    }
     return told;
   }
 
+  /** Keeps what is worked out of all suspects in step with one of them. */
+  private void changed(RequestFingerprint request, Suspect suspect) {
+    digest += suspect.digestChange(request);
+    if (suspect.isHeld()) {
+      held.add(request);
+    } else {
+      held.remove(request);
+    }
+  }
+
   /** Those with the least against them go first, and of them those of longest ago. */
   private void makeRoom() {
-    while (suspects.size() > MAX_SUSPECTS) {
-      suspects.entrySet().stream()
-          .min(
-              Comparator.comparingInt(
-                      (Map.Entry<RequestFingerprint, Suspect> each) -> each.getValue().weight())
-                  .thenComparingLong(each -> each.getValue().lastMillis()))
-          .ifPresent(least -> suspects.remove(least.getKey()));
-    }
+    List<RequestFingerprint> least =
+        suspects.entrySet().stream()
+            .sorted(
+                Comparator.comparingInt(
+                        (Map.Entry<RequestFingerprint, Suspect> each) -> each.getValue().weight())
+                    .thenComparingLong(each -> each.getValue().lastMillis()))
+            .limit(SUSPECTS_DROPPED)
+            .map(Map.Entry::getKey)
+            .toList();
+    least.forEach(this::drop);
+  }
+
+  private void drop(RequestFingerprint request) {
+    Suspect dropped = suspects.remove(request);
+    dropped.dropMarks();
+    changed(request, dropped);
   }
 
   /** Whether a request is to be kept from all back ends. */
   public boolean isHeld(RequestFingerprint request) {
-    Suspect suspect = suspects.get(request);
-    return suspect != null && suspect.isHeld();
+    return held.contains(request);
   }
 
   /** Ends of back ends that are held against a request. */
@@ -123,8 +155,7 @@
 
   /** Whether a request that is held may be tried once more. */
   public boolean isTrialDue(long nowMillis, RequestFingerprint request) {
-    Suspect suspect = suspects.get(request);
-    return suspect != null && suspect.isHeld() && suspect.isTrialDue(nowMillis);
+    return isHeld(request) && suspects.get(request).isTrialDue(nowMillis);
   }
 
   /** A request that is held is tried once more. */
@@ -134,10 +165,7 @@
 
   /** Targets of the requests that are held; see {@link RequestFingerprint#target}. */
   public Set<Long> heldTargets() {
-    return suspects.entrySet().stream()
-        .filter(each -> each.getValue().isHeld())
-        .map(each -> each.getKey().target())
-        .collect(Collectors.toUnmodifiableSet());
+    return held.stream().map(RequestFingerprint::target).collect(Collectors.toUnmodifiableSet());
   }
 
   /** Requests that are suspected. */
@@ -154,26 +182,19 @@
 
   /** Drops what is too old to count. */
   public void forget(long nowMillis) {
-    suspects.values().removeIf(suspect -> !suspect.forget(nowMillis));
+    List<RequestFingerprint> known = List.copyOf(suspects.keySet());
+    for (RequestFingerprint request : known) {
+      Suspect suspect = suspects.get(request);
+      if (suspect.forget(nowMillis)) {
+        changed(request, suspect);
+      } else {
+        drop(request);
+      }
+    }
   }
 
   /** The same on all nodes that know the same; 0 if nothing is known. */
   public long digest() {
-    long digest = 0;
-    for (Map.Entry<RequestFingerprint, Suspect> each : suspects.entrySet()) {
-      for (CrashMark mark : each.getValue().marks()) {
-        digest += digest(each.getKey(), mark);
-      }
-    }
     return digest;
   }
-
-  private static long digest(RequestFingerprint request, CrashMark mark) {
-    long mixed = request.target() * BITS + request.body();
-    mixed = mixed * BITS + mark.crash();
-    mixed = mixed * BITS + (mark.cleared() ? 1 : 2);
-    mixed = (mixed ^ (mixed >>> 30)) * MIX_1;
-    mixed = (mixed ^ (mixed >>> 27)) * MIX_2;
-    return mixed ^ (mixed >>> BITS);
-  }
 }
