Clock: ages, deadlines and silence also count time in which the machine is suspended

Cause: all of them were on the runtime's steady clock, which stands still then: what was heard before a suspension looked as young after it, and requests whose callers had gone went on. Weighed: the boot clock's file, read in the users' world, follows another machine; the time of day jumps. Change: BootClock; MeshNode takes its clock as a parameter. After a pause of a second, on either clock, idle connections to other nodes and to the back end are closed, as they may be dead.

--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/clock/package-info.java
@@ -0,0 +1,2 @@
+/** The node's own clock for ages, deadlines and silence. */
+package io.umberpath.node.clock;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -4,6 +4,10 @@
 
 /** Kinds of log lines; {@code docs/OPERATIONS.md} explains each. */
 public enum MeshEvent {
+  /** Which clock ages and deadlines are on. */
+  CLOCK_OPENED(10),
+  /** The process did not run for a while. */
+  NODE_PAUSED(5),
   /** The process takes requests. */
   NODE_STARTED(10),
   /** The process was told to stop. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -8,11 +8,13 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingConfiguration;
+import io.umberpath.node.clock.BootClock;
 import io.umberpath.node.logs.LogFields;
 import io.umberpath.node.proxy.http.VerdictHeader;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.io.IOException;
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
@@ -67,6 +69,22 @@
         });
   }
 
+  /** Which clock ages and deadlines are on. */
+  public void clockOpened(BootClock.Source clock) {
+    line(MeshEvent.CLOCK_OPENED)
+        .with(SOURCE, clock.name().toLowerCase(Locale.ROOT).replace('_', '-'))
+        .log(
+            "%s",
+            clock == BootClock.Source.BOOT_TIME
+                ? "counts suspended time"
+                : "does not count suspended time: ages look young after a suspension");
+  }
+
+  /** This process did not run for a while: it was paused, or its machine suspended. */
+  void paused(long millis) {
+    line(MeshEvent.NODE_PAUSED).with(MILLIS, millis).log("idle connections are closed");
+  }
+
   /** The process takes requests. */
   public void started(MeshSettings settings, long millisSinceStart) {
     line(MeshEvent.NODE_STARTED)
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -66,6 +66,9 @@
    */
   private static final long TICK_MILLIS = 50;
 
+  /** Gap between two ticks from which on this process stood still, milliseconds. */
+  private static final long PAUSE_MILLIS = 1_000;
+
   private static final int TICKS_PER_SWEEP = 2;
   private static final int TICKS_PER_ROUND = (int) (SilenceTimes.ROUND_MILLIS / TICK_MILLIS);
 
@@ -89,7 +92,6 @@
 
   private static final long SECOND_MILLIS = 1_000;
   private static final int TICKS_PER_SECOND = (int) (SECOND_MILLIS / TICK_MILLIS);
-  private static final long NANOS_PER_MILLI = 1_000_000;
   private static final int OK = 200;
   private static final int UNAVAILABLE = 503;
   private static final int NOT_FOUND = 404;
@@ -101,7 +103,7 @@
 
   private final MeshSettings settings;
   private final MeshEvents events;
-  private final LongSupplier clockMillis = () -> System.nanoTime() / NANOS_PER_MILLI;
+  private final LongSupplier clockMillis;
   private final MeshState state;
   private final StoreFollower follower;
   private final StatePuller puller;
@@ -119,6 +121,7 @@
   private final AtomicBoolean announced = new AtomicBoolean();
   private final EncodedChanges encodedChanges = new EncodedChanges();
   private long ticks;
+  private long lastTickMillis;
   private volatile long startedMillis;
   private volatile boolean leaving;
   private volatile boolean backendLeaving;
@@ -127,13 +130,17 @@
    * Creates a node that is not listening yet.
    *
    * @param readyPath path at which readiness is asked for
+   * @param clockMillis rising clock, milliseconds, that also counts time in which the machine is
+   *     suspended
    */
   public MeshNode(
       MeshSettings settings,
       StoreClient client,
       StoreDocuments documents,
       String readyPath,
-      MeshEvents events) {
+      MeshEvents events,
+      LongSupplier clockMillis) {
+    this.clockMillis = clockMillis;
     this.settings = settings;
     this.events = events;
     this.readyPath = readyPath;
@@ -217,6 +224,7 @@
    */
   public void start() throws IOException {
     startedMillis = clockMillis.getAsLong();
+    lastTickMillis = startedMillis;
     follower.onlyIf(this::readsStore);
     follower.onChange(this::announce);
     follower.start();
@@ -240,6 +248,7 @@
 
   private void tick() {
     ticks++;
+    guarded(this::noticePause);
     guarded(() -> proxy.keepDeadlines(clockMillis.getAsLong()));
     guarded(this::shareSuspects);
     everyFew(TICKS_PER_SWEEP, this::sweep);
@@ -247,6 +256,21 @@
     everyFew(TICKS_PER_SECOND, this::second);
   }
 
+  /**
+   * While this process stood still its peers may have closed connections, or machines on the way
+   * forgotten them: what is sent on one may be lost, and must not be sent again if it cannot
+   * repeat.
+   */
+  private void noticePause() {
+    long now = clockMillis.getAsLong();
+    long gap = now - lastTickMillis;
+    lastTickMillis = now;
+    if (gap >= PAUSE_MILLIS) {
+      events.paused(gap);
+      proxy.closeIdleOrigins();
+    }
+  }
+
   private void everyFew(int count, Runnable task) {
     if (ticks % count == 0) {
       guarded(task);
@@ -420,6 +444,11 @@
     return proxy.inFlight();
   }
 
+  /** Connections to other nodes, this one's own listener included, that are open. */
+  public int openConnectionsToNodes() {
+    return proxy.openConnectionsToNodes();
+  }
+
   /** Requests that wait here for a slot of the back end beside. */
   public int waitingRequests() {
     return proxy.gate().load().queued();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -153,6 +153,12 @@
     gate.observe();
   }
 
+  /** Closes connections to other nodes and to the back end on which nothing is under way. */
+  void closeIdleOrigins() {
+    origins.expire(0);
+    backendPool.expire(0);
+  }
+
   /** Closes connections of callers and other nodes that have rested for too long. */
   void closeIdle() {
     MeshView current = view.get();
@@ -163,6 +169,11 @@
     gateFilter.expire(IDLE_HOP_MILLIS, DISCARD_MILLIS);
   }
 
+  /** Connections to other nodes that are open. */
+  int openConnectionsToNodes() {
+    return origins.open();
+  }
+
   /** Cuts off what is in flight; returns how many requests. */
   int abortAll() {
     int left = active.size();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginManager.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginManager.java
@@ -53,6 +53,11 @@
     pools.values().removeIf(pool -> pool.isDisused(DISUSED_MILLIS));
   }
 
+  /** Connections that are open, those in use included. */
+  public int open() {
+    return pools.values().stream().mapToInt(ConnectionPool::open).sum();
+  }
+
   /** Gives up connections that have not opened within their time. */
   public void giveUpLate() {
     pools.values().forEach(ConnectionPool::giveUpLate);
