PeerExchange in three: reports, silence (PeerWatch), readers (ZoneReaders); a page of held requests

Who calls the store has its own test. No decision changes. /quarantine on the metrics port lists the requests that are held, a line each.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -96,6 +96,7 @@
   private static final int UNAVAILABLE = 503;
   private static final int NOT_FOUND = 404;
   private static final String METRICS_PATH = "/metrics";
+  private static final String QUARANTINE_PATH = "/quarantine";
   private static final double MICROS_PER_SECOND = 1_000_000;
 
   /** The node serves first; its figures can wait. */
@@ -354,9 +355,11 @@
   }
 
   private StatusFilter.Answer metricsPage(String path) {
-    return path.equals(METRICS_PATH)
-        ? new StatusFilter.Answer(OK, metrics.page())
-        : new StatusFilter.Answer(NOT_FOUND, "");
+    return switch (path) {
+      case METRICS_PATH -> new StatusFilter.Answer(OK, metrics.page());
+      case QUARANTINE_PATH -> new StatusFilter.Answer(OK, quarantine.page());
+      default -> new StatusFilter.Answer(NOT_FOUND, "");
+    };
   }
 
   private void beginMetrics() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -1,7 +1,5 @@
 package io.umberpath.node.mesh;
 
-import io.umberpath.control.membership.KnownPeers;
-import io.umberpath.control.membership.Rendezvous;
 import io.umberpath.control.membership.ReportSchedule;
 import io.umberpath.control.membership.SilenceTimes;
 import io.umberpath.control.store.ReaderElection;
@@ -9,10 +7,8 @@
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -27,12 +23,6 @@
  * datagrams; one that is lost is made good by the next. Thread-safe.
  */
 final class PeerExchange implements AutoCloseable {
-  /** How long a node that is not listed counts after its last report, milliseconds. */
-  private static final long UNLISTED_MILLIS = 10_000;
-
-  /** Gap between two rounds from which on this node itself stood still, milliseconds. */
-  private static final long OWN_PAUSE_MILLIS = 600;
-
   /** Rounds in which a leaving node tells all others itself, so that nobody waits for digests. */
   private static final int LEAVING_ROUNDS = 2;
 
@@ -42,14 +32,13 @@
     void ahead(String host, boolean near, long version, long revision);
   }
 
-  private final MeshSettings settings;
   private final Supplier<MeshView> view;
   private final Supplier<StoreContact> contact;
   private final GateBalancer balancer;
-  private final MeshEvents events;
   private final LongSupplier clockMillis;
   private final String self;
-  private final KnownPeers known;
+  private final PeerWatch watch;
+  private final ZoneReaders readers;
   private final ReportSchedule schedule;
   private final PeerReports reports = new PeerReports();
   private final AttestedBackends attested = new AttestedBackends();
@@ -59,17 +48,6 @@
   private final SuspectExchange suspects;
   private final ReportSocket socket;
   private volatile AheadListener aheadListener = (host, near, version, revision) -> {};
-  private volatile PeerView peers = PeerView.NOBODY;
-
-  /** Back ends that {@link #known} was made of; guarded by it. */
-  private BackendDirectory listed;
-
-  private final ReaderElection readers;
-
-  /** The last decision of {@link #readers}; guarded by this object's lock. */
-  private LastElection lastElection;
-
-  private volatile SilenceTimes silenceTimes = SilenceTimes.of(1);
   private int leavingRounds;
 
   /** Tells the reports of this process from those of the one before it. */
@@ -85,20 +63,25 @@
       RequestQuarantine quarantine,
       MeshEvents events,
       LongSupplier clockMillis) {
-    this.settings = settings;
     this.view = view;
     this.contact = contact;
     this.balancer = balancer;
     this.quarantine = quarantine;
-    this.events = events;
     this.clockMillis = clockMillis;
     this.self = settings.exchange().host();
-    this.known = new KnownPeers(self, UNLISTED_MILLIS, OWN_PAUSE_MILLIS);
+    this.watch = new PeerWatch(settings, view, events);
+    this.readers =
+        new ZoneReaders(
+            self,
+            watch::peers,
+            () -> watch.silenceTimes().nearMillis(),
+            reports,
+            leaving,
+            SilenceTimes.ROUND_MILLIS);
     this.schedule = new ReportSchedule(self);
-    this.readers = new ReaderElection(self, SilenceTimes.ROUND_MILLIS);
     this.socket = new ReportSocket(settings.exchange(), this::take, events);
     this.suspects =
-        new SuspectExchange(quarantine, () -> peers.others(), socket::send, clockMillis);
+        new SuspectExchange(quarantine, () -> watch.peers().others(), socket::send, clockMillis);
   }
 
   void onAhead(AheadListener listener) {
@@ -123,16 +106,14 @@
   /** One round: looks who has been silent, and sends reports. */
   void tick(PeerReport report) {
     long now = clockMillis.getAsLong();
-    PeerView before = peers;
-    PeerView current = look(now);
-    peers = current;
-    note(before.silent(), current.silent());
+    watch.tick(now);
+    PeerView current = watch.peers();
     reports.forget(now);
     attested.forget(now);
     attested.heard(now, self, report.attested());
     ReportSchedule.Round round;
     synchronized (schedule) {
-      Set<String> quiet = quiet(now, current);
+      Set<String> quiet = watch.quiet(now);
       round = schedule.next(current.near(), current.farByZone(), current.ineligible(), quiet);
     }
     boolean toAll = report.leaving() && leavingRounds++ < LEAVING_ROUNDS;
@@ -146,32 +127,9 @@
     }
   }
 
-  private Set<String> quiet(long nowMillis, PeerView current) {
-    synchronized (known) {
-      return known.unheard(current.near(), nowMillis, silenceTimes.quietMillis());
-    }
-  }
-
-  private PeerView look(long nowMillis) {
-    synchronized (known) {
-      known.tick(nowMillis);
-      BackendDirectory current = view.get().backends();
-      boolean sameBackends = current == listed;
-      if (!sameBackends) {
-        known.replace(nowMillis, listedPeers(current));
-        listed = current;
-      }
-      Set<String> others = known.others();
-      Set<String> silent = known.silent(nowMillis);
-      boolean unchanged =
-          sameBackends && others.equals(peers.others()) && silent.equals(peers.silent());
-      return unchanged ? peers : PeerView.of(others, silent, settings.zone(), known::zoneOf);
-    }
-  }
-
   /** Tells the own zone at once what this node holds now, and by a relay each other zone. */
   void announce(PeerReport report) {
-    PeerView current = peers;
+    PeerView current = watch.peers();
     List<String> relays;
     synchronized (schedule) {
       relays = schedule.relays(current.farByZone(), current.silent());
@@ -191,7 +149,7 @@
     List<PeerMessage.Entry> entries = new ArrayList<>();
     entries.add(own);
     reports
-        .of(peers.reachableNear())
+        .of(watch.peers().reachableNear())
         .forEach((host, heard) -> entries.add(entry(host, heard, nowMillis)));
     return entries;
   }
@@ -201,44 +159,6 @@
     return new PeerMessage.Entry(host, ageMillis, heard.stamp(), heard.encoded());
   }
 
-  private Map<String, KnownPeers.ListedPeer> listedPeers(BackendDirectory directory) {
-    Map<String, String> zones = new HashMap<>();
-    for (String host : directory.hosts()) {
-      zones.put(host, directory.atHost(host).get(0).zone());
-    }
-    SilenceTimes times =
-        SilenceTimes.of((int) zones.values().stream().filter(settings.zone()::equals).count());
-    silenceTimes = times;
-    Map<String, KnownPeers.ListedPeer> listedPeers = new HashMap<>();
-    zones.forEach((host, zone) -> listedPeers.put(host, peerIn(zone, times)));
-    return listedPeers;
-  }
-
-  private KnownPeers.ListedPeer peerIn(String zone, SilenceTimes times) {
-    boolean isNear = zone.equals(settings.zone());
-    return new KnownPeers.ListedPeer(zone, isNear ? times.nearMillis() : times.farMillis());
-  }
-
-  /** Whether a node is in the own zone; one whose zone is not known may be. */
-  private boolean isNear(String host) {
-    synchronized (known) {
-      return known.zoneOf(host).map(settings.zone()::equals).orElse(true);
-    }
-  }
-
-  private void note(Set<String> before, Set<String> after) {
-    for (String host : after) {
-      if (!before.contains(host)) {
-        events.peerSilent(host);
-      }
-    }
-    for (String host : before) {
-      if (!after.contains(host)) {
-        events.peerHeard(host);
-      }
-    }
-  }
-
   private void take(PeerDatagram message) throws IOException {
     if (message instanceof SuspectMessage suspected) {
       quarantine.take(suspected);
@@ -249,7 +169,7 @@
 
   private void take(PeerMessage message) throws IOException {
     if (message.kind() == PeerMessage.Kind.DIGEST) {
-      socket.send(PeerMessage.Kind.REPORTS, message.entries(), peers.near());
+      socket.send(PeerMessage.Kind.REPORTS, message.entries(), watch.peers().near());
     }
     long now = clockMillis.getAsLong();
     for (PeerMessage.Entry entry : message.entries()) {
@@ -261,10 +181,7 @@
   }
 
   private void take(String host, PeerReport report, long atMillis) {
-    synchronized (known) {
-      known.heard(atMillis, host);
-      report.statedZone().ifPresent(zone -> known.place(host, peerIn(zone, silenceTimes)));
-    }
+    watch.heard(atMillis, host, report.statedZone());
     if (report.leaving()) {
       leaving.add(host);
     } else {
@@ -282,68 +199,22 @@
       }
     }
     if (report.version() > current.version() || report.revision() > current.revision()) {
-      aheadListener.ahead(host, isNear(host), report.version(), report.revision());
-    }
-  }
-
-  /**
-   * The last decision about reading the store, and from what it was made.
-   *
-   * @param peers the other nodes as they were seen
-   * @param refused whether the store did not answer this node lately
-   * @param atMillis when it was made
-   */
-  private record LastElection(
-      PeerView peers, boolean refused, long atMillis, ReaderElection.Decision decision) {
-    boolean holds(PeerView current, boolean nowRefused, long nowMillis) {
-      return peers == current
-          && refused == nowRefused
-          && nowMillis < atMillis + SilenceTimes.ROUND_MILLIS;
+      aheadListener.ahead(host, watch.isNear(host), report.version(), report.revision());
     }
   }
 
   /**
-   * Whether this node is one of those of its zone that call the store; decided once a round of
-   * reports at most, since nothing else changes it.
+   * Whether this node is one of those of its zone that call the store.
    *
    * @param refused whether the store did not answer this node lately
    */
-  synchronized ReaderElection.Decision electReader(boolean refused) {
-    PeerView current = peers;
-    long now = clockMillis.getAsLong();
-    if (lastElection == null || !lastElection.holds(current, refused, now)) {
-      lastElection = new LastElection(current, refused, now, elect(now, current, refused));
-    }
-    return lastElection.decision();
-  }
-
-  private ReaderElection.Decision elect(long nowMillis, PeerView current, boolean refused) {
-    Set<String> reachable = current.reachableInZone();
-    reachable.removeAll(leaving);
-    Set<String> calling = new HashSet<>();
-    Set<String> refusedNodes = new HashSet<>();
-    reports
-        .of(reachable)
-        .forEach(
-            (host, heard) -> {
-              ReportedContact.State state = heard.report().contact().state();
-              if (state != ReportedContact.State.NONE) {
-                calling.add(host);
-              }
-              if (state == ReportedContact.State.LOST) {
-                refusedNodes.add(host);
-              }
-            });
-    if (refused) {
-      refusedNodes.add(self);
-    }
-    return readers.decide(
-        nowMillis, reachable, calling, refusedNodes, current.zones(), silenceTimes.nearMillis());
+  ReaderElection.Decision electReader(boolean refused) {
+    return readers.decide(clockMillis.getAsLong(), refused);
   }
 
   /** The contact with the store that nodes of the own zone state; empty if none calls it. */
   Optional<StoreContact> zoneContact() {
-    return reports.contact(peers.reachableInZone()::contains);
+    return readers.contact();
   }
 
   /** The back ends of a service that take new work. */
@@ -353,7 +224,7 @@
 
   /** Those of the back ends whose node is out of reach or takes no new work. */
   Set<String> silentBackends(List<BackendEntry> candidates) {
-    Set<String> hosts = peers.silent();
+    Set<String> hosts = watch.peers().silent();
     if (hosts.isEmpty() && leaving.isEmpty()) {
       return Set.of();
     }
@@ -369,26 +240,22 @@
 
   /** Whether a node has been silent for too long. */
   boolean isSilent(String host) {
-    return peers.silent().contains(host);
+    return watch.peers().silent().contains(host);
   }
 
   /** Nodes that have been silent for too long. */
   int silentNodes() {
-    return peers.silent().size();
+    return watch.peers().silent().size();
   }
 
   /** Whether, of the nodes in reach, this one comes first for a task that one of them does. */
   boolean isFirstFor(String task) {
-    PeerView current = peers;
-    Set<String> reachable = new HashSet<>(current.others());
-    reachable.removeAll(current.silent());
-    reachable.add(self);
-    return Rendezvous.first(1, reachable, task).contains(self);
+    return watch.isFirstFor(task);
   }
 
   /** Nodes known, this one included. */
   int nodes() {
-    return peers.others().size() + 1;
+    return watch.peers().others().size() + 1;
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.traffic.quarantine.CrashMark;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import io.umberpath.traffic.quarantine.SuspectLedger;
 import io.umberpath.traffic.quarantine.Suspicion;
@@ -7,16 +8,20 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Keeps requests from back ends that would end under them, by what all nodes have seen ({@link
  * SuspectLedger}). Thread-safe; never waits for anything but its own lock.
  */
 final class RequestQuarantine {
+  private static final long MILLIS_PER_SECOND = 1_000;
+
   private final SuspectLedger ledger;
   private final Predicate<RequestFingerprint> owner;
   private final MeshEvents events;
@@ -155,6 +160,28 @@
     return ledger.all();
   }
 
+  /** The requests that are held, for operators: a line each. */
+  synchronized String page() {
+    long now = clockMillis.getAsLong();
+    StringBuilder lines = new StringBuilder();
+    for (Suspicion each : ledger.all()) {
+      if (ledger.isHeld(each.request())) {
+        lines.append(line(now, each));
+      }
+    }
+    return lines.toString();
+  }
+
+  private static String line(long nowMillis, Suspicion held) {
+    LongSummaryStatistics ends =
+        held.marks().stream()
+            .filter(mark -> !mark.cleared())
+            .collect(Collectors.summarizingLong(CrashMark::atMillis));
+    long lastSeconds = (nowMillis - ends.getMax()) / MILLIS_PER_SECOND;
+    return "%s held, ended %d back ends, the last %d s ago%n"
+        .formatted(held.request().text(), ends.getCount(), lastSeconds);
+  }
+
   /** The same at all nodes that know the same; 0 if nothing is known. */
   long digest() {
     return digest;
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/ZoneReadersTest.java
@@ -0,0 +1,93 @@
+package io.umberpath.node.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.traffic.routing.GateLoad;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Of two nodes of a zone, which one calls the store. */
+final class ZoneReadersTest {
+  private static final String ONE = "10.0.0.1";
+  private static final String OTHER = "10.0.0.2";
+  private static final long ROUND_MILLIS = 250;
+  private static final GateLoad LOAD = new GateLoad(0, 0, 6, 50_000, 100, 0);
+
+  private final PeerReports reports = new PeerReports();
+  private final Set<String> leaving = new HashSet<>();
+  private PeerView peers = PeerView.NOBODY;
+  private long now = 100_000;
+  private int count;
+
+  private static PeerView seeing(String host, Set<String> silent) {
+    return PeerView.of(Set.of(host), silent, "z", each -> Optional.of("z"));
+  }
+
+  private ZoneReaders readersOf(String self) {
+    return new ZoneReaders(self, () -> peers, () -> 900, reports, leaving, ROUND_MILLIS);
+  }
+
+  private void reports(String host, ReportedContact.State state) throws IOException {
+    PeerReport report =
+        new PeerReport(
+            LOAD,
+            false,
+            1,
+            1,
+            new ReportedContact(state, 0),
+            0,
+            Optional.empty(),
+            Optional.empty());
+    PeerMessage.Stamp stamp = new PeerMessage.Stamp(1, ++count);
+    reports.take(new PeerMessage.Entry(host, 0, stamp, EncodedReport.of(report)), now);
+  }
+
+  private boolean readsAfter(ZoneReaders readers, boolean refused, long millis) {
+    now += millis;
+    return readers.decide(now, refused).reads();
+  }
+
+  /** The node of the two that is due; the other leaves it to that one. */
+  private Map.Entry<String, String> dueAndOther() throws IOException {
+    reports(OTHER, ReportedContact.State.REACHABLE);
+    peers = seeing(OTHER, Set.of());
+    ZoneReaders first = readersOf(ONE);
+    boolean oneReads = readsAfter(first, false, 0);
+    for (int round = 0; round < 8; round++) {
+      oneReads = readsAfter(first, false, ROUND_MILLIS);
+    }
+    return oneReads ? Map.entry(ONE, OTHER) : Map.entry(OTHER, ONE);
+  }
+
+  @Test
+  void aNodeThatIsAloneInItsZoneReads() {
+    assertThat(readsAfter(readersOf(ONE), false, 0)).isTrue();
+  }
+
+  @Test
+  void theOtherReadsWhereTheOneThatIsDueIsSilentOrLeaves() throws IOException {
+    String due = dueAndOther().getKey();
+    String other = dueAndOther().getValue();
+    reports(due, ReportedContact.State.REACHABLE);
+
+    peers = seeing(due, Set.of(due));
+    assertThat(readsAfter(readersOf(other), false, 0)).isTrue();
+
+    peers = seeing(due, Set.of());
+    leaving.add(due);
+    assertThat(readsAfter(readersOf(other), false, 0)).isTrue();
+  }
+
+  @Test
+  void aDecisionHoldsForARoundUnlessItsInputsChange() {
+    ZoneReaders readers = readersOf(ONE);
+    assertThat(readers.decide(now, false)).isSameAs(readers.decide(now + 1, false));
+    assertThat(readers.decide(now + 2, true)).isNotSameAs(readers.decide(now + 3, false));
+    assertThat(readers.decide(now + 4, false))
+        .isNotSameAs(readers.decide(now + 4 + ROUND_MILLIS, false));
+  }
+}
