--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -88,13 +88,21 @@
     replacedHeaders.add(settings.headers().expectedInstance());
   }
 
-  /** Sends an admitted request; the back end may have begun to leave while it waited. */
+  /**
+   * Sends an admitted request; while it waited, the back end may have begun to leave, and others
+   * may have ended under the same request.
+   */
   private boolean send(Exchange exchange) {
-    if (!backend.takes(planOf(exchange).instance())) {
+    MeshGatePlan plan = planOf(exchange);
+    if (!backend.takes(plan.instance())) {
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return false;
     }
-    return exchange.sendTo(pool, planOf(exchange).instance());
+    if (isHeld(exchange, plan)) {
+      exchange.refuse(Refusal.notRun(Verdict.Reason.QUARANTINED));
+      return false;
+    }
+    return exchange.sendTo(pool, plan.instance());
   }
 
   SlotGate gate() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
@@ -81,11 +81,6 @@
     }
   }
 
-  /** Whether back ends ended under a request that it has not been cleared of. */
-  synchronized boolean isSuspect(RequestFingerprint request) {
-    return ledger.weight(request) > 0;
-  }
-
   /** The back end beside this node ended while it ran these requests. */
   synchronized void backendEnded(String backend, Collection<RequestFingerprint> running) {
     Set<RequestFingerprint> heldBefore = held(running);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ZoneReaders.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ZoneReaders.java
@@ -17,6 +17,7 @@
   /** Nodes that take no new work; shared with who hears of it. */
   private final Set<String> leaving;
 
+  private final long roundMillis;
   private final ReaderElection election;
 
   /** The last decision; guarded by this object's lock. */
@@ -36,8 +37,6 @@
     }
   }
 
-  private final long roundMillis;
-
   /**
    * Creates one that has not decided.
    *
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineSimulation.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineSimulation.java
@@ -132,6 +132,7 @@
   private final class Node {
     private final int index;
     private final int zone;
+    private SuspectLedger ledger;
     private RequestQuarantine quarantine;
     private SuspectExchange exchange;
     private long startedMillis = -CONTACT_MILLIS;
@@ -145,9 +146,8 @@
     }
 
     private void forget() {
-      quarantine =
-          new RequestQuarantine(
-              new SuspectLedger(way.marksToHold()), request -> false, EVENTS, () -> now);
+      ledger = new SuspectLedger(way.marksToHold());
+      quarantine = new RequestQuarantine(ledger, request -> false, EVENTS, () -> now);
       exchange = new SuspectExchange(quarantine, () -> others, this::send, () -> now);
     }
 
@@ -354,12 +354,16 @@
       return false;
     }
     return !way.isolates()
-        || !gate.isSuspect(request.fingerprint)
+        || !isSuspect(backend.node, request)
         || backend.running.stream()
             .noneMatch(
                 other ->
                     !other.fingerprint.equals(request.fingerprint)
-                        && gate.isSuspect(other.fingerprint));
+                        && isSuspect(backend.node, other));
+  }
+
+  private static boolean isSuspect(Node node, Request request) {
+    return node.ledger.weight(request.fingerprint) > 0;
   }
 
   private void noteArrival(Request request) {
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/quarantine/RecentSuccesses.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/quarantine/RecentSuccesses.java
@@ -5,7 +5,7 @@
  * whatever comes; one that another took the place of is forgotten. Owner synchronizes.
  */
 final class RecentSuccesses {
-  /** Places, a power of two: 16 KiB; ten seconds of a hundred requests a second. */
+  /** Places, a power of two: ten seconds of a hundred requests a second, some 45 KiB when full. */
   private static final int PLACES = 1_024;
 
   private final RequestFingerprint[] requests = new RequestFingerprint[PLACES];
