Reading the change once more: datagrams split in one place, a body counted once, one publication

Cause: reports and suspicions halved what does not fit a datagram each in a method of its own; RequestBody tested the same bound twice; what the quarantine publishes was written down twice; the simulation copied nine values in each of four methods and passed an outcome that was always the same. Change: PeerDatagram.split serves both messages; RequestBody.passOn takes its three cases in turn; RequestQuarantine.publish; the simulation's scenario has a set of troubles. No decision, bound, check or assertion changes; 17 lines fewer.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerDatagram.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerDatagram.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import java.io.IOException;
+import java.util.List;
+import java.util.function.Function;
 
 /** A datagram between nodes: a CBOR list that begins with a number for what it holds. */
 sealed interface PeerDatagram permits PeerMessage, SuspectMessage {
@@ -28,6 +30,23 @@
     }
   }
 
+  /**
+   * Writes entries as datagrams short enough to pass whole: halves what is too long.
+   *
+   * @param write encodes some of the entries
+   * @param into takes the datagrams in the order of the entries
+   */
+  static <T> void split(List<T> entries, Function<List<T>, byte[]> write, List<byte[]> into) {
+    byte[] bytes = write.apply(entries);
+    int count = entries.size();
+    if (count == 1 || bytes.length <= MAX_BYTES) {
+      into.add(bytes);
+      return;
+    }
+    split(entries.subList(0, count / 2), write, into);
+    split(entries.subList(count / 2, count), write, into);
+  }
+
   /**
    * Checks a part of a datagram.
    *
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerMessage.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerMessage.java
@@ -51,22 +51,12 @@
     List<byte[]> datagrams = new ArrayList<>();
     for (int from = 0; from < entries.size(); from += MAX_ENTRIES) {
       int to = Math.min(entries.size(), from + MAX_ENTRIES);
-      encode(new PeerMessage(kind, entries.subList(from, to)), datagrams);
+      PeerDatagram.split(
+          entries.subList(from, to), some -> new PeerMessage(kind, some).encode(), datagrams);
     }
     return datagrams;
   }
 
-  private static void encode(PeerMessage message, List<byte[]> into) {
-    int count = message.entries().size();
-    byte[] bytes = message.encode();
-    if (count == 1 || bytes.length <= MAX_BYTES) {
-      into.add(bytes);
-      return;
-    }
-    encode(new PeerMessage(message.kind(), message.entries().subList(0, count / 2)), into);
-    encode(new PeerMessage(message.kind(), message.entries().subList(count / 2, count)), into);
-  }
-
   byte[] encode() {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream(INITIAL_BYTES * entries.size());
     try (JsonGenerator out = CBOR.createGenerator(bytes)) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
@@ -122,8 +122,7 @@
 
   private void changed(
       Set<RequestFingerprint> heldBefore, Collection<RequestFingerprint> concerned) {
-    suspects = ledger.size();
-    digest = ledger.digest();
+    publish();
     for (RequestFingerprint request : concerned) {
       boolean isHeld = ledger.isHeld(request);
       if (isHeld != heldBefore.contains(request)) {
@@ -138,11 +137,15 @@
     if (suspects > 0) {
       ledger.forget(clockMillis.getAsLong());
       heldTargets = ledger.heldTargets();
-      suspects = ledger.size();
-      digest = ledger.digest();
+      publish();
     }
   }
 
+  private void publish() {
+    suspects = ledger.size();
+    digest = ledger.digest();
+  }
+
   /** What the other nodes are to be told since the last call. */
   synchronized List<Suspicion> takeNews() {
     List<Suspicion> taken = List.copyOf(news);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/SuspectMessage.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/SuspectMessage.java
@@ -26,21 +26,10 @@
   /** Datagrams that hold all suspicions, each short enough to pass whole. */
   static List<byte[]> encode(long nowMillis, List<Suspicion> suspicions) {
     List<byte[]> datagrams = new ArrayList<>();
-    encode(nowMillis, suspicions, datagrams);
+    PeerDatagram.split(suspicions, some -> write(nowMillis, some), datagrams);
     return datagrams;
   }
 
-  private static void encode(long nowMillis, List<Suspicion> suspicions, List<byte[]> into) {
-    byte[] bytes = write(nowMillis, suspicions);
-    int count = suspicions.size();
-    if (count == 1 || bytes.length <= MAX_BYTES) {
-      into.add(bytes);
-      return;
-    }
-    encode(nowMillis, suspicions.subList(0, count / 2), into);
-    encode(nowMillis, suspicions.subList(count / 2, count), into);
-  }
-
   private static byte[] write(long nowMillis, List<Suspicion> suspicions) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream(INITIAL_BYTES);
     try (JsonGenerator out = CBOR.createGenerator(bytes)) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
@@ -30,15 +30,16 @@
   /** Notes bytes that are passed on to the attempt under way. */
   void passOn(Buffer content) {
     received += content.remaining();
-    if (replayable && kept.size() + content.remaining() > REPLAY_LIMIT_BYTES) {
-      hash = OptionalLong.of(RequestFingerprint.bodyOf(beginningWith(content)));
+    if (!replayable) {
+      return;
     }
-    if (replayable && kept.size() + content.remaining() <= REPLAY_LIMIT_BYTES) {
+    if (kept.size() + content.remaining() <= REPLAY_LIMIT_BYTES) {
       keep(content);
-    } else {
-      replayable = false;
-      kept.reset();
+      return;
     }
+    hash = OptionalLong.of(RequestFingerprint.bodyOf(beginningWith(content)));
+    replayable = false;
+    kept.reset();
   }
 
   private void keep(Buffer content) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineComparisonTrial.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineComparisonTrial.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.node.mesh.QuarantineSimulation.Outcome;
 import io.umberpath.node.mesh.QuarantineSimulation.Scenario;
+import io.umberpath.node.mesh.QuarantineSimulation.Trouble;
 import io.umberpath.node.mesh.QuarantineSimulation.Way;
 import java.util.List;
 import java.util.Map;
@@ -33,12 +34,13 @@
     int rate = Math.max(200, Math.min(5_000, 10 * nodes));
     String size = nodes + " nodes, ";
     Scenario calm = Scenario.calm(nodes, rate, 1);
-    scenarios.put(size + "0 culprits, kills", Scenario.calm(nodes, rate, 0).withKills());
+    scenarios.put(size + "0 culprits, kills", Scenario.calm(nodes, rate, 0).with(Trouble.KILLS));
     scenarios.put(size + "1 culprit", calm);
     scenarios.put(size + "5 culprits", Scenario.calm(nodes, rate, 5));
-    scenarios.put(size + "5 culprits, kills", Scenario.calm(nodes, rate, 5).withKills());
+    scenarios.put(size + "5 culprits, kills", Scenario.calm(nodes, rate, 5).with(Trouble.KILLS));
     scenarios.put(
-        size + "1 culprit, loss, cut, restarts", calm.withLoss(0.03).withCutZone().withRestarts());
+        size + "1 culprit, loss, cut, restarts",
+        calm.with(Trouble.LOSS, Trouble.CUT_ZONE, Trouble.RESTARTS));
     return scenarios;
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineFleetTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineFleetTest.java
@@ -4,6 +4,7 @@
 
 import io.umberpath.node.mesh.QuarantineSimulation.Outcome;
 import io.umberpath.node.mesh.QuarantineSimulation.Scenario;
+import io.umberpath.node.mesh.QuarantineSimulation.Trouble;
 import io.umberpath.node.mesh.QuarantineSimulation.Way;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -35,7 +36,8 @@
   @ParameterizedTest
   @CsvSource({"12,200,1", "12,200,2", "95,950,3", "300,3000,4"})
   void lossACutZoneAndNodesThatStartAgainLetFewThrough(int nodes, int rate, long seed) {
-    Scenario scenario = Scenario.calm(nodes, rate, 1).withLoss(0.03).withCutZone().withRestarts();
+    Scenario scenario =
+        Scenario.calm(nodes, rate, 1).with(Trouble.LOSS, Trouble.CUT_ZONE, Trouble.RESTARTS);
 
     Outcome outcome = play(scenario, STANDING, seed);
 
@@ -46,7 +48,7 @@
   @ParameterizedTest
   @CsvSource({"12,200,1", "12,200,2", "95,950,3", "300,3000,4"})
   void endsOfAThirdOfTheBackendsTurnNobodyAway(int nodes, int rate, long seed) {
-    Outcome outcome = play(Scenario.calm(nodes, rate, 0).withKills(), STANDING, seed);
+    Outcome outcome = play(Scenario.calm(nodes, rate, 0).with(Trouble.KILLS), STANDING, seed);
 
     assertThat(outcome.innocents()).isGreaterThan(7_000);
     assertThat(outcome.turnedAway()).isZero();
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineSimulation.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineSimulation.java
@@ -18,63 +18,34 @@
  * are culprits, which end each back end that runs them and come again at once at any node.
  */
 final class QuarantineSimulation {
+  /** What goes on besides the requests. */
+  enum Trouble {
+    /** Three of a hundred datagrams are lost. */
+    LOSS,
+    /** A zone is cut off for some seconds. */
+    CUT_ZONE,
+    /** Nodes start again, one after the other. */
+    RESTARTS,
+    /** A third of the back ends ends, again and again. */
+    KILLS
+  }
+
   /** What is played. */
-  record Scenario(
-      int nodes,
-      int zones,
-      int requestsPerSecond,
-      int culprits,
-      double loss,
-      boolean zoneIsCut,
-      boolean nodesRestart,
-      boolean thirdOfBackendsEnds,
-      long millis) {
+  record Scenario(int nodes, int requestsPerSecond, int culprits, Set<Trouble> troubles) {
     static Scenario calm(int nodes, int requestsPerSecond, int culprits) {
-      return new Scenario(nodes, 4, requestsPerSecond, culprits, 0, false, false, false, 40_000);
-    }
-
-    Scenario withLoss(double share) {
-      return new Scenario(
-          nodes,
-          zones,
-          requestsPerSecond,
-          culprits,
-          share,
-          zoneIsCut,
-          nodesRestart,
-          thirdOfBackendsEnds,
-          millis);
-    }
-
-    Scenario withCutZone() {
-      return new Scenario(
-          nodes,
-          zones,
-          requestsPerSecond,
-          culprits,
-          loss,
-          true,
-          nodesRestart,
-          thirdOfBackendsEnds,
-          millis);
-    }
-
-    Scenario withRestarts() {
-      return new Scenario(
-          nodes,
-          zones,
-          requestsPerSecond,
-          culprits,
-          loss,
-          zoneIsCut,
-          true,
-          thirdOfBackendsEnds,
-          millis);
-    }
-
-    Scenario withKills() {
-      return new Scenario(
-          nodes, zones, requestsPerSecond, culprits, loss, zoneIsCut, nodesRestart, true, millis);
+      return new Scenario(nodes, requestsPerSecond, culprits, Set.of());
+    }
+
+    Scenario with(Trouble... more) {
+      return new Scenario(nodes, requestsPerSecond, culprits, Set.of(more));
+    }
+
+    boolean has(Trouble trouble) {
+      return troubles.contains(trouble);
+    }
+
+    double loss() {
+      return has(Trouble.LOSS) ? LOSS_SHARE : 0;
     }
   }
 
@@ -108,6 +79,9 @@
       double datagramsPerNode,
       long lastNodeMillis) {}
 
+  private static final int ZONES = 4;
+  private static final long PLAYED_MILLIS = 40_000;
+  private static final double LOSS_SHARE = 0.03;
   private static final int SLOTS = 6;
   private static final long RUN_MILLIS = 100;
   private static final long TICK_MILLIS = 50;
@@ -140,7 +114,7 @@
 
     Node(int index) {
       this.index = index;
-      this.zone = index % scenario.zones();
+      this.zone = index % ZONES;
       this.backend = new Backend(this, index + "-0");
       forget();
     }
@@ -254,13 +228,13 @@
     }
     after(0, this::sendInnocent);
     after(0, this::tick);
-    if (scenario.nodesRestart()) {
+    if (scenario.has(Trouble.RESTARTS)) {
       after(RESTART_EACH_MILLIS, this::restartOne);
     }
-    if (scenario.thirdOfBackendsEnds()) {
+    if (scenario.has(Trouble.KILLS)) {
       after(KILL_EACH_MILLIS, this::endThird);
     }
-    while (!events.isEmpty() && events.peek().atMillis() < scenario.millis()) {
+    while (!events.isEmpty() && events.peek().atMillis() < PLAYED_MILLIS) {
       Event next = events.poll();
       now = next.atMillis();
       next.action().run();
@@ -279,13 +253,16 @@
   }
 
   private boolean reaches(Node from, Node to) {
-    boolean cut = scenario.zoneIsCut() && now >= CUT_FROM_MILLIS && now < CUT_UNTIL_MILLIS;
+    boolean cut =
+        scenario.has(Trouble.CUT_ZONE) && now >= CUT_FROM_MILLIS && now < CUT_UNTIL_MILLIS;
     return !cut || (from.zone == 0) == (to.zone == 0);
   }
 
   private boolean isInTouch(Node node) {
     boolean cut =
-        scenario.zoneIsCut() && now >= CUT_FROM_MILLIS && now < CUT_UNTIL_MILLIS + CONTACT_MILLIS;
+        scenario.has(Trouble.CUT_ZONE)
+            && now >= CUT_FROM_MILLIS
+            && now < CUT_UNTIL_MILLIS + CONTACT_MILLIS;
     return now >= node.startedMillis + CONTACT_MILLIS && !(cut && node.zone == 0);
   }
 
@@ -322,7 +299,7 @@
     }
     Backend chosen = choose(request);
     if (chosen == null) {
-      finish(request, false);
+      notServed(request);
       return;
     }
     request.attempts++;
@@ -431,7 +408,7 @@
     if (request.attempts < MAX_ATTEMPTS) {
       dispatch(request);
     } else {
-      finish(request, false);
+      notServed(request);
     }
   }
 
@@ -440,15 +417,15 @@
       turnedAway++;
       return;
     }
-    finish(request, false);
+    notServed(request);
   }
 
-  private void finish(Request request, boolean served) {
+  private void notServed(Request request) {
     if (request.culprit != null) {
       after(50 + random.nextInt(200), () -> sendCulprit(request.culprit));
-    } else if (!served && request.tries < MAX_TRIES) {
+    } else if (request.tries < MAX_TRIES) {
       after(20, () -> start(new Request(request.fingerprint, null, request.tries + 1), anyNode()));
-    } else if (!served) {
+    } else {
       failed++;
     }
   }
