Store: answers name their position, a refused watch and a dropped read leave a line

Cause of the change: a node's own logs could not tell revisions that go back from a state of before that spreads between nodes. Two lines, 5 a second at most each: store-history-gone, store-read-dropped.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreAnswer.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreAnswer.java
@@ -9,20 +9,24 @@
    *
    * @param items in the order of their keys
    * @param more whether another page follows
-   * @param at the store's revision
+   * @param at the store's position
    */
-  record Page(List<StoreItem> items, boolean more, long at) implements StoreAnswer {}
+  record Page(List<StoreItem> items, boolean more, StorePosition at) implements StoreAnswer {}
 
   /**
    * Changes in order, possibly none.
    *
    * @param events the changes
-   * @param at revision to continue from
+   * @param at position to continue from
    */
-  record Events(List<StoreEvent> events, long at) implements StoreAnswer {}
+  record Events(List<StoreEvent> events, StorePosition at) implements StoreAnswer {}
 
-  /** The store no longer has the changes asked for. */
-  record HistoryGone() implements StoreAnswer {}
+  /**
+   * The store does not have the changes asked for.
+   *
+   * @param era the store's era
+   */
+  record HistoryGone(long era) implements StoreAnswer {}
 
   /** The store refuses for now, because too much is asked of it. */
   record Throttled() implements StoreAnswer {}
--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -129,7 +129,7 @@
       return false;
     }
     if (firstPageAt < 0) {
-      firstPageAt = page.at();
+      firstPageAt = page.at().revision();
     }
     page.items().forEach(item -> pages.put(item.key(), item));
     if (page.more() && !page.items().isEmpty()) {
@@ -169,7 +169,7 @@
       // What was adopted meanwhile already holds older changes.
       changed |= event.revision() > at && apply(event);
     }
-    at = Math.max(at, events.at());
+    at = Math.max(at, events.at().revision());
     if (!events.events().isEmpty()) {
       notBeforeMillis = nowMillis + pauseMillis(nowMillis);
     }
--- a/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
@@ -18,12 +18,16 @@
     return new StoreItem(key, value, revision);
   }
 
+  private static StorePosition position(long revision) {
+    return new StorePosition(StorePosition.NO_ERA, revision);
+  }
+
   private static StoreAnswer.Page page(boolean more, long at, StoreItem... items) {
-    return new StoreAnswer.Page(List.of(items), more, at);
+    return new StoreAnswer.Page(List.of(items), more, position(at));
   }
 
   private static StoreAnswer.Events events(long at, StoreEvent... events) {
-    return new StoreAnswer.Events(List.of(events), at);
+    return new StoreAnswer.Events(List.of(events), position(at));
   }
 
   private static StoreChanges whole(long at, StoreItem... items) {
@@ -122,7 +126,7 @@
   void readsAgainWhenHistoryIsGoneAndKeepsWhatItHasMeanwhile() {
     watcher.answered(0, page(false, 10, item("a", "1", 3)));
 
-    watcher.answered(0, new StoreAnswer.HistoryGone());
+    watcher.answered(0, new StoreAnswer.HistoryGone(StorePosition.NO_ERA));
 
     assertThat(watcher.items()).hasSize(1);
     assertThat(call(0)).isInstanceOf(StoreCall.Read.class);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -22,6 +22,10 @@
   STORE_LOST(10),
   /** The store answers again. */
   STORE_REGAINED(10),
+  /** The store does not have the changes that this node asked for. */
+  STORE_HISTORY_GONE(5),
+  /** A whole read of the store is behind what this node holds, and is not taken. */
+  STORE_READ_DROPPED(5),
   /** A newer configuration is in force. */
   CONFIGURATION_TAKEN(20),
   /** A configuration was refused whole; the old one holds. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -5,6 +5,7 @@
 import com.google.common.flogger.MetadataKey;
 import io.umberpath.control.store.StoreAnswer;
 import io.umberpath.control.store.StoreChanges;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingConfiguration;
@@ -36,6 +37,7 @@
   private static final MetadataKey<String> FINGERPRINT =
       MetadataKey.single("fingerprint", String.class);
   private static final MetadataKey<Long> REVISION = MetadataKey.single("revision", Long.class);
+  private static final MetadataKey<String> POSITION = MetadataKey.single("position", String.class);
   private static final MetadataKey<Long> CONFIGURATION =
       MetadataKey.single("configuration", Long.class);
   private static final MetadataKey<Long> MILLIS = MetadataKey.single("millis", Long.class);
@@ -123,7 +125,22 @@
     line(MeshEvent.SETTINGS_REFUSED).with(CAUSE, problem).log("settings kept");
   }
 
-  void storeCalled(StoreAnswer answer) {
+  /**
+   * The store has answered a call.
+   *
+   * @param held position of what this node holds, the answer taken
+   */
+  void storeCalled(StoreAnswer answer, StorePosition held) {
+    if (answer instanceof StoreAnswer.HistoryGone gone) {
+      line(MeshEvent.STORE_HISTORY_GONE)
+          .with(POSITION, held.toString())
+          .log("the store is in era %d", gone.era());
+    }
+    if (answer instanceof StoreAnswer.Page page && !page.more() && held.isAfter(page.at())) {
+      line(MeshEvent.STORE_READ_DROPPED)
+          .with(POSITION, held.toString())
+          .log("the store is at %s", page.at());
+    }
     if (answer instanceof StoreAnswer.Throttled) {
       line(MeshEvent.STORE_LOST).with(CAUSE, "throttled").log("store");
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -3,6 +3,7 @@
 import io.umberpath.control.membership.SilenceTimes;
 import io.umberpath.control.store.StoreAnswer;
 import io.umberpath.control.store.StoreCall;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreWatcher.Step;
 import io.umberpath.control.store.StoreWatcherSettings;
 import java.util.function.LongSupplier;
@@ -156,14 +157,17 @@
     long now = clockMillis.getAsLong();
     note(now, answer);
     boolean advanced;
+    StorePosition held;
     synchronized (state) {
       long before = state.watcher().at();
       boolean changed = state.watcher().answered(now, answer);
       advanced = changed || state.watcher().at() != before;
+      held = new StorePosition(StorePosition.NO_ERA, state.watcher().at());
       if (advanced) {
         state.refresh("store");
       }
     }
+    events.storeCalled(answer, held);
     if (advanced) {
       changeListener.run();
     }
@@ -187,7 +191,6 @@
   }
 
   private void note(long nowMillis, StoreAnswer answer) {
-    events.storeCalled(answer);
     if (answer instanceof StoreAnswer.Throttled) {
       throttledInARow++;
       if (throttledInARow >= MAX_THROTTLED_IN_A_ROW) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/DeafWatchTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/DeafWatchTest.java
@@ -4,6 +4,7 @@
 
 import io.umberpath.control.store.StoreAnswer;
 import io.umberpath.control.store.StoreCall;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.control.store.StoreWatcher.Step;
 import java.util.List;
@@ -23,7 +24,8 @@
   void aWatchThatHearsNothingEndsWellWithinTheBound(double drawn) {
     StoreWatcher watcher = new StoreWatcher("", WatchTimes.PROMPT, () -> drawn);
     watcher.next(0);
-    watcher.answered(0, new StoreAnswer.Page(List.of(), false, 1));
+    watcher.answered(
+        0, new StoreAnswer.Page(List.of(), false, new StorePosition(StorePosition.NO_ERA, 1)));
 
     Step.Call step = (Step.Call) watcher.next(1);
 
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
@@ -4,6 +4,7 @@
 
 import io.umberpath.control.store.StoreAnswer;
 import io.umberpath.control.store.StoreCall;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreWatcher;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -31,8 +32,9 @@
     public StoreAnswer call(StoreCall call) {
       int revision = calls.incrementAndGet();
       return call instanceof StoreCall.Read
-          ? new StoreAnswer.Page(List.of(), false, revision)
-          : new StoreAnswer.Events(List.of(), revision);
+          ? new StoreAnswer.Page(
+              List.of(), false, new StorePosition(StorePosition.NO_ERA, revision))
+          : new StoreAnswer.Events(List.of(), new StorePosition(StorePosition.NO_ERA, revision));
     }
 
     @Override
@@ -91,7 +93,8 @@
             calls.countDown();
             return calls.getCount() > 0
                 ? new StoreAnswer.Throttled()
-                : new StoreAnswer.Page(List.of(), false, 1);
+                : new StoreAnswer.Page(
+                    List.of(), false, new StorePosition(StorePosition.NO_ERA, 1));
           }
 
           @Override
@@ -133,7 +136,8 @@
       follower.start();
       assertThat(follower.reported().state()).isEqualTo(ReportedContact.State.NONE);
 
-      answers.put(new StoreAnswer.Page(List.of(), false, 1));
+      answers.put(
+          new StoreAnswer.Page(List.of(), false, new StorePosition(StorePosition.NO_ERA, 1)));
       await(() -> follower.reported().state() == ReportedContact.State.REACHABLE);
 
       now.addAndGet(10_000);
@@ -157,7 +161,8 @@
     try (StoreFollower follower = new StoreFollower(held, client(answers), events, now::get)) {
       follower.onlyIf(() -> new ReadDecision(true, standby, () -> "set by the test"));
       follower.start();
-      answers.put(new StoreAnswer.Page(List.of(), false, 1));
+      answers.put(
+          new StoreAnswer.Page(List.of(), false, new StorePosition(StorePosition.NO_ERA, 1)));
       await(() -> follower.reported().state() == ReportedContact.State.REACHABLE);
 
       now.addAndGet(Long.parseLong(millis.replace("_", "")));
