Order is era and revision: watcher, reports, transfers, sources

Cause: a store that comes back from an older copy gives its revisions out again; state was ordered by the revision alone, so whole reads were dropped, changes passed over and patches applied across the loss, and nodes that held the lost changes counted as ahead. Ruled out: times of the watches (460 calls a second were answered all along). Change: one comparable type, StorePosition, in watcher, requests, changes, reports and views; no bare revisions of two eras are compared. An answer of an era that is over is none; events of a newer one, or from a watch begun in the one before, are not applied; pages of two eras are not put together; patches end with their era. A store that refuses each watch is read ever more rarely, also if it names no era.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/PatchHistory.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/PatchHistory.java
@@ -38,6 +38,12 @@
     }
   }
 
+  /** Forgets all. */
+  void clear() {
+    patches.clear();
+    characters = 0;
+  }
+
   /** Remembers a patch that another node made. */
   void remember(ItemPatch patch) {
     patches.addLast(patch);
--- a/umberpath-control/src/main/java/io/umberpath/control/store/StateRequest.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StateRequest.java
@@ -3,12 +3,14 @@
 /**
  * What a node that is behind holds, and asks another one to carry on from.
  *
- * @param after revision of its state; {@link StoreChanges#FROM_NOTHING} to get the whole state
- * @param largestRevision revision of the largest item that it holds, so that it can be sent patches
- *     of it; {@link StoreChanges#FROM_NOTHING} to get that item whole
+ * @param after position of its state; {@link StorePosition#NOTHING} to get the whole state
+ * @param largestRevision revision, in the era of that position, of the largest item that it holds,
+ *     so that it can be sent patches of it; {@link #NO_ITEM} to get that item whole
  */
-public record StateRequest(long after, long largestRevision) {
+public record StateRequest(StorePosition after, long largestRevision) {
+  /** Revision of no item. */
+  public static final long NO_ITEM = -1;
+
   /** Asks for the whole state. */
-  public static final StateRequest WHOLE =
-      new StateRequest(StoreChanges.FROM_NOTHING, StoreChanges.FROM_NOTHING);
+  public static final StateRequest WHOLE = new StateRequest(StorePosition.NOTHING, NO_ITEM);
 }
--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreAnswer.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreAnswer.java
@@ -1,9 +1,15 @@
 package io.umberpath.control.store;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 /** What became of a call to the store. */
 public sealed interface StoreAnswer {
+  /** The store's era as the answer names it; empty for one that says nothing of the store. */
+  default OptionalLong era() {
+    return OptionalLong.empty();
+  }
+
   /**
    * A page of items; pages of one read are no snapshot.
    *
@@ -11,7 +17,12 @@
    * @param more whether another page follows
    * @param at the store's position
    */
-  record Page(List<StoreItem> items, boolean more, StorePosition at) implements StoreAnswer {}
+  record Page(List<StoreItem> items, boolean more, StorePosition at) implements StoreAnswer {
+    @Override
+    public OptionalLong era() {
+      return OptionalLong.of(at.era());
+    }
+  }
 
   /**
    * Changes in order, possibly none.
@@ -19,14 +30,24 @@
    * @param events the changes
    * @param at position to continue from
    */
-  record Events(List<StoreEvent> events, StorePosition at) implements StoreAnswer {}
+  record Events(List<StoreEvent> events, StorePosition at) implements StoreAnswer {
+    @Override
+    public OptionalLong era() {
+      return OptionalLong.of(at.era());
+    }
+  }
 
   /**
    * The store does not have the changes asked for.
    *
-   * @param era the store's era
+   * @param storeEra the store's era
    */
-  record HistoryGone(long era) implements StoreAnswer {}
+  record HistoryGone(long storeEra) implements StoreAnswer {
+    @Override
+    public OptionalLong era() {
+      return OptionalLong.of(storeEra);
+    }
+  }
 
   /** The store refuses for now, because too much is asked of it. */
   record Throttled() implements StoreAnswer {}
--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -9,9 +9,9 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * Follows the items below one prefix: reads them all, then watches from the revision of the first
- * page on, and reads again when the store has forgotten that revision. Changes are applied by
- * revision, so that what is heard twice or late changes nothing. Owner synchronizes.
+ * Follows the items below one prefix: reads them all, then watches from the position of the first
+ * page on, and reads again when the store has forgotten that position or is in a newer era. Changes
+ * are applied by position, so that what is heard twice or late changes nothing. Owner synchronizes.
  */
 public final class StoreWatcher {
   /** What to do next. */
@@ -34,12 +34,22 @@
   private final PatchHistory history = new PatchHistory();
   private final ArrayDeque<StoreEvent.Gone> removals = new ArrayDeque<>();
 
-  /** Revision after which every removal is remembered. */
+  /** Revision of the present era after which every removal is remembered. */
   private long removalsSince = -1;
 
   private String lastKey;
-  private long firstPageAt = -1;
-  private long at = -1;
+
+  /** Position of the first page of the read that is under way; NOTHING before it. */
+  private StorePosition firstPageAt = StorePosition.NOTHING;
+
+  private StorePosition at = StorePosition.NOTHING;
+
+  /** Era of the position that the last watch began from. */
+  private long watchedEra = StorePosition.NO_ERA;
+
+  /** Refused watches in a row with no answered one between them. */
+  private int refusedWatches;
+
   private boolean reading = true;
   private int failures;
   private long notBeforeMillis;
@@ -76,7 +86,8 @@
     // Drawn anew each time, so that the nodes do not all find out at once, and late, that it hangs.
     double drawn = 1 + settings.waitSpread() * (2 * random.getAsDouble() - 1);
     long wait = Math.round(settings.waitMillis() * drawn);
-    return new Step.Call(new StoreCall.Watch(prefix, at, wait));
+    watchedEra = at.era();
+    return new Step.Call(new StoreCall.Watch(prefix, at.revision(), wait));
   }
 
   /**
@@ -85,6 +96,10 @@
    * @return whether the items have changed
    */
   public boolean answered(long nowMillis, StoreAnswer answer) {
+    if (isOutdated(answer)) {
+      backOff(nowMillis);
+      return false;
+    }
     if (answer instanceof StoreAnswer.Page page) {
       heard(nowMillis);
       return takePage(page);
@@ -94,8 +109,7 @@
       return takeEvents(nowMillis, events);
     }
     if (answer instanceof StoreAnswer.HistoryGone) {
-      heard(nowMillis);
-      beginReading();
+      historyGone(nowMillis);
       return false;
     }
     if (answer instanceof StoreAnswer.Unavailable && reading) {
@@ -105,6 +119,24 @@
     return false;
   }
 
+  /** Whether an answer is of an era before the one that is known: it says nothing of the store. */
+  public boolean isOutdated(StoreAnswer answer) {
+    return answer.era().isPresent() && answer.era().getAsLong() < at.era();
+  }
+
+  /**
+   * Reads anew; a store that refuses the position of a whole read, too, is not read in a circle.
+   */
+  private void historyGone(long nowMillis) {
+    heardAtMillis = nowMillis;
+    beginReading();
+    if (refusedWatches > 0) {
+      failures = refusedWatches;
+      backOff(nowMillis);
+    }
+    refusedWatches++;
+  }
+
   private void heard(long nowMillis) {
     failures = 0;
     heardAtMillis = nowMillis;
@@ -114,7 +146,7 @@
     reading = true;
     pages = new HashMap<>();
     lastKey = null;
-    firstPageAt = -1;
+    firstPageAt = StorePosition.NOTHING;
   }
 
   private void backOff(long nowMillis) {
@@ -128,8 +160,13 @@
     if (!reading) {
       return false;
     }
-    if (firstPageAt < 0) {
-      firstPageAt = page.at().revision();
+    if (firstPageAt.isKnown() && firstPageAt.era() != page.at().era()) {
+      // The store came back from a copy between two pages: they are not of one state.
+      beginReading();
+      return false;
+    }
+    if (!firstPageAt.isKnown()) {
+      firstPageAt = page.at();
     }
     page.items().forEach(item -> pages.put(item.key(), item));
     if (page.more() && !page.items().isEmpty()) {
@@ -138,38 +175,57 @@
     }
     reading = false;
     Map<String, StoreItem> read = pages;
-    long readAt = firstPageAt;
+    StorePosition readAt = firstPageAt;
     pages = new HashMap<>();
     lastKey = null;
     return replace(read, readAt);
   }
 
   /** Takes a whole state unless a newer one is held; whether something changed. */
-  private boolean replace(Map<String, StoreItem> newItems, long newAt) {
-    if (newAt < at) {
+  private boolean replace(Map<String, StoreItem> newItems, StorePosition newAt) {
+    if (at.isAfter(newAt)) {
       return false;
     }
-    boolean changed = at < 0 || !items.equals(newItems);
+    boolean changed = !at.isKnown() || at.era() != newAt.era() || !items.equals(newItems);
+    if (at.era() == newAt.era()) {
+      rememberPatches(newItems);
+    } else {
+      // Patches name revisions, which say nothing in another era.
+      history.clear();
+    }
+    items = newItems;
+    at = newAt;
+    removals.clear();
+    removalsSince = newAt.revision();
+    return changed;
+  }
+
+  private void rememberPatches(Map<String, StoreItem> newItems) {
     for (StoreItem item : newItems.values()) {
       StoreItem held = items.get(item.key());
       if (held != null) {
         history.replaced(held, item);
       }
     }
-    items = newItems;
-    at = newAt;
-    removals.clear();
-    removalsSince = newAt;
-    return changed;
   }
 
   private boolean takeEvents(long nowMillis, StoreAnswer.Events events) {
+    refusedWatches = 0;
+    if (events.at().era() > at.era()) {
+      // They follow a revision of an era that is over, under which the store now has other changes.
+      beginReading();
+      return false;
+    }
+    if (events.at().era() != watchedEra) {
+      // A newer era was adopted while this watch, from a revision of the one before, was waiting.
+      return false;
+    }
     boolean changed = false;
     for (StoreEvent event : events.events()) {
       // What was adopted meanwhile already holds older changes.
-      changed |= event.revision() > at && apply(event);
+      changed |= event.revision() > at.revision() && apply(event);
     }
-    at = Math.max(at, events.at().revision());
+    at = StorePosition.later(at, events.at());
     if (!events.events().isEmpty()) {
       notBeforeMillis = nowMillis + pauseMillis(nowMillis);
     }
@@ -223,7 +279,7 @@
 
   /** Takes changes that another node holds, whole or not at all, if they lead further. */
   public Adoption adopt(StoreChanges changes) {
-    if (changes.at() <= at || changes.after() > at) {
+    if (!changes.at().isAfter(at) || !leadsOnFrom(at, changes)) {
       return Adoption.UNCHANGED;
     }
     Optional<Map<String, StoreItem>> patched = patched(changes.patches());
@@ -231,12 +287,17 @@
       return Adoption.UNFIT;
     }
     boolean changed = changes.isWhole() ? adoptWhole(changes) : adoptSteps(changes, patched.get());
-    if (reading && firstPageAt < 0) {
+    if (reading && !firstPageAt.isKnown()) {
       reading = false;
     }
     return changed ? Adoption.CHANGED : Adoption.UNCHANGED;
   }
 
+  private static boolean leadsOnFrom(StorePosition held, StoreChanges changes) {
+    return changes.isWhole()
+        || (changes.after().era() == held.era() && !changes.after().isAfter(held));
+  }
+
   /** The items that patches make of those held; empty if one does not fit. */
   private Optional<Map<String, StoreItem>> patched(List<ItemPatch> patches) {
     Map<String, StoreItem> made = new HashMap<>();
@@ -281,9 +342,15 @@
 
   /** What a node lacks; the whole state if it is further back than is remembered. */
   public StoreChanges changesSince(StateRequest request) {
-    long after = request.after();
-    if (at < 0 || after < removalsSince) {
-      return new StoreChanges(StoreChanges.FROM_NOTHING, at, items(), List.of());
+    if (request.after().isAfter(at)) {
+      return new StoreChanges(at, at, List.of(), List.of());
+    }
+    if (!at.isKnown() || request.after().era() != at.era()) {
+      return whole();
+    }
+    long after = request.after().revision();
+    if (after < removalsSince) {
+      return whole();
     }
     List<StoreItem> written = new ArrayList<>();
     List<ItemPatch> patches = new ArrayList<>();
@@ -296,7 +363,11 @@
     }
     List<StoreEvent.Gone> gone =
         removals.stream().filter(removal -> removal.revision() > after).toList();
-    return new StoreChanges(after, at, written, gone, patches);
+    return new StoreChanges(request.after(), at, written, gone, patches);
+  }
+
+  private StoreChanges whole() {
+    return new StoreChanges(StorePosition.NOTHING, at, items(), List.of());
   }
 
   /** What this node holds, for another one to carry on from. */
@@ -307,7 +378,7 @@
         largest = item;
       }
     }
-    return new StateRequest(at, largest == null ? StoreChanges.FROM_NOTHING : largest.revision());
+    return new StateRequest(at, largest == null ? StateRequest.NO_ITEM : largest.revision());
   }
 
   /** The items by key order of no meaning; empty before the first whole read. */
@@ -315,8 +386,8 @@
     return List.copyOf(items.values());
   }
 
-  /** Revision of the items; -1 before the first whole read. */
-  public long at() {
+  /** Position of the items; {@link StorePosition#NOTHING} before the first whole read. */
+  public StorePosition at() {
     return at;
   }
 
--- /dev/null
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/RestoredStoreWatcherTest.java
@@ -0,0 +1,176 @@
+package io.umberpath.control.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.control.store.StoreWatcher.Adoption;
+import io.umberpath.control.store.StoreWatcher.Step;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** A store that comes back from an older copy gives its revisions out again, in a newer era. */
+final class RestoredStoreWatcherTest {
+  private static final StoreWatcherSettings SETTINGS =
+      new StoreWatcherSettings(4_000, 200, 100, 1_000);
+
+  private final StoreWatcher watcher = watcher();
+
+  private static StoreWatcher watcher() {
+    return new StoreWatcher("", SETTINGS, () -> 1);
+  }
+
+  private static StoreItem item(String key, String value, long revision) {
+    return new StoreItem(key, value, revision);
+  }
+
+  private static StorePosition position(long era, long revision) {
+    return new StorePosition(era, revision);
+  }
+
+  private static StoreAnswer.Page page(StorePosition at, StoreItem... items) {
+    return new StoreAnswer.Page(List.of(items), false, at);
+  }
+
+  private static StoreAnswer.Events events(StorePosition at, StoreEvent... events) {
+    return new StoreAnswer.Events(List.of(events), at);
+  }
+
+  private static StoreItem large(String end, long revision) {
+    return item("large", "{some text}".repeat(1_000) + end, revision);
+  }
+
+  private StoreCall call() {
+    return ((Step.Call) watcher.next(0)).call();
+  }
+
+  /** Holds revision 20 of era 1 and has just been told that the store does not have it. */
+  private void loseTheHistory() {
+    watcher.answered(0, page(position(1, 20), item("a", "1", 18), item("b", "1", 20)));
+    call();
+    watcher.answered(0, new StoreAnswer.HistoryGone(2));
+  }
+
+  @Test
+  void aReadOfANewerEraReplacesAStateOfAHigherRevision() {
+    loseTheHistory();
+    assertThat(call()).isEqualTo(new StoreCall.Read("", Optional.empty()));
+
+    assertThat(watcher.answered(0, page(position(2, 18), item("a", "1", 18)))).isTrue();
+
+    assertThat(watcher.items()).containsExactly(item("a", "1", 18));
+    assertThat(watcher.at()).isEqualTo(position(2, 18));
+    assertThat(call()).isEqualTo(new StoreCall.Watch("", 18, 6_000));
+  }
+
+  /** The revisions of the new era have passed the one that is held: nothing is refused. */
+  @Test
+  void eventsOfANewerEraAreNotAppliedToAStateOfTheOneBefore() {
+    watcher.answered(0, page(position(1, 20), item("a", "1", 18)));
+    call();
+
+    boolean changed =
+        watcher.answered(0, events(position(2, 22), new StoreEvent.Put(item("a", "3", 22))));
+
+    assertThat(changed).isFalse();
+    assertThat(call()).isInstanceOf(StoreCall.Read.class);
+  }
+
+  @Test
+  void eventsAfterARevisionOfTheEraBeforeAreNotAppliedToAnAdoptedState() {
+    watcher.answered(0, page(position(1, 20), item("a", "1", 18)));
+    call();
+    watcher.adopt(changes(position(2, 15), item("a", "1", 15)));
+
+    boolean changed =
+        watcher.answered(0, events(position(2, 22), new StoreEvent.Put(item("b", "3", 22))));
+
+    assertThat(changed).isFalse();
+    assertThat(watcher.at()).isEqualTo(position(2, 15));
+    assertThat(call()).isEqualTo(new StoreCall.Watch("", 15, 6_000));
+  }
+
+  /** An instance that has not been switched over yet, or an answer that was long under way. */
+  @Test
+  void anAnswerOfAnEraThatIsOverSaysNothing() {
+    loseTheHistory();
+    watcher.answered(0, page(position(2, 18), item("a", "1", 18)));
+
+    assertThat(watcher.answered(0, page(position(1, 30), item("a", "9", 30)))).isFalse();
+    assertThat(watcher.answered(0, new StoreAnswer.HistoryGone(1))).isFalse();
+    StoreEvent late = new StoreEvent.Put(item("a", "9", 30));
+    assertThat(watcher.answered(0, events(position(1, 30), late))).isFalse();
+
+    assertThat(watcher.at()).isEqualTo(position(2, 18));
+    assertThat(watcher.next(0)).isInstanceOf(Step.Wait.class);
+  }
+
+  @Test
+  void pagesOfTwoErasAreNotPutTogether() {
+    watcher.answered(0, new StoreAnswer.Page(List.of(item("a", "1", 18)), true, position(1, 20)));
+
+    watcher.answered(0, page(position(2, 19), item("b", "1", 19)));
+
+    assertThat(watcher.items()).isEmpty();
+    assertThat(call()).isEqualTo(new StoreCall.Read("", Optional.empty()));
+  }
+
+  private static StoreChanges changes(StorePosition at, StoreItem... items) {
+    return new StoreChanges(StorePosition.NOTHING, at, List.of(items), List.of());
+  }
+
+  @Test
+  void aNodeOfTheEraBeforeTakesTheWholeStateAndGivesNoneToThoseAhead() {
+    loseTheHistory();
+    watcher.answered(0, page(position(2, 18), item("a", "1", 18)));
+    StoreWatcher behind = watcher();
+    behind.adopt(changes(position(1, 25), item("a", "2", 25)));
+
+    StoreChanges given = watcher.changesSince(behind.request());
+    StoreChanges returned = behind.changesSince(watcher.request());
+
+    assertThat(given.isWhole()).isTrue();
+    assertThat(returned.items()).isEmpty();
+    assertThat(watcher.adopt(returned)).isEqualTo(Adoption.UNCHANGED);
+    assertThat(watcher.adopt(behind.changesSince(StateRequest.WHOLE)))
+        .isEqualTo(Adoption.UNCHANGED);
+    assertThat(behind.adopt(given)).isEqualTo(Adoption.CHANGED);
+    assertThat(behind.at()).isEqualTo(position(2, 18));
+  }
+
+  @Test
+  void noPatchLeadsFromOneEraToAnother() {
+    watcher.answered(0, page(position(1, 20), large("old", 20)));
+    watcher.answered(0, new StoreAnswer.HistoryGone(2));
+    watcher.answered(0, page(position(2, 19), large("copy", 19)));
+    call();
+    watcher.answered(0, events(position(2, 20), new StoreEvent.Put(large("new", 20))));
+    StoreWatcher other = watcher();
+    other.answered(0, page(position(1, 19), large("else", 19)));
+
+    StoreChanges changes = watcher.changesSince(other.request());
+
+    assertThat(changes.patches()).isEmpty();
+    assertThat(other.adopt(changes)).isEqualTo(Adoption.CHANGED);
+    assertThat(other.items()).containsExactly(large("new", 20));
+  }
+
+  /** A store that names no era, or whose history goes again and again. */
+  @Test
+  void aStoreThatRefusesEachWatchIsReadEverMoreRarely() {
+    int calls = 0;
+    long now = 0;
+    while (now < 10_000) {
+      Step step = watcher.next(now);
+      if (step instanceof Step.Wait wait) {
+        now = wait.untilMillis();
+        continue;
+      }
+      calls++;
+      now++;
+      boolean reads = ((Step.Call) step).call() instanceof StoreCall.Read;
+      watcher.answered(
+          now, reads ? page(position(0, 5)) : new StoreAnswer.HistoryGone(StorePosition.NO_ERA));
+    }
+    assertThat(calls).isLessThan(40);
+  }
+}
--- a/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
@@ -31,11 +31,11 @@
   }
 
   private static StoreChanges whole(long at, StoreItem... items) {
-    return new StoreChanges(StoreChanges.FROM_NOTHING, at, List.of(items), List.of());
+    return new StoreChanges(StorePosition.NOTHING, position(at), List.of(items), List.of());
   }
 
   private static StateRequest since(long revision) {
-    return new StateRequest(revision, StoreChanges.FROM_NOTHING);
+    return new StateRequest(position(revision), StateRequest.NO_ITEM);
   }
 
   /** An item long enough for patches, of which only the end differs. */
@@ -86,7 +86,7 @@
         0, events(12, new StoreEvent.Put(item("a", "2", 11)), new StoreEvent.Gone("b", 12)));
 
     assertThat(watcher.items()).containsExactly(item("a", "2", 11));
-    assertThat(watcher.at()).isEqualTo(12);
+    assertThat(watcher.at()).isEqualTo(position(12));
   }
 
   /** When many back ends start at once each change should be heard soon. */
@@ -169,7 +169,7 @@
 
     assertThat(changed).isFalse();
     assertThat(watcher.items()).isEmpty();
-    assertThat(watcher.at()).isEqualTo(20);
+    assertThat(watcher.at()).isEqualTo(position(20));
   }
 
   @Test
@@ -197,7 +197,7 @@
     assertThat(changes.items()).containsExactly(item("a", "2", 14));
     assertThat(changes.gone()).containsExactly(new StoreEvent.Gone("b", 12));
     assertThat(behind.adopt(changes)).isEqualTo(Adoption.CHANGED);
-    assertThat(behind.at()).isEqualTo(14);
+    assertThat(behind.at()).isEqualTo(position(14));
     assertThat(behind.items()).containsExactlyInAnyOrderElementsOf(watcher.items());
     assertThat(behind.changesSince(since(10))).isEqualTo(changes);
   }
@@ -226,9 +226,9 @@
   void changesThatBeginAfterWhatIsHeldAreNotTaken() {
     watcher.answered(0, page(false, 10, item("a", "1", 3)));
 
-    assertThat(watcher.adopt(new StoreChanges(12, 14, List.of(), List.of())))
+    assertThat(watcher.adopt(new StoreChanges(position(12), position(14), List.of(), List.of())))
         .isEqualTo(Adoption.UNCHANGED);
-    assertThat(watcher.at()).isEqualTo(10);
+    assertThat(watcher.at()).isEqualTo(position(10));
   }
 
   private StoreWatcher watcherOf(StoreItem item, long at) {
@@ -283,7 +283,7 @@
 
     assertThat(other.adopt(changes)).isEqualTo(Adoption.UNFIT);
     assertThat(other.items()).containsExactly(otherText);
-    assertThat(other.at()).isEqualTo(5);
+    assertThat(other.at()).isEqualTo(position(5));
     assertThat(other.adopt(watcher.changesSince(StateRequest.WHOLE))).isEqualTo(Adoption.CHANGED);
     assertThat(other.items()).containsExactlyInAnyOrderElementsOf(watcher.items());
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/EncodedChanges.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/EncodedChanges.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.control.store.StoreChanges;
+import io.umberpath.control.store.StorePosition;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -17,7 +18,7 @@
    *
    * @param firstPatched revision of the item that the first patch applies to; -1 without patches
    */
-  private record Span(long after, long at, long firstPatched) {}
+  private record Span(StorePosition after, StorePosition at, long firstPatched) {}
 
   private final Map<Span, byte[]> bySpan =
       new LinkedHashMap<>() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -134,7 +134,7 @@
     if (answer instanceof StoreAnswer.HistoryGone gone) {
       line(MeshEvent.STORE_HISTORY_GONE)
           .with(POSITION, held.toString())
-          .log("the store is in era %d", gone.era());
+          .log("the store is in era %d", gone.storeEra());
     }
     if (answer instanceof StoreAnswer.Page page && !page.more() && held.isAfter(page.at())) {
       line(MeshEvent.STORE_READ_DROPPED)
@@ -192,7 +192,8 @@
   }
 
   void backendsChanged(
-      BackendDirectory before, BackendDirectory after, long revision, String source) {
+      BackendDirectory before, BackendDirectory after, StorePosition position, String source) {
+    long revision = position.revision();
     for (BackendEntry entry : after.all()) {
       Optional<BackendEntry> old = before.byId(entry.id());
       boolean restarted = old.filter(each -> !each.start().equals(entry.start())).isPresent();
@@ -290,7 +291,7 @@
     line(MeshEvent.STATE_ADOPTED)
         .with(LogFields.ADDRESS, peer)
         .with(CONFIGURATION, version)
-        .with(REVISION, changes.at())
+        .with(POSITION, changes.at().toString())
         .log(
             "%s: %d items, %d patches",
             changes.isWhole() ? "whole state" : "changes",
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -31,7 +31,9 @@
   /** The items that are back ends' entries; empty where one names none. */
   private final Map<StoreItem, Optional<BackendEntry>> parsed = new HashMap<>();
 
-  private long seenRevision = -1;
+  /** The configuration's item that was looked at last; null before the first. */
+  private StoreItem seenConfiguration;
+
   private volatile MeshView view = MeshView.NOTHING;
 
   MeshState(StoreDocuments documents, StoreWatcher watcher, MeshEvents events) {
@@ -59,7 +61,7 @@
     StoreWatcher.Adoption adoption = watcher.adopt(changes);
     if (adoption == StoreWatcher.Adoption.CHANGED) {
       refresh(peer);
-    } else if (watcher.at() != view.revision()) {
+    } else if (!watcher.at().equals(view.position())) {
       view = new MeshView(view.configuration(), view.table(), view.backends(), watcher.at());
     }
     return adoption != StoreWatcher.Adoption.UNFIT;
@@ -129,10 +131,10 @@
   }
 
   private RoutingConfiguration newer(RoutingConfiguration held, StoreItem item, String source) {
-    if (item.revision() == seenRevision) {
+    if (item.equals(seenConfiguration)) {
       return held;
     }
-    seenRevision = item.revision();
+    seenConfiguration = item;
     Either<String, RoutingConfiguration> read = documents.configuration(item);
     if (read.isLeft()) {
       events.configurationRefused(item.revision(), read.getLeft(), source);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshView.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshView.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.umberpath.traffic.routing.RoutingTable;
 
@@ -9,14 +10,15 @@
  * @param configuration the configuration in force, or null before the first
  * @param table its routes, or null before the first
  * @param backends the back ends
- * @param revision the store's revision of the back ends; -1 before the first read
+ * @param position the store's position of the back ends
  */
 record MeshView(
     RoutingConfiguration configuration,
     RoutingTable table,
     BackendDirectory backends,
-    long revision) {
-  static final MeshView NOTHING = new MeshView(null, null, BackendDirectory.EMPTY, -1);
+    StorePosition position) {
+  static final MeshView NOTHING =
+      new MeshView(null, null, BackendDirectory.EMPTY, StorePosition.NOTHING);
 
   /** Whether requests can be routed. */
   boolean isComplete() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -3,6 +3,7 @@
 import io.umberpath.control.membership.ReportSchedule;
 import io.umberpath.control.membership.SilenceTimes;
 import io.umberpath.control.store.ReaderElection;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
@@ -28,8 +29,8 @@
 
   /** Hears of a node that holds something newer. */
   interface AheadListener {
-    /** A node, of the own zone or not, states a version and a revision. */
-    void ahead(String host, boolean near, long version, long revision);
+    /** A node, of the own zone or not, states a version and a position. */
+    void ahead(String host, boolean near, long version, StorePosition position);
   }
 
   private final Supplier<MeshView> view;
@@ -47,7 +48,7 @@
   private final RequestQuarantine quarantine;
   private final SuspectExchange suspects;
   private final ReportSocket socket;
-  private volatile AheadListener aheadListener = (host, near, version, revision) -> {};
+  private volatile AheadListener aheadListener = (host, near, version, position) -> {};
   private int leavingRounds;
 
   /** Tells the reports of this process from those of the one before it. */
@@ -201,8 +202,8 @@
         balancer.stated(atMillis, backend.id(), report.load());
       }
     }
-    if (report.version() > current.version() || report.revision() > current.revision()) {
-      aheadListener.ahead(host, watch.isNear(host), report.version(), report.revision());
+    if (report.version() > current.version() || report.position().isAfter(current.position())) {
+      aheadListener.ahead(host, watch.isNear(host), report.version(), report.position());
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.traffic.routing.GateLoad;
@@ -15,7 +16,7 @@
  * @param load load of the back end beside it
  * @param leaving whether it takes no new work for that back end
  * @param version its configuration's version; -1 before the first
- * @param revision its back ends' revision; -1 before the first read
+ * @param position the store's position of its back ends
  * @param contact how its calls to the store go
  * @param unlistedZone its zone, where the store does not list it as far as it knows; empty else, as
  *     that would be told in each report between zones
@@ -26,7 +27,7 @@
     GateLoad load,
     boolean leaving,
     long version,
-    long revision,
+    StorePosition position,
     ReportedContact contact,
     long suspects,
     Optional<String> unlistedZone,
@@ -49,7 +50,8 @@
     out.writeNumber(load.failurePercent());
     out.writeBoolean(leaving);
     out.writeNumber(version);
-    out.writeNumber(revision);
+    out.writeNumber(position.era());
+    out.writeNumber(position.revision());
     out.writeNumber(contact.state().ordinal());
     out.writeNumber(contact.forMillis());
     out.writeNumber(suspects);
@@ -77,7 +79,8 @@
         new GateLoad(running, queued, slots, serviceMicros, slowness, 0).withFailures(failures);
     boolean leaving = Boolean.TRUE.equals(in.nextBooleanValue());
     long version = number(in);
-    long revision = number(in);
+    long era = number(in);
+    StorePosition position = new StorePosition(era, number(in));
     ReportedContact contact = contact(in);
     long suspects = number(in);
     Optional<String> unlistedZone = Optional.empty();
@@ -89,7 +92,7 @@
       attested = isZone ? Optional.empty() : Optional.of(attested(first, in));
     }
     return new PeerReport(
-        load, leaving, version, revision, contact, suspects, unlistedZone, attested);
+        load, leaving, version, position, contact, suspects, unlistedZone, attested);
   }
 
   private static ReportedContact contact(JsonParser in) throws IOException {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateChangesCodec.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateChangesCodec.java
@@ -5,13 +5,18 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import io.umberpath.control.store.ItemPatch;
+import io.umberpath.control.store.StateRequest;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreEvent;
 import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.TextPatch;
 import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.Deflater;
@@ -36,8 +41,8 @@
     Deflater deflater = new Deflater(Deflater.BEST_SPEED);
     try (JsonGenerator out = CBOR.createGenerator(new DeflaterOutputStream(bytes, deflater))) {
       out.writeStartArray();
-      out.writeNumber(changes.after());
-      out.writeNumber(changes.at());
+      write(out, changes.after());
+      write(out, changes.at());
       for (StoreEvent.Gone gone : changes.gone()) {
         write(out, gone.key(), null, gone.revision());
       }
@@ -56,6 +61,35 @@
     return bytes.toByteArray();
   }
 
+  /** Writes a request: three numbers of eight bytes. */
+  static void write(StateRequest request, OutputStream stream) throws IOException {
+    DataOutputStream out = new DataOutputStream(stream);
+    out.writeLong(request.after().era());
+    out.writeLong(request.after().revision());
+    out.writeLong(request.largestRevision());
+  }
+
+  /**
+   * Reads a request.
+   *
+   * @throws IOException if it does not come whole
+   */
+  static StateRequest readRequest(InputStream stream) throws IOException {
+    DataInputStream in = new DataInputStream(stream);
+    StorePosition after = new StorePosition(in.readLong(), in.readLong());
+    return new StateRequest(after, in.readLong());
+  }
+
+  private static void write(JsonGenerator out, StorePosition position) throws IOException {
+    out.writeNumber(position.era());
+    out.writeNumber(position.revision());
+  }
+
+  private static StorePosition position(JsonParser in) throws IOException {
+    long era = number(in);
+    return new StorePosition(era, number(in));
+  }
+
   private static void write(JsonGenerator out, String key, String value, long revision)
       throws IOException {
     out.writeString(key);
@@ -112,8 +146,8 @@
   static StoreChanges read(InputStream stream) throws IOException {
     JsonParser in = CBOR.createParser(new InflaterInputStream(stream));
     require(in.nextToken() == JsonToken.START_ARRAY);
-    final long after = number(in);
-    final long at = number(in);
+    final StorePosition after = position(in);
+    final StorePosition at = position(in);
     List<StoreItem> items = new ArrayList<>();
     List<StoreEvent.Gone> gone = new ArrayList<>();
     List<ItemPatch> patches = new ArrayList<>();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -2,10 +2,10 @@
 
 import io.umberpath.control.store.StateRequest;
 import io.umberpath.control.store.StoreChanges;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.PeerAddress;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
-import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -123,14 +123,14 @@
   }
 
   /** Another node holds something newer. */
-  synchronized void ahead(String host, boolean isNear, long version, long revision) {
+  synchronized void ahead(String host, boolean isNear, long version, StorePosition position) {
     if (behindSinceMillis < 0) {
       behindSinceMillis = clockMillis.getAsLong();
     }
     if (isNear) {
-      near.state(host, version, revision);
+      near.state(host, version, position);
     } else {
-      far.state(host, version, revision);
+      far.state(host, version, position);
     }
     notifyAll();
   }
@@ -236,14 +236,12 @@
       socket.connect(new InetSocketAddress(source.host(), source.port()), TIMEOUT_MILLIS);
       socket.setSoTimeout(TIMEOUT_MILLIS);
       StateRequest request = wantsWhole ? StateRequest.WHOLE : state.request();
-      DataOutputStream out =
-          new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
-      out.writeLong(request.after());
-      out.writeLong(request.largestRevision());
+      BufferedOutputStream out = new BufferedOutputStream(socket.getOutputStream());
+      StateChangesCodec.write(request, out);
       out.flush();
       StoreChanges changes =
           StateChangesCodec.read(new BufferedInputStream(socket.getInputStream()));
-      if (changes.at() <= state.view().revision()) {
+      if (!changes.at().isAfter(state.view().position())) {
         return false;
       }
       wantsWhole = !state.adopt(changes, source.toString());
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
@@ -2,7 +2,6 @@
 
 import io.umberpath.control.store.StateRequest;
 import io.umberpath.model.PeerAddress;
-import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -14,8 +13,8 @@
 import java.util.function.Function;
 
 /**
- * Gives what this node holds to each node that connects: that one sends the revisions that it
- * holds, two numbers of eight bytes, and gets the encoded changes since.
+ * Gives what this node holds to each node that connects: that one sends what it holds (see {@link
+ * StateChangesCodec#write}), and gets the encoded changes since.
  */
 final class StateServer implements AutoCloseable {
   private static final int BACKLOG = 64;
@@ -80,8 +79,7 @@
   private void give(Socket peer) {
     try (peer) {
       peer.setSoTimeout(REQUEST_TIMEOUT_MILLIS);
-      DataInputStream in = new DataInputStream(peer.getInputStream());
-      StateRequest request = new StateRequest(in.readLong(), in.readLong());
+      StateRequest request = StateChangesCodec.readRequest(peer.getInputStream());
       peer.getOutputStream().write(changesSince.apply(request));
     } catch (IOException gone) {
       // The other node logs why its transfer failed, and tries again, here or elsewhere.
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.control.store.StorePosition;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -18,9 +19,9 @@
  */
 final class StateSources {
   /** What a node stated last. */
-  private record Stated(String host, long version, long revision) {
+  private record Stated(String host, long version, StorePosition position) {
     boolean isAheadOf(MeshView view) {
-      return view.version() < version || view.revision() < revision;
+      return view.version() < version || position.isAfter(view.position());
     }
   }
 
@@ -28,8 +29,8 @@
   private final Set<String> tried = new HashSet<>();
 
   /** A node states what it holds. */
-  void state(String host, long version, long revision) {
-    statedByHost.put(host, new Stated(host, version, revision));
+  void state(String host, long version, StorePosition position) {
+    statedByHost.put(host, new Stated(host, version, position));
   }
 
   /** Whether a node holds something newer. */
@@ -60,7 +61,7 @@
     Collections.shuffle(candidates, ThreadLocalRandom.current());
     return candidates.stream()
         .max(
-            Comparator.comparingLong(Stated::revision)
+            Comparator.comparing(Stated::position)
                 .thenComparingLong(Stated::version)
                 .thenComparing(stated -> stated.host().equals(lastSource)))
         .map(Stated::host);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -134,7 +134,7 @@
 
   private void step() throws InterruptedException {
     if (!mayRead()) {
-      boolean starts = state.view().revision() < 0;
+      boolean starts = !state.view().position().isKnown();
       Thread.sleep(starts ? START_CHECK_MILLIS : IDLE_CHECK_MILLIS);
       return;
     }
@@ -150,7 +150,7 @@
       return;
     }
     StoreCall call = ((Step.Call) step).call();
-    StoreAnswer answer = client.call(call);
+    StoreAnswer answer = ofThisEra(client.call(call));
     if (closed) {
       return;
     }
@@ -159,10 +159,10 @@
     boolean advanced;
     StorePosition held;
     synchronized (state) {
-      long before = state.watcher().at();
+      StorePosition before = state.watcher().at();
       boolean changed = state.watcher().answered(now, answer);
-      advanced = changed || state.watcher().at() != before;
-      held = new StorePosition(StorePosition.NO_ERA, state.watcher().at());
+      advanced = changed || !state.watcher().at().equals(before);
+      held = state.watcher().at();
       if (advanced) {
         state.refresh("store");
       }
@@ -173,6 +173,17 @@
     }
   }
 
+  /** An answer of an era that is over is none: of a late one, or of one from an old instance. */
+  private StoreAnswer ofThisEra(StoreAnswer answer) {
+    synchronized (state) {
+      return state.watcher().isOutdated(answer)
+          ? new StoreAnswer.Unavailable(
+              "answer of era %d, and %d has begun"
+                  .formatted(answer.era().getAsLong(), state.watcher().at().era()))
+          : answer;
+    }
+  }
+
   private boolean mayRead() {
     ReadDecision current = decision.get();
     boolean now = current.reads();
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RequestLimits;
@@ -67,11 +68,16 @@
     RoutingConfiguration configuration =
         new RoutingConfiguration(
             1, new RequestLimits(1, 1, 1, 1), List.of(), Map.of("booking", service));
-    return new MeshView(configuration, null, new BackendDirectory(List.of(entries), evacuated), 1);
+    return new MeshView(
+        configuration,
+        null,
+        new BackendDirectory(List.of(entries), evacuated),
+        new StorePosition(0, 1));
   }
 
   private static MeshView viewOf(BackendEntry... entries) {
-    return new MeshView(null, null, new BackendDirectory(List.of(entries), Set.of()), 1);
+    return new MeshView(
+        null, null, new BackendDirectory(List.of(entries), Set.of()), new StorePosition(0, 1));
   }
 
   /** The entry of a back end that was replaced stands in the store for some seconds more. */
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -4,6 +4,7 @@
 
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.routing.BackendEntry;
 import java.util.List;
@@ -17,7 +18,8 @@
           new MeshEvents(() -> 0));
 
   private static StoreChanges whole(long at, List<StoreItem> items) {
-    return new StoreChanges(StoreChanges.FROM_NOTHING, at, items, List.of());
+    return new StoreChanges(
+        StorePosition.NOTHING, new StorePosition(StorePosition.NO_ERA, at), items, List.of());
   }
 
   private List<String> ready() {
@@ -99,7 +101,7 @@
 
     // An earlier start at the same address, which is not listed.
     state.adopt(whole(5, List.of(backend, new StoreItem("old", "80", 2))), "peer");
-    assertThat(state.view().revision()).isEqualTo(5);
+    assertThat(state.view().position().revision()).isEqualTo(5);
     assertThat(state.view().backends()).isSameAs(before);
 
     // Written anew, though with the same text.
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -7,6 +7,7 @@
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreEvent;
 import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.TextPatch;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
@@ -37,7 +38,7 @@
         new GateLoad(5, 2, 6, 61_000, 400, 0),
         leaving,
         42,
-        1_000_000_007,
+        new StorePosition(3, 1_000_000_007),
         new ReportedContact(ReportedContact.State.LOST, 1_200),
         0,
         Optional.empty(),
@@ -61,7 +62,7 @@
             listed.load(),
             false,
             listed.version(),
-            listed.revision(),
+            listed.position(),
             listed.contact(),
             listed.suspects(),
             Optional.of("z"),
@@ -186,8 +187,8 @@
   void changesAreReadAsTheyWereWritten() throws IOException {
     StoreChanges changes =
         new StoreChanges(
-            7,
-            12,
+            new StorePosition(2, 7),
+            new StorePosition(2, 12),
             List.of(new StoreItem("a", "1", 8), new StoreItem("b", "", 12)),
             List.of(new StoreEvent.Gone("c", 9)),
             List.of(new ItemPatch("d", 6, 11, TextPatch.between("{old}{text}", "{text}{new}"))));
@@ -201,7 +202,11 @@
   void changesThatAreCutShortAreRefusedWhole() {
     byte[] whole =
         StateChangesCodec.encode(
-            new StoreChanges(-1, 12, List.of(new StoreItem("a", "1", 3)), List.of()));
+            new StoreChanges(
+                StorePosition.NOTHING,
+                new StorePosition(0, 12),
+                List.of(new StoreItem("a", "1", 3)),
+                List.of()));
 
     for (int length = 0; length < whole.length; length++) {
       ByteArrayInputStream part = new ByteArrayInputStream(whole, 0, length);
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerReportsTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerReportsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.traffic.routing.GateLoad;
 import java.io.IOException;
 import java.util.Optional;
@@ -13,7 +14,8 @@
 
   private static PeerReport report(ReportedContact contact, int running) {
     GateLoad load = new GateLoad(running, 0, 6, 60_000, GateLoad.USUAL_PERCENT, 0);
-    return new PeerReport(load, false, 1, 1, contact, 0, Optional.empty(), Optional.empty());
+    return new PeerReport(
+        load, false, 1, new StorePosition(1, 1), contact, 0, Optional.empty(), Optional.empty());
   }
 
   /** Stamps of one run whose counts are the times. */
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -4,10 +4,10 @@
 
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.traffic.ColdStartLimiter;
-import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -24,9 +24,7 @@
   private static final int SLOW_MILLIS = 800;
   private static final long GIVE_UP_MILLIS = 20_000;
   private static final LongSupplier CLOCK = () -> System.nanoTime() / 1_000_000;
-  private static final StoreChanges CHANGES =
-      new StoreChanges(
-          StoreChanges.FROM_NOTHING, 4, List.of(new StoreItem("a", "80", 3)), List.of());
+  private static final StoreChanges CHANGES = changesTo(4);
 
   private static MeshSettings settings(int exchangePort) {
     PeerAddress nowhere = new PeerAddress("127.0.0.1", 1);
@@ -53,7 +51,7 @@
   private static void serveSlowly(ServerSocket server) {
     while (!server.isClosed()) {
       try (Socket peer = server.accept()) {
-        new DataInputStream(peer.getInputStream()).readLong();
+        StateChangesCodec.readRequest(peer.getInputStream());
         Thread.sleep(SLOW_MILLIS);
         peer.getOutputStream().write(StateChangesCodec.encode(CHANGES));
       } catch (IOException closedOrGone) {
@@ -82,28 +80,32 @@
       thread.setDaemon(true);
       thread.start();
       puller.start();
-      puller.ahead("127.0.0.1", true, -1, 4);
+      puller.ahead("127.0.0.1", true, -1, position(4));
 
       long end = CLOCK.getAsLong() + GIVE_UP_MILLIS;
-      while (state.view().revision() < 4 && CLOCK.getAsLong() < end) {
+      while (state.view().position().revision() < 4 && CLOCK.getAsLong() < end) {
         Thread.sleep(10);
       }
 
-      assertThat(state.view().revision()).isEqualTo(4);
+      assertThat(state.view().position().revision()).isEqualTo(4);
     }
   }
 
+  private static StorePosition position(long revision) {
+    return new StorePosition(StorePosition.NO_ERA, revision);
+  }
+
   private static StoreChanges changesTo(long revision) {
     return new StoreChanges(
-        StoreChanges.FROM_NOTHING, revision, List.of(new StoreItem("a", "80", 3)), List.of());
+        StorePosition.NOTHING, position(revision), List.of(new StoreItem("a", "80", 3)), List.of());
   }
 
   private static void awaitRevision(MeshState state, long revision) throws InterruptedException {
     long end = CLOCK.getAsLong() + GIVE_UP_MILLIS;
-    while (state.view().revision() < revision && CLOCK.getAsLong() < end) {
+    while (state.view().position().revision() < revision && CLOCK.getAsLong() < end) {
       Thread.sleep(10);
     }
-    assertThat(state.view().revision()).isEqualTo(revision);
+    assertThat(state.view().position().revision()).isEqualTo(revision);
   }
 
   /**
@@ -129,14 +131,14 @@
         StatePuller puller =
             new StatePuller(settings(near.port()), state, () -> false, events, now::get)) {
       puller.start();
-      puller.ahead("127.0.0.2", false, -1, 5);
+      puller.ahead("127.0.0.2", false, -1, position(5));
       now.set(900);
-      puller.ahead("127.0.0.1", true, -1, 4);
+      puller.ahead("127.0.0.1", true, -1, position(4));
       awaitRevision(state, 4);
 
       now.set(1_500);
       Thread.sleep(SLOW_MILLIS);
-      assertThat(state.view().revision()).isEqualTo(4);
+      assertThat(state.view().position().revision()).isEqualTo(4);
 
       now.set(10_000);
       awaitRevision(state, 5);
@@ -184,8 +186,8 @@
       thread.setDaemon(true);
       thread.start();
       puller.start();
-      puller.ahead("127.0.0.2", otherIsNear, -1, 5);
-      puller.ahead("127.0.0.1", true, -1, 6);
+      puller.ahead("127.0.0.2", otherIsNear, -1, position(5));
+      puller.ahead("127.0.0.1", true, -1, position(6));
       for (int turn = 1; turn <= deadTurns; turn++) {
         awaitCount(asked, turn);
         now.addAndGet(500);
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StateSourcesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StateSourcesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.umberpath.control.store.StorePosition;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -12,6 +13,10 @@
 final class StateSourcesTest {
   private final StateSources sources = new StateSources();
 
+  private static StorePosition position(long revision) {
+    return new StorePosition(StorePosition.NO_ERA, revision);
+  }
+
   private String next() {
     String host = sources.next(MeshView.NOTHING, "last", "silent"::equals).orElse("");
     sources.asked(host);
@@ -20,9 +25,9 @@
 
   @Test
   void oneThatDoesNotAnswerIsFollowedByTheNextFurthest() {
-    sources.state("a", 5, 50);
-    sources.state("b", 4, 40);
-    sources.state("c", 3, 30);
+    sources.state("a", 5, position(50));
+    sources.state("b", 4, position(40));
+    sources.state("c", 3, position(30));
 
     assertThat(next()).isEqualTo("a");
     assertThat(next()).isEqualTo("b");
@@ -32,17 +37,17 @@
 
   @Test
   void ofEqualsTheLastSourceComesFirst() {
-    sources.state("a", 5, 50);
-    sources.state("last", 5, 50);
-    sources.state("b", 5, 50);
+    sources.state("a", 5, position(50));
+    sources.state("last", 5, position(50));
+    sources.state("b", 5, position(50));
 
     assertThat(next()).isEqualTo("last");
   }
 
   @Test
   void aSilentNodeIsNotAsked() {
-    sources.state("silent", 5, 50);
-    sources.state("a", 4, 40);
+    sources.state("silent", 5, position(50));
+    sources.state("a", 4, position(40));
 
     assertThat(next()).isEqualTo("a");
     assertThat(next()).isEqualTo("a");
@@ -50,8 +55,8 @@
 
   @Test
   void afterATransferThatGaveSomethingAllMayBeAskedAgain() {
-    sources.state("a", 5, 50);
-    sources.state("b", 4, 40);
+    sources.state("a", 5, position(50));
+    sources.state("b", 4, position(40));
 
     assertThat(next()).isEqualTo("a");
     sources.beginAnew();
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/ZoneReadersTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/ZoneReadersTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreReaders;
 import io.umberpath.traffic.routing.GateLoad;
 import java.io.IOException;
@@ -40,7 +41,7 @@
             LOAD,
             false,
             1,
-            1,
+            new StorePosition(1, 1),
             new ReportedContact(state, 0),
             0,
             Optional.empty(),
