--- /dev/null
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/BackendListing.java
@@ -0,0 +1,265 @@
+package io.umberpath.control.store;
+
+import io.umberpath.control.store.DepartedStarts.Departed;
+import io.umberpath.control.store.DepartedStarts.Departure;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.BackendStart;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BinaryOperator;
+import java.util.function.Predicate;
+
+/**
+ * Which back ends a node believes in. Within an era of the store these are its entries. When it
+ * comes back from an older copy, starts that have departed stay so whatever the copy says of them,
+ * and what the copy does not have yet is kept until it must have been written again. Pure; owner
+ * synchronizes.
+ */
+public final class BackendListing {
+  /**
+   * How long entries and evacuations are kept that a copy does not have, milliseconds: who lives
+   * and reaches the store has written them again two seconds after its return.
+   */
+  public static final long KEPT_MILLIS = 2_000;
+
+  /**
+   * How long an entry stands that nobody renews, milliseconds: three heartbeats of 1.5 s, and half
+   * a second until the store has noticed. One that stands for longer is renewed by its back end.
+   */
+  public static final long UNRENEWED_MILLIS = 5_000;
+
+  /**
+   * Departures told to a node that starts, besides those that the store's entries contradict: what
+   * departs in the seconds of which a copy may know nothing.
+   */
+  private static final int MAX_TOLD = 64;
+
+  private static final long NEVER = Long.MAX_VALUE;
+
+  /**
+   * An entry of the store.
+   *
+   * @param revision the store's revision when it was written
+   */
+  public record Listed(BackendEntry entry, long revision) {}
+
+  /**
+   * What the store shows.
+   *
+   * @param at position at which it shows that
+   * @param listed its entries
+   * @param evacuatedZones zones whose back ends are to get no new work
+   */
+  public record Shown(StorePosition at, List<Listed> listed, Set<String> evacuatedZones) {}
+
+  /** What a node believes of it. */
+  public record Believed(List<BackendEntry> entries, Set<String> evacuatedZones) {}
+
+  private final DepartedStarts departed = new DepartedStarts();
+
+  /** By entries that the store shows as ready: the same, of starts that are known to leave. */
+  private Map<BackendEntry, BackendEntry> leaving = new HashMap<>();
+
+  /** Departures that entries of the store contradict. */
+  private final Set<Departed> contradicted = new LinkedHashSet<>();
+
+  private StorePosition at = StorePosition.NOTHING;
+
+  /** Revision up to which entries may be from the copy, not written in the present era. */
+  private long copiedRevision = -1;
+
+  private long eraSinceMillis;
+  private Set<BackendStart> shownAlive = Set.of();
+  private Believed believed = new Believed(List.of(), Set.of());
+  private List<BackendEntry> kept = List.of();
+  private Set<String> keptZones = Set.of();
+  private long dueMillis = NEVER;
+
+  /** Departures for a node that starts: it may read only a copy that does not have them. */
+  public List<Departed> told() {
+    Set<Departed> told = new LinkedHashSet<>(contradicted);
+    told.addAll(departed.latest(MAX_TOLD));
+    return List.copyOf(told);
+  }
+
+  /**
+   * Another node knows of these; {@link #update} is to follow.
+   *
+   * @return whether any of them is news
+   */
+  public boolean learn(long nowMillis, List<Departed> others) {
+    boolean isNews = false;
+    for (Departed each : others) {
+      isNews |= departed.add(nowMillis, each);
+    }
+    return isNews;
+  }
+
+  /** Whether time alone changes what is believed, so that {@link #update} is due. */
+  public boolean isDue(long nowMillis) {
+    return nowMillis >= dueMillis;
+  }
+
+  /** How many entries are kept that the store did not show when it came back. */
+  public int keptEntries() {
+    return kept.size();
+  }
+
+  /**
+   * Takes what the store shows now.
+   *
+   * @param isService whether the configuration in force names a service
+   */
+  public Believed update(long nowMillis, Shown shown, Predicate<String> isService) {
+    if (shown.at().era() != at.era() || !at.isKnown()) {
+      beginEra(nowMillis, shown.at());
+    }
+    at = shown.at();
+    dueMillis = NEVER;
+    contradicted.clear();
+    dropKept(nowMillis);
+    List<Listed> alive = alive(nowMillis, shown.listed(), isService);
+    noteDepartures(nowMillis, shown.listed(), alive);
+    List<BackendEntry> entries = new ArrayList<>();
+    Map<BackendEntry, BackendEntry> stillLeaving = new HashMap<>();
+    for (Listed each : alive) {
+      believe(nowMillis, each, stillLeaving).ifPresent(entries::add);
+    }
+    leaving = stillLeaving;
+    addKept(shown.listed(), entries);
+    Set<String> zones = new HashSet<>(shown.evacuatedZones());
+    zones.addAll(keptZones);
+    believed = new Believed(List.copyOf(entries), Set.copyOf(zones));
+    return believed;
+  }
+
+  private void beginEra(long nowMillis, StorePosition first) {
+    boolean isRestored = at.isKnown();
+    kept = isRestored ? believed.entries() : List.of();
+    keptZones = isRestored ? believed.evacuatedZones() : Set.of();
+    // What the copy does not show was perhaps only not written again yet: it has not departed.
+    shownAlive = Set.of();
+    copiedRevision = first.revision();
+    eraSinceMillis = nowMillis;
+  }
+
+  private void dropKept(long nowMillis) {
+    if (nowMillis >= eraSinceMillis + KEPT_MILLIS) {
+      kept = List.of();
+      keptZones = Set.of();
+    } else if (!kept.isEmpty() || !keptZones.isEmpty()) {
+      dueMillis = eraSinceMillis + KEPT_MILLIS;
+    }
+  }
+
+  /**
+   * Of two entries at one address only the one that was written last can be alive: the other one
+   * has ended, and its entry only stands until its lease runs out. An entry of a service that the
+   * configuration does not name is no back end's, and takes no other one's place; nor does one of a
+   * start that is known to have ended.
+   */
+  private List<Listed> alive(long nowMillis, List<Listed> listed, Predicate<String> isService) {
+    Comparator<Listed> order =
+        Comparator.comparing((Listed each) -> isService.test(each.entry().service()))
+            .thenComparing(each -> !isOf(standing(nowMillis, each), Departure.ENDED))
+            .thenComparingLong(Listed::revision);
+    Map<PeerAddress, Listed> byAddress = new HashMap<>();
+    for (Listed each : listed) {
+      byAddress.merge(each.entry().address(), each, BinaryOperator.maxBy(order));
+    }
+    return List.copyOf(byAddress.values());
+  }
+
+  private static boolean isOf(Optional<Departed> departed, Departure departure) {
+    return departed.isPresent() && departed.get().departure() == departure;
+  }
+
+  /** The departure that stands against an entry; empty if there is none, or the start is back. */
+  private Optional<Departed> standing(long nowMillis, Listed each) {
+    return departed
+        .of(each.entry().start())
+        .filter(known -> !isWrittenSince(each, known.departed().at()))
+        .filter(known -> !isRenewed(nowMillis, known))
+        .map(DepartedStarts.Known::departed);
+  }
+
+  /** Whether a back end has written its entry itself after it was taken as departed. */
+  private boolean isWrittenSince(Listed each, StorePosition departedAt) {
+    long since = departedAt.era() == at.era() ? departedAt.revision() : copiedRevision;
+    return each.revision() > since;
+  }
+
+  /** Whether an entry, of a start taken as ended, has stood for longer than nobody renews it. */
+  private boolean isRenewed(long nowMillis, DepartedStarts.Known known) {
+    return known.departed().departure() == Departure.ENDED && nowMillis >= renewedMillis(known);
+  }
+
+  private long renewedMillis(DepartedStarts.Known known) {
+    return Math.max(known.sinceMillis(), eraSinceMillis) + UNRENEWED_MILLIS;
+  }
+
+  private void noteDepartures(long nowMillis, List<Listed> listed, List<Listed> alive) {
+    Set<BackendStart> now = new HashSet<>();
+    alive.forEach(each -> now.add(each.entry().start()));
+    for (BackendStart before : shownAlive) {
+      if (!now.contains(before)) {
+        departed.add(nowMillis, new Departed(before, Departure.ENDED, at));
+      }
+    }
+    shownAlive = now;
+    for (Listed each : listed) {
+      if (each.entry().state() == BackendEntry.State.DRAINING) {
+        StorePosition writtenAt = new StorePosition(at.era(), each.revision());
+        departed.add(nowMillis, new Departed(each.entry().start(), Departure.LEAVING, writtenAt));
+      }
+    }
+  }
+
+  /** What is believed of an entry that the store shows; empty if its start has ended. */
+  private Optional<BackendEntry> believe(
+      long nowMillis, Listed each, Map<BackendEntry, BackendEntry> stillLeaving) {
+    BackendEntry entry = each.entry();
+    Optional<Departed> standing = standing(nowMillis, each);
+    if (standing.isEmpty()) {
+      departed.returned(entry.start());
+      return Optional.of(entry);
+    }
+    if (isOf(standing, Departure.ENDED)) {
+      contradicted.add(standing.get());
+      departed
+          .of(entry.start())
+          .ifPresent(known -> dueMillis = Math.min(dueMillis, renewedMillis(known)));
+      return Optional.empty();
+    }
+    if (entry.state() == BackendEntry.State.DRAINING) {
+      return Optional.of(entry);
+    }
+    contradicted.add(standing.get());
+    BackendEntry believedEntry = leaving.getOrDefault(entry, entry.leaving());
+    stillLeaving.put(entry, believedEntry);
+    return Optional.of(believedEntry);
+  }
+
+  /** Adds the entries that are kept, unless their start has ended or another one has its place. */
+  private void addKept(List<Listed> listed, List<BackendEntry> entries) {
+    Set<PeerAddress> taken = new HashSet<>();
+    entries.forEach(entry -> taken.add(entry.address()));
+    Set<String> ids = new HashSet<>();
+    listed.forEach(each -> ids.add(each.entry().id()));
+    for (BackendEntry entry : kept) {
+      boolean hasEnded =
+          isOf(departed.of(entry.start()).map(DepartedStarts.Known::departed), Departure.ENDED);
+      if (!hasEnded && !ids.contains(entry.id()) && !taken.contains(entry.address())) {
+        entries.add(entry);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/BackendListingTest.java
@@ -0,0 +1,189 @@
+package io.umberpath.control.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.control.store.BackendListing.Believed;
+import io.umberpath.control.store.BackendListing.Listed;
+import io.umberpath.control.store.BackendListing.Shown;
+import io.umberpath.model.PeerAddress;
+import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.BackendEntry.State;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** What an older copy of the store undoes of what a node believes of back ends, and what not. */
+final class BackendListingTest {
+  private final BackendListing listing = new BackendListing();
+
+  private static Listed entry(String id, int port, State state, long revision) {
+    PeerAddress address = new PeerAddress("10.0.0.1", port);
+    return new Listed(new BackendEntry(id, "booking", address, "z", 6, state, 0), revision);
+  }
+
+  private static Listed ready(String id, int port, long revision) {
+    return entry(id, port, State.READY, revision);
+  }
+
+  private static Listed draining(String id, int port, long revision) {
+    return entry(id, port, State.DRAINING, revision);
+  }
+
+  /** Ids of the back ends that take new work, in order. */
+  private List<String> ready(long now, long era, long revision, Listed... listed) {
+    return ready(believed(listing, now, era, revision, Set.of(), listed));
+  }
+
+  private static List<String> ready(Believed believed) {
+    return believed.entries().stream()
+        .filter(entry -> entry.state() == State.READY)
+        .map(BackendEntry::id)
+        .sorted()
+        .toList();
+  }
+
+  private static Believed believed(
+      BackendListing listing,
+      long now,
+      long era,
+      long revision,
+      Set<String> zones,
+      Listed... listed) {
+    Shown shown = new Shown(new StorePosition(era, revision), List.of(listed), zones);
+    return listing.update(now, shown, service -> true);
+  }
+
+  @Test
+  void aStartThatLeavesDoesSoWhateverACopySays() {
+    ready(0, 1, 10, ready("a", 80, 3), ready("b", 81, 4));
+    assertThat(ready(100, 1, 12, draining("a", 80, 12), ready("b", 81, 4))).containsExactly("b");
+
+    assertThat(ready(200, 2, 10, ready("a", 80, 3), ready("b", 81, 4))).containsExactly("b");
+
+    assertThat(ready(90_000, 2, 40, ready("a", 80, 3), ready("b", 81, 4))).containsExactly("b");
+  }
+
+  /** Revisions of the newer era pass that of the leaving: they are of another order. */
+  @Test
+  void aStartThatLeavesIsReadyAgainOnlyOnceItHasWrittenSoAfterTheReturn() {
+    ready(0, 1, 10, ready("a", 80, 3));
+    ready(100, 1, 12, draining("a", 80, 12));
+
+    assertThat(ready(200, 2, 15, ready("a", 80, 14))).isEmpty();
+
+    assertThat(ready(300, 2, 16, ready("a", 80, 16))).containsExactly("a");
+  }
+
+  @Test
+  void aStartWhoseEntryHasGoneIsNotListedAgainByACopyUnlessItsEntryIsRenewed() {
+    ready(0, 1, 10, ready("a", 80, 3), ready("b", 81, 4));
+    ready(100, 1, 12, ready("b", 81, 4));
+
+    assertThat(ready(200, 2, 10, ready("a", 80, 3), ready("b", 81, 4))).containsExactly("b");
+    long kept = 200 + BackendListing.KEPT_MILLIS;
+    assertThat(ready(kept, 2, 10, ready("a", 80, 3), ready("b", 81, 4))).containsExactly("b");
+    assertThat(listing.isDue(200 + BackendListing.UNRENEWED_MILLIS - 1)).isFalse();
+    assertThat(listing.isDue(200 + BackendListing.UNRENEWED_MILLIS)).isTrue();
+
+    long renewed = 200 + BackendListing.UNRENEWED_MILLIS;
+    assertThat(ready(renewed, 2, 10, ready("a", 80, 3), ready("b", 81, 4)))
+        .containsExactly("a", "b");
+    assertThat(listing.isDue(Long.MAX_VALUE - 1)).isFalse();
+  }
+
+  @Test
+  void whatACopyDoesNotHaveYetIsKeptUntilItMustHaveBeenWrittenAgain() {
+    believed(listing, 0, 1, 10, Set.of("z"), ready("a", 80, 3), ready("new", 81, 9));
+
+    Believed restored = believed(listing, 200, 2, 8, Set.of(), ready("a", 80, 3));
+    assertThat(ready(restored)).containsExactly("a", "new");
+    assertThat(restored.evacuatedZones()).containsExactly("z");
+    assertThat(listing.keptEntries()).isEqualTo(2);
+    assertThat(listing.isDue(200 + BackendListing.KEPT_MILLIS)).isTrue();
+
+    long settled = 200 + BackendListing.KEPT_MILLIS;
+    assertThat(ready(settled, 2, 8, ready("a", 80, 3))).containsExactly("a");
+    assertThat(listing.keptEntries()).isZero();
+  }
+
+  @Test
+  void whatIsKeptEndsWithItsEntryThatIsWrittenAgainAndGoes() {
+    ready(0, 1, 10, ready("new", 81, 9));
+    ready(200, 2, 8);
+    ready(300, 2, 9, ready("new", 81, 9));
+
+    assertThat(ready(400, 2, 10)).isEmpty();
+  }
+
+  /** The copy shows the start before at the address, which has ended since. */
+  @Test
+  void anAddressThatIsUsedAgainIsTheLaterStarts() {
+    ready(0, 1, 10, ready("old", 80, 3));
+    ready(100, 1, 12, ready("old", 80, 3), ready("new", 80, 12));
+
+    assertThat(ready(200, 2, 10, ready("old", 80, 3))).containsExactly("new");
+    assertThat(ready(300, 2, 11, ready("old", 80, 3), ready("new", 80, 11))).containsExactly("new");
+    assertThat(ready(90_000, 2, 12, ready("new", 80, 11))).containsExactly("new");
+  }
+
+  /** Entries lapse while the store is away, and are written again under the same start. */
+  @Test
+  void aLapsedEntryThatIsWrittenAgainIsListedAtOnce() {
+    ready(0, 1, 10, ready("a", 80, 3));
+    ready(100, 1, 12);
+
+    assertThat(ready(200, 1, 13, ready("a", 80, 13))).containsExactly("a");
+  }
+
+  @Test
+  void aNodeThatReadsTheCopyAloneIsToldWhoHasDeparted() {
+    ready(0, 1, 10, ready("a", 80, 3), ready("b", 81, 4), ready("c", 82, 5));
+    ready(100, 1, 12, draining("a", 80, 11), ready("c", 82, 5));
+    Listed[] copy = {ready("a", 80, 3), ready("b", 81, 4), ready("c", 82, 5)};
+    ready(200, 2, 10, copy);
+    BackendListing other = new BackendListing();
+    assertThat(ready(believed(other, 0, 2, 10, Set.of(), copy))).containsExactly("a", "b", "c");
+
+    assertThat(other.learn(100, listing.told())).isTrue();
+
+    assertThat(ready(believed(other, 100, 2, 10, Set.of(), copy))).containsExactly("c");
+    assertThat(other.learn(200, listing.told())).isFalse();
+  }
+
+  @Test
+  void twoReturnsInAQuickSuccessionKeepWhatNeitherCopyHas() {
+    ready(0, 1, 10, ready("a", 80, 3), ready("new", 81, 9));
+    ready(200, 2, 8, ready("a", 80, 3));
+
+    assertThat(ready(300, 3, 7, ready("a", 80, 3))).containsExactly("a", "new");
+    assertThat(listing.isDue(200 + BackendListing.KEPT_MILLIS)).isFalse();
+  }
+
+  @Test
+  void departuresAreRememberedWithinABound() {
+    int count = DepartedStarts.MAX_STARTS + 500;
+    Listed[] all =
+        Stream.iterate(0, index -> index + 1)
+            .limit(count)
+            .map(index -> ready("i-" + index, 1_000 + index, 3))
+            .toArray(Listed[]::new);
+    ready(0, 1, 10, all);
+    ready(100, 1, 12);
+
+    assertThat(listing.told()).hasSizeLessThan(100);
+    assertThat(ready(200, 2, 10, all)).hasSize(500);
+  }
+
+  @Test
+  void theSameEntriesStayTheSameObjects() {
+    Listed left = draining("a", 80, 12);
+    Listed copied = ready("a", 80, 3);
+    ready(0, 1, 12, left);
+
+    Believed first = believed(listing, 100, 2, 10, Set.of(), copied);
+    Believed second = believed(listing, 200, 2, 11, Set.of(), copied);
+
+    assertThat(second.entries().get(0)).isSameAs(first.entries().get(0));
+  }
+}
--- a/umberpath-model/src/main/java/io/umberpath/model/routing/BackendEntry.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/routing/BackendEntry.java
@@ -41,6 +41,12 @@
     return new BackendStart(id, bornMillis);
   }
 
+  /** The same of a back end that leaves. */
+  public BackendEntry leaving() {
+    return new BackendEntry(
+        id, service, address, zone, slots, State.DRAINING, warmupMillis, bornMillis);
+  }
+
   /** Whether a back end takes new work. */
   public enum State {
     /** Takes new work. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/EncodedChanges.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/EncodedChanges.java
@@ -1,12 +1,13 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.control.store.StoreChanges;
+import io.umberpath.control.store.StoreFacts;
 import io.umberpath.control.store.StorePosition;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
- * Encodes changes once for all the nodes that ask for the same ones, as those of a zone do after
+ * Encodes transfers once for all the nodes that ask for the same ones, as those of a zone do after
  * each change. Thread-safe.
  */
 final class EncodedChanges {
@@ -18,7 +19,7 @@
    *
    * @param firstPatched revision of the item that the first patch applies to; -1 without patches
    */
-  private record Span(StorePosition after, StorePosition at, long firstPatched) {}
+  private record Span(StorePosition after, StorePosition at, long firstPatched, StoreFacts facts) {}
 
   private final Map<Span, byte[]> bySpan =
       new LinkedHashMap<>() {
@@ -30,9 +31,10 @@
         }
       };
 
-  synchronized byte[] of(StoreChanges changes) {
-    Span span = new Span(changes.after(), changes.at(), firstPatched(changes));
-    return bySpan.computeIfAbsent(span, absent -> StateChangesCodec.encode(changes));
+  synchronized byte[] of(StateTransfer transfer) {
+    StoreChanges changes = transfer.changes();
+    Span span = new Span(changes.after(), changes.at(), firstPatched(changes), transfer.facts());
+    return bySpan.computeIfAbsent(span, absent -> StateChangesCodec.encode(transfer));
   }
 
   private static long firstPatched(StoreChanges changes) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -26,6 +26,10 @@
   STORE_HISTORY_GONE(5),
   /** A whole read of the store is behind what this node holds, and is not taken. */
   STORE_READ_DROPPED(5),
+  /** The store has come back from an older copy; or what was kept over that goes. */
+  STORE_ERA(5),
+  /** The store shows an older configuration than the accepted one, which stays in force. */
+  CONFIGURATION_OLDER(5),
   /** A newer configuration is in force. */
   CONFIGURATION_TAKEN(20),
   /** A configuration was refused whole; the old one holds. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -163,6 +163,31 @@
         .log("in force");
   }
 
+  /** The store came back from an older copy, and this node has read it. */
+  void storeEraBegan(StorePosition before, StorePosition after, String source, int kept) {
+    line(MeshEvent.STORE_ERA)
+        .with(POSITION, after.toString())
+        .with(SOURCE, source)
+        .with(COUNT, (long) kept)
+        .log("begins; held before: %s", before);
+  }
+
+  /** What was kept that the copy did not have is now as the store shows it. */
+  void storeEraSettled(StorePosition at, int kept) {
+    line(MeshEvent.STORE_ERA)
+        .with(POSITION, at.toString())
+        .with(COUNT, (long) kept)
+        .log("entries that were kept go unless they are written again");
+  }
+
+  void configurationOlder(long accepted, long shown, long revision, String source) {
+    line(MeshEvent.CONFIGURATION_OLDER)
+        .with(CONFIGURATION, accepted)
+        .with(REVISION, revision)
+        .with(SOURCE, source)
+        .log("stays in force: the store shows version %d", shown);
+  }
+
   void configurationRefused(long revision, String problem, String source) {
     line(MeshEvent.CONFIGURATION_REFUSED)
         .with(REVISION, revision)
@@ -287,16 +312,19 @@
     line(MeshEvent.STORE_READER).with(CAUSE, inputs).log("%s", reads ? "begins" : "ends");
   }
 
-  void stateAdopted(String peer, long version, StoreChanges changes) {
+  void stateAdopted(String peer, long version, StateTransfer transfer) {
+    StoreChanges changes = transfer.changes();
     line(MeshEvent.STATE_ADOPTED)
         .with(LogFields.ADDRESS, peer)
         .with(CONFIGURATION, version)
         .with(POSITION, changes.at().toString())
         .log(
-            "%s: %d items, %d patches",
+            "%s: %d items, %d patches; facts: %d configurations, %d departures",
             changes.isWhole() ? "whole state" : "changes",
             changes.items().size(),
-            changes.patches().size());
+            changes.patches().size(),
+            transfer.facts().configuration().isPresent() ? 1 : 0,
+            transfer.facts().departed().size());
   }
 
   void requestFailed(
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -2,8 +2,6 @@
 
 import io.umberpath.control.membership.SilenceTimes;
 import io.umberpath.control.store.ReaderElection;
-import io.umberpath.control.store.StateRequest;
-import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
@@ -127,7 +125,7 @@
     StoreWatcher watcher =
         new StoreWatcher(
             documents.prefix(), WatchTimes.PROMPT, () -> ThreadLocalRandom.current().nextDouble());
-    this.state = new MeshState(documents, watcher, events);
+    this.state = new MeshState(documents, watcher, events, clockMillis);
     this.follower = new StoreFollower(state, client, events, clockMillis);
     this.puller = new StatePuller(settings, state, follower::isReading, events, clockMillis);
     this.balancer =
@@ -220,9 +218,9 @@
     follower.start();
     proxy.start();
     proxy.listen(settings.ready(), new StatusFilter(this::status));
-    stateServers.add(StateServer.open(settings.exchange(), this::changesSince));
+    stateServers.add(StateServer.open(settings.exchange(), this::transferFor));
     if (settings.control().isPresent()) {
-      stateServers.add(StateServer.open(settings.control().get(), this::changesSince));
+      stateServers.add(StateServer.open(settings.control().get(), this::transferFor));
     }
     if (settings.metricsPort() > 0) {
       PeerAddress address = new PeerAddress(settings.ready().host(), settings.metricsPort());
@@ -280,6 +278,7 @@
   }
 
   private void sweep() {
+    state.settle();
     proxy.sweep();
     if (backend.refresh()) {
       proxy.gate().gate().resize(backend.slots());
@@ -338,12 +337,8 @@
     return !view.backends().atHost(settings.exchange().host()).isEmpty();
   }
 
-  private byte[] changesSince(StateRequest request) {
-    StoreChanges changes;
-    synchronized (state) {
-      changes = state.watcher().changesSince(request);
-    }
-    return encodedChanges.of(changes);
+  private byte[] transferFor(TransferRequest request) {
+    return encodedChanges.of(state.transferFor(request));
   }
 
   private StatusFilter.Answer metricsPage(String path) {
@@ -368,6 +363,7 @@
         Map.entry("quarantine.held", quarantine::held),
         Map.entry("configuration.version", () -> state.view().version()),
         Map.entry("store.revision", () -> state.view().position().revision()),
+        Map.entry("configuration.shown.version", () -> state.shownVersion()),
         Map.entry("store.era", () -> state.view().position().era()),
         Map.entry("store.heard.age.seconds", this::storeAgeSeconds),
         Map.entry("peers.known", peers::nodes),
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -1,23 +1,28 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.control.store.BackendListing;
+import io.umberpath.control.store.BackendListing.Believed;
+import io.umberpath.control.store.BackendListing.Listed;
+import io.umberpath.control.store.BackendListing.Shown;
 import io.umberpath.control.store.StateRequest;
 import io.umberpath.control.store.StoreChanges;
+import io.umberpath.control.store.StoreFacts;
 import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreWatcher;
-import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.umberpath.traffic.routing.RoutingTable;
 import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.BinaryOperator;
+import java.util.function.LongSupplier;
 
 /**
  * What this node has taken from the store or from other nodes. A configuration is only replaced by
@@ -31,15 +36,33 @@
   /** The items that are back ends' entries; empty where one names none. */
   private final Map<StoreItem, Optional<BackendEntry>> parsed = new HashMap<>();
 
-  /** The configuration's item that was looked at last; null before the first. */
-  private StoreItem seenConfiguration;
+  private final BackendListing listing = new BackendListing();
+  private final LongSupplier clockMillis;
+
+  /** The configuration's item that the store shows; null before the first. */
+  private StoreItem shownConfiguration;
+
+  private volatile long shownVersion = -1;
+
+  /** The newest configuration that was accepted, which holds whatever the store shows; or null. */
+  private RoutingConfiguration accepted;
+
+  /** The item that it was read from; null before the first. */
+  private StoreItem acceptedItem;
 
   private volatile MeshView view = MeshView.NOTHING;
 
-  MeshState(StoreDocuments documents, StoreWatcher watcher, MeshEvents events) {
+  /**
+   * Creates a state that holds nothing.
+   *
+   * @param clockMillis rising clock, milliseconds
+   */
+  MeshState(
+      StoreDocuments documents, StoreWatcher watcher, MeshEvents events, LongSupplier clockMillis) {
     this.documents = documents;
     this.watcher = watcher;
     this.events = events;
+    this.clockMillis = clockMillis;
   }
 
   /** What this node believes now. */
@@ -52,19 +75,39 @@
     return watcher;
   }
 
-  /**
-   * Takes changes of another node that lead further than this node is.
-   *
-   * @return whether they fit what this node holds; if not, nothing was taken
-   */
-  synchronized boolean adopt(StoreChanges changes, String peer) {
-    StoreWatcher.Adoption adoption = watcher.adopt(changes);
-    if (adoption == StoreWatcher.Adoption.CHANGED) {
+  /** What became of a transfer. */
+  enum Adoption {
+    /** This node holds something newer now. */
+    TAKEN,
+    /** It led no further than this node was. */
+    NOT_NEWER,
+    /** A patch did not fit what this node holds: of the store's items nothing was taken. */
+    UNFIT
+  }
+
+  /** Takes what of another node's state leads further than this node is. */
+  synchronized Adoption adopt(StateTransfer transfer, String peer) {
+    final MeshView before = view;
+    boolean learned = learn(transfer.facts(), peer);
+    StoreWatcher.Adoption adoption = watcher.adopt(transfer.changes());
+    if (learned || adoption == StoreWatcher.Adoption.CHANGED) {
       refresh(peer);
     } else if (!watcher.at().equals(view.position())) {
       view = new MeshView(view.configuration(), view.table(), view.backends(), watcher.at());
     }
-    return adoption != StoreWatcher.Adoption.UNFIT;
+    if (adoption == StoreWatcher.Adoption.UNFIT) {
+      return Adoption.UNFIT;
+    }
+    boolean isNewer =
+        view.version() > before.version() || view.position().isAfter(before.position());
+    return isNewer ? Adoption.TAKEN : Adoption.NOT_NEWER;
+  }
+
+  private boolean learn(StoreFacts facts, String peer) {
+    boolean learned = listing.learn(clockMillis.getAsLong(), facts.departed());
+    RoutingConfiguration before = accepted;
+    facts.configuration().ifPresent(item -> take(item, peer));
+    return learned || accepted != before;
   }
 
   /** What this node holds, for another one to carry on from. */
@@ -72,16 +115,43 @@
     return watcher.request();
   }
 
+  /** What another node lacks, with what holds whatever the store shows. */
+  synchronized StateTransfer transferFor(TransferRequest request) {
+    StoreChanges changes = watcher.changesSince(request.state());
+    boolean needsConfiguration =
+        accepted != null && !isShown(acceptedItem) && request.version() < accepted.version();
+    StoreFacts facts =
+        new StoreFacts(
+            needsConfiguration ? Optional.of(acceptedItem) : Optional.empty(),
+            changes.isWhole() || request.wantsFacts() ? listing.told() : List.of());
+    return new StateTransfer(changes, facts);
+  }
+
+  /** Version of the configuration that the store shows; -1 before the first. */
+  long shownVersion() {
+    return shownVersion;
+  }
+
+  private boolean isShown(StoreItem item) {
+    return item == shownConfiguration;
+  }
+
+  /** Time alone may change what is believed of an older copy of the store. */
+  synchronized void settle() {
+    if (listing.isDue(clockMillis.getAsLong())) {
+      refresh("time");
+    }
+  }
+
   /** The watcher's items have changed. */
   synchronized void refresh(String source) {
     List<StoreItem> items = watcher.items();
-    RoutingConfiguration configuration = view.configuration();
     RoutingTable table = view.table();
     List<Listed> entries = new ArrayList<>();
     Set<String> evacuated = new HashSet<>();
     for (StoreItem item : items) {
       if (documents.isConfiguration(item.key())) {
-        configuration = newer(configuration, item, source);
+        show(item, source);
       } else if (documents.isBackend(item.key())) {
         entry(item).ifPresent(entry -> entries.add(new Listed(entry, item.revision())));
       } else {
@@ -89,62 +159,66 @@
       }
     }
     parsed.keySet().retainAll(new HashSet<>(items));
-    if (configuration != view.configuration()) {
-      table = RoutingTable.of(configuration);
+    if (accepted != view.configuration()) {
+      table = RoutingTable.of(accepted);
     }
     BackendDirectory backends = view.backends();
-    List<BackendEntry> listed = alive(entries, configuration);
-    if (!backends.holds(listed, evacuated)) {
+    Believed believed = believe(new Shown(watcher.at(), entries, evacuated), source);
+    if (!backends.holds(believed.entries(), believed.evacuatedZones())) {
       // Else what others made of the directory, such as who reports to whom, stays as it is.
-      backends = new BackendDirectory(listed, evacuated);
+      backends = new BackendDirectory(believed.entries(), believed.evacuatedZones());
       events.backendsChanged(view.backends(), backends, watcher.at(), source);
     }
-    view = new MeshView(configuration, table, backends, watcher.at());
+    view = new MeshView(accepted, table, backends, watcher.at());
   }
 
-  /**
-   * A back end's entry.
-   *
-   * @param revision the store's revision when it was written
-   */
-  private record Listed(BackendEntry entry, long revision) {}
-
-  /**
-   * Of two entries at one address only the one that was written last can be alive: the other one
-   * has ended, and its entry only stands until its lease runs out. An entry of a service that the
-   * configuration does not name is no back end's, and takes no other one's place.
-   */
-  private static List<BackendEntry> alive(
-      List<Listed> entries, RoutingConfiguration configuration) {
-    Comparator<Listed> order =
-        Comparator.comparing((Listed each) -> isNamed(each.entry().service(), configuration))
-            .thenComparingLong(Listed::revision);
-    Map<PeerAddress, Listed> byAddress = new HashMap<>();
-    for (Listed each : entries) {
-      byAddress.merge(each.entry().address(), each, BinaryOperator.maxBy(order));
+  private Believed believe(Shown shown, String source) {
+    int keptBefore = listing.keptEntries();
+    Believed believed = listing.update(clockMillis.getAsLong(), shown, this::isService);
+    StorePosition before = view.position();
+    if (before.isKnown() && before.era() != shown.at().era()) {
+      events.storeEraBegan(before, shown.at(), source, listing.keptEntries());
+    } else if (keptBefore > 0 && listing.keptEntries() == 0) {
+      events.storeEraSettled(shown.at(), keptBefore);
     }
-    return byAddress.values().stream().map(Listed::entry).toList();
+    return believed;
   }
 
-  private static boolean isNamed(String service, RoutingConfiguration configuration) {
-    return configuration == null || configuration.services().containsKey(service);
+  private boolean isService(String name) {
+    return accepted == null || accepted.services().containsKey(name);
   }
 
-  private RoutingConfiguration newer(RoutingConfiguration held, StoreItem item, String source) {
-    if (item.equals(seenConfiguration)) {
-      return held;
+  /** The store shows a configuration: it is in force unless a newer one was accepted before. */
+  private void show(StoreItem item, String source) {
+    if (item.equals(shownConfiguration)) {
+      return;
     }
-    seenConfiguration = item;
+    shownConfiguration = item;
+    OptionalLong version = take(item, source);
+    shownVersion = version.orElse(shownVersion);
+    if (version.isPresent() && version.getAsLong() < accepted.version()) {
+      events.configurationOlder(accepted.version(), shownVersion, item.revision(), source);
+    }
+  }
+
+  /**
+   * Takes an item's configuration if it is newer than the accepted one.
+   *
+   * @return its version; empty if it cannot be read
+   */
+  private OptionalLong take(StoreItem item, String source) {
     Either<String, RoutingConfiguration> read = documents.configuration(item);
     if (read.isLeft()) {
       events.configurationRefused(item.revision(), read.getLeft(), source);
-      return held;
+      return OptionalLong.empty();
     }
-    if (held != null && read.get().version() <= held.version()) {
-      return held;
+    RoutingConfiguration configuration = read.get();
+    if (accepted == null || configuration.version() > accepted.version()) {
+      accepted = configuration;
+      acceptedItem = item;
+      events.configurationTaken(configuration, item.revision(), source);
     }
-    events.configurationTaken(read.get(), item.revision(), source);
-    return read.get();
+    return OptionalLong.of(configuration.version());
   }
 
   private Optional<BackendEntry> entry(StoreItem item) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateChangesCodec.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateChangesCodec.java
@@ -4,13 +4,18 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import io.umberpath.control.store.DepartedStarts;
+import io.umberpath.control.store.DepartedStarts.Departed;
+import io.umberpath.control.store.DepartedStarts.Departure;
 import io.umberpath.control.store.ItemPatch;
 import io.umberpath.control.store.StateRequest;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreEvent;
+import io.umberpath.control.store.StoreFacts;
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.TextPatch;
+import io.umberpath.model.routing.BackendStart;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -19,6 +24,7 @@
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.zip.Deflater;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
@@ -29,6 +35,7 @@
  */
 final class StateChangesCodec {
   private static final CBORFactory CBOR = new CBORFactory();
+  private static final Departure[] DEPARTURES = Departure.values();
   private static final int MAX_ITEMS = 100_000;
 
   /** Longest text that a patch may make, characters: a store's item has a megabyte at most. */
@@ -36,13 +43,15 @@
 
   private StateChangesCodec() {}
 
-  static byte[] encode(StoreChanges changes) {
+  static byte[] encode(StateTransfer transfer) {
+    StoreChanges changes = transfer.changes();
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     Deflater deflater = new Deflater(Deflater.BEST_SPEED);
     try (JsonGenerator out = CBOR.createGenerator(new DeflaterOutputStream(bytes, deflater))) {
       out.writeStartArray();
       write(out, changes.after());
       write(out, changes.at());
+      write(out, transfer.facts());
       for (StoreEvent.Gone gone : changes.gone()) {
         write(out, gone.key(), null, gone.revision());
       }
@@ -61,12 +70,14 @@
     return bytes.toByteArray();
   }
 
-  /** Writes a request: three numbers of eight bytes. */
-  static void write(StateRequest request, OutputStream stream) throws IOException {
+  /** Writes a request: four numbers of eight bytes and a byte. */
+  static void write(TransferRequest request, OutputStream stream) throws IOException {
     DataOutputStream out = new DataOutputStream(stream);
-    out.writeLong(request.after().era());
-    out.writeLong(request.after().revision());
-    out.writeLong(request.largestRevision());
+    out.writeLong(request.state().after().era());
+    out.writeLong(request.state().after().revision());
+    out.writeLong(request.state().largestRevision());
+    out.writeLong(request.version());
+    out.writeBoolean(request.wantsFacts());
   }
 
   /**
@@ -74,10 +85,11 @@
    *
    * @throws IOException if it does not come whole
    */
-  static StateRequest readRequest(InputStream stream) throws IOException {
+  static TransferRequest readRequest(InputStream stream) throws IOException {
     DataInputStream in = new DataInputStream(stream);
     StorePosition after = new StorePosition(in.readLong(), in.readLong());
-    return new StateRequest(after, in.readLong());
+    StateRequest state = new StateRequest(after, in.readLong());
+    return new TransferRequest(state, in.readLong(), in.readBoolean());
   }
 
   private static void write(JsonGenerator out, StorePosition position) throws IOException {
@@ -85,6 +97,50 @@
     out.writeNumber(position.revision());
   }
 
+  private static void write(JsonGenerator out, StoreFacts facts) throws IOException {
+    out.writeStartArray();
+    if (facts.configuration().isPresent()) {
+      StoreItem item = facts.configuration().get();
+      write(out, item.key(), item.value(), item.revision());
+    }
+    out.writeEndArray();
+    out.writeStartArray();
+    for (Departed each : facts.departed()) {
+      out.writeString(each.start().id());
+      out.writeNumber(each.start().bornMillis());
+      out.writeNumber(each.departure().ordinal());
+      write(out, each.at());
+    }
+    out.writeEndArray();
+  }
+
+  private static StoreFacts facts(JsonParser in) throws IOException {
+    Optional<StoreItem> configuration = Optional.empty();
+    require(in.nextToken() == JsonToken.START_ARRAY);
+    if (in.nextToken() != JsonToken.END_ARRAY) {
+      String key = in.getText();
+      require(in.nextToken() == JsonToken.VALUE_STRING);
+      String value = in.getText();
+      configuration = Optional.of(new StoreItem(key, value, number(in)));
+      require(in.nextToken() == JsonToken.END_ARRAY);
+    }
+    List<Departed> departed = new ArrayList<>();
+    require(in.nextToken() == JsonToken.START_ARRAY);
+    while (in.nextToken() != JsonToken.END_ARRAY) {
+      require(in.currentToken() == JsonToken.VALUE_STRING);
+      require(departed.size() < DepartedStarts.MAX_STARTS);
+      departed.add(departed(in, in.getText()));
+    }
+    return new StoreFacts(configuration, departed);
+  }
+
+  private static Departed departed(JsonParser in, String id) throws IOException {
+    BackendStart start = new BackendStart(id, number(in));
+    long departure = number(in);
+    require(departure >= 0 && departure < DEPARTURES.length);
+    return new Departed(start, DEPARTURES[(int) departure], position(in));
+  }
+
   private static StorePosition position(JsonParser in) throws IOException {
     long era = number(in);
     return new StorePosition(era, number(in));
@@ -143,11 +199,12 @@
    *
    * @throws IOException if they are not whole
    */
-  static StoreChanges read(InputStream stream) throws IOException {
+  static StateTransfer read(InputStream stream) throws IOException {
     JsonParser in = CBOR.createParser(new InflaterInputStream(stream));
     require(in.nextToken() == JsonToken.START_ARRAY);
     final StorePosition after = position(in);
     final StorePosition at = position(in);
+    final StoreFacts facts = facts(in);
     List<StoreItem> items = new ArrayList<>();
     List<StoreEvent.Gone> gone = new ArrayList<>();
     List<ItemPatch> patches = new ArrayList<>();
@@ -167,7 +224,7 @@
     }
     // Reads on to the checksum of the compression.
     require(in.nextToken() == null);
-    return new StoreChanges(after, at, items, gone, patches);
+    return new StateTransfer(new StoreChanges(after, at, items, gone, patches), facts);
   }
 
   private static long number(JsonParser in) throws IOException {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -1,7 +1,6 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.control.store.StateRequest;
-import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.PeerAddress;
 import java.io.BufferedInputStream;
@@ -57,6 +56,9 @@
 
   private static final int MAX_TRANSFERS = 3;
 
+  /** Nodes that one asks for facts alone: what it was given as seeds may be three that are down. */
+  private static final int MAX_FACT_TRANSFERS = 3;
+
   /** Pause between two transfers while this node holds no configuration yet, milliseconds. */
   private static final long START_PAUSE_MILLIS = 200;
 
@@ -77,6 +79,12 @@
 
   private volatile boolean hasAsked;
 
+  /** Whether another node has told what an older copy of the store may not show. */
+  private volatile boolean hasFacts;
+
+  /** Nodes asked for that alone, while this one held a state. */
+  private int factTransfers;
+
   private final StateSources near = new StateSources();
   private final StateSources far = new StateSources();
   private volatile Predicate<String> isSilent = host -> false;
@@ -161,8 +169,15 @@
     long now = clockMillis.getAsLong();
     boolean isBehind = near.isAnyAhead(view) | far.isAnyAhead(view);
     if (view.isComplete() && !isBehind) {
-      behindSinceMillis = -1;
-      beginAnew();
+      if (asksForFacts()) {
+        factTransfers++;
+        beginTransfer(now, seeds().get(0));
+        return;
+      }
+      if (transfers == 0 || hasFacts) {
+        behindSinceMillis = -1;
+        beginAnew();
+      }
       return;
     }
     List<PeerAddress> sources = sources(view, now - behindSinceMillis);
@@ -175,11 +190,34 @@
     lastTried = source;
     near.asked(source.host());
     far.asked(source.host());
+    beginTransfer(now, source);
+  }
+
+  private void beginTransfer(long nowMillis, PeerAddress source) {
     transfers++;
-    nextTransferMillis = now + PATIENCE_MILLIS;
+    nextTransferMillis = nowMillis + PATIENCE_MILLIS;
     workers.execute(() -> transfer(source));
   }
 
+  /**
+   * Whether a node that read the store by itself is to be told what an older copy may not show: by
+   * one of the nodes that it was given, tried a few times.
+   */
+  private boolean asksForFacts() {
+    return !hasFacts
+        && !settings.isFirstStart()
+        && !settings.otherSeeds().isEmpty()
+        && factTransfers < MAX_FACT_TRANSFERS
+        && transfers == 0
+        && clockMillis.getAsLong() >= nextTransferMillis;
+  }
+
+  private List<PeerAddress> seeds() {
+    List<PeerAddress> seeds = new ArrayList<>(settings.otherSeeds());
+    Collections.shuffle(seeds, ThreadLocalRandom.current());
+    return seeds;
+  }
+
   private void transfer(PeerAddress source) {
     boolean taken = false;
     try {
@@ -220,9 +258,7 @@
       far.next(view, lastSource, isSilent).ifPresent(host -> sources.add(exchangeOf(host)));
     }
     if (!view.isComplete()) {
-      List<PeerAddress> seeds = new ArrayList<>(settings.otherSeeds());
-      Collections.shuffle(seeds, ThreadLocalRandom.current());
-      sources.addAll(seeds);
+      sources.addAll(seeds());
     }
     return sources;
   }
@@ -235,21 +271,24 @@
     try (Socket socket = new Socket()) {
       socket.connect(new InetSocketAddress(source.host(), source.port()), TIMEOUT_MILLIS);
       socket.setSoTimeout(TIMEOUT_MILLIS);
-      StateRequest request = wantsWhole ? StateRequest.WHOLE : state.request();
+      StateRequest held = wantsWhole ? StateRequest.WHOLE : state.request();
+      TransferRequest request = new TransferRequest(held, state.view().version(), !hasFacts);
       BufferedOutputStream out = new BufferedOutputStream(socket.getOutputStream());
       StateChangesCodec.write(request, out);
       out.flush();
-      StoreChanges changes =
+      StateTransfer transfer =
           StateChangesCodec.read(new BufferedInputStream(socket.getInputStream()));
-      if (!changes.at().isAfter(state.view().position())) {
+      MeshState.Adoption adoption = state.adopt(transfer, source.toString());
+      hasFacts |= transfer.changes().at().isKnown();
+      if (adoption == MeshState.Adoption.NOT_NEWER) {
         return false;
       }
-      wantsWhole = !state.adopt(changes, source.toString());
+      wantsWhole = adoption == MeshState.Adoption.UNFIT;
       if (wantsWhole) {
         throw new IOException("a patch does not fit the item that it is for");
       }
       lastSource = source.host();
-      events.stateAdopted(source.toString(), state.view().version(), changes);
+      events.stateAdopted(source.toString(), state.view().version(), transfer);
       return true;
     } catch (IOException failure) {
       events.statePullFailed(source.toString(), failure);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
@@ -1,6 +1,5 @@
 package io.umberpath.node.mesh;
 
-import io.umberpath.control.store.StateRequest;
 import io.umberpath.model.PeerAddress;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -25,7 +24,7 @@
   private static final int REQUEST_TIMEOUT_MILLIS = 500;
 
   private final ServerSocket server;
-  private final Function<StateRequest, byte[]> changesSince;
+  private final Function<TransferRequest, byte[]> transferFor;
   private final ExecutorService writers =
       new ThreadPoolExecutor(
           0,
@@ -36,18 +35,18 @@
           StateServer::daemon,
           new ThreadPoolExecutor.DiscardPolicy());
 
-  private StateServer(ServerSocket server, Function<StateRequest, byte[]> changesSince) {
+  private StateServer(ServerSocket server, Function<TransferRequest, byte[]> transferFor) {
     this.server = server;
-    this.changesSince = changesSince;
+    this.transferFor = transferFor;
   }
 
   /** Listens. */
-  static StateServer open(PeerAddress address, Function<StateRequest, byte[]> changesSince)
+  static StateServer open(PeerAddress address, Function<TransferRequest, byte[]> transferFor)
       throws IOException {
     ServerSocket socket = new ServerSocket();
     socket.setReuseAddress(true);
     socket.bind(new InetSocketAddress(address.host(), address.port()), BACKLOG);
-    StateServer server = new StateServer(socket, changesSince);
+    StateServer server = new StateServer(socket, transferFor);
     daemon(server::accept).start();
     return server;
   }
@@ -79,8 +78,8 @@
   private void give(Socket peer) {
     try (peer) {
       peer.setSoTimeout(REQUEST_TIMEOUT_MILLIS);
-      StateRequest request = StateChangesCodec.readRequest(peer.getInputStream());
-      peer.getOutputStream().write(changesSince.apply(request));
+      TransferRequest request = StateChangesCodec.readRequest(peer.getInputStream());
+      peer.getOutputStream().write(transferFor.apply(request));
     } catch (IOException gone) {
       // The other node logs why its transfer failed, and tries again, here or elsewhere.
       return;
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -3,23 +3,31 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.umberpath.control.store.StoreChanges;
+import io.umberpath.control.store.StoreFacts;
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.routing.BackendEntry;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
 final class MeshStateTest {
+  private final AtomicLong now = new AtomicLong();
   private final MeshState state =
       new MeshState(
           new PortDocuments(),
           new StoreWatcher("", WatchTimes.PROMPT, () -> 0.5),
-          new MeshEvents(() -> 0));
+          new MeshEvents(() -> 0),
+          now::get);
 
-  private static StoreChanges whole(long at, List<StoreItem> items) {
-    return new StoreChanges(
-        StorePosition.NOTHING, new StorePosition(StorePosition.NO_ERA, at), items, List.of());
+  private static StateTransfer whole(long at, List<StoreItem> items) {
+    return whole(new StorePosition(StorePosition.NO_ERA, at), items);
+  }
+
+  private static StateTransfer whole(StorePosition at, List<StoreItem> items) {
+    return new StateTransfer(
+        new StoreChanges(StorePosition.NOTHING, at, items, List.of()), StoreFacts.NONE);
   }
 
   private List<String> ready() {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -3,19 +3,25 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.umberpath.control.store.DepartedStarts.Departed;
+import io.umberpath.control.store.DepartedStarts.Departure;
 import io.umberpath.control.store.ItemPatch;
+import io.umberpath.control.store.StateRequest;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreEvent;
+import io.umberpath.control.store.StoreFacts;
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.TextPatch;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.BackendStart;
 import io.umberpath.traffic.quarantine.CrashMark;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import io.umberpath.traffic.quarantine.Suspicion;
 import io.umberpath.traffic.routing.GateLoad;
 import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -193,20 +199,43 @@
             List.of(new StoreEvent.Gone("c", 9)),
             List.of(new ItemPatch("d", 6, 11, TextPatch.between("{old}{text}", "{text}{new}"))));
 
-    byte[] bytes = StateChangesCodec.encode(changes);
+    StoreFacts facts =
+        new StoreFacts(
+            Optional.of(new StoreItem("configuration", "{}", 30)),
+            List.of(
+                new Departed(
+                    new BackendStart("i-7f", 90), Departure.LEAVING, new StorePosition(1, 20)),
+                new Departed(
+                    new BackendStart("i-80", 0), Departure.ENDED, new StorePosition(2, 9))));
+    StateTransfer transfer = new StateTransfer(changes, facts);
 
-    assertThat(StateChangesCodec.read(new ByteArrayInputStream(bytes))).isEqualTo(changes);
+    byte[] bytes = StateChangesCodec.encode(transfer);
+
+    assertThat(StateChangesCodec.read(new ByteArrayInputStream(bytes))).isEqualTo(transfer);
+  }
+
+  @Test
+  void aRequestForThemIsReadAsItWasWritten() throws IOException {
+    StateRequest held = new StateRequest(new StorePosition(3, 17), 12);
+    TransferRequest request = new TransferRequest(held, 42, true);
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    StateChangesCodec.write(request, bytes);
+
+    assertThat(StateChangesCodec.readRequest(new ByteArrayInputStream(bytes.toByteArray())))
+        .isEqualTo(request);
   }
 
   @Test
   void changesThatAreCutShortAreRefusedWhole() {
     byte[] whole =
         StateChangesCodec.encode(
-            new StoreChanges(
-                StorePosition.NOTHING,
-                new StorePosition(0, 12),
-                List.of(new StoreItem("a", "1", 3)),
-                List.of()));
+            new StateTransfer(
+                new StoreChanges(
+                    StorePosition.NOTHING,
+                    new StorePosition(0, 12),
+                    List.of(new StoreItem("a", "1", 3)),
+                    List.of()),
+                StoreFacts.NONE));
 
     for (int length = 0; length < whole.length; length++) {
       ByteArrayInputStream part = new ByteArrayInputStream(whole, 0, length);
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.umberpath.control.store.StoreChanges;
+import io.umberpath.control.store.StoreFacts;
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreWatcher;
@@ -24,7 +25,7 @@
   private static final int SLOW_MILLIS = 800;
   private static final long GIVE_UP_MILLIS = 20_000;
   private static final LongSupplier CLOCK = () -> System.nanoTime() / 1_000_000;
-  private static final StoreChanges CHANGES = changesTo(4);
+  private static final StateTransfer CHANGES = changesTo(4);
 
   private static MeshSettings settings(int exchangePort) {
     PeerAddress nowhere = new PeerAddress("127.0.0.1", 1);
@@ -72,7 +73,7 @@
     MeshEvents events = new MeshEvents(CLOCK);
     MeshState state =
         new MeshState(
-            new PortDocuments(), new StoreWatcher("", WatchTimes.PROMPT, () -> 0.5), events);
+            new PortDocuments(), new StoreWatcher("", WatchTimes.PROMPT, () -> 0.5), events, CLOCK);
     try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
         StatePuller puller =
             new StatePuller(settings(server.getLocalPort()), state, () -> false, events, CLOCK)) {
@@ -95,9 +96,11 @@
     return new StorePosition(StorePosition.NO_ERA, revision);
   }
 
-  private static StoreChanges changesTo(long revision) {
-    return new StoreChanges(
-        StorePosition.NOTHING, position(revision), List.of(new StoreItem("a", "80", 3)), List.of());
+  private static StateTransfer changesTo(long revision) {
+    List<StoreItem> items = List.of(new StoreItem("a", "80", 3));
+    return new StateTransfer(
+        new StoreChanges(StorePosition.NOTHING, position(revision), items, List.of()),
+        StoreFacts.NONE);
   }
 
   private static void awaitRevision(MeshState state, long revision) throws InterruptedException {
@@ -118,7 +121,7 @@
     MeshEvents events = new MeshEvents(CLOCK);
     MeshState state =
         new MeshState(
-            new PortDocuments(), new StoreWatcher("", WatchTimes.PROMPT, () -> 0.5), events);
+            new PortDocuments(), new StoreWatcher("", WatchTimes.PROMPT, () -> 0.5), events, CLOCK);
     StateServer near =
         StateServer.open(
             new PeerAddress("127.0.0.1", 0), request -> StateChangesCodec.encode(changesTo(4)));
@@ -173,7 +176,7 @@
     MeshEvents events = new MeshEvents(CLOCK);
     MeshState state =
         new MeshState(
-            new PortDocuments(), new StoreWatcher("", WatchTimes.PROMPT, () -> 0.5), events);
+            new PortDocuments(), new StoreWatcher("", WatchTimes.PROMPT, () -> 0.5), events, CLOCK);
     AtomicInteger asked = new AtomicInteger();
     try (ServerSocket dead = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
         StateServer other =
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
@@ -45,7 +45,7 @@
   void onlyANodeThatIsToReadCallsTheStore() throws Exception {
     MeshEvents events = new MeshEvents(CLOCK);
     StoreWatcher watcher = new StoreWatcher("", WatchTimes.PROMPT, () -> 0.5);
-    MeshState state = new MeshState(new PortDocuments(), watcher, events);
+    MeshState state = new MeshState(new PortDocuments(), watcher, events, CLOCK);
     CountingClient client = new CountingClient();
     AtomicBoolean reads = new AtomicBoolean();
     CountDownLatch looks = new CountDownLatch(LOOKS);
@@ -84,7 +84,7 @@
   void aNodeThatTheStoreKeepsThrottlingIsNoReaderToRelyOn() throws Exception {
     MeshEvents events = new MeshEvents(CLOCK);
     StoreWatcher watcher = new StoreWatcher("", WatchTimes.PROMPT, () -> 0.5);
-    MeshState state = new MeshState(new PortDocuments(), watcher, events);
+    MeshState state = new MeshState(new PortDocuments(), watcher, events, CLOCK);
     CountDownLatch calls = new CountDownLatch(8);
     StoreClient client =
         new StoreClient() {
@@ -130,7 +130,7 @@
     AtomicLong now = new AtomicLong();
     MeshEvents events = new MeshEvents(CLOCK);
     StoreWatcher watcher = new StoreWatcher("", WatchTimes.PROMPT, () -> 0.5);
-    MeshState state = new MeshState(new PortDocuments(), watcher, events);
+    MeshState state = new MeshState(new PortDocuments(), watcher, events, CLOCK);
     SynchronousQueue<StoreAnswer> answers = new SynchronousQueue<>();
     try (StoreFollower follower = new StoreFollower(state, client(answers), events, now::get)) {
       follower.start();
@@ -156,7 +156,7 @@
     AtomicLong now = new AtomicLong();
     MeshEvents events = new MeshEvents(CLOCK);
     StoreWatcher watcher = new StoreWatcher("", WatchTimes.PROMPT, () -> 1);
-    MeshState held = new MeshState(new PortDocuments(), watcher, events);
+    MeshState held = new MeshState(new PortDocuments(), watcher, events, CLOCK);
     SynchronousQueue<StoreAnswer> answers = new SynchronousQueue<>();
     try (StoreFollower follower = new StoreFollower(held, client(answers), events, now::get)) {
       follower.onlyIf(() -> new ReadDecision(true, standby, () -> "set by the test"));
