--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/FleetModel.java
@@ -0,0 +1,230 @@
+package io.umberpath.node.mesh;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.control.store.BackendListing;
+import io.umberpath.control.store.StoreAnswer;
+import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.StoreWatcher;
+import io.umberpath.control.store.StoreWatcher.Step;
+import io.umberpath.control.store.StoreWatcherSettings;
+import io.umberpath.model.routing.BackendEntry;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Nodes with the decisions that run in the process, a store that comes back from older copies, and
+ * messages that are late, lost or reordered. What must never happen is checked after each step, and
+ * that all nodes hold what the store holds after {@link #settle}.
+ */
+final class FleetModel {
+  private static final StoreWatcherSettings TIMES = new StoreWatcherSettings(500, 0, 1, 1);
+  private static final String CONFIGURATION = "configuration";
+  private static final String LEAVING = "a";
+  private static final String ENDING = "b";
+  private static final String NEXT = "c";
+  private static final int SETTLING_ROUNDS = 12;
+
+  /** What is on its way to a node. */
+  private sealed interface Message {
+    record FromStore(StoreAnswer answer) implements Message {}
+
+    record FromPeer(StateTransfer transfer) implements Message {}
+  }
+
+  /** One life of a node. */
+  private final class Node {
+    private final MeshState state =
+        new MeshState(
+            new PortDocuments(),
+            new StoreWatcher("", TIMES, () -> 1),
+            new MeshEvents(() -> 0),
+            () -> nowMillis);
+
+    private final List<Message> inFlight = new ArrayList<>();
+    private long version = -1;
+    private final Set<String> departedSeen = new HashSet<>();
+
+    Set<String> ready() {
+      Set<String> ids = new TreeSet<>();
+      state.view().backends().ready("booking").forEach(entry -> ids.add(entry.id()));
+      return ids;
+    }
+
+    void check() {
+      MeshView view = state.view();
+      assertThat(view.version()).as("version in a life").isGreaterThanOrEqualTo(version);
+      version = view.version();
+      for (String id : List.of(LEAVING, ENDING)) {
+        Optional<BackendEntry> entry = view.backends().byId(id);
+        boolean isReady = ready().contains(id);
+        if (departedSeen.contains(id)) {
+          assertThat(isReady).as("%s takes work again", id).isFalse();
+        }
+        if (entry.filter(each -> each.state() == BackendEntry.State.DRAINING).isPresent()) {
+          departedSeen.add(id);
+        }
+        if (id.equals(ENDING) && view.backends().byId(NEXT).isPresent()) {
+          departedSeen.add(id);
+        }
+      }
+    }
+  }
+
+  private final StoreModel store = new StoreModel();
+  private final List<Node> nodes = new ArrayList<>();
+  private long nowMillis;
+  private long acceptedVersion = 1;
+  private boolean hasLeft;
+  private boolean hasNext;
+
+  FleetModel(int count) {
+    store.put(CONFIGURATION, "booking@1");
+    store.put(LEAVING, "80");
+    store.put(ENDING, "81");
+    for (int index = 0; index < count; index++) {
+      nodes.add(new Node());
+    }
+    catchUp();
+  }
+
+  int nodes() {
+    return nodes.size();
+  }
+
+  /** The operator writes a newer configuration. */
+  void configure() {
+    acceptedVersion++;
+    store.put(CONFIGURATION, "booking@" + acceptedVersion);
+  }
+
+  /** One back end says that it leaves. */
+  void leave() {
+    hasLeft = true;
+    writeIfOther(LEAVING, "80@0@booking@DRAINING");
+  }
+
+  /** Another one ends, and its address goes to a back end that starts. */
+  void replace() {
+    hasNext = true;
+    store.remove(ENDING);
+    store.put(NEXT, "81");
+  }
+
+  void restore(int lostChanges) {
+    store.restore(lostChanges);
+  }
+
+  void forgetHistory() {
+    store.forgetHistory();
+  }
+
+  /** The operator and the back ends write what the store has lost. */
+  void writeAgain() {
+    writeIfOther(CONFIGURATION, "booking@" + acceptedVersion);
+    writeIfOther(LEAVING, hasLeft ? "80@0@booking@DRAINING" : "80");
+    if (!hasNext) {
+      writeIfOther(ENDING, "81");
+      return;
+    }
+    if (store.items().containsKey(ENDING)) {
+      store.remove(ENDING);
+    }
+    writeIfOther(NEXT, "81");
+  }
+
+  private void writeIfOther(String key, String value) {
+    StoreItem held = store.items().get(key);
+    if (held == null || !held.value().equals(value)) {
+      store.put(key, value);
+    }
+  }
+
+  /** A node calls the store, whose answer is on its way from now on. */
+  void call(int index) {
+    Node node = nodes.get(index);
+    synchronized (node.state) {
+      Step step = node.state.watcher().next(nowMillis);
+      if (step instanceof Step.Call call) {
+        node.inFlight.removeIf(Message.FromStore.class::isInstance);
+        node.inFlight.add(new Message.FromStore(store.answer(call.call())));
+      } else {
+        nowMillis++;
+      }
+    }
+  }
+
+  /** A node asks another one, whose answer is on its way from now on. */
+  void ask(int index, int other) {
+    Node node = nodes.get(index);
+    TransferRequest request =
+        new TransferRequest(node.state.request(), node.state.view().version(), true);
+    node.inFlight.add(new Message.FromPeer(nodes.get(other).state.transferFor(request)));
+  }
+
+  /** The first or the last message on its way to a node arrives. */
+  void deliver(int index, boolean first) {
+    Node node = nodes.get(index);
+    if (node.inFlight.isEmpty()) {
+      return;
+    }
+    Message message = node.inFlight.remove(first ? 0 : node.inFlight.size() - 1);
+    if (message instanceof Message.FromPeer peer) {
+      if (node.state.adopt(peer.transfer(), "peer") == MeshState.Adoption.UNFIT) {
+        throw new AssertionError("a patch was made from other content");
+      }
+    } else if (message instanceof Message.FromStore answered) {
+      synchronized (node.state) {
+        node.state.watcher().answered(nowMillis, answered.answer());
+        if (node.state.watcher().at().isKnown()) {
+          node.state.refresh("store");
+        }
+      }
+    }
+    node.check();
+  }
+
+  /** A node's process ends and another one begins, which asks the others before it reads. */
+  void restart(int index) {
+    nodes.set(index, new Node());
+    for (int other = 0; other < nodes.size(); other++) {
+      if (other != index) {
+        ask(index, other);
+        deliver(index, false);
+      }
+    }
+  }
+
+  private void catchUp() {
+    for (int round = 0; round < SETTLING_ROUNDS; round++) {
+      for (int index = 0; index < nodes.size(); index++) {
+        call(index);
+        while (!nodes.get(index).inFlight.isEmpty()) {
+          deliver(index, true);
+        }
+      }
+    }
+  }
+
+  /** All is written again and every node reaches the store: all hold the same, and what is true. */
+  void settle() {
+    writeAgain();
+    catchUp();
+    nowMillis += BackendListing.UNRENEWED_MILLIS;
+    Set<String> ready = new TreeSet<>(Set.of(hasNext ? NEXT : ENDING));
+    if (!hasLeft) {
+      ready.add(LEAVING);
+    }
+    for (Node node : nodes) {
+      node.state.settle();
+      node.check();
+      assertThat(node.state.view().position()).isEqualTo(store.position());
+      assertThat(node.state.view().version()).isEqualTo(acceptedVersion);
+      assertThat(node.ready()).isEqualTo(ready);
+    }
+  }
+}
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PortDocuments.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PortDocuments.java
@@ -14,9 +14,9 @@
 import java.util.Optional;
 
 /**
- * Entries of back ends whose key is the id and whose value is the port, or port, start and service
- * joined by {@code @}; evacuations whose key is {@code evacuate/} and the zone; configurations that
- * hold the one service that is their value.
+ * Entries of back ends whose key is the id and whose value is the port, or port, start, service and
+ * state joined by {@code @}; evacuations whose key is {@code evacuate/} and the zone;
+ * configurations that hold the one service that is their value, and after an {@code @} the version.
  */
 final class PortDocuments implements StoreDocuments {
   private static final String CONFIGURATION = "configuration";
@@ -46,10 +46,11 @@
 
   @Override
   public Either<String, RoutingConfiguration> configuration(StoreItem item) {
-    ServiceDefinition service = new ServiceDefinition(item.value(), "/healthz", 130, 0, 0);
+    String[] parts = item.value().split("@");
+    ServiceDefinition service = new ServiceDefinition(parts[0], "/healthz", 130, 0, 0);
     return Either.right(
         new RoutingConfiguration(
-            item.revision(),
+            parts.length > 1 ? Long.parseLong(parts[1]) : item.revision(),
             new RequestLimits(1, 1, 1, 1),
             List.of(),
             Map.of(service.name(), service)));
@@ -69,7 +70,8 @@
     PeerAddress address = new PeerAddress("10.0.0.1", Integer.parseInt(parts[0]));
     long born = parts.length > 1 ? Long.parseLong(parts[1]) : BackendStart.UNKNOWN_BORN_MILLIS;
     String service = parts.length > 2 ? parts[2] : "booking";
-    return Either.right(
-        new BackendEntry(item.key(), service, address, "z", 6, BackendEntry.State.READY, 0, born));
+    BackendEntry.State state =
+        parts.length > 3 ? BackendEntry.State.valueOf(parts[3]) : BackendEntry.State.READY;
+    return Either.right(new BackendEntry(item.key(), service, address, "z", 6, state, 0, born));
   }
 }
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/RestoredStoreModelTest.java
@@ -0,0 +1,97 @@
+package io.umberpath.node.mesh;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * All orders of few steps with two nodes, and many orders of more steps drawn at random with three:
+ * changes, returns of the store from older copies, calls and transfers whose answers are late, lost
+ * or reordered, nodes that restart. {@code UMBERPATH_MODEL_WALKS} sets the number of drawn orders.
+ */
+final class RestoredStoreModelTest {
+  private static final int DEPTH = 4;
+  private static final int STEPS = 24;
+  private static final int WALKS =
+      Integer.parseInt(System.getenv().getOrDefault("UMBERPATH_MODEL_WALKS", "3000"));
+
+  private record Action(String name, Consumer<FleetModel> step) {}
+
+  private static List<Action> actions(int nodes) {
+    List<Action> actions = new ArrayList<>();
+    actions.add(new Action("configure", FleetModel::configure));
+    actions.add(new Action("leave", FleetModel::leave));
+    actions.add(new Action("replace", FleetModel::replace));
+    actions.add(new Action("restore 1", fleet -> fleet.restore(1)));
+    actions.add(new Action("restore 2", fleet -> fleet.restore(2)));
+    actions.add(new Action("write again", FleetModel::writeAgain));
+    for (int node = 0; node < nodes; node++) {
+      int index = node;
+      actions.add(new Action("call " + index, fleet -> fleet.call(index)));
+      actions.add(new Action("deliver " + index, fleet -> fleet.deliver(index, true)));
+      for (int peer = 0; peer < nodes; peer++) {
+        int other = peer;
+        if (other != index) {
+          actions.add(new Action("ask " + index + other, fleet -> fleet.ask(index, other)));
+        }
+      }
+    }
+    return actions;
+  }
+
+  private static List<Action> moreActions(int nodes) {
+    List<Action> actions = actions(nodes);
+    actions.add(new Action("history", FleetModel::forgetHistory));
+    for (int node = 0; node < nodes; node++) {
+      int index = node;
+      actions.add(new Action("deliver last " + index, fleet -> fleet.deliver(index, false)));
+      actions.add(new Action("restart " + index, fleet -> fleet.restart(index)));
+    }
+    return actions;
+  }
+
+  private static void run(int nodes, List<Action> order) {
+    FleetModel fleet = new FleetModel(nodes);
+    try {
+      order.forEach(action -> action.step().accept(fleet));
+      fleet.settle();
+    } catch (RuntimeException | AssertionError broken) {
+      throw new AssertionError(order.stream().map(Action::name).toList().toString(), broken);
+    }
+  }
+
+  @Test
+  void inAllOrdersOfFewStepsNoFactIsUndoneAndAllNodesHoldWhatTheStoreHolds() {
+    runAll(actions(2), new ArrayList<>());
+  }
+
+  private static void runAll(List<Action> actions, List<Action> begun) {
+    if (begun.size() == DEPTH) {
+      run(2, begun);
+      return;
+    }
+    for (Action action : actions) {
+      begun.add(action);
+      runAll(actions, begun);
+      begun.remove(begun.size() - 1);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {90_801, 4_242})
+  void norInOrdersOfMoreStepsDrawnAtRandom(long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    List<Action> actions = moreActions(3);
+    for (int walk = 0; walk < WALKS; walk++) {
+      List<Action> order = new ArrayList<>();
+      for (int step = 0; step < STEPS; step++) {
+        order.add(actions.get(random.nextInt(actions.size())));
+      }
+      run(3, order);
+    }
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreModel.java
@@ -0,0 +1,80 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.control.store.StoreAnswer;
+import io.umberpath.control.store.StoreCall;
+import io.umberpath.control.store.StoreEvent;
+import io.umberpath.control.store.StoreItem;
+import io.umberpath.control.store.StorePosition;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/** An ordered store in virtual time that can come back from an older copy. */
+final class StoreModel {
+  private final List<StoreEvent> events = new ArrayList<>();
+  private long era = 1;
+
+  /** Revision below which no changes are kept. */
+  private long historySince;
+
+  void put(String key, String value) {
+    events.add(new StoreEvent.Put(new StoreItem(key, value, revision() + 1)));
+  }
+
+  void remove(String key) {
+    events.add(new StoreEvent.Gone(key, revision() + 1));
+  }
+
+  /** Comes back without the latest changes, whose revisions are given out again. */
+  void restore(int lostChanges) {
+    int left = Math.max(1, events.size() - lostChanges);
+    events.subList(left, events.size()).clear();
+    historySince = Math.min(historySince, revision());
+    era++;
+  }
+
+  void forgetHistory() {
+    historySince = revision();
+  }
+
+  long revision() {
+    return events.size();
+  }
+
+  StorePosition position() {
+    return new StorePosition(era, revision());
+  }
+
+  /** The items by key. */
+  TreeMap<String, StoreItem> items() {
+    TreeMap<String, StoreItem> items = new TreeMap<>();
+    for (StoreEvent event : events) {
+      if (event instanceof StoreEvent.Put put) {
+        items.put(put.key(), put.item());
+      } else {
+        items.remove(event.key());
+      }
+    }
+    return items;
+  }
+
+  /** Answers at once; a watch that has nothing to tell comes back empty. */
+  StoreAnswer answer(StoreCall call) {
+    if (call instanceof StoreCall.Watch watch) {
+      return changes(watch.afterRevision());
+    }
+    String after = ((StoreCall.Read) call).after().orElse("");
+    List<StoreItem> left = List.copyOf(items().tailMap(after, false).values());
+    // Pages of two items, so that the store may come back in the middle of a read.
+    int size = Math.min(2, left.size());
+    return new StoreAnswer.Page(left.subList(0, size), size < left.size(), position());
+  }
+
+  private StoreAnswer changes(long after) {
+    if (after > revision() || after < historySince) {
+      return new StoreAnswer.HistoryGone(era);
+    }
+    List<StoreEvent> later = events.subList((int) after, events.size());
+    return new StoreAnswer.Events(List.copyOf(later), position());
+  }
+}
