A start that was kept over a return ends when another one has its address

Found by the model once back ends also end after it: a start that the copy did not have was kept, another one was listed at its address and went, and the kept one took work again.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/BackendListing.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/BackendListing.java
@@ -134,7 +134,7 @@
       believe(nowMillis, each, stillLeaving).ifPresent(entries::add);
     }
     leaving = stillLeaving;
-    addKept(shown.listed(), entries);
+    addKept(nowMillis, shown.listed(), entries);
     Set<String> zones = new HashSet<>(shown.evacuatedZones());
     zones.addAll(keptZones);
     believed = new Believed(List.copyOf(entries), Set.copyOf(zones));
@@ -248,18 +248,29 @@
     return Optional.of(believedEntry);
   }
 
-  /** Adds the entries that are kept, unless their start has ended or another one has its place. */
-  private void addKept(List<Listed> listed, List<BackendEntry> entries) {
+  /**
+   * Adds the entries that are kept. Those that the store shows again are kept no longer; nor are
+   * those whose address is another start's now, which have ended.
+   */
+  private void addKept(long nowMillis, List<Listed> listed, List<BackendEntry> entries) {
     Set<PeerAddress> taken = new HashSet<>();
     entries.forEach(entry -> taken.add(entry.address()));
     Set<String> ids = new HashSet<>();
     listed.forEach(each -> ids.add(each.entry().id()));
+    List<BackendEntry> stillKept = new ArrayList<>();
     for (BackendEntry entry : kept) {
-      boolean hasEnded =
-          isOf(departed.of(entry.start()).map(DepartedStarts.Known::departed), Departure.ENDED);
-      if (!hasEnded && !ids.contains(entry.id()) && !taken.contains(entry.address())) {
-        entries.add(entry);
+      boolean isShown = ids.contains(entry.id());
+      if (!isShown && taken.contains(entry.address())) {
+        departed.add(nowMillis, new Departed(entry.start(), Departure.ENDED, at));
+      } else if (!isShown && !hasEnded(entry.start())) {
+        stillKept.add(entry);
       }
     }
+    kept = stillKept;
+    entries.addAll(kept);
+  }
+
+  private boolean hasEnded(BackendStart start) {
+    return isOf(departed.of(start).map(DepartedStarts.Known::departed), Departure.ENDED);
   }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/RestoredStoreModelTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/RestoredStoreModelTest.java
@@ -46,6 +46,7 @@
   private static List<Action> moreActions(int nodes) {
     List<Action> actions = actions(nodes);
     actions.add(new Action("history", FleetModel::forgetHistory));
+    actions.add(new Action("end next", FleetModel::endNext));
     for (int node = 0; node < nodes; node++) {
       int index = node;
       actions.add(new Action("deliver last " + index, fleet -> fleet.deliver(index, false)));
