The standalone document may name its platform's era, which goes before the revision

Eras ride in the upper bits of the number that all of the control side compares (StorePosition.packed); status and notices show era/revision; an era that is none refuses the document with field and value. DisasterTest, HttpPlatformReaderTest: passed.

--- a/umberpath-control/src/main/java/io/umberpath/control/DocumentSpread.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/DocumentSpread.java
@@ -3,6 +3,7 @@
 import io.umberpath.control.ControlMessage.DocumentDelta;
 import io.umberpath.control.ControlMessage.DocumentRequest;
 import io.umberpath.control.ControlMessage.DocumentUpdate;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.PlatformDocument;
 import io.umberpath.model.Violation;
@@ -14,7 +15,9 @@
 
 /**
  * Holds the newest platform document and spreads it along the tree both ways, as differences where
- * the neighbour holds a recent revision. A revision at or below the held one changes nothing.
+ * the neighbour holds a recent revision. Revisions are packed positions (see {@link
+ * StorePosition}), so that those of a newer era of the platform come after all others. One at or
+ * below the held one changes nothing.
  */
 final class DocumentSpread {
   private static final int RECENT_DOCUMENTS = 8;
@@ -68,7 +71,10 @@
         wentBackTo = document.revision();
         context.notice(
             "platform-revision-went-back",
-            "platform answered " + document.revision() + ", held " + current.revision());
+            "platform answered "
+                + StorePosition.describePacked(document.revision())
+                + ", held "
+                + StorePosition.describePacked(current.revision()));
       }
       return;
     }
--- a/umberpath-control/src/main/java/io/umberpath/control/store/StorePosition.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StorePosition.java
@@ -17,6 +17,12 @@
   /** Before the first read. */
   public static final StorePosition NOTHING = new StorePosition(NO_ERA, -1);
 
+  /** Largest revision and era that have a packed form: 10^12 changes, in 4 million eras. */
+  public static final long MAX_PACKED_REVISION = (1L << 40) - 1;
+
+  /** See {@link #MAX_PACKED_REVISION}. */
+  public static final long MAX_PACKED_ERA = (1L << 22) - 1;
+
   private static final Comparator<StorePosition> ORDER =
       Comparator.comparingLong(StorePosition::era).thenComparingLong(StorePosition::revision);
 
@@ -35,6 +41,23 @@
     return revision >= 0;
   }
 
+  /** One number in the same order; a revision without an era is its own. */
+  public long packed() {
+    return era * (MAX_PACKED_REVISION + 1) + revision;
+  }
+
+  /** The position of a packed form. */
+  public static StorePosition unpacked(long packed) {
+    return new StorePosition(
+        packed / (MAX_PACKED_REVISION + 1), packed % (MAX_PACKED_REVISION + 1));
+  }
+
+  /** A packed form for people: the revision alone where there is no era. */
+  public static String describePacked(long packed) {
+    StorePosition position = unpacked(packed);
+    return position.era() == NO_ERA ? Long.toString(position.revision()) : position.toString();
+  }
+
   /** The later of two. */
   public static StorePosition later(StorePosition first, StorePosition second) {
     return second.isAfter(first) ? second : first;
--- a/umberpath-control/src/test/java/io/umberpath/control/DisasterTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/DisasterTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.ChangeResult;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.PlatformDocument;
@@ -217,6 +218,25 @@
     assertThat(fleet.violations).isEmpty();
   }
 
+  /**
+   * Restored from a backup, the platform gave its revisions out again; nothing newer was taken
+   * until they had passed the held one, as documents were ordered by the revision alone.
+   */
+  @Test
+  void aPlatformThatComesBackInANewerEraIsFollowed() {
+    TestFleet fleet = formed(14);
+    fleet.platform = TestFleet.document(5);
+    fleet.run(5_000);
+    long restored = new StorePosition(1, 3).packed();
+    fleet.platform = TestFleet.document(restored);
+    fleet.run(5_000);
+    assertThat(fleet.alive()).allMatch(each -> each.revision == restored);
+    fleet.platform = TestFleet.document(new StorePosition(0, 9).packed());
+    fleet.run(5_000);
+    assertThat(fleet.alive()).allMatch(each -> each.revision == restored);
+    assertThat(fleet.violations).isEmpty();
+  }
+
   @Test
   void aPairThatDoesNotComposeLeavesTheLastGoodOne() {
     TestFleet fleet = formed(15);
--- a/umberpath-model/src/main/java/io/umberpath/model/PlatformDocument.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/PlatformDocument.java
@@ -9,7 +9,8 @@
 /**
  * What the platform's read-only configuration service publishes. The revision is its total order.
  *
- * @param revision rises with each change at the platform; 0 before any was read
+ * @param revision rises with each change at the platform, and with its era in the upper bits also
+ *     when that comes back from an older copy; 0 before any was read
  * @param services service name to its back ends
  * @param machines live and leaving machines; this list lags and is only a hint
  */
--- a/umberpath-node/src/main/java/io/umberpath/node/cli/Texts.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/cli/Texts.java
@@ -10,6 +10,7 @@
 import io.umberpath.api.v1.Route;
 import io.umberpath.api.v1.RouteExplanation;
 import io.umberpath.api.v1.Violation;
+import io.umberpath.control.store.StorePosition;
 import java.util.Locale;
 
 /** Answers as a reader sees them. */
@@ -48,7 +49,7 @@
   static String status(FleetStatusResponse status) {
     StringBuilder text = new StringBuilder();
     text.append("committed          ").append(Names.version(status.getCommitted()));
-    text.append("\nplatform revision  ").append(status.getPlatformRevision());
+    text.append("\nplatform revision  ").append(revision(status.getPlatformRevision()));
     text.append("\nleader             ");
     text.append(status.getLeader().isEmpty() ? "none known" : status.getLeader());
     text.append("\nanswered by        ").append(status.getAnsweredBy());
@@ -90,10 +91,15 @@
     return response.hasRoute() ? route(response.getRoute()) : change(response.getChange());
   }
 
+  /** A platform's revision, behind its era if it has come back from an older copy. */
+  private static String revision(long packed) {
+    return StorePosition.describePacked(packed);
+  }
+
   private static String route(RouteExplanation explanation) {
     StringBuilder text = new StringBuilder(explanation.getReason());
     text.append("\nin force: version ").append(Names.version(explanation.getVersion()));
-    text.append(", platform revision ").append(explanation.getPlatformRevision());
+    text.append(", platform revision ").append(revision(explanation.getPlatformRevision()));
     if (explanation.getMatched()) {
       text.append('\n').append(resource(explanation.getRoute()));
       text.append('\n').append(resource(explanation.getPool()));
--- a/umberpath-node/src/main/java/io/umberpath/node/platform/FieldReader.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/platform/FieldReader.java
@@ -24,15 +24,15 @@
     return violations;
   }
 
-  /** Checks that the node is an object whose fields are exactly the given ones. */
-  boolean hasExactly(JsonNode node, String path, Set<String> names) {
+  /** Checks that the node is an object whose fields are the given ones, optional ones apart. */
+  boolean hasExactly(JsonNode node, String path, Set<String> names, String... optional) {
     if (!node.isObject()) {
       return refuse(path, node, "must be an object");
     }
     int before = violations.size();
     for (Iterator<String> fields = node.fieldNames(); fields.hasNext(); ) {
       String name = fields.next();
-      if (!names.contains(name)) {
+      if (!names.contains(name) && !List.of(optional).contains(name)) {
         refuse(join(path, name), node.get(name), "unknown field");
       }
     }
@@ -48,12 +48,13 @@
     return node.isArray() || refuse(path, node, "must be an array");
   }
 
-  long positive(JsonNode parent, String path, String name) {
+  long positive(JsonNode parent, String path, String name, long most) {
     JsonNode node = parent.get(name);
-    if (node.isIntegralNumber() && node.canConvertToLong() && node.longValue() > 0) {
+    boolean isNumber = node.isIntegralNumber() && node.canConvertToLong();
+    if (isNumber && node.longValue() > 0 && node.longValue() <= most) {
       return node.longValue();
     }
-    refuse(join(path, name), node, "must be an integer of at least 1");
+    refuse(join(path, name), node, "must be an integer of at least 1 and at most " + most);
     return 1;
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/platform/PlatformDocumentCodec.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/platform/PlatformDocumentCodec.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.PlatformDocument;
 import io.umberpath.model.PlatformDocument.BackendAddress;
@@ -36,6 +37,7 @@
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .build();
 
+  private static final String ERA = "era";
   private static final Set<String> DOCUMENT_FIELDS = Set.of("revision", "services", "machines");
   private static final Set<String> BACKEND_FIELDS =
       Set.of("id", "host", "port", "zone", "nodeHost", "nodeHopPort");
@@ -55,8 +57,8 @@
     }
     FieldReader reader = new FieldReader();
     PlatformDocument document = PlatformDocument.NONE;
-    if (reader.hasExactly(root, "", DOCUMENT_FIELDS)) {
-      long revision = reader.positive(root, "", "revision");
+    if (reader.hasExactly(root, "", DOCUMENT_FIELDS, ERA)) {
+      long revision = position(reader, root).packed();
       SortedMap<String, List<BackendAddress>> services = services(reader, root.get("services"));
       List<Machine> machines = machines(reader, root.get("machines"));
       document = new PlatformDocument(revision, services, machines);
@@ -69,7 +71,11 @@
   /** Writes a document in the form that {@link #parse} accepts. */
   public static byte[] write(PlatformDocument document) {
     ObjectNode root = MAPPER.createObjectNode();
-    root.put("revision", document.revision());
+    StorePosition position = StorePosition.unpacked(document.revision());
+    root.put("revision", position.revision());
+    if (position.era() != StorePosition.NO_ERA) {
+      root.put(ERA, position.era());
+    }
     ObjectNode services = root.putObject("services");
     document.services().forEach((name, list) -> writeBackends(services.putArray(name), list));
     ArrayNode machines = root.putArray("machines");
@@ -81,6 +87,15 @@
     }
   }
 
+  private static StorePosition position(FieldReader reader, JsonNode root) {
+    long era =
+        root.has(ERA)
+            ? reader.positive(root, "", ERA, StorePosition.MAX_PACKED_ERA)
+            : StorePosition.NO_ERA;
+    return new StorePosition(
+        era, reader.positive(root, "", "revision", StorePosition.MAX_PACKED_REVISION));
+  }
+
   private static SortedMap<String, List<BackendAddress>> services(
       FieldReader reader, JsonNode map) {
     SortedMap<String, List<BackendAddress>> services = new TreeMap<>();
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/FleetModel.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/FleetModel.java
@@ -29,6 +29,9 @@
   private static final String NEXT = "c";
   private static final int SETTLING_ROUNDS = 12;
 
+  /** Of all models, on a clock that stands, so that the bounds of its lines hold over all. */
+  private static final MeshEvents EVENTS = new MeshEvents(() -> 0);
+
   /** What is on its way to a node. */
   private sealed interface Message {
     record FromStore(StoreAnswer answer) implements Message {}
@@ -40,10 +43,7 @@
   private final class Node {
     private final MeshState state =
         new MeshState(
-            new PortDocuments(),
-            new StoreWatcher("", TIMES, () -> 1),
-            new MeshEvents(() -> 0),
-            () -> nowMillis);
+            new PortDocuments(), new StoreWatcher("", TIMES, () -> 1), EVENTS, () -> nowMillis);
 
     private final List<Message> inFlight = new ArrayList<>();
     private long version = -1;
@@ -215,17 +215,22 @@
     }
   }
 
-  private void catchUp() {
+  /** A node calls the store until it has read all that there is. */
+  void follow(int index) {
     for (int round = 0; round < SETTLING_ROUNDS; round++) {
-      for (int index = 0; index < nodes.size(); index++) {
-        call(index);
-        while (!nodes.get(index).inFlight.isEmpty()) {
-          deliver(index, true);
-        }
+      call(index);
+      while (!nodes.get(index).inFlight.isEmpty()) {
+        deliver(index, true);
       }
     }
   }
 
+  private void catchUp() {
+    for (int index = 0; index < nodes.size(); index++) {
+      follow(index);
+    }
+  }
+
   /** All is written again and every node reaches the store: all hold the same, and what is true. */
   void settle() {
     writeAgain();
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/RestoredStoreModelTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/RestoredStoreModelTest.java
@@ -31,6 +31,7 @@
     actions.add(new Action("write again", FleetModel::writeAgain));
     for (int node = 0; node < nodes; node++) {
       int index = node;
+      actions.add(new Action("follow " + index, fleet -> fleet.follow(index)));
       actions.add(new Action("call " + index, fleet -> fleet.call(index)));
       actions.add(new Action("deliver " + index, fleet -> fleet.deliver(index, true)));
       for (int peer = 0; peer < nodes; peer++) {
--- a/umberpath-node/src/test/java/io/umberpath/node/platform/HttpPlatformReaderTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/platform/HttpPlatformReaderTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.umberpath.control.store.StorePosition;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.PlatformDocument;
 import io.umberpath.node.settings.NodeSettings;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Contract of the platform's protocol as the reader sees it: whole documents or a clear error. */
 class HttpPlatformReaderTest {
@@ -50,6 +52,32 @@
         .isEqualTo(read);
   }
 
+  @Test
+  void aDocumentOfANewerEraComesAfterAllOfTheOneBefore() throws Exception {
+    PlatformDocument before = read(ok(DOCUMENT), GENEROUS_MILLIS);
+    PlatformDocument read =
+        read(ok(DOCUMENT.replace("'revision':7", "'revision':3,'era':2")), GENEROUS_MILLIS);
+
+    assertThat(StorePosition.unpacked(read.revision())).isEqualTo(new StorePosition(2, 3));
+    assertThat(read.revision()).isGreaterThan(before.revision());
+    assertThat(PlatformDocumentCodec.parse(PlatformDocumentCodec.write(read)).get())
+        .isEqualTo(read);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"0", "-1", "1.5", "'2'", "4194304"})
+  void anEraThatIsNoneRefusesTheDocument(String era) {
+    byte[] json =
+        DOCUMENT
+            .replace("'revision':7", "'revision':3,'era':" + era)
+            .replace('\'', '"')
+            .getBytes(StandardCharsets.UTF_8);
+
+    assertThat(PlatformDocumentCodec.parse(json).getLeft())
+        .singleElement()
+        .satisfies(violation -> assertThat(violation.field()).isEqualTo("era"));
+  }
+
   @Test
   void readsAChunkedDocument() throws Exception {
     int half = DOCUMENT.length() / 2;
