--- a/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/Main.java
@@ -23,7 +23,7 @@
           new ReplayCommand(),
           new PlatformCommand(),
           new BackendCommand(),
-          new IdleRelayCommand(),
+          new IdleRelayCommand(Main.class),
           new MessageSizesCommand(),
           new StateMemoryCommand());
   private static final List<String> HELP = List.of("--help", "-h", "help");
--- a/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleRelayCommand.java
+++ b/umberpath-lab/src/main/java/io/umberpath/lab/transport/IdleRelayCommand.java
@@ -1,7 +1,6 @@
 package io.umberpath.lab.transport;
 
 import io.umberpath.lab.JavaProcess;
-import io.umberpath.lab.Main;
 import io.umberpath.lab.OptionsCommand;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.transport.Transport.Traffic;
@@ -26,6 +25,8 @@
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
   private static final double MEBIBYTE = 1 << 20;
 
+  private final Class<?> entryPoint;
+
   @Option(name = "--children", metaVar = "N", usage = "children of the relay (default 16)")
   private int children = 16;
 
@@ -41,6 +42,15 @@
   @Option(name = "--join", metaVar = "IP:PORT", usage = "run the children of that relay instead")
   private String join;
 
+  /**
+   * Creates the command.
+   *
+   * @param entryPoint class whose main method runs this command again, in a process of its own
+   */
+  public IdleRelayCommand(Class<?> entryPoint) {
+    this.entryPoint = entryPoint;
+  }
+
   @Override
   public String name() {
     return "idle-relay";
@@ -90,7 +100,7 @@
             Integer.toString(children),
             "--heartbeat-millis",
             Long.toString(heartbeatMillis));
-    return JavaProcess.prepare(CHILDREN_JAVA_OPTIONS, Main.class, arguments).inheritIO().start();
+    return JavaProcess.prepare(CHILDREN_JAVA_OPTIONS, entryPoint, arguments).inheritIO().start();
   }
 
   private void awaitChildren(IdleNode relay, Process others) throws InterruptedException {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -1,7 +1,6 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.control.membership.SilenceTimes;
-import io.umberpath.control.store.ReaderElection;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
@@ -41,25 +40,6 @@
   /** Least time between two announcements of what this node took from the store, milliseconds. */
   static final long ANNOUNCE_MILLIS = 50;
 
-  /**
-   * How long a node that starts again waits for the answer of another node before it reads the
-   * store, milliseconds; one that holds nothing, or is not there, answers at once.
-   */
-  private static final long RESTART_WAIT_MILLIS = 250;
-
-  /**
-   * The same at the first start of the whole system, where only the nodes that others are told to
-   * ask read the store, milliseconds; traffic begins 13 s after the machines at the earliest.
-   */
-  private static final long FIRST_START_WAIT_MILLIS = 3_000;
-
-  /**
-   * How long a node that holds a state and knows no other node leaves reading to those it is about
-   * to hear of, milliseconds: a few rounds of reports. Each start called the store one to three
-   * times in that time for nothing, as it took itself for the only node.
-   */
-  private static final long FIRST_PEERS_MILLIS = 1_000;
-
   /** Ends of back ends under a request from which on it is held: the fewest that single it out. */
   static final int MARKS_TO_HOLD = 3;
 
@@ -100,7 +80,6 @@
   private final Runnable second = this::second;
   private long ticks;
   private long lastTickMillis;
-  private volatile long startedMillis;
   private volatile boolean leaving;
   private volatile boolean backendLeaving;
 
@@ -152,44 +131,6 @@
     return follower.isReading() ? own : peers.zoneContact().orElse(own);
   }
 
-  /**
-   * Whether this node calls the store: as one of its zone's readers, while it holds nothing yet, or
-   * to find out why the entry of the back end beside it is missing.
-   */
-  private ReadDecision readsStore() {
-    if (!state.view().isComplete()) {
-      return new ReadDecision(!waitsForPeers(), false, () -> "holds no state yet");
-    }
-    boolean mayHavePeers = !settings.otherSeeds().isEmpty();
-    if (mayHavePeers && peers.nodes() == 1 && sinceStartMillis() < FIRST_PEERS_MILLIS) {
-      return new ReadDecision(false, false, () -> "knows no other node yet");
-    }
-    ReaderElection.Decision elected = peers.electReader(!follower.contact().reachable());
-    if (attester.isLapsed()) {
-      return new ReadDecision(true, false, () -> "the entry of its back end is missing");
-    }
-    return new ReadDecision(
-        elected.reads(), elected.reads() && peers.isStandbyReader(), elected::inputs);
-  }
-
-  /**
-   * Whether the state is to come from another node first: compressed, it takes a tenth of the bytes
-   * of the store's pages and no calls to the store, three a start.
-   */
-  private boolean waitsForPeers() {
-    if (settings.otherSeeds().isEmpty()) {
-      return false;
-    }
-    long waited = sinceStartMillis();
-    return settings.isFirstStart()
-        ? !settings.isSeed() && waited < FIRST_START_WAIT_MILLIS
-        : !puller.hasAsked() && waited < RESTART_WAIT_MILLIS;
-  }
-
-  private long sinceStartMillis() {
-    return clockMillis.getAsLong() - startedMillis;
-  }
-
   private boolean attests(String instance) {
     return attester.attests(instance);
   }
@@ -211,10 +152,11 @@
    * @throws IOException if an address cannot be bound
    */
   public void start() throws IOException {
-    startedMillis = clockMillis.getAsLong();
     events.changeBudget(ChangeBudget.longest(), settings.changeBoundMillis());
-    lastTickMillis = startedMillis;
-    follower.onlyIf(this::readsStore);
+    lastTickMillis = clockMillis.getAsLong();
+    StoreReadPolicy policy =
+        new StoreReadPolicy(settings, state, follower, puller, peers, attester, clockMillis);
+    follower.onlyIf(policy::decide);
     follower.onChange(this::announce);
     follower.start();
     proxy.start();
