--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ChangeBudget.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ChangeBudget.java
@@ -52,15 +52,15 @@
   private static final Step DATAGRAM = new Step("report to the zone", DATAGRAM_MILLIS);
   private static final Step RELAY = new Step("report to another zone", 2 * DATAGRAM_MILLIS);
   private static final Step READER_WAIT =
-      new Step("a reader waits for the store", StatePuller.READER_WAIT_MILLIS);
+      new Step("a reader waits for the store", TransferSchedule.READER_WAIT_MILLIS);
   private static final Step OTHER_ZONE_WAIT =
-      new Step("a node waits for its own zone", StatePuller.OTHER_ZONE_WAIT_MILLIS);
+      new Step("a node waits for its own zone", TransferSchedule.OTHER_ZONE_WAIT_MILLIS);
   private static final Step TRANSFER_PAUSE =
-      new Step("pause after a transfer", StatePuller.PAUSE_MILLIS);
+      new Step("pause after a transfer", TransferSchedule.PAUSE_MILLIS);
   private static final Step CHECK = new Step("until a transfer begins", StatePuller.CHECK_MILLIS);
   private static final Step TRANSFER = new Step("transfer", TRANSFER_MILLIS);
   private static final Step PATIENCE =
-      new Step("until another source is asked", StatePuller.PATIENCE_MILLIS);
+      new Step("until another source is asked", TransferSchedule.PATIENCE_MILLIS);
 
   /** From a prompt reader to the reader of another zone, and on to a node of that zone. */
   private static final List<Step> TO_OTHER_ZONE =
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -8,9 +8,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
@@ -26,46 +23,15 @@
  * that is given up has to wait again.
  */
 final class StatePuller implements AutoCloseable {
-  /**
-   * How long a node that reads the store waits for it before it takes changes from another,
-   * milliseconds: the store answers its readers within some ten of each other, so that one that has
-   * not been told by then hears nothing, or pauses, and a patch is smaller than the store's item.
-   */
-  static final long READER_WAIT_MILLIS = 150;
-
-  /**
-   * How long a node that does not read waits for its own zone before it goes to another one: a
-   * reader there would have had its own wait, a transfer and a round of reports.
-   */
-  static final long OTHER_ZONE_WAIT_MILLIS = 800;
-
-  /**
-   * Pause between two transfers, in which quick successions of changes gather, milliseconds. A
-   * configuration travels as a patch of some hundred bytes, so that the pause bounds connections
-   * between nodes, not bytes; that a back end leaves must be known within 2 s.
-   */
-  static final long PAUSE_MILLIS = 100;
-
   /** How often this node looks whether it is behind, while it is, milliseconds. */
   static final long CHECK_MILLIS = 50;
 
-  /** How long a transfer may take before another is begun beside it, milliseconds. */
-  static final long PATIENCE_MILLIS = 500;
-
   /**
    * Bound of each step of a transfer, milliseconds: packets that wait for two seconds at a link are
    * of no use within the time in which a change is to be in force.
    */
   private static final int TIMEOUT_MILLIS = 2_000;
 
-  private static final int MAX_TRANSFERS = 3;
-
-  /** Nodes that one asks for facts alone: what it was given as seeds may be three that are down. */
-  private static final int MAX_FACT_TRANSFERS = 3;
-
-  /** Pause between two transfers while this node holds no configuration yet, milliseconds. */
-  private static final long START_PAUSE_MILLIS = 200;
-
   private final MeshSettings settings;
   private final MeshState state;
   private final BooleanSupplier readsStore;
@@ -78,27 +44,13 @@
   /** Whether changes of another node did not fit what this one holds. */
   private volatile boolean wantsWhole;
 
-  /** The node that changes were last taken from; empty before the first. */
-  private volatile String lastSource = "";
-
   private volatile boolean hasAsked;
 
-  /** Whether another node has told what an older copy of the store may not show. */
-  private volatile boolean hasFacts;
-
-  /** Nodes asked for that alone, while this one held a state. */
-  private int factTransfers;
+  /** Guarded by this object's lock. */
+  private final TransferSchedule schedule;
 
-  private final StateSources near = new StateSources();
-  private final StateSources far = new StateSources();
   private volatile Predicate<String> isSilent = host -> false;
   private volatile Runnable takenListener = () -> {};
-  private long behindSinceMillis = -1;
-  private long nextTransferMillis;
-  private int transfers;
-
-  /** The source of the last transfer since this node is behind; null before the first. */
-  private PeerAddress lastTried;
 
   StatePuller(
       MeshSettings settings,
@@ -111,6 +63,12 @@
     this.readsStore = readsStore;
     this.events = events;
     this.clockMillis = clockMillis;
+    this.schedule =
+        new TransferSchedule(
+            settings.otherSeeds(),
+            settings.exchange().port(),
+            settings.isFirstStart(),
+            ThreadLocalRandom::current);
   }
 
   private static Thread daemon(Runnable task) {
@@ -120,7 +78,9 @@
   }
 
   void start() {
-    behindSinceMillis = clockMillis.getAsLong();
+    synchronized (this) {
+      schedule.begin(clockMillis.getAsLong());
+    }
     thread.setDaemon(true);
     thread.start();
   }
@@ -142,14 +102,7 @@
 
   /** Another node holds something newer. */
   synchronized void ahead(String host, boolean isNear, long version, StorePosition position) {
-    if (behindSinceMillis < 0) {
-      behindSinceMillis = clockMillis.getAsLong();
-    }
-    if (isNear) {
-      near.state(host, version, position);
-    } else {
-      far.state(host, version, position);
-    }
+    schedule.ahead(clockMillis.getAsLong(), host, isNear, version, position);
     notifyAll();
   }
 
@@ -168,64 +121,16 @@
   }
 
   private synchronized void awaitBehind() throws InterruptedException {
-    while (behindSinceMillis < 0) {
+    while (!schedule.isActive()) {
       wait();
     }
   }
 
-  /** Begins a transfer if this node is behind and one is due. */
+  /** Begins a transfer if one is due. */
   private synchronized void step() {
-    MeshView view = state.view();
-    long now = clockMillis.getAsLong();
-    boolean isBehind = near.isAnyAhead(view) | far.isAnyAhead(view);
-    if (view.isComplete() && !isBehind) {
-      if (asksForFacts()) {
-        factTransfers++;
-        beginTransfer(now, seeds().get(0));
-        return;
-      }
-      if (transfers == 0 || hasFacts) {
-        behindSinceMillis = -1;
-        beginAnew();
-      }
-      return;
-    }
-    List<PeerAddress> sources = sources(view, now - behindSinceMillis);
-    if (sources.isEmpty() || now < nextTransferMillis || transfers == MAX_TRANSFERS) {
-      return;
-    }
-    // One that does not answer must not take the turn of another that could.
-    PeerAddress source =
-        sources.stream().filter(each -> !each.equals(lastTried)).findFirst().orElse(sources.get(0));
-    lastTried = source;
-    near.asked(source.host());
-    far.asked(source.host());
-    beginTransfer(now, source);
-  }
-
-  private void beginTransfer(long nowMillis, PeerAddress source) {
-    transfers++;
-    nextTransferMillis = nowMillis + PATIENCE_MILLIS;
-    workers.execute(() -> transfer(source));
-  }
-
-  /**
-   * Whether a node that read the store by itself is to be told what an older copy may not show: by
-   * one of the nodes that it was given, tried a few times.
-   */
-  private boolean asksForFacts() {
-    return !hasFacts
-        && !settings.isFirstStart()
-        && !settings.otherSeeds().isEmpty()
-        && factTransfers < MAX_FACT_TRANSFERS
-        && transfers == 0
-        && clockMillis.getAsLong() >= nextTransferMillis;
-  }
-
-  private List<PeerAddress> seeds() {
-    List<PeerAddress> seeds = new ArrayList<>(settings.otherSeeds());
-    Collections.shuffle(seeds, ThreadLocalRandom.current());
-    return seeds;
+    schedule
+        .next(clockMillis.getAsLong(), state.view(), readsStore.getAsBoolean(), isSilent)
+        .ifPresent(source -> workers.execute(() -> transfer(source)));
   }
 
   private void transfer(PeerAddress source) {
@@ -236,48 +141,21 @@
         takenListener.run();
       }
     } finally {
-      ended(taken);
+      ended(source, taken);
     }
   }
 
-  private synchronized void ended(boolean taken) {
-    long now = clockMillis.getAsLong();
-    transfers--;
-    // Other nodes that start too hold nothing yet, and are asked again a little later.
-    nextTransferMillis = state.view().isComplete() ? now : now + START_PAUSE_MILLIS;
+  private synchronized void ended(PeerAddress source, boolean taken) {
     hasAsked = true;
-    if (taken) {
-      // The own zone delivers: what is newer still gets the whole time to come from there.
-      nextTransferMillis = now + PAUSE_MILLIS;
-      behindSinceMillis = now;
-      beginAnew();
-    }
+    schedule.ended(clockMillis.getAsLong(), state.view(), source, taken);
   }
 
-  /** All sources may be asked again. */
-  private void beginAnew() {
-    lastTried = null;
-    near.beginAnew();
-    far.beginAnew();
-  }
-
-  private List<PeerAddress> sources(MeshView view, long behindMillis) {
-    boolean reads = readsStore.getAsBoolean();
-    List<PeerAddress> sources = new ArrayList<>();
-    if (behindMillis >= (reads ? READER_WAIT_MILLIS : 0)) {
-      near.next(view, lastSource, isSilent).ifPresent(host -> sources.add(exchangeOf(host)));
-    }
-    if (behindMillis >= (reads ? READER_WAIT_MILLIS : OTHER_ZONE_WAIT_MILLIS)) {
-      far.next(view, lastSource, isSilent).ifPresent(host -> sources.add(exchangeOf(host)));
-    }
-    if (!view.isComplete()) {
-      sources.addAll(seeds());
-    }
-    return sources;
+  private synchronized boolean wantsFacts() {
+    return schedule.wantsFacts();
   }
 
-  private PeerAddress exchangeOf(String host) {
-    return new PeerAddress(host, settings.exchange().port());
+  private synchronized void answered(StateTransfer transfer) {
+    schedule.answered(transfer.changes().at());
   }
 
   private boolean pull(PeerAddress source) {
@@ -285,14 +163,14 @@
       socket.connect(new InetSocketAddress(source.host(), source.port()), TIMEOUT_MILLIS);
       socket.setSoTimeout(TIMEOUT_MILLIS);
       StateRequest held = wantsWhole ? StateRequest.WHOLE : state.request();
-      TransferRequest request = new TransferRequest(held, state.view().version(), !hasFacts);
+      TransferRequest request = new TransferRequest(held, state.view().version(), wantsFacts());
       BufferedOutputStream out = new BufferedOutputStream(socket.getOutputStream());
       StateChangesCodec.write(request, out);
       out.flush();
       StateTransfer transfer =
           StateChangesCodec.read(new BufferedInputStream(socket.getInputStream()));
       MeshState.Adoption adoption = state.adopt(transfer, source.toString());
-      hasFacts |= transfer.changes().at().isKnown();
+      answered(transfer);
       if (adoption == MeshState.Adoption.NOT_NEWER) {
         return false;
       }
@@ -300,7 +178,6 @@
       if (wantsWhole) {
         throw new IOException("a patch does not fit the item that it is for");
       }
-      lastSource = source.host();
       events.stateAdopted(source.toString(), state.view().version(), transfer);
       return true;
     } catch (IOException failure) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
@@ -9,9 +9,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /**
  * Nodes that stated something newer than this node holds, and which of them is to be asked next:
@@ -27,6 +28,11 @@
 
   private final Map<String, Stated> statedByHost = new HashMap<>();
   private final Set<String> tried = new HashSet<>();
+  private final Supplier<Random> random;
+
+  StateSources(Supplier<Random> random) {
+    this.random = random;
+  }
 
   /** A node states what it holds. */
   void state(String host, long version, StorePosition position) {
@@ -58,7 +64,7 @@
       tried.clear();
     }
     candidates.removeIf(stated -> tried.contains(stated.host()));
-    Collections.shuffle(candidates, ThreadLocalRandom.current());
+    Collections.shuffle(candidates, random.get());
     return candidates.stream()
         .max(
             Comparator.comparing(Stated::position)
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StateSourcesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StateSourcesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.umberpath.control.store.StorePosition;
+import java.util.concurrent.ThreadLocalRandom;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -11,7 +12,7 @@
  * were a little less far. Of all statements only the furthest was kept.
  */
 final class StateSourcesTest {
-  private final StateSources sources = new StateSources();
+  private final StateSources sources = new StateSources(ThreadLocalRandom::current);
 
   private static StorePosition position(long revision) {
     return new StorePosition(StorePosition.NO_ERA, revision);
