A refused watch that names no era is followed by a read; pauses of a watcher are a class of their own

A store whose refusals did not name the era would have left its readers without news for good once an era was known: reading anew is never wrong.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -54,8 +55,7 @@
   private int failures;
   private long notBeforeMillis;
   private long heardAtMillis = -1;
-  private int fastPolls;
-  private long fastPollsSinceMillis;
+  private final PollPauses pauses;
 
   /**
    * Creates a watcher that knows nothing.
@@ -66,7 +66,7 @@
   public StoreWatcher(String prefix, StoreWatcherSettings settings, DoubleSupplier random) {
     this.prefix = prefix;
     this.settings = settings;
-    this.fastPolls = settings.fastPolls();
+    this.pauses = new PollPauses(settings);
     this.random = random;
   }
 
@@ -119,9 +119,17 @@
     return false;
   }
 
-  /** Whether an answer is of an era before the one that is known: it says nothing of the store. */
+  /**
+   * Whether an answer is of an era before the one that is known: it says nothing of the store. A
+   * refused watch that names no era is taken all the same: reading anew is never wrong.
+   */
   public boolean isOutdated(StoreAnswer answer) {
-    return answer.era().isPresent() && answer.era().getAsLong() < at.era();
+    OptionalLong era = answer.era();
+    boolean namesNone = era.equals(OptionalLong.of(StorePosition.NO_ERA));
+    if (namesNone && answer instanceof StoreAnswer.HistoryGone) {
+      return false;
+    }
+    return era.isPresent() && era.getAsLong() < at.era();
   }
 
   /**
@@ -227,23 +235,11 @@
     }
     at = StorePosition.later(at, events.at());
     if (!events.events().isEmpty()) {
-      notBeforeMillis = nowMillis + pauseMillis(nowMillis);
+      notBeforeMillis = nowMillis + pauses.next(nowMillis, settings);
     }
     return changed;
   }
 
-  /** A few fast polls when changes begin, as after a restart of many; then a longer pause. */
-  private long pauseMillis(long nowMillis) {
-    long back = (nowMillis - fastPollsSinceMillis) / settings.fastPollRefillMillis();
-    fastPolls = (int) Math.min(settings.fastPolls(), fastPolls + back);
-    fastPollsSinceMillis += back * settings.fastPollRefillMillis();
-    if (fastPolls == 0) {
-      return settings.pauseMillis();
-    }
-    fastPolls--;
-    return settings.fastPollPauseMillis();
-  }
-
   private boolean apply(StoreEvent event) {
     StoreItem held = items.get(event.key());
     if (held != null && held.revision() >= event.revision()) {
--- a/umberpath-control/src/test/java/io/umberpath/control/store/BackendListingTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/BackendListingTest.java
@@ -127,7 +127,7 @@
     assertThat(ready(90_000, 2, 12, ready("new", 80, 11))).containsExactly("new");
   }
 
-  /** Found by the model: the start before came back once the later one had gone. */
+  /** The start before must not come back once the later one has gone. */
   @Test
   void whatIsKeptEndsWhenAnotherStartHasItsAddress() {
     ready(0, 1, 10, ready("old", 80, 3));
--- a/umberpath-control/src/test/java/io/umberpath/control/store/RestoredStoreWatcherTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/RestoredStoreWatcherTest.java
@@ -104,6 +104,16 @@
     assertThat(watcher.next(0)).isInstanceOf(Step.Wait.class);
   }
 
+  @Test
+  void aRefusedWatchThatNamesNoEraIsFollowedByAReadAllTheSame() {
+    watcher.answered(0, page(position(1, 20), item("a", "1", 18)));
+    call();
+
+    watcher.answered(0, new StoreAnswer.HistoryGone(StorePosition.NO_ERA));
+
+    assertThat(call()).isEqualTo(new StoreCall.Read("", Optional.empty()));
+  }
+
   @Test
   void pagesOfTwoErasAreNotPutTogether() {
     watcher.answered(0, new StoreAnswer.Page(List.of(item("a", "1", 18)), true, position(1, 20)));
