--- a/umberpath-control/src/main/java/io/umberpath/control/store/BackendListing.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/BackendListing.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.control.store.DepartedStarts.Departed;
 import io.umberpath.control.store.DepartedStarts.Departure;
+import io.umberpath.control.store.DepartedStarts.Known;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.BackendStart;
@@ -178,17 +179,16 @@
     return List.copyOf(byAddress.values());
   }
 
-  private static boolean isOf(Optional<Departed> departed, Departure departure) {
-    return departed.isPresent() && departed.get().departure() == departure;
+  private static boolean isOf(Optional<Known> known, Departure departure) {
+    return known.isPresent() && known.get().departed().departure() == departure;
   }
 
   /** The departure that stands against an entry; empty if there is none, or the start is back. */
-  private Optional<Departed> standing(long nowMillis, Listed each) {
+  private Optional<Known> standing(long nowMillis, Listed each) {
     return departed
         .of(each.entry().start())
         .filter(known -> !isWrittenSince(each, known.departed().at()))
-        .filter(known -> !isRenewed(nowMillis, known))
-        .map(DepartedStarts.Known::departed);
+        .filter(known -> !isRenewed(nowMillis, known));
   }
 
   /** Whether a back end has written its entry itself after it was taken as departed. */
@@ -198,11 +198,11 @@
   }
 
   /** Whether an entry, of a start taken as ended, has stood for longer than nobody renews it. */
-  private boolean isRenewed(long nowMillis, DepartedStarts.Known known) {
+  private boolean isRenewed(long nowMillis, Known known) {
     return known.departed().departure() == Departure.ENDED && nowMillis >= renewedMillis(known);
   }
 
-  private long renewedMillis(DepartedStarts.Known known) {
+  private long renewedMillis(Known known) {
     return Math.max(known.sinceMillis(), eraSinceMillis) + UNRENEWED_MILLIS;
   }
 
@@ -227,22 +227,20 @@
   private Optional<BackendEntry> believe(
       long nowMillis, Listed each, Map<BackendEntry, BackendEntry> stillLeaving) {
     BackendEntry entry = each.entry();
-    Optional<Departed> standing = standing(nowMillis, each);
+    Optional<Known> standing = standing(nowMillis, each);
     if (standing.isEmpty()) {
       departed.returned(entry.start());
       return Optional.of(entry);
     }
     if (isOf(standing, Departure.ENDED)) {
-      contradicted.add(standing.get());
-      departed
-          .of(entry.start())
-          .ifPresent(known -> dueMillis = Math.min(dueMillis, renewedMillis(known)));
+      contradicted.add(standing.get().departed());
+      dueMillis = Math.min(dueMillis, renewedMillis(standing.get()));
       return Optional.empty();
     }
     if (entry.state() == BackendEntry.State.DRAINING) {
       return Optional.of(entry);
     }
-    contradicted.add(standing.get());
+    contradicted.add(standing.get().departed());
     BackendEntry believedEntry = leaving.getOrDefault(entry, entry.leaving());
     stillLeaving.put(entry, believedEntry);
     return Optional.of(believedEntry);
@@ -262,15 +260,11 @@
       boolean isShown = ids.contains(entry.id());
       if (!isShown && taken.contains(entry.address())) {
         departed.add(nowMillis, new Departed(entry.start(), Departure.ENDED, at));
-      } else if (!isShown && !hasEnded(entry.start())) {
+      } else if (!isShown && !isOf(departed.of(entry.start()), Departure.ENDED)) {
         stillKept.add(entry);
       }
     }
     kept = stillKept;
     entries.addAll(kept);
   }
-
-  private boolean hasEnded(BackendStart start) {
-    return isOf(departed.of(start).map(DepartedStarts.Known::departed), Departure.ENDED);
-  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -152,7 +152,6 @@
    * @throws IOException if an address cannot be bound
    */
   public void start() throws IOException {
-    events.changeBudget(ChangeBudget.longest(), settings.changeBoundMillis());
     lastTickMillis = clockMillis.getAsLong();
     StoreReadPolicy policy =
         new StoreReadPolicy(settings, state, follower, puller, peers, attester, clockMillis);
@@ -175,6 +174,12 @@
     peers.start();
     puller.start();
     timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    // After the first ticks: a start serves nobody until it listens and holds a state.
+    timer.schedule(() -> guarded(this::tellBudget), SECOND_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void tellBudget() {
+    events.changeBudget(ChangeBudget.longest(), settings.changeBoundMillis());
   }
 
   private void tick() {
