A connection that ends with requests unanswered leaves a line

Now: connection-ended with its cause, the requests that were begun, how many were sent on and how many not begun; and node-stopped tells the connections and the unwritten bytes that end with the process. No decision is changed.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -70,6 +70,8 @@
   STORE_READER(10),
   /** A request of a caller ended without an answer of a back end. */
   REQUEST_FAILED(40),
+  /** A connection ended with requests unanswered that had been read from it. */
+  CONNECTION_ENDED(40),
   /** A request of a caller was answered; a sample. */
   REQUEST_SERVED(2),
   /** An attempt failed, and whether another follows. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -12,6 +12,7 @@
 import io.umberpath.node.clock.BootClock;
 import io.umberpath.node.logs.LogFields;
 import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.node.proxy.inbound.UnansweredRequests;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.io.IOException;
 import java.util.EnumMap;
@@ -82,7 +83,7 @@
   /** Which clock ages and deadlines are on. */
   public void clockOpened(BootClock.Source clock) {
     line(MeshEvent.CLOCK_OPENED)
-        .with(SOURCE, clock.name().toLowerCase(Locale.ROOT).replace('_', '-'))
+        .with(SOURCE, label(clock))
         .log(
             "%s",
             clock == BootClock.Source.BOOT_TIME
@@ -121,11 +122,19 @@
     line(MeshEvent.NODE_STOPPING).with(COUNT, (long) inFlight).log("planned stop");
   }
 
-  void stopped(int cutOff, long millis) {
+  /**
+   * A planned stop is done.
+   *
+   * @param openCallers connections of callers and other nodes that end with the process
+   * @param unwrittenBytes bytes of answers that no socket has taken
+   */
+  void stopped(int cutOff, int openCallers, long unwrittenBytes, long millis) {
     line(MeshEvent.NODE_STOPPED)
         .with(COUNT, (long) cutOff)
         .with(MILLIS, millis)
-        .log("requests cut off: %d", cutOff);
+        .log(
+            "requests cut off: %d, connections open: %d, bytes not written: %d",
+            cutOff, openCallers, unwrittenBytes);
   }
 
   /** The settings were read again. */
@@ -352,6 +361,20 @@
         .log("attempts %d, sent to back ends %d", attempts, plan.tally().arrivals());
   }
 
+  /** A connection ended, and requests that were read from it have no answer. */
+  void connectionEnded(UnansweredRequests unanswered) {
+    line(MeshEvent.CONNECTION_ENDED)
+        .with(CAUSE, label(unanswered.end()))
+        .with(SOURCE, label(unanswered.side()))
+        .with(COUNT, (long) unanswered.requestIds().size())
+        .with(LogFields.REQUEST_ID, String.join(" ", unanswered.requestIds()))
+        .log("sent on %d, not begun %d", unanswered.sentOn(), unanswered.notBegun());
+  }
+
+  private static String label(Enum<?> value) {
+    return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
   void requestServed(MeshEdgePlan plan, int attempts, long millis) {
     // Each request comes here, and nearly all go beyond the bound.
     if (!mayWrite(MeshEvent.REQUEST_SERVED)) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -80,7 +80,12 @@
             settings, view, origins, balancer, peers, gate::repeatShare, events, clockMillis);
     ExchangeEnvironment environment =
         new ExchangeEnvironment(
-            clockMillis, stats, AttemptLog.CUT_OFF_ONLY, active, this::maxBodyBytes);
+            clockMillis,
+            stats,
+            AttemptLog.CUT_OFF_ONLY,
+            events::connectionEnded,
+            active,
+            this::maxBodyBytes);
     this.edgeFilter = new InboundFilter(edge, environment);
     this.gateFilter = new InboundFilter(gate, environment);
   }
@@ -169,6 +174,16 @@
     gateFilter.expire(IDLE_HOP_MILLIS, DISCARD_MILLIS);
   }
 
+  /** Connections of callers and other nodes that are open. */
+  int openCallers() {
+    return edgeFilter.open() + gateFilter.open();
+  }
+
+  /** Bytes of answers that no socket has taken yet. */
+  long unwrittenBytes() {
+    return edgeFilter.unwrittenBytes() + gateFilter.unwrittenBytes();
+  }
+
   /** Connections to other nodes that are open. */
   int openConnectionsToNodes() {
     return origins.open();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -79,6 +79,7 @@
       Thread.sleep(STOP_CHECK_MILLIS);
     }
     int cutOff = proxy.abortAll();
-    events.stopped(cutOff, clockMillis.getAsLong() - began);
+    events.stopped(
+        cutOff, proxy.openCallers(), proxy.unwrittenBytes(), clockMillis.getAsLong() - began);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -7,6 +7,7 @@
 import io.umberpath.node.proxy.backend.BackendMonitor;
 import io.umberpath.node.proxy.backend.BackendStatus;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
+import io.umberpath.node.proxy.inbound.ConnectionLog;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.origin.AttemptLog;
@@ -90,7 +91,12 @@
     this.origins = new OriginManager(transport, clockMillis);
     this.environment =
         new ExchangeEnvironment(
-            clockMillis, stats, new AttemptLog(), active, settings::maxBodyBytes);
+            clockMillis,
+            stats,
+            new AttemptLog(),
+            ConnectionLog.NONE,
+            active,
+            settings::maxBodyBytes);
     this.edge =
         new EdgeHandler(
             control,
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.node.proxy.http.PendingAnswers;
 import io.umberpath.node.proxy.origin.OriginConnection;
+import io.umberpath.node.proxy.stats.ProxyStats;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -14,6 +15,7 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * One connection of a caller or another node. Requests that arrive before earlier ones are answered
@@ -31,6 +33,8 @@
       AttributeBuilder.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.callerConnection");
 
   private final Connection<?> connection;
+  private final ProxyStats.Side side;
+  private final ConnectionLog log;
   private final LongSupplier clockMillis;
   private final Deque<AnswerTurn> turns = new ArrayDeque<>();
   private final List<Exchange> goneLater = new ArrayList<>();
@@ -40,6 +44,7 @@
   private boolean ending;
   private boolean closed;
   private Object lastAnswer;
+  private ConnectionEnd endedBy = ConnectionEnd.PEER;
 
   /** The request whose answer is complete but whose body is not; the rest is read and dropped. */
   private HttpHeader discarding;
@@ -48,9 +53,12 @@
   private FilterChainContext suspendedHead;
   private volatile long restsSinceMillis;
 
-  CallerConnection(Connection<?> connection, LongSupplier clockMillis) {
+  CallerConnection(
+      Connection<?> connection, ProxyStats.Side side, ExchangeEnvironment environment) {
     this.connection = connection;
-    this.clockMillis = clockMillis;
+    this.side = side;
+    this.log = environment.connectionLog();
+    this.clockMillis = environment.clockMillis();
     this.restsSinceMillis = clockMillis.getAsLong();
     ATTRIBUTE.set(connection, this);
     PendingAnswers.attach(connection, this);
@@ -270,7 +278,7 @@
     restsSinceMillis = clockMillis.getAsLong();
     if (turn.isCutOff()) {
       ending = true;
-      return this::abort;
+      return () -> abort(ConnectionEnd.BROKEN_ANSWER);
     }
     closing |= !turn.isKeepAlive();
     if (!turn.isBodyComplete()) {
@@ -278,7 +286,7 @@
       return resumption(takeSuspendedBody());
     }
     ending = closing;
-    return ending ? connection::closeSilently : resumption(takeSuspendedHead());
+    return ending ? () -> close(ConnectionEnd.LAST_ANSWER) : resumption(takeSuspendedHead());
   }
 
   private FilterChainContext takeSuspendedBody() {
@@ -310,7 +318,7 @@
       }
     }
     if (close) {
-      connection.closeSilently();
+      close(ConnectionEnd.LAST_ANSWER);
     }
     resumption(waiting).run();
   }
@@ -330,19 +338,36 @@
 
   private void writeAndClose(Object message) {
     connection.write(message, null);
+    close(ConnectionEnd.LAST_ANSWER);
+  }
+
+  private void close(ConnectionEnd cause) {
+    endsBy(cause);
     connection.closeSilently();
   }
 
-  void abort() {
+  /** Ends the connection at once. */
+  void abort(ConnectionEnd cause) {
+    endsBy(cause);
     connection.terminateSilently();
   }
 
+  private synchronized void endsBy(ConnectionEnd cause) {
+    if (endedBy == ConnectionEnd.PEER) {
+      endedBy = cause;
+    }
+  }
+
   /** The peer is gone. */
   void closed() {
     List<Exchange> open = new ArrayList<>();
     boolean underLock = false;
+    ConnectionEnd end;
+    boolean isHeadUnbegun;
     synchronized (this) {
       closed = true;
+      end = endedBy;
+      isHeadUnbegun = suspendedHead != null;
       for (AnswerTurn turn : turns) {
         open.add(turn.exchange());
         // The write that found the connection broken holds the lock of one of them.
@@ -351,6 +376,7 @@
       turns.clear();
       heldBytes = 0;
     }
+    tell(open, isHeadUnbegun, end);
     for (Exchange exchange : open) {
       if (!underLock || Thread.holdsLock(exchange)) {
         exchange.onCallerGone();
@@ -362,6 +388,20 @@
     }
   }
 
+  private void tell(List<Exchange> open, boolean isHeadUnbegun, ConnectionEnd end) {
+    if (open.isEmpty() && !isHeadUnbegun) {
+      return;
+    }
+    List<String> ids = open.stream().map(CallerConnection::idOf).toList();
+    int sentOn = (int) open.stream().filter(exchange -> exchange.attempts() > 0).count();
+    log.ended(new UnansweredRequests(side, end, ids, sentOn, isHeadUnbegun ? 1 : 0));
+  }
+
+  private static String idOf(Exchange exchange) {
+    RequestPlan plan = exchange.plan();
+    return plan == null ? "" : plan.requestId();
+  }
+
   /** Ends the exchanges that could not be ended under another's lock. */
   void endThoseLeft() {
     List<Exchange> left;
@@ -383,7 +423,7 @@
       expired = turns.isEmpty() && age >= (discarding == null ? idleMillis : discardMillis);
     }
     if (expired) {
-      connection.closeSilently();
+      close(ConnectionEnd.IDLE);
     }
   }
 
@@ -394,10 +434,15 @@
       idle = turns.isEmpty() && discarding == null;
     }
     if (idle) {
-      connection.closeSilently();
+      close(ConnectionEnd.IDLE);
     }
   }
 
+  /** Bytes of answers that the socket has not taken yet. */
+  long unwrittenBytes() {
+    return connection instanceof NIOConnection nio ? nio.getAsyncWriteQueue().spaceInBytes() : 0;
+  }
+
   void whenWritable(Runnable action) {
     connection.notifyCanWrite(new OriginConnection.WhenWritable(connection, action));
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeEnvironment.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeEnvironment.java
@@ -10,6 +10,7 @@
  * @param clockMillis rising clock, milliseconds; deadlines are on it
  * @param stats counters
  * @param attemptLog log of failed attempts
+ * @param connectionLog hears of connections that ended with requests unanswered
  * @param active exchanges in flight
  * @param maxBodyBytes largest request body
  */
@@ -17,5 +18,6 @@
     LongSupplier clockMillis,
     ProxyStats stats,
     AttemptLog attemptLog,
+    ConnectionLog connectionLog,
     ActiveExchanges active,
     LongSupplier maxBodyBytes) {}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
@@ -24,7 +24,7 @@
 
   @Override
   public NextAction handleAccept(FilterChainContext context) {
-    connections.add(new CallerConnection(context.getConnection(), environment.clockMillis()));
+    connections.add(new CallerConnection(context.getConnection(), handler.side(), environment));
     return context.getStopAction();
   }
 
@@ -72,7 +72,7 @@
   private static NextAction discard(
       FilterChainContext context, CallerConnection caller, HttpContent content) {
     if (content instanceof HttpBrokenContent) {
-      caller.abort();
+      caller.abort(ConnectionEnd.BROKEN_ANSWER);
     } else {
       caller.discard(content.isLast());
     }
@@ -99,8 +99,18 @@
     connections.forEach(CallerConnection::closeIfIdle);
   }
 
+  /** Connections that are open. */
+  public int open() {
+    return connections.size();
+  }
+
+  /** Bytes of answers that no socket has taken yet. */
+  public long unwrittenBytes() {
+    return connections.stream().mapToLong(CallerConnection::unwrittenBytes).sum();
+  }
+
   /** Closes every connection at once. */
   public void abortAll() {
-    connections.forEach(CallerConnection::abort);
+    connections.forEach(caller -> caller.abort(ConnectionEnd.STOP));
   }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -5,6 +5,7 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
+import io.umberpath.node.proxy.inbound.ConnectionLog;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.InboundFilter;
@@ -69,6 +70,7 @@
             () -> 0,
             ProxyStats.NONE,
             AttemptLog.CUT_OFF_ONLY,
+            ConnectionLog.NONE,
             new ActiveExchanges(),
             () -> Long.MAX_VALUE);
     InboundFilter filter = new InboundFilter(new Handler(), environment);
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
@@ -195,10 +195,15 @@
   }
 
   private Exchange begin(HttpRequestPacket request, boolean complete) {
-    caller = new CallerConnection(callersConnection, () -> 0);
     ExchangeEnvironment environment =
         new ExchangeEnvironment(
-            () -> 0, ProxyStats.NONE, AttemptLog.CUT_OFF_ONLY, active, () -> Long.MAX_VALUE);
+            () -> 0,
+            ProxyStats.NONE,
+            AttemptLog.CUT_OFF_ONLY,
+            ConnectionLog.NONE,
+            active,
+            () -> Long.MAX_VALUE);
+    caller = new CallerConnection(callersConnection, ProxyStats.Side.EDGE, environment);
     Exchange exchange = new Exchange(caller, request, handler, environment);
     exchange.begin(
         HttpContent.builder(request).content(Buffers.EMPTY_BUFFER).last(complete).build());
