--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -0,0 +1,139 @@
+package io.umberpath.node.proxy;
+
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.inbound.ActiveExchanges;
+import io.umberpath.node.proxy.inbound.ConnectionLog;
+import io.umberpath.node.proxy.inbound.Exchange;
+import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
+import io.umberpath.node.proxy.inbound.InboundFilter;
+import io.umberpath.node.proxy.inbound.Refusal;
+import io.umberpath.node.proxy.inbound.RequestHandler;
+import io.umberpath.node.proxy.inbound.RequestPlan;
+import io.umberpath.node.proxy.origin.AttemptLog;
+import io.umberpath.node.proxy.pool.ConnectionPool;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+
+/** A listener on one selector thread that refuses all requests, and can be kept from reading. */
+final class InboundFixture implements AutoCloseable {
+  /** A request that is answered 404. */
+  static final String REFUSED = "GET /refused HTTP/1.1\r\nHost: a\r\n\r\n";
+
+  private static final String BLOCK = "/block";
+
+  private final ProxyTransport transport =
+      new ProxyTransport(ProxyFixture.MAX_HEADER_BYTES, ConnectionPool::giveBack, 1);
+  private final AtomicLong clockMillis = new AtomicLong();
+  private final InboundFilter filter;
+  private final int port;
+  private RawConnection blocking;
+  private final CountDownLatch blocked = new CountDownLatch(1);
+  private final CountDownLatch readsOn = new CountDownLatch(1);
+
+  InboundFixture() throws IOException {
+    ExchangeEnvironment environment =
+        new ExchangeEnvironment(
+            clockMillis::get,
+            ProxyStats.NONE,
+            AttemptLog.CUT_OFF_ONLY,
+            ConnectionLog.NONE,
+            new ActiveExchanges(),
+            () -> Long.MAX_VALUE);
+    filter = new InboundFilter(new Handler(), environment);
+    transport.start();
+    var listener = transport.listen("127.0.0.1", 0, filter);
+    port = ((InetSocketAddress) listener.getLocalAddress()).getPort();
+  }
+
+  InboundFilter filter() {
+    return filter;
+  }
+
+  RawConnection connect() throws IOException {
+    return new RawConnection(port);
+  }
+
+  void advance(long millis) {
+    clockMillis.addAndGet(millis);
+  }
+
+  /** Returns once the thread that reads stands still. */
+  void blockReading() throws IOException, InterruptedException {
+    blocking = connect();
+    blocking.send("GET " + BLOCK + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    blocked.await();
+  }
+
+  void readOn() {
+    readsOn.countDown();
+  }
+
+  @Override
+  public void close() throws IOException {
+    readOn();
+    if (blocking != null) {
+      blocking.close();
+    }
+    transport.stop();
+  }
+
+  private final class Handler implements RequestHandler {
+    @Override
+    public ProxyStats.Side side() {
+      return ProxyStats.Side.EDGE;
+    }
+
+    @Override
+    public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
+      if (head.getRequestURI().equals(BLOCK)) {
+        blocked.countDown();
+        awaitReadsOn();
+      }
+      return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
+    }
+
+    private void awaitReadsOn() {
+      try {
+        readsOn.await();
+      } catch (InterruptedException ended) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    @Override
+    public void dispatch(Exchange exchange) {
+      throw new AssertionError("nothing is sent on");
+    }
+
+    @Override
+    public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {}
+
+    @Override
+    public String echoedId(RequestPlan plan) {
+      return null;
+    }
+
+    @Override
+    public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+      return Optional.empty();
+    }
+
+    @Override
+    public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {}
+
+    @Override
+    public boolean mayRetry(Exchange exchange, Verdict verdict) {
+      return false;
+    }
+
+    @Override
+    public void ended(Exchange exchange, Verdict verdict) {}
+  }
+}
