A connection ends with an answer that is whole in hand, and nothing behind it is begun

Cause: 'Connection: close' was decided by what had been read when the first piece of an answer went out, and requests were begun until its last piece. Class: an end that is announced in one step and carried out in a later one, with the door open between. Mend: ConnectionState names the states; the answer that ends a connection is chosen under the lock that lets requests in, only when the answer is whole and its turn has come, and from then on none is begun. An answer in pieces does not announce the end. After the last answer the output is ended and what still arrives is dropped: closing over unread bytes resets the connection and takes away answers on their way.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/PendingAnswers.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/PendingAnswers.java
@@ -20,9 +20,9 @@
     return ATTRIBUTE.get(connection);
   }
 
-  /** Whether an answer is owed. */
-  boolean isAny();
+  /** Whether nothing more is written; what still arrives is dropped. */
+  boolean isEnded();
 
-  /** Writes an answer after all that are owed, and closes the connection. */
+  /** Writes an answer after all that are owed, and ends the connection. */
   void writeLast(Object message);
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.ChunkedTransferEncoding;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpHeader;
@@ -52,6 +53,16 @@
     return keepAlive;
   }
 
+  @Override
+  public NextAction handleRead(FilterChainContext context) throws IOException {
+    PendingAnswers pending = PendingAnswers.of(context.getConnection());
+    if (pending != null && pending.isEnded()) {
+      ((Buffer) context.getMessage()).tryDispose();
+      return context.getStopAction();
+    }
+    return super.handleRead(context);
+  }
+
   @Override
   protected boolean decodeHttpPacket(
       FilterChainContext context, HttpPacketParsing packet, Buffer buffer) {
@@ -99,10 +110,10 @@
     HttpResponsePacket response = responseOf(header);
     response.setStatus(reasonOf(error).status());
     PendingAnswers pending = PendingAnswers.of(context.getConnection());
-    if (pending != null && pending.isAny()) {
-      pending.writeLast(customizeErrorResponse(response));
-    } else {
+    if (pending == null) {
       super.onHttpHeaderError(header, context, error);
+    } else {
+      pending.writeLast(customizeErrorResponse(response));
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerTurn.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerTurn.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.Protocol;
 
 /**
  * The place of one answer among the answers of its caller's connection. Answers go out in the order
@@ -62,9 +63,23 @@
     }
   }
 
-  /** Whether no request has been read behind this one. */
-  boolean isLast() {
-    return connection.isLast(this);
+  /**
+   * Makes the answer the last of its connection, if no request has been read behind its own.
+   *
+   * @return whether it is to say so
+   */
+  boolean endsConnection() {
+    return connection.endsWith(this);
+  }
+
+  /** The answer says that it is the last: no request behind its own is begun any more. */
+  void announceLast() {
+    connection.announceLast();
+  }
+
+  /** Whether a request may begin behind this one: earlier callers send one at a time. */
+  boolean mayBeFollowed() {
+    return request.getProtocol() == Protocol.HTTP_1_1;
   }
 
   HttpHeader request() {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -22,6 +22,8 @@
   /** What holding a message costs besides its content, bytes. */
   private static final int HEAD_BYTES = 1_024;
 
+  private static final String CLOSE = "close";
+
   private final AnswerTurn turn;
   private final RequestHandler handler;
   private final HttpRequestPacket request;
@@ -44,7 +46,9 @@
   /** Writes a piece of a back end's answer. */
   void part(AnswerPart part, RequestPlan plan) {
     if (part.first()) {
-      closeIfLeaving();
+      if (part.last()) {
+        endConnectionIfLeaving();
+      }
       head(part.head());
       String requestId = handler.echoedId(plan);
       if (requestId != null) {
@@ -88,7 +92,7 @@
     response.setIgnoreContentModifiers(true);
     response.getHeaders().setValue(Header.ContentLength).setString(Long.toString(contentLength));
     if (!isKeepAlive()) {
-      response.getHeaders().setValue(Header.Connection).setString("close");
+      response.getHeaders().setValue(Header.Connection).setString(CLOSE);
     } else if (!isVersion11()) {
       response.getHeaders().setValue(Header.Connection).setString("keep-alive");
     }
@@ -119,25 +123,48 @@
       }
     }
     handler.addAnswerHeaders(plan, response);
-    closeIfLeaving();
-    boolean leaves = refusal.reason() == Verdict.Reason.DRAINING && turn.isLast();
-    if (!bodyComplete || leaves) {
+    if (!bodyComplete) {
       closeAfter();
+    } else if (refusal.reason() == Verdict.Reason.DRAINING) {
+      endConnectionWhereLast();
+    } else {
+      endConnectionIfLeaving();
     }
     writeUnchanged(text.length);
     Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, text);
     write(content, true, null);
   }
 
-  /** A node that leaves still answers what has been read behind this request. */
-  private void closeIfLeaving() {
-    if (handler.isLeaving() && turn.isLast()) {
-      closeAfter();
+  /**
+   * A node that leaves ends the connection with an answer that is whole in hand. One that has begun
+   * to go out is too early: a request read before its end would run and have no answer.
+   */
+  private void endConnectionIfLeaving() {
+    if (handler.isLeaving()) {
+      endConnectionWhereLast();
+    }
+  }
+
+  /** Not before its turn: until then more requests may be read behind it. */
+  private void endConnectionWhereLast() {
+    if (turn.isCurrent() && turn.endsConnection()) {
+      request.getProcessingState().setKeepAlive(false);
+    }
+  }
+
+  /** An answer that was held whole goes out now: a node that leaves may end the connection. */
+  void heldAnswerGoesOut() {
+    if (handler.isLeaving() && !response.isCommitted() && turn.endsConnection()) {
+      request.getProcessingState().setKeepAlive(false);
+      if (response.isIgnoreContentModifiers()) {
+        response.getHeaders().setValue(Header.Connection).setString(CLOSE);
+      }
     }
   }
 
-  /** Announces that the connection ends with this answer. */
+  /** Announces that the connection ends with this answer; nothing behind it is begun. */
   void closeAfter() {
+    turn.announceLast();
     request.getProcessingState().setKeepAlive(false);
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -2,10 +2,9 @@
 
 import io.umberpath.node.proxy.http.PendingAnswers;
 import io.umberpath.node.proxy.origin.OriginConnection;
+import io.umberpath.node.proxy.origin.OwnTurn;
 import io.umberpath.node.proxy.stats.ProxyStats;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.function.LongSupplier;
 import org.glassfish.grizzly.Connection;
@@ -19,16 +18,11 @@
 
 /**
  * One connection of a caller or another node. Requests that arrive before earlier ones are answered
- * run side by side where that is safe; answers go out in the order of the requests. Thread-safe; an
- * exchange's lock may be held when its own is taken, never the other way round.
+ * run side by side where that is safe; answers go out in the order of the requests. Each request
+ * that is begun is answered before the connection ends in order, see {@link ConnectionState}.
+ * Thread-safe; an exchange's lock may be held when its own is taken, never the other way round.
  */
 final class CallerConnection implements PendingAnswers {
-  /** Requests read before the first of them is answered. */
-  private static final int MAX_PIPELINED = 16;
-
-  /** Bytes of answers held for their turn, beyond which nothing more is read. */
-  private static final long MAX_HELD_BYTES = 128 * 1024;
-
   private static final Attribute<CallerConnection> ATTRIBUTE =
       AttributeBuilder.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.callerConnection");
 
@@ -36,22 +30,26 @@
   private final ProxyStats.Side side;
   private final ConnectionLog log;
   private final LongSupplier clockMillis;
-  private final Deque<AnswerTurn> turns = new ArrayDeque<>();
+  private final AnswerTurns turns = new AnswerTurns();
   private final List<Exchange> goneLater = new ArrayList<>();
-  private long heldBytes;
+  private final SuspendedReads suspended = new SuspendedReads();
+  private ConnectionState state = ConnectionState.OPEN;
+  private ConnectionEnd endedBy = ConnectionEnd.PEER;
   private boolean advancing;
-  private boolean closing;
-  private boolean ending;
-  private boolean closed;
+
+  /** A request was let in and has no turn yet. */
+  private boolean beginning;
+
+  /** The connection ends when no request is under way. */
+  private boolean endsAtRest;
+
   private Object lastAnswer;
-  private ConnectionEnd endedBy = ConnectionEnd.PEER;
 
   /** The request whose answer is complete but whose body is not; the rest is read and dropped. */
   private HttpHeader discarding;
 
-  private FilterChainContext suspendedBody;
-  private FilterChainContext suspendedHead;
   private volatile long restsSinceMillis;
+  private volatile long lastUnwrittenBytes;
 
   CallerConnection(
       Connection<?> connection, ProxyStats.Side side, ExchangeEnvironment environment) {
@@ -74,9 +72,7 @@
 
   /** The exchange this content belongs to; null if it begins one or is to be dropped. */
   synchronized Exchange exchangeOf(HttpContent content) {
-    AnswerTurn last = turns.peekLast();
-    boolean belongs = last != null && last.request() == content.getHttpHeader();
-    return belongs ? last.exchange() : null;
+    return turns.exchangeOf(content);
   }
 
   synchronized boolean isDiscarding(HttpContent content) {
@@ -84,31 +80,29 @@
   }
 
   /**
-   * Lets a request whose head has just arrived wait while too much is under way; it is then seen
-   * again.
+   * Lets a request whose head has just arrived wait while too much is under way, or while the last
+   * answer is; it is then seen again.
    *
    * @return the action that waits, or null if the request may begin now
    */
   synchronized NextAction awaitRoom(FilterChainContext context) {
-    boolean hasRoom = turns.size() < MAX_PIPELINED && heldBytes < MAX_HELD_BYTES;
-    if (hasRoom && discarding == null && !closing && !closed) {
+    if (state == ConnectionState.OPEN && turns.hasRoom() && discarding == null) {
+      beginning = true;
       return null;
     }
-    NextAction action = context.getSuspendAction();
-    context.suspend();
-    suspendedHead = context;
-    return action;
+    return suspended.atHead(context);
   }
 
   /** A request has been read: its answer comes after those of the requests before it. */
   synchronized AnswerTurn begin(Exchange exchange, HttpHeader request) {
     AnswerTurn turn = new AnswerTurn(this, request, exchange);
-    if (turns.isEmpty()) {
-      turn.makeCurrent();
-    }
-    if (!closed) {
+    beginning = false;
+    if (state != ConnectionState.CLOSED) {
       turns.add(turn);
     }
+    if (!request.getProcessingState().isKeepAlive()) {
+      announceLast();
+    }
     return turn;
   }
 
@@ -119,33 +113,25 @@
    */
   synchronized boolean mayStart(AnswerTurn turn, boolean runsBesideOthers) {
     turn.runsBesideOthers(runsBesideOthers);
-    boolean first = turn == turns.peekFirst();
-    if (first || AnswerTurn.allAllowOthersBeside(turns)) {
-      return true;
+    boolean starts = turns.mayStartBesideOthers(turn);
+    if (!starts) {
+      turn.waitToStart();
     }
-    turn.waitToStart();
-    return false;
+    return starts;
   }
 
   /** Stops reading until {@link #resume} is called with the same context. */
-  NextAction suspend(FilterChainContext context) {
-    NextAction action = context.getSuspendAction();
-    context.suspend();
-    synchronized (this) {
-      suspendedBody = context;
-    }
-    return action;
+  synchronized NextAction suspend(FilterChainContext context) {
+    return suspended.inBody(context);
   }
 
   /** Reads on after {@link #suspend}; nothing if that context goes on already. */
   void resume(FilterChainContext context) {
+    Runnable resumption;
     synchronized (this) {
-      if (suspendedBody != context) {
-        return;
-      }
-      suspendedBody = null;
+      resumption = suspended.takeBody(context);
     }
-    context.resume(context.getStopAction());
+    resumption.run();
   }
 
   /** The request has been read whole. */
@@ -165,9 +151,8 @@
     if (turn.isCurrent()) {
       return false;
     }
-    if (!closed) {
-      turn.hold(message, bytes);
-      heldBytes += bytes;
+    if (state != ConnectionState.CLOSED) {
+      turns.hold(turn, message, bytes);
     }
     return true;
   }
@@ -175,7 +160,7 @@
   boolean canTakeMore(AnswerTurn turn) {
     synchronized (this) {
       if (!turn.isCurrent()) {
-        return heldBytes < MAX_HELD_BYTES;
+        return turns.canHoldMore();
       }
     }
     return connection.canWrite();
@@ -190,8 +175,25 @@
     return true;
   }
 
-  synchronized boolean isLast(AnswerTurn turn) {
-    return turns.peekLast() == turn && suspendedHead == null;
+  /**
+   * Makes an answer the last if no request has been read behind it. From then on none is begun: it
+   * would run, and have no answer.
+   *
+   * @return whether the answer is to say that the connection ends
+   */
+  synchronized boolean endsWith(AnswerTurn turn) {
+    boolean isBehind = !turns.isLast(turn) || beginning || suspended.isAtHead();
+    if (!isBehind) {
+      announceLast();
+    }
+    return !isBehind;
+  }
+
+  /** No request is begun any more: an answer under way says that the connection ends. */
+  synchronized void announceLast() {
+    if (state == ConnectionState.OPEN) {
+      state = ConnectionState.LAST_ANSWER;
+    }
   }
 
   /**
@@ -229,8 +231,8 @@
 
   /** What is to be done next, without the lock; null if nothing is. */
   private synchronized Runnable nextStep() {
-    AnswerTurn first = turns.peekFirst();
-    if (closed || ending) {
+    AnswerTurn first = turns.first();
+    if (state.isOver()) {
       advancing = false;
       return null;
     }
@@ -251,13 +253,25 @@
   private Runnable lastStep() {
     Object message = lastAnswer;
     lastAnswer = null;
-    return message == null ? null : () -> writeAndClose(message);
+    if (message == null) {
+      return null;
+    }
+    Runnable end = endOutput(ConnectionEnd.LAST_ANSWER);
+    return () -> {
+      connection.write(message, null);
+      end.run();
+    };
   }
 
   private Runnable flush(AnswerTurn turn) {
-    heldBytes -= turn.heldBytes();
-    List<Object> messages = turn.takeHeld();
-    return () -> messages.forEach(message -> connection.write(message, null));
+    boolean isWhole = turn.isEnded() && !turn.isCutOff();
+    List<Object> messages = turns.takeHeld(turn);
+    return () -> {
+      if (isWhole) {
+        turn.exchange().heldAnswerGoesOut();
+      }
+      messages.forEach(message -> connection.write(message, null));
+    };
   }
 
   private Runnable makeCurrent(AnswerTurn turn) {
@@ -277,75 +291,73 @@
     turns.removeFirst();
     restsSinceMillis = clockMillis.getAsLong();
     if (turn.isCutOff()) {
-      ending = true;
+      state = ConnectionState.OUTPUT_ENDED;
       return () -> abort(ConnectionEnd.BROKEN_ANSWER);
     }
-    closing |= !turn.isKeepAlive();
+    boolean isLast = state == ConnectionState.LAST_ANSWER && turns.isEmpty() && lastAnswer == null;
+    if (isLast || !turn.isKeepAlive()) {
+      return endOutput(ConnectionEnd.LAST_ANSWER);
+    }
     if (!turn.isBodyComplete()) {
       discarding = turn.request();
-      return resumption(takeSuspendedBody());
+      return suspended.takeBody();
     }
-    ending = closing;
-    return ending ? () -> close(ConnectionEnd.LAST_ANSWER) : resumption(takeSuspendedHead());
+    return readOn();
   }
 
-  private FilterChainContext takeSuspendedBody() {
-    FilterChainContext waiting = suspendedBody;
-    suspendedBody = null;
-    return waiting;
+  /** Another request may begin; or the connection ends, if it is to end at rest. */
+  private Runnable readOn() {
+    return endsAtRest && isAtRest() ? endOutput(ConnectionEnd.STOP) : suspended.takeHead();
   }
 
-  private FilterChainContext takeSuspendedHead() {
-    FilterChainContext waiting = suspendedHead;
-    suspendedHead = null;
-    return waiting;
+  /** Whether no request is under way, as far as has been read. */
+  private boolean isAtRest() {
+    boolean isRequestUnderWay = !turns.isEmpty() || beginning || suspended.isAtHead();
+    return !isRequestUnderWay && discarding == null && lastAnswer == null;
   }
 
-  private static Runnable resumption(FilterChainContext waiting) {
-    return waiting == null ? () -> {} : waiting::resume;
+  /** Nothing more is written; what the peer still sends is dropped until it ends, too. */
+  private Runnable endOutput(ConnectionEnd cause) {
+    state = ConnectionState.OUTPUT_ENDED;
+    endsBy(cause);
+    restsSinceMillis = clockMillis.getAsLong();
+    Runnable head = suspended.takeHead();
+    Runnable body = suspended.takeBody();
+    return () -> {
+      OutputEnd.afterAllWritten(connection);
+      head.run();
+      body.run();
+    };
   }
 
   /** Takes a piece of a body nobody wants. */
   void discard(boolean last) {
-    boolean close;
-    FilterChainContext waiting = null;
-    synchronized (this) {
-      close = last && closing;
-      if (last && !close) {
-        discarding = null;
-        restsSinceMillis = clockMillis.getAsLong();
-        waiting = takeSuspendedHead();
-      }
+    if (!last) {
+      return;
     }
-    if (close) {
-      close(ConnectionEnd.LAST_ANSWER);
+    Runnable next;
+    synchronized (this) {
+      discarding = null;
+      restsSinceMillis = clockMillis.getAsLong();
+      next = state.isOver() ? () -> {} : readOn();
     }
-    resumption(waiting).run();
+    next.run();
   }
 
   @Override
-  public synchronized boolean isAny() {
-    return !turns.isEmpty();
+  public synchronized boolean isEnded() {
+    return state.isOver();
   }
 
   @Override
   public void writeLast(Object message) {
     synchronized (this) {
+      announceLast();
       lastAnswer = message;
     }
     advance();
   }
 
-  private void writeAndClose(Object message) {
-    connection.write(message, null);
-    close(ConnectionEnd.LAST_ANSWER);
-  }
-
-  private void close(ConnectionEnd cause) {
-    endsBy(cause);
-    connection.closeSilently();
-  }
-
   /** Ends the connection at once. */
   void abort(ConnectionEnd cause) {
     endsBy(cause);
@@ -360,23 +372,18 @@
 
   /** The peer is gone. */
   void closed() {
-    List<Exchange> open = new ArrayList<>();
-    boolean underLock = false;
-    ConnectionEnd end;
-    boolean isHeadUnbegun;
+    List<Exchange> open;
+    UnansweredRequests unanswered;
     synchronized (this) {
-      closed = true;
-      end = endedBy;
-      isHeadUnbegun = suspendedHead != null;
-      for (AnswerTurn turn : turns) {
-        open.add(turn.exchange());
-        // The write that found the connection broken holds the lock of one of them.
-        underLock |= Thread.holdsLock(turn.exchange());
-      }
-      turns.clear();
-      heldBytes = 0;
+      state = ConnectionState.CLOSED;
+      open = turns.takeAll();
+      unanswered = UnansweredRequests.of(side, endedBy, open, suspended.isAtHead());
+    }
+    if (unanswered.isAny()) {
+      log.ended(unanswered);
     }
-    tell(open, isHeadUnbegun, end);
+    // The write that found the connection broken holds the lock of one of them.
+    boolean underLock = open.stream().anyMatch(Thread::holdsLock);
     for (Exchange exchange : open) {
       if (!underLock || Thread.holdsLock(exchange)) {
         exchange.onCallerGone();
@@ -388,20 +395,6 @@
     }
   }
 
-  private void tell(List<Exchange> open, boolean isHeadUnbegun, ConnectionEnd end) {
-    if (open.isEmpty() && !isHeadUnbegun) {
-      return;
-    }
-    List<String> ids = open.stream().map(CallerConnection::idOf).toList();
-    int sentOn = (int) open.stream().filter(exchange -> exchange.attempts() > 0).count();
-    log.ended(new UnansweredRequests(side, end, ids, sentOn, isHeadUnbegun ? 1 : 0));
-  }
-
-  private static String idOf(Exchange exchange) {
-    RequestPlan plan = exchange.plan();
-    return plan == null ? "" : plan.requestId();
-  }
-
   /** Ends the exchanges that could not be ended under another's lock. */
   void endThoseLeft() {
     List<Exchange> left;
@@ -415,27 +408,74 @@
     left.forEach(Exchange::onCallerGone);
   }
 
-  /** Closes the connection if it has had no request, or dropped a body, for too long. */
-  void expire(long idleMillis, long discardMillis) {
+  /**
+   * Ends the connection if it has had no request for too long; and closes it if its peer does not
+   * end a body that is dropped, or the connection itself, in time.
+   *
+   * @param idleMillis bound also for a peer that takes nothing of what was written
+   */
+  void expire(long idleMillis, long lingerMillis) {
+    noteOutput();
+    if (isOverdue(idleMillis, lingerMillis)) {
+      endOverdue(idleMillis, lingerMillis);
+    }
+  }
+
+  /** A peer that takes what was written is not waited for in vain. */
+  private void noteOutput() {
+    long unwritten = unwrittenBytes();
+    if (unwritten != lastUnwrittenBytes) {
+      lastUnwrittenBytes = unwritten;
+      restsSinceMillis = clockMillis.getAsLong();
+    }
+  }
+
+  /**
+   * Runs a task on the thread that reads, once that has read what had arrived before: a process
+   * that had no processor for a while sees its timers before its sockets.
+   */
+  private void afterReading(Runnable task) {
+    OwnTurn.run(connection, () -> OwnTurn.run(connection, task));
+  }
+
+  private synchronized boolean isOverdue(long idleMillis, long lingerMillis) {
+    boolean lingers = discarding != null || state == ConnectionState.OUTPUT_ENDED;
+    boolean isShort = lingers && unwrittenBytes() == 0;
     long age = clockMillis.getAsLong() - restsSinceMillis;
-    boolean expired;
+    return (lingers || isAtRest()) && age >= (isShort ? lingerMillis : idleMillis);
+  }
+
+  private void endOverdue(long idleMillis, long lingerMillis) {
+    Runnable end;
     synchronized (this) {
-      expired = turns.isEmpty() && age >= (discarding == null ? idleMillis : discardMillis);
-    }
-    if (expired) {
-      close(ConnectionEnd.IDLE);
+      if (!isOverdue(idleMillis, lingerMillis)) {
+        return;
+      }
+      end =
+          state == ConnectionState.OUTPUT_ENDED
+              ? () -> abort(ConnectionEnd.LAST_ANSWER)
+              : endOutput(ConnectionEnd.IDLE);
     }
+    end.run();
   }
 
-  /** Closes the connection if no request is under way. */
-  void closeIfIdle() {
-    boolean idle;
+  /** Ends the connection when all that has been read from it is answered. */
+  void endAtRest() {
     synchronized (this) {
-      idle = turns.isEmpty() && discarding == null;
+      endsAtRest = true;
     }
-    if (idle) {
-      close(ConnectionEnd.IDLE);
+    afterReading(this::endIfAtRest);
+  }
+
+  private void endIfAtRest() {
+    Runnable end;
+    synchronized (this) {
+      if (state != ConnectionState.OPEN || !isAtRest()) {
+        return;
+      }
+      end = endOutput(ConnectionEnd.STOP);
     }
+    end.run();
   }
 
   /** Bytes of answers that the socket has not taken yet. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -165,6 +165,11 @@
     return caller.mayStart(turn, handler.mayRunBesideOthers(plan));
   }
 
+  /** The answer, which was held whole until its turn, is about to be written. */
+  synchronized void heldAnswerGoesOut() {
+    answer.heldAnswerGoesOut();
+  }
+
   /** A request that waited for those before it on its connection starts. */
   void onTurn() {
     synchronized (this) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
@@ -3,6 +3,7 @@
 import io.umberpath.node.proxy.origin.OwnTurn;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -15,6 +16,8 @@
   private final RequestHandler handler;
   private final ExchangeEnvironment environment;
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+  private final LongAdder accepted = new LongAdder();
+  private volatile boolean ending;
 
   /** Creates the last filter of a listener. */
   public InboundFilter(RequestHandler handler, ExchangeEnvironment environment) {
@@ -32,6 +35,9 @@
   public NextAction handleRead(FilterChainContext context) {
     HttpContent content = context.getMessage();
     CallerConnection caller = CallerConnection.of(context.getConnection());
+    if (caller.isEnded()) {
+      return context.getStopAction();
+    }
     Exchange exchange = caller.exchangeOf(content);
     if (exchange != null) {
       return bodyPart(context, caller, exchange, content);
@@ -89,14 +95,23 @@
     return context.getStopAction();
   }
 
-  /** Closes connections that have been idle, or have dropped a refused body, for too long. */
-  public void expire(long idleMillis, long discardMillis) {
-    connections.forEach(caller -> caller.expire(idleMillis, discardMillis));
+  /**
+   * Ends connections that have been idle, and closes those whose peers do not end a refused body or
+   * the connection, for too long.
+   */
+  public void expire(long idleMillis, long lingerMillis) {
+    connections.forEach(caller -> caller.expire(idleMillis, lingerMillis));
+  }
+
+  /** Ends each connection as soon as all that has been read from it is answered. */
+  public void endConnections() {
+    ending = true;
+    connections.forEach(CallerConnection::endAtRest);
   }
 
-  /** Closes connections without a request under way. */
-  public void closeIdle() {
-    connections.forEach(CallerConnection::closeIfIdle);
+  /** Connections accepted so far. */
+  public long accepted() {
+    return accepted.sum();
   }
 
   /** Connections that are open. */
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
@@ -0,0 +1,57 @@
+package io.umberpath.node.proxy.inbound;
+
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/**
+ * Where reading from a connection stands still: at the head of a request that may not begin yet, or
+ * within a body of which no more can be taken. Its connection's lock guards it.
+ */
+final class SuspendedReads {
+  private FilterChainContext head;
+  private FilterChainContext body;
+
+  /** Stands still at a head, which is seen again once it is resumed. */
+  NextAction atHead(FilterChainContext context) {
+    head = context;
+    return suspend(context);
+  }
+
+  /** Stands still within a body. */
+  NextAction inBody(FilterChainContext context) {
+    body = context;
+    return suspend(context);
+  }
+
+  private static NextAction suspend(FilterChainContext context) {
+    NextAction action = context.getSuspendAction();
+    context.suspend();
+    return action;
+  }
+
+  boolean isAtHead() {
+    return head != null;
+  }
+
+  /** What reads on from the head; does nothing if reading does not stand there. */
+  Runnable takeHead() {
+    FilterChainContext waiting = head;
+    head = null;
+    return waiting == null ? () -> {} : waiting::resume;
+  }
+
+  /** What reads on within the body; does nothing if reading does not stand there. */
+  Runnable takeBody() {
+    FilterChainContext waiting = body;
+    return waiting == null ? () -> {} : takeBody(waiting);
+  }
+
+  /** The same if reading stands at this context, and nothing otherwise. */
+  Runnable takeBody(FilterChainContext context) {
+    if (body != context) {
+      return () -> {};
+    }
+    body = null;
+    return () -> context.resume(context.getStopAction());
+  }
+}
