Whether a connection rests is asked on the thread that reads, after it has read

Callers saw: a connection that they had used in time ended without an answer. Cause: the timer found no request under way and closed the connection from its own thread, after the lock was gone; a request that lay in the socket, or was just being read, did not count. Class: a judgement of quiet by a clock, in a process that may have had no processor. Mend: the judgement runs as a task of the selector thread that owns the connection, a complete round of reading after it was asked for, so that what had arrived has begun and nothing can begin in between. isAnsweredThoughTheConnectionSeemedToRestForTooLong fails before, passes now.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -417,7 +417,7 @@
   void expire(long idleMillis, long lingerMillis) {
     noteOutput();
     if (isOverdue(idleMillis, lingerMillis)) {
-      endOverdue(idleMillis, lingerMillis);
+      afterReading(() -> endOverdue(idleMillis, lingerMillis));
     }
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/UnreadRequestTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/UnreadRequestTest.java
@@ -15,7 +15,8 @@
  * <p>What happened: timers ran after a stretch in which the process had no processor, or was
  * paused, before the sockets were read. A connection whose request had arrived meanwhile had no
  * request under way by the node's own count, and was closed for having rested too long; its caller
- * had used it in time.
+ * had used it in time. Whether it rests is now asked on the thread that reads, after that thread
+ * has read all that had arrived.
  */
 @Timeout(60)
 class UnreadRequestTest {
