A planned stop ends its listeners and connections in order before the process goes

Callers saw: an order that they sent on a kept connection ran at a back end, and the node was gone before it could answer. Mend: from the judgement on, nothing is sent on (refused as not run); listeners close once a round of accepting finds nobody; each connection ends its output when all that was read from it is answered and written, and is read until its peer ends; the process goes when no connection is left, or when nothing is owed and peers had 500 ms. What is in flight 900 ms before the kill is cut off as before, and 300 ms are left for the end.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -2,8 +2,10 @@
 
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.RequestLimits;
+import io.umberpath.node.proxy.Listener;
 import io.umberpath.node.proxy.ProxyTransport;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
+import io.umberpath.node.proxy.inbound.ConnectionDrain;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.origin.AttemptLog;
@@ -14,6 +16,8 @@
 import io.umberpath.traffic.AdmissionSettings;
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.filterchain.Filter;
@@ -28,7 +32,7 @@
   private static final long IDLE_BACKEND_MILLIS = 4_000;
   private static final long IDLE_PEER_MILLIS = 20_000;
   private static final long IDLE_HOP_MILLIS = 60_000;
-  private static final long DISCARD_MILLIS = 2_000;
+  private static final long LINGER_MILLIS = 2_000;
   private static final int INITIAL_SERVICE_MICROS = 50_000;
   private static final int QUEUE_LIMIT = 256;
   private static final int STARVATION_BOUND = 32;
@@ -45,6 +49,8 @@
   private final MeshGateHandler gate;
   private final InboundFilter edgeFilter;
   private final InboundFilter gateFilter;
+  private final List<Listener> listeners = new ArrayList<>();
+  private final LongSupplier clockMillis;
 
   MeshProxy(
       MeshSettings settings,
@@ -57,6 +63,7 @@
       LongSupplier clockMillis) {
     this.settings = settings;
     this.view = view;
+    this.clockMillis = clockMillis;
     this.transport = new ProxyTransport(MAX_HEADER_BYTES, ConnectionPool::giveBack, 1);
     this.origins = new OriginManager(transport, clockMillis, CONNECT_TIMEOUT_MILLIS);
     this.backendPool =
@@ -110,8 +117,12 @@
   /** Opens the listeners. */
   void start() throws IOException {
     transport.start();
-    listen(settings.inbound(), gateFilter);
-    listen(settings.outbound(), edgeFilter);
+    listeners.add(listen(settings.inbound(), gateFilter));
+    listeners.add(listen(settings.outbound(), edgeFilter));
+  }
+
+  private Listener listen(PeerAddress address, InboundFilter last) throws IOException {
+    return transport.listen(address.host(), address.port(), last);
   }
 
   /** Opens a further listener. */
@@ -143,6 +154,16 @@
     edge.refuse();
   }
 
+  /**
+   * Accepts no more connections and ends those that are open, each with all its answers.
+   *
+   * @param endMillis when it returns at the latest, on the clock
+   */
+  void endConnections(long endMillis) throws InterruptedException {
+    listeners.forEach(Listener::closeWhenEmpty);
+    new ConnectionDrain(List.of(edgeFilter, gateFilter), active, clockMillis).run(endMillis);
+  }
+
   /** Ends what is past its deadline. */
   void keepDeadlines(long nowMillis) {
     if (active.size() > 0) {
@@ -170,8 +191,8 @@
     RequestLimits limits = current.isComplete() ? current.configuration().limits() : null;
     long idleMillis = limits == null ? DEFAULT_IDLE_MILLIS : limits.idleTimeoutMillis();
     origins.expire(IDLE_PEER_MILLIS);
-    edgeFilter.expire(idleMillis, DISCARD_MILLIS);
-    gateFilter.expire(IDLE_HOP_MILLIS, DISCARD_MILLIS);
+    edgeFilter.expire(idleMillis, LINGER_MILLIS);
+    gateFilter.expire(IDLE_HOP_MILLIS, LINGER_MILLIS);
   }
 
   /** Connections of callers and other nodes that are open. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -3,8 +3,15 @@
 import java.util.function.LongSupplier;
 
 /**
- * A planned stop of a node that says it is not ready, in steps: callers notice, other nodes are
- * told, what still comes is refused as not run, what is in flight finishes.
+ * A planned stop of a node that says it is not ready, in steps, each of which ends by an event or
+ * at its bound:
+ *
+ * <ol>
+ *   <li>Callers notice, other nodes are told; what comes is still served.
+ *   <li>What still comes is refused as not run; what is in flight finishes.
+ *   <li>Nothing is in flight: listeners and connections end in order, see {@link
+ *       io.umberpath.node.proxy.inbound.ConnectionDrain}.
+ * </ol>
  */
 final class PlannedStop {
   /** How long callers have to notice that this node leaves: two questions, a second apart. */
@@ -20,7 +27,10 @@
   private static final long PEERS_REFUSED_MILLIS = 1_800;
 
   /** Time before the kill at which what is left is cut off. */
-  private static final long LAST_MILLIS = 900;
+  static final long CUT_OFF_RESERVE_MILLIS = 900;
+
+  /** Time before the kill at which connections have ended, or end with the process. */
+  static final long END_RESERVE_MILLIS = 300;
 
   private static final long STOP_CHECK_MILLIS = 20;
   private static final long QUIET_MILLIS = 150;
@@ -56,8 +66,22 @@
    */
   void run(long graceMillis) throws InterruptedException {
     long began = clockMillis.getAsLong();
-    long end = began + graceMillis - LAST_MILLIS;
     events.stopping(proxy.inFlight());
+    awaitQuiet(began, began + graceMillis - CUT_OFF_RESERVE_MILLIS);
+    // From here on nothing is sent on: it might have no time to be answered.
+    backend.leave();
+    proxy.refuseCallers();
+    proxy.endConnections(began + graceMillis - CUT_OFF_RESERVE_MILLIS);
+    int cutOff = proxy.abortAll();
+    if (cutOff > 0 || proxy.unwrittenBytes() > 0) {
+      proxy.endConnections(began + graceMillis - END_RESERVE_MILLIS);
+    }
+    long millis = clockMillis.getAsLong() - began;
+    events.stopped(cutOff, proxy.openCallers(), proxy.unwrittenBytes(), millis);
+  }
+
+  /** Returns when callers have noticed and nothing is in flight any more, or at the bound. */
+  private void awaitQuiet(long began, long end) throws InterruptedException {
     boolean told = false;
     long quietSince = began;
     while (clockMillis.getAsLong() < end) {
@@ -74,12 +98,9 @@
       }
       quietSince = proxy.inFlight() > 0 ? now : quietSince;
       if (now >= began + CALLER_NOTICE_MILLIS && now >= quietSince + QUIET_MILLIS) {
-        break;
+        return;
       }
       Thread.sleep(STOP_CHECK_MILLIS);
     }
-    int cutOff = proxy.abortAll();
-    events.stopped(
-        cutOff, proxy.openCallers(), proxy.unwrittenBytes(), clockMillis.getAsLong() - began);
   }
 }
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/Listener.java
@@ -0,0 +1,46 @@
+package io.umberpath.node.proxy;
+
+import io.umberpath.node.proxy.inbound.InboundFilter;
+import io.umberpath.node.proxy.origin.OwnTurn;
+import java.net.InetSocketAddress;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+
+/** An open listener whose connections a filter takes. */
+public final class Listener {
+  /** Rounds of accepting after which it closes though connections still come. */
+  private static final int MAX_ROUNDS = 200;
+
+  private final TCPNIOServerConnection server;
+  private final InboundFilter filter;
+
+  Listener(TCPNIOServerConnection server, InboundFilter filter) {
+    this.server = server;
+    this.filter = filter;
+  }
+
+  /** The port that it is bound to. */
+  public int port() {
+    return ((InetSocketAddress) server.getLocalAddress()).getPort();
+  }
+
+  /**
+   * Closes soon: once a round of accepting has found no connection that waits. Those that wait when
+   * a listener closes are reset.
+   */
+  public void closeWhenEmpty() {
+    round(filter.accepted(), MAX_ROUNDS);
+  }
+
+  private void round(long acceptedBefore, int roundsLeft) {
+    OwnTurn.run(server, () -> OwnTurn.run(server, () -> closeOrGoOn(acceptedBefore, roundsLeft)));
+  }
+
+  private void closeOrGoOn(long acceptedBefore, int roundsLeft) {
+    long accepted = filter.accepted();
+    if (accepted == acceptedBefore || roundsLeft == 0) {
+      server.closeSilently();
+    } else {
+      round(accepted, roundsLeft - 1);
+    }
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -7,6 +7,7 @@
 import io.umberpath.node.proxy.backend.BackendMonitor;
 import io.umberpath.node.proxy.backend.BackendStatus;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
+import io.umberpath.node.proxy.inbound.ConnectionDrain;
 import io.umberpath.node.proxy.inbound.ConnectionLog;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.InboundFilter;
@@ -23,15 +24,15 @@
 import io.umberpath.traffic.RetrySettings;
 import io.vavr.control.Try;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 
 /**
  * The request path of a node. The edge port takes callers' requests and sends each to the node
@@ -46,7 +47,7 @@
   private static final long SWEEP_MILLIS = 1_000;
   private static final long IDLE_ORIGIN_MILLIS = 30_000;
   private static final long IDLE_CALLER_MILLIS = 60_000;
-  private static final long DISCARD_MILLIS = 2_000;
+  private static final long LINGER_MILLIS = 2_000;
 
   private static final long QUIET_MILLIS = 200;
   private static final int MAX_QUIET_ROUNDS = 10;
@@ -63,8 +64,8 @@
   private final Optional<ConnectionPool> backendPool;
   private final Optional<BackendMonitor> monitor;
   private final ScheduledExecutorService timer;
-  private InboundFilter edgeFilter;
-  private InboundFilter hopFilter;
+  private final List<Listener> listeners = new ArrayList<>();
+  private final List<InboundFilter> filters = new ArrayList<>();
   private int edgePort = NO_PORT;
   private int hopPort = NO_PORT;
 
@@ -156,12 +157,10 @@
   public void start() throws IOException {
     transport.start();
     if (settings.edgePort() != NO_PORT) {
-      edgeFilter = new InboundFilter(edge, environment);
-      edgePort = listen(settings.edgePort(), edgeFilter);
+      edgePort = listen(settings.edgePort(), new InboundFilter(edge, environment));
     }
     if (settings.hopPort() != NO_PORT && hop.isPresent()) {
-      hopFilter = new InboundFilter(hop.get(), environment);
-      hopPort = listen(settings.hopPort(), hopFilter);
+      hopPort = listen(settings.hopPort(), new InboundFilter(hop.get(), environment));
     }
     every(DEADLINE_TICK_MILLIS, this::keepDeadlines);
     every(STATE_TICK_MILLIS, this::exchangeState);
@@ -169,8 +168,10 @@
   }
 
   private int listen(int port, InboundFilter filter) throws IOException {
-    TCPNIOServerConnection connection = transport.listen(settings.host(), port, filter);
-    return ((InetSocketAddress) connection.getLocalAddress()).getPort();
+    Listener listener = transport.listen(settings.host(), port, filter);
+    listeners.add(listener);
+    filters.add(filter);
+    return listener.port();
   }
 
   private void every(long millis, Runnable task) {
@@ -200,12 +201,7 @@
   private void sweep() {
     origins.expire(IDLE_ORIGIN_MILLIS);
     backendPool.ifPresent(pool -> pool.expire(IDLE_ORIGIN_MILLIS));
-    if (edgeFilter != null) {
-      edgeFilter.expire(IDLE_CALLER_MILLIS, DISCARD_MILLIS);
-    }
-    if (hopFilter != null) {
-      hopFilter.expire(IDLE_CALLER_MILLIS, DISCARD_MILLIS);
-    }
+    filters.forEach(filter -> filter.expire(IDLE_CALLER_MILLIS, LINGER_MILLIS));
   }
 
   /** Port for callers, or -1. */
@@ -219,8 +215,8 @@
   }
 
   /**
-   * Refuses new requests as not run and waits for those in flight. Returns once none has been in
-   * flight, nor has a new one come, for a short while.
+   * Refuses new requests as not run and waits for those in flight. Once none has been in flight,
+   * nor has a new one come, for a short while, it ends the listeners and connections.
    *
    * @param bound longest wait; what is in flight then is cut off, each request logged
    * @return whether every request finished
@@ -240,6 +236,9 @@
         break;
       }
     }
+    listeners.forEach(Listener::closeWhenEmpty);
+    long leftMillis = (endNanos - System.nanoTime()) / NANOS_PER_MILLI;
+    new ConnectionDrain(filters, active, clockMillis).run(clockMillis.getAsLong() + leftMillis);
     return true;
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -3,6 +3,7 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.node.proxy.http.ClientCodecFilter;
 import io.umberpath.node.proxy.http.ServerCodecFilter;
+import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OriginFilter;
 import io.umberpath.node.proxy.origin.OriginReadFilter;
@@ -100,6 +101,11 @@
         .bind(new InetSocketAddress(host, port));
   }
 
+  /** Listens for connections that can be ended in order. */
+  public Listener listen(String host, int port, InboundFilter last) throws IOException {
+    return new Listener(listen(host, port, (Filter) last), last);
+  }
+
   @Override
   @SuppressWarnings("rawtypes") // Grizzly's own signature
   public void connect(PeerAddress address, CompletionHandler<Connection> handler) {
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -14,7 +14,6 @@
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
@@ -49,7 +48,7 @@
     filter = new InboundFilter(new Handler(), environment);
     transport.start();
     var listener = transport.listen("127.0.0.1", 0, filter);
-    port = ((InetSocketAddress) listener.getLocalAddress()).getPort();
+    port = listener.port();
   }
 
   InboundFilter filter() {
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -75,7 +75,7 @@
             () -> Long.MAX_VALUE);
     InboundFilter filter = new InboundFilter(new Handler(), environment);
     var listener = transport.listen("127.0.0.1", 0, filter);
-    port = ((InetSocketAddress) listener.getLocalAddress()).getPort();
+    port = listener.port();
   }
 
   private static ServerSocket server() throws IOException {
