A short answer goes out when it is whole: one that breaks off fails alone

Callers saw: the end of their connection in place of the answers to requests that ran at sound back ends. Cause: another back end broke off its answer to the request in front, whose first piece had gone out already, and only the end of the connection can say that. Mend: an answer that states at most 16 KB is held until it is whole; one that breaks off is refused, or asked for again where it may run twice, and the connection goes on. Exchange: what is known of earlier attempts is a class of its own (AttemptHistory).

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
@@ -5,8 +5,10 @@
 import io.umberpath.node.proxy.origin.AnswerPart;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.RequestAttempt;
+import io.umberpath.node.proxy.origin.ShortAnswer;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.pool.ConnectionWaiter;
+import java.util.Optional;
 import org.glassfish.grizzly.Buffer;
 
 /**
@@ -21,6 +23,7 @@
   private final String originId;
   private final int number;
   private final long startNanos = System.nanoTime();
+  private final ShortAnswer shortAnswer = new ShortAnswer();
   private OriginConnection origin;
   private OutgoingRequest outgoing;
 
@@ -92,6 +95,11 @@
     return origin;
   }
 
+  /** What of the answer is to be passed on, now that a piece of it has come. */
+  Optional<AnswerPart> passesOn(AnswerPart part) {
+    return shortAnswer.take(part);
+  }
+
   /** The answer is whole; the connection goes its own way. */
   void detach() {
     origin = null;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -5,7 +5,6 @@
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.vavr.control.Either;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -41,22 +40,17 @@
   private final ExchangeEnvironment environment;
   private final AnswerWriter answer;
   private final RequestBody body = new RequestBody();
-  private final Set<String> triedOrigins = new HashSet<>();
+  private final AttemptHistory history = new AttemptHistory();
   private final long startNanos = System.nanoTime();
   private Stage stage = Stage.DECIDING;
   private RequestPlan plan;
   private Attempt attempt;
-  private int attempts;
-  private boolean mayHaveRun;
   private Runnable whenBodyWanted;
   private Verdict outcome;
-  private Refusal lastRefusal;
   private boolean cutOff;
   private boolean dispatchAgain;
   private boolean awaitsBody;
   private int answeredStatus;
-  private long sentNanos;
-  private String lastOrigin;
 
   Exchange(
       CallerConnection caller,
@@ -83,7 +77,7 @@
 
   /** Attempts made so far. */
   public synchronized int attempts() {
-    return attempts;
+    return history.count();
   }
 
   /** Whether everything received of the body can be sent again. */
@@ -108,12 +102,12 @@
 
   /** Microseconds since the last attempt was handed to its connection; 0 if none was. */
   public synchronized long sinceSentMicros() {
-    return sentNanos == 0 ? 0 : (System.nanoTime() - sentNanos) / 1_000;
+    return history.sinceSentMicros();
   }
 
   /** How the last attempt ended, if one did. */
   public synchronized Optional<Refusal> lastRefusal() {
-    return Optional.ofNullable(lastRefusal);
+    return history.lastRefusal();
   }
 
   /** The origin of the attempt under way; null if there is none. */
@@ -123,12 +117,12 @@
 
   /** The origin of the last attempt; null before the first. */
   public synchronized String lastOrigin() {
-    return lastOrigin;
+    return history.lastOrigin();
   }
 
   /** Origins that have been tried. */
   public synchronized Set<String> triedOrigins() {
-    return Set.copyOf(triedOrigins);
+    return history.triedOrigins();
   }
 
   /** Begins with the head and the first piece of the body; returns whether to read on. */
@@ -306,10 +300,7 @@
         return false;
       }
       stage = Stage.CONNECTING;
-      attempts++;
-      triedOrigins.add(originId);
-      lastOrigin = originId;
-      next = new Attempt(this, pool, originId, attempts);
+      next = new Attempt(this, pool, originId, history.begin(originId));
       attempt = next;
     }
     next.begin();
@@ -356,8 +347,7 @@
       environment.attemptLog().failed(ended.record(refusal.verdict(), body.received()));
       handler.attemptEnded(this, ended.originId(), refusal, ended.elapsedMicros());
     }
-    mayHaveRun |= refusal.verdict() instanceof Verdict.MayHaveRun;
-    lastRefusal = refusal;
+    history.failed(refusal);
     if (before == Stage.ANSWERING) {
       cutOff = true;
       finish(refusal.verdict());
@@ -371,8 +361,7 @@
   }
 
   private void refuseFinally(Refusal refusal) {
-    boolean overstates = mayHaveRun && refusal.verdict() instanceof Verdict.NotRun;
-    Refusal truthful = overstates ? Refusal.mayHaveRun(refusal.reason()) : refusal;
+    Refusal truthful = history.truthful(refusal);
     // Before the write, which may find the caller's connection broken and end the request again.
     finish(truthful.verdict());
     answer.refusal(truthful, plan, body.isComplete());
@@ -428,7 +417,7 @@
       wanted = attempt == connected && stage == Stage.CONNECTING;
       if (wanted) {
         stage = Stage.SENT;
-        sentNanos = System.nanoTime();
+        history.sent();
         long now = environment.clockMillis().getAsLong();
         handler.addHeaders(this, connected.prepare().packet(), now);
         connected.send(connection, body);
@@ -477,6 +466,13 @@
         fail(refusal.get(), true);
         return true;
       }
+    }
+    Optional<AnswerPart> ready = answered.passesOn(part);
+    return ready.isEmpty() || passOn(answered, ready.get());
+  }
+
+  private boolean passOn(Attempt answered, AnswerPart part) {
+    if (part.first()) {
       stage = Stage.ANSWERING;
       answeredStatus = part.head().getStatus();
     }
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/ShortAnswer.java
@@ -0,0 +1,53 @@
+package io.umberpath.node.proxy.origin;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/**
+ * Holds an answer that states a short length until it is whole. One that has begun to go out and
+ * breaks off can only end its caller's connection, with the answers behind it; one that has not can
+ * be refused, or asked for again.
+ */
+public final class ShortAnswer {
+  /** Longest body that is held, bytes: longer ones are passed on as they come. */
+  private static final long MAX_BYTES = 16 * 1024;
+
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private HttpResponsePacket head;
+
+  /** Takes a piece; returns what is to be passed on now, if anything is. */
+  public Optional<AnswerPart> take(AnswerPart part) {
+    boolean begins = part.first() && !part.last() && isShort(part.head());
+    if (begins) {
+      head = part.head();
+    }
+    if (head == null) {
+      return Optional.of(part);
+    }
+    hold(part.content());
+    return part.last() ? Optional.of(whole(part)) : Optional.empty();
+  }
+
+  private static boolean isShort(HttpResponsePacket head) {
+    long length = head.getContentLength();
+    return !head.isChunked() && length >= 0 && length <= MAX_BYTES;
+  }
+
+  private void hold(Buffer content) {
+    if (content == null) {
+      return;
+    }
+    byte[] bytes = new byte[content.remaining()];
+    content.get(bytes);
+    body.writeBytes(bytes);
+  }
+
+  private AnswerPart whole(AnswerPart last) {
+    Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, body.toByteArray());
+    return new AnswerPart(head, true, content, true, last.trailers());
+  }
+}
