--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -4,9 +4,7 @@
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OwnTurn;
 import io.umberpath.node.proxy.stats.ProxyStats;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.function.LongSupplier;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.attributes.AttributeBuilder;
@@ -29,9 +27,9 @@
   private final Connection<?> connection;
   private final ProxyStats.Side side;
   private final ConnectionLog log;
-  private final LongSupplier clockMillis;
+  private final RestTime rest;
   private final AnswerTurns turns = new AnswerTurns();
-  private final List<Exchange> goneLater = new ArrayList<>();
+  private final LostExchanges lost = new LostExchanges();
   private final SuspendedReads suspended = new SuspendedReads();
   private ConnectionState state = ConnectionState.OPEN;
   private ConnectionEnd endedBy = ConnectionEnd.PEER;
@@ -48,16 +46,12 @@
   /** The request whose answer is complete but whose body is not; the rest is read and dropped. */
   private HttpHeader discarding;
 
-  private volatile long restsSinceMillis;
-  private volatile long lastUnwrittenBytes;
-
   CallerConnection(
       Connection<?> connection, ProxyStats.Side side, ExchangeEnvironment environment) {
     this.connection = connection;
     this.side = side;
     this.log = environment.connectionLog();
-    this.clockMillis = environment.clockMillis();
-    this.restsSinceMillis = clockMillis.getAsLong();
+    this.rest = new RestTime(environment.clockMillis());
     ATTRIBUTE.set(connection, this);
     PendingAnswers.attach(connection, this);
   }
@@ -289,7 +283,7 @@
   /** The first answer is out: the turn passes on, or the connection ends. */
   private Runnable pass(AnswerTurn turn) {
     turns.removeFirst();
-    restsSinceMillis = clockMillis.getAsLong();
+    rest.restart();
     if (turn.isCutOff()) {
       state = ConnectionState.OUTPUT_ENDED;
       return () -> abort(ConnectionEnd.BROKEN_ANSWER);
@@ -320,7 +314,7 @@
   private Runnable endOutput(ConnectionEnd cause) {
     state = ConnectionState.OUTPUT_ENDED;
     endsBy(cause);
-    restsSinceMillis = clockMillis.getAsLong();
+    rest.restart();
     Runnable head = suspended.takeHead();
     Runnable body = suspended.takeBody();
     return () -> {
@@ -338,7 +332,7 @@
     Runnable next;
     synchronized (this) {
       discarding = null;
-      restsSinceMillis = clockMillis.getAsLong();
+      rest.restart();
       next = state.isOver() ? () -> {} : readOn();
     }
     next.run();
@@ -382,30 +376,12 @@
     if (unanswered.isAny()) {
       log.ended(unanswered);
     }
-    // The write that found the connection broken holds the lock of one of them.
-    boolean underLock = open.stream().anyMatch(Thread::holdsLock);
-    for (Exchange exchange : open) {
-      if (!underLock || Thread.holdsLock(exchange)) {
-        exchange.onCallerGone();
-      } else {
-        synchronized (this) {
-          goneLater.add(exchange);
-        }
-      }
-    }
+    lost.end(open);
   }
 
   /** Ends the exchanges that could not be ended under another's lock. */
   void endThoseLeft() {
-    List<Exchange> left;
-    synchronized (this) {
-      if (goneLater.isEmpty()) {
-        return;
-      }
-      left = List.copyOf(goneLater);
-      goneLater.clear();
-    }
-    left.forEach(Exchange::onCallerGone);
+    lost.endThoseLeft();
   }
 
   /**
@@ -415,21 +391,12 @@
    * @param idleMillis bound also for a peer that takes nothing of what was written
    */
   void expire(long idleMillis, long lingerMillis) {
-    noteOutput();
+    rest.noteOutput(unwrittenBytes());
     if (isOverdue(idleMillis, lingerMillis)) {
       afterReading(() -> endOverdue(idleMillis, lingerMillis));
     }
   }
 
-  /** A peer that takes what was written is not waited for in vain. */
-  private void noteOutput() {
-    long unwritten = unwrittenBytes();
-    if (unwritten != lastUnwrittenBytes) {
-      lastUnwrittenBytes = unwritten;
-      restsSinceMillis = clockMillis.getAsLong();
-    }
-  }
-
   /**
    * Runs a task on the thread that reads, once that has read what had arrived before: a process
    * that had no processor for a while sees its timers before its sockets.
@@ -441,8 +408,7 @@
   private synchronized boolean isOverdue(long idleMillis, long lingerMillis) {
     boolean lingers = discarding != null || state == ConnectionState.OUTPUT_ENDED;
     boolean isShort = lingers && unwrittenBytes() == 0;
-    long age = clockMillis.getAsLong() - restsSinceMillis;
-    return (lingers || isAtRest()) && age >= (isShort ? lingerMillis : idleMillis);
+    return (lingers || isAtRest()) && rest.isOver(isShort ? lingerMillis : idleMillis);
   }
 
   private void endOverdue(long idleMillis, long lingerMillis) {
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/LostExchanges.java
@@ -0,0 +1,42 @@
+package io.umberpath.node.proxy.inbound;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Ends exchanges whose caller is gone. The write that found that out may hold the lock of one of
+ * them, under which no other may be taken: then the others are ended later. Thread-safe.
+ */
+final class LostExchanges {
+  private final List<Exchange> later = new ArrayList<>();
+
+  /** Ends them now, or those that cannot be with {@link #endThoseLeft}. */
+  void end(List<Exchange> exchanges) {
+    boolean isUnderLock = exchanges.stream().anyMatch(Thread::holdsLock);
+    for (Exchange exchange : exchanges) {
+      if (!isUnderLock || Thread.holdsLock(exchange)) {
+        exchange.onCallerGone();
+      } else {
+        add(exchange);
+      }
+    }
+  }
+
+  private synchronized void add(Exchange exchange) {
+    later.add(exchange);
+  }
+
+  /** Ends those that could not be ended under another's lock. */
+  void endThoseLeft() {
+    takeLeft().forEach(Exchange::onCallerGone);
+  }
+
+  private synchronized List<Exchange> takeLeft() {
+    if (later.isEmpty()) {
+      return List.of();
+    }
+    List<Exchange> left = List.copyOf(later);
+    later.clear();
+    return left;
+  }
+}
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RestTime.java
@@ -0,0 +1,32 @@
+package io.umberpath.node.proxy.inbound;
+
+import java.util.function.LongSupplier;
+
+/** Since when nothing has happened on a connection. Thread-safe. */
+final class RestTime {
+  private final LongSupplier clockMillis;
+  private volatile long sinceMillis;
+  private volatile long lastUnwrittenBytes;
+
+  RestTime(LongSupplier clockMillis) {
+    this.clockMillis = clockMillis;
+    restart();
+  }
+
+  /** Something has happened. */
+  void restart() {
+    sinceMillis = clockMillis.getAsLong();
+  }
+
+  /** A peer that takes what was written is not waited for in vain. */
+  void noteOutput(long unwrittenBytes) {
+    if (unwrittenBytes != lastUnwrittenBytes) {
+      lastUnwrittenBytes = unwrittenBytes;
+      restart();
+    }
+  }
+
+  boolean isOver(long boundMillis) {
+    return clockMillis.getAsLong() - sinceMillis >= boundMillis;
+  }
+}
