--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -9,18 +9,15 @@
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.inbound.Refusal;
-import io.umberpath.node.proxy.inbound.RequestHandler;
 import io.umberpath.node.proxy.inbound.RequestPlan;
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 
 /** A listener on one selector thread that refuses all requests, and can be kept from reading. */
 final class InboundFixture implements AutoCloseable {
@@ -94,11 +91,7 @@
     transport.stop();
   }
 
-  private final class Handler implements RequestHandler {
-    @Override
-    public ProxyStats.Side side() {
-      return ProxyStats.Side.EDGE;
-    }
+  private final class Handler extends StubRequestHandler {
 
     @Override
     public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
@@ -121,29 +114,5 @@
     public void dispatch(Exchange exchange) {
       throw new AssertionError("nothing is sent on");
     }
-
-    @Override
-    public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {}
-
-    @Override
-    public String echoedId(RequestPlan plan) {
-      return null;
-    }
-
-    @Override
-    public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
-      return Optional.empty();
-    }
-
-    @Override
-    public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {}
-
-    @Override
-    public boolean mayRetry(Exchange exchange, Verdict verdict) {
-      return false;
-    }
-
-    @Override
-    public void ended(Exchange exchange, Verdict verdict) {}
   }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -10,7 +10,6 @@
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.inbound.Refusal;
-import io.umberpath.node.proxy.inbound.RequestHandler;
 import io.umberpath.node.proxy.inbound.RequestPlan;
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.pool.ConnectionPool;
@@ -26,7 +25,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.CompletionHandler;
@@ -34,7 +32,6 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
@@ -240,11 +237,7 @@
     }
   }
 
-  private final class Handler implements RequestHandler {
-    @Override
-    public ProxyStats.Side side() {
-      return ProxyStats.Side.EDGE;
-    }
+  private final class Handler extends StubRequestHandler {
 
     @Override
     public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
@@ -273,22 +266,6 @@
       exchange.sendTo(pools.get(origin), "backend-" + origin);
     }
 
-    @Override
-    public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {}
-
-    @Override
-    public String echoedId(RequestPlan plan) {
-      return null;
-    }
-
-    @Override
-    public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
-      return Optional.empty();
-    }
-
-    @Override
-    public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {}
-
     @Override
     public boolean mayRetry(Exchange exchange, Verdict verdict) {
       boolean permitted = retryPermitted;
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/StubRequestHandler.java
@@ -0,0 +1,43 @@
+package io.umberpath.node.proxy;
+
+import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.inbound.Exchange;
+import io.umberpath.node.proxy.inbound.Refusal;
+import io.umberpath.node.proxy.inbound.RequestHandler;
+import io.umberpath.node.proxy.inbound.RequestPlan;
+import io.umberpath.node.proxy.stats.ProxyStats;
+import java.util.Optional;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+
+/** A listener's handler that adds nothing to requests and answers, and sends nothing again. */
+public abstract class StubRequestHandler implements RequestHandler {
+  @Override
+  public ProxyStats.Side side() {
+    return ProxyStats.Side.EDGE;
+  }
+
+  @Override
+  public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {}
+
+  @Override
+  public String echoedId(RequestPlan plan) {
+    return null;
+  }
+
+  @Override
+  public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+    return Optional.empty();
+  }
+
+  @Override
+  public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {}
+
+  @Override
+  public boolean mayRetry(Exchange exchange, Verdict verdict) {
+    return false;
+  }
+
+  @Override
+  public void ended(Exchange exchange, Verdict verdict) {}
+}
