--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -30,7 +30,7 @@
   static final long CUT_OFF_RESERVE_MILLIS = 900;
 
   /** Time before the kill at which connections have ended, or end with the process. */
-  static final long END_RESERVE_MILLIS = 300;
+  static final long END_RESERVE_MILLIS = 600;
 
   private static final long STOP_CHECK_MILLIS = 20;
   private static final long QUIET_MILLIS = 150;
