--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/MessageOwnershipTest.java
@@ -0,0 +1,79 @@
+package io.umberpath.node.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What is sent on late is the message that was read, whatever was read on that thread since. */
+@Timeout(60)
+class MessageOwnershipTest {
+  private static final String LATE =
+      "GET /late?query=1 HTTP/1.1\r\nHost: a\r\nX-First: one\r\nX-Second: two\r\n\r\n";
+  private static final String DONE = "HTTP/1.1 204 No Content\r\n\r\n";
+  private static final String UPLOAD_BODY = "b".repeat(60_000);
+
+  private QueuedWriteFixture fixture;
+
+  @BeforeEach
+  void start() throws IOException {
+    fixture = new QueuedWriteFixture();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    fixture.close();
+  }
+
+  /** Reads enough on the selector thread that released memory is handed out again. */
+  private void readAnUpload(RawConnection origin) throws Exception {
+    try (RawConnection other = fixture.connect()) {
+      other.send(
+          "PUT /rest HTTP/1.1\r\nHost: a\r\nContent-Length: " + UPLOAD_BODY.length() + "\r\n\r\n");
+      for (int sent = 0; sent < UPLOAD_BODY.length(); sent += 1_000) {
+        other.send(UPLOAD_BODY.substring(sent, sent + 1_000));
+      }
+      assertThat(origin.read().body()).isEqualTo(UPLOAD_BODY);
+      origin.send(DONE);
+      other.readHead();
+    }
+  }
+
+  private void assertSentWhole(RawConnection restingOrigin) throws Exception {
+    fixture.awaitHeldOpening();
+    readAnUpload(restingOrigin);
+    fixture.releaseOpening();
+    try (RawConnection origin = fixture.acceptOrigin(0)) {
+      assertThat(origin.read().head()).isEqualTo(LATE);
+    }
+  }
+
+  @Test
+  void aRequestWhoseConnectionOpensLateKeepsItsHead() throws Exception {
+    fixture.holdOpenings(0);
+    try (RawConnection caller = fixture.connect();
+        RawConnection resting = fixture.restingOrigin(1, caller)) {
+      caller.send(LATE);
+      assertSentWhole(resting);
+    }
+  }
+
+  /** The upload's last bytes and the request's head are read at once. */
+  @Test
+  void aRequestReadTogetherWithTheEndOfAnUploadKeepsItsHead() throws Exception {
+    fixture.holdOpenings(0);
+    try (RawConnection caller = fixture.connect();
+        RawConnection resting = fixture.restingOrigin(1, caller)) {
+      caller.send("PUT /rest HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n");
+      resting.readHead();
+      caller.send("b".repeat(2_000) + LATE);
+      assertThat(resting.input().readNBytes(2_000)).containsOnly('b');
+      resting.send(DONE);
+      caller.readHead();
+      assertSentWhole(resting);
+    }
+  }
+}
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -43,6 +43,16 @@
   private static final int TIMEOUT_MILLIS = 5_000;
   private static final int POLL_MILLIS = 2;
 
+  /** Paths of requests that are refused, and why. */
+  private static final Map<String, Verdict.Reason> REFUSED_FOR =
+      Map.of(
+          "/refused", Verdict.Reason.NO_ROUTE,
+          "/bad-request", Verdict.Reason.BAD_REQUEST,
+          "/too-large", Verdict.Reason.TOO_LARGE,
+          "/deadline", Verdict.Reason.DEADLINE,
+          "/overloaded", Verdict.Reason.OVERLOADED,
+          "/lost", Verdict.Reason.CONNECTION_LOST);
+
   /** Turns of the selector thread after which everything sent before them has been read. */
   private static final int TURNS = 8;
 
@@ -55,6 +65,8 @@
   private volatile NIOConnection narrowCaller;
   private volatile boolean retryPermitted;
   private volatile Exchange heldBack;
+  private volatile int heldPort;
+  private volatile Runnable heldOpening;
 
   QueuedWriteFixture() throws IOException {
     for (ServerSocket server : servers) {
@@ -85,6 +97,28 @@
 
   @SuppressWarnings("rawtypes") // Grizzly's own signature
   private void open(PeerAddress address, CompletionHandler<Connection> handler) {
+    if (address.port() == heldPort) {
+      heldOpening = () -> openNow(address, handler);
+    } else {
+      openNow(address, handler);
+    }
+  }
+
+  /** From now on a connection to an origin opens when it is told to. */
+  void holdOpenings(int origin) {
+    heldPort = servers.get(origin).getLocalPort();
+  }
+
+  void awaitHeldOpening() throws Exception {
+    await(() -> heldOpening != null);
+  }
+
+  void releaseOpening() {
+    heldOpening.run();
+  }
+
+  @SuppressWarnings("rawtypes") // Grizzly's own signature
+  private void openNow(PeerAddress address, CompletionHandler<Connection> handler) {
     transport.connect(
         address,
         new EmptyCompletionHandler<>() {
@@ -242,8 +276,8 @@
     @Override
     public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
       String path = head.getRequestURI();
-      if (path.equals("/refused")) {
-        return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
+      if (REFUSED_FOR.containsKey(path)) {
+        return Either.left(Refusal.notRun(REFUSED_FOR.get(path)));
       }
       if (path.equals("/answered")) {
         narrowCaller = (NIOConnection) head.getConnection();
