What is read is left to the garbage collector: no message is overwritten by another

What callers saw: well-formed requests answered 400; requests that would have run with another caller's bytes as header fields or query; and, where the node could not decode the destroyed head itself, the end of the connection over all that stood behind it: on seven requests read and dropped (74 nodes), on answers to other requests too (six in a row, shifted by one).

Cause: a request that is read together with the end of an upload is a slice of the same buffer. When the last piece of the upload had been written to its origin, the transport released the buffer, all of it, and the next read or write on that thread got the memory. Shown by the stack of the release, from the write's completion, with the next request's head in the released bytes.

Ruled out: a head that is kept for long by itself (its buffer is never released), and answers (an origin sends one at a time, and what is held was copied).

Buffers that were read are no longer released by hand. Weighed against copying what follows a body piece, which leaves the next place of this kind open. It costs allocation of as many bytes as are read.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -6,7 +6,6 @@
 import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OriginFilter;
-import io.umberpath.node.proxy.origin.OriginReadFilter;
 import io.umberpath.node.proxy.pool.Connector;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -16,7 +15,6 @@
 import org.glassfish.grizzly.filterchain.Filter;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -72,7 +70,7 @@
   private FilterChain clientChain(Consumer<OriginConnection> onReusable) {
     OriginFilter last = new OriginFilter(onReusable);
     return FilterChainBuilder.stateless()
-        .add(new OriginReadFilter())
+        .add(new ReadFilter())
         .add(new ClientCodecFilter(maxHeaderBytes, last))
         .add(last)
         .build();
@@ -91,7 +89,7 @@
   public TCPNIOServerConnection listen(String host, int port, Filter last) throws IOException {
     FilterChain chain =
         FilterChainBuilder.stateless()
-            .add(new TransportFilter())
+            .add(new ReadFilter())
             .add(new ServerCodecFilter(maxHeaderBytes))
             .add(last)
             .build();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginReadFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ReadFilter.java
@@ -1,4 +1,4 @@
-package io.umberpath.node.proxy.origin;
+package io.umberpath.node.proxy;
 
 import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
@@ -9,11 +9,14 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOUtils;
 
 /**
- * Reads from an origin and keeps apart how it ended. Grizzly's transport reports a reset and an
- * orderly end alike, as the end of the stream; but an answer without a stated length is whole only
- * after an orderly end.
+ * Reads from a connection, and keeps apart how it ended: Grizzly's transport reports a reset and an
+ * orderly end alike, but an answer without a stated length is whole only after an orderly end.
+ *
+ * <p>What was read is left to the garbage collector. The codec hands out parts of one buffer as
+ * pieces of several messages, and the transport releases the whole buffer once one of these has
+ * been written.
  */
-public final class OriginReadFilter extends TransportFilter {
+final class ReadFilter extends TransportFilter {
   @Override
   public NextAction handleRead(FilterChainContext context) throws IOException {
     TCPNIOConnection connection = (TCPNIOConnection) context.getConnection();
@@ -29,6 +32,7 @@
       return context.getStopAction();
     }
     buffer.trim();
+    buffer.allowBufferDispose(false);
     context.setMessage(buffer);
     return context.getInvokeAction();
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/PipelinedStatusTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/PipelinedStatusTest.java
@@ -39,7 +39,7 @@
       origin.readHead();
       origin.send("HTTP/1.1 " + status + " X\r\n" + body(framing));
       if (framing.equals("close")) {
-        origin.close();
+        origin.socket.shutdownOutput();
       }
       Message first = caller.read();
       assertThat(first.status()).isEqualTo(status);
