No status of an answer ends the connection over requests behind it

What callers saw: a back end's answer 400 to 414, 500, 501, 503 or 505 in chunks, or without a length, ended the connection in order, and requests behind it that were read, begun and had run had no answer (LOST). Back ends answer 500 when a call of theirs fails, which stopping nodes bring about.

Cause: the codec ends connections after these statuses by itself. Answers with a length were kept from that; those in chunks were framed by the codec.

The node frames chunked answers itself now, so that only the state of the connection decides on its end. Answers without a body (204, 304, to HEAD) go out as they are.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.ChunkedEncoder;
 import io.umberpath.node.proxy.http.HeaderCopier;
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.VerdictHeader;
@@ -23,12 +24,18 @@
   private static final int HEAD_BYTES = 1_024;
 
   private static final String CLOSE = "close";
+  private static final String CHUNKED = "chunked";
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
 
   private final AnswerTurn turn;
   private final RequestHandler handler;
   private final HttpRequestPacket request;
   private final HttpResponsePacket response;
 
+  /** Whether the body goes out in chunks. */
+  private boolean isChunked;
+
   AnswerWriter(AnswerTurn turn, HttpRequestPacket request, RequestHandler handler) {
     this.turn = turn;
     this.handler = handler;
@@ -39,7 +46,7 @@
   /** Passes an interim answer on; older callers would take it for the final one. */
   void interim(byte[] head) {
     if (isVersion11()) {
-      turn.write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, head), head.length);
+      turn.write(wrap(head), head.length);
     }
   }
 
@@ -74,23 +81,36 @@
       response.getHeaders().setValue(ChainBudget.HEADER).setString(chain);
     }
     if (head.getContentLength() >= 0 && !head.isChunked()) {
-      writeUnchanged(head.getContentLength());
+      response.getHeaders().setValue(Header.ContentLength).setString(lengthOf(head));
+      writeUnchanged();
+    } else if (hasNoBody(head.getStatus())) {
+      writeUnchanged();
     } else if (isVersion11()) {
-      response.setChunked(true);
+      response.getHeaders().setValue(Header.TransferEncoding).setString(CHUNKED);
+      isChunked = true;
+      writeUnchanged();
     } else {
       response.setChunkingAllowed(false);
       closeAfter();
     }
   }
 
+  private static String lengthOf(HttpResponsePacket head) {
+    return Long.toString(head.getContentLength());
+  }
+
+  /** Whether an answer ends with its head, whatever that says (RFC 9112, section 6.3). */
+  private boolean hasNoBody(int status) {
+    return request.isHeadRequest() || status == NO_CONTENT || status == NOT_MODIFIED;
+  }
+
   /**
    * Makes the codec write head and body as they are. Otherwise it would end the connection after
-   * each answer 500 or 503, just when refusals have to be cheap.
+   * answers of some statuses, without regard to the requests behind them.
    */
-  private void writeUnchanged(long contentLength) {
+  private void writeUnchanged() {
     response.setProtocol(Protocol.HTTP_1_1);
     response.setIgnoreContentModifiers(true);
-    response.getHeaders().setValue(Header.ContentLength).setString(Long.toString(contentLength));
     if (!isKeepAlive()) {
       response.getHeaders().setValue(Header.Connection).setString(CLOSE);
     } else if (!isVersion11()) {
@@ -134,9 +154,9 @@
     } else {
       endConnectionIfLeaving();
     }
-    writeUnchanged(text.length);
-    Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, text);
-    write(content, true, null);
+    response.getHeaders().setValue(Header.ContentLength).setString(Integer.toString(text.length));
+    writeUnchanged();
+    write(wrap(text), true, null);
   }
 
   /**
@@ -185,15 +205,20 @@
   }
 
   private void write(Buffer content, boolean last, MimeHeaders trailers) {
-    int bytes = content.remaining();
-    // What is held outlives the buffer that the origin's connection was read into.
-    Buffer lasting = turn.isCurrent() ? content : copy(content);
-    turn.write(OutgoingRequest.part(response, lasting, last, trailers), HEAD_BYTES + bytes);
+    Buffer framed = isChunked ? wrap(ChunkedEncoder.encode(content, last, trailers)) : content;
+    // A piece that is held would keep the whole buffer that it was read into.
+    Buffer lasting = isChunked || turn.isCurrent() ? framed : copy(framed);
+    int bytes = lasting.remaining();
+    turn.write(OutgoingRequest.part(response, lasting, last, null), HEAD_BYTES + bytes);
   }
 
   private static Buffer copy(Buffer content) {
     byte[] bytes = new byte[content.remaining()];
     content.duplicate().get(bytes);
+    return wrap(bytes);
+  }
+
+  private static Buffer wrap(byte[] bytes) {
     return Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes);
   }
 }
