A listener closes when nobody waits at it; connections accepted late end in order

What callers saw: connections that waited to be accepted when a stop closed the listener were reset, and one that was accepted after the others had been told to end stayed open until the process went, with whatever was sent on it.

Cause: the count of accepted connections was never raised, so that one round of accepting always looked empty, and the flag that the listener ends was never read.

ListenerEndTest failed in both cases before (20 callers behind a blocked selector: connection reset; read timed out) and passes. A method that nobody called is gone.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
@@ -27,7 +27,13 @@
 
   @Override
   public NextAction handleAccept(FilterChainContext context) {
-    connections.add(new CallerConnection(context.getConnection(), handler.side(), environment));
+    CallerConnection caller =
+        new CallerConnection(context.getConnection(), handler.side(), environment);
+    connections.add(caller);
+    accepted.increment();
+    if (ending) {
+      caller.endAtRest();
+    }
     return context.getStopAction();
   }
 
@@ -103,7 +109,7 @@
     connections.forEach(caller -> caller.expire(idleMillis, lingerMillis));
   }
 
-  /** Ends each connection as soon as all that has been read from it is answered. */
+  /** Ends each connection, also later ones, as soon as all that was read from it is answered. */
   public void endConnections() {
     ending = true;
     connections.forEach(CallerConnection::endAtRest);
@@ -123,9 +129,4 @@
   public long unwrittenBytes() {
     return connections.stream().mapToLong(CallerConnection::unwrittenBytes).sum();
   }
-
-  /** Closes every connection at once. */
-  public void abortAll() {
-    connections.forEach(caller -> caller.abort(ConnectionEnd.STOP));
-  }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -32,6 +32,7 @@
   private final ActiveExchanges active = new ActiveExchanges();
   private final AtomicLong clockMillis = new AtomicLong();
   private final InboundFilter filter;
+  private final Listener listener;
   private final int port;
   private RawConnection blocking;
   private final CountDownLatch blocked = new CountDownLatch(1);
@@ -48,7 +49,7 @@
             () -> Long.MAX_VALUE);
     filter = new InboundFilter(new Handler(), environment);
     transport.start();
-    var listener = transport.listen("127.0.0.1", 0, filter);
+    listener = transport.listen("127.0.0.1", 0, filter);
     port = listener.port();
   }
 
@@ -56,6 +57,10 @@
     return filter;
   }
 
+  Listener listener() {
+    return listener;
+  }
+
   RawConnection connect() throws IOException {
     return new RawConnection(port);
   }
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ListenerEndTest.java
@@ -0,0 +1,60 @@
+package io.umberpath.node.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections that come while a listener ends. */
+@Timeout(60)
+class ListenerEndTest {
+  private static final int WAITING = 20;
+  private static final int TIMEOUT_MILLIS = 3_000;
+
+  private InboundFixture fixture;
+
+  @BeforeEach
+  void start() throws IOException {
+    fixture = new InboundFixture();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    fixture.close();
+  }
+
+  @Test
+  void aConnectionAcceptedAfterTheOthersWereEndedIsEndedToo() throws Exception {
+    fixture.filter().endConnections();
+    try (RawConnection caller = fixture.connect()) {
+      caller.socket.setSoTimeout(TIMEOUT_MILLIS);
+
+      assertThat(caller.endsNow()).isTrue();
+    }
+  }
+
+  /** Closing a listener resets the connections that wait to be accepted. */
+  @Test
+  void connectionsThatWaitToBeAcceptedAreAnsweredBeforeTheListenerCloses() throws Exception {
+    fixture.blockReading();
+    List<RawConnection> callers = new ArrayList<>();
+    for (int count = 0; count < WAITING; count++) {
+      RawConnection caller = fixture.connect();
+      caller.socket.setSoTimeout(TIMEOUT_MILLIS);
+      caller.send(InboundFixture.REFUSED);
+      callers.add(caller);
+    }
+    fixture.listener().closeWhenEmpty();
+    fixture.filter().endConnections();
+    fixture.readOn();
+    for (RawConnection caller : callers) {
+      assertThat(caller.read()).as("answer").isNotNull();
+      caller.close();
+    }
+  }
+}
