A planned stop ends when its peers have ended, not half a second by the clock

What callers can see: answers that the kernel had taken and the caller had not read are lost when the process ends with unread bytes from that caller; callers short of processor, or behind links of 7 Mbit/s, need longer than 500 ms.

Cause: ConnectionDrain took 500 ms without an answer owed for proof that peers had read everything. Nothing was gained by that: where peers end their side, the drain ends with them; where they do not, the bound before the kill holds now.

ListenerEndTest.theEndWaitsForAPeerThatHasNotReadItsAnswer failed before and passes. Not reproduced on loopback as a lost answer: sockets there hold what is written.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -161,7 +161,7 @@
    */
   void endConnections(long endMillis) throws InterruptedException {
     listeners.forEach(Listener::closeWhenEmpty);
-    new ConnectionDrain(List.of(edgeFilter, gateFilter), active, clockMillis).run(endMillis);
+    new ConnectionDrain(List.of(edgeFilter, gateFilter), clockMillis).run(endMillis);
   }
 
   /** Ends what is past its deadline. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -73,9 +73,7 @@
     proxy.refuseCallers();
     proxy.endConnections(began + graceMillis - CUT_OFF_RESERVE_MILLIS);
     int cutOff = proxy.abortAll();
-    if (cutOff > 0 || proxy.unwrittenBytes() > 0) {
-      proxy.endConnections(began + graceMillis - END_RESERVE_MILLIS);
-    }
+    proxy.endConnections(began + graceMillis - END_RESERVE_MILLIS);
     long millis = clockMillis.getAsLong() - began;
     events.stopped(cutOff, proxy.openCallers(), proxy.unwrittenBytes(), millis);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -238,7 +238,7 @@
     }
     listeners.forEach(Listener::closeWhenEmpty);
     long leftMillis = (endNanos - System.nanoTime()) / NANOS_PER_MILLI;
-    new ConnectionDrain(filters, active, clockMillis).run(clockMillis.getAsLong() + leftMillis);
+    new ConnectionDrain(filters, clockMillis).run(clockMillis.getAsLong() + leftMillis);
     return true;
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -4,6 +4,7 @@
 
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
+import io.umberpath.node.proxy.inbound.ConnectionDrain;
 import io.umberpath.node.proxy.inbound.ConnectionLog;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
@@ -15,6 +16,7 @@
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -61,6 +63,11 @@
     return listener;
   }
 
+  /** Ends all connections; returns when that is done, or at a moment of the fixture's clock. */
+  void drain(long endMillis) throws InterruptedException {
+    new ConnectionDrain(List.of(filter), clockMillis::get).run(endMillis);
+  }
+
   RawConnection connect() throws IOException {
     return new RawConnection(port);
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ListenerEndTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ListenerEndTest.java
@@ -15,6 +15,8 @@
 class ListenerEndTest {
   private static final int WAITING = 20;
   private static final int TIMEOUT_MILLIS = 3_000;
+  private static final int NOTICE_MILLIS = 100;
+  private static final long BOUND_MILLIS = 5_000;
 
   private InboundFixture fixture;
 
@@ -38,6 +40,41 @@
     }
   }
 
+  /** What a peer has not read is lost if the process ends before the peer does. */
+  @Test
+  void theEndWaitsForAPeerThatHasNotReadItsAnswer() throws Exception {
+    try (RawConnection caller = fixture.connect()) {
+      caller.send(InboundFixture.REFUSED);
+      Thread drain = new Thread(this::drain);
+      drain.start();
+      assertThat(caller.readHead()).startsWith("HTTP/1.1 404");
+      fixture.advance(BOUND_MILLIS - 1);
+      drain.join(NOTICE_MILLIS);
+      assertThat(drain.isAlive()).as("waits for the peer").isTrue();
+      caller.close();
+      drain.join(TIMEOUT_MILLIS);
+      assertThat(drain.isAlive()).as("waits on though the peer has ended").isFalse();
+    }
+  }
+
+  @Test
+  void theEndDoesNotWaitForAPeerBeyondItsBound() throws Exception {
+    try (RawConnection caller = fixture.connect()) {
+      caller.send(InboundFixture.REFUSED);
+      caller.readHead();
+      fixture.advance(BOUND_MILLIS);
+      drain();
+    }
+  }
+
+  private void drain() {
+    try {
+      fixture.drain(BOUND_MILLIS);
+    } catch (InterruptedException ended) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Closing a listener resets the connections that wait to be accepted. */
   @Test
   void connectionsThatWaitToBeAcceptedAreAnsweredBeforeTheListenerCloses() throws Exception {
