A stopping node serves the calls of the work that it waits for

What callers saw: a request whose back end calls others through the node beside it failed when that node was told to stop: from 2.8 s on the calls were refused, so the request, which the stop waited for, was answered 500.

Cause: all callers are refused at a fixed moment of the stop, the back end beside among them. Calls cannot be told from other requests, so callers are served while the back end works, until a second before what is left is cut off.

PlannedStopAnswersTest.aCallOfTheWorkThatAStopWaitsForIsServed failed before (503) and passes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -144,6 +144,11 @@
     return active.size();
   }
 
+  /** Whether the back end beside this node works on a request. */
+  boolean isBackendAtWork() {
+    return gate.gate().running() > 0;
+  }
+
   /** From now on callers are asked to go elsewhere with their next request. */
   void leave() {
     edge.leave();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -8,7 +8,8 @@
  *
  * <ol>
  *   <li>Callers notice, other nodes are told; what comes is still served.
- *   <li>What still comes is refused as not run; what is in flight finishes.
+ *   <li>What still comes is refused as not run; what is in flight finishes, with the calls that the
+ *       back end makes for it.
  *   <li>Nothing is in flight: listeners and connections end in order, see {@link
  *       io.umberpath.node.proxy.inbound.ConnectionDrain}.
  * </ol>
@@ -17,9 +18,15 @@
   /** How long callers have to notice that this node leaves: two questions, a second apart. */
   private static final long CALLER_NOTICE_MILLIS = 2_200;
 
-  /** When callers that come all the same are refused: what they want might not finish. */
+  /**
+   * When callers that come all the same are refused: what they want might not finish. Not while the
+   * back end beside this node works on a request, which may depend on calls that it makes.
+   */
   private static final long CALLERS_REFUSED_MILLIS = 2_800;
 
+  /** Time before the cut-off from which those calls are refused, too. */
+  private static final long CALLS_REFUSED_RESERVE_MILLIS = 1_000;
+
   /** When other nodes are told; until then this node works on for its back end. */
   private static final long PEERS_TOLD_MILLIS = 1_400;
 
@@ -91,7 +98,8 @@
       if (now >= began + PEERS_REFUSED_MILLIS) {
         backend.leave();
       }
-      if (now >= began + CALLERS_REFUSED_MILLIS) {
+      boolean mayCall = now < end - CALLS_REFUSED_RESERVE_MILLIS && proxy.isBackendAtWork();
+      if (now >= began + CALLERS_REFUSED_MILLIS && !mayCall) {
         proxy.refuseCallers();
       }
       quietSince = proxy.inFlight() > 0 ? now : quietSince;
