An answer that is on its way is not cut off at its deadline

Cause: an answer that has begun can only end its connection, and the deadline was judged without regard to that. It goes on now while pieces come, and is cut off after a second without one.

--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerProgress.java
@@ -0,0 +1,30 @@
+package io.umberpath.node.proxy.inbound;
+
+import io.umberpath.node.proxy.origin.AnswerPart;
+
+/** How far the answer of one exchange has gone out. The exchange's lock guards it. */
+final class AnswerProgress {
+  /** Time without a piece after which an answer counts as standing still, milliseconds. */
+  private static final long STALL_MILLIS = 1_000;
+
+  private int status;
+  private long lastPieceMillis;
+
+  /** A piece is about to go out. */
+  void passes(AnswerPart part, long nowMillis) {
+    lastPieceMillis = nowMillis;
+    if (part.first()) {
+      status = part.head().getStatus();
+    }
+  }
+
+  /** Status of the answer; 0 before its first piece. */
+  int status() {
+    return status;
+  }
+
+  /** Whether it has begun, and a piece has come lately. */
+  boolean isOnItsWay(long nowMillis) {
+    return status != 0 && nowMillis - lastPieceMillis < STALL_MILLIS;
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -41,6 +41,7 @@
   private final AnswerWriter answer;
   private final RequestBody body = new RequestBody();
   private final AttemptHistory history = new AttemptHistory();
+  private final AnswerProgress progress = new AnswerProgress();
   private final long startNanos = System.nanoTime();
   private Stage stage = Stage.DECIDING;
   private RequestPlan plan;
@@ -50,7 +51,6 @@
   private boolean cutOff;
   private boolean dispatchAgain;
   private boolean awaitsBody;
-  private int answeredStatus;
 
   Exchange(
       CallerConnection caller,
@@ -92,7 +92,7 @@
 
   /** Status of the answer that the caller has got the beginning of; 0 before. */
   public synchronized int answeredStatus() {
-    return answeredStatus;
+    return progress.status();
   }
 
   /** Microseconds since the request's head arrived. */
@@ -258,10 +258,13 @@
     afterLock();
   }
 
-  /** Gives up if the deadline has passed. */
+  /**
+   * Gives up if the deadline has passed. An answer that is on its way goes on: to cut it off would
+   * end its connection, with the answers to the requests behind it.
+   */
   void checkDeadline(long nowMillis) {
     synchronized (this) {
-      if (plan == null || plan.deadlineMillis() > nowMillis) {
+      if (plan == null || plan.deadlineMillis() > nowMillis || progress.isOnItsWay(nowMillis)) {
         return;
       }
       fail(asFirmAsPossible(Verdict.Reason.DEADLINE), false);
@@ -472,10 +475,8 @@
   }
 
   private boolean passOn(Attempt answered, AnswerPart part) {
-    if (part.first()) {
-      stage = Stage.ANSWERING;
-      answeredStatus = part.head().getStatus();
-    }
+    progress.passes(part, environment.clockMillis().getAsLong());
+    stage = Stage.ANSWERING;
     answer.part(part, plan);
     if (attempt != answered) {
       // The caller's connection broke while the piece was written, which has ended the request.
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ListenerEndTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ListenerEndTest.java
@@ -51,7 +51,7 @@
       fixture.advance(BOUND_MILLIS - 1);
       drain.join(NOTICE_MILLIS);
       assertThat(drain.isAlive()).as("waits for the peer").isTrue();
-      caller.close();
+      caller.socket.close();
       drain.join(TIMEOUT_MILLIS);
       assertThat(drain.isAlive()).as("waits on though the peer has ended").isFalse();
     }
