A connection that closes no longer stands still with the deadline of its request

What callers saw: a node that accepted connections and answered nothing any more, on none of them, until it was killed; told to stop, it outlived the grace time. All that was read there was lost.

Cause: a deadlock. When a caller's connection closes, its own lock was held while its exchanges were asked how often they had been sent on, for the line about unanswered requests. The timer holds an exchange's lock at its deadline and takes the connection's to write the refusal. A caller that gives up at its deadline makes both happen at one moment; then the selector thread and the timer wait for each other.

The test failed before (the connection's lock could not be had in 3 s) and passes.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -367,12 +367,16 @@
   /** The peer is gone. */
   void closed() {
     List<Exchange> open;
-    UnansweredRequests unanswered;
+    ConnectionEnd cause;
+    boolean isHeadUnbegun;
     synchronized (this) {
       state = ConnectionState.CLOSED;
       open = turns.takeAll();
-      unanswered = UnansweredRequests.of(side, endedBy, open, suspended.isAtHead());
+      cause = endedBy;
+      isHeadUnbegun = suspended.isAtHead();
     }
+    // Exchanges are asked for their own state, under their own locks.
+    UnansweredRequests unanswered = UnansweredRequests.of(side, cause, open, isHeadUnbegun);
     if (unanswered.isAny()) {
       log.ended(unanswered);
     }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
@@ -37,6 +37,7 @@
 class ExchangeBrokenWriteTest {
   private static final PeerAddress ORIGIN = new PeerAddress("127.0.0.1", 9);
   private static final long DEADLINE_MILLIS = 1_000;
+  private static final long LOCK_MILLIS = 3_000;
   private static final AttributeBuilder ATTRIBUTES = Grizzly.DEFAULT_ATTRIBUTE_BUILDER;
 
   private final List<Verdict> ended = new ArrayList<>();
@@ -185,6 +186,28 @@
     assertThat(active.size()).isZero();
   }
 
+  /** The timer holds an exchange's lock at its deadline while the caller's connection closes. */
+  @Test
+  void aConnectionThatClosesHoldsNoLockWhileItWaitsForAnExchange() throws InterruptedException {
+    Exchange exchange = begin(new ReceivedRequest(), true);
+    Thread closing = new Thread(() -> caller.closed());
+    Thread writing = new Thread(() -> caller.isEnded());
+    synchronized (exchange) {
+      closing.start();
+      awaitBlocked(closing);
+      writing.start();
+      writing.join(LOCK_MILLIS);
+      assertThat(writing.isAlive()).as("waits for the connection's lock").isFalse();
+    }
+    closing.join();
+  }
+
+  private static void awaitBlocked(Thread thread) throws InterruptedException {
+    while (thread.isAlive() && thread.getState() != Thread.State.BLOCKED) {
+      Thread.sleep(1);
+    }
+  }
+
   private static HttpContent piece(HttpRequestPacket request, boolean last) {
     Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, "x");
     return HttpContent.builder(request).content(content).last(last).build();
