--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/Fingerprints.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/Fingerprints.java
@@ -1,11 +1,11 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.util.Header;
 
 /** Fingerprints of requests on the wire; every node works out the same from what it gets. */
@@ -13,14 +13,13 @@
   private Fingerprints() {}
 
   /** The part of a request's fingerprint that its head tells. */
-  static long targetOf(HttpRequestPacket head) {
-    String query = head.getQueryString();
-    String path = head.getRequestURI();
+  static long targetOf(RequestHead head) {
+    String target = head.query().map(query -> head.path() + '?' + query).orElse(head.path());
     return RequestFingerprint.targetOf(
-        head.getMethod().getMethodString(),
-        head.getHeader(Header.Host),
-        query == null ? path : path + '?' + query,
-        head.getHeader(Header.Authorization));
+        head.method(),
+        head.field(Header.Host.toString()).orElse(null),
+        target,
+        head.field(Header.Authorization.toString()).orElse(null));
   }
 
   /** The fingerprint; empty while too little of the body has been received to tell. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LivenessAttester.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LivenessAttester.java
@@ -3,12 +3,12 @@
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.ServiceDefinition;
 import io.umberpath.node.proxy.backend.HealthProbe;
+import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 
 /**
  * Attests that the back end beside this node lives although its entry has lapsed: where the store
@@ -115,9 +115,9 @@
     probe.start();
   }
 
-  private synchronized void answered(String id, long sentMillis, HttpResponsePacket head) {
-    boolean isGood =
-        head.getStatus() == OK && id.equals(head.getHeader(settings.headers().instance()));
+  private synchronized void answered(String id, long sentMillis, AnswerHead head) {
+    boolean isSameStart = head.field(settings.headers().instance()).filter(id::equals).isPresent();
+    boolean isGood = head.status() == OK && isSameStart;
     if (!isGood) {
       failed(id);
     } else if (lastListed != null && lastListed.id().equals(id)) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -4,7 +4,9 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingRule;
+import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.ProxyHeaders;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.VerdictHeader;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
@@ -28,7 +30,6 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.util.Header;
 
 /** Requests of callers: finds the route, picks a back end, sends to the node beside it. */
@@ -106,7 +107,7 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
     if (refusing) {
       return Either.left(
           new Refusal(new Verdict.NotRun(Verdict.Reason.DRAINING), RETRY_WHEN_NOBODY_MILLIS));
@@ -116,25 +117,24 @@
       return Either.left(
           new Refusal(new Verdict.NotRun(Verdict.Reason.NOT_READY), RETRY_WHEN_UNREADY_MILLIS));
     }
-    String requestId = head.getHeader(settings.headers().requestId());
+    Optional<String> requestId = head.field(settings.headers().requestId());
     Optional<Long> stated = statedDeadline(head);
-    if (requestId == null || stated.isEmpty()) {
+    if (requestId.isEmpty() || stated.isEmpty()) {
       return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
     }
-    String host = head.getHeader(Header.Host);
     Optional<RoutingRule> rule =
-        current.table().match(host == null ? "" : host, head.getRequestURI());
+        current.table().match(head.field(Header.Host.toString()).orElse(""), head.path());
     if (rule.isEmpty()) {
       return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
     }
     long timeout = Math.min(stated.get(), rule.get().timeoutMillis());
     boolean returned = isReturned(rule.get(), stated.get());
     return Either.right(
-        plan(head, requestId, rule.get(), current.version(), nowMillis, timeout, returned));
+        plan(head, requestId.get(), rule.get(), current.version(), nowMillis, timeout, returned));
   }
 
   private MeshEdgePlan plan(
-      HttpRequestPacket head,
+      RequestHead head,
       String requestId,
       RoutingRule rule,
       long version,
@@ -166,9 +166,9 @@
   }
 
   /** The caller's deadline; very long if it states none, empty if it is malformed. */
-  private Optional<Long> statedDeadline(HttpRequestPacket head) {
-    String text = head.getHeader(settings.headers().deadline());
-    return text == null ? Optional.of((long) Integer.MAX_VALUE) : Headers.number(text);
+  private Optional<Long> statedDeadline(RequestHead head) {
+    Optional<String> text = head.field(settings.headers().deadline());
+    return text.isEmpty() ? Optional.of((long) Integer.MAX_VALUE) : Headers.number(text.get());
   }
 
   @Override
@@ -259,7 +259,7 @@
 
   private static boolean mayBounce(Exchange exchange, MeshEdgePlan plan) {
     return plan.tally().bounces() < EdgeRetries.MAX_BOUNCES
-        && exchange.request().getContentLength() <= MAX_BOUNCED_BYTES
+        && exchange.request().contentLength() <= MAX_BOUNCED_BYTES
         && exchange.isBodyReplayable();
   }
 
@@ -283,23 +283,23 @@
   }
 
   @Override
-  public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+  public Optional<Refusal> refusalIn(Exchange exchange, AnswerHead head) {
     MeshEdgePlan plan = planOf(exchange);
     stated(exchange.currentOrigin(), plan.route(), head);
-    String verdict = head.getHeader(ProxyHeaders.VERDICT);
-    if (verdict != null) {
-      return VerdictHeader.parse(verdict)
+    Optional<String> verdict = head.field(ProxyHeaders.VERDICT);
+    if (verdict.isPresent()) {
+      return VerdictHeader.parse(verdict.get())
           .map(each -> new Refusal(each, Headers.retryAfterMillis(head), true));
     }
-    costs.answered(plan.route(), head.getContentLength());
-    boolean own = plan.requestId().equals(head.getHeader(settings.headers().requestId()));
+    costs.answered(plan.route(), head.contentLength());
+    boolean own =
+        head.field(settings.headers().requestId()).filter(plan.requestId()::equals).isPresent();
     return own ? Optional.empty() : Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
   }
 
-  private void stated(String backend, String route, HttpResponsePacket head) {
-    String text = head.getHeader(MeshGateHandler.LOAD_HEADER);
-    GateLoad load = text == null ? null : GateLoad.decode(text);
-    if (head.getHeader(MeshGateHandler.NESTED_HEADER) != null) {
+  private void stated(String backend, String route, AnswerHead head) {
+    GateLoad load = head.field(MeshGateHandler.LOAD_HEADER).map(GateLoad::decode).orElse(null);
+    if (head.field(MeshGateHandler.NESTED_HEADER).isPresent()) {
       retries.nestedRouteSeen(route);
     }
     if (load != null) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -4,6 +4,8 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendStart;
 import io.umberpath.node.proxy.SlotGate;
+import io.umberpath.node.proxy.http.AnswerHead;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.Refusal;
@@ -212,17 +214,16 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
-    String requestId = head.getHeader(settings.headers().requestId());
-    Optional<HopHeader> hop = HopHeader.decode(head.getHeader(HopHeader.HEADER));
-    Optional<Long> left =
-        Headers.text(head, settings.headers().deadline()).flatMap(Headers::number);
-    if (requestId == null || hop.isEmpty() || left.isEmpty()) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+    Optional<String> requestId = head.field(settings.headers().requestId());
+    Optional<HopHeader> hop = head.field(HopHeader.HEADER).flatMap(HopHeader::decode);
+    Optional<Long> left = head.field(settings.headers().deadline()).flatMap(Headers::number);
+    if (requestId.isEmpty() || hop.isEmpty() || left.isEmpty()) {
       return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
     }
     return Either.right(
         new MeshGatePlan(
-            requestId,
+            requestId.get(),
             hop.get(),
             nowMillis + left.get(),
             nowMillis,
@@ -273,10 +274,10 @@
   }
 
   private boolean isNested(Exchange exchange) {
-    String callerService = exchange.request().getHeader(settings.headers().callerService());
+    String callerService = exchange.request().field(settings.headers().callerService()).orElse("");
     String route = planOf(exchange).route();
     synchronized (nestedRoutes) {
-      nestedRoutes.arrived(route, String.valueOf(callerService));
+      nestedRoutes.arrived(route, callerService);
       return nestedRoutes.isNested(route);
     }
   }
@@ -311,23 +312,23 @@
   }
 
   @Override
-  public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+  public Optional<Refusal> refusalIn(Exchange exchange, AnswerHead head) {
     HeaderNames names = settings.headers();
-    speed.stated(head.getHeader(names.statement()));
+    speed.stated(head.field(names.statement()).orElse(null));
     MeshGatePlan plan = planOf(exchange);
-    String answered = head.getHeader(names.requestId());
-    if (answered != null && !answered.equals(plan.requestId())) {
+    Optional<String> answered = head.field(names.requestId());
+    if (answered.isPresent() && !answered.get().equals(plan.requestId())) {
       return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
     }
-    String instance = head.getHeader(names.instance());
-    if (head.getStatus() == MISDIRECTED && instance != null) {
-      backend.isAnother(plan.instance(), instance);
+    Optional<String> instance = head.field(names.instance());
+    if (head.status() == MISDIRECTED) {
+      instance.ifPresent(other -> backend.isAnother(plan.instance(), other));
     }
-    boolean notExecuted = head.getHeader(names.notExecuted()) != null;
-    if (notExecuted || head.getStatus() == MISDIRECTED) {
+    boolean notExecuted = head.field(names.notExecuted()).isPresent();
+    if (notExecuted || head.status() == MISDIRECTED) {
       return Optional.of(new Refusal(new Verdict.NotRun(Verdict.Reason.REJECTED), 0, true));
     }
-    if (answered == null) {
+    if (answered.isEmpty()) {
       return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
     }
     return Optional.empty();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestCosts.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestCosts.java
@@ -1,9 +1,9 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.traffic.routing.GateBalancer;
 import io.umberpath.traffic.routing.RouteMeans;
-import org.glassfish.grizzly.http.HttpRequestPacket;
 
 /** What a request costs at each back end, for the choice among them. Thread-safe. */
 final class RequestCosts {
@@ -34,8 +34,8 @@
   /** What the request needs, and what its bytes cost in another zone. */
   GateBalancer.RequestConstraints constraints(
       Exchange exchange, MeshEdgePlan plan, long nowMillis) {
-    HttpRequestPacket request = exchange.request();
-    long stated = request.isChunked() ? UNSTATED_BODY_BYTES : request.getContentLength();
+    RequestHead request = exchange.request();
+    long stated = request.isChunked() ? UNSTATED_BODY_BYTES : request.contentLength();
     long bytes = HEAD_BYTES + Math.max(0, stated);
     synchronized (answerBytes) {
       bytes += answerBytes.expected(plan.route());
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -9,7 +9,9 @@
 import io.umberpath.model.Tier;
 import io.umberpath.model.Verdict;
 import io.umberpath.node.control.ControlService;
+import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.ProxyHeaders;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.VerdictHeader;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
@@ -33,7 +35,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.util.Header;
 
 /** Requests of callers: finds the route, picks a back end, sends to the node beside it. */
@@ -88,7 +89,7 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
     if (draining) {
       return Either.left(Refusal.notRun(Verdict.Reason.DRAINING));
     }
@@ -96,7 +97,7 @@
     if (snapshot == ProxySnapshot.EMPTY) {
       return Either.left(Refusal.notRun(Verdict.Reason.NOT_READY));
     }
-    String path = head.getRequestURI();
+    String path = head.path();
     if (!path.startsWith("/")) {
       return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
     }
@@ -121,17 +122,17 @@
   }
 
   private PoolRequestPlan plan(
-      HttpRequestPacket head, ProxySnapshot snapshot, Route route, long deadlineMillis) {
+      RequestHead head, ProxySnapshot snapshot, Route route, long deadlineMillis) {
     return new PoolRequestPlan(
         idPrefix + lastId.incrementAndGet(),
         route.name(),
         route.tenant(),
         route.tier(),
-        route.repeatableMethods().contains(head.getMethod().toString()),
+        route.repeatableMethods().contains(head.method()),
         deadlineMillis,
         route.secret().map(snapshot.secrets()::get).map(Secret::headerValue).map("Bearer "::concat),
         Optional.of(snapshot.pools().get(route.pool())),
-        ChainBudget.ofRequest(Headers.text(head, ChainBudget.HEADER), RetrySettings.DEFAULT));
+        ChainBudget.ofRequest(head.field(ChainBudget.HEADER), RetrySettings.DEFAULT));
   }
 
   private RouteTable tableOf(ProxySnapshot snapshot) {
@@ -143,11 +144,8 @@
     return cached.table();
   }
 
-  private static String hostOf(HttpRequestPacket head) {
-    String host = head.getHeader(Header.Host);
-    if (host == null) {
-      return "";
-    }
+  private static String hostOf(RequestHead head) {
+    String host = head.field(Header.Host.toString()).orElse("");
     int bracket = host.lastIndexOf(']');
     int colon = host.indexOf(':', Math.max(bracket, 0));
     return (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
@@ -225,11 +223,11 @@
   }
 
   @Override
-  public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
-    if (!attemptId(exchange).equals(head.getHeader(ProxyHeaders.REQUEST_ID))) {
+  public Optional<Refusal> refusalIn(Exchange exchange, AnswerHead head) {
+    if (head.field(ProxyHeaders.REQUEST_ID).filter(attemptId(exchange)::equals).isEmpty()) {
       return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
     }
-    return Headers.text(head, ProxyHeaders.VERDICT)
+    return head.field(ProxyHeaders.VERDICT)
         .flatMap(VerdictHeader::parse)
         .map(verdict -> new Refusal(verdict, Headers.retryAfterMillis(head), true));
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
@@ -4,7 +4,9 @@
 import io.umberpath.model.Tier;
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.backend.BackendStatus;
+import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.ProxyHeaders;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.PoolRequestPlan;
@@ -22,7 +24,6 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.util.Header;
 
 /**
@@ -75,8 +76,8 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
-    Optional<String> requestId = Headers.text(head, ProxyHeaders.REQUEST_ID);
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+    Optional<String> requestId = head.field(ProxyHeaders.REQUEST_ID);
     Either<String, Optional<Long>> stated = Headers.deadlineMillis(head);
     if (requestId.isEmpty() || stated.isLeft()) {
       return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
@@ -85,19 +86,19 @@
     PoolRequestPlan plan =
         new PoolRequestPlan(
             requestId.get(),
-            Headers.text(head, ProxyHeaders.ROUTE).orElse(""),
-            Headers.text(head, ProxyHeaders.TENANT).orElse(""),
+            head.field(ProxyHeaders.ROUTE).orElse(""),
+            head.field(ProxyHeaders.TENANT).orElse(""),
             tier(head),
             false,
             nowMillis + timeout,
             Optional.empty(),
             Optional.empty(),
-            ChainBudget.ofRequest(Headers.text(head, ChainBudget.HEADER), RetrySettings.DEFAULT));
+            ChainBudget.ofRequest(head.field(ChainBudget.HEADER), RetrySettings.DEFAULT));
     return Either.right(plan);
   }
 
-  private static Tier tier(HttpRequestPacket head) {
-    String name = head.getHeader(ProxyHeaders.TIER);
+  private static Tier tier(RequestHead head) {
+    String name = head.field(ProxyHeaders.TIER).orElse("");
     for (Tier tier : Tier.values()) {
       if (tier.name().equals(name)) {
         return tier;
@@ -139,17 +140,18 @@
   }
 
   @Override
-  public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
-    Optional<String> named = Headers.text(head, ProxyHeaders.REQUEST_ID);
+  public Optional<Refusal> refusalIn(Exchange exchange, AnswerHead head) {
+    Optional<String> named = head.field(ProxyHeaders.REQUEST_ID);
     if (named.isPresent() && !named.get().equals(planOf(exchange).requestId())) {
       return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
     }
-    boolean draining = "true".equalsIgnoreCase(head.getHeader(ProxyHeaders.DRAINING));
+    boolean draining =
+        head.field(ProxyHeaders.DRAINING).filter("true"::equalsIgnoreCase).isPresent();
     Optional<Long> retryAfter =
-        Headers.text(head, Header.RetryAfter.toString())
+        head.field(Header.RetryAfter.toString())
             .flatMap(Headers::number)
             .map(seconds -> seconds * MILLIS_PER_SECOND);
-    status.answered(head.getStatus(), draining, retryAfter, clockMillis.getAsLong());
+    status.answered(head.status(), draining, retryAfter, clockMillis.getAsLong());
     return Optional.empty();
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/BackendMonitor.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/BackendMonitor.java
@@ -3,11 +3,11 @@
 import io.umberpath.model.ObservedBackend;
 import io.umberpath.model.ObservedBackend.Phase;
 import io.umberpath.node.control.ControlService;
+import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.settings.NodeSettings;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 
 /**
  * Probes the back end beside this node, opens connections ahead of need, and tells the fleet about
@@ -81,7 +81,7 @@
     probe.start();
   }
 
-  private void answered(HttpResponsePacket head, String body) {
+  private void answered(AnswerHead head, String body) {
     status.probed(HealthReport.of(head, body), clockMillis.getAsLong());
     if (status.phase() == Phase.READY) {
       pool.openAhead(backend.slots());
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/HealthProbe.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/HealthProbe.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.proxy.backend;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.origin.AnswerListener;
 import io.umberpath.node.proxy.origin.AnswerPart;
 import io.umberpath.node.proxy.origin.OriginConnection;
@@ -10,7 +11,6 @@
 import java.util.function.BiConsumer;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Method;
 import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.http.util.Header;
@@ -21,7 +21,7 @@
 
   private final ConnectionPool pool;
   private final String path;
-  private final BiConsumer<HttpResponsePacket, String> onAnswer;
+  private final BiConsumer<AnswerHead, String> onAnswer;
   private final Runnable onFailure;
   private final StringBuilder body = new StringBuilder();
   private OriginConnection connection;
@@ -37,7 +37,7 @@
   public HealthProbe(
       ConnectionPool pool,
       String path,
-      BiConsumer<HttpResponsePacket, String> onAnswer,
+      BiConsumer<AnswerHead, String> onAnswer,
       Runnable onFailure) {
     this.pool = pool;
     this.path = path;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/HealthReport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/backend/HealthReport.java
@@ -1,11 +1,11 @@
 package io.umberpath.node.proxy.backend;
 
 import io.umberpath.model.ObservedBackend.Phase;
+import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.inbound.Headers;
 import java.util.Locale;
 import java.util.Optional;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.util.Header;
 
 /**
@@ -23,11 +23,11 @@
   private static final int SERVICE_UNAVAILABLE = 503;
 
   /** Reads an answer. */
-  static HealthReport of(HttpResponsePacket head, String body) {
+  static HealthReport of(AnswerHead head, String body) {
     return new HealthReport(
-        head.getStatus(),
-        "true".equalsIgnoreCase(head.getHeader(ProxyHeaders.DRAINING)),
-        Headers.text(head, Header.RetryAfter.toString())
+        head.status(),
+        head.field(ProxyHeaders.DRAINING).filter("true"::equalsIgnoreCase).isPresent(),
+        head.field(Header.RetryAfter.toString())
             .flatMap(Headers::number)
             .map(seconds -> seconds * MILLIS_PER_SECOND),
         body);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ChunkedEncoder.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ChunkedEncoder.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.http.util.MimeHeaders;
 
 /** Writes pieces of a body in the chunked transfer coding (RFC 9112, section 7.1). */
 public final class ChunkedEncoder {
@@ -16,9 +15,9 @@
   /**
    * A piece as a chunk, if it has any bytes, and what ends the body if it is the last.
    *
-   * @param trailers written behind the last piece; null for none
+   * @param trailers written behind the last piece
    */
-  public static byte[] encode(Buffer content, boolean last, MimeHeaders trailers) {
+  public static byte[] encode(Buffer content, boolean last, HeaderFields trailers) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream(content.remaining() + FRAME_BYTES);
     if (content.hasRemaining()) {
       bytes.writeBytes(ascii(Integer.toHexString(content.remaining())));
@@ -34,9 +33,9 @@
     return bytes.toByteArray();
   }
 
-  private static void writeTrailers(ByteArrayOutputStream bytes, MimeHeaders trailers) {
-    for (int index = 0; trailers != null && index < trailers.size(); index++) {
-      String line = trailers.getName(index) + ": " + trailers.getValue(index);
+  private static void writeTrailers(ByteArrayOutputStream bytes, HeaderFields trailers) {
+    for (HeaderFields.Field field : trailers.all()) {
+      String line = field.name() + ": " + field.value();
       bytes.writeBytes(line.getBytes(StandardCharsets.ISO_8859_1));
       bytes.writeBytes(LINE_END);
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ClientCodecFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ClientCodecFilter.java
@@ -11,6 +11,7 @@
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpPacketParsing;
+import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.TransferEncoding;
 
 /**
@@ -125,6 +126,14 @@
     return complete;
   }
 
+  @Override
+  protected boolean onHttpHeaderParsed(
+      HttpHeader header, Buffer buffer, FilterChainContext context) {
+    boolean isComplete = super.onHttpHeaderParsed(header, buffer, context);
+    AnswerHead.detach((HttpResponsePacket) header);
+    return isComplete;
+  }
+
   @Override
   protected void onIncomingUpgrade(FilterChainContext context, HttpHeader header) {
     // The codec would stop framing the body; no upgrade was asked for, so the header is ignored.
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/HeaderCopier.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/HeaderCopier.java
@@ -5,7 +5,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.glassfish.grizzly.http.HttpHeader;
-import org.glassfish.grizzly.http.util.DataChunk;
 import org.glassfish.grizzly.http.util.Header;
 import org.glassfish.grizzly.http.util.MimeHeaders;
 
@@ -20,30 +19,27 @@
   private HeaderCopier() {}
 
   /** Copies from one message to another, and leaves out the given names too. */
-  public static void copy(HttpHeader from, HttpHeader to, Set<String> alsoLeftOut) {
-    MimeHeaders source = from.getHeaders();
+  public static void copy(HeaderFields from, HttpHeader to, Set<String> alsoLeftOut) {
     MimeHeaders target = to.getHeaders();
-    List<String> named = namedByConnection(source);
-    for (int index = 0; index < source.size(); index++) {
-      String name = source.getName(index).toString();
+    List<String> named = namedByConnection(from);
+    for (HeaderFields.Field field : from.all()) {
+      String name = field.name();
       if (!NOT_COPIED.contains(name)
           && !ProxyHeaders.isInternal(name)
           && !alsoLeftOut.contains(name)
           && !containsIgnoreCase(named, name)) {
-        target.addValue(name).setString(source.getValue(index).toString());
+        target.addValue(name).setString(field.value());
       }
     }
   }
 
-  private static List<String> namedByConnection(MimeHeaders headers) {
-    DataChunk first = headers.getValue(Header.Connection);
-    if (first == null) {
-      return List.of();
-    }
+  private static List<String> namedByConnection(HeaderFields fields) {
     List<String> names = new ArrayList<>();
-    for (String value : headers.values(Header.Connection)) {
-      for (String name : value.split(",")) {
-        names.add(name.strip());
+    for (HeaderFields.Field field : fields.all()) {
+      if (field.name().equalsIgnoreCase(Header.Connection.toString())) {
+        for (String name : field.value().split(",")) {
+          names.add(name.strip());
+        }
       }
     }
     return names;
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/RequestHead.java
@@ -0,0 +1,52 @@
+package io.umberpath.node.proxy.http;
+
+import java.util.Optional;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.attributes.AttributeBuilder;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+
+/**
+ * The head of a request.
+ *
+ * @param path its path, undecoded
+ * @param query what follows the question mark, undecoded; empty if there is none
+ */
+public record RequestHead(
+    String method,
+    String path,
+    Optional<String> query,
+    HeaderFields fields,
+    long contentLength,
+    boolean isChunked)
+    implements MessageHead {
+
+  private static final Attribute<RequestHead> ATTRIBUTE =
+      AttributeBuilder.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.requestHead");
+
+  /** Copies the head of a request that was just decoded, and lets go of the codec's buffer. */
+  static void detach(HttpRequestPacket packet) {
+    RequestHead head =
+        new RequestHead(
+            packet.getMethod().getMethodString(),
+            packet.getRequestURI(),
+            Optional.ofNullable(packet.getQueryString()),
+            HeaderFields.detach(packet.getHeaders()),
+            packet.getContentLength(),
+            packet.isChunked());
+    packet.setMethod(packet.getMethod());
+    packet.setProtocol(packet.getProtocol());
+    packet.setRequestURI(head.path());
+    head.query().ifPresent(packet::setQueryString);
+    ATTRIBUTE.set(packet, head);
+  }
+
+  /** The head of a decoded request. */
+  public static RequestHead of(HttpRequestPacket packet) {
+    RequestHead head = ATTRIBUTE.get(packet);
+    if (head == null) {
+      detach(packet);
+      head = ATTRIBUTE.get(packet);
+    }
+    return head;
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
@@ -93,7 +93,9 @@
       // The codec does not frame the bodies of these.
       throw new MalformedMessageException("method is not supported");
     }
-    return super.onHttpHeaderParsed(header, buffer, context);
+    boolean isComplete = super.onHttpHeaderParsed(header, buffer, context);
+    RequestHead.detach((HttpRequestPacket) header);
+    return isComplete;
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerProgress.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerProgress.java
@@ -14,7 +14,7 @@
   void passes(AnswerPart part, long nowMillis) {
     lastPieceMillis = nowMillis;
     if (part.first()) {
-      status = part.head().getStatus();
+      status = part.head().status();
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -1,8 +1,10 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.ChunkedEncoder;
 import io.umberpath.node.proxy.http.HeaderCopier;
+import io.umberpath.node.proxy.http.HeaderFields;
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.VerdictHeader;
 import io.umberpath.node.proxy.origin.AnswerPart;
@@ -14,7 +16,6 @@
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.http.util.Header;
-import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 
@@ -70,20 +71,16 @@
     }
   }
 
-  private void head(HttpResponsePacket head) {
-    response.setStatus(head.getStatus());
-    if (head.isCustomReasonPhraseSet()) {
-      response.setReasonPhrase(head.getReasonPhrase());
-    }
-    HeaderCopier.copy(head, response, Set.of());
-    String chain = head.getHeader(ChainBudget.HEADER);
-    if (chain != null) {
-      response.getHeaders().setValue(ChainBudget.HEADER).setString(chain);
-    }
-    if (head.getContentLength() >= 0 && !head.isChunked()) {
+  private void head(AnswerHead head) {
+    response.setStatus(head.status());
+    head.reason().ifPresent(response::setReasonPhrase);
+    HeaderCopier.copy(head.fields(), response, Set.of());
+    head.field(ChainBudget.HEADER)
+        .ifPresent(chain -> response.getHeaders().setValue(ChainBudget.HEADER).setString(chain));
+    if (head.contentLength() >= 0 && !head.isChunked()) {
       response.getHeaders().setValue(Header.ContentLength).setString(lengthOf(head));
       writeUnchanged();
-    } else if (hasNoBody(head.getStatus())) {
+    } else if (hasNoBody(head.status())) {
       writeUnchanged();
     } else if (isVersion11()) {
       response.getHeaders().setValue(Header.TransferEncoding).setString(CHUNKED);
@@ -95,8 +92,8 @@
     }
   }
 
-  private static String lengthOf(HttpResponsePacket head) {
-    return Long.toString(head.getContentLength());
+  private static String lengthOf(AnswerHead head) {
+    return Long.toString(head.contentLength());
   }
 
   /** Whether an answer ends with its head, whatever that says (RFC 9112, section 6.3). */
@@ -156,7 +153,7 @@
     }
     response.getHeaders().setValue(Header.ContentLength).setString(Integer.toString(text.length));
     writeUnchanged();
-    write(wrap(text), true, null);
+    write(wrap(text), true, HeaderFields.NONE);
   }
 
   /**
@@ -204,12 +201,13 @@
     return request.getProtocol() == Protocol.HTTP_1_1;
   }
 
-  private void write(Buffer content, boolean last, MimeHeaders trailers) {
+  private void write(Buffer content, boolean last, HeaderFields trailers) {
     Buffer framed = isChunked ? wrap(ChunkedEncoder.encode(content, last, trailers)) : content;
     // A piece that is held would keep the whole buffer that it was read into.
     Buffer lasting = isChunked || turn.isCurrent() ? framed : copy(framed);
     int bytes = lasting.remaining();
-    turn.write(OutgoingRequest.part(response, lasting, last, null), HEAD_BYTES + bytes);
+    turn.write(
+        OutgoingRequest.part(response, lasting, last, HeaderFields.NONE), HEAD_BYTES + bytes);
   }
 
   private static Buffer copy(Buffer content) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -1,6 +1,8 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.HeaderFields;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.origin.AnswerPart;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.pool.ConnectionPool;
@@ -12,7 +14,6 @@
 import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpTrailer;
 
 /**
  * One request from its head to its final answer, through one or more attempts. The caller gets
@@ -35,7 +36,7 @@
 
   private final CallerConnection caller;
   private final AnswerTurn turn;
-  private final HttpRequestPacket request;
+  private final RequestHead request;
   private final RequestHandler handler;
   private final ExchangeEnvironment environment;
   private final AnswerWriter answer;
@@ -54,19 +55,19 @@
 
   Exchange(
       CallerConnection caller,
-      HttpRequestPacket request,
+      HttpRequestPacket packet,
       RequestHandler handler,
       ExchangeEnvironment environment) {
     this.caller = caller;
-    this.request = request;
+    this.request = RequestHead.of(packet);
     this.handler = handler;
     this.environment = environment;
-    this.turn = caller.begin(this, request);
-    this.answer = new AnswerWriter(turn, request, handler);
+    this.turn = caller.begin(this, packet);
+    this.answer = new AnswerWriter(turn, packet, handler);
   }
 
   /** The caller's request. */
-  public HttpRequestPacket request() {
+  public RequestHead request() {
     return request;
   }
 
@@ -176,7 +177,7 @@
   }
 
   private synchronized boolean refuseTooLarge() {
-    if (Math.max(request.getContentLength(), body.received())
+    if (Math.max(request.contentLength(), body.received())
         <= environment.maxBodyBytes().getAsLong()) {
       return false;
     }
@@ -202,7 +203,7 @@
     Buffer buffer = content.getContent();
     boolean last = content.isLast();
     if (last) {
-      body.complete(content instanceof HttpTrailer trailer ? trailer.getHeaders() : null);
+      body.complete(HeaderFields.trailersOf(content));
       caller.bodyComplete(turn);
     }
     if (stage == Stage.DONE) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Headers.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Headers.java
@@ -1,9 +1,9 @@
 package io.umberpath.node.proxy.inbound;
 
+import io.umberpath.node.proxy.http.MessageHead;
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.vavr.control.Either;
 import java.util.Optional;
-import org.glassfish.grizzly.http.HttpHeader;
 
 /** Reads the project's headers. */
 public final class Headers {
@@ -11,18 +11,13 @@
 
   private Headers() {}
 
-  /** The header's value, if it is there. */
-  public static Optional<String> text(HttpHeader message, String name) {
-    return Optional.ofNullable(message.getHeader(name));
-  }
-
   /**
    * Milliseconds until the caller gives up.
    *
    * @return nothing if it does not say, or a fault that names the header
    */
-  public static Either<String, Optional<Long>> deadlineMillis(HttpHeader request) {
-    Optional<String> text = text(request, ProxyHeaders.DEADLINE);
+  public static Either<String, Optional<Long>> deadlineMillis(MessageHead request) {
+    Optional<String> text = request.field(ProxyHeaders.DEADLINE);
     if (text.isEmpty()) {
       return Either.right(Optional.empty());
     }
@@ -33,8 +28,8 @@
   }
 
   /** How long a refusal of another node says to leave its back end alone; 0 if it does not say. */
-  public static long retryAfterMillis(HttpHeader refusal) {
-    return text(refusal, ProxyHeaders.RETRY_AFTER_MILLIS).flatMap(Headers::number).orElse(0L);
+  public static long retryAfterMillis(MessageHead refusal) {
+    return refusal.field(ProxyHeaders.RETRY_AFTER_MILLIS).flatMap(Headers::number).orElse(0L);
   }
 
   /** A plain non-negative number. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
@@ -2,6 +2,8 @@
 
 import io.umberpath.model.PeerAddress;
 import io.umberpath.node.proxy.http.HeaderCopier;
+import io.umberpath.node.proxy.http.HeaderFields;
+import io.umberpath.node.proxy.http.RequestHead;
 import java.util.Set;
 import java.util.TreeSet;
 import org.glassfish.grizzly.Buffer;
@@ -25,25 +27,23 @@
   }
 
   /** Copies the caller's request line, end-to-end headers and body framing. */
-  static OutgoingRequest of(HttpRequestPacket request, RequestPlan plan, PeerAddress origin) {
+  static OutgoingRequest of(RequestHead request, RequestPlan plan, PeerAddress origin) {
     HttpRequestPacket.Builder builder =
         HttpRequestPacket.builder()
-            .method(request.getMethod())
-            .uri(request.getRequestURI())
+            .method(request.method())
+            .uri(request.path())
             .protocol(Protocol.HTTP_1_1);
-    if (!request.getQueryStringDC().isNull()) {
-      builder.query(request.getQueryString());
-    }
+    request.query().ifPresent(builder::query);
     if (request.isChunked()) {
       builder.chunked(true);
-    } else if (request.getContentLength() >= 0) {
-      builder.contentLength(request.getContentLength());
+    } else if (request.contentLength() >= 0) {
+      builder.contentLength(request.contentLength());
     }
     HttpRequestPacket packet = builder.build();
     Set<String> leftOut =
         plan.authorization().isPresent() ? REPLACED_BY_SECRET : plan.replacedHeaders();
-    HeaderCopier.copy(request, packet, leftOut);
-    if (request.getHeader(Header.Host) == null) {
+    HeaderCopier.copy(request.fields(), packet, leftOut);
+    if (request.field(Header.Host.toString()).isEmpty()) {
       set(packet, Header.Host.toString(), origin.toString());
     }
     plan.authorization().ifPresent(value -> set(packet, Header.Authorization.toString(), value));
@@ -59,7 +59,7 @@
   }
 
   /** The head with the first bytes of the body. */
-  HttpPacket first(byte[] content, boolean last, MimeHeaders trailers) {
+  HttpPacket first(byte[] content, boolean last, HeaderFields trailers) {
     if (!packet.isChunked() && packet.getContentLength() <= 0) {
       return packet;
     }
@@ -71,7 +71,7 @@
   }
 
   /** More of the body. */
-  HttpPacket next(Buffer content, boolean last, MimeHeaders trailers) {
+  HttpPacket next(Buffer content, boolean last, HeaderFields trailers) {
     return part(packet, content, last, trailers);
   }
 
@@ -83,12 +83,14 @@
       org.glassfish.grizzly.http.HttpHeader header,
       Buffer content,
       boolean last,
-      MimeHeaders trailers) {
+      HeaderFields trailers) {
     if (!last && !content.hasRemaining()) {
       return header;
     }
-    if (last && header.isChunked() && trailers != null && trailers.size() > 0) {
-      return header.httpTrailerBuilder().headers(trailers).content(content).last(true).build();
+    if (last && header.isChunked() && !trailers.isEmpty()) {
+      MimeHeaders written = new MimeHeaders();
+      trailers.addTo(written);
+      return header.httpTrailerBuilder().headers(written).content(content).last(true).build();
     }
     HttpContent.Builder<?> builder = header.httpContentBuilder();
     return builder.content(content).last(last).build();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
@@ -1,12 +1,12 @@
 package io.umberpath.node.proxy.inbound;
 
+import io.umberpath.node.proxy.http.HeaderFields;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.io.ByteArrayOutputStream;
 import java.util.OptionalLong;
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.util.Header;
-import org.glassfish.grizzly.http.util.MimeHeaders;
 
 /**
  * What has been read of a request body. Its beginning is kept, up to a bound, so that another
@@ -23,7 +23,7 @@
   private boolean replayable = true;
   private boolean complete;
   private long received;
-  private MimeHeaders trailers;
+  private HeaderFields trailers = HeaderFields.NONE;
   private OptionalLong hash = OptionalLong.empty();
 
   /** Adds bytes that no attempt has taken yet; they are kept whatever their number. */
@@ -80,7 +80,7 @@
     return hash;
   }
 
-  void complete(MimeHeaders newTrailers) {
+  void complete(HeaderFields newTrailers) {
     complete = true;
     trailers = newTrailers;
   }
@@ -95,13 +95,13 @@
    * is long, or of unknown length; or its caller waits to be told to send it, and may send another
    * request in its place.
    */
-  boolean isRestUnwanted(HttpRequestPacket request) {
+  boolean isRestUnwanted(RequestHead request) {
     if (complete) {
       return false;
     }
-    long stated = request.getContentLength();
+    long stated = request.contentLength();
     boolean isShort = stated >= 0 && stated - received <= MAX_DROPPED_BYTES;
-    return !isShort || request.containsHeader(Header.Expect);
+    return !isShort || request.field(Header.Expect.toString()).isPresent();
   }
 
   /** Whether everything received can be sent again. */
@@ -123,7 +123,7 @@
     return received;
   }
 
-  MimeHeaders trailers() {
+  HeaderFields trailers() {
     return trailers;
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -1,6 +1,8 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.AnswerHead;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.vavr.control.Either;
 import java.util.Optional;
@@ -13,7 +15,7 @@
   ProxyStats.Side side();
 
   /** Decides whether and how a request is served, from its head alone. */
-  Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis);
+  Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis);
 
   /**
    * Chooses where the next attempt goes; calls {@link Exchange#sendTo} or {@link Exchange#refuse},
@@ -53,7 +55,7 @@
   default void addAnswerHeaders(RequestPlan plan, HttpResponsePacket answer) {}
 
   /** Looks at an answer's head: a refusal that another node answered, if it is one. */
-  Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head);
+  Optional<Refusal> refusalIn(Exchange exchange, AnswerHead head);
 
   /**
    * An attempt ended; called once per attempt that {@link Exchange#sendTo} began.
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/AnswerPart.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/AnswerPart.java
@@ -1,8 +1,8 @@
 package io.umberpath.node.proxy.origin;
 
+import io.umberpath.node.proxy.http.AnswerHead;
+import io.umberpath.node.proxy.http.HeaderFields;
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.http.util.MimeHeaders;
 
 /**
  * A piece of an answer, in order.
@@ -11,7 +11,7 @@
  * @param first whether this is the first piece
  * @param content body bytes, possibly none
  * @param last whether the answer is complete with this piece
- * @param trailers trailers of a complete chunked answer, or null
+ * @param trailers trailers of a complete chunked answer
  */
 public record AnswerPart(
-    HttpResponsePacket head, boolean first, Buffer content, boolean last, MimeHeaders trailers) {}
+    AnswerHead head, boolean first, Buffer content, boolean last, HeaderFields trailers) {}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
@@ -1,6 +1,8 @@
 package io.umberpath.node.proxy.origin;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.AnswerHead;
+import io.umberpath.node.proxy.http.HeaderFields;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
@@ -10,7 +12,6 @@
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.attributes.AttributeBuilder;
 import org.glassfish.grizzly.http.HttpPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.memory.Buffers;
 
 /**
@@ -36,7 +37,7 @@
   private volatile AnswerListener listener;
   private volatile boolean requestComplete;
   private volatile boolean answerReusable;
-  private volatile HttpResponsePacket endsWithConnection;
+  private volatile AnswerHead endsWithConnection;
   private volatile long idleSinceMillis;
 
   /**
@@ -168,7 +169,7 @@
   }
 
   /** The answer has no stated length: it is whole if the peer closes in good order. */
-  void endsWithConnection(HttpResponsePacket head) {
+  void endsWithConnection(AnswerHead head) {
     endsWithConnection = head;
   }
 
@@ -187,11 +188,12 @@
   }
 
   private void endAttempt(boolean inGoodOrder) {
-    HttpResponsePacket head = endsWithConnection;
+    AnswerHead head = endsWithConnection;
     AnswerListener current = listener;
     if (head != null && current != null && inGoodOrder) {
       answerComplete(false);
-      current.onAnswerPart(new AnswerPart(head, false, Buffers.EMPTY_BUFFER, true, null));
+      current.onAnswerPart(
+          new AnswerPart(head, false, Buffers.EMPTY_BUFFER, true, HeaderFields.NONE));
     } else {
       fail(Verdict.Reason.CONNECTION_LOST);
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginFilter.java
@@ -1,7 +1,9 @@
 package io.umberpath.node.proxy.origin;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.AnswerObserver;
+import io.umberpath.node.proxy.http.HeaderFields;
 import java.io.EOFException;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.CloseReason;
@@ -12,7 +14,6 @@
 import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.http.HttpTrailer;
 
 /** Hands decoded answers to the attempt of their connection. Stateless. */
 public final class OriginFilter extends BaseFilter implements AnswerObserver {
@@ -41,14 +42,14 @@
     boolean first = !head.isCommitted();
     head.setCommitted(true);
     if (first && !last && !head.isChunked() && head.getContentLength() < 0) {
-      origin.endsWithConnection(head);
+      origin.endsWithConnection(AnswerHead.of(head));
     }
     if (last) {
       origin.answerComplete(head.getProcessingState().isKeepAlive());
       // Bytes after the answer are seen before the chain completes; only then is it reusable.
       context.addCompletionListener(completed -> release(origin));
     }
-    AnswerPart part = part(content, head, first, last);
+    AnswerPart part = part(content, AnswerHead.of(head), first, last);
     if (listener.onAnswerPart(part) || last) {
       return context.getStopAction();
     }
@@ -59,9 +60,9 @@
   }
 
   private static AnswerPart part(
-      HttpContent content, HttpResponsePacket head, boolean first, boolean last) {
-    var trailers = content instanceof HttpTrailer trailer ? trailer.getHeaders() : null;
-    return new AnswerPart(head, first, content.getContent(), last, trailers);
+      HttpContent content, AnswerHead head, boolean first, boolean last) {
+    return new AnswerPart(
+        head, first, content.getContent(), last, HeaderFields.trailersOf(content));
   }
 
   private void release(OriginConnection origin) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/ShortAnswer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/ShortAnswer.java
@@ -1,9 +1,9 @@
 package io.umberpath.node.proxy.origin;
 
+import io.umberpath.node.proxy.http.AnswerHead;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.memory.MemoryManager;
 
@@ -17,7 +17,7 @@
   private static final long MAX_BYTES = 16 * 1024;
 
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-  private HttpResponsePacket head;
+  private AnswerHead head;
 
   /** Takes a piece; returns what is to be passed on now, if anything is. */
   public Optional<AnswerPart> take(AnswerPart part) {
@@ -32,8 +32,8 @@
     return part.last() ? Optional.of(whole(part)) : Optional.empty();
   }
 
-  private static boolean isShort(HttpResponsePacket head) {
-    long length = head.getContentLength();
+  private static boolean isShort(AnswerHead head) {
+    long length = head.contentLength();
     return !head.isChunked() && length >= 0 && length <= MAX_BYTES;
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
 import io.umberpath.node.proxy.inbound.ConnectionDrain;
 import io.umberpath.node.proxy.inbound.ConnectionLog;
@@ -19,7 +20,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
-import org.glassfish.grizzly.http.HttpRequestPacket;
 
 /** A listener on one selector thread that refuses all requests, and can be kept from reading. */
 final class InboundFixture implements AutoCloseable {
@@ -106,8 +106,8 @@
   private final class Handler extends StubRequestHandler {
 
     @Override
-    public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
-      if (head.getRequestURI().equals(BLOCK)) {
+    public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+      if (head.path().equals(BLOCK)) {
         blocked.countDown();
         awaitReadsOn();
       }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -4,6 +4,7 @@
 
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
 import io.umberpath.node.proxy.inbound.ConnectionLog;
 import io.umberpath.node.proxy.inbound.Exchange;
@@ -31,7 +32,9 @@
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.IOEvent;
-import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
@@ -62,6 +65,8 @@
   private final List<ConnectionPool> pools = new ArrayList<>();
   private final Map<Integer, NIOConnection> opened = new ConcurrentHashMap<>();
   private final int port;
+  private final Map<Integer, NIOConnection> accepted = new ConcurrentHashMap<>();
+  private volatile int narrowPort;
   private volatile NIOConnection narrowCaller;
   private volatile boolean retryPermitted;
   private volatile Exchange heldBack;
@@ -83,8 +88,8 @@
             new ActiveExchanges(),
             () -> Long.MAX_VALUE);
     InboundFilter filter = new InboundFilter(new Handler(), environment);
-    var listener = transport.listen("127.0.0.1", 0, filter);
-    port = listener.port();
+    var listener = transport.listen("127.0.0.1", 0, new AcceptedConnections(filter));
+    port = ((InetSocketAddress) listener.getLocalAddress()).getPort();
   }
 
   private static ServerSocket server() throws IOException {
@@ -160,6 +165,7 @@
     Socket socket = new Socket();
     socket.setReceiveBufferSize(SOCKET_BYTES);
     socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    narrowPort = socket.getLocalPort();
     return new RawConnection(socket);
   }
 
@@ -254,6 +260,32 @@
     }
   }
 
+  /** Keeps callers' connections by the ports of their peers, and passes all on. */
+  private final class AcceptedConnections extends BaseFilter {
+    private final InboundFilter next;
+
+    AcceptedConnections(InboundFilter next) {
+      this.next = next;
+    }
+
+    @Override
+    public NextAction handleAccept(FilterChainContext context) {
+      InetSocketAddress peer = (InetSocketAddress) context.getConnection().getPeerAddress();
+      accepted.put(peer.getPort(), (NIOConnection) context.getConnection());
+      return next.handleAccept(context);
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext context) {
+      return next.handleRead(context);
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext context) {
+      return next.handleClose(context);
+    }
+  }
+
   private record Plan(String path) implements RequestPlan {
     @Override
     public String requestId() {
@@ -274,13 +306,13 @@
   private final class Handler extends StubRequestHandler {
 
     @Override
-    public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
-      String path = head.getRequestURI();
+    public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+      String path = head.path();
       if (REFUSED_FOR.containsKey(path)) {
         return Either.left(Refusal.notRun(REFUSED_FOR.get(path)));
       }
       if (path.equals("/answered")) {
-        narrowCaller = (NIOConnection) head.getConnection();
+        narrowCaller = accepted.get(narrowPort);
         narrow(narrowCaller);
       }
       return Either.right(new Plan(path));
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/StubRequestHandler.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/StubRequestHandler.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.proxy;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Refusal;
 import io.umberpath.node.proxy.inbound.RequestHandler;
@@ -8,7 +9,6 @@
 import io.umberpath.node.proxy.stats.ProxyStats;
 import java.util.Optional;
 import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.http.HttpResponsePacket;
 
 /** A listener's handler that adds nothing to requests and answers, and sends nothing again. */
 public abstract class StubRequestHandler implements RequestHandler {
@@ -26,7 +26,7 @@
   }
 
   @Override
-  public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+  public Optional<Refusal> refusalIn(Exchange exchange, AnswerHead head) {
     return Optional.empty();
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
@@ -4,6 +4,9 @@
 
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.AnswerHead;
+import io.umberpath.node.proxy.http.HeaderFields;
+import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.origin.AnswerPart;
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.origin.OriginConnection;
@@ -58,7 +61,7 @@
         }
 
         @Override
-        public Either<Refusal, RequestPlan> plan(HttpRequestPacket head, long nowMillis) {
+        public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
           return refusalOfTheHandler == null
               ? Either.right(new Plan())
               : Either.left(refusalOfTheHandler);
@@ -78,7 +81,7 @@
         }
 
         @Override
-        public Optional<Refusal> refusalIn(Exchange exchange, HttpResponsePacket head) {
+        public Optional<Refusal> refusalIn(Exchange exchange, AnswerHead head) {
           return Optional.empty();
         }
 
@@ -136,11 +139,11 @@
   @Test
   void endsOnceWhenTheWriteOfTheLastPieceFindsTheCallerGone() {
     begin();
-    HttpResponsePacket head = answerHead();
+    AnswerHead head = new AnswerHead(200, Optional.empty(), HeaderFields.NONE, 0, false);
 
     OriginConnection.of(origin)
         .listener()
-        .onAnswerPart(new AnswerPart(head, true, Buffers.EMPTY_BUFFER, true, null));
+        .onAnswerPart(new AnswerPart(head, true, Buffers.EMPTY_BUFFER, true, HeaderFields.NONE));
 
     assertThat(ended).containsExactly(new Verdict.MayHaveRun(Verdict.Reason.CANCELLED));
     assertThat(attemptsEnded).containsExactly("backend-1");
@@ -233,12 +236,6 @@
     return exchange;
   }
 
-  private static HttpResponsePacket answerHead() {
-    HttpResponsePacket head = HttpResponsePacket.builder(new ReceivedRequest()).status(200).build();
-    head.setContentLengthLong(0);
-    return head;
-  }
-
   @SuppressWarnings("rawtypes") // Grizzly's own signature
   private void connect(PeerAddress address, CompletionHandler<Connection> opened) {
     opened.completed(origin);
