A planned stop leaves 900 ms for the end of the process, and says what it refused

What callers saw: processes that outlived the grace time and were killed with what they still held (4 of 83 stops at a load of nine times the cores; stopped 5.4 to 5.7 s after SIGTERM, ended 0.5 to 0.7 s later).

Cause: the end of the process takes longer than the 600 ms that were left. Cutting off begins at 5.0 s of 6 s now, the earliest that users accept, and connections end 100 ms later; peers that had not ended by then had seconds before. To be measured again.

The stages of an exchange are a file of their own with their transitions.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -125,16 +125,19 @@
   /**
    * A planned stop is done.
    *
+   * @param cutOff requests that may have run and were broken off
+   * @param refused requests that were refused as not run at its end
    * @param openCallers connections of callers and other nodes that end with the process
    * @param unwrittenBytes bytes of answers that no socket has taken
    */
-  void stopped(int cutOff, int openCallers, long unwrittenBytes, long millis) {
+  void stopped(int cutOff, int refused, int openCallers, long unwrittenBytes, long millis) {
     line(MeshEvent.NODE_STOPPED)
         .with(COUNT, (long) cutOff)
         .with(MILLIS, millis)
         .log(
-            "requests cut off: %d, connections open: %d, bytes not written: %d",
-            cutOff, openCallers, unwrittenBytes);
+            "requests cut off: %d, refused at the end: %d, connections open: %d,"
+                + " bytes not written: %d",
+            cutOff, refused, openCallers, unwrittenBytes);
   }
 
   /** The settings were read again. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -215,11 +215,9 @@
     return origins.open();
   }
 
-  /** Cuts off what is in flight; returns how many requests. */
+  /** Cuts off what is in flight; returns how many requests may have run. */
   int abortAll() {
-    int left = active.size();
-    active.abortAll();
-    return left;
+    return active.abortAll();
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -33,11 +33,14 @@
   /** When requests of other nodes are refused, all of which have heard by then. */
   private static final long PEERS_REFUSED_MILLIS = 1_800;
 
-  /** Time before the kill at which what is left is cut off. */
-  static final long CUT_OFF_RESERVE_MILLIS = 900;
+  /** Time before the kill at which what is left is cut off: no sooner than users accept. */
+  private static final long CUT_OFF_RESERVE_MILLIS = 1_000;
 
-  /** Time before the kill at which connections have ended, or end with the process. */
-  static final long END_RESERVE_MILLIS = 600;
+  /**
+   * Time before the kill at which connections have ended, or end with the process. On a machine
+   * with more to do than it can, the end of the process takes most of it.
+   */
+  private static final long END_RESERVE_MILLIS = 900;
 
   private static final long STOP_CHECK_MILLIS = 20;
   private static final long QUIET_MILLIS = 150;
@@ -79,10 +82,12 @@
     backend.leave();
     proxy.refuseCallers();
     proxy.endConnections(began + graceMillis - CUT_OFF_RESERVE_MILLIS);
+    int unanswered = proxy.inFlight();
     int cutOff = proxy.abortAll();
     proxy.endConnections(began + graceMillis - END_RESERVE_MILLIS);
     long millis = clockMillis.getAsLong() - began;
-    events.stopped(cutOff, proxy.openCallers(), proxy.unwrittenBytes(), millis);
+    events.stopped(
+        cutOff, unanswered - cutOff, proxy.openCallers(), proxy.unwrittenBytes(), millis);
   }
 
   /** Returns when callers have noticed and nothing is in flight any more, or at the bound. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
@@ -57,10 +57,16 @@
     return true;
   }
 
-  /** Cuts every exchange off; each is logged. */
-  public void abortAll() {
+  /**
+   * Ends every exchange; each is logged.
+   *
+   * @return how many may have run; the others are refused as not run
+   */
+  public int abortAll() {
+    int cutOff = 0;
     for (Exchange exchange : exchanges) {
-      exchange.abortAtDrainBound();
+      cutOff += exchange.abortAtDrainBound() ? 1 : 0;
     }
+    return cutOff;
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -21,19 +21,6 @@
  * another exchange's is taken.
  */
 public final class Exchange {
-  private enum Stage {
-    /** Nothing is under way anywhere. */
-    DECIDING,
-    /** An attempt waits for a connection; nothing of it has been sent. */
-    CONNECTING,
-    /** The request, or its beginning, may have reached the origin. */
-    SENT,
-    /** The caller has got the beginning of the answer. */
-    ANSWERING,
-    /** Over. */
-    DONE
-  }
-
   private final CallerConnection caller;
   private final AnswerTurn turn;
   private final RequestHead request;
@@ -44,7 +31,7 @@
   private final AttemptHistory history = new AttemptHistory();
   private final AnswerProgress progress = new AnswerProgress();
   private final long startNanos = System.nanoTime();
-  private Stage stage = Stage.DECIDING;
+  private ExchangeStage stage = ExchangeStage.DECIDING;
   private RequestPlan plan;
   private Attempt attempt;
   private Runnable whenBodyWanted;
@@ -168,7 +155,7 @@
   /** A request that waited for those before it on its connection starts. */
   void onTurn() {
     synchronized (this) {
-      if (stage != Stage.DECIDING) {
+      if (stage != ExchangeStage.DECIDING) {
         return;
       }
     }
@@ -190,7 +177,7 @@
     boolean readOn;
     synchronized (this) {
       readOn = take(content);
-      if (stage != Stage.DONE) {
+      if (stage != ExchangeStage.DONE) {
         refuseTooLarge();
       }
       dispatchIfBodyIsKnown();
@@ -206,7 +193,7 @@
       body.complete(HeaderFields.trailersOf(content));
       caller.bodyComplete(turn);
     }
-    if (stage == Stage.DONE) {
+    if (stage == ExchangeStage.DONE) {
       return true;
     }
     if (attempt == null || attempt.origin() == null) {
@@ -228,11 +215,11 @@
   void whenBodyWanted(Runnable resume) {
     OriginConnection origin;
     synchronized (this) {
-      if (stage != Stage.DONE && (attempt == null || attempt.origin() == null)) {
+      if (stage != ExchangeStage.DONE && (attempt == null || attempt.origin() == null)) {
         whenBodyWanted = resume;
         return;
       }
-      origin = stage == Stage.DONE ? null : attempt.origin();
+      origin = stage == ExchangeStage.DONE ? null : attempt.origin();
     }
     if (origin == null) {
       resume.run();
@@ -273,23 +260,29 @@
     afterLock();
   }
 
-  /** The bound of a planned stop has passed. */
-  void abortAtDrainBound() {
+  /**
+   * The bound of a planned stop has passed.
+   *
+   * @return whether work was broken off that may have begun; else the request is refused as not run
+   */
+  boolean abortAtDrainBound() {
+    boolean mayHaveRun;
     synchronized (this) {
-      if (stage == Stage.DONE) {
-        return;
+      if (stage == ExchangeStage.DONE) {
+        return false;
       }
+      mayHaveRun = stage.mayHaveReachedOrigin();
       String route = plan == null ? "" : plan.route();
       String id = plan == null ? "" : plan.requestId();
       environment.attemptLog().cutOff(id, route, body.received());
       fail(asFirmAsPossible(Verdict.Reason.DRAINING), false);
     }
     afterLock();
+    return mayHaveRun;
   }
 
   private Refusal asFirmAsPossible(Verdict.Reason reason) {
-    boolean reached = stage == Stage.SENT || stage == Stage.ANSWERING;
-    return reached ? Refusal.mayHaveRun(reason) : Refusal.notRun(reason);
+    return stage.mayHaveReachedOrigin() ? Refusal.mayHaveRun(reason) : Refusal.notRun(reason);
   }
 
   /**
@@ -300,10 +293,10 @@
   public boolean sendTo(ConnectionPool pool, String originId) {
     Attempt next;
     synchronized (this) {
-      if (stage != Stage.DECIDING) {
+      if (stage != ExchangeStage.DECIDING) {
         return false;
       }
-      stage = Stage.CONNECTING;
+      stage = ExchangeStage.CONNECTING;
       next = new Attempt(this, pool, originId, history.begin(originId));
       attempt = next;
     }
@@ -324,7 +317,7 @@
   }
 
   private void dispatchIfBodyIsKnown() {
-    if (awaitsBody && stage == Stage.DECIDING && body.hash().isPresent()) {
+    if (awaitsBody && stage == ExchangeStage.DECIDING && body.hash().isPresent()) {
       awaitsBody = false;
       dispatchAgain = true;
     }
@@ -340,10 +333,10 @@
 
   /** Ends the attempt, and the request unless another attempt is permitted. */
   private void fail(Refusal refusal, boolean retryPermitted) {
-    if (stage == Stage.DONE) {
+    if (stage == ExchangeStage.DONE) {
       return;
     }
-    Stage before = stage;
+    ExchangeStage before = stage;
     Attempt ended = attempt;
     attempt = null;
     if (ended != null) {
@@ -352,12 +345,12 @@
       handler.attemptEnded(this, ended.originId(), refusal, ended.elapsedMicros());
     }
     history.failed(refusal);
-    if (before == Stage.ANSWERING) {
+    if (before == ExchangeStage.ANSWERING) {
       cutOff = true;
       finish(refusal.verdict());
     } else if (retryPermitted && handler.mayRetry(this, refusal.verdict())) {
       environment.stats().retried(refusal.verdict());
-      stage = Stage.DECIDING;
+      stage = ExchangeStage.DECIDING;
       dispatchAgain = true;
     } else {
       refuseFinally(refusal);
@@ -372,7 +365,7 @@
   }
 
   private void finish(Verdict verdict) {
-    stage = Stage.DONE;
+    stage = ExchangeStage.DONE;
     outcome = verdict;
   }
 
@@ -389,7 +382,7 @@
       outcome = null;
       dispatch = dispatchAgain;
       dispatchAgain = false;
-      if (stage == Stage.DONE || attempt != null && attempt.origin() != null) {
+      if (stage == ExchangeStage.DONE || attempt != null && attempt.origin() != null) {
         resume = whenBodyWanted;
         whenBodyWanted = null;
       }
@@ -418,9 +411,9 @@
   boolean attemptConnected(Attempt connected, OriginConnection connection) {
     boolean wanted;
     synchronized (this) {
-      wanted = attempt == connected && stage == Stage.CONNECTING;
+      wanted = attempt == connected && stage == ExchangeStage.CONNECTING;
       if (wanted) {
-        stage = Stage.SENT;
+        stage = ExchangeStage.SENT;
         history.sent();
         long now = environment.clockMillis().getAsLong();
         handler.addHeaders(this, connected.prepare().packet(), now);
@@ -442,7 +435,7 @@
 
   void attemptInterim(Attempt current, byte[] head) {
     synchronized (this) {
-      if (attempt == current && stage == Stage.SENT) {
+      if (attempt == current && stage == ExchangeStage.SENT) {
         answer.interim(head);
       }
     }
@@ -477,7 +470,7 @@
 
   private boolean passOn(Attempt answered, AnswerPart part) {
     progress.passes(part, environment.clockMillis().getAsLong());
-    stage = Stage.ANSWERING;
+    stage = ExchangeStage.ANSWERING;
     answer.part(part, plan);
     if (attempt != answered) {
       // The caller's connection broke while the piece was written, which has ended the request.
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeStage.java
@@ -0,0 +1,30 @@
+package io.umberpath.node.proxy.inbound;
+
+/**
+ * Where a request stands:
+ *
+ * <pre>
+ * DECIDING ──▶ CONNECTING ──▶ SENT ──▶ ANSWERING ──▶ DONE
+ *     ▲            │            │
+ *     └────────────┴────────────┘ another attempt
+ * </pre>
+ *
+ * and to {@link #DONE} from anywhere.
+ */
+enum ExchangeStage {
+  /** Nothing is under way anywhere. */
+  DECIDING,
+  /** An attempt waits for a connection; nothing of it has been sent. */
+  CONNECTING,
+  /** The request, or its beginning, may have reached the origin. */
+  SENT,
+  /** The caller has got the beginning of the answer. */
+  ANSWERING,
+  /** Over. */
+  DONE;
+
+  /** Whether the attempt under way may have reached its origin. */
+  boolean mayHaveReachedOrigin() {
+    return this == SENT || this == ANSWERING;
+  }
+}
