A request that another node cannot read is tried elsewhere, not answered 400

What callers saw: 400, for which they are told not to try again, for well-formed requests that a node had destroyed on the way.

Cause: the edge passed a gate's "bad-request" on as its caller's. It has read the request itself, so what a gate cannot read is a fault of the program: the request is offered to another node, and at worst refused as not run with 503 (reason unreadable). The gate writes gate-head-refused with the header that is missing.

--- a/umberpath-model/src/main/java/io/umberpath/model/Verdict.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/Verdict.java
@@ -57,6 +57,8 @@
     DRAINING(503),
     /** The node or back end could not be reached before the request was handed over. */
     UNREACHABLE(503),
+    /** Another node could not read the request as this one sent it. */
+    UNREADABLE(503),
     /** The deadline could not be met or has passed. */
     DEADLINE(504),
     /** The caller went away. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/EdgeRetries.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/EdgeRetries.java
@@ -78,7 +78,7 @@
     if (verdict instanceof Verdict.NotRun notRun && !arrived(verdict)) {
       return switch (notRun.reason()) {
         case OVERLOADED -> plan.tally().bounces() > MAX_BOUNCES ? "all are full" : "";
-        case DRAINING, UNREACHABLE, NOT_READY -> "";
+        case DRAINING, UNREACHABLE, NOT_READY, UNREADABLE -> "";
         default -> "refused for good";
       };
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -289,7 +289,7 @@
     Optional<String> verdict = head.field(ProxyHeaders.VERDICT);
     if (verdict.isPresent()) {
       return VerdictHeader.parse(verdict.get())
-          .map(each -> new Refusal(each, Headers.retryAfterMillis(head), true));
+          .map(each -> new Refusal(asOfNode(each), Headers.retryAfterMillis(head), true));
     }
     costs.answered(plan.route(), head.contentLength());
     boolean own =
@@ -297,6 +297,12 @@
     return own ? Optional.empty() : Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
   }
 
+  /** This node has read the request: what another cannot read is not the caller's doing. */
+  private static Verdict asOfNode(Verdict verdict) {
+    boolean isUnreadable = verdict.equals(new Verdict.NotRun(Verdict.Reason.BAD_REQUEST));
+    return isUnreadable ? new Verdict.NotRun(Verdict.Reason.UNREADABLE) : verdict;
+  }
+
   private void stated(String backend, String route, AnswerHead head) {
     GateLoad load = head.field(MeshGateHandler.LOAD_HEADER).map(GateLoad::decode).orElse(null);
     if (head.field(MeshGateHandler.NESTED_HEADER).isPresent()) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -78,6 +78,8 @@
   ATTEMPT_FAILED(40),
   /** The node beside the back end refused a request as not run. */
   GATE_REFUSED(40),
+  /** A request of another node lacks what such requests carry. */
+  GATE_HEAD_REFUSED(5),
   /** The back end beside this node failed a request that may have run. */
   GATE_FAILED(40),
   /** The back end beside this node ended while it ran a request; a line for each. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -423,6 +423,18 @@
         .log("load %s", load);
   }
 
+  /**
+   * A request of another node cannot be read: a fault of the program there or here.
+   *
+   * @param lacking the header that is missing or malformed
+   */
+  void gateHeadRefused(String requestId, String lacking) {
+    line(MeshEvent.GATE_HEAD_REFUSED)
+        .with(LogFields.REQUEST_ID, requestId)
+        .with(CAUSE, lacking)
+        .log("missing or malformed");
+  }
+
   /** The back end beside this node ended; one line for each request that it ran. */
   void backendEnded(String backend, RequestFingerprint request, int running) {
     line(MeshEvent.BACKEND_ENDED)
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -219,6 +219,11 @@
     Optional<HopHeader> hop = head.field(HopHeader.HEADER).flatMap(HopHeader::decode);
     Optional<Long> left = head.field(settings.headers().deadline()).flatMap(Headers::number);
     if (requestId.isEmpty() || hop.isEmpty() || left.isEmpty()) {
+      String lacking =
+          requestId.isEmpty()
+              ? settings.headers().requestId()
+              : hop.isEmpty() ? HopHeader.HEADER : settings.headers().deadline();
+      events.gateHeadRefused(requestId.orElse(""), lacking);
       return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
     }
     return Either.right(
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Refusal.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Refusal.java
@@ -35,7 +35,8 @@
 
   private static long retryAfter(Verdict.Reason reason) {
     return switch (reason) {
-      case NOT_READY, NO_BACKEND, OVERLOADED, DRAINING, UNREACHABLE -> DEFAULT_RETRY_AFTER_MILLIS;
+      case NOT_READY, NO_BACKEND, OVERLOADED, DRAINING, UNREACHABLE, UNREADABLE ->
+          DEFAULT_RETRY_AFTER_MILLIS;
       default -> 0;
     };
   }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/BudgetedRetryPolicy.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/BudgetedRetryPolicy.java
@@ -66,6 +66,7 @@
           DRAINING,
           UNREACHABLE,
           NOT_READY,
+          UNREADABLE,
           DEADLINE,
           CONNECTION_LOST,
           BAD_ANSWER ->
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendView.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendView.java
@@ -98,7 +98,7 @@
   private void refused(long nowMillis, Verdict.Reason reason) {
     switch (reason) {
       case UNREACHABLE -> lost(nowMillis);
-      case DRAINING, NOT_READY -> avoidUntilMillis = nowMillis + REFUSED_MILLIS;
+      case DRAINING, NOT_READY, UNREADABLE -> avoidUntilMillis = nowMillis + REFUSED_MILLIS;
       default -> {
         // The stated load says the rest, also how often it sheds work.
       }
