The cut-off of a planned stop follows from the grace time

It was a constant that fitted 6 s; a shorter grace time would have had work broken off before its last sixth. PlannedStopAnswersTest passes as before.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -33,14 +33,14 @@
   /** When requests of other nodes are refused, all of which have heard by then. */
   private static final long PEERS_REFUSED_MILLIS = 1_800;
 
-  /** Time before the kill at which what is left is cut off: no sooner than users accept. */
-  private static final long CUT_OFF_RESERVE_MILLIS = 1_000;
+  /** Work may be broken off in the last part of the grace time, which is divided by this. */
+  private static final int LAST_PART_DIVISOR = 6;
 
-  /**
-   * Time before the kill at which connections have ended, or end with the process. On a machine
-   * with more to do than it can, the end of the process takes most of it.
-   */
-  private static final long END_RESERVE_MILLIS = 900;
+  /** Longest time before the kill at which what is left is cut off, milliseconds. */
+  private static final long MAX_CUT_OFF_RESERVE_MILLIS = 1_000;
+
+  /** Time after that in which refusals are written; the rest is for the end of the process. */
+  private static final long FLUSH_MILLIS = 100;
 
   private static final long STOP_CHECK_MILLIS = 20;
   private static final long QUIET_MILLIS = 150;
@@ -77,17 +77,19 @@
   void run(long graceMillis) throws InterruptedException {
     long began = clockMillis.getAsLong();
     events.stopping(proxy.inFlight());
-    awaitQuiet(began, began + graceMillis - CUT_OFF_RESERVE_MILLIS);
+    long cutOffReserve = Math.min(MAX_CUT_OFF_RESERVE_MILLIS, graceMillis / LAST_PART_DIVISOR);
+    long cutOffMillis = began + graceMillis - cutOffReserve;
+    awaitQuiet(began, cutOffMillis);
     // From here on nothing is sent on: it might have no time to be answered.
     backend.leave();
     proxy.refuseCallers();
-    proxy.endConnections(began + graceMillis - CUT_OFF_RESERVE_MILLIS);
+    proxy.endConnections(cutOffMillis);
     int unanswered = proxy.inFlight();
     int cutOff = proxy.abortAll();
-    proxy.endConnections(began + graceMillis - END_RESERVE_MILLIS);
+    int refused = Math.max(0, unanswered - cutOff);
+    proxy.endConnections(cutOffMillis + FLUSH_MILLIS);
     long millis = clockMillis.getAsLong() - began;
-    events.stopped(
-        cutOff, unanswered - cutOff, proxy.openCallers(), proxy.unwrittenBytes(), millis);
+    events.stopped(cutOff, refused, proxy.openCallers(), proxy.unwrittenBytes(), millis);
   }
 
   /** Returns when callers have noticed and nothing is in flight any more, or at the bound. */
