A planned stop does not cut off an answer that is on its way

Cause: what is cut off is judged request by request; an answer that has begun can only end its connection. It goes on now while pieces come, until the connections end 300 ms later (100 ms before this: the process is killed with nothing left, which harms nobody, rather than cutting off).

AnswerAtDeadlineTest.goesOnWhenAPlannedStopCutsOffTheRest failed before and passes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -215,7 +215,7 @@
     return origins.open();
   }
 
-  /** Cuts off what is in flight; returns how many requests may have run. */
+  /** Cuts off what is in flight and not being answered; returns how many may have run. */
   int abortAll() {
     return active.abortAll();
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -39,8 +39,11 @@
   /** Longest time before the kill at which what is left is cut off, milliseconds. */
   private static final long MAX_CUT_OFF_RESERVE_MILLIS = 1_000;
 
-  /** Time after that in which refusals are written; the rest is for the end of the process. */
-  private static final long FLUSH_MILLIS = 100;
+  /**
+   * Time after that in which refusals are written and answers that are on their way arrive; the
+   * rest is for the end of the process.
+   */
+  private static final long FLUSH_MILLIS = 300;
 
   private static final long STOP_CHECK_MILLIS = 20;
   private static final long QUIET_MILLIS = 150;
@@ -86,8 +89,10 @@
     proxy.endConnections(cutOffMillis);
     int unanswered = proxy.inFlight();
     int cutOff = proxy.abortAll();
-    int refused = Math.max(0, unanswered - cutOff);
+    int onTheirWay = proxy.inFlight();
+    int refused = Math.max(0, unanswered - cutOff - onTheirWay);
     proxy.endConnections(cutOffMillis + FLUSH_MILLIS);
+    cutOff += proxy.inFlight();
     long millis = clockMillis.getAsLong() - began;
     events.stopped(cutOff, refused, proxy.openCallers(), proxy.unwrittenBytes(), millis);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
@@ -58,7 +58,7 @@
   }
 
   /**
-   * Ends every exchange; each is logged.
+   * Ends every exchange whose answer is not on its way; each is logged.
    *
    * @return how many may have run; the others are refused as not run
    */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -261,14 +261,15 @@
   }
 
   /**
-   * The bound of a planned stop has passed.
+   * The bound of a planned stop has passed. An answer that is on its way goes on, as at a deadline.
    *
-   * @return whether work was broken off that may have begun; else the request is refused as not run
+   * @return whether work was broken off that may have begun
    */
   boolean abortAtDrainBound() {
     boolean mayHaveRun;
+    long now = environment.clockMillis().getAsLong();
     synchronized (this) {
-      if (stage == ExchangeStage.DONE) {
+      if (stage == ExchangeStage.DONE || progress.isOnItsWay(now)) {
         return false;
       }
       mayHaveRun = stage.mayHaveReachedOrigin();
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/AnswerAtDeadlineTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/AnswerAtDeadlineTest.java
@@ -4,6 +4,7 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -82,6 +83,19 @@
     }
   }
 
+  /** The same at the end of a planned stop, when work that has not been answered is cut off. */
+  @Test
+  void goesOnWhenAPlannedStopCutsOffTheRest() throws Exception {
+    try (RawConnection caller = fixture.connect()) {
+      caller.send(request(DEADLINE_MILLIS));
+      beginJustBeforeTheDeadline(caller);
+      assertThat(fixture.edge.drain(Duration.ofMillis(LOOK_MILLIS))).isFalse();
+      released.countDown();
+
+      assertThat(caller.input().readNBytes(HALF_BYTES)).hasSize(HALF_BYTES);
+    }
+  }
+
   @Test
   void isCutOffOnceItStandsStill() throws Exception {
     try (RawConnection caller = fixture.connect()) {
