Read once more: one copy of a buffer, one place for a length, no repeated handler

BufferBytes replaces three copies of a buffer's bytes (ChunkedEncoder, ShortAnswer, AnswerWriter); writeWithLength sets the header that two places set; heads are attached and returned by one method; the header that a gate misses is named by a method rather than a nested conditional. No check and no assertion is changed.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -219,10 +219,7 @@
     Optional<HopHeader> hop = head.field(HopHeader.HEADER).flatMap(HopHeader::decode);
     Optional<Long> left = head.field(settings.headers().deadline()).flatMap(Headers::number);
     if (requestId.isEmpty() || hop.isEmpty() || left.isEmpty()) {
-      String lacking =
-          requestId.isEmpty()
-              ? settings.headers().requestId()
-              : hop.isEmpty() ? HopHeader.HEADER : settings.headers().deadline();
+      String lacking = firstLacking(requestId.isPresent(), hop.isPresent());
       events.gateHeadRefused(requestId.orElse(""), lacking);
       return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
     }
@@ -236,6 +233,13 @@
             replacedHeaders));
   }
 
+  private String firstLacking(boolean hasRequestId, boolean hasHop) {
+    if (!hasRequestId) {
+      return settings.headers().requestId();
+    }
+    return hasHop ? settings.headers().deadline() : HopHeader.HEADER;
+  }
+
   @Override
   public void dispatch(Exchange exchange) {
     MeshGatePlan plan = planOf(exchange);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/AnswerHead.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/AnswerHead.java
@@ -18,7 +18,7 @@
       AttributeBuilder.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.answerHead");
 
   /** Copies the head of an answer that was just decoded, and lets go of the codec's buffer. */
-  static void detach(HttpResponsePacket packet) {
+  static AnswerHead detach(HttpResponsePacket packet) {
     Optional<String> reason =
         packet.isCustomReasonPhraseSet() ? Optional.of(packet.getReasonPhrase()) : Optional.empty();
     AnswerHead head =
@@ -30,15 +30,12 @@
             packet.isChunked());
     reason.ifPresent(packet::setReasonPhrase);
     ATTRIBUTE.set(packet, head);
+    return head;
   }
 
   /** The head of a decoded answer. */
   public static AnswerHead of(HttpResponsePacket packet) {
     AnswerHead head = ATTRIBUTE.get(packet);
-    if (head == null) {
-      detach(packet);
-      head = ATTRIBUTE.get(packet);
-    }
-    return head;
+    return head == null ? detach(packet) : head;
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ChunkedEncoder.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ChunkedEncoder.java
@@ -22,7 +22,7 @@
     if (content.hasRemaining()) {
       bytes.writeBytes(ascii(Integer.toHexString(content.remaining())));
       bytes.writeBytes(LINE_END);
-      bytes.writeBytes(bytesOf(content));
+      bytes.writeBytes(BufferBytes.copyOf(content));
       bytes.writeBytes(LINE_END);
     }
     if (last) {
@@ -41,12 +41,6 @@
     }
   }
 
-  private static byte[] bytesOf(Buffer content) {
-    byte[] bytes = new byte[content.remaining()];
-    content.duplicate().get(bytes);
-    return bytes;
-  }
-
   private static byte[] ascii(String text) {
     return text.getBytes(StandardCharsets.US_ASCII);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/RequestHead.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/RequestHead.java
@@ -24,7 +24,7 @@
       AttributeBuilder.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.requestHead");
 
   /** Copies the head of a request that was just decoded, and lets go of the codec's buffer. */
-  static void detach(HttpRequestPacket packet) {
+  static RequestHead detach(HttpRequestPacket packet) {
     RequestHead head =
         new RequestHead(
             packet.getMethod().getMethodString(),
@@ -38,15 +38,12 @@
     packet.setRequestURI(head.path());
     head.query().ifPresent(packet::setQueryString);
     ATTRIBUTE.set(packet, head);
+    return head;
   }
 
   /** The head of a decoded request. */
   public static RequestHead of(HttpRequestPacket packet) {
     RequestHead head = ATTRIBUTE.get(packet);
-    if (head == null) {
-      detach(packet);
-      head = ATTRIBUTE.get(packet);
-    }
-    return head;
+    return head == null ? detach(packet) : head;
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.http.AnswerHead;
+import io.umberpath.node.proxy.http.BufferBytes;
 import io.umberpath.node.proxy.http.ChunkedEncoder;
 import io.umberpath.node.proxy.http.HeaderCopier;
 import io.umberpath.node.proxy.http.HeaderFields;
@@ -78,8 +79,7 @@
     head.field(ChainBudget.HEADER)
         .ifPresent(chain -> response.getHeaders().setValue(ChainBudget.HEADER).setString(chain));
     if (head.contentLength() >= 0 && !head.isChunked()) {
-      response.getHeaders().setValue(Header.ContentLength).setString(lengthOf(head));
-      writeUnchanged();
+      writeWithLength(head.contentLength());
     } else if (hasNoBody(head.status())) {
       writeUnchanged();
     } else if (isVersion11()) {
@@ -92,8 +92,9 @@
     }
   }
 
-  private static String lengthOf(AnswerHead head) {
-    return Long.toString(head.contentLength());
+  private void writeWithLength(long contentLength) {
+    response.getHeaders().setValue(Header.ContentLength).setString(Long.toString(contentLength));
+    writeUnchanged();
   }
 
   /** Whether an answer ends with its head, whatever that says (RFC 9112, section 6.3). */
@@ -151,8 +152,7 @@
     } else {
       endConnectionIfLeaving();
     }
-    response.getHeaders().setValue(Header.ContentLength).setString(Integer.toString(text.length));
-    writeUnchanged();
+    writeWithLength(text.length);
     write(wrap(text), true, HeaderFields.NONE);
   }
 
@@ -204,18 +204,12 @@
   private void write(Buffer content, boolean last, HeaderFields trailers) {
     Buffer framed = isChunked ? wrap(ChunkedEncoder.encode(content, last, trailers)) : content;
     // A piece that is held would keep the whole buffer that it was read into.
-    Buffer lasting = isChunked || turn.isCurrent() ? framed : copy(framed);
+    Buffer lasting = isChunked || turn.isCurrent() ? framed : wrap(BufferBytes.copyOf(framed));
     int bytes = lasting.remaining();
     turn.write(
         OutgoingRequest.part(response, lasting, last, HeaderFields.NONE), HEAD_BYTES + bytes);
   }
 
-  private static Buffer copy(Buffer content) {
-    byte[] bytes = new byte[content.remaining()];
-    content.duplicate().get(bytes);
-    return wrap(bytes);
-  }
-
   private static Buffer wrap(byte[] bytes) {
     return Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/ShortAnswer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/ShortAnswer.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.proxy.origin;
 
 import io.umberpath.node.proxy.http.AnswerHead;
+import io.umberpath.node.proxy.http.BufferBytes;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import org.glassfish.grizzly.Buffer;
@@ -41,9 +42,7 @@
     if (content == null) {
       return;
     }
-    byte[] bytes = new byte[content.remaining()];
-    content.get(bytes);
-    body.writeBytes(bytes);
+    body.writeBytes(BufferBytes.copyOf(content));
   }
 
   private AnswerPart whole(AnswerPart last) {
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/inbound/ExchangeBrokenWriteTest.java
@@ -4,6 +4,7 @@
 
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.StubRequestHandler;
 import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.HeaderFields;
 import io.umberpath.node.proxy.http.RequestHead;
@@ -54,7 +55,7 @@
   private Refusal refusalOfTheHandler;
 
   private final RequestHandler handler =
-      new RequestHandler() {
+      new StubRequestHandler() {
         @Override
         public ProxyStats.Side side() {
           return ProxyStats.Side.HOP;
@@ -72,29 +73,11 @@
           exchange.sendTo(pool, "backend-1");
         }
 
-        @Override
-        public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {}
-
-        @Override
-        public String echoedId(RequestPlan plan) {
-          return null;
-        }
-
-        @Override
-        public Optional<Refusal> refusalIn(Exchange exchange, AnswerHead head) {
-          return Optional.empty();
-        }
-
         @Override
         public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
           attemptsEnded.add(originId);
         }
 
-        @Override
-        public boolean mayRetry(Exchange exchange, Verdict verdict) {
-          return false;
-        }
-
         @Override
         public void ended(Exchange exchange, Verdict verdict) {
           ended.add(verdict);
