Sight: how late a selector thread reads, by line, histogram and request

A node's own lines dated a request by the moment at which its head was decoded: one that had lain in the socket for 0.7 s was 21 ms old by them, and the timer's pause (1 s) saw nothing. SelectorTurns keeps for each turn since when what it reads may have been waiting; Arrival does so for a connection, over its accepting and over reading that stood still. New: line reading-late (turns from 100 ms), histogram umberpath_selector_turn_late (from 5 ms), field unreadMillis on request-failed, gate-failed and gate-refused. Nothing decides by it yet. RequestEvents and RequestAge are cut out of MeshEvents and Exchange on the way.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -46,7 +46,7 @@
   private final GateBalancer balancer;
   private final PeerExchange peers;
   private final RequestQuarantine quarantine;
-  private final MeshEvents events;
+  private final RequestEvents events;
   private final LongSupplier clockMillis;
   private final WeightedSplit split = new WeightedSplit();
   private final EdgeRetries retries;
@@ -78,7 +78,7 @@
     this.balancer = balancer;
     this.peers = peers;
     this.quarantine = peers.quarantine();
-    this.events = events;
+    this.events = events.requests();
     this.clockMillis = clockMillis;
     this.retries = new EdgeRetries(settings.retry(), peers::nodes, repeatShare);
     replacedHeaders.add(settings.headers().deadline());
@@ -358,7 +358,8 @@
     } else {
       boolean held = VerdictHeader.reasonOf(verdict) == Verdict.Reason.QUARANTINED;
       String fingerprint = held ? Fingerprints.text(exchange, plan.target()) : "";
-      events.requestFailed(plan, fingerprint, exchange.attempts(), verdict, millis);
+      events.requestFailed(
+          plan, fingerprint, exchange.attempts(), verdict, millis, exchange.age().unreadMillis());
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -8,6 +8,8 @@
   CLOCK_OPENED(10),
   /** The process did not run for a while. */
   NODE_PAUSED(5),
+  /** What had arrived was read late, since the thread that reads was busy. */
+  READING_LATE(10),
   /** How long a change takes to the last node at most, by design. */
   CHANGE_BUDGET(10),
   /** The process takes requests. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -6,13 +6,10 @@
 import io.umberpath.control.store.StoreAnswer;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StorePosition;
-import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.umberpath.node.clock.BootClock;
 import io.umberpath.node.logs.LogFields;
-import io.umberpath.node.proxy.http.VerdictHeader;
-import io.umberpath.node.proxy.inbound.UnansweredRequests;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.io.IOException;
 import java.util.EnumMap;
@@ -34,7 +31,6 @@
   private static final MetadataKey<String> SOURCE = MetadataKey.single("source", String.class);
   private static final MetadataKey<String> ZONE = MetadataKey.single("zone", String.class);
   private static final MetadataKey<String> CAUSE = MetadataKey.single("cause", String.class);
-  private static final MetadataKey<String> ROUTE = MetadataKey.single("route", String.class);
   private static final MetadataKey<String> FINGERPRINT =
       MetadataKey.single("fingerprint", String.class);
   private static final MetadataKey<Long> REVISION = MetadataKey.single("revision", Long.class);
@@ -55,15 +51,20 @@
     }
   }
 
-  private FluentLogger.Api line(MeshEvent event) {
+  /** Lines about requests, within the same bounds. */
+  RequestEvents requests() {
+    return new RequestEvents(this);
+  }
+
+  FluentLogger.Api line(MeshEvent event) {
     return line(event, mayWrite(event));
   }
 
-  private boolean mayWrite(MeshEvent event) {
+  boolean mayWrite(MeshEvent event) {
     return budgets.get(event).take(clockMillis.getAsLong());
   }
 
-  private static FluentLogger.Api line(MeshEvent event, boolean written) {
+  static FluentLogger.Api line(MeshEvent event, boolean written) {
     FluentLogger.Api api = written ? logger.atInfo() : logger.atFinest();
     // The event's name says where a line is from; a walk of the stack costs more than the line.
     return api.withInjectedLogSite(LogSite.INVALID).with(LogFields.EVENT, event.label());
@@ -96,6 +97,18 @@
     line(MeshEvent.NODE_PAUSED).with(MILLIS, millis).log("idle connections are closed");
   }
 
+  /**
+   * A selector thread was busy for long: what arrived meanwhile is read only now.
+   *
+   * @param sockets sockets that it was busy with
+   */
+  void readingLate(long millis, int sockets) {
+    line(MeshEvent.READING_LATE)
+        .with(MILLIS, millis)
+        .with(COUNT, (long) sockets)
+        .log("sockets served in one turn");
+  }
+
   /**
    * What the node's own times allow a change to take, beside the bound.
    *
@@ -352,89 +365,10 @@
             transfer.facts().departed().size());
   }
 
-  void requestFailed(
-      MeshEdgePlan plan, String fingerprint, int attempts, Verdict verdict, long millis) {
-    line(MeshEvent.REQUEST_FAILED)
-        .with(LogFields.REQUEST_ID, plan.requestId())
-        .with(ROUTE, plan.route())
-        .with(CONFIGURATION, plan.configurationVersion())
-        .with(LogFields.OUTCOME, VerdictHeader.format(verdict))
-        .with(FINGERPRINT, fingerprint)
-        .with(MILLIS, millis)
-        .log("attempts %d, sent to back ends %d", attempts, plan.tally().arrivals());
-  }
-
-  /** A connection ended, and requests that were read from it have no answer. */
-  void connectionEnded(UnansweredRequests unanswered) {
-    line(MeshEvent.CONNECTION_ENDED)
-        .with(CAUSE, label(unanswered.end()))
-        .with(SOURCE, label(unanswered.side()))
-        .with(COUNT, (long) unanswered.requestIds().size())
-        .with(LogFields.REQUEST_ID, String.join(" ", unanswered.requestIds()))
-        .log("sent on %d, not begun %d", unanswered.sentOn(), unanswered.notBegun());
-  }
-
-  private static String label(Enum<?> value) {
+  static String label(Enum<?> value) {
     return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 
-  void requestServed(MeshEdgePlan plan, int attempts, long millis) {
-    // Each request comes here, and nearly all go beyond the bound.
-    if (!mayWrite(MeshEvent.REQUEST_SERVED)) {
-      return;
-    }
-    line(MeshEvent.REQUEST_SERVED, true)
-        .with(LogFields.REQUEST_ID, plan.requestId())
-        .with(ROUTE, plan.route())
-        .with(CONFIGURATION, plan.configurationVersion())
-        .with(MILLIS, millis)
-        .log("attempts %d", attempts);
-  }
-
-  /**
-   * An attempt failed.
-   *
-   * @param against why the request is not sent again; empty if it is
-   */
-  void attemptFailed(
-      MeshEdgePlan plan, String backend, String fingerprint, Verdict verdict, String against) {
-    line(MeshEvent.ATTEMPT_FAILED)
-        .with(LogFields.REQUEST_ID, plan.requestId())
-        .with(BACKEND, backend)
-        .with(LogFields.OUTCOME, VerdictHeader.format(verdict))
-        .with(FINGERPRINT, fingerprint)
-        .with(CAUSE, against)
-        .log("%s", against.isEmpty() ? "sent again" : "not sent again");
-  }
-
-  /**
-   * A request for the back end beside this node was refused or failed. Refusals have a bound of
-   * their own: while a back end is away they are so many that they would crowd out its failures.
-   */
-  void gateFailed(
-      MeshGatePlan plan, String fingerprint, Verdict verdict, String load, long millis) {
-    boolean refused = verdict instanceof Verdict.NotRun;
-    line(refused ? MeshEvent.GATE_REFUSED : MeshEvent.GATE_FAILED)
-        .with(LogFields.REQUEST_ID, plan.requestId())
-        .with(BACKEND, plan.instance())
-        .with(LogFields.OUTCOME, VerdictHeader.format(verdict))
-        .with(FINGERPRINT, fingerprint)
-        .with(MILLIS, millis)
-        .log("load %s", load);
-  }
-
-  /**
-   * A request of another node cannot be read: a fault of the program there or here.
-   *
-   * @param lacking the header that is missing or malformed
-   */
-  void gateHeadRefused(String requestId, String lacking) {
-    line(MeshEvent.GATE_HEAD_REFUSED)
-        .with(LogFields.REQUEST_ID, requestId)
-        .with(CAUSE, lacking)
-        .log("missing or malformed");
-  }
-
   /** The back end beside this node ended; one line for each request that it ran. */
   void backendEnded(String backend, RequestFingerprint request, int running) {
     line(MeshEvent.BACKEND_ENDED)
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -61,6 +61,7 @@
   private final BackendCrashDetector crashes;
   private final LocalBackendSpeed speed;
   private final MeshEvents events;
+  private final RequestEvents requestEvents;
   private final LongSupplier clockMillis;
   private final RouteMeans routeTimes = new RouteMeans(MIN_TIME_SAMPLES);
   private final NestedRoutes nestedRoutes = new NestedRoutes();
@@ -85,6 +86,7 @@
     this.quarantine = quarantine;
     this.crashes = new BackendCrashDetector(pool, clockMillis);
     this.events = events;
+    this.requestEvents = events.requests();
     this.failures = new GateFailures(events);
     this.clockMillis = clockMillis;
     this.gate = new SlotGate(admission, this::send, clockMillis);
@@ -220,7 +222,7 @@
     Optional<Long> left = head.field(settings.headers().deadline()).flatMap(Headers::number);
     if (requestId.isEmpty() || hop.isEmpty() || left.isEmpty()) {
       String lacking = firstLacking(requestId.isPresent(), hop.isPresent());
-      events.gateHeadRefused(requestId.orElse(""), lacking);
+      requestEvents.gateHeadRefused(requestId.orElse(""), lacking);
       return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
     }
     return Either.right(
@@ -373,12 +375,13 @@
     MeshGatePlan plan = planOf(exchange);
     if (plan != null && !(verdict instanceof Verdict.Completed)) {
       long millis = clockMillis.getAsLong() - plan.beganMillis();
-      events.gateFailed(
+      requestEvents.gateFailed(
           plan,
           Fingerprints.text(exchange, plan.target(), verdict),
           verdict,
           load().encode(),
-          millis);
+          millis,
+          exchange.age().unreadMillis());
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshMetrics.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshMetrics.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.mesh;
 
 import io.micrometer.core.instrument.Meter;
+import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.config.MeterFilter;
 import io.micrometer.core.instrument.distribution.DistributionStatisticConfig;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -11,6 +12,7 @@
 import io.umberpath.node.proxy.stats.ProxyStats;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
@@ -30,6 +32,7 @@
   private final AtomicBoolean wanted = new AtomicBoolean();
   private volatile PrometheusMeterRegistry registry;
   private volatile ProxyStats counted = ProxyStats.NONE;
+  private volatile Timer lateTurns;
 
   /**
    * Begins to count.
@@ -41,6 +44,7 @@
     created.config().meterFilter(new Histograms());
     gauges.forEach((name, value) -> created.gauge(PREFIX + name, value, each -> of(each)));
     counted = new MeterRegistryStats(created, inFlight);
+    lateTurns = created.timer(PREFIX + "selector.turn.late");
     registry = created;
   }
 
@@ -61,6 +65,14 @@
     return current == null ? "" : current.scrape();
   }
 
+  /** A selector thread's turn kept what had arrived waiting for so long. */
+  void turnWasLate(long micros) {
+    Timer timer = lateTurns;
+    if (timer != null) {
+      timer.record(micros, TimeUnit.MICROSECONDS);
+    }
+  }
+
   @Override
   public void requestEnded(Side side, Verdict verdict, long micros) {
     counted.requestEnded(side, verdict, micros);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -11,7 +11,6 @@
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.origin.OriginManager;
 import io.umberpath.node.proxy.pool.ConnectionPool;
-import io.umberpath.node.proxy.stats.ProxyStats;
 import io.umberpath.traffic.AdmissionControllers;
 import io.umberpath.traffic.AdmissionSettings;
 import io.umberpath.traffic.routing.GateBalancer;
@@ -59,12 +58,14 @@
       PeerExchange peers,
       LocalBackend backend,
       MeshEvents events,
-      ProxyStats stats,
+      MeshMetrics metrics,
       LongSupplier clockMillis) {
     this.settings = settings;
     this.view = view;
     this.clockMillis = clockMillis;
-    this.transport = new ProxyTransport(MAX_HEADER_BYTES, ConnectionPool::giveBack, 1);
+    this.transport =
+        new ProxyTransport(
+            MAX_HEADER_BYTES, ConnectionPool::giveBack, 1, new ReadingDelays(metrics, events));
     this.origins = new OriginManager(transport, clockMillis, CONNECT_TIMEOUT_MILLIS);
     this.backendPool =
         new ConnectionPool(
@@ -88,9 +89,9 @@
     ExchangeEnvironment environment =
         new ExchangeEnvironment(
             clockMillis,
-            stats,
+            metrics,
             AttemptLog.CUT_OFF_ONLY,
-            events::connectionEnded,
+            events.requests()::connectionEnded,
             active,
             this::maxBodyBytes);
     this.edgeFilter = new InboundFilter(edge, environment);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -7,6 +7,8 @@
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OriginFilter;
 import io.umberpath.node.proxy.pool.Connector;
+import io.umberpath.node.proxy.turn.LateTurnListener;
+import io.umberpath.node.proxy.turn.SelectorTurns;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
@@ -40,19 +42,29 @@
     this(maxHeaderBytes, onReusable, selectorThreads());
   }
 
+  ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable, int threads) {
+    this(maxHeaderBytes, onReusable, threads, LateTurnListener.NONE);
+  }
+
   /**
    * Creates a transport that is not started yet.
    *
    * @param maxHeaderBytes largest head of a message
    * @param onReusable takes a connection whose attempt left it in order
    * @param threads selector threads
+   * @param lateTurns hears of turns of these threads that kept what had arrived waiting
    */
-  public ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable, int threads) {
+  public ProxyTransport(
+      int maxHeaderBytes,
+      Consumer<OriginConnection> onReusable,
+      int threads,
+      LateTurnListener lateTurns) {
     this.maxHeaderBytes = maxHeaderBytes;
     this.transport =
         TCPNIOTransportBuilder.newInstance()
             .setName("umberpath-proxy")
             .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setSelectorHandler(new SelectorTurns(lateTurns))
             .setSelectorRunnersCount(threads)
             .setReadBufferSize(READ_BUFFER_BYTES)
             .setTcpNoDelay(true)
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ReadFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ReadFilter.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.proxy;
 
+import io.umberpath.node.proxy.turn.Arrival;
 import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -31,6 +32,7 @@
     if (buffer == null || buffer.position() == 0) {
       return context.getStopAction();
     }
+    Arrival.noteRead(connection);
     buffer.trim();
     buffer.allowBufferDispose(false);
     context.setMessage(buffer);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OwnTurn;
 import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.node.proxy.turn.Arrival;
 import java.util.List;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -30,7 +31,8 @@
   private final RestTime rest;
   private final AnswerTurns turns = new AnswerTurns();
   private final LostExchanges lost = new LostExchanges();
-  private final SuspendedReads suspended = new SuspendedReads();
+  private final Arrival arrival;
+  private final SuspendedReads suspended;
   private ConnectionState state = ConnectionState.OPEN;
   private ConnectionEnd endedBy = ConnectionEnd.PEER;
   private boolean advancing;
@@ -52,6 +54,8 @@
     this.side = side;
     this.log = environment.connectionLog();
     this.rest = new RestTime(environment.clockMillis());
+    this.arrival = Arrival.accepted(connection);
+    this.suspended = new SuspendedReads(arrival);
     ATTRIBUTE.set(connection, this);
     PendingAnswers.attach(connection, this);
   }
@@ -64,6 +68,11 @@
     return connection;
   }
 
+  /** The earliest moment at which what was last read can have arrived, on the nano clock. */
+  long arrivedNanos() {
+    return arrival.earliestNanos();
+  }
+
   /** The exchange this content belongs to; null if it begins one or is to be dropped. */
   synchronized Exchange exchangeOf(HttpContent content) {
     return turns.exchangeOf(content);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -30,7 +30,7 @@
   private final RequestBody body = new RequestBody();
   private final AttemptHistory history = new AttemptHistory();
   private final AnswerProgress progress = new AnswerProgress();
-  private final long startNanos = System.nanoTime();
+  private final RequestAge age;
   private ExchangeStage stage = ExchangeStage.DECIDING;
   private RequestPlan plan;
   private Attempt attempt;
@@ -46,6 +46,7 @@
       RequestHandler handler,
       ExchangeEnvironment environment) {
     this.caller = caller;
+    this.age = RequestAge.readNow(caller.arrivedNanos());
     this.request = RequestHead.of(packet);
     this.handler = handler;
     this.environment = environment;
@@ -83,9 +84,9 @@
     return progress.status();
   }
 
-  /** Microseconds since the request's head arrived. */
-  public long elapsedMicros() {
-    return (System.nanoTime() - startNanos) / 1_000;
+  /** How old the request is. */
+  public RequestAge age() {
+    return age;
   }
 
   /** Microseconds since the last attempt was handed to its connection; 0 if none was. */
@@ -402,7 +403,7 @@
       }
       environment.active().remove(this);
       environment.stats().inFlight(handler.side(), -1);
-      environment.stats().requestEnded(handler.side(), ended, elapsedMicros());
+      environment.stats().requestEnded(handler.side(), ended, age.sinceReadMicros());
       handler.ended(this, ended);
     }
     caller.endThoseLeft();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.proxy.inbound;
 
+import io.umberpath.node.proxy.turn.Arrival;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 
@@ -8,9 +9,14 @@
  * within a body of which no more can be taken. Its connection's lock guards it.
  */
 final class SuspendedReads {
+  private final Arrival arrival;
   private FilterChainContext head;
   private FilterChainContext body;
 
+  SuspendedReads(Arrival arrival) {
+    this.arrival = arrival;
+  }
+
   /** Stands still at a head, which is seen again once it is resumed. */
   NextAction atHead(FilterChainContext context) {
     head = context;
@@ -23,7 +29,8 @@
     return suspend(context);
   }
 
-  private static NextAction suspend(FilterChainContext context) {
+  private NextAction suspend(FilterChainContext context) {
+    arrival.readingStops();
     NextAction action = context.getSuspendAction();
     context.suspend();
     return action;
@@ -37,7 +44,7 @@
   Runnable takeHead() {
     FilterChainContext waiting = head;
     head = null;
-    return waiting == null ? () -> {} : waiting::resume;
+    return waiting == null ? () -> {} : () -> readOn(waiting::resume);
   }
 
   /** What reads on within the body; does nothing if reading does not stand there. */
@@ -52,6 +59,11 @@
       return () -> {};
     }
     body = null;
-    return () -> context.resume(context.getStopAction());
+    return () -> readOn(() -> context.resume(context.getStopAction()));
+  }
+
+  private void readOn(Runnable resumption) {
+    arrival.readingResumes();
+    resumption.run();
   }
 }
