Late reads: requests sent on for callers that had left, as failing tests

Callers saw requests sent on to back ends over half a second after they had closed their connections, when all machines had just come back. The tests keep the one selector thread from reading, so that what arrives lies in the sockets, and look at the next request that the origin's resting connection carries.

--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -2,32 +2,49 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
 import io.umberpath.node.proxy.inbound.ConnectionDrain;
 import io.umberpath.node.proxy.inbound.ConnectionLog;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
+import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.inbound.Refusal;
 import io.umberpath.node.proxy.inbound.RequestPlan;
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.node.proxy.turn.SelectorTurns;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import org.glassfish.grizzly.http.HttpRequestPacket;
 
-/** A listener on one selector thread that refuses all requests, and can be kept from reading. */
+/**
+ * A listener on one selector thread that can be kept from reading. Requests that it does not refuse
+ * go to an origin that the test plays.
+ */
 final class InboundFixture implements AutoCloseable {
   /** A request that is answered 404. */
   static final String REFUSED = "GET /refused HTTP/1.1\r\nHost: a\r\n\r\n";
 
   private static final long TIMEOUT_MILLIS = 10_000;
   private static final String BLOCK = "/block";
+  private static final long NO_DEADLINE_MILLIS = 3_600_000;
+  private static final String HELD_BACK = "/held-back";
+  private static final int MAX_ORIGIN_CONNECTIONS = 8;
 
   private final ProxyTransport transport =
       new ProxyTransport(ProxyFixture.MAX_HEADER_BYTES, ConnectionPool::giveBack, 1);
@@ -39,6 +56,10 @@
   private RawConnection blocking;
   private final CountDownLatch blocked = new CountDownLatch(1);
   private final CountDownLatch readsOn = new CountDownLatch(1);
+  private final ServerSocket origin = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+  private final ConnectionPool pool;
+  private final Set<Long> turns = ConcurrentHashMap.newKeySet();
+  private final BlockingQueue<Exchange> heldBack = new LinkedBlockingQueue<>();
 
   InboundFixture() throws IOException {
     ExchangeEnvironment environment =
@@ -50,6 +71,9 @@
             active,
             () -> Long.MAX_VALUE);
     filter = new InboundFilter(new Handler(), environment);
+    origin.setSoTimeout((int) TIMEOUT_MILLIS);
+    PeerAddress address = new PeerAddress("127.0.0.1", origin.getLocalPort());
+    pool = new ConnectionPool(address, transport, MAX_ORIGIN_CONNECTIONS, clockMillis::get);
     transport.start();
     listener = transport.listen("127.0.0.1", 0, filter);
     port = listener.port();
@@ -72,6 +96,49 @@
     return new RawConnection(port);
   }
 
+  /** A request that is sent on to the origin. */
+  static String get(String path) {
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  }
+
+  /** A request that is sent on to the origin, and is of use for so long. */
+  static String get(String path, long deadlineMillis) {
+    String deadline = ProxyHeaders.DEADLINE + ": " + deadlineMillis;
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + deadline + "\r\n\r\n";
+  }
+
+  /** The origin's end of a connection that has served a request and rests. */
+  RawConnection restingOrigin() throws IOException {
+    try (RawConnection caller = connect()) {
+      caller.send(get("/rest"));
+      RawConnection accepted = acceptOrigin();
+      accepted.readHead();
+      accepted.send("HTTP/1.1 204 No Content\r\n\r\n");
+      assertThat(caller.read().status()).isEqualTo(204);
+      return accepted;
+    }
+  }
+
+  /** The other end of a connection that was opened to the origin. */
+  RawConnection acceptOrigin() throws IOException {
+    RawConnection accepted = new RawConnection(origin.accept());
+    accepted.socket.setSoTimeout((int) TIMEOUT_MILLIS);
+    return accepted;
+  }
+
+  /** Sends a request that waits until another one has ended. */
+  void sendHeldBack(RawConnection caller) throws IOException, InterruptedException {
+    caller.send(get(HELD_BACK));
+    while (heldBack.isEmpty()) {
+      Thread.sleep(1);
+    }
+  }
+
+  /** Turns of the selector thread in which requests were decided on. */
+  int turns() {
+    return turns.size();
+  }
+
   /** Sends a request and reads its answer; returns once the node knows that it is answered. */
   void exchange(RawConnection caller) throws IOException, InterruptedException {
     caller.send(REFUSED);
@@ -101,15 +168,32 @@
       blocking.close();
     }
     transport.stop();
+    origin.close();
+  }
+
+  private record Plan(String path, long deadlineMillis) implements RequestPlan {
+    @Override
+    public String requestId() {
+      return "request";
+    }
+
+    @Override
+    public String route() {
+      return "route";
+    }
   }
 
   private final class Handler extends StubRequestHandler {
 
     @Override
     public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+      turns.add(SelectorTurns.earliestArrivalNanos());
       if (head.path().equals(BLOCK)) {
         blocked.countDown();
         awaitReadsOn();
+      } else if (!REFUSED.contains(head.path())) {
+        long deadline = Headers.deadlineMillis(head).get().orElse(NO_DEADLINE_MILLIS);
+        return Either.right(new Plan(head.path(), nowMillis + deadline));
       }
       return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
     }
@@ -124,7 +208,26 @@
 
     @Override
     public void dispatch(Exchange exchange) {
-      throw new AssertionError("nothing is sent on");
+      if (((Plan) exchange.plan()).path().equals(HELD_BACK)) {
+        heldBack.add(exchange);
+      } else {
+        exchange.sendTo(pool, "backend");
+      }
+    }
+
+    @Override
+    public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
+      long left = exchange.plan().deadlineMillis() - nowMillis;
+      outgoing.getHeaders().addValue(ProxyHeaders.DEADLINE).setString(Long.toString(left));
+    }
+
+    /** The end of a request lets in the one that was held back. */
+    @Override
+    public void ended(Exchange exchange, Verdict verdict) {
+      Exchange next = heldBack.poll();
+      if (next != null && next != exchange) {
+        next.sendTo(pool, "backend");
+      }
     }
   }
 }
