Late connections: a request is sent on after its deadline, as a failing test

A request whose connection to the origin opens after its deadline is written to it, because only a timer and the plan look at the deadline. The test lets the fixture's clock pass the deadline while the opening is held back, and no timer runs. Output: expected "GET /next ", the connection carried "GET /short ".

--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateConnectionTest.java
@@ -0,0 +1,35 @@
+package io.umberpath.node.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.umberpath.node.proxy.RawConnection.Message;
+import io.umberpath.node.proxy.http.ProxyHeaders;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections to an origin that open when their requests can no longer be served. */
+@Timeout(60)
+class LateConnectionTest {
+
+  /** The deadline is looked at where the request is written, not only by a timer. */
+  @Test
+  void aRequestWhoseConnectionOpensAfterItsDeadlineIsNotSentOn() throws Exception {
+    try (QueuedWriteFixture fixture = new QueuedWriteFixture();
+        RawConnection caller = fixture.connect();
+        RawConnection next = fixture.connect()) {
+      fixture.holdOpenings(0);
+      caller.send("GET /short HTTP/1.1\r\nHost: a\r\n\r\n");
+      fixture.awaitHeldOpening();
+      fixture.advance(QueuedWriteFixture.SHORT_DEADLINE_MILLIS);
+      fixture.releaseOpening();
+      try (RawConnection origin = fixture.acceptOrigin(0)) {
+        fixture.awaitRead();
+        next.send("GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+        assertThat(origin.readHead()).startsWith("GET /next ");
+      }
+      Message answer = caller.read();
+      assertThat(answer.status()).isEqualTo(504);
+      assertThat(answer.header(ProxyHeaders.VERDICT)).isEqualTo("not-run; reason=deadline");
+    }
+  }
+}
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
@@ -42,6 +43,9 @@
  * to them soon waits in the proxy's queue. The origins are played by the test.
  */
 final class QueuedWriteFixture implements AutoCloseable {
+  /** When requests for the path {@code /short} are of no more use. */
+  static final long SHORT_DEADLINE_MILLIS = 200;
+
   private static final int SOCKET_BYTES = 2_048;
   private static final int TIMEOUT_MILLIS = 5_000;
   private static final int POLL_MILLIS = 2;
@@ -64,6 +68,7 @@
   private final List<ServerSocket> servers = List.of(server(), server());
   private final List<ConnectionPool> pools = new ArrayList<>();
   private final Map<Integer, NIOConnection> opened = new ConcurrentHashMap<>();
+  private final AtomicLong clockMillis = new AtomicLong();
   private final int port;
   private final Map<Integer, NIOConnection> accepted = new ConcurrentHashMap<>();
   private volatile int narrowPort;
@@ -81,7 +86,7 @@
     transport.start();
     ExchangeEnvironment environment =
         new ExchangeEnvironment(
-            () -> 0,
+            clockMillis::get,
             ProxyStats.NONE,
             AttemptLog.CUT_OFF_ONLY,
             ConnectionLog.NONE,
@@ -109,6 +114,10 @@
     }
   }
 
+  void advance(long millis) {
+    clockMillis.addAndGet(millis);
+  }
+
   /** From now on a connection to an origin opens when it is told to. */
   void holdOpenings(int origin) {
     heldPort = servers.get(origin).getLocalPort();
@@ -222,7 +231,7 @@
   }
 
   /** Waits until the proxy has read all that was sent before. */
-  private void awaitRead() throws IOException {
+  void awaitRead() throws IOException {
     try (RawConnection caller = connect()) {
       for (int turn = 0; turn < TURNS; turn++) {
         caller.send("GET /refused HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -299,7 +308,7 @@
 
     @Override
     public long deadlineMillis() {
-      return Long.MAX_VALUE;
+      return path.equals("/short") ? SHORT_DEADLINE_MILLIS : Long.MAX_VALUE;
     }
   }
 
