Late connections: sent on when the caller's end is unread, as a failing test

The connection to the origin opens in the turn of the selector in which the end of the caller is read; that end is handled in a turn of its own, so that the request goes out before.

--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -27,7 +27,6 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -41,9 +40,9 @@
   static final String REFUSED = "GET /refused HTTP/1.1\r\nHost: a\r\n\r\n";
 
   private static final long TIMEOUT_MILLIS = 10_000;
-  private static final String BLOCK = "/block";
   private static final long NO_DEADLINE_MILLIS = 3_600_000;
   private static final String HELD_BACK = "/held-back";
+  private static final Set<String> REFUSED_PATHS = Set.of("/refused", "/block");
   private static final int MAX_ORIGIN_CONNECTIONS = 8;
 
   private final ProxyTransport transport =
@@ -53,9 +52,7 @@
   private final InboundFilter filter;
   private final Listener listener;
   private final int port;
-  private RawConnection blocking;
-  private final CountDownLatch blocked = new CountDownLatch(1);
-  private final CountDownLatch readsOn = new CountDownLatch(1);
+  private final ReadingBlock block = new ReadingBlock();
   private final ServerSocket origin = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
   private final ConnectionPool pool;
   private final Set<Long> turns = ConcurrentHashMap.newKeySet();
@@ -152,21 +149,16 @@
 
   /** Returns once the thread that reads stands still. */
   void blockReading() throws IOException, InterruptedException {
-    blocking = connect();
-    blocking.send("GET " + BLOCK + " HTTP/1.1\r\nHost: a\r\n\r\n");
-    blocked.await();
+    block.begin(connect());
   }
 
   void readOn() {
-    readsOn.countDown();
+    block.readOn();
   }
 
   @Override
   public void close() throws IOException {
-    readOn();
-    if (blocking != null) {
-      blocking.close();
-    }
+    block.close();
     transport.stop();
     origin.close();
   }
@@ -188,24 +180,14 @@
     @Override
     public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
       turns.add(SelectorTurns.earliestArrivalNanos());
-      if (head.path().equals(BLOCK)) {
-        blocked.countDown();
-        awaitReadsOn();
-      } else if (!REFUSED.contains(head.path())) {
+      block.pass(head.path());
+      if (!REFUSED_PATHS.contains(head.path())) {
         long deadline = Headers.deadlineMillis(head).get().orElse(NO_DEADLINE_MILLIS);
         return Either.right(new Plan(head.path(), nowMillis + deadline));
       }
       return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
     }
 
-    private void awaitReadsOn() {
-      try {
-        readsOn.await();
-      } catch (InterruptedException ended) {
-        Thread.currentThread().interrupt();
-      }
-    }
-
     @Override
     public void dispatch(Exchange exchange) {
       if (((Plan) exchange.plan()).path().equals(HELD_BACK)) {
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/LateConnectionTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateConnectionTest.java
@@ -32,4 +32,25 @@
       assertThat(answer.header(ProxyHeaders.VERDICT)).isEqualTo("not-run; reason=deadline");
     }
   }
+
+  /** The connection opens in the turn in which the end of its caller is read. */
+  @Test
+  void aRequestWhoseConnectionOpensWhenItsCallersEndIsUnreadIsNotSentOn() throws Exception {
+    try (QueuedWriteFixture fixture = new QueuedWriteFixture();
+        RawConnection caller = fixture.connect();
+        RawConnection next = fixture.connect()) {
+      fixture.holdOpenings(0);
+      caller.send("GET /left HTTP/1.1\r\nHost: a\r\n\r\n");
+      fixture.awaitHeldOpening();
+      fixture.blockReading();
+      caller.socket.close();
+      fixture.releaseOpening();
+      try (RawConnection origin = fixture.acceptOrigin(0)) {
+        fixture.readOn();
+        fixture.awaitRead();
+        next.send("GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+        assertThat(origin.readHead()).startsWith("GET /next ");
+      }
+    }
+  }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -54,6 +54,7 @@
   private static final Map<String, Verdict.Reason> REFUSED_FOR =
       Map.of(
           "/refused", Verdict.Reason.NO_ROUTE,
+          "/block", Verdict.Reason.NO_ROUTE,
           "/bad-request", Verdict.Reason.BAD_REQUEST,
           "/too-large", Verdict.Reason.TOO_LARGE,
           "/deadline", Verdict.Reason.DEADLINE,
@@ -68,6 +69,7 @@
   private final List<ServerSocket> servers = List.of(server(), server());
   private final List<ConnectionPool> pools = new ArrayList<>();
   private final Map<Integer, NIOConnection> opened = new ConcurrentHashMap<>();
+  private final ReadingBlock block = new ReadingBlock();
   private final AtomicLong clockMillis = new AtomicLong();
   private final int port;
   private final Map<Integer, NIOConnection> accepted = new ConcurrentHashMap<>();
@@ -118,6 +120,15 @@
     clockMillis.addAndGet(millis);
   }
 
+  /** Returns once the thread that reads stands still. */
+  void blockReading() throws IOException, InterruptedException {
+    block.begin(connect());
+  }
+
+  void readOn() {
+    block.readOn();
+  }
+
   /** From now on a connection to an origin opens when it is told to. */
   void holdOpenings(int origin) {
     heldPort = servers.get(origin).getLocalPort();
@@ -263,6 +274,7 @@
 
   @Override
   public void close() throws IOException {
+    block.close();
     transport.stop();
     for (ServerSocket server : servers) {
       server.close();
@@ -317,6 +329,7 @@
     @Override
     public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
       String path = head.path();
+      block.pass(path);
       if (REFUSED_FOR.containsKey(path)) {
         return Either.left(Refusal.notRun(REFUSED_FOR.get(path)));
       }
