Late reads: the tests' thread is late by 300 ms before it reads on

A thread that had been blocked for a few microseconds only was not late, so that a node which counts lateness in would have passed or failed by chance.

--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/AcceptQueueTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/AcceptQueueTest.java
@@ -25,7 +25,7 @@
         callers.add(caller);
         caller.send(InboundFixture.REFUSED);
       }
-      fixture.readOn();
+      fixture.readOnLate();
       for (RawConnection caller : callers) {
         assertThat(caller.read().status()).isEqualTo(404);
       }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -156,6 +156,11 @@
     block.readOn();
   }
 
+  /** Reads on once the thread is late by {@link ReadingBlock#LATE_MILLIS}. */
+  void readOnLate() throws InterruptedException {
+    block.readOnLate();
+  }
+
   @Override
   public void close() throws IOException {
     block.close();
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/LateConnectionTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateConnectionTest.java
@@ -46,7 +46,7 @@
       caller.socket.close();
       fixture.releaseOpening();
       try (RawConnection origin = fixture.acceptOrigin(0)) {
-        fixture.readOn();
+        fixture.readOnLate();
         fixture.awaitRead();
         next.send("GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
         assertThat(origin.readHead()).startsWith("GET /next ");
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/LateReadTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateReadTest.java
@@ -15,7 +15,6 @@
 class LateReadTest {
   private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
   private static final int MAX_PIPELINED = 16;
-  private static final long UNREAD_MILLIS = 300;
   private static final long SHORT_DEADLINE_MILLIS = 200;
   private static final long LONG_DEADLINE_MILLIS = 600_000;
 
@@ -40,7 +39,7 @@
       fixture.blockReading();
       caller.send(InboundFixture.get("/left"));
       caller.socket.close();
-      fixture.readOn();
+      fixture.readOnLate();
 
       assertNextIsSentOn(origin);
     }
@@ -59,7 +58,7 @@
         fixture.blockReading();
         caller.socket.close();
         busy.send(NO_CONTENT);
-        fixture.readOn();
+        fixture.readOnLate();
         assertThat(first.read().status()).isEqualTo(204);
         first.send(InboundFixture.get("/first"));
         assertThat(busy.readHead()).startsWith("GET /first ");
@@ -95,7 +94,7 @@
       Message sentOn = origin.read();
       assertThat(sentOn.head()).startsWith("GET /in-time ");
       assertThat(Long.parseLong(sentOn.header(ProxyHeaders.DEADLINE)))
-          .isBetween(1L, LONG_DEADLINE_MILLIS - UNREAD_MILLIS);
+          .isBetween(1L, LONG_DEADLINE_MILLIS - ReadingBlock.LATE_MILLIS);
     }
   }
 
@@ -115,8 +114,7 @@
   private void sendUnread(RawConnection caller, String request) throws Exception {
     fixture.blockReading();
     caller.send(request);
-    Thread.sleep(UNREAD_MILLIS);
-    fixture.readOn();
+    fixture.readOnLate();
   }
 
   /** Nothing has been sent on the origin's connection before. */
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -125,8 +125,9 @@
     block.begin(connect());
   }
 
-  void readOn() {
-    block.readOn();
+  /** Reads on once the thread is late by {@link ReadingBlock#LATE_MILLIS}. */
+  void readOnLate() throws InterruptedException {
+    block.readOnLate();
   }
 
   /** From now on a connection to an origin opens when it is told to. */
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ReadingBlock.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ReadingBlock.java
@@ -5,6 +5,9 @@
 
 /** Keeps a listener's only selector thread from reading, once. */
 final class ReadingBlock implements AutoCloseable {
+  /** How late the thread reads at least, after {@link #readOnLate}. */
+  static final long LATE_MILLIS = 300;
+
   private static final String PATH = "/block";
 
   private final CountDownLatch blocked = new CountDownLatch(1);
@@ -35,6 +38,12 @@
     readsOn.countDown();
   }
 
+  /** Lets it read on once it is late. */
+  void readOnLate() throws InterruptedException {
+    Thread.sleep(LATE_MILLIS);
+    readOn();
+  }
+
   @Override
   public void close() throws IOException {
     readOn();
