All connections that wait are accepted in one turn of the selector

Callers' connections, and those of other nodes, waited in the accept queue with their requests in them: the transport accepts one connection of a listener in each turn, so that n of them wait for n turns, the longer the busier the thread is. After a herd's return every caller and every node opens connections at once, and turns take 100 ms and more. The strategy goes on while something has been accepted, at most the backlog in one turn. It also makes the time since the turn's selection a bound for how long a new connection's first request can have waited.

--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/AcceptingStrategy.java
@@ -0,0 +1,77 @@
+package io.umberpath.node.proxy;
+
+import java.io.IOException;
+import java.util.concurrent.Executor;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.ConnectionProbe;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.IOStrategy;
+import org.glassfish.grizzly.Transport;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * Handles events on the selector thread, and accepts all connections that wait. The transport by
+ * itself accepts one in each turn, so that the others wait the longer the busier the thread is. It
+ * has to be a probe of the transport's connections, too.
+ */
+final class AcceptingStrategy extends ConnectionProbe.Adapter implements IOStrategy {
+  private static final Attribute<Long> ACCEPTED =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.accepted", 0L);
+
+  private final IOStrategy strategy = SameThreadIOStrategy.getInstance();
+  private final int mostInTurn;
+
+  /**
+   * Creates a strategy.
+   *
+   * @param mostInTurn connections of one listener that are accepted in one turn
+   */
+  AcceptingStrategy(int mostInTurn) {
+    this.mostInTurn = mostInTurn;
+  }
+
+  @Override
+  @SuppressWarnings("rawtypes") // Grizzly's own signature
+  public void onAcceptEvent(Connection server, Connection client) {
+    ACCEPTED.set(server, ACCEPTED.get(server) + 1);
+  }
+
+  @Override
+  @SuppressWarnings("rawtypes") // Grizzly's own signature
+  public boolean executeIoEvent(Connection connection, IOEvent event) throws IOException {
+    return executeIoEvent(connection, event, true);
+  }
+
+  @Override
+  @SuppressWarnings("rawtypes") // Grizzly's own signature
+  public boolean executeIoEvent(Connection connection, IOEvent event, boolean isEnabled)
+      throws IOException {
+    if (event != IOEvent.SERVER_ACCEPT) {
+      return strategy.executeIoEvent(connection, event, isEnabled);
+    }
+    TCPNIOServerConnection server = (TCPNIOServerConnection) connection;
+    boolean goesOn = true;
+    boolean hasAccepted = true;
+    for (int count = 0; goesOn && hasAccepted && count < mostInTurn; count++) {
+      long before = ACCEPTED.get(server);
+      goesOn = strategy.executeIoEvent(server, event, isEnabled);
+      hasAccepted = ACCEPTED.get(server) > before;
+    }
+    return goesOn;
+  }
+
+  @Override
+  @SuppressWarnings("rawtypes") // Grizzly's own signature
+  public Executor getThreadPoolFor(Connection connection, IOEvent event) {
+    return strategy.getThreadPoolFor(connection, event);
+  }
+
+  @Override
+  public ThreadPoolConfig createDefaultWorkerPoolConfig(Transport transport) {
+    return strategy.createDefaultWorkerPoolConfig(transport);
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -22,7 +22,6 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 
 /**
  * Grizzly's TCP transport with the proxy's filter chains. Everything runs on the selector threads,
@@ -60,16 +59,18 @@
       int threads,
       LateTurnListener lateTurns) {
     this.maxHeaderBytes = maxHeaderBytes;
+    AcceptingStrategy accepting = new AcceptingStrategy(BACKLOG);
     this.transport =
         TCPNIOTransportBuilder.newInstance()
             .setName("umberpath-proxy")
-            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setIOStrategy(accepting)
             .setSelectorHandler(new SelectorTurns(lateTurns))
             .setSelectorRunnersCount(threads)
             .setReadBufferSize(READ_BUFFER_BYTES)
             .setTcpNoDelay(true)
             .setServerConnectionBackLog(BACKLOG)
             .build();
+    transport.getConnectionMonitoringConfig().addProbes(accepting);
     transport.getAsyncQueueIO().getWriter().setMaxPendingBytesPerConnection(WRITE_QUEUE_BYTES);
     this.connector =
         TCPNIOConnectorHandler.builder(transport).processor(clientChain(onReusable)).build();
