Decisions of a gate are carried out one after the other, not within each other

An admitted request that ends at once gives its slot back, which admits the next, and so on down the queue, each within the one before: up to 256 requests on a stack of 256 KB. Behaviour is the same otherwise.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
@@ -6,7 +6,9 @@
 import io.umberpath.traffic.AdmissionController;
 import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.AdmissionController.Decision;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -37,6 +39,7 @@
   private final AtomicLong lastId = new AtomicLong();
   private final Map<Long, Waiting> byId = new ConcurrentHashMap<>();
   private final Map<Exchange, Waiting> byExchange = new ConcurrentHashMap<>();
+  private final ThreadLocal<Deque<Decision>> decisionsUnderWay = new ThreadLocal<>();
 
   /**
    * Creates a gate with every slot free.
@@ -158,16 +161,38 @@
     carryOut(decisions);
   }
 
+  /**
+   * Carries decisions out one after the other. What one of them leads to on the same thread comes
+   * after it: an admitted request that ends at once lets the next in, and so on through the queue.
+   */
   private void carryOut(List<Decision> decisions) {
-    for (Decision decision : decisions) {
-      Waiting waiting = byId.get(decision.id());
-      if (decision instanceof Decision.Admitted) {
-        admit(decision.id(), waiting);
-      } else if (decision instanceof Decision.Refused refused && waiting != null) {
-        forget(waiting);
-        long retryAfter = refused.retryAfterMillis();
-        waiting.exchange().refuse(new Refusal(new Verdict.NotRun(refused.reason()), retryAfter));
+    if (decisions.isEmpty()) {
+      return;
+    }
+    Deque<Decision> underWay = decisionsUnderWay.get();
+    if (underWay != null) {
+      underWay.addAll(decisions);
+      return;
+    }
+    Deque<Decision> queue = new ArrayDeque<>(decisions);
+    decisionsUnderWay.set(queue);
+    try {
+      while (!queue.isEmpty()) {
+        carryOut(queue.remove());
       }
+    } finally {
+      decisionsUnderWay.remove();
+    }
+  }
+
+  private void carryOut(Decision decision) {
+    Waiting waiting = byId.get(decision.id());
+    if (decision instanceof Decision.Admitted) {
+      admit(decision.id(), waiting);
+    } else if (decision instanceof Decision.Refused refused && waiting != null) {
+      forget(waiting);
+      long retryAfter = refused.retryAfterMillis();
+      waiting.exchange().refuse(new Refusal(new Verdict.NotRun(refused.reason()), retryAfter));
     }
   }
 
