--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/EdgeRetries.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/EdgeRetries.java
@@ -72,7 +72,7 @@
     if (nowMillis + MIN_REMAINING_MILLIS > plan.deadlineMillis()) {
       return "no time left";
     }
-    if (exchange.attempts() >= MAX_OFFERS) {
+    if (exchange.history().count() >= MAX_OFFERS) {
       return "offered often enough";
     }
     if (verdict instanceof Verdict.NotRun notRun && !arrived(verdict)) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -197,7 +197,7 @@
       choice.ifPresent(chosen -> balancer.started(now, chosen.backend().id()));
     }
     if (choice.isEmpty()) {
-      exchange.refuse(exchange.lastRefusal().orElseGet(MeshEdgeHandler::nobody));
+      exchange.refuse(exchange.history().lastRefusal().orElseGet(MeshEdgeHandler::nobody));
       return;
     }
     BackendEntry chosen = choice.get().backend();
@@ -339,7 +339,7 @@
     boolean again = decision.isEmpty();
     events.attemptFailed(
         plan,
-        String.valueOf(exchange.lastOrigin()),
+        String.valueOf(exchange.history().lastOrigin()),
         Fingerprints.text(exchange, plan.target(), verdict),
         verdict,
         again ? "" : decision);
@@ -354,12 +354,17 @@
     }
     long millis = clockMillis.getAsLong() - plan.beganMillis();
     if (verdict instanceof Verdict.Completed) {
-      events.requestServed(plan, exchange.attempts(), millis);
+      events.requestServed(plan, exchange.history().count(), millis);
     } else {
       boolean held = VerdictHeader.reasonOf(verdict) == Verdict.Reason.QUARANTINED;
       String fingerprint = held ? Fingerprints.text(exchange, plan.target()) : "";
       events.requestFailed(
-          plan, fingerprint, exchange.attempts(), verdict, millis, exchange.age().unreadMillis());
+          plan,
+          fingerprint,
+          exchange.history().count(),
+          verdict,
+          millis,
+          exchange.age().unreadMillis());
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -135,7 +135,7 @@
     long sinceMicros = (clockMillis.getAsLong() - atMillis) * MICROS_PER_MILLI;
     return gate.runningExchanges().stream()
         .filter(exchange -> planOf(exchange).instance().equals(instance))
-        .anyMatch(exchange -> exchange.sinceSentMicros() > sinceMicros);
+        .anyMatch(exchange -> exchange.history().sinceSentMicros() > sinceMicros);
   }
 
   private void crashed(BackendCrashDetector.Crash crash) {
@@ -151,7 +151,7 @@
     int repeats = 0;
     for (Exchange exchange : gate.runningExchanges()) {
       long expected = expectedMicros(planOf(exchange).route());
-      running.add(new Slowness.Running(exchange.sinceSentMicros(), expected));
+      running.add(new Slowness.Running(exchange.history().sinceSentMicros(), expected));
       repeats += planOf(exchange).hop().isRepeat() ? 1 : 0;
     }
     speed.observe(running);
@@ -351,7 +351,7 @@
     MeshGatePlan plan = planOf(exchange);
     failures.ended(clockMillis.getAsLong(), plan.instance(), refusal, exchange.answeredStatus());
     if (refusal == null) {
-      long usualMicros = speed.usualMicros(plan.route(), exchange.sinceSentMicros());
+      long usualMicros = speed.usualMicros(plan.route(), exchange.history().sinceSentMicros());
       synchronized (routeTimes) {
         routeTimes.add(plan.route(), usualMicros);
       }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -162,7 +162,7 @@
               planOf(exchange).pool().orElseThrow(),
               planOf(exchange).tier(),
               ThreadLocalRandom.current().nextLong(),
-              exchange.triedOrigins());
+              exchange.history().triedOrigins());
       if (choice.isRight()) {
         balancer.started(now, choice.get().address().id());
       }
@@ -171,7 +171,10 @@
       send(exchange, choice.get().address(), now);
     } else {
       exchange.refuse(
-          exchange.lastRefusal().orElseGet(() -> noneLeft(exchange, choice.getLeft(), now)));
+          exchange
+              .history()
+              .lastRefusal()
+              .orElseGet(() -> noneLeft(exchange, choice.getLeft(), now)));
     }
   }
 
@@ -202,15 +205,15 @@
     long left = Math.max(1, plan.deadlineMillis() - nowMillis);
     set(outgoing, ProxyHeaders.DEADLINE, Long.toString(left));
     set(outgoing, ProxyHeaders.REQUEST_ID, attemptId(exchange));
-    set(outgoing, ProxyHeaders.ATTEMPT, Integer.toString(exchange.attempts()));
-    set(outgoing, ChainBudget.HEADER, plan.chain().forAttempt(exchange.attempts()).encode());
+    set(outgoing, ProxyHeaders.ATTEMPT, Integer.toString(exchange.history().count()));
+    set(outgoing, ChainBudget.HEADER, plan.chain().forAttempt(exchange.history().count()).encode());
     set(outgoing, ProxyHeaders.ROUTE, plan.route());
     set(outgoing, ProxyHeaders.TENANT, plan.tenant());
     set(outgoing, ProxyHeaders.TIER, plan.tier().name());
   }
 
   private static String attemptId(Exchange exchange) {
-    return planOf(exchange).requestId() + "." + exchange.attempts();
+    return planOf(exchange).requestId() + "." + exchange.history().count();
   }
 
   private static void set(HttpRequestPacket packet, String name, String value) {
@@ -251,7 +254,7 @@
         new RetryPolicy.FailedAttempt(
             verdict,
             plan.repeatable(),
-            exchange.attempts(),
+            exchange.history().count(),
             exchange.isBodyReplayable(),
             plan.deadlineMillis());
     RetryPolicy policy = retries.get(plan.tier());
@@ -262,7 +265,7 @@
 
   /** What is left of the request's chain budget after the retries made here. */
   private static ChainBudget chainLeft(Exchange exchange) {
-    int made = exchange.attempts() - 1;
+    int made = exchange.history().count() - 1;
     return new ChainBudget(Math.max(0, planOf(exchange).chain().retriesLeft() - made));
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
@@ -147,7 +147,7 @@
     }
     forget(waiting);
     if (waiting.standing().getAndSet(Standing.ENDED) == Standing.ADMITTED) {
-      release(waiting.id(), exchange.sinceSentMicros());
+      release(waiting.id(), exchange.history().sinceSentMicros());
       return;
     }
     cancel(waiting.id());
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AttemptHistory.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AttemptHistory.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.Set;
 
-/** The attempts of one exchange so far, whose lock guards it. */
-final class AttemptHistory {
+/** The attempts of one exchange so far. Thread-safe. */
+public final class AttemptHistory {
   private static final long NANOS_PER_MICRO = 1_000;
 
   private final Set<String> triedOrigins = new HashSet<>();
@@ -17,7 +17,7 @@
   private boolean mayHaveRun;
 
   /** An attempt begins; returns its number. */
-  int begin(String originId) {
+  synchronized int begin(String originId) {
     count++;
     triedOrigins.add(originId);
     lastOrigin = originId;
@@ -25,41 +25,44 @@
   }
 
   /** The attempt is handed to its connection. */
-  void sent() {
+  synchronized void sent() {
     sentNanos = System.nanoTime();
   }
 
   /** An attempt, or the exchange before its first, has failed. */
-  void failed(Refusal refusal) {
+  synchronized void failed(Refusal refusal) {
     mayHaveRun |= refusal.verdict() instanceof Verdict.MayHaveRun;
     lastRefusal = refusal;
   }
 
   /** A refusal that does not say "not run" where an earlier attempt may have. */
-  Refusal truthful(Refusal refusal) {
+  synchronized Refusal truthful(Refusal refusal) {
     boolean overstates = mayHaveRun && refusal.verdict() instanceof Verdict.NotRun;
     return overstates ? Refusal.mayHaveRun(refusal.reason()) : refusal;
   }
 
-  int count() {
+  /** Attempts made so far. */
+  public synchronized int count() {
     return count;
   }
 
   /** Microseconds since the last attempt was handed to its connection; 0 if none was. */
-  long sinceSentMicros() {
+  public synchronized long sinceSentMicros() {
     return sentNanos == 0 ? 0 : (System.nanoTime() - sentNanos) / NANOS_PER_MICRO;
   }
 
-  Optional<Refusal> lastRefusal() {
+  /** How the last attempt ended, if one did. */
+  public synchronized Optional<Refusal> lastRefusal() {
     return Optional.ofNullable(lastRefusal);
   }
 
   /** The origin of the last attempt; null before the first. */
-  String lastOrigin() {
+  public synchronized String lastOrigin() {
     return lastOrigin;
   }
 
-  Set<String> triedOrigins() {
+  /** Origins that have been tried. */
+  public synchronized Set<String> triedOrigins() {
     return Set.copyOf(triedOrigins);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -9,7 +9,6 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
@@ -59,16 +58,16 @@
     return request;
   }
 
+  /** The attempts made so far. */
+  public AttemptHistory history() {
+    return history;
+  }
+
   /** What was decided about it. */
   public RequestPlan plan() {
     return plan;
   }
 
-  /** Attempts made so far. */
-  public synchronized int attempts() {
-    return history.count();
-  }
-
   /** Whether everything received of the body can be sent again. */
   public synchronized boolean isBodyReplayable() {
     return body.isReplayable();
@@ -89,31 +88,11 @@
     return age;
   }
 
-  /** Microseconds since the last attempt was handed to its connection; 0 if none was. */
-  public synchronized long sinceSentMicros() {
-    return history.sinceSentMicros();
-  }
-
-  /** How the last attempt ended, if one did. */
-  public synchronized Optional<Refusal> lastRefusal() {
-    return history.lastRefusal();
-  }
-
   /** The origin of the attempt under way; null if there is none. */
   public synchronized String currentOrigin() {
     return attempt == null ? null : attempt.originId();
   }
 
-  /** The origin of the last attempt; null before the first. */
-  public synchronized String lastOrigin() {
-    return history.lastOrigin();
-  }
-
-  /** Origins that have been tried. */
-  public synchronized Set<String> triedOrigins() {
-    return history.triedOrigins();
-  }
-
   /** Begins with the head and the first piece of the body; returns whether to read on. */
   boolean begin(HttpContent first) {
     environment.stats().inFlight(handler.side(), 1);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/UnansweredRequests.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/UnansweredRequests.java
@@ -24,7 +24,7 @@
   static UnansweredRequests of(
       ProxyStats.Side side, ConnectionEnd end, List<Exchange> begun, boolean isHeadUnbegun) {
     List<String> ids = begun.stream().map(UnansweredRequests::idOf).toList();
-    int sentOn = (int) begun.stream().filter(exchange -> exchange.attempts() > 0).count();
+    int sentOn = (int) begun.stream().filter(exchange -> exchange.history().count() > 0).count();
     return new UnansweredRequests(side, end, ids, sentOn, isHeadUnbegun ? 1 : 0);
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -347,7 +347,7 @@
       if (path.equals("/after")) {
         heldBack = exchange;
       } else {
-        send(exchange, path.equals("/rest") || exchange.attempts() > 0 ? 1 : 0);
+        send(exchange, path.equals("/rest") || exchange.history().count() > 0 ? 1 : 0);
       }
     }
 
