A request's time runs since it can have arrived, at the edge and at the gate

Callers that leave at a deadline of 200 ms had left for up to 1.8 s when their requests reached back ends: each node computed the deadline from the moment at which it decoded the head, so that the time in its socket counted nowhere, and the gate began the rest anew. The plan gets the earliest moment of arrival (Arrival: the selection before, accepting, reading that stood still). It is an upper bound for the age: a request may be given up by the length of a turn too early, as not run. Windows of retries keep the present time, which must not go back. LateReadTest, deadline cases: sent on with 200 of 200 ms after 300 ms unread before; pass now.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -107,7 +107,7 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis) {
     if (refusing) {
       return Either.left(
           new Refusal(new Verdict.NotRun(Verdict.Reason.DRAINING), RETRY_WHEN_NOBODY_MILLIS));
@@ -130,7 +130,8 @@
     long timeout = Math.min(stated.get(), rule.get().timeoutMillis());
     boolean returned = isReturned(rule.get(), stated.get());
     return Either.right(
-        plan(head, requestId.get(), rule.get(), current.version(), nowMillis, timeout, returned));
+        plan(
+            head, requestId.get(), rule.get(), current.version(), arrivedMillis, timeout, returned));
   }
 
   private MeshEdgePlan plan(
@@ -138,21 +139,21 @@
       String requestId,
       RoutingRule rule,
       long version,
-      long nowMillis,
+      long arrivedMillis,
       long timeoutMillis,
       boolean returned) {
     String service;
     synchronized (split) {
       service = split.next(rule);
     }
-    retries.requestStarted(nowMillis, rule.name(), service);
+    retries.requestStarted(clockMillis.getAsLong(), rule.name(), service);
     return new MeshEdgePlan(
         requestId,
         rule,
         service,
         version,
-        nowMillis + timeoutMillis,
-        nowMillis,
+        arrivedMillis + timeoutMillis,
+        arrivedMillis,
         Fingerprints.targetOf(head),
         returned,
         replacedHeaders,
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -216,7 +216,7 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis) {
     Optional<String> requestId = head.field(settings.headers().requestId());
     Optional<HopHeader> hop = head.field(HopHeader.HEADER).flatMap(HopHeader::decode);
     Optional<Long> left = head.field(settings.headers().deadline()).flatMap(Headers::number);
@@ -229,8 +229,8 @@
         new MeshGatePlan(
             requestId.get(),
             hop.get(),
-            nowMillis + left.get(),
-            nowMillis,
+            arrivedMillis + left.get(),
+            arrivedMillis,
             Fingerprints.targetOf(head),
             replacedHeaders));
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -89,7 +89,7 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis) {
     if (draining) {
       return Either.left(Refusal.notRun(Verdict.Reason.DRAINING));
     }
@@ -113,10 +113,10 @@
     if (timeout <= 0) {
       return Either.left(Refusal.notRun(Verdict.Reason.DEADLINE));
     }
-    PoolRequestPlan plan = plan(head, snapshot, route.get(), nowMillis + timeout);
+    PoolRequestPlan plan = plan(head, snapshot, route.get(), arrivedMillis + timeout);
     RetryPolicy policy = retries.get(plan.tier());
     synchronized (policy) {
-      policy.requestStarted(nowMillis, plan.chain());
+      policy.requestStarted(clockMillis.getAsLong(), plan.chain());
     }
     return Either.right(plan);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
@@ -76,7 +76,7 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis) {
     Optional<String> requestId = head.field(ProxyHeaders.REQUEST_ID);
     Either<String, Optional<Long>> stated = Headers.deadlineMillis(head);
     if (requestId.isEmpty() || stated.isLeft()) {
@@ -90,7 +90,7 @@
             head.field(ProxyHeaders.TENANT).orElse(""),
             tier(head),
             false,
-            nowMillis + timeout,
+            arrivedMillis + timeout,
             Optional.empty(),
             Optional.empty(),
             ChainBudget.ofRequest(head.field(ChainBudget.HEADER), RetrySettings.DEFAULT));
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -102,7 +102,7 @@
     Either<Refusal, RequestPlan> decision =
         broken
             ? Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST))
-            : handler.plan(request, now);
+            : handler.plan(request, now - age.unreadMillis());
     boolean readOn;
     synchronized (this) {
       readOn = broken || take(first);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -14,8 +14,12 @@
   /** The listener, for counting. */
   ProxyStats.Side side();
 
-  /** Decides whether and how a request is served, from its head alone. */
-  Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis);
+  /**
+   * Decides whether and how a request is served, from its head alone.
+   *
+   * @param arrivedMillis the earliest moment at which it can have arrived; its time runs since then
+   */
+  Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis);
 
   /**
    * Chooses where the next attempt goes; calls {@link Exchange#sendTo} or {@link Exchange#refuse},
