What has arrived is read before work begins, and work is asked for again where it is sent

Requests were decided on and sent within the event that read them, while the end of their caller lay unread behind them, or was read but handled only some turns later. So a node that was late sent on for callers that had gone. Now work that begins in a late turn (20 ms) waits until a whole turn of reading has followed, and begins in slices with reading between them, each no longer than that reading or 20 ms. Right before the bytes are written, the exchange asks again for its caller, its deadline and the back end; nothing was written, so the refusal is firm. What is sent from the timer's thread goes to the thread that reads.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -131,7 +131,13 @@
     boolean returned = isReturned(rule.get(), stated.get());
     return Either.right(
         plan(
-            head, requestId.get(), rule.get(), current.version(), arrivedMillis, timeout, returned));
+            head,
+            requestId.get(),
+            rule.get(),
+            current.version(),
+            arrivedMillis,
+            timeout,
+            returned));
   }
 
   private MeshEdgePlan plan(
@@ -242,7 +248,7 @@
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
     MeshEdgePlan plan = planOf(exchange);
     HeaderNames names = settings.headers();
-    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    long left = plan.deadlineMillis() - nowMillis;
     set(outgoing, names.deadline(), Long.toString(left));
     set(outgoing, names.callerService(), settings.service());
     HopHeader hop =
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -299,10 +299,18 @@
     }
   }
 
+  @Override
+  public Optional<Refusal> refusalAtSending(RequestPlan plan, long nowMillis) {
+    if (!backend.takes(((MeshGatePlan) plan).instance())) {
+      return Optional.of(Refusal.notRun(Verdict.Reason.DRAINING));
+    }
+    return RequestHandler.super.refusalAtSending(plan, nowMillis);
+  }
+
   @Override
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
     MeshGatePlan plan = planOf(exchange);
-    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    long left = plan.deadlineMillis() - nowMillis;
     HeaderNames names = settings.headers();
     outgoing.getHeaders().setValue(names.deadline()).setString(Long.toString(left));
     outgoing.getHeaders().setValue(names.expectedInstance()).setString(plan.instance());
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -202,7 +202,7 @@
   @Override
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
     PoolRequestPlan plan = planOf(exchange);
-    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    long left = plan.deadlineMillis() - nowMillis;
     set(outgoing, ProxyHeaders.DEADLINE, Long.toString(left));
     set(outgoing, ProxyHeaders.REQUEST_ID, attemptId(exchange));
     set(outgoing, ProxyHeaders.ATTEMPT, Integer.toString(exchange.history().count()));
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
@@ -128,7 +128,7 @@
   @Override
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
     PoolRequestPlan plan = planOf(exchange);
-    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    long left = plan.deadlineMillis() - nowMillis;
     outgoing.getHeaders().addValue(ProxyHeaders.DEADLINE).setString(Long.toString(left));
     outgoing.getHeaders().addValue(ProxyHeaders.REQUEST_ID).setString(plan.requestId());
     outgoing.getHeaders().addValue(ChainBudget.HEADER).setString(plan.chain().encode());
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
@@ -41,7 +41,14 @@
 
   @Override
   public void connected(OriginConnection connection) {
-    if (!exchange.attemptConnected(this, connection)) {
+    connection.beginWork(() -> sendOn(connection));
+  }
+
+  private void sendOn(OriginConnection connection) {
+    if (!connection.isIdle()) {
+      // Its peer has ended it, and nothing has been written.
+      notConnected(Verdict.Reason.UNREACHABLE);
+    } else if (!exchange.attemptConnected(this, connection)) {
       pool.release(connection);
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -27,6 +27,13 @@
    */
   void dispatch(Exchange exchange);
 
+  /** Asked right before an attempt is sent: why it is not to be, if there is a reason. */
+  default Optional<Refusal> refusalAtSending(RequestPlan plan, long nowMillis) {
+    return plan.deadlineMillis() <= nowMillis
+        ? Optional.of(Refusal.notRun(Verdict.Reason.DEADLINE))
+        : Optional.empty();
+  }
+
   /** Adds the handler's own headers to the request of an attempt. */
   void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis);
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
@@ -3,6 +3,7 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.HeaderFields;
+import io.umberpath.node.proxy.turn.SelectorTurns;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
@@ -71,6 +72,15 @@
     return stage == Stage.IDLE && connection.isOpen();
   }
 
+  /** Begins work on a selector thread, at once if that has read what has arrived. */
+  public void beginWork(Runnable work) {
+    if (SelectorTurns.isSelectorThread()) {
+      SelectorTurns.beginWork(work);
+    } else {
+      OwnTurn.run(connection, () -> SelectorTurns.beginWork(work));
+    }
+  }
+
   /** Begins an attempt: answers go to the listener from now on. */
   public synchronized void begin(AnswerListener newListener) {
     listener = newListener;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/turn/SelectorTurns.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/turn/SelectorTurns.java
@@ -8,14 +8,25 @@
 import org.glassfish.grizzly.nio.SelectorRunner;
 
 /**
- * Selects, and keeps for each selector thread since when what it reads in the present turn may have
- * been waiting: the sockets that were ready before were read in the turn before, so that what is
- * read now arrived after that turn's sockets had been selected.
+ * Selects, in turns that read before they begin work. For each selector thread it keeps since when
+ * what is read in the present turn may have been waiting: the sockets that were ready before were
+ * read in the turn before, so that what is read now arrived after that turn's sockets had been
+ * selected.
+ *
+ * <p>Work that is begun in a turn that came late ({@link #beginWork}) waits until all that has
+ * arrived meanwhile has been read: the end of its caller may be among it. It is then begun in
+ * slices, with a turn of reading between them.
  */
 public final class SelectorTurns extends DefaultSelectorHandler {
   /** Turns that end sooner keep nothing waiting for long enough to matter. */
   private static final long SHORT_TURN_NANOS = 5_000_000;
 
+  /** Delay of reading from which on work waits for another turn of reading. */
+  private static final long LATE_NANOS = 20_000_000;
+
+  /** Least time for work between two turns of reading; it gets half of a busy thread's time. */
+  private static final long SLICE_NANOS = 20_000_000;
+
   private static final long NANOS_PER_MICRO = 1_000;
   private static final ThreadLocal<Turn> TURN = new ThreadLocal<>();
 
@@ -39,12 +50,40 @@
     return turn == null ? System.nanoTime() : turn.earliestArrivalNanos;
   }
 
+  /** Whether the calling thread selects, for any transport. */
+  public static boolean isSelectorThread() {
+    return TURN.get() != null;
+  }
+
   /** When the selection before the present turn's was made; now if it is no selector thread. */
   static long lastSelectedNanos() {
     Turn turn = TURN.get();
     return turn == null ? System.nanoTime() : turn.lastSelectedNanos;
   }
 
+  /**
+   * Begins work at once, or if this thread is late, after it has read what has arrived meanwhile.
+   * Work begins in the order of its calls.
+   */
+  public static void beginWork(Runnable work) {
+    Turn turn = TURN.get();
+    if (turn == null || !turn.isLate()) {
+      work.run();
+    } else {
+      turn.pending.add(work);
+    }
+  }
+
+  @Override
+  public boolean preSelect(SelectorRunner runner) throws IOException {
+    boolean goesOn = super.preSelect(runner);
+    Turn turn = TURN.get();
+    if (turn != null) {
+      turn.beginPending();
+    }
+    return goesOn;
+  }
+
   @Override
   public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
     Turn turn = TURN.get();
@@ -53,17 +92,18 @@
       TURN.set(turn);
     }
     long lastedNanos = System.nanoTime() - turn.selectedNanos;
-    if (lastedNanos < SHORT_TURN_NANOS) {
-      return turn.begin(super.select(runner));
+    boolean wasLong = lastedNanos >= SHORT_TURN_NANOS;
+    if (wasLong) {
+      listener.turnEnded(lastedNanos / NANOS_PER_MICRO, turn.sockets);
     }
-    listener.turnEnded(lastedNanos / NANOS_PER_MICRO, turn.sockets);
     Selector selector = runner.getSelector();
-    if (selector == null || selector.selectNow() == 0) {
-      return turn.begin(selectNew(runner));
+    if (selector == null || !wasLong && !turn.pending.isWaiting()) {
+      return turn.begin(super.select(runner), false);
     }
-    Set<SelectionKey> waiting = turn.begin(selector.selectedKeys());
-    turn.earliestArrivalNanos = turn.lastSelectedNanos;
-    return waiting;
+    if (selector.selectNow() > 0) {
+      return turn.begin(selector.selectedKeys(), true);
+    }
+    return turn.begin(turn.pending.isWaiting() ? Set.of() : selectNew(runner), false);
   }
 
   /** Nothing has been waiting: what comes from now on is not late. */
@@ -73,18 +113,31 @@
     return isTaskWaiting ? Set.of() : super.select(runner);
   }
 
+  /** One selector thread's present turn. */
   private static final class Turn {
+    private final PendingWork pending = new PendingWork();
     private long selectedNanos = System.nanoTime();
     private long lastSelectedNanos = selectedNanos;
     private long earliestArrivalNanos = selectedNanos;
     private int sockets;
 
-    Set<SelectionKey> begin(Set<SelectionKey> selected) {
+    Set<SelectionKey> begin(Set<SelectionKey> selected, boolean isWaiting) {
       lastSelectedNanos = selectedNanos;
       selectedNanos = System.nanoTime();
-      earliestArrivalNanos = selectedNanos;
+      earliestArrivalNanos = isWaiting ? lastSelectedNanos : selectedNanos;
       sockets = selected.size();
+      pending.turnBegins();
       return selected;
     }
+
+    boolean isLate() {
+      return !pending.isBeginning()
+          && (pending.isWaiting() || System.nanoTime() - earliestArrivalNanos >= LATE_NANOS);
+    }
+
+    void beginPending() {
+      long readingNanos = System.nanoTime() - selectedNanos;
+      pending.begin(Math.max(SLICE_NANOS, readingNanos));
+    }
   }
 }
