A timer that finds reading late judges after it

What callers and back ends saw: answers that lay unread at the deadline were replaced by 504, and connections to other nodes that had opened were given up as unreachable after 300 ms, their back ends avoided for another 300 ms, whenever the selector thread was behind. The timer judged by what had been read, not by what had arrived. Now it hands the judgement to the thread that reads, for after a whole turn of reading, if that thread has been busy for 20 ms or the timer itself came late; otherwise it judges at once, as before. LateJudgementTest: both cases failed with the judgement made at once, pass now.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -31,6 +31,9 @@
    */
   private static final long TICK_MILLIS = 50;
 
+  /** Gap between two ticks from which on sockets may be as late as the timer, milliseconds. */
+  private static final long LATE_TICK_MILLIS = 2 * TICK_MILLIS;
+
   /** Gap between two ticks from which on this process stood still, milliseconds. */
   private static final long PAUSE_MILLIS = 1_000;
 
@@ -80,6 +83,7 @@
   private final Runnable second = this::second;
   private long ticks;
   private long lastTickMillis;
+  private boolean isTickLate;
   private volatile boolean leaving;
   private volatile boolean backendLeaving;
 
@@ -201,6 +205,7 @@
     long now = clockMillis.getAsLong();
     long gap = now - lastTickMillis;
     lastTickMillis = now;
+    isTickLate = gap >= LATE_TICK_MILLIS;
     if (gap >= PAUSE_MILLIS) {
       events.paused(gap);
       proxy.closeIdleOrigins();
@@ -208,7 +213,7 @@
   }
 
   private void keepDeadlines() {
-    proxy.keepDeadlines(clockMillis.getAsLong());
+    proxy.keepDeadlines(isTickLate);
   }
 
   private void everyFew(int count, Runnable task) {
@@ -228,7 +233,7 @@
 
   private void sweep() {
     state.settle();
-    proxy.sweep();
+    proxy.sweep(isTickLate);
     if (backend.refresh()) {
       proxy.gate().gate().resize(backend.slots());
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -50,6 +50,8 @@
   private final InboundFilter gateFilter;
   private final List<Listener> listeners = new ArrayList<>();
   private final LongSupplier clockMillis;
+  private final Runnable endOverdue = this::endOverdue;
+  private final Runnable giveUpLate = this::giveUpLate;
 
   MeshProxy(
       MeshSettings settings,
@@ -170,19 +172,36 @@
     new ConnectionDrain(List.of(edgeFilter, gateFilter), clockMillis).run(endMillis);
   }
 
-  /** Ends what is past its deadline. */
-  void keepDeadlines(long nowMillis) {
+  /**
+   * Ends what is past its deadline.
+   *
+   * @param isTimerLate whether the caller had no processor for a while
+   */
+  void keepDeadlines(boolean isTimerLate) {
     if (active.size() > 0) {
-      active.expire(nowMillis);
-      gate.tick(nowMillis);
+      transport.judge(endOverdue, isTimerLate);
     }
   }
 
-  /** Gives up connections that do not open, and looks how fast the back end is. */
-  void sweep() {
+  private void endOverdue() {
+    long now = clockMillis.getAsLong();
+    active.expire(now);
+    gate.tick(now);
+  }
+
+  /**
+   * Gives up connections that do not open, and looks how fast the back end is.
+   *
+   * @param isTimerLate whether the caller had no processor for a while
+   */
+  void sweep(boolean isTimerLate) {
+    transport.judge(giveUpLate, isTimerLate);
+    gate.observe();
+  }
+
+  private void giveUpLate() {
     backendPool.expire(IDLE_BACKEND_MILLIS);
     origins.giveUpLate();
-    gate.observe();
   }
 
   /** Closes connections to other nodes and to the back end on which nothing is under way. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -11,6 +11,8 @@
 import io.umberpath.node.proxy.turn.SelectorTurns;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
@@ -35,6 +37,8 @@
 
   private final TCPNIOTransport transport;
   private final TCPNIOConnectorHandler connector;
+  private final SelectorTurns turns;
+  private final Set<Runnable> waitingJudgements = ConcurrentHashMap.newKeySet();
   private final int maxHeaderBytes;
 
   ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable) {
@@ -59,12 +63,13 @@
       int threads,
       LateTurnListener lateTurns) {
     this.maxHeaderBytes = maxHeaderBytes;
+    this.turns = new SelectorTurns(lateTurns);
     AcceptingStrategy accepting = new AcceptingStrategy(BACKLOG);
     this.transport =
         TCPNIOTransportBuilder.newInstance()
             .setName("umberpath-proxy")
             .setIOStrategy(accepting)
-            .setSelectorHandler(new SelectorTurns(lateTurns))
+            .setSelectorHandler(turns)
             .setSelectorRunnersCount(threads)
             .setReadBufferSize(READ_BUFFER_BYTES)
             .setTcpNoDelay(true)
@@ -112,6 +117,31 @@
         .bind(new InetSocketAddress(host, port));
   }
 
+  /**
+   * Judges by what has arrived: at once, or if reading is behind, after that. A selector thread
+   * that had no processor may have the answer, or the connection, that a timer misses. The same
+   * judgement does not wait twice.
+   *
+   * @param isTimerLate whether the caller itself had no processor
+   */
+  public void judge(Runnable judgement, boolean isTimerLate) {
+    if (isTimerLate || turns.isBehind()) {
+      judgeAfterReading(judgement);
+    } else {
+      judgement.run();
+    }
+  }
+
+  private void judgeAfterReading(Runnable judgement) {
+    if (waitingJudgements.add(judgement)) {
+      turns.afterReading(
+          () -> {
+            waitingJudgements.remove(judgement);
+            judgement.run();
+          });
+    }
+  }
+
   /** Listens for connections that can be ended in order. */
   public Listener listen(String host, int port, InboundFilter last) throws IOException {
     return new Listener(listen(host, port, (Filter) last), last);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/turn/PendingWork.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/turn/PendingWork.java
@@ -49,7 +49,7 @@
   }
 
   /** Work that throws must not end the selector thread, nor what waits behind it. */
-  private static void beginGuarded(Runnable work) {
+  static void beginGuarded(Runnable work) {
     try {
       work.run();
     } catch (RuntimeException fault) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/turn/SelectorTurns.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/turn/SelectorTurns.java
@@ -4,6 +4,8 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.nio.DefaultSelectorHandler;
 import org.glassfish.grizzly.nio.SelectorRunner;
 
@@ -31,6 +33,7 @@
   private static final ThreadLocal<Turn> TURN = new ThreadLocal<>();
 
   private final LateTurnListener listener;
+  private final Set<Turn> turns = ConcurrentHashMap.newKeySet();
 
   /**
    * Creates a handler for one transport.
@@ -74,6 +77,45 @@
     }
   }
 
+  /** Whether a thread has been busy for so long that what has arrived may lie unread. */
+  public boolean isBehind() {
+    for (Turn turn : turns) {
+      if (turn.isBusyTooLong()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Runs a task once each thread has read what has arrived before this call. With several threads
+   * it runs on the last of them.
+   */
+  public void afterReading(Runnable task) {
+    if (turns.isEmpty()) {
+      task.run();
+      return;
+    }
+    AtomicInteger reading = new AtomicInteger(turns.size());
+    for (Turn turn : turns) {
+      enque(turn.runner, () -> afterNextTurn(turn, reading, task), null);
+    }
+  }
+
+  private boolean afterNextTurn(Turn turn, AtomicInteger reading, Runnable task) {
+    // From its own thread a task is put off until after the next turn.
+    enque(
+        turn.runner,
+        () -> {
+          if (reading.decrementAndGet() == 0) {
+            PendingWork.beginGuarded(task);
+          }
+          return true;
+        },
+        null);
+    return true;
+  }
+
   @Override
   public boolean preSelect(SelectorRunner runner) throws IOException {
     boolean goesOn = super.preSelect(runner);
@@ -88,8 +130,9 @@
   public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
     Turn turn = TURN.get();
     if (turn == null) {
-      turn = new Turn();
+      turn = new Turn(runner);
       TURN.set(turn);
+      turns.add(turn);
     }
     long lastedNanos = System.nanoTime() - turn.selectedNanos;
     boolean wasLong = lastedNanos >= SHORT_TURN_NANOS;
@@ -97,6 +140,7 @@
       listener.turnEnded(lastedNanos / NANOS_PER_MICRO, turn.sockets);
     }
     Selector selector = runner.getSelector();
+    turn.isSelecting = true;
     if (selector == null || !wasLong && !turn.pending.isWaiting()) {
       return turn.begin(super.select(runner), false);
     }
@@ -116,14 +160,25 @@
   /** One selector thread's present turn. */
   private static final class Turn {
     private final PendingWork pending = new PendingWork();
-    private long selectedNanos = System.nanoTime();
+    private final SelectorRunner runner;
+    private volatile boolean isSelecting;
+    private volatile long selectedNanos = System.nanoTime();
     private long lastSelectedNanos = selectedNanos;
     private long earliestArrivalNanos = selectedNanos;
     private int sockets;
 
+    Turn(SelectorRunner runner) {
+      this.runner = runner;
+    }
+
+    boolean isBusyTooLong() {
+      return !isSelecting && System.nanoTime() - selectedNanos >= LATE_NANOS;
+    }
+
     Set<SelectionKey> begin(Set<SelectionKey> selected, boolean isWaiting) {
       lastSelectedNanos = selectedNanos;
       selectedNanos = System.nanoTime();
+      isSelecting = false;
       earliestArrivalNanos = isWaiting ? lastSelectedNanos : selectedNanos;
       sockets = selected.size();
       pending.turnBegins();
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -147,11 +147,32 @@
     clockMillis.addAndGet(millis);
   }
 
+  /** What the timer of a node does, here on the calling thread. */
+  void keepDeadlines() {
+    transport.judge(() -> active.expire(clockMillis.get()), false);
+  }
+
+  /** The same for connections that do not open. */
+  void giveUpLateConnections() {
+    transport.judge(pool::giveUpLate, false);
+  }
+
   /** Returns once the thread that reads stands still. */
   void blockReading() throws IOException, InterruptedException {
     block.begin(connect());
   }
 
+  /** The same, in the turn in which it has read a request of the caller. */
+  void blockReadingBehind(RawConnection caller, String request)
+      throws IOException, InterruptedException {
+    block.beginBehind(caller, request);
+  }
+
+  /** Returns once the thread that stands still is late. */
+  void standLate() throws InterruptedException {
+    block.standLate();
+  }
+
   void readOn() {
     block.readOn();
   }
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateJudgementTest.java
@@ -0,0 +1,61 @@
+package io.umberpath.node.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A timer does not judge by what a selector thread has not read yet. */
+@Timeout(60)
+class LateJudgementTest {
+  private static final long DEADLINE_MILLIS = 600_000;
+
+  private InboundFixture fixture;
+
+  @BeforeEach
+  void start() throws IOException {
+    fixture = new InboundFixture();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    fixture.close();
+  }
+
+  /** The answer has arrived before the deadline and lies unread behind it. */
+  @Test
+  void anAnswerThatLiesUnreadAtItsDeadlineIsDelivered() throws Exception {
+    try (RawConnection origin = fixture.restingOrigin();
+        RawConnection caller = fixture.connect()) {
+      caller.send(InboundFixture.get("/answered", DEADLINE_MILLIS));
+      assertThat(origin.readHead()).startsWith("GET /answered ");
+      fixture.blockReading();
+      origin.send("HTTP/1.1 204 No Content\r\n\r\n");
+      fixture.standLate();
+      fixture.advance(DEADLINE_MILLIS);
+      fixture.keepDeadlines();
+      fixture.readOn();
+
+      assertThat(caller.read().status()).isEqualTo(204);
+    }
+  }
+
+  /** The connection has opened, and the thread that is to hear of it stands still. */
+  @Test
+  void aConnectionThatHasOpenedUnreadIsNotGivenUp() throws Exception {
+    try (RawConnection caller = fixture.connect()) {
+      fixture.blockReadingBehind(caller, InboundFixture.get("/connecting", DEADLINE_MILLIS));
+      fixture.standLate();
+      fixture.advance(DEADLINE_MILLIS / 2);
+      fixture.giveUpLateConnections();
+      fixture.readOn();
+
+      try (RawConnection origin = fixture.acceptOrigin()) {
+        assertThat(origin.readHead()).startsWith("GET /connecting ");
+      }
+    }
+  }
+}
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ReadingBlock.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ReadingBlock.java
@@ -16,8 +16,14 @@
 
   /** Sends the request that blocks; returns once the thread that reads stands still. */
   void begin(RawConnection newCaller) throws IOException, InterruptedException {
+    beginBehind(newCaller, "");
+  }
+
+  /** The same, in the turn in which it has read another request. */
+  void beginBehind(RawConnection newCaller, String request)
+      throws IOException, InterruptedException {
     caller = newCaller;
-    caller.send("GET " + PATH + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    caller.send(request + "GET " + PATH + " HTTP/1.1\r\nHost: a\r\n\r\n");
     blocked.await();
   }
 
@@ -38,9 +44,14 @@
     readsOn.countDown();
   }
 
+  /** Returns once the thread is late. */
+  void standLate() throws InterruptedException {
+    Thread.sleep(LATE_MILLIS);
+  }
+
   /** Lets it read on once it is late. */
   void readOnLate() throws InterruptedException {
-    Thread.sleep(LATE_MILLIS);
+    standLate();
     readOn();
   }
 
