Sight: a connection that an exception of the program ended is not told as ended by its caller

An exception that leaves a filter makes the transport close the caller's connection, whose requests then have no answer, although one may have been sent on. connection-ended named the cause "peer" for it, as for a caller that left; the trace stood in a line that names no request.

The cause is "fault" now, told by the transport's reason for the close.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -373,7 +373,7 @@
     }
   }
 
-  /** The peer is gone. */
+  /** The connection is gone. */
   void closed() {
     List<Exchange> open;
     ConnectionEnd cause;
@@ -381,7 +381,10 @@
     synchronized (this) {
       state = ConnectionState.CLOSED;
       open = turns.takeAll();
-      cause = endedBy;
+      cause =
+          endedBy == ConnectionEnd.PEER
+              ? ConnectionEnd.unmeant(connection.getCloseReason())
+              : endedBy;
       isHeadUnbegun = suspended.isAtHead();
     }
     // Exchanges are asked for their own state, under their own locks.
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ConnectionEnd.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ConnectionEnd.java
@@ -1,5 +1,7 @@
 package io.umberpath.node.proxy.inbound;
 
+import org.glassfish.grizzly.CloseReason;
+
 /** Why a caller's connection ends. */
 public enum ConnectionEnd {
   /** The peer ended or lost it. */
@@ -11,5 +13,19 @@
   /** An answer broke off, which must not look complete. */
   BROKEN_ANSWER,
   /** The process ends. */
-  STOP
+  STOP,
+  /** The program failed while it handled what was read. */
+  FAULT;
+
+  /** Why a connection ends that this node did not mean to end. */
+  static ConnectionEnd unmeant(CloseReason reason) {
+    boolean isFault = reason != null && isOfProgram(reason.getCause());
+    return isFault ? FAULT : PEER;
+  }
+
+  /** The transport wraps what a filter throws; what the socket throws is bare. */
+  private static boolean isOfProgram(Throwable cause) {
+    return cause != null
+        && (cause.getCause() instanceof RuntimeException || cause.getCause() instanceof Error);
+  }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -6,19 +6,22 @@
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
 import io.umberpath.node.proxy.inbound.ConnectionDrain;
-import io.umberpath.node.proxy.inbound.ConnectionLog;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.inbound.Refusal;
 import io.umberpath.node.proxy.inbound.RequestPlan;
+import io.umberpath.node.proxy.inbound.UnansweredRequests;
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A listener on one selector thread that refuses all requests, and can be kept from reading. */
@@ -26,12 +29,17 @@
   /** A request that is answered 404. */
   static final String REFUSED = "GET /refused HTTP/1.1\r\nHost: a\r\n\r\n";
 
+  /** A request whose handling fails once it has been begun. */
+  static final String FAULTY = "GET /faulty HTTP/1.1\r\nHost: a\r\n\r\n";
+
+  private static final String FAULT = "/faulty";
   private static final long TIMEOUT_MILLIS = 10_000;
   private static final String BLOCK = "/block";
 
   private final ProxyTransport transport =
       new ProxyTransport(ProxyFixture.MAX_HEADER_BYTES, ConnectionPool::giveBack, 1);
   private final ActiveExchanges active = new ActiveExchanges();
+  private final BlockingQueue<UnansweredRequests> ended = new LinkedBlockingQueue<>();
   private final AtomicLong clockMillis = new AtomicLong();
   private final InboundFilter filter;
   private final Listener listener;
@@ -46,7 +54,7 @@
             clockMillis::get,
             ProxyStats.NONE,
             AttemptLog.CUT_OFF_ONLY,
-            ConnectionLog.NONE,
+            ended::add,
             active,
             () -> Long.MAX_VALUE);
     filter = new InboundFilter(new Handler(), environment);
@@ -79,6 +87,11 @@
     assertThat(active.awaitNone(TIMEOUT_MILLIS)).isTrue();
   }
 
+  /** The next connection that ends with requests unanswered; null if none does in time. */
+  UnansweredRequests awaitEnded() throws InterruptedException {
+    return ended.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   void advance(long millis) {
     clockMillis.addAndGet(millis);
   }
@@ -103,6 +116,23 @@
     transport.stop();
   }
 
+  private record FaultyPlan() implements RequestPlan {
+    @Override
+    public String requestId() {
+      return "request-1";
+    }
+
+    @Override
+    public String route() {
+      return "route-1";
+    }
+
+    @Override
+    public long deadlineMillis() {
+      return Long.MAX_VALUE;
+    }
+  }
+
   private final class Handler extends StubRequestHandler {
 
     @Override
@@ -111,6 +141,9 @@
         blocked.countDown();
         awaitReadsOn();
       }
+      if (head.path().equals(FAULT)) {
+        return Either.right(new FaultyPlan());
+      }
       return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
     }
 
