--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -241,8 +241,13 @@
 
   /** The caller's connection is gone. */
   void onCallerGone() {
+    giveUp(Verdict.Reason.CANCELLED);
+  }
+
+  /** Ends the request without another attempt. */
+  void giveUp(Verdict.Reason reason) {
     synchronized (this) {
-      fail(asFirmAsPossible(Verdict.Reason.CANCELLED), false);
+      fail(asFirmAsPossible(reason), false);
     }
     afterLock();
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -323,6 +323,11 @@
       String path = ((Plan) exchange.plan()).path();
       if (path.equals("/after")) {
         heldBack = exchange;
+      } else if (path.startsWith("/fault")) {
+        if (path.equals("/fault-after-sending")) {
+          send(exchange, 1);
+        }
+        throw new IllegalStateException("the handler fails");
       } else {
         send(exchange, path.equals("/rest") || exchange.attempts() > 0 ? 1 : 0);
       }
