--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -8,13 +8,13 @@
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.inbound.ActiveExchanges;
 import io.umberpath.node.proxy.inbound.ConnectionDrain;
-import io.umberpath.node.proxy.inbound.ConnectionLog;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.inbound.Refusal;
 import io.umberpath.node.proxy.inbound.RequestPlan;
+import io.umberpath.node.proxy.inbound.UnansweredRequests;
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.stats.ProxyStats;
@@ -28,6 +28,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 
@@ -39,6 +40,10 @@
   /** A request that is answered 404. */
   static final String REFUSED = "GET /refused HTTP/1.1\r\nHost: a\r\n\r\n";
 
+  /** A request whose handling fails once it has been begun. */
+  static final String FAULTY = "GET /faulty HTTP/1.1\r\nHost: a\r\n\r\n";
+
+  private static final String FAULT = "/faulty";
   private static final long TIMEOUT_MILLIS = 10_000;
   private static final long NO_DEADLINE_MILLIS = 3_600_000;
   private static final String HELD_BACK = "/held-back";
@@ -48,6 +53,7 @@
   private final ProxyTransport transport =
       new ProxyTransport(ProxyFixture.MAX_HEADER_BYTES, ConnectionPool::giveBack, 1);
   private final ActiveExchanges active = new ActiveExchanges();
+  private final BlockingQueue<UnansweredRequests> ended = new LinkedBlockingQueue<>();
   private final AtomicLong clockMillis = new AtomicLong();
   private final InboundFilter filter;
   private final Listener listener;
@@ -64,7 +70,7 @@
             clockMillis::get,
             ProxyStats.NONE,
             AttemptLog.CUT_OFF_ONLY,
-            ConnectionLog.NONE,
+            ended::add,
             active,
             () -> Long.MAX_VALUE);
     filter = new InboundFilter(new Handler(), environment);
@@ -143,6 +149,11 @@
     assertThat(active.awaitNone(TIMEOUT_MILLIS)).isTrue();
   }
 
+  /** The next connection that ends with requests unanswered; null if none does in time. */
+  UnansweredRequests awaitEnded() throws InterruptedException {
+    return ended.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   void advance(long millis) {
     clockMillis.addAndGet(millis);
   }
@@ -216,7 +227,10 @@
 
     @Override
     public void dispatch(Exchange exchange) {
-      if (((Plan) exchange.plan()).path().equals(HELD_BACK)) {
+      String path = ((Plan) exchange.plan()).path();
+      if (path.equals(FAULT)) {
+        throw new AssertionError("the handling of this request fails");
+      } else if (path.equals(HELD_BACK)) {
         heldBack.add(exchange);
       } else {
         exchange.sendTo(pool, "backend");
