A fault in work that began later, or behind another answer, is answered too

The guard around a request's handling covered what runs within the read of its own connection. A dispatch that waited for reading, or for its turn behind another answer, ran elsewhere: its exception ended somebody else's connection, or left the request to its deadline.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -117,17 +117,15 @@
         plan = decision.get();
       }
     }
-    if (decision.isRight() && !refuseTooLarge() && mayStart()) {
+    if (decision.isRight()
+        && !refuseTooLarge()
+        && caller.mayStart(turn, handler.mayRunBesideOthers(plan))) {
       SelectorTurns.beginWork(this::dispatchIfWanted);
     }
     afterLock();
     return readOn;
   }
 
-  private boolean mayStart() {
-    return caller.mayStart(turn, handler.mayRunBesideOthers(plan));
-  }
-
   /** The answer, which was held whole until its turn, is about to be written. */
   synchronized void heldAnswerGoesOut() {
     answer.heldAnswerGoesOut();
@@ -144,7 +142,7 @@
       wanted = stage == ExchangeStage.DECIDING && !endsWithCaller();
     }
     if (wanted) {
-      handler.dispatch(this);
+      RequestFaults.dispatch(this, handler);
     }
     afterLock();
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
@@ -1,12 +1,9 @@
 package io.umberpath.node.proxy.inbound;
 
-import com.google.common.flogger.FluentLogger;
-import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.origin.OwnTurn;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
-import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -16,8 +13,6 @@
 
 /** Hands decoded requests of one listener to their exchanges. */
 public final class InboundFilter extends BaseFilter {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   private final RequestHandler handler;
   private final ExchangeEnvironment environment;
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
@@ -64,7 +59,7 @@
       FilterChainContext context, CallerConnection caller, HttpContent content) {
     HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
     Exchange exchange = new Exchange(caller, request, handler, environment);
-    boolean readOn = handle(exchange, () -> exchange.begin(content));
+    boolean readOn = RequestFaults.guard(exchange, () -> exchange.begin(content));
     return continueOrSuspend(context, caller, exchange, readOn);
   }
 
@@ -74,21 +69,10 @@
       exchange.onBrokenBody();
       return context.getStopAction();
     }
-    boolean readOn = handle(exchange, () -> exchange.onBodyPart(content));
+    boolean readOn = RequestFaults.guard(exchange, () -> exchange.onBodyPart(content));
     return continueOrSuspend(context, caller, exchange, readOn);
   }
 
-  /** An exception that left the filter would close the connection, without any answer. */
-  private static boolean handle(Exchange exchange, BooleanSupplier step) {
-    try {
-      return step.getAsBoolean();
-    } catch (RuntimeException fault) {
-      logger.atSevere().withCause(fault).log("a request was not handled");
-      exchange.giveUp(Verdict.Reason.INTERNAL);
-      return true;
-    }
-  }
-
   private static NextAction continueOrSuspend(
       FilterChainContext context, CallerConnection caller, Exchange exchange, boolean readOn) {
     if (readOn) {
