The time for which an answer lay unread is not counted as work of its back end

A gate takes the time from sending to reading the answer for the work of its back end: service time, the time of a route, slowness. When its thread is late after a start, a sound back end looks slow, and requests are refused that could be served. The answer is dated by the middle of the time in which it can have arrived.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
@@ -123,6 +123,7 @@
   /** The answer is whole; the connection goes its own way. */
   void detach() {
     origin = null;
+    exchange.history().answered();
   }
 
   /** Closes the connection if it is still in use. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AttemptHistory.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AttemptHistory.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.turn.SelectorTurns;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -13,6 +14,8 @@
   private int count;
   private String lastOrigin;
   private long sentNanos;
+  private long answeredNanos;
+  private boolean isAnswered;
   private Refusal lastRefusal;
   private boolean mayHaveRun;
 
@@ -27,6 +30,13 @@
   /** The attempt is handed to its connection. */
   synchronized void sent() {
     sentNanos = System.nanoTime();
+    isAnswered = false;
+  }
+
+  /** The attempt's answer has been read whole; it may have lain unread. */
+  synchronized void answered() {
+    answeredNanos = Math.max(sentNanos, SelectorTurns.likelyArrivalNanos());
+    isAnswered = true;
   }
 
   /** An attempt, or the exchange before its first, has failed. */
@@ -46,9 +56,13 @@
     return count;
   }
 
-  /** Microseconds since the last attempt was handed to its connection; 0 if none was. */
+  /**
+   * Microseconds since the last attempt was handed to its connection, until its answer came if it
+   * has; 0 if none was.
+   */
   public synchronized long sinceSentMicros() {
-    return sentNanos == 0 ? 0 : (System.nanoTime() - sentNanos) / NANOS_PER_MICRO;
+    long endNanos = isAnswered ? answeredNanos : System.nanoTime();
+    return sentNanos == 0 ? 0 : (endNanos - sentNanos) / NANOS_PER_MICRO;
   }
 
   /** How the last attempt ended, if one did. */
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -62,6 +62,7 @@
   private final ServerSocket origin = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
   private final ConnectionPool pool;
   private final Set<Long> turns = ConcurrentHashMap.newKeySet();
+  private final BlockingQueue<Long> workMicros = new LinkedBlockingQueue<>();
   private final BlockingQueue<Exchange> heldBack = new LinkedBlockingQueue<>();
 
   InboundFixture() throws IOException {
@@ -144,6 +145,11 @@
     }
   }
 
+  /** What the next request that is answered by the origin says of the time it took there. */
+  long awaitWorkMicros() throws InterruptedException {
+    return workMicros.take();
+  }
+
   /** Turns of the selector thread in which requests were decided on. */
   int turns() {
     return turns.size();
@@ -258,6 +264,9 @@
     /** The end of a request lets in the one that was held back. */
     @Override
     public void ended(Exchange exchange, Verdict verdict) {
+      if (verdict instanceof Verdict.Completed) {
+        workMicros.add(exchange.history().sinceSentMicros());
+      }
       Exchange next = heldBack.poll();
       if (next != null && next != exchange) {
         next.sendTo(pool, "backend");
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/LateReadTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateReadTest.java
@@ -5,6 +5,7 @@
 import io.umberpath.node.proxy.RawConnection.Message;
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -97,6 +98,26 @@
     }
   }
 
+  /** Estimates of service times would make a back end look slow whose node is. */
+  @Test
+  void theTimeForWhichAnAnswerLayUnreadIsNotWorkOfItsOrigin() throws Exception {
+    try (RawConnection origin = fixture.restingOrigin();
+        RawConnection caller = fixture.connect()) {
+      fixture.awaitWorkMicros();
+      final long startNanos = System.nanoTime();
+      caller.send(InboundFixture.get("/worked-on"));
+      assertThat(origin.readHead()).startsWith("GET /worked-on ");
+      fixture.blockReading();
+      origin.send(NO_CONTENT);
+      fixture.readOnLate();
+      assertThat(caller.read().status()).isEqualTo(204);
+
+      long wholeMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+      long workMillis = TimeUnit.MICROSECONDS.toMillis(fixture.awaitWorkMicros());
+      assertThat(wholeMillis - workMillis).isGreaterThan(ReadingBlock.LATE_MILLIS / 3);
+    }
+  }
+
   /** Reading stands still at the head of one request too many. */
   @Test
   void theEndOfACallerIsNoticedWhileReadingIsSuspended() throws Exception {
