A gate asks for a slot when the body of a request is there

What callers saw: orders failed with 500 since the calls that they make timed out, at a service that takes uploads. Its gates gave slots to uploads whose bodies were still on the way over a narrow link; 4 to 8 of 12 slots did no work, and small requests waited for one. The gate reads a body first, up to the 64 KB that are held for another attempt, and then asks for a slot. Longer bodies get one when that much has come, as they are passed on from there. MeshPathTest.requestsAreServedWhileTheBodiesOfUploadsAreUnderWay: 503 before, 200 now.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -8,6 +8,7 @@
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.Refusal;
@@ -230,7 +231,7 @@
     }
     Optional<RequestFingerprint> request = Fingerprints.of(exchange, plan.target());
     if (request.isEmpty()) {
-      exchange.dispatchOnceBodyIsKnown();
+      exchange.dispatchOnceBody(BodyCondition.KNOWN);
       return true;
     }
     if (!quarantine.holdsAtEdge(request.get())) {
@@ -267,7 +268,7 @@
   private static boolean mayBounce(Exchange exchange, MeshEdgePlan plan) {
     return plan.tally().bounces() < EdgeRetries.MAX_BOUNCES
         && exchange.request().contentLength() <= MAX_BOUNCED_BYTES
-        && exchange.isBodyReplayable();
+        && exchange.bodySatisfies(BodyCondition.REPLAYABLE);
   }
 
   private static void set(HttpRequestPacket packet, String name, String value) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -6,6 +6,7 @@
 import io.umberpath.node.proxy.SlotGate;
 import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.RequestHead;
+import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.Refusal;
@@ -253,6 +254,11 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.QUARANTINED));
       return;
     }
+    if (!exchange.bodySatisfies(BodyCondition.HELD)) {
+      // A slot that waits for a body does no work.
+      exchange.dispatchOnceBody(BodyCondition.HELD);
+      return;
+    }
     double slowness = speed.slowness();
     long expectedMicros = Math.round(slowness * expectedMicros(plan.route()));
     long likelyMicros = Math.round(slowness * likelyMicros(plan.route()));
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -13,6 +13,7 @@
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.PoolRequestPlan;
@@ -255,7 +256,7 @@
             verdict,
             plan.repeatable(),
             exchange.history().count(),
-            exchange.isBodyReplayable(),
+            exchange.bodySatisfies(BodyCondition.REPLAYABLE),
             plan.deadlineMillis());
     RetryPolicy policy = retries.get(plan.tier());
     synchronized (policy) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -38,7 +38,7 @@
   private Verdict outcome;
   private boolean cutOff;
   private boolean dispatchAgain;
-  private boolean awaitsBody;
+  private BodyCondition awaited;
 
   Exchange(
       CallerConnection caller,
@@ -69,9 +69,9 @@
     return plan;
   }
 
-  /** Whether everything received of the body can be sent again. */
-  public synchronized boolean isBodyReplayable() {
-    return body.isReplayable();
+  /** Whether a condition holds of what has been read of the body. */
+  public synchronized boolean bodySatisfies(BodyCondition condition) {
+    return body.satisfies(condition);
   }
 
   /** Hash of the body's beginning; empty while too little of it has been received to tell. */
@@ -173,7 +173,7 @@
       if (stage != ExchangeStage.DONE) {
         refuseTooLarge();
       }
-      dispatchIfBodyIsKnown();
+      dispatchIfBodySatisfies();
     }
     afterLock();
     return readOn;
@@ -304,20 +304,20 @@
   }
 
   /**
-   * Has the handler dispatch again once {@link #bodyHash} can be told; called by the handler
+   * Has the handler dispatch again once a condition holds of the body; called by the handler
    * instead of {@link #sendTo}.
    */
-  public void dispatchOnceBodyIsKnown() {
+  public void dispatchOnceBody(BodyCondition condition) {
     synchronized (this) {
-      awaitsBody = true;
-      dispatchIfBodyIsKnown();
+      awaited = condition;
+      dispatchIfBodySatisfies();
     }
     afterLock();
   }
 
-  private void dispatchIfBodyIsKnown() {
-    if (awaitsBody && stage == ExchangeStage.DECIDING && body.hash().isPresent()) {
-      awaitsBody = false;
+  private void dispatchIfBodySatisfies() {
+    if (awaited != null && stage == ExchangeStage.DECIDING && body.satisfies(awaited)) {
+      awaited = null;
       dispatchAgain = true;
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
@@ -109,6 +109,15 @@
     return replayable;
   }
 
+  /** Whether a condition holds. */
+  boolean satisfies(BodyCondition condition) {
+    return switch (condition) {
+      case KNOWN -> hash().isPresent();
+      case HELD -> complete || isFull();
+      case REPLAYABLE -> replayable;
+    };
+  }
+
   /** Whether as much is held as may be. */
   boolean isFull() {
     return kept.size() >= REPLAY_LIMIT_BYTES;
