A node asks another whether a long body may come, which lets two come at a time

What callers saw: at a service that takes uploads of 60 KB on machines with 7 to 10 Mbit/s, small requests were read by its nodes up to 8 s after they had been sent, and each order whose call went there failed with 500; nine in ten orders failed while the machines had processor and slots to spare. Edges sent the whole body with the head, whether or not the gate had room, and again to up to two others. Nothing bounded what stood in front of a small request at the link. Now an edge has the body (up to the 64 KB that it holds) before it chooses a back end, sends the head of one over 16 KB alone with Expect: 100-continue, and the body when the gate says so. A gate lets two bodies come at a time, in the order of their heads; those that wait count as queued in what it states, and are refused as not run when it is too late for them to begin. A caller's own Expect is answered by the edge.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/EdgeRetries.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/EdgeRetries.java
@@ -67,7 +67,7 @@
 
   /** Why the request is not sent again; empty if it is. */
   String against(Exchange exchange, MeshEdgePlan plan, Verdict verdict, long nowMillis) {
-    if (!exchange.bodySatisfies(BodyCondition.REPLAYABLE)) {
+    if (!exchange.body().satisfies(BodyCondition.REPLAYABLE)) {
       return "body not kept";
     }
     if (nowMillis + MIN_REMAINING_MILLIS > plan.deadlineMillis()) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/Fingerprints.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/Fingerprints.java
@@ -24,7 +24,7 @@
 
   /** The fingerprint; empty while too little of the body has been received to tell. */
   static Optional<RequestFingerprint> of(Exchange exchange, long target) {
-    OptionalLong body = exchange.bodyHash();
+    OptionalLong body = exchange.body().hash();
     return body.isPresent()
         ? Optional.of(new RequestFingerprint(target, body.getAsLong()))
         : Optional.empty();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -85,6 +85,7 @@
     replacedHeaders.add(settings.headers().deadline());
     replacedHeaders.add(settings.headers().callerService());
     replacedHeaders.add(settings.headers().expectedInstance());
+    replacedHeaders.add(Header.Expect.toString());
   }
 
   /** From now on answers ask callers to go elsewhere with their next request. */
@@ -187,6 +188,10 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DEADLINE));
       return;
     }
+    if (!exchange.body().satisfies(BodyCondition.HELD)) {
+      awaitBody(exchange);
+      return;
+    }
     if (isHeld(exchange, plan)) {
       return;
     }
@@ -219,6 +224,14 @@
     }
   }
 
+  /** The back end is chosen when the body can follow at once. */
+  private static void awaitBody(Exchange exchange) {
+    if (exchange.request().field(Header.Expect.toString()).isPresent()) {
+      exchange.continueBody();
+    }
+    exchange.dispatchOnceBody(BodyCondition.HELD);
+  }
+
   /**
    * Whether the request is kept from all back ends, and so refused; or waits for as much of its
    * body as tells that. No time to come back is named: whoever comes again is refused again.
@@ -268,7 +281,7 @@
   private static boolean mayBounce(Exchange exchange, MeshEdgePlan plan) {
     return plan.tally().bounces() < EdgeRetries.MAX_BOUNCES
         && exchange.request().contentLength() <= MAX_BOUNCED_BYTES
-        && exchange.bodySatisfies(BodyCondition.REPLAYABLE);
+        && exchange.body().satisfies(BodyCondition.REPLAYABLE);
   }
 
   private static void set(HttpRequestPacket packet, String name, String value) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgePlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgePlan.java
@@ -32,6 +32,11 @@
     Set<String> replacedHeaders,
     AttemptTally tally)
     implements RequestPlan {
+  @Override
+  public boolean asksBeforeBody() {
+    return true;
+  }
+
   @Override
   public String route() {
     return rule.name();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -30,6 +30,7 @@
 import java.util.function.LongSupplier;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.Header;
 
 /**
  * Requests of other nodes for the back end beside this one. It is the only way to that back end, so
@@ -57,6 +58,7 @@
   private final MeshSettings settings;
   private final ConnectionPool pool;
   private final SlotGate gate;
+  private final BodyGrants bodies = new BodyGrants();
   private final LocalBackend backend;
   private final RequestQuarantine quarantine;
   private final BackendCrashDetector crashes;
@@ -93,6 +95,7 @@
     this.gate = new SlotGate(admission, this::send, clockMillis);
     replacedHeaders.add(settings.headers().deadline());
     replacedHeaders.add(settings.headers().expectedInstance());
+    replacedHeaders.add(Header.Expect.toString());
   }
 
   /**
@@ -118,6 +121,7 @@
 
   /** Lets time pass: refuses what can no longer be met. */
   void tick(long nowMillis) {
+    bodies.tick(nowMillis);
     gate.tick(nowMillis);
   }
 
@@ -185,7 +189,7 @@
         backend.coldStarts().usableSlots(clockMillis.getAsLong(), backend.slots(), serviceMicros);
     return new GateLoad(
         gate.running(),
-        gate.queued(),
+        gate.queued() + bodies.waiting(),
         slots,
         serviceMicros,
         slownessPercent,
@@ -254,11 +258,13 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.QUARANTINED));
       return;
     }
-    if (!exchange.bodySatisfies(BodyCondition.HELD)) {
+    if (!exchange.body().satisfies(BodyCondition.HELD)) {
       // A slot that waits for a body does no work.
       exchange.dispatchOnceBody(BodyCondition.HELD);
+      bodies.ask(exchange, plan.beganMillis() + plan.hop().startByMillis());
       return;
     }
+    bodies.ended(exchange);
     double slowness = speed.slowness();
     long expectedMicros = Math.round(slowness * expectedMicros(plan.route()));
     long likelyMicros = Math.round(slowness * likelyMicros(plan.route()));
@@ -385,6 +391,7 @@
 
   @Override
   public void ended(Exchange exchange, Verdict verdict) {
+    bodies.ended(exchange);
     gate.ended(exchange);
     MeshGatePlan plan = planOf(exchange);
     if (plan != null && !(verdict instanceof Verdict.Completed)) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -256,7 +256,7 @@
             verdict,
             plan.repeatable(),
             exchange.history().count(),
-            exchange.bodySatisfies(BodyCondition.REPLAYABLE),
+            exchange.body().satisfies(BodyCondition.REPLAYABLE),
             plan.deadlineMillis());
     RetryPolicy policy = retries.get(plan.tier());
     synchronized (policy) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AnswerWriter.java
@@ -22,6 +22,9 @@
 
 /** Writes the answer of one exchange to its caller. The exchange's lock guards it. */
 final class AnswerWriter {
+  private static final byte[] CONTINUE =
+      "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+
   /** What holding a message costs besides its content, bytes. */
   private static final int HEAD_BYTES = 1_024;
 
@@ -45,6 +48,11 @@
     this.response = request.getResponse();
   }
 
+  /** Tells the sender of the request to send its body. */
+  void continueBody() {
+    interim(CONTINUE);
+  }
+
   /** Passes an interim answer on; older callers would take it for the final one. */
   void interim(byte[] head) {
     if (isVersion11()) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
@@ -25,6 +25,10 @@
   private final long startNanos = System.nanoTime();
   private final ShortAnswer shortAnswer = new ShortAnswer();
   private OriginConnection origin;
+
+  /** The connection on which the head was sent alone; null before, and once the body follows. */
+  private OriginConnection asked;
+
   private OutgoingRequest outgoing;
 
   Attempt(Exchange exchange, ConnectionPool pool, String originId, int number) {
@@ -97,14 +101,34 @@
     return outgoing;
   }
 
-  /** Sends the prepared head and what there is of the body. */
+  /** Sends the prepared head and what there is of the body, or asks whether that is to follow. */
   void send(OriginConnection connection, RequestBody body) {
-    origin = connection;
     connection.begin(this);
+    if (exchange.plan().asksBeforeBody() && body.isLong()) {
+      asked = connection;
+      connection.write(outgoing.asking(), false);
+    } else {
+      sendFirst(connection, body);
+    }
+  }
+
+  private void sendFirst(OriginConnection connection, RequestBody body) {
+    origin = connection;
     connection.write(
         outgoing.first(body.kept(), body.isComplete(), body.trailers()), body.isComplete());
   }
 
+  /** Takes an interim answer; whether it was the word to send the body. */
+  boolean sendsBodyAsAsked(RequestBody body) {
+    if (asked == null) {
+      return false;
+    }
+    OriginConnection connection = asked;
+    asked = null;
+    sendFirst(connection, body);
+    return true;
+  }
+
   /** Sends more of the body. */
   void sendMore(Buffer content, RequestBody body, boolean last) {
     origin.write(outgoing.next(content, last, body.trailers()), last);
@@ -123,6 +147,7 @@
   /** The answer is whole; the connection goes its own way. */
   void detach() {
     origin = null;
+    asked = null;
     exchange.history().answered();
   }
 
@@ -130,6 +155,8 @@
   void abandon() {
     if (origin != null) {
       origin.abandon();
+    } else if (asked != null) {
+      asked.abandon();
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -9,7 +9,6 @@
 import io.umberpath.node.proxy.turn.SelectorTurns;
 import io.vavr.control.Either;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
@@ -69,14 +68,18 @@
     return plan;
   }
 
-  /** Whether a condition holds of what has been read of the body. */
-  public synchronized boolean bodySatisfies(BodyCondition condition) {
-    return body.satisfies(condition);
+  /** What has been read of its body. */
+  public RequestBody body() {
+    return body;
   }
 
-  /** Hash of the body's beginning; empty while too little of it has been received to tell. */
-  public synchronized OptionalLong bodyHash() {
-    return body.hash();
+  /** Tells the sender to send the body; returns whether the request still waits for it. */
+  public synchronized boolean continueBody() {
+    boolean waits = stage == ExchangeStage.DECIDING;
+    if (waits) {
+      answer.continueBody();
+    }
+    return waits;
   }
 
   /** Status of the answer that the caller has got the beginning of; 0 before. */
@@ -98,7 +101,7 @@
   boolean begin(HttpContent first) {
     environment.stats().inFlight(handler.side(), 1);
     environment.active().add(this);
-    long now = environment.clockMillis().getAsLong();
+    long now = environment.nowMillis();
     boolean broken = first instanceof HttpBrokenContent;
     Either<Refusal, RequestPlan> decision =
         broken
@@ -157,12 +160,11 @@
   }
 
   private synchronized boolean refuseTooLarge() {
-    if (Math.max(request.contentLength(), body.received())
-        <= environment.maxBodyBytes().getAsLong()) {
-      return false;
+    boolean isTooLarge = body.exceeds(environment.maxBodyBytes().getAsLong(), request);
+    if (isTooLarge) {
+      fail(Refusal.notRun(Verdict.Reason.TOO_LARGE), false);
     }
-    fail(Refusal.notRun(Verdict.Reason.TOO_LARGE), false);
-    return true;
+    return isTooLarge;
   }
 
   /** Takes a piece of the body; returns whether to read on. */
@@ -247,10 +249,9 @@
    */
   void checkDeadline(long nowMillis, boolean isReadingLate) {
     synchronized (this) {
-      if (isReadingLate && stage.mayHaveReachedOrigin()) {
-        return;
-      }
-      if (plan == null || plan.deadlineMillis() > nowMillis || progress.isOnItsWay(nowMillis)) {
+      boolean waits =
+          isReadingLate && stage.mayHaveReachedOrigin() || progress.isOnItsWay(nowMillis);
+      if (plan == null || plan.deadlineMillis() > nowMillis || waits) {
         return;
       }
       fail(asFirmAsPossible(Verdict.Reason.DEADLINE), false);
@@ -265,9 +266,8 @@
    */
   boolean abortAtDrainBound() {
     boolean mayHaveRun;
-    long now = environment.clockMillis().getAsLong();
     synchronized (this) {
-      if (stage == ExchangeStage.DONE || progress.isOnItsWay(now)) {
+      if (stage == ExchangeStage.DONE || progress.isOnItsWay(environment.nowMillis())) {
         return false;
       }
       mayHaveRun = stage.mayHaveReachedOrigin();
@@ -410,7 +410,7 @@
   boolean attemptConnected(Attempt connected, OriginConnection connection) {
     boolean wanted;
     synchronized (this) {
-      long now = environment.clockMillis().getAsLong();
+      long now = environment.nowMillis();
       wanted = isStillWanted(connected, now);
       if (wanted) {
         stage = ExchangeStage.SENT;
@@ -444,7 +444,7 @@
 
   void attemptInterim(Attempt current, byte[] head) {
     synchronized (this) {
-      if (attempt == current && stage == ExchangeStage.SENT) {
+      if (attempt == current && stage == ExchangeStage.SENT && !current.sendsBodyAsAsked(body)) {
         answer.interim(head);
       }
     }
@@ -478,7 +478,7 @@
   }
 
   private boolean passOn(Attempt answered, AnswerPart part) {
-    progress.passes(part, environment.clockMillis().getAsLong());
+    progress.passes(part, environment.nowMillis());
     stage = ExchangeStage.ANSWERING;
     answer.part(part, plan);
     if (attempt != answered) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeEnvironment.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeEnvironment.java
@@ -20,4 +20,9 @@
     AttemptLog attemptLog,
     ConnectionLog connectionLog,
     ActiveExchanges active,
-    LongSupplier maxBodyBytes) {}
+    LongSupplier maxBodyBytes) {
+  /** The present time on the clock. */
+  long nowMillis() {
+    return clockMillis.getAsLong();
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/OutgoingRequest.java
@@ -58,6 +58,12 @@
     packet.getHeaders().setValue(name).setString(value);
   }
 
+  /** The head alone; the origin is asked to say whether the body is to follow. */
+  HttpPacket asking() {
+    set(packet, Header.Expect.toString(), "100-continue");
+    return packet;
+  }
+
   /** The head with the first bytes of the body. */
   HttpPacket first(byte[] content, boolean last, HeaderFields trailers) {
     if (!packet.isChunked() && packet.getContentLength() <= 0) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
@@ -10,12 +10,15 @@
 
 /**
  * What has been read of a request body. Its beginning is kept, up to a bound, so that another
- * attempt can send it again; beyond the bound it is only passed on. Not thread-safe.
+ * attempt can send it again; beyond the bound it is only passed on. Thread-safe.
  */
-final class RequestBody {
+public final class RequestBody {
   /** Most bytes kept for another attempt. */
   static final int REPLAY_LIMIT_BYTES = 64 * 1024;
 
+  /** Longest body that is sent without being asked for, bytes. */
+  private static final int MAX_UNASKED_BYTES = 16 * 1024;
+
   /** Longest rest of a refused body that is read and dropped, bytes. */
   private static final long MAX_DROPPED_BYTES = 64 * 1024;
 
@@ -27,13 +30,13 @@
   private OptionalLong hash = OptionalLong.empty();
 
   /** Adds bytes that no attempt has taken yet; they are kept whatever their number. */
-  void hold(Buffer content) {
+  synchronized void hold(Buffer content) {
     received += content.remaining();
     keep(content);
   }
 
   /** Notes bytes that are passed on to the attempt under way. */
-  void passOn(Buffer content) {
+  synchronized void passOn(Buffer content) {
     received += content.remaining();
     if (!replayable) {
       return;
@@ -72,7 +75,7 @@
    * Hash of its beginning, worked out when it is asked for; empty while too little has been
    * received to tell. See {@link RequestFingerprint#body}.
    */
-  OptionalLong hash() {
+  public synchronized OptionalLong hash() {
     boolean enough = complete || kept.size() >= RequestFingerprint.BODY_PREFIX_BYTES;
     if (hash.isEmpty() && enough) {
       hash = OptionalLong.of(RequestFingerprint.bodyOf(kept.toByteArray()));
@@ -80,13 +83,13 @@
     return hash;
   }
 
-  void complete(HeaderFields newTrailers) {
+  synchronized void complete(HeaderFields newTrailers) {
     complete = true;
     trailers = newTrailers;
   }
 
   /** Whether the caller has sent it all. */
-  boolean isComplete() {
+  synchronized boolean isComplete() {
     return complete;
   }
 
@@ -95,7 +98,7 @@
    * is long, or of unknown length; or its caller waits to be told to send it, and may send another
    * request in its place.
    */
-  boolean isRestUnwanted(RequestHead request) {
+  synchronized boolean isRestUnwanted(RequestHead request) {
     if (complete) {
       return false;
     }
@@ -105,12 +108,12 @@
   }
 
   /** Whether everything received can be sent again. */
-  boolean isReplayable() {
+  synchronized boolean isReplayable() {
     return replayable;
   }
 
   /** Whether a condition holds. */
-  boolean satisfies(BodyCondition condition) {
+  public synchronized boolean satisfies(BodyCondition condition) {
     return switch (condition) {
       case KNOWN -> hash().isPresent();
       case HELD -> complete || isFull();
@@ -118,21 +121,31 @@
     };
   }
 
+  /** Whether it is not there yet, or too long to be sent on the chance that it is wanted. */
+  synchronized boolean isLong() {
+    return !complete || kept.size() > MAX_UNASKED_BYTES;
+  }
+
   /** Whether as much is held as may be. */
-  boolean isFull() {
+  synchronized boolean isFull() {
     return kept.size() >= REPLAY_LIMIT_BYTES;
   }
 
   /** The bytes to send first. */
-  byte[] kept() {
+  synchronized byte[] kept() {
     return kept.toByteArray();
   }
 
-  long received() {
+  /** Whether it is longer than a limit, as far as can be told. */
+  synchronized boolean exceeds(long limitBytes, RequestHead request) {
+    return Math.max(request.contentLength(), received) > limitBytes;
+  }
+
+  synchronized long received() {
     return received;
   }
 
-  HeaderFields trailers() {
+  synchronized HeaderFields trailers() {
     return trailers;
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestPlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestPlan.java
@@ -17,6 +17,11 @@
   /** When its caller gives up, on the proxy's clock, milliseconds. */
   long deadlineMillis();
 
+  /** Whether the origin is asked before a long body is sent to it. */
+  default boolean asksBeforeBody() {
+    return false;
+  }
+
   /** Value of the Authorization header to send in place of the caller's, if any. */
   default Optional<String> authorization() {
     return Optional.empty();
