--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshMetrics.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshMetrics.java
@@ -32,7 +32,7 @@
   private final AtomicBoolean wanted = new AtomicBoolean();
   private volatile PrometheusMeterRegistry registry;
   private volatile ProxyStats counted = ProxyStats.NONE;
-  private volatile Timer lateTurns;
+  private volatile Timer lateIterations;
 
   /**
    * Begins to count.
@@ -44,7 +44,7 @@
     created.config().meterFilter(new Histograms());
     gauges.forEach((name, value) -> created.gauge(PREFIX + name, value, each -> of(each)));
     counted = new MeterRegistryStats(created, inFlight);
-    lateTurns = created.timer(PREFIX + "selector.turn.late");
+    lateIterations = created.timer(PREFIX + "event.loop.late");
     registry = created;
   }
 
@@ -65,9 +65,9 @@
     return current == null ? "" : current.scrape();
   }
 
-  /** A selector thread's turn kept what had arrived waiting for so long. */
-  void turnWasLate(long micros) {
-    Timer timer = lateTurns;
+  /** An iteration of the event loop kept what had arrived waiting for so long. */
+  void iterationWasLate(long micros) {
+    Timer timer = lateIterations;
     if (timer != null) {
       timer.record(micros, TimeUnit.MICROSECONDS);
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -51,7 +51,7 @@
   private final List<Listener> listeners = new ArrayList<>();
   private final LongSupplier clockMillis;
   private final Runnable endOverdue = this::endOverdue;
-  private final Runnable look = this::look;
+  private final Runnable sweepNow = this::sweepNow;
 
   MeshProxy(
       MeshSettings settings,
@@ -178,7 +178,7 @@
    * @param isTimerLate whether the caller had no processor for a while
    */
   void keepDeadlines(boolean isTimerLate) {
-    if (active.size() > 0 && !transport.judge(endOverdue, isTimerLate)) {
+    if (active.size() > 0 && !transport.checkTimeouts(endOverdue, isTimerLate)) {
       active.expireUnsent(clockMillis.getAsLong());
     }
   }
@@ -195,10 +195,10 @@
    * @param isTimerLate whether the caller had no processor for a while
    */
   void sweep(boolean isTimerLate) {
-    transport.judge(look, isTimerLate);
+    transport.checkTimeouts(sweepNow, isTimerLate);
   }
 
-  private void look() {
+  private void sweepNow() {
     gate.observe();
     backendPool.expire(IDLE_BACKEND_MILLIS);
     origins.giveUpLate();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/AcceptingStrategy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/AcceptingStrategy.java
@@ -15,23 +15,23 @@
 
 /**
  * Handles events on the selector thread, and accepts all connections that wait. The transport by
- * itself accepts one in each turn, so that the others wait the longer the busier the thread is. It
- * has to be a probe of the transport's connections, too.
+ * itself accepts one in each iteration, so that the others wait the longer the busier the thread
+ * is. It has to be a probe of the transport's connections, too.
  */
 final class AcceptingStrategy extends ConnectionProbe.Adapter implements IOStrategy {
   private static final Attribute<Long> ACCEPTED =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.accepted", 0L);
 
   private final IOStrategy strategy = SameThreadIOStrategy.getInstance();
-  private final int mostInTurn;
+  private final int mostInIteration;
 
   /**
    * Creates a strategy.
    *
-   * @param mostInTurn connections of one listener that are accepted in one turn
+   * @param mostInIteration connections of one listener that are accepted in one iteration
    */
-  AcceptingStrategy(int mostInTurn) {
-    this.mostInTurn = mostInTurn;
+  AcceptingStrategy(int mostInIteration) {
+    this.mostInIteration = mostInIteration;
   }
 
   @Override
@@ -56,7 +56,7 @@
     TCPNIOServerConnection server = (TCPNIOServerConnection) connection;
     boolean goesOn = true;
     boolean hasAccepted = true;
-    for (int count = 0; goesOn && hasAccepted && count < mostInTurn; count++) {
+    for (int count = 0; goesOn && hasAccepted && count < mostInIteration; count++) {
       long before = ACCEPTED.get(server);
       goesOn = strategy.executeIoEvent(server, event, isEnabled);
       hasAccepted = ACCEPTED.get(server) > before;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -4,11 +4,11 @@
 import io.umberpath.node.proxy.http.ClientCodecFilter;
 import io.umberpath.node.proxy.http.ServerCodecFilter;
 import io.umberpath.node.proxy.inbound.InboundFilter;
+import io.umberpath.node.proxy.loop.EventLoop;
+import io.umberpath.node.proxy.loop.IterationListener;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OriginFilter;
 import io.umberpath.node.proxy.pool.Connector;
-import io.umberpath.node.proxy.turn.LateTurnListener;
-import io.umberpath.node.proxy.turn.SelectorTurns;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Set;
@@ -37,8 +37,8 @@
 
   private final TCPNIOTransport transport;
   private final TCPNIOConnectorHandler connector;
-  private final SelectorTurns turns;
-  private final Set<Runnable> waitingJudgements = ConcurrentHashMap.newKeySet();
+  private final EventLoop eventLoop;
+  private final Set<Runnable> waitingChecks = ConcurrentHashMap.newKeySet();
   private final int maxHeaderBytes;
 
   ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable) {
@@ -46,7 +46,7 @@
   }
 
   ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable, int threads) {
-    this(maxHeaderBytes, onReusable, threads, LateTurnListener.NONE);
+    this(maxHeaderBytes, onReusable, threads, IterationListener.NONE);
   }
 
   /**
@@ -55,21 +55,21 @@
    * @param maxHeaderBytes largest head of a message
    * @param onReusable takes a connection whose attempt left it in order
    * @param threads selector threads
-   * @param lateTurns hears of turns of these threads that kept what had arrived waiting
+   * @param lateIterations hears of iterations of these threads that kept arrivals waiting
    */
   public ProxyTransport(
       int maxHeaderBytes,
       Consumer<OriginConnection> onReusable,
       int threads,
-      LateTurnListener lateTurns) {
+      IterationListener lateIterations) {
     this.maxHeaderBytes = maxHeaderBytes;
-    this.turns = new SelectorTurns(lateTurns);
+    this.eventLoop = new EventLoop(lateIterations);
     AcceptingStrategy accepting = new AcceptingStrategy(BACKLOG);
     this.transport =
         TCPNIOTransportBuilder.newInstance()
             .setName("umberpath-proxy")
             .setIOStrategy(accepting)
-            .setSelectorHandler(turns)
+            .setSelectorHandler(eventLoop)
             .setSelectorRunnersCount(threads)
             .setReadBufferSize(READ_BUFFER_BYTES)
             .setTcpNoDelay(true)
@@ -118,29 +118,29 @@
   }
 
   /**
-   * Judges by what has arrived: at once, or if reading is behind, after that. A selector thread
-   * that had no processor may have the answer, or the connection, that a timer misses. The same
-   * judgement does not wait twice.
+   * Checks time-outs: at once, or if reading is behind, after that. A selector thread that had no
+   * processor may have the answer, or the connection, that a timer misses. The same check does not
+   * wait twice.
    *
    * @param isTimerLate whether the caller itself had no processor
-   * @return whether it was judged at once
+   * @return whether it was made at once
    */
-  public boolean judge(Runnable judgement, boolean isTimerLate) {
-    boolean isBehind = isTimerLate || turns.isBehind();
+  public boolean checkTimeouts(Runnable check, boolean isTimerLate) {
+    boolean isBehind = isTimerLate || eventLoop.isBehind();
     if (isBehind) {
-      judgeAfterReading(judgement);
+      checkAfterReading(check);
     } else {
-      judgement.run();
+      check.run();
     }
     return !isBehind;
   }
 
-  private void judgeAfterReading(Runnable judgement) {
-    if (waitingJudgements.add(judgement)) {
-      turns.afterReading(
+  private void checkAfterReading(Runnable check) {
+    if (waitingChecks.add(check)) {
+      eventLoop.afterReading(
           () -> {
-            waitingJudgements.remove(judgement);
-            judgement.run();
+            waitingChecks.remove(check);
+            check.run();
           });
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ReadFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ReadFilter.java
@@ -1,6 +1,6 @@
 package io.umberpath.node.proxy;
 
-import io.umberpath.node.proxy.turn.Arrival;
+import io.umberpath.node.proxy.loop.Arrival;
 import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
@@ -45,7 +45,7 @@
 
   @Override
   public void connected(OriginConnection connection) {
-    connection.beginWork(() -> RequestFaults.guard(exchange, () -> sendOn(connection)));
+    connection.runOrDefer(() -> RequestFaults.guard(exchange, () -> sendOn(connection)));
   }
 
   private boolean sendOn(OriginConnection connection) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AttemptHistory.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AttemptHistory.java
@@ -1,7 +1,7 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.model.Verdict;
-import io.umberpath.node.proxy.turn.SelectorTurns;
+import io.umberpath.node.proxy.loop.EventLoop;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -35,7 +35,7 @@
 
   /** The attempt's answer has been read whole; it may have lain unread. */
   synchronized void answered() {
-    answeredNanos = Math.max(sentNanos, SelectorTurns.likelyArrivalNanos());
+    answeredNanos = Math.max(sentNanos, EventLoop.likelyArrivalNanos());
     isAnswered = true;
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -1,10 +1,10 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.node.proxy.http.PendingAnswers;
+import io.umberpath.node.proxy.loop.Arrival;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OwnTurn;
 import io.umberpath.node.proxy.stats.ProxyStats;
-import io.umberpath.node.proxy.turn.Arrival;
 import java.util.List;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.attributes.Attribute;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -3,10 +3,10 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.http.HeaderFields;
 import io.umberpath.node.proxy.http.RequestHead;
+import io.umberpath.node.proxy.loop.EventLoop;
 import io.umberpath.node.proxy.origin.AnswerPart;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.pool.ConnectionPool;
-import io.umberpath.node.proxy.turn.SelectorTurns;
 import io.vavr.control.Either;
 import java.util.Optional;
 import org.glassfish.grizzly.Buffer;
@@ -123,7 +123,7 @@
     if (decision.isRight()
         && !refuseTooLarge()
         && caller.mayStart(turn, handler.mayRunBesideOthers(plan))) {
-      SelectorTurns.beginWork(this::dispatchIfWanted);
+      EventLoop.runOrDefer(this::dispatchIfWanted);
     }
     afterLock();
     return readOn;
@@ -136,7 +136,7 @@
 
   /** A request that waited for those before it on its connection starts. */
   void onTurn() {
-    SelectorTurns.beginWork(this::dispatchIfWanted);
+    EventLoop.runOrDefer(this::dispatchIfWanted);
   }
 
   private void dispatchIfWanted() {
@@ -387,7 +387,7 @@
       }
     }
     if (dispatch) {
-      SelectorTurns.beginWork(this::dispatchIfWanted);
+      EventLoop.runOrDefer(this::dispatchIfWanted);
     }
     if (resume != null) {
       whenBodyWanted(resume);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
@@ -1,6 +1,6 @@
 package io.umberpath.node.proxy.inbound;
 
-import io.umberpath.node.proxy.turn.Arrival;
+import io.umberpath.node.proxy.loop.Arrival;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/turn/Arrival.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/Arrival.java
@@ -1,4 +1,4 @@
-package io.umberpath.node.proxy.turn;
+package io.umberpath.node.proxy.loop;
 
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -6,20 +6,20 @@
 
 /**
  * When what was last read from a connection can have arrived at the earliest, on {@link
- * System#nanoTime}: in the turn in which it was read, or while nothing was read from the
+ * System#nanoTime}: in the iteration in which it was read, or while nothing was read from the
  * connection. Thread-safe.
  */
 public final class Arrival {
   private static final Attribute<Arrival> ATTRIBUTE =
       AttributeBuilder.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.arrival");
 
-  private long earliestNanos = SelectorTurns.earliestArrivalNanos();
+  private long earliestNanos = EventLoop.earliestArrivalNanos();
   private long unreadSinceNanos = earliestNanos;
   private long readableSinceNanos = System.nanoTime();
 
   private Arrival() {}
 
-  /** Begins with a connection that is accepted in the present turn. */
+  /** Begins with a connection that is accepted in the present iteration. */
   public static Arrival accepted(Connection<?> connection) {
     Arrival arrival = new Arrival();
     ATTRIBUTE.set(connection, arrival);
@@ -36,16 +36,16 @@
 
   private synchronized void read() {
     // Later selections would have shown before what had arrived before.
-    boolean isFirstSelection = readableSinceNanos - SelectorTurns.lastSelectedNanos() >= 0;
-    earliestNanos = isFirstSelection ? unreadSinceNanos : SelectorTurns.earliestArrivalNanos();
+    boolean isFirstSelection = readableSinceNanos - EventLoop.lastSelectedNanos() >= 0;
+    earliestNanos = isFirstSelection ? unreadSinceNanos : EventLoop.earliestArrivalNanos();
   }
 
   /** Nothing more is read for a while. */
   public synchronized void readingStops() {
-    // Nothing can have been read since reading was resumed in this turn.
-    boolean isStillUnread = readableSinceNanos - SelectorTurns.selectedNanos() >= 0;
+    // Nothing can have been read since reading was resumed in this iteration.
+    boolean isStillUnread = readableSinceNanos - EventLoop.selectedNanos() >= 0;
     if (!isStillUnread) {
-      unreadSinceNanos = SelectorTurns.earliestArrivalNanos();
+      unreadSinceNanos = EventLoop.earliestArrivalNanos();
     }
   }
 
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
@@ -0,0 +1,62 @@
+package io.umberpath.node.proxy.loop;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/** Tasks of one event loop that wait until a whole iteration of reading has followed them. */
+final class DeferredTasks {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private record Entry(Runnable task, long iteration) {}
+
+  private final Queue<Entry> entries = new ArrayDeque<>();
+  private long iteration;
+  private boolean running;
+
+  void add(Runnable task) {
+    entries.add(new Entry(task, iteration));
+  }
+
+  /** Whether there is any. */
+  boolean isWaiting() {
+    return !entries.isEmpty();
+  }
+
+  /** Whether it is called from one of them. */
+  boolean isRunning() {
+    return running;
+  }
+
+  /** Sockets have been selected, and are read next. */
+  void iterationBegins() {
+    iteration++;
+  }
+
+  /** Runs those that were added before the last iteration, for so long. */
+  void run(long sliceNanos) {
+    long startNanos = System.nanoTime();
+    running = true;
+    try {
+      while (isNextDue() && System.nanoTime() - startNanos < sliceNanos) {
+        runGuarded(entries.remove().task());
+      }
+    } finally {
+      running = false;
+    }
+  }
+
+  private boolean isNextDue() {
+    Entry next = entries.peek();
+    return next != null && next.iteration() < iteration;
+  }
+
+  /** A task that throws must not end the selector thread, nor what waits behind it. */
+  static void runGuarded(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException fault) {
+      logger.atSevere().withCause(fault).log("deferred task failed");
+    }
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/turn/package-info.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/package-info.java
@@ -1,2 +1,2 @@
 /** How late the selector threads read, and so how old what they read may be. */
-package io.umberpath.node.proxy.turn;
+package io.umberpath.node.proxy.loop;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
@@ -3,7 +3,7 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.HeaderFields;
-import io.umberpath.node.proxy.turn.SelectorTurns;
+import io.umberpath.node.proxy.loop.EventLoop;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
@@ -73,12 +73,12 @@
     return stage == Stage.IDLE && connection.isOpen();
   }
 
-  /** Begins work on a selector thread, at once if that has read what has arrived. */
-  public void beginWork(Runnable work) {
-    if (SelectorTurns.isSelectorThread()) {
-      SelectorTurns.beginWork(work);
+  /** Runs work on a selector thread, at once if that has read what has arrived. */
+  public void runOrDefer(Runnable work) {
+    if (EventLoop.isSelectorThread()) {
+      EventLoop.runOrDefer(work);
     } else {
-      OwnTurn.run(connection, () -> SelectorTurns.beginWork(work));
+      OwnTurn.run(connection, () -> EventLoop.runOrDefer(work));
     }
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/AcceptQueueTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/AcceptQueueTest.java
@@ -12,11 +12,11 @@
 @Timeout(60)
 class AcceptQueueTest {
   private static final int CONNECTIONS = 64;
-  private static final int MAX_TURNS = 8;
+  private static final int MAX_ITERATIONS = 8;
 
   /** Each connection waited for a turn of the selector of its own, and its request as long. */
   @Test
-  void requestsOfWaitingConnectionsAreReadWithinFewTurns() throws Exception {
+  void requestsOfWaitingConnectionsAreReadWithinFewIterations() throws Exception {
     List<RawConnection> callers = new ArrayList<>();
     try (InboundFixture fixture = new InboundFixture()) {
       fixture.blockReading();
@@ -30,7 +30,7 @@
         assertThat(caller.read().status()).isEqualTo(404);
       }
 
-      assertThat(fixture.turns()).isLessThanOrEqualTo(MAX_TURNS);
+      assertThat(fixture.iterations()).isLessThanOrEqualTo(MAX_ITERATIONS);
     } finally {
       closeAll(callers);
     }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -15,10 +15,10 @@
 import io.umberpath.node.proxy.inbound.Refusal;
 import io.umberpath.node.proxy.inbound.RequestPlan;
 import io.umberpath.node.proxy.inbound.UnansweredRequests;
+import io.umberpath.node.proxy.loop.EventLoop;
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.stats.ProxyStats;
-import io.umberpath.node.proxy.turn.SelectorTurns;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -61,7 +61,7 @@
   private final ReadingBlock block = new ReadingBlock();
   private final ServerSocket origin = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
   private final ConnectionPool pool;
-  private final Set<Long> turns = ConcurrentHashMap.newKeySet();
+  private final Set<Long> iterations = ConcurrentHashMap.newKeySet();
   private final BlockingQueue<Long> workMicros = new LinkedBlockingQueue<>();
   private final BlockingQueue<Exchange> heldBack = new LinkedBlockingQueue<>();
 
@@ -150,9 +150,9 @@
     return workMicros.take();
   }
 
-  /** Turns of the selector thread in which requests were decided on. */
-  int turns() {
-    return turns.size();
+  /** Iterations of the event loop in which requests were decided on. */
+  int iterations() {
+    return iterations.size();
   }
 
   /** Sends a request and reads its answer; returns once the node knows that it is answered. */
@@ -171,19 +171,19 @@
     clockMillis.addAndGet(millis);
   }
 
-  /** Judges now, or once the thread that reads has read what has arrived. */
-  void judge(Runnable judgement) {
-    transport.judge(judgement, false);
+  /** Checks now, or once the thread that reads has read what has arrived. */
+  void checkTimeouts(Runnable check) {
+    transport.checkTimeouts(check, false);
   }
 
   /** What the timer of a node does, here on the calling thread. */
   void keepDeadlines() {
-    transport.judge(() -> active.expire(clockMillis.get()), false);
+    transport.checkTimeouts(() -> active.expire(clockMillis.get()), false);
   }
 
   /** The same for connections that do not open. */
   void giveUpLateConnections() {
-    transport.judge(pool::giveUpLate, false);
+    transport.checkTimeouts(pool::giveUpLate, false);
   }
 
   /** Returns once the thread that reads stands still. */
@@ -234,7 +234,7 @@
 
     @Override
     public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
-      turns.add(SelectorTurns.earliestArrivalNanos());
+      iterations.add(EventLoop.earliestArrivalNanos());
       block.pass(head.path());
       if (!REFUSED_PATHS.contains(head.path())) {
         long deadline = Headers.deadlineMillis(head).get().orElse(NO_DEADLINE_MILLIS);
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/LateJudgementTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateTimerTest.java
@@ -10,9 +10,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** A timer does not judge by what a selector thread has not read yet. */
+/** A timer does not check time-outs by what a selector thread has not read yet. */
 @Timeout(60)
-class LateJudgementTest {
+class LateTimerTest {
   private static final long DEADLINE_MILLIS = 600_000;
 
   private InboundFixture fixture;
@@ -47,14 +47,14 @@
 
   /** The task comes from another thread while the selector thread is busy for long. */
   @Test
-  void aJudgementThatWaitsForReadingIsMadeThoughNothingArrives() throws Exception {
+  void aCheckThatWaitsForReadingIsMadeThoughNothingArrives() throws Exception {
     fixture.blockReading();
     fixture.standLate();
-    CountDownLatch judged = new CountDownLatch(1);
-    fixture.judge(judged::countDown);
+    CountDownLatch checked = new CountDownLatch(1);
+    fixture.checkTimeouts(checked::countDown);
     fixture.readOn();
 
-    assertThat(judged.await(20, TimeUnit.SECONDS)).isTrue();
+    assertThat(checked.await(20, TimeUnit.SECONDS)).isTrue();
   }
 
   /** The connection has opened, and the thread that is to hear of it stands still. */
