--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/EdgeRetries.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/EdgeRetries.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.traffic.routing.RetryWindow;
 import java.util.Set;
@@ -66,13 +67,13 @@
 
   /** Why the request is not sent again; empty if it is. */
   String against(Exchange exchange, MeshEdgePlan plan, Verdict verdict, long nowMillis) {
-    if (!exchange.isBodyReplayable()) {
+    if (!exchange.body().satisfies(BodyCondition.REPLAYABLE)) {
       return "body not kept";
     }
     if (nowMillis + MIN_REMAINING_MILLIS > plan.deadlineMillis()) {
       return "no time left";
     }
-    if (exchange.attempts() >= MAX_OFFERS) {
+    if (exchange.history().count() >= MAX_OFFERS) {
       return "offered often enough";
     }
     if (verdict instanceof Verdict.NotRun notRun && !arrived(verdict)) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -8,6 +8,7 @@
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.Refusal;
@@ -46,7 +47,7 @@
   private final GateBalancer balancer;
   private final PeerExchange peers;
   private final RequestQuarantine quarantine;
-  private final MeshEvents events;
+  private final RequestEvents events;
   private final LongSupplier clockMillis;
   private final WeightedSplit split = new WeightedSplit();
   private final EdgeRetries retries;
@@ -78,12 +79,13 @@
     this.balancer = balancer;
     this.peers = peers;
     this.quarantine = peers.quarantine();
-    this.events = events;
+    this.events = events.requests();
     this.clockMillis = clockMillis;
     this.retries = new EdgeRetries(settings.retry(), peers::nodes, repeatShare);
     replacedHeaders.add(settings.headers().deadline());
     replacedHeaders.add(settings.headers().callerService());
     replacedHeaders.add(settings.headers().expectedInstance());
+    replacedHeaders.add(Header.Expect.toString());
   }
 
   /** From now on answers ask callers to go elsewhere with their next request. */
@@ -107,7 +109,7 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis) {
     if (refusing) {
       return Either.left(
           new Refusal(new Verdict.NotRun(Verdict.Reason.DRAINING), RETRY_WHEN_NOBODY_MILLIS));
@@ -130,7 +132,14 @@
     long timeout = Math.min(stated.get(), rule.get().timeoutMillis());
     boolean returned = isReturned(rule.get(), stated.get());
     return Either.right(
-        plan(head, requestId.get(), rule.get(), current.version(), nowMillis, timeout, returned));
+        plan(
+            head,
+            requestId.get(),
+            rule.get(),
+            current.version(),
+            arrivedMillis,
+            timeout,
+            returned));
   }
 
   private MeshEdgePlan plan(
@@ -138,21 +147,21 @@
       String requestId,
       RoutingRule rule,
       long version,
-      long nowMillis,
+      long arrivedMillis,
       long timeoutMillis,
       boolean returned) {
     String service;
     synchronized (split) {
       service = split.next(rule);
     }
-    retries.requestStarted(nowMillis, rule.name(), service);
+    retries.requestStarted(clockMillis.getAsLong(), rule.name(), service);
     return new MeshEdgePlan(
         requestId,
         rule,
         service,
         version,
-        nowMillis + timeoutMillis,
-        nowMillis,
+        arrivedMillis + timeoutMillis,
+        arrivedMillis,
         Fingerprints.targetOf(head),
         returned,
         replacedHeaders,
@@ -179,6 +188,10 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DEADLINE));
       return;
     }
+    if (!exchange.body().satisfies(BodyCondition.HELD)) {
+      awaitBody(exchange);
+      return;
+    }
     if (isHeld(exchange, plan)) {
       return;
     }
@@ -197,7 +210,7 @@
       choice.ifPresent(chosen -> balancer.started(now, chosen.backend().id()));
     }
     if (choice.isEmpty()) {
-      exchange.refuse(exchange.lastRefusal().orElseGet(MeshEdgeHandler::nobody));
+      exchange.refuse(exchange.history().lastRefusal().orElseGet(MeshEdgeHandler::nobody));
       return;
     }
     BackendEntry chosen = choice.get().backend();
@@ -211,6 +224,14 @@
     }
   }
 
+  /** The back end is chosen when the body can follow at once. */
+  private static void awaitBody(Exchange exchange) {
+    if (exchange.request().field(Header.Expect.toString()).isPresent()) {
+      exchange.continueBody();
+    }
+    exchange.dispatchOnceBody(BodyCondition.HELD);
+  }
+
   /**
    * Whether the request is kept from all back ends, and so refused; or waits for as much of its
    * body as tells that. No time to come back is named: whoever comes again is refused again.
@@ -223,7 +244,7 @@
     }
     Optional<RequestFingerprint> request = Fingerprints.of(exchange, plan.target());
     if (request.isEmpty()) {
-      exchange.dispatchOnceBodyIsKnown();
+      exchange.dispatchOnceBody(BodyCondition.KNOWN);
       return true;
     }
     if (!quarantine.holdsAtEdge(request.get())) {
@@ -241,7 +262,7 @@
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
     MeshEdgePlan plan = planOf(exchange);
     HeaderNames names = settings.headers();
-    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    long left = plan.deadlineMillis() - nowMillis;
     set(outgoing, names.deadline(), Long.toString(left));
     set(outgoing, names.callerService(), settings.service());
     HopHeader hop =
@@ -260,7 +281,7 @@
   private static boolean mayBounce(Exchange exchange, MeshEdgePlan plan) {
     return plan.tally().bounces() < EdgeRetries.MAX_BOUNCES
         && exchange.request().contentLength() <= MAX_BOUNCED_BYTES
-        && exchange.isBodyReplayable();
+        && exchange.body().satisfies(BodyCondition.REPLAYABLE);
   }
 
   private static void set(HttpRequestPacket packet, String name, String value) {
@@ -339,7 +360,7 @@
     boolean again = decision.isEmpty();
     events.attemptFailed(
         plan,
-        String.valueOf(exchange.lastOrigin()),
+        String.valueOf(exchange.history().lastOrigin()),
         Fingerprints.text(exchange, plan.target(), verdict),
         verdict,
         again ? "" : decision);
@@ -354,11 +375,17 @@
     }
     long millis = clockMillis.getAsLong() - plan.beganMillis();
     if (verdict instanceof Verdict.Completed) {
-      events.requestServed(plan, exchange.attempts(), millis);
+      events.requestServed(plan, exchange.history().count(), millis);
     } else {
       boolean held = VerdictHeader.reasonOf(verdict) == Verdict.Reason.QUARANTINED;
       String fingerprint = held ? Fingerprints.text(exchange, plan.target()) : "";
-      events.requestFailed(plan, fingerprint, exchange.attempts(), verdict, millis);
+      events.requestFailed(
+          plan,
+          fingerprint,
+          exchange.history().count(),
+          verdict,
+          millis,
+          exchange.age().unreadMillis());
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -6,6 +6,7 @@
 import io.umberpath.node.proxy.SlotGate;
 import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.RequestHead;
+import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.Refusal;
@@ -29,6 +30,7 @@
 import java.util.function.LongSupplier;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.util.Header;
 
 /**
  * Requests of other nodes for the back end beside this one. It is the only way to that back end, so
@@ -56,11 +58,13 @@
   private final MeshSettings settings;
   private final ConnectionPool pool;
   private final SlotGate gate;
+  private final BodyGrants bodies = new BodyGrants();
   private final LocalBackend backend;
   private final RequestQuarantine quarantine;
   private final BackendCrashDetector crashes;
   private final LocalBackendSpeed speed;
   private final MeshEvents events;
+  private final RequestEvents requestEvents;
   private final LongSupplier clockMillis;
   private final RouteMeans routeTimes = new RouteMeans(MIN_TIME_SAMPLES);
   private final NestedRoutes nestedRoutes = new NestedRoutes();
@@ -85,11 +89,13 @@
     this.quarantine = quarantine;
     this.crashes = new BackendCrashDetector(pool, clockMillis);
     this.events = events;
+    this.requestEvents = events.requests();
     this.failures = new GateFailures(events);
     this.clockMillis = clockMillis;
     this.gate = new SlotGate(admission, this::send, clockMillis);
     replacedHeaders.add(settings.headers().deadline());
     replacedHeaders.add(settings.headers().expectedInstance());
+    replacedHeaders.add(Header.Expect.toString());
   }
 
   /**
@@ -115,6 +121,7 @@
 
   /** Lets time pass: refuses what can no longer be met. */
   void tick(long nowMillis) {
+    bodies.tick(nowMillis);
     gate.tick(nowMillis);
   }
 
@@ -133,7 +140,7 @@
     long sinceMicros = (clockMillis.getAsLong() - atMillis) * MICROS_PER_MILLI;
     return gate.runningExchanges().stream()
         .filter(exchange -> planOf(exchange).instance().equals(instance))
-        .anyMatch(exchange -> exchange.sinceSentMicros() > sinceMicros);
+        .anyMatch(exchange -> exchange.history().sinceSentMicros() > sinceMicros);
   }
 
   private void crashed(BackendCrashDetector.Crash crash) {
@@ -149,7 +156,7 @@
     int repeats = 0;
     for (Exchange exchange : gate.runningExchanges()) {
       long expected = expectedMicros(planOf(exchange).route());
-      running.add(new Slowness.Running(exchange.sinceSentMicros(), expected));
+      running.add(new Slowness.Running(exchange.history().sinceSentMicros(), expected));
       repeats += planOf(exchange).hop().isRepeat() ? 1 : 0;
     }
     speed.observe(running);
@@ -182,7 +189,7 @@
         backend.coldStarts().usableSlots(clockMillis.getAsLong(), backend.slots(), serviceMicros);
     return new GateLoad(
         gate.running(),
-        gate.queued(),
+        gate.queued() + bodies.waiting(),
         slots,
         serviceMicros,
         slownessPercent,
@@ -214,21 +221,21 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis) {
     Optional<String> requestId = head.field(settings.headers().requestId());
     Optional<HopHeader> hop = head.field(HopHeader.HEADER).flatMap(HopHeader::decode);
     Optional<Long> left = head.field(settings.headers().deadline()).flatMap(Headers::number);
     if (requestId.isEmpty() || hop.isEmpty() || left.isEmpty()) {
       String lacking = firstLacking(requestId.isPresent(), hop.isPresent());
-      events.gateHeadRefused(requestId.orElse(""), lacking);
+      requestEvents.gateHeadRefused(requestId.orElse(""), lacking);
       return Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST));
     }
     return Either.right(
         new MeshGatePlan(
             requestId.get(),
             hop.get(),
-            nowMillis + left.get(),
-            nowMillis,
+            arrivedMillis + left.get(),
+            arrivedMillis,
             Fingerprints.targetOf(head),
             replacedHeaders));
   }
@@ -251,6 +258,13 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.QUARANTINED));
       return;
     }
+    if (!exchange.body().satisfies(BodyCondition.HELD)) {
+      // A slot that waits for a body does no work.
+      exchange.dispatchOnceBody(BodyCondition.HELD);
+      bodies.ask(exchange, plan.beganMillis() + plan.hop().startByMillis());
+      return;
+    }
+    bodies.ended(exchange);
     double slowness = speed.slowness();
     long expectedMicros = Math.round(slowness * expectedMicros(plan.route()));
     long likelyMicros = Math.round(slowness * likelyMicros(plan.route()));
@@ -297,10 +311,18 @@
     }
   }
 
+  @Override
+  public Optional<Refusal> refusalAtSending(RequestPlan plan, long nowMillis) {
+    if (!backend.takes(((MeshGatePlan) plan).instance())) {
+      return Optional.of(Refusal.notRun(Verdict.Reason.DRAINING));
+    }
+    return RequestHandler.super.refusalAtSending(plan, nowMillis);
+  }
+
   @Override
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
     MeshGatePlan plan = planOf(exchange);
-    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    long left = plan.deadlineMillis() - nowMillis;
     HeaderNames names = settings.headers();
     outgoing.getHeaders().setValue(names.deadline()).setString(Long.toString(left));
     outgoing.getHeaders().setValue(names.expectedInstance()).setString(plan.instance());
@@ -349,7 +371,7 @@
     MeshGatePlan plan = planOf(exchange);
     failures.ended(clockMillis.getAsLong(), plan.instance(), refusal, exchange.answeredStatus());
     if (refusal == null) {
-      long usualMicros = speed.usualMicros(plan.route(), exchange.sinceSentMicros());
+      long usualMicros = speed.usualMicros(plan.route(), exchange.history().sinceSentMicros());
       synchronized (routeTimes) {
         routeTimes.add(plan.route(), usualMicros);
       }
@@ -369,16 +391,18 @@
 
   @Override
   public void ended(Exchange exchange, Verdict verdict) {
+    bodies.ended(exchange);
     gate.ended(exchange);
     MeshGatePlan plan = planOf(exchange);
     if (plan != null && !(verdict instanceof Verdict.Completed)) {
       long millis = clockMillis.getAsLong() - plan.beganMillis();
-      events.gateFailed(
+      requestEvents.gateFailed(
           plan,
           Fingerprints.text(exchange, plan.target(), verdict),
           verdict,
           load().encode(),
-          millis);
+          millis,
+          exchange.age().unreadMillis());
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -11,7 +11,6 @@
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.origin.OriginManager;
 import io.umberpath.node.proxy.pool.ConnectionPool;
-import io.umberpath.node.proxy.stats.ProxyStats;
 import io.umberpath.traffic.AdmissionControllers;
 import io.umberpath.traffic.AdmissionSettings;
 import io.umberpath.traffic.routing.GateBalancer;
@@ -51,6 +50,8 @@
   private final InboundFilter gateFilter;
   private final List<Listener> listeners = new ArrayList<>();
   private final LongSupplier clockMillis;
+  private final Runnable endOverdue = this::endOverdue;
+  private final Runnable sweepNow = this::sweepNow;
 
   MeshProxy(
       MeshSettings settings,
@@ -59,12 +60,14 @@
       PeerExchange peers,
       LocalBackend backend,
       MeshEvents events,
-      ProxyStats stats,
+      MeshMetrics metrics,
       LongSupplier clockMillis) {
     this.settings = settings;
     this.view = view;
     this.clockMillis = clockMillis;
-    this.transport = new ProxyTransport(MAX_HEADER_BYTES, ConnectionPool::giveBack, 1);
+    this.transport =
+        new ProxyTransport(
+            MAX_HEADER_BYTES, ConnectionPool::giveBack, 1, new ReadingDelays(metrics, events));
     this.origins = new OriginManager(transport, clockMillis, CONNECT_TIMEOUT_MILLIS);
     this.backendPool =
         new ConnectionPool(
@@ -88,9 +91,9 @@
     ExchangeEnvironment environment =
         new ExchangeEnvironment(
             clockMillis,
-            stats,
+            metrics,
             AttemptLog.CUT_OFF_ONLY,
-            events::connectionEnded,
+            events.requests()::connectionEnded,
             active,
             this::maxBodyBytes);
     this.edgeFilter = new InboundFilter(edge, environment);
@@ -169,19 +172,36 @@
     new ConnectionDrain(List.of(edgeFilter, gateFilter), clockMillis).run(endMillis);
   }
 
-  /** Ends what is past its deadline. */
-  void keepDeadlines(long nowMillis) {
-    if (active.size() > 0) {
-      active.expire(nowMillis);
-      gate.tick(nowMillis);
+  /**
+   * Ends what is past its deadline.
+   *
+   * @param isTimerLate whether the caller had no processor for a while
+   */
+  void keepDeadlines(boolean isTimerLate) {
+    if (active.size() > 0 && !transport.checkTimeouts(endOverdue, isTimerLate)) {
+      active.expireUnsent(clockMillis.getAsLong());
     }
   }
 
-  /** Gives up connections that do not open, and looks how fast the back end is. */
-  void sweep() {
+  private void endOverdue() {
+    long now = clockMillis.getAsLong();
+    active.expire(now);
+    gate.tick(now);
+  }
+
+  /**
+   * Gives up connections that do not open, and looks how fast the back end is.
+   *
+   * @param isTimerLate whether the caller had no processor for a while
+   */
+  void sweep(boolean isTimerLate) {
+    transport.checkTimeouts(sweepNow, isTimerLate);
+  }
+
+  private void sweepNow() {
+    gate.observe();
     backendPool.expire(IDLE_BACKEND_MILLIS);
     origins.giveUpLate();
-    gate.observe();
   }
 
   /** Closes connections to other nodes and to the back end on which nothing is under way. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -13,6 +13,7 @@
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.PoolRequestPlan;
@@ -89,7 +90,7 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis) {
     if (draining) {
       return Either.left(Refusal.notRun(Verdict.Reason.DRAINING));
     }
@@ -113,10 +114,10 @@
     if (timeout <= 0) {
       return Either.left(Refusal.notRun(Verdict.Reason.DEADLINE));
     }
-    PoolRequestPlan plan = plan(head, snapshot, route.get(), nowMillis + timeout);
+    PoolRequestPlan plan = plan(head, snapshot, route.get(), arrivedMillis + timeout);
     RetryPolicy policy = retries.get(plan.tier());
     synchronized (policy) {
-      policy.requestStarted(nowMillis, plan.chain());
+      policy.requestStarted(clockMillis.getAsLong(), plan.chain());
     }
     return Either.right(plan);
   }
@@ -162,7 +163,7 @@
               planOf(exchange).pool().orElseThrow(),
               planOf(exchange).tier(),
               ThreadLocalRandom.current().nextLong(),
-              exchange.triedOrigins());
+              exchange.history().triedOrigins());
       if (choice.isRight()) {
         balancer.started(now, choice.get().address().id());
       }
@@ -171,7 +172,10 @@
       send(exchange, choice.get().address(), now);
     } else {
       exchange.refuse(
-          exchange.lastRefusal().orElseGet(() -> noneLeft(exchange, choice.getLeft(), now)));
+          exchange
+              .history()
+              .lastRefusal()
+              .orElseGet(() -> noneLeft(exchange, choice.getLeft(), now)));
     }
   }
 
@@ -199,18 +203,18 @@
   @Override
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
     PoolRequestPlan plan = planOf(exchange);
-    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    long left = plan.deadlineMillis() - nowMillis;
     set(outgoing, ProxyHeaders.DEADLINE, Long.toString(left));
     set(outgoing, ProxyHeaders.REQUEST_ID, attemptId(exchange));
-    set(outgoing, ProxyHeaders.ATTEMPT, Integer.toString(exchange.attempts()));
-    set(outgoing, ChainBudget.HEADER, plan.chain().forAttempt(exchange.attempts()).encode());
+    set(outgoing, ProxyHeaders.ATTEMPT, Integer.toString(exchange.history().count()));
+    set(outgoing, ChainBudget.HEADER, plan.chain().forAttempt(exchange.history().count()).encode());
     set(outgoing, ProxyHeaders.ROUTE, plan.route());
     set(outgoing, ProxyHeaders.TENANT, plan.tenant());
     set(outgoing, ProxyHeaders.TIER, plan.tier().name());
   }
 
   private static String attemptId(Exchange exchange) {
-    return planOf(exchange).requestId() + "." + exchange.attempts();
+    return planOf(exchange).requestId() + "." + exchange.history().count();
   }
 
   private static void set(HttpRequestPacket packet, String name, String value) {
@@ -251,8 +255,8 @@
         new RetryPolicy.FailedAttempt(
             verdict,
             plan.repeatable(),
-            exchange.attempts(),
-            exchange.isBodyReplayable(),
+            exchange.history().count(),
+            exchange.body().satisfies(BodyCondition.REPLAYABLE),
             plan.deadlineMillis());
     RetryPolicy policy = retries.get(plan.tier());
     synchronized (policy) {
@@ -262,7 +266,7 @@
 
   /** What is left of the request's chain budget after the retries made here. */
   private static ChainBudget chainLeft(Exchange exchange) {
-    int made = exchange.attempts() - 1;
+    int made = exchange.history().count() - 1;
     return new ChainBudget(Math.max(0, planOf(exchange).chain().retriesLeft() - made));
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
@@ -76,7 +76,7 @@
   }
 
   @Override
-  public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
+  public Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis) {
     Optional<String> requestId = head.field(ProxyHeaders.REQUEST_ID);
     Either<String, Optional<Long>> stated = Headers.deadlineMillis(head);
     if (requestId.isEmpty() || stated.isLeft()) {
@@ -90,7 +90,7 @@
             head.field(ProxyHeaders.TENANT).orElse(""),
             tier(head),
             false,
-            nowMillis + timeout,
+            arrivedMillis + timeout,
             Optional.empty(),
             Optional.empty(),
             ChainBudget.ofRequest(head.field(ChainBudget.HEADER), RetrySettings.DEFAULT));
@@ -128,7 +128,7 @@
   @Override
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
     PoolRequestPlan plan = planOf(exchange);
-    long left = Math.max(1, plan.deadlineMillis() - nowMillis);
+    long left = plan.deadlineMillis() - nowMillis;
     outgoing.getHeaders().addValue(ProxyHeaders.DEADLINE).setString(Long.toString(left));
     outgoing.getHeaders().addValue(ProxyHeaders.REQUEST_ID).setString(plan.requestId());
     outgoing.getHeaders().addValue(ChainBudget.HEADER).setString(plan.chain().encode());
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -4,11 +4,15 @@
 import io.umberpath.node.proxy.http.ClientCodecFilter;
 import io.umberpath.node.proxy.http.ServerCodecFilter;
 import io.umberpath.node.proxy.inbound.InboundFilter;
+import io.umberpath.node.proxy.loop.EventLoop;
+import io.umberpath.node.proxy.loop.IterationListener;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OriginFilter;
 import io.umberpath.node.proxy.pool.Connector;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
@@ -20,7 +24,6 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 
 /**
  * Grizzly's TCP transport with the proxy's filter chains. Everything runs on the selector threads,
@@ -34,30 +37,45 @@
 
   private final TCPNIOTransport transport;
   private final TCPNIOConnectorHandler connector;
+  private final EventLoop eventLoop;
+  private final Set<Runnable> waitingChecks = ConcurrentHashMap.newKeySet();
   private final int maxHeaderBytes;
 
   ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable) {
     this(maxHeaderBytes, onReusable, selectorThreads());
   }
 
+  ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable, int threads) {
+    this(maxHeaderBytes, onReusable, threads, IterationListener.NONE);
+  }
+
   /**
    * Creates a transport that is not started yet.
    *
    * @param maxHeaderBytes largest head of a message
    * @param onReusable takes a connection whose attempt left it in order
    * @param threads selector threads
+   * @param lateIterations hears of iterations of these threads that kept arrivals waiting
    */
-  public ProxyTransport(int maxHeaderBytes, Consumer<OriginConnection> onReusable, int threads) {
+  public ProxyTransport(
+      int maxHeaderBytes,
+      Consumer<OriginConnection> onReusable,
+      int threads,
+      IterationListener lateIterations) {
     this.maxHeaderBytes = maxHeaderBytes;
+    this.eventLoop = new EventLoop(lateIterations);
+    AcceptingStrategy accepting = new AcceptingStrategy(BACKLOG);
     this.transport =
         TCPNIOTransportBuilder.newInstance()
             .setName("umberpath-proxy")
-            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setIOStrategy(accepting)
+            .setSelectorHandler(eventLoop)
             .setSelectorRunnersCount(threads)
             .setReadBufferSize(READ_BUFFER_BYTES)
             .setTcpNoDelay(true)
             .setServerConnectionBackLog(BACKLOG)
             .build();
+    transport.getConnectionMonitoringConfig().addProbes(accepting);
     transport.getAsyncQueueIO().getWriter().setMaxPendingBytesPerConnection(WRITE_QUEUE_BYTES);
     this.connector =
         TCPNIOConnectorHandler.builder(transport).processor(clientChain(onReusable)).build();
@@ -99,6 +117,34 @@
         .bind(new InetSocketAddress(host, port));
   }
 
+  /**
+   * Checks time-outs: at once, or if reading is behind, after that. A selector thread that had no
+   * processor may have the answer, or the connection, that a timer misses. The same check does not
+   * wait twice.
+   *
+   * @param isTimerLate whether the caller itself had no processor
+   * @return whether it was made at once
+   */
+  public boolean checkTimeouts(Runnable check, boolean isTimerLate) {
+    boolean isBehind = isTimerLate || eventLoop.isBehind();
+    if (isBehind) {
+      checkAfterReading(check);
+    } else {
+      check.run();
+    }
+    return !isBehind;
+  }
+
+  private void checkAfterReading(Runnable check) {
+    if (waitingChecks.add(check)) {
+      eventLoop.afterReading(
+          () -> {
+            waitingChecks.remove(check);
+            check.run();
+          });
+    }
+  }
+
   /** Listens for connections that can be ended in order. */
   public Listener listen(String host, int port, InboundFilter last) throws IOException {
     return new Listener(listen(host, port, (Filter) last), last);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
@@ -1,12 +1,15 @@
 package io.umberpath.node.proxy;
 
+import com.google.common.flogger.FluentLogger;
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Refusal;
 import io.umberpath.traffic.AdmissionController;
 import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.AdmissionController.Decision;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -21,6 +24,8 @@
  * run": nothing of the request has been sent. Thread-safe.
  */
 public final class SlotGate {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** A request that asked for a slot. */
   private record Waiting(long id, Exchange exchange, AtomicReference<Standing> standing) {}
 
@@ -37,6 +42,7 @@
   private final AtomicLong lastId = new AtomicLong();
   private final Map<Long, Waiting> byId = new ConcurrentHashMap<>();
   private final Map<Exchange, Waiting> byExchange = new ConcurrentHashMap<>();
+  private final ThreadLocal<Deque<Decision>> decisionsUnderWay = new ThreadLocal<>();
 
   /**
    * Creates a gate with every slot free.
@@ -144,7 +150,7 @@
     }
     forget(waiting);
     if (waiting.standing().getAndSet(Standing.ENDED) == Standing.ADMITTED) {
-      release(waiting.id(), exchange.sinceSentMicros());
+      release(waiting.id(), exchange.history().sinceSentMicros());
       return;
     }
     cancel(waiting.id());
@@ -158,16 +164,50 @@
     carryOut(decisions);
   }
 
+  /**
+   * Carries decisions out one after the other. What one of them leads to on the same thread comes
+   * after it: an admitted request that ends at once lets the next in, and so on through the queue.
+   */
   private void carryOut(List<Decision> decisions) {
-    for (Decision decision : decisions) {
-      Waiting waiting = byId.get(decision.id());
-      if (decision instanceof Decision.Admitted) {
-        admit(decision.id(), waiting);
-      } else if (decision instanceof Decision.Refused refused && waiting != null) {
-        forget(waiting);
-        long retryAfter = refused.retryAfterMillis();
-        waiting.exchange().refuse(new Refusal(new Verdict.NotRun(refused.reason()), retryAfter));
+    if (decisions.isEmpty()) {
+      return;
+    }
+    Deque<Decision> underWay = decisionsUnderWay.get();
+    if (underWay != null) {
+      underWay.addAll(decisions);
+      return;
+    }
+    Deque<Decision> queue = new ArrayDeque<>(decisions);
+    decisionsUnderWay.set(queue);
+    try {
+      while (!queue.isEmpty()) {
+        carryOutGuarded(queue.remove());
       }
+    } finally {
+      decisionsUnderWay.remove();
+    }
+  }
+
+  /** A fault ends its own exchange, which gives the slot back, and not the decisions behind. */
+  private void carryOutGuarded(Decision decision) {
+    Waiting waiting = byId.get(decision.id());
+    try {
+      carryOut(decision, waiting);
+    } catch (RuntimeException fault) {
+      logger.atSevere().withCause(fault).log("a decision of the gate was not carried out");
+      if (waiting != null) {
+        waiting.exchange().refuse(Refusal.notRun(Verdict.Reason.INTERNAL));
+      }
+    }
+  }
+
+  private void carryOut(Decision decision, Waiting waiting) {
+    if (decision instanceof Decision.Admitted) {
+      admit(decision.id(), waiting);
+    } else if (decision instanceof Decision.Refused refused && waiting != null) {
+      forget(waiting);
+      long retryAfter = refused.retryAfterMillis();
+      waiting.exchange().refuse(new Refusal(new Verdict.NotRun(refused.reason()), retryAfter));
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AttemptHistory.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AttemptHistory.java
@@ -1,23 +1,26 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.loop.EventLoop;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 
-/** The attempts of one exchange so far, whose lock guards it. */
-final class AttemptHistory {
+/** The attempts of one exchange so far. Thread-safe. */
+public final class AttemptHistory {
   private static final long NANOS_PER_MICRO = 1_000;
 
   private final Set<String> triedOrigins = new HashSet<>();
   private int count;
   private String lastOrigin;
   private long sentNanos;
+  private long answeredNanos;
+  private boolean isAnswered;
   private Refusal lastRefusal;
   private boolean mayHaveRun;
 
   /** An attempt begins; returns its number. */
-  int begin(String originId) {
+  synchronized int begin(String originId) {
     count++;
     triedOrigins.add(originId);
     lastOrigin = originId;
@@ -25,41 +28,55 @@
   }
 
   /** The attempt is handed to its connection. */
-  void sent() {
+  synchronized void sent() {
     sentNanos = System.nanoTime();
+    isAnswered = false;
+  }
+
+  /** The attempt's answer has been read whole; it may have lain unread. */
+  synchronized void answered() {
+    answeredNanos = Math.max(sentNanos, EventLoop.likelyArrivalNanos());
+    isAnswered = true;
   }
 
   /** An attempt, or the exchange before its first, has failed. */
-  void failed(Refusal refusal) {
+  synchronized void failed(Refusal refusal) {
     mayHaveRun |= refusal.verdict() instanceof Verdict.MayHaveRun;
     lastRefusal = refusal;
   }
 
   /** A refusal that does not say "not run" where an earlier attempt may have. */
-  Refusal truthful(Refusal refusal) {
+  synchronized Refusal truthful(Refusal refusal) {
     boolean overstates = mayHaveRun && refusal.verdict() instanceof Verdict.NotRun;
     return overstates ? Refusal.mayHaveRun(refusal.reason()) : refusal;
   }
 
-  int count() {
+  /** Attempts made so far. */
+  public synchronized int count() {
     return count;
   }
 
-  /** Microseconds since the last attempt was handed to its connection; 0 if none was. */
-  long sinceSentMicros() {
-    return sentNanos == 0 ? 0 : (System.nanoTime() - sentNanos) / NANOS_PER_MICRO;
+  /**
+   * Microseconds since the last attempt was handed to its connection, until its answer came if it
+   * has; 0 if none was.
+   */
+  public synchronized long sinceSentMicros() {
+    long endNanos = isAnswered ? answeredNanos : System.nanoTime();
+    return sentNanos == 0 ? 0 : (endNanos - sentNanos) / NANOS_PER_MICRO;
   }
 
-  Optional<Refusal> lastRefusal() {
+  /** How the last attempt ended, if one did. */
+  public synchronized Optional<Refusal> lastRefusal() {
     return Optional.ofNullable(lastRefusal);
   }
 
   /** The origin of the last attempt; null before the first. */
-  String lastOrigin() {
+  public synchronized String lastOrigin() {
     return lastOrigin;
   }
 
-  Set<String> triedOrigins() {
+  /** Origins that have been tried. */
+  public synchronized Set<String> triedOrigins() {
     return Set.copyOf(triedOrigins);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.node.proxy.http.PendingAnswers;
+import io.umberpath.node.proxy.loop.Arrival;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OwnTurn;
 import io.umberpath.node.proxy.stats.ProxyStats;
@@ -30,7 +31,8 @@
   private final RestTime rest;
   private final AnswerTurns turns = new AnswerTurns();
   private final LostExchanges lost = new LostExchanges();
-  private final SuspendedReads suspended = new SuspendedReads();
+  private final Arrival arrival;
+  private final SuspendedReads suspended;
   private ConnectionState state = ConnectionState.OPEN;
   private ConnectionEnd endedBy = ConnectionEnd.PEER;
   private boolean advancing;
@@ -52,6 +54,8 @@
     this.side = side;
     this.log = environment.connectionLog();
     this.rest = new RestTime(environment.clockMillis());
+    this.arrival = Arrival.accepted(connection);
+    this.suspended = new SuspendedReads(arrival);
     ATTRIBUTE.set(connection, this);
     PendingAnswers.attach(connection, this);
   }
@@ -64,6 +68,11 @@
     return connection;
   }
 
+  /** The earliest moment at which what was last read can have arrived, on the nano clock. */
+  long arrivedNanos() {
+    return arrival.earliestNanos();
+  }
+
   /** The exchange this content belongs to; null if it begins one or is to be dropped. */
   synchronized Exchange exchangeOf(HttpContent content) {
     return turns.exchangeOf(content);
@@ -364,7 +373,7 @@
     }
   }
 
-  /** The peer is gone. */
+  /** The connection is gone. */
   void closed() {
     List<Exchange> open;
     ConnectionEnd cause;
@@ -372,7 +381,10 @@
     synchronized (this) {
       state = ConnectionState.CLOSED;
       open = turns.takeAll();
-      cause = endedBy;
+      cause =
+          endedBy == ConnectionEnd.PEER
+              ? ConnectionEnd.ofCloseReason(connection.getCloseReason())
+              : endedBy;
       isHeadUnbegun = suspended.isAtHead();
     }
     // Exchanges are asked for their own state, under their own locks.
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -3,13 +3,12 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.http.HeaderFields;
 import io.umberpath.node.proxy.http.RequestHead;
+import io.umberpath.node.proxy.loop.EventLoop;
 import io.umberpath.node.proxy.origin.AnswerPart;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.vavr.control.Either;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
@@ -30,7 +29,7 @@
   private final RequestBody body = new RequestBody();
   private final AttemptHistory history = new AttemptHistory();
   private final AnswerProgress progress = new AnswerProgress();
-  private final long startNanos = System.nanoTime();
+  private final RequestAge age;
   private ExchangeStage stage = ExchangeStage.DECIDING;
   private RequestPlan plan;
   private Attempt attempt;
@@ -38,7 +37,7 @@
   private Verdict outcome;
   private boolean cutOff;
   private boolean dispatchAgain;
-  private boolean awaitsBody;
+  private BodyCondition awaited;
 
   Exchange(
       CallerConnection caller,
@@ -46,6 +45,7 @@
       RequestHandler handler,
       ExchangeEnvironment environment) {
     this.caller = caller;
+    this.age = RequestAge.readNow(caller.arrivedNanos());
     this.request = RequestHead.of(packet);
     this.handler = handler;
     this.environment = environment;
@@ -58,24 +58,28 @@
     return request;
   }
 
+  /** The attempts made so far. */
+  public AttemptHistory history() {
+    return history;
+  }
+
   /** What was decided about it. */
   public RequestPlan plan() {
     return plan;
   }
 
-  /** Attempts made so far. */
-  public synchronized int attempts() {
-    return history.count();
+  /** What has been read of its body. */
+  public RequestBody body() {
+    return body;
   }
 
-  /** Whether everything received of the body can be sent again. */
-  public synchronized boolean isBodyReplayable() {
-    return body.isReplayable();
-  }
-
-  /** Hash of the body's beginning; empty while too little of it has been received to tell. */
-  public synchronized OptionalLong bodyHash() {
-    return body.hash();
+  /** Tells the sender to send the body; returns whether the request still waits for it. */
+  public synchronized boolean continueBody() {
+    boolean waits = stage == ExchangeStage.DECIDING;
+    if (waits) {
+      answer.continueBody();
+    }
+    return waits;
   }
 
   /** Status of the answer that the caller has got the beginning of; 0 before. */
@@ -83,19 +87,9 @@
     return progress.status();
   }
 
-  /** Microseconds since the request's head arrived. */
-  public long elapsedMicros() {
-    return (System.nanoTime() - startNanos) / 1_000;
-  }
-
-  /** Microseconds since the last attempt was handed to its connection; 0 if none was. */
-  public synchronized long sinceSentMicros() {
-    return history.sinceSentMicros();
-  }
-
-  /** How the last attempt ended, if one did. */
-  public synchronized Optional<Refusal> lastRefusal() {
-    return history.lastRefusal();
+  /** How old the request is. */
+  public RequestAge age() {
+    return age;
   }
 
   /** The origin of the attempt under way; null if there is none. */
@@ -103,26 +97,16 @@
     return attempt == null ? null : attempt.originId();
   }
 
-  /** The origin of the last attempt; null before the first. */
-  public synchronized String lastOrigin() {
-    return history.lastOrigin();
-  }
-
-  /** Origins that have been tried. */
-  public synchronized Set<String> triedOrigins() {
-    return history.triedOrigins();
-  }
-
   /** Begins with the head and the first piece of the body; returns whether to read on. */
   boolean begin(HttpContent first) {
     environment.stats().inFlight(handler.side(), 1);
     environment.active().add(this);
-    long now = environment.clockMillis().getAsLong();
+    long now = environment.nowMillis();
     boolean broken = first instanceof HttpBrokenContent;
     Either<Refusal, RequestPlan> decision =
         broken
             ? Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST))
-            : handler.plan(request, now);
+            : RequestFaults.plan(handler, request, now - age.unreadMillis());
     boolean readOn;
     synchronized (this) {
       readOn = broken || take(first);
@@ -136,17 +120,15 @@
         plan = decision.get();
       }
     }
-    if (decision.isRight() && !refuseTooLarge() && mayStart()) {
-      handler.dispatch(this);
+    if (decision.isRight()
+        && !refuseTooLarge()
+        && caller.mayStart(turn, handler.mayRunBesideOthers(plan))) {
+      EventLoop.runOrDefer(this::dispatchIfWanted);
     }
     afterLock();
     return readOn;
   }
 
-  private boolean mayStart() {
-    return caller.mayStart(turn, handler.mayRunBesideOthers(plan));
-  }
-
   /** The answer, which was held whole until its turn, is about to be written. */
   synchronized void heldAnswerGoesOut() {
     answer.heldAnswerGoesOut();
@@ -154,22 +136,35 @@
 
   /** A request that waited for those before it on its connection starts. */
   void onTurn() {
+    EventLoop.runOrDefer(this::dispatchIfWanted);
+  }
+
+  private void dispatchIfWanted() {
+    boolean wanted;
     synchronized (this) {
-      if (stage != ExchangeStage.DECIDING) {
-        return;
-      }
+      wanted = stage == ExchangeStage.DECIDING && !endsWithCaller();
+    }
+    if (wanted) {
+      RequestFaults.dispatch(this, handler);
     }
-    handler.dispatch(this);
     afterLock();
   }
 
+  /** Ends the request if its caller is gone, which is heard of some turns after it is known. */
+  private boolean endsWithCaller() {
+    boolean isGone = !caller.connection().isOpen();
+    if (isGone) {
+      fail(asFirmAsPossible(Verdict.Reason.CANCELLED), false);
+    }
+    return isGone;
+  }
+
   private synchronized boolean refuseTooLarge() {
-    if (Math.max(request.contentLength(), body.received())
-        <= environment.maxBodyBytes().getAsLong()) {
-      return false;
+    boolean isTooLarge = body.exceeds(environment.maxBodyBytes().getAsLong(), request);
+    if (isTooLarge) {
+      fail(Refusal.notRun(Verdict.Reason.TOO_LARGE), false);
     }
-    fail(Refusal.notRun(Verdict.Reason.TOO_LARGE), false);
-    return true;
+    return isTooLarge;
   }
 
   /** Takes a piece of the body; returns whether to read on. */
@@ -180,7 +175,7 @@
       if (stage != ExchangeStage.DONE) {
         refuseTooLarge();
       }
-      dispatchIfBodyIsKnown();
+      dispatchIfBodySatisfies();
     }
     afterLock();
     return readOn;
@@ -238,10 +233,10 @@
     afterLock();
   }
 
-  /** The caller's connection is gone. */
-  void onCallerGone() {
+  /** Ends the request without another attempt. */
+  void giveUp(Verdict.Reason reason) {
     synchronized (this) {
-      fail(asFirmAsPossible(Verdict.Reason.CANCELLED), false);
+      fail(asFirmAsPossible(reason), false);
     }
     afterLock();
   }
@@ -249,10 +244,14 @@
   /**
    * Gives up if the deadline has passed. An answer that is on its way goes on: to cut it off would
    * end its connection, with the answers to the requests behind it.
+   *
+   * @param isReadingLate whether an answer may lie unread, which is waited for
    */
-  void checkDeadline(long nowMillis) {
+  void checkDeadline(long nowMillis, boolean isReadingLate) {
     synchronized (this) {
-      if (plan == null || plan.deadlineMillis() > nowMillis || progress.isOnItsWay(nowMillis)) {
+      boolean waits =
+          isReadingLate && stage.mayHaveReachedOrigin() || progress.isOnItsWay(nowMillis);
+      if (plan == null || plan.deadlineMillis() > nowMillis || waits) {
         return;
       }
       fail(asFirmAsPossible(Verdict.Reason.DEADLINE), false);
@@ -267,9 +266,8 @@
    */
   boolean abortAtDrainBound() {
     boolean mayHaveRun;
-    long now = environment.clockMillis().getAsLong();
     synchronized (this) {
-      if (stage == ExchangeStage.DONE || progress.isOnItsWay(now)) {
+      if (stage == ExchangeStage.DONE || progress.isOnItsWay(environment.nowMillis())) {
         return false;
       }
       mayHaveRun = stage.mayHaveReachedOrigin();
@@ -306,20 +304,20 @@
   }
 
   /**
-   * Has the handler dispatch again once {@link #bodyHash} can be told; called by the handler
+   * Has the handler dispatch again once a condition holds of the body; called by the handler
    * instead of {@link #sendTo}.
    */
-  public void dispatchOnceBodyIsKnown() {
+  public void dispatchOnceBody(BodyCondition condition) {
     synchronized (this) {
-      awaitsBody = true;
-      dispatchIfBodyIsKnown();
+      awaited = condition;
+      dispatchIfBodySatisfies();
     }
     afterLock();
   }
 
-  private void dispatchIfBodyIsKnown() {
-    if (awaitsBody && stage == ExchangeStage.DECIDING && body.hash().isPresent()) {
-      awaitsBody = false;
+  private void dispatchIfBodySatisfies() {
+    if (awaited != null && stage == ExchangeStage.DECIDING && body.satisfies(awaited)) {
+      awaited = null;
       dispatchAgain = true;
     }
   }
@@ -327,7 +325,7 @@
   /** Ends the request with a refusal; called by the handler instead of {@link #sendTo}. */
   public void refuse(Refusal refusal) {
     synchronized (this) {
-      fail(refusal, false);
+      fail(stage.mayHaveReachedOrigin() ? Refusal.mayHaveRun(refusal.reason()) : refusal, false);
     }
     afterLock();
   }
@@ -389,7 +387,7 @@
       }
     }
     if (dispatch) {
-      handler.dispatch(this);
+      EventLoop.runOrDefer(this::dispatchIfWanted);
     }
     if (resume != null) {
       whenBodyWanted(resume);
@@ -402,7 +400,7 @@
       }
       environment.active().remove(this);
       environment.stats().inFlight(handler.side(), -1);
-      environment.stats().requestEnded(handler.side(), ended, elapsedMicros());
+      environment.stats().requestEnded(handler.side(), ended, age.sinceReadMicros());
       handler.ended(this, ended);
     }
     caller.endThoseLeft();
@@ -412,11 +410,11 @@
   boolean attemptConnected(Attempt connected, OriginConnection connection) {
     boolean wanted;
     synchronized (this) {
-      wanted = attempt == connected && stage == ExchangeStage.CONNECTING;
+      long now = environment.nowMillis();
+      wanted = isStillWanted(connected, now);
       if (wanted) {
         stage = ExchangeStage.SENT;
         history.sent();
-        long now = environment.clockMillis().getAsLong();
         handler.addHeaders(this, connected.prepare().packet(), now);
         connected.send(connection, body);
       }
@@ -425,6 +423,16 @@
     return wanted;
   }
 
+  /** Time has passed since the attempt was decided on: what spoke for it may not hold any more. */
+  private boolean isStillWanted(Attempt connected, long nowMillis) {
+    if (attempt != connected || stage != ExchangeStage.CONNECTING || endsWithCaller()) {
+      return false;
+    }
+    Optional<Refusal> refusal = handler.refusalAtSending(plan, nowMillis);
+    refusal.ifPresent(each -> fail(each, false));
+    return refusal.isEmpty();
+  }
+
   void attemptFailed(Attempt failed, Refusal refusal) {
     synchronized (this) {
       if (attempt == failed) {
@@ -436,7 +444,7 @@
 
   void attemptInterim(Attempt current, byte[] head) {
     synchronized (this) {
-      if (attempt == current && stage == ExchangeStage.SENT) {
+      if (attempt == current && stage == ExchangeStage.SENT && !current.sendsBodyAsAsked(body)) {
         answer.interim(head);
       }
     }
@@ -470,7 +478,7 @@
   }
 
   private boolean passOn(Attempt answered, AnswerPart part) {
-    progress.passes(part, environment.clockMillis().getAsLong());
+    progress.passes(part, environment.nowMillis());
     stage = ExchangeStage.ANSWERING;
     answer.part(part, plan);
     if (attempt != answered) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/InboundFilter.java
@@ -59,7 +59,8 @@
       FilterChainContext context, CallerConnection caller, HttpContent content) {
     HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
     Exchange exchange = new Exchange(caller, request, handler, environment);
-    return continueOrSuspend(context, caller, exchange, exchange.begin(content));
+    boolean readOn = RequestFaults.guard(exchange, () -> exchange.begin(content));
+    return continueOrSuspend(context, caller, exchange, readOn);
   }
 
   private static NextAction bodyPart(
@@ -68,7 +69,8 @@
       exchange.onBrokenBody();
       return context.getStopAction();
     }
-    return continueOrSuspend(context, caller, exchange, exchange.onBodyPart(content));
+    boolean readOn = RequestFaults.guard(exchange, () -> exchange.onBodyPart(content));
+    return continueOrSuspend(context, caller, exchange, readOn);
   }
 
   private static NextAction continueOrSuspend(
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -14,8 +14,12 @@
   /** The listener, for counting. */
   ProxyStats.Side side();
 
-  /** Decides whether and how a request is served, from its head alone. */
-  Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis);
+  /**
+   * Decides whether and how a request is served, from its head alone.
+   *
+   * @param arrivedMillis the earliest moment at which it can have arrived; its time runs since then
+   */
+  Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis);
 
   /**
    * Chooses where the next attempt goes; calls {@link Exchange#sendTo} or {@link Exchange#refuse},
@@ -23,6 +27,13 @@
    */
   void dispatch(Exchange exchange);
 
+  /** Asked right before an attempt is sent: why it is not to be, if there is a reason. */
+  default Optional<Refusal> refusalAtSending(RequestPlan plan, long nowMillis) {
+    return plan.deadlineMillis() <= nowMillis
+        ? Optional.of(Refusal.notRun(Verdict.Reason.DEADLINE))
+        : Optional.empty();
+  }
+
   /** Adds the handler's own headers to the request of an attempt. */
   void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis);
 
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/Arrival.java
@@ -0,0 +1,61 @@
+package io.umberpath.node.proxy.loop;
+
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.attributes.AttributeBuilder;
+
+/**
+ * When what was last read from a connection can have arrived at the earliest, on {@link
+ * System#nanoTime}: in the iteration in which it was read, or while nothing was read from the
+ * connection. Thread-safe.
+ */
+public final class Arrival {
+  private static final Attribute<Arrival> ATTRIBUTE =
+      AttributeBuilder.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.arrival");
+
+  private long earliestNanos = EventLoop.earliestArrivalNanos();
+  private long unreadSinceNanos = earliestNanos;
+  private long readableSinceNanos = System.nanoTime();
+
+  private Arrival() {}
+
+  /** Begins with a connection that is accepted in the present iteration. */
+  public static Arrival accepted(Connection<?> connection) {
+    Arrival arrival = new Arrival();
+    ATTRIBUTE.set(connection, arrival);
+    return arrival;
+  }
+
+  /** Notes that something has been read from the connection, if its arrivals are kept. */
+  public static void noteRead(Connection<?> connection) {
+    Arrival arrival = ATTRIBUTE.get(connection);
+    if (arrival != null) {
+      arrival.read();
+    }
+  }
+
+  private synchronized void read() {
+    // Later selections would have shown before what had arrived before.
+    boolean isFirstSelection = readableSinceNanos - EventLoop.lastSelectedNanos() >= 0;
+    earliestNanos = isFirstSelection ? unreadSinceNanos : EventLoop.earliestArrivalNanos();
+  }
+
+  /** Nothing more is read for a while. */
+  public synchronized void readingStops() {
+    // Nothing can have been read since reading was resumed in this iteration.
+    boolean isStillUnread = readableSinceNanos - EventLoop.selectedNanos() >= 0;
+    if (!isStillUnread) {
+      unreadSinceNanos = EventLoop.earliestArrivalNanos();
+    }
+  }
+
+  /** What arrives is read again. */
+  public synchronized void readingResumes() {
+    readableSinceNanos = System.nanoTime();
+  }
+
+  /** The earliest moment at which what was last read can have arrived. */
+  public synchronized long earliestNanos() {
+    return earliestNanos;
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
@@ -3,6 +3,7 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.HeaderFields;
+import io.umberpath.node.proxy.loop.EventLoop;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
@@ -39,6 +40,7 @@
   private volatile boolean answerReusable;
   private volatile AnswerHead endsWithConnection;
   private volatile long idleSinceMillis;
+  private volatile boolean rested;
 
   /**
    * Wraps a connection that has just been opened.
@@ -71,6 +73,15 @@
     return stage == Stage.IDLE && connection.isOpen();
   }
 
+  /** Runs work on a selector thread, at once if that has read what has arrived. */
+  public void runOrDefer(Runnable work) {
+    if (EventLoop.isSelectorThread()) {
+      EventLoop.runOrDefer(work);
+    } else {
+      OwnTurn.run(connection, () -> EventLoop.runOrDefer(work));
+    }
+  }
+
   /** Begins an attempt: answers go to the listener from now on. */
   public synchronized void begin(AnswerListener newListener) {
     listener = newListener;
@@ -119,6 +130,12 @@
   /** Notes when it became idle. */
   public void idleSince(long nowMillis) {
     idleSinceMillis = nowMillis;
+    rested = true;
+  }
+
+  /** Whether it has been idle: its peer may end it then at any time. */
+  public boolean hasRested() {
+    return rested;
   }
 
   /** Closes an idle connection. */
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/QueuedWriteFixture.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
@@ -42,6 +43,9 @@
  * to them soon waits in the proxy's queue. The origins are played by the test.
  */
 final class QueuedWriteFixture implements AutoCloseable {
+  /** When requests for the path {@code /short} are of no more use. */
+  static final long SHORT_DEADLINE_MILLIS = 200;
+
   private static final int SOCKET_BYTES = 2_048;
   private static final int TIMEOUT_MILLIS = 5_000;
   private static final int POLL_MILLIS = 2;
@@ -50,6 +54,7 @@
   private static final Map<String, Verdict.Reason> REFUSED_FOR =
       Map.of(
           "/refused", Verdict.Reason.NO_ROUTE,
+          "/block", Verdict.Reason.NO_ROUTE,
           "/bad-request", Verdict.Reason.BAD_REQUEST,
           "/too-large", Verdict.Reason.TOO_LARGE,
           "/deadline", Verdict.Reason.DEADLINE,
@@ -64,6 +69,8 @@
   private final List<ServerSocket> servers = List.of(server(), server());
   private final List<ConnectionPool> pools = new ArrayList<>();
   private final Map<Integer, NIOConnection> opened = new ConcurrentHashMap<>();
+  private final ReadingBlock block = new ReadingBlock();
+  private final AtomicLong clockMillis = new AtomicLong();
   private final int port;
   private final Map<Integer, NIOConnection> accepted = new ConcurrentHashMap<>();
   private volatile int narrowPort;
@@ -81,7 +88,7 @@
     transport.start();
     ExchangeEnvironment environment =
         new ExchangeEnvironment(
-            () -> 0,
+            clockMillis::get,
             ProxyStats.NONE,
             AttemptLog.CUT_OFF_ONLY,
             ConnectionLog.NONE,
@@ -109,6 +116,20 @@
     }
   }
 
+  void advance(long millis) {
+    clockMillis.addAndGet(millis);
+  }
+
+  /** Returns once the thread that reads stands still. */
+  void blockReading() throws IOException, InterruptedException {
+    block.begin(connect());
+  }
+
+  /** Reads on once the thread is late by {@link ReadingBlock#LATE_MILLIS}. */
+  void readOnLate() throws InterruptedException {
+    block.readOnLate();
+  }
+
   /** From now on a connection to an origin opens when it is told to. */
   void holdOpenings(int origin) {
     heldPort = servers.get(origin).getLocalPort();
@@ -222,7 +243,7 @@
   }
 
   /** Waits until the proxy has read all that was sent before. */
-  private void awaitRead() throws IOException {
+  void awaitRead() throws IOException {
     try (RawConnection caller = connect()) {
       for (int turn = 0; turn < TURNS; turn++) {
         caller.send("GET /refused HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -254,6 +275,7 @@
 
   @Override
   public void close() throws IOException {
+    block.close();
     transport.stop();
     for (ServerSocket server : servers) {
       server.close();
@@ -299,7 +321,7 @@
 
     @Override
     public long deadlineMillis() {
-      return Long.MAX_VALUE;
+      return path.equals("/short") ? SHORT_DEADLINE_MILLIS : Long.MAX_VALUE;
     }
   }
 
@@ -308,6 +330,7 @@
     @Override
     public Either<Refusal, RequestPlan> plan(RequestHead head, long nowMillis) {
       String path = head.path();
+      block.pass(path);
       if (REFUSED_FOR.containsKey(path)) {
         return Either.left(Refusal.notRun(REFUSED_FOR.get(path)));
       }
@@ -323,8 +346,13 @@
       String path = ((Plan) exchange.plan()).path();
       if (path.equals("/after")) {
         heldBack = exchange;
+      } else if (path.startsWith("/fault")) {
+        if (path.equals("/fault-after-sending")) {
+          send(exchange, 1);
+        }
+        throw new IllegalStateException("the handler fails");
       } else {
-        send(exchange, path.equals("/rest") || exchange.attempts() > 0 ? 1 : 0);
+        send(exchange, path.equals("/rest") || exchange.history().count() > 0 ? 1 : 0);
       }
     }
 
