--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -58,7 +58,7 @@
   private final MeshSettings settings;
   private final ConnectionPool pool;
   private final SlotGate gate;
-  private final BodyGrants bodies = new BodyGrants();
+  private final BodyGrants bodies = new BodyGrants(this::isTaken);
   private final LocalBackend backend;
   private final RequestQuarantine quarantine;
   private final BackendCrashDetector crashes;
@@ -115,6 +115,10 @@
     return exchange.sendTo(pool, plan.instance());
   }
 
+  private boolean isTaken(Exchange exchange) {
+    return backend.takes(planOf(exchange).instance());
+  }
+
   SlotGate gate() {
     return gate;
   }
@@ -260,11 +264,11 @@
     }
     if (!exchange.body().satisfies(BodyCondition.HELD)) {
       // A slot that waits for a body does no work.
-      exchange.dispatchOnceBody(BodyCondition.HELD);
       bodies.ask(exchange, plan.beganMillis() + plan.hop().startByMillis());
+      exchange.dispatchOnceBody(BodyCondition.HELD);
       return;
     }
-    bodies.ended(exchange);
+    bodies.arrivedOrOver(exchange);
     double slowness = speed.slowness();
     long expectedMicros = Math.round(slowness * expectedMicros(plan.route()));
     long likelyMicros = Math.round(slowness * likelyMicros(plan.route()));
@@ -391,7 +395,7 @@
 
   @Override
   public void ended(Exchange exchange, Verdict verdict) {
-    bodies.ended(exchange);
+    bodies.arrivedOrOver(exchange);
     gate.ended(exchange);
     MeshGatePlan plan = planOf(exchange);
     if (plan != null && !(verdict instanceof Verdict.Completed)) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
@@ -77,7 +77,13 @@
 
   @Override
   public void onBroken(Verdict.Reason reason) {
-    exchange.attemptFailed(this, Refusal.mayHaveRun(reason));
+    boolean hasOnlyAsked;
+    synchronized (exchange) {
+      hasOnlyAsked = asked != null;
+    }
+    exchange.attemptFailed(
+        this,
+        hasOnlyAsked ? Refusal.notRun(Verdict.Reason.UNREACHABLE) : Refusal.mayHaveRun(reason));
   }
 
   @Override
@@ -101,10 +107,15 @@
     return outgoing;
   }
 
-  /** Sends the prepared head and what there is of the body, or asks whether that is to follow. */
+  /** Whether the head is to be sent alone, for the origin to ask for the body. */
+  boolean asksBefore(RequestBody body) {
+    return exchange.plan().asksBeforeBody() && body.isLongOrIncomplete();
+  }
+
+  /** Sends the prepared head, and what there is of the body unless the origin is to ask for it. */
   void send(OriginConnection connection, RequestBody body) {
     connection.begin(this);
-    if (exchange.plan().asksBeforeBody() && body.isLong()) {
+    if (asksBefore(body)) {
       asked = connection;
       connection.write(outgoing.asking(), false);
     } else {
@@ -118,15 +129,11 @@
         outgoing.first(body.kept(), body.isComplete(), body.trailers()), body.isComplete());
   }
 
-  /** Takes an interim answer; whether it was the word to send the body. */
-  boolean sendsBodyAsAsked(RequestBody body) {
-    if (asked == null) {
-      return false;
-    }
+  /** Sends the body that the origin has asked for. */
+  void sendBody(RequestBody body) {
     OriginConnection connection = asked;
     asked = null;
     sendFirst(connection, body);
-    return true;
   }
 
   /** Sends more of the body. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -101,12 +101,11 @@
   boolean begin(HttpContent first) {
     environment.stats().inFlight(handler.side(), 1);
     environment.active().add(this);
-    long now = environment.nowMillis();
     boolean broken = first instanceof HttpBrokenContent;
     Either<Refusal, RequestPlan> decision =
         broken
             ? Either.left(Refusal.notRun(Verdict.Reason.BAD_REQUEST))
-            : RequestFaults.plan(handler, request, now - age.unreadMillis());
+            : RequestFaults.plan(handler, request, environment.nowMillis() - age.unreadMillis());
     boolean readOn;
     synchronized (this) {
       readOn = broken || take(first);
@@ -245,12 +244,11 @@
    * Gives up if the deadline has passed. An answer that is on its way goes on: to cut it off would
    * end its connection, with the answers to the requests behind it.
    *
-   * @param isReadingLate whether an answer may lie unread, which is waited for
+   * @param isLate whether reading is late: an answer that may lie unread is waited for
    */
-  void checkDeadline(long nowMillis, boolean isReadingLate) {
+  void checkDeadline(long nowMillis, boolean isLate) {
     synchronized (this) {
-      boolean waits =
-          isReadingLate && stage.mayHaveReachedOrigin() || progress.isOnItsWay(nowMillis);
+      boolean waits = isLate && stage.mayHaveReachedOrigin() || progress.isOnItsWay(nowMillis);
       if (plan == null || plan.deadlineMillis() > nowMillis || waits) {
         return;
       }
@@ -410,12 +408,11 @@
   boolean attemptConnected(Attempt connected, OriginConnection connection) {
     boolean wanted;
     synchronized (this) {
-      long now = environment.nowMillis();
-      wanted = isStillWanted(connected, now);
+      wanted = isStillWanted(connected, ExchangeStage.CONNECTING);
       if (wanted) {
-        stage = ExchangeStage.SENT;
+        stage = connected.asksBefore(body) ? ExchangeStage.ASKING : ExchangeStage.SENT;
         history.sent();
-        handler.addHeaders(this, connected.prepare().packet(), now);
+        handler.addHeaders(this, connected.prepare().packet(), environment.nowMillis());
         connected.send(connection, body);
       }
     }
@@ -424,11 +421,11 @@
   }
 
   /** Time has passed since the attempt was decided on: what spoke for it may not hold any more. */
-  private boolean isStillWanted(Attempt connected, long nowMillis) {
-    if (attempt != connected || stage != ExchangeStage.CONNECTING || endsWithCaller()) {
+  private boolean isStillWanted(Attempt current, ExchangeStage expected) {
+    if (attempt != current || stage != expected || endsWithCaller()) {
       return false;
     }
-    Optional<Refusal> refusal = handler.refusalAtSending(plan, nowMillis);
+    Optional<Refusal> refusal = handler.refusalAtSending(plan, environment.nowMillis());
     refusal.ifPresent(each -> fail(each, false));
     return refusal.isEmpty();
   }
@@ -444,8 +441,11 @@
 
   void attemptInterim(Attempt current, byte[] head) {
     synchronized (this) {
-      if (attempt == current && stage == ExchangeStage.SENT && !current.sendsBodyAsAsked(body)) {
+      if (attempt == current && stage == ExchangeStage.SENT) {
         answer.interim(head);
+      } else if (isStillWanted(current, ExchangeStage.ASKING)) {
+        stage = ExchangeStage.SENT;
+        current.sendBody(body);
       }
     }
     afterLock();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeStage.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeStage.java
@@ -4,9 +4,9 @@
  * Where a request stands:
  *
  * <pre>
- * DECIDING ──▶ CONNECTING ──▶ SENT ──▶ ANSWERING ──▶ DONE
- *     ▲            │            │
- *     └────────────┴────────────┘ another attempt
+ * DECIDING ──▶ CONNECTING ──▶ [ASKING ──▶] SENT ──▶ ANSWERING ──▶ DONE
+ *     ▲            │               │           │
+ *     └────────────┴───────────────┴───────────┘ another attempt
  * </pre>
  *
  * and to {@link #DONE} from anywhere.
@@ -16,6 +16,8 @@
   DECIDING,
   /** An attempt waits for a connection; nothing of it has been sent. */
   CONNECTING,
+  /** The head was sent alone: nothing runs before the origin has asked for the body. */
+  ASKING,
   /** The request, or its beginning, may have reached the origin. */
   SENT,
   /** The caller has got the beginning of the answer. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
@@ -122,7 +122,7 @@
   }
 
   /** Whether it is not there yet, or too long to be sent on the chance that it is wanted. */
-  synchronized boolean isLong() {
+  synchronized boolean isLongOrIncomplete() {
     return !complete || kept.size() > MAX_UNASKED_BYTES;
   }
 
@@ -141,7 +141,8 @@
     return Math.max(request.contentLength(), received) > limitBytes;
   }
 
-  synchronized long received() {
+  /** Bytes that have been read. */
+  public synchronized long received() {
     return received;
   }
 
