--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/IterationListener.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/IterationListener.java
@@ -7,7 +7,7 @@
   IterationListener NONE = (micros, sockets) -> {};
 
   /**
-   * A iteration has ended; what arrived meanwhile is read only now.
+   * An iteration has ended; what arrived meanwhile is read only now.
    *
    * @param micros how long it took, microseconds
    * @param sockets sockets that it served
