A stopping node sends nothing on any more once it refuses callers

Traced: the upload came 3.8 s after SIGTERM, 0.2 s before callers are refused, waited for 0.9 s and was sent on 0.3 s before the cut-off, which no work can meet. The edge asked whether it refuses when it planned the request, and not when it sent it. It asks in both places now, and the refusal is firm, since nothing has been sent.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -111,8 +111,7 @@
   @Override
   public Either<Refusal, RequestPlan> plan(RequestHead head, long arrivedMillis) {
     if (refusing) {
-      return Either.left(
-          new Refusal(new Verdict.NotRun(Verdict.Reason.DRAINING), RETRY_WHEN_NOBODY_MILLIS));
+      return Either.left(draining());
     }
     MeshView current = view.get();
     if (!current.isComplete()) {
@@ -254,10 +253,22 @@
     return true;
   }
 
+  private static Refusal draining() {
+    return new Refusal(new Verdict.NotRun(Verdict.Reason.DRAINING), RETRY_WHEN_NOBODY_MILLIS);
+  }
+
   private static Refusal nobody() {
     return new Refusal(new Verdict.NotRun(Verdict.Reason.NO_BACKEND), RETRY_WHEN_NOBODY_MILLIS);
   }
 
+  @Override
+  public Optional<Refusal> refusalAtSending(RequestPlan plan, long nowMillis) {
+    if (refusing) {
+      return Optional.of(draining());
+    }
+    return RequestHandler.super.refusalAtSending(plan, nowMillis);
+  }
+
   @Override
   public void addHeaders(Exchange exchange, HttpRequestPacket outgoing, long nowMillis) {
     MeshEdgePlan plan = planOf(exchange);
