--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ConnectionEndedByAFaultTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ConnectionEndedByAFaultTest.java
@@ -3,27 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.umberpath.node.proxy.inbound.ConnectionEnd;
-import java.io.IOException;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** An exception of the program ends a caller's connection, which looks as if the caller had. */
 @Timeout(60)
-class ConnectionEndedByAFaultTest {
-  private InboundFixture fixture;
-
-  @BeforeEach
-  void start() throws IOException {
-    fixture = new InboundFixture();
-  }
-
-  @AfterEach
-  void stop() throws IOException {
-    fixture.close();
-  }
-
+class ConnectionEndedByAFaultTest extends InboundFixtureTest {
   @Test
   void isToldFromOneThatItsCallerEnded() throws Exception {
     try (RawConnection caller = fixture.connect()) {
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixtureTest.java
@@ -0,0 +1,20 @@
+package io.umberpath.node.proxy;
+
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/** Gives each test case a listener of its own. */
+abstract class InboundFixtureTest {
+  InboundFixture fixture;
+
+  @BeforeEach
+  void start() throws IOException {
+    fixture = new InboundFixture();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    fixture.close();
+  }
+}
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/LateReadTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateReadTest.java
@@ -6,31 +6,17 @@
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** Requests that a node reads late are not sent on for callers that cannot use the answer. */
 @Timeout(60)
-class LateReadTest {
+class LateReadTest extends InboundFixtureTest {
   private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
   private static final int MAX_PIPELINED = 16;
   private static final long SHORT_DEADLINE_MILLIS = 200;
   private static final long LONG_DEADLINE_MILLIS = 600_000;
 
-  private InboundFixture fixture;
-
-  @BeforeEach
-  void start() throws IOException {
-    fixture = new InboundFixture();
-  }
-
-  @AfterEach
-  void stop() throws IOException {
-    fixture.close();
-  }
-
   /** Its caller's end lies unread behind it in the same socket. */
   @Test
   void aRequestReadTogetherWithItsCallersEndIsNotSentOn() throws Exception {
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/LateTimerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateTimerTest.java
@@ -2,31 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** A timer does not check time-outs by what a selector thread has not read yet. */
 @Timeout(60)
-class LateTimerTest {
+class LateTimerTest extends InboundFixtureTest {
   private static final long DEADLINE_MILLIS = 600_000;
 
-  private InboundFixture fixture;
-
-  @BeforeEach
-  void start() throws IOException {
-    fixture = new InboundFixture();
-  }
-
-  @AfterEach
-  void stop() throws IOException {
-    fixture.close();
-  }
-
   /** The answer has arrived before the deadline and lies unread behind it. */
   @Test
   void anAnswerThatLiesUnreadAtItsDeadlineIsDelivered() throws Exception {
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ListenerEndTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ListenerEndTest.java
@@ -2,34 +2,19 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** Connections that come while a listener ends. */
 @Timeout(60)
-class ListenerEndTest {
+class ListenerEndTest extends InboundFixtureTest {
   private static final int WAITING = 20;
   private static final int TIMEOUT_MILLIS = 3_000;
   private static final int NOTICE_MILLIS = 100;
   private static final long BOUND_MILLIS = 5_000;
 
-  private InboundFixture fixture;
-
-  @BeforeEach
-  void start() throws IOException {
-    fixture = new InboundFixture();
-  }
-
-  @AfterEach
-  void stop() throws IOException {
-    fixture.close();
-  }
-
   @Test
   void aConnectionAcceptedAfterTheOthersWereEndedIsEndedToo() throws Exception {
     fixture.filter().endConnections();
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/UnreadRequestTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/UnreadRequestTest.java
@@ -3,9 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.umberpath.node.proxy.RawConnection.Message;
-import java.io.IOException;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -19,22 +16,10 @@
  * has read all that had arrived.
  */
 @Timeout(60)
-class UnreadRequestTest {
+class UnreadRequestTest extends InboundFixtureTest {
   private static final long IDLE_MILLIS = 15_000;
   private static final long DISCARD_MILLIS = 2_000;
 
-  private InboundFixture fixture;
-
-  @BeforeEach
-  void start() throws IOException {
-    fixture = new InboundFixture();
-  }
-
-  @AfterEach
-  void stop() throws IOException {
-    fixture.close();
-  }
-
   @Test
   void isAnsweredThoughTheConnectionSeemedToRestForTooLong() throws Exception {
     try (RawConnection caller = fixture.connect()) {
