One condition of a body in place of three

Since an edge reads a body before it chooses a back end, waiting for as much of the body as tells its hash could not happen any more: what is held, all of it or 64 KB, has a hash. The branch and BodyCondition go; a request waits for its body to be held, and nothing else. The gate asks in one place whether its back end still takes a request, where it asked in four.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/EdgeRetries.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/EdgeRetries.java
@@ -1,7 +1,6 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.model.Verdict;
-import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.traffic.routing.RetryWindow;
 import java.util.Set;
@@ -67,7 +66,7 @@
 
   /** Why the request is not sent again; empty if it is. */
   String against(Exchange exchange, MeshEdgePlan plan, Verdict verdict, long nowMillis) {
-    if (!exchange.body().satisfies(BodyCondition.REPLAYABLE)) {
+    if (!exchange.body().isReplayable()) {
       return "body not kept";
     }
     if (nowMillis + MIN_REMAINING_MILLIS > plan.deadlineMillis()) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -8,7 +8,6 @@
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.VerdictHeader;
-import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.Refusal;
@@ -17,7 +16,6 @@
 import io.umberpath.node.proxy.inbound.RequestPlan;
 import io.umberpath.node.proxy.origin.OriginManager;
 import io.umberpath.node.proxy.stats.ProxyStats;
-import io.umberpath.traffic.quarantine.RequestFingerprint;
 import io.umberpath.traffic.routing.CallerPatience;
 import io.umberpath.traffic.routing.GateBalancer;
 import io.umberpath.traffic.routing.GateLoad;
@@ -187,7 +185,7 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.DEADLINE));
       return;
     }
-    if (!exchange.body().satisfies(BodyCondition.HELD)) {
+    if (!exchange.body().isHeld()) {
       awaitBody(exchange);
       return;
     }
@@ -228,29 +226,23 @@
     if (exchange.request().field(Header.Expect.toString()).isPresent()) {
       exchange.continueBody();
     }
-    exchange.dispatchOnceBody(BodyCondition.HELD);
+    exchange.dispatchOnceBodyIsHeld();
   }
 
   /**
-   * Whether the request is kept from all back ends, and so refused; or waits for as much of its
-   * body as tells that. No time to come back is named: whoever comes again is refused again.
+   * Whether the request is kept from all back ends, and so refused. No time to come back is named:
+   * whoever comes again is refused again.
    */
   private boolean isHeld(Exchange exchange, MeshEdgePlan plan) {
     // What earlier tries of the request have done counts too: one ended 25 back ends, two a try,
     // as each try began at nought.
-    if (!quarantine.concerns(plan.target())) {
-      return false;
+    boolean isHeld =
+        quarantine.concerns(plan.target())
+            && Fingerprints.of(exchange, plan.target()).filter(quarantine::holdsAtEdge).isPresent();
+    if (isHeld) {
+      exchange.refuse(Refusal.notRun(Verdict.Reason.QUARANTINED));
     }
-    Optional<RequestFingerprint> request = Fingerprints.of(exchange, plan.target());
-    if (request.isEmpty()) {
-      exchange.dispatchOnceBody(BodyCondition.KNOWN);
-      return true;
-    }
-    if (!quarantine.holdsAtEdge(request.get())) {
-      return false;
-    }
-    exchange.refuse(Refusal.notRun(Verdict.Reason.QUARANTINED));
-    return true;
+    return isHeld;
   }
 
   private static Refusal draining() {
@@ -292,7 +284,7 @@
   private static boolean mayBounce(Exchange exchange, MeshEdgePlan plan) {
     return plan.tally().bounces() < EdgeRetries.MAX_BOUNCES
         && exchange.request().contentLength() <= MAX_BOUNCED_BYTES
-        && exchange.body().satisfies(BodyCondition.REPLAYABLE);
+        && exchange.body().isReplayable();
   }
 
   private static void set(HttpRequestPacket packet, String name, String value) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -6,7 +6,6 @@
 import io.umberpath.node.proxy.SlotGate;
 import io.umberpath.node.proxy.http.AnswerHead;
 import io.umberpath.node.proxy.http.RequestHead;
-import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.Refusal;
@@ -58,7 +57,7 @@
   private final MeshSettings settings;
   private final ConnectionPool pool;
   private final SlotGate gate;
-  private final BodyGrants bodies = new BodyGrants(this::isTaken);
+  private final BodyGrants bodies = new BodyGrants(exchange -> isTaken(exchange.plan()));
   private final LocalBackend backend;
   private final RequestQuarantine quarantine;
   private final BackendCrashDetector crashes;
@@ -104,7 +103,7 @@
    */
   private boolean send(Exchange exchange) {
     MeshGatePlan plan = planOf(exchange);
-    if (!backend.takes(plan.instance())) {
+    if (!isTaken(plan)) {
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return false;
     }
@@ -115,8 +114,8 @@
     return exchange.sendTo(pool, plan.instance());
   }
 
-  private boolean isTaken(Exchange exchange) {
-    return backend.takes(planOf(exchange).instance());
+  private boolean isTaken(RequestPlan plan) {
+    return backend.takes(((MeshGatePlan) plan).instance());
   }
 
   SlotGate gate() {
@@ -254,7 +253,7 @@
   @Override
   public void dispatch(Exchange exchange) {
     MeshGatePlan plan = planOf(exchange);
-    if (!backend.takes(plan.instance())) {
+    if (!isTaken(plan)) {
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return;
     }
@@ -262,10 +261,10 @@
       exchange.refuse(Refusal.notRun(Verdict.Reason.QUARANTINED));
       return;
     }
-    if (!exchange.body().satisfies(BodyCondition.HELD)) {
+    if (!exchange.body().isHeld()) {
       // A slot that waits for a body does no work.
       bodies.ask(exchange, plan.beganMillis() + plan.hop().startByMillis());
-      exchange.dispatchOnceBody(BodyCondition.HELD);
+      exchange.dispatchOnceBodyIsHeld();
       return;
     }
     bodies.arrivedOrOver(exchange);
@@ -317,7 +316,7 @@
 
   @Override
   public Optional<Refusal> refusalAtSending(RequestPlan plan, long nowMillis) {
-    if (!backend.takes(((MeshGatePlan) plan).instance())) {
+    if (!isTaken(plan)) {
       return Optional.of(Refusal.notRun(Verdict.Reason.DRAINING));
     }
     return RequestHandler.super.refusalAtSending(plan, nowMillis);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -13,7 +13,6 @@
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.VerdictHeader;
-import io.umberpath.node.proxy.inbound.BodyCondition;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.node.proxy.inbound.PoolRequestPlan;
@@ -256,7 +255,7 @@
             verdict,
             plan.repeatable(),
             exchange.history().count(),
-            exchange.body().satisfies(BodyCondition.REPLAYABLE),
+            exchange.body().isReplayable(),
             plan.deadlineMillis());
     RetryPolicy policy = retries.get(plan.tier());
     synchronized (policy) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -37,7 +37,7 @@
   private Verdict outcome;
   private boolean cutOff;
   private boolean dispatchAgain;
-  private BodyCondition awaited;
+  private boolean awaitsBody;
 
   Exchange(
       CallerConnection caller,
@@ -149,7 +149,7 @@
     afterLock();
   }
 
-  /** Ends the request if its caller is gone, which is heard of some turns after it is known. */
+  /** Ends the request if its caller is gone, which is heard of some iterations after it is read. */
   private boolean endsWithCaller() {
     boolean isGone = !caller.connection().isOpen();
     if (isGone) {
@@ -174,7 +174,7 @@
       if (stage != ExchangeStage.DONE) {
         refuseTooLarge();
       }
-      dispatchIfBodySatisfies();
+      dispatchIfBodyIsHeld();
     }
     afterLock();
     return readOn;
@@ -302,20 +302,20 @@
   }
 
   /**
-   * Has the handler dispatch again once a condition holds of the body; called by the handler
-   * instead of {@link #sendTo}.
+   * Has the handler dispatch again once the body is held; called by the handler instead of {@link
+   * #sendTo}.
    */
-  public void dispatchOnceBody(BodyCondition condition) {
+  public void dispatchOnceBodyIsHeld() {
     synchronized (this) {
-      awaited = condition;
-      dispatchIfBodySatisfies();
+      awaitsBody = true;
+      dispatchIfBodyIsHeld();
     }
     afterLock();
   }
 
-  private void dispatchIfBodySatisfies() {
-    if (awaited != null && stage == ExchangeStage.DECIDING && body.satisfies(awaited)) {
-      awaited = null;
+  private void dispatchIfBodyIsHeld() {
+    if (awaitsBody && stage == ExchangeStage.DECIDING && body.isHeld()) {
+      awaitsBody = false;
       dispatchAgain = true;
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
@@ -108,17 +108,13 @@
   }
 
   /** Whether everything received can be sent again. */
-  synchronized boolean isReplayable() {
+  public synchronized boolean isReplayable() {
     return replayable;
   }
 
-  /** Whether a condition holds. */
-  public synchronized boolean satisfies(BodyCondition condition) {
-    return switch (condition) {
-      case KNOWN -> hash().isPresent();
-      case HELD -> complete || isFull();
-      case REPLAYABLE -> replayable;
-    };
+  /** Whether all of it is held, or as much as may be: its hash can be told then. */
+  public synchronized boolean isHeld() {
+    return complete || isFull();
   }
 
   /** Whether it is not there yet, or too long to be sent on the chance that it is wanted. */
