The end of a caller is noticed while reading from it is suspended

What callers saw: nothing, they had left. Their requests ran on: up to 16 of one connection, and an upload whose back end takes nothing, until reading from the connection went on.

Cause: a connection is not selected for reading while its filter chain is suspended (the head of a 17th request, a body that cannot be passed on), and the end of the peer is something that is read.

Ruled out: a look into the socket by the timer (a call for each suspended connection and tick), asking the kernel for the connection's state (no call in Java). A second run of the filter chain beside the suspended one would take the unparsed rest that belongs to the latter, so events of a suspended connection do not reach the chain at all.

A connection that holds such bytes is not at rest.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/AcceptingStrategy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/AcceptingStrategy.java
@@ -10,7 +10,6 @@
 import org.glassfish.grizzly.Transport;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /**
@@ -22,7 +21,7 @@
   private static final Attribute<Long> ACCEPTED =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.accepted", 0L);
 
-  private final IOStrategy strategy = SameThreadIOStrategy.getInstance();
+  private final IOStrategy strategy = new ReadAheadStrategy();
   private final int mostInIteration;
 
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ReadFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ReadFilter.java
@@ -1,11 +1,13 @@
 package io.umberpath.node.proxy;
 
 import io.umberpath.node.proxy.loop.Arrival;
+import io.umberpath.node.proxy.loop.ReadAhead;
 import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOUtils;
 
@@ -21,6 +23,11 @@
   @Override
   public NextAction handleRead(FilterChainContext context) throws IOException {
     TCPNIOConnection connection = (TCPNIOConnection) context.getConnection();
+    byte[] readAhead = ReadAhead.take(connection);
+    if (readAhead.length > 0) {
+      Arrival.noteReadAhead(connection);
+      return passOn(context, Buffers.wrap(connection.getMemoryManager(), readAhead));
+    }
     Buffer buffer;
     try {
       buffer = TCPNIOUtils.allocateAndReadBuffer(connection);
@@ -34,6 +41,10 @@
     }
     Arrival.noteRead(connection);
     buffer.trim();
+    return passOn(context, buffer);
+  }
+
+  private static NextAction passOn(FilterChainContext context, Buffer buffer) {
     buffer.allowBufferDispose(false);
     context.setMessage(buffer);
     return context.getInvokeAction();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.node.proxy.http.PendingAnswers;
 import io.umberpath.node.proxy.loop.Arrival;
+import io.umberpath.node.proxy.loop.ReadAhead;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OwnTurn;
 import io.umberpath.node.proxy.stats.ProxyStats;
@@ -55,7 +56,7 @@
     this.log = environment.connectionLog();
     this.rest = new RestTime(environment.clockMillis());
     this.arrival = Arrival.accepted(connection);
-    this.suspended = new SuspendedReads(arrival);
+    this.suspended = new SuspendedReads(arrival, ReadAhead.accepted(connection));
     ATTRIBUTE.set(connection, this);
     PendingAnswers.attach(connection, this);
   }
@@ -185,7 +186,7 @@
    * @return whether the answer is to say that the connection ends
    */
   synchronized boolean endsWith(AnswerTurn turn) {
-    boolean isBehind = !turns.isLast(turn) || beginning || suspended.isAtHead();
+    boolean isBehind = !turns.isLast(turn) || beginning || isMoreRead();
     if (!isBehind) {
       announceLast();
     }
@@ -315,10 +316,15 @@
 
   /** Whether no request is under way, as far as has been read. */
   private boolean isAtRest() {
-    boolean isRequestUnderWay = !turns.isEmpty() || beginning || suspended.isAtHead();
+    boolean isRequestUnderWay = !turns.isEmpty() || beginning || isMoreRead();
     return !isRequestUnderWay && discarding == null && lastAnswer == null;
   }
 
+  /** Whether something has been read behind the requests that have begun. */
+  private boolean isMoreRead() {
+    return suspended.isAtHead() || suspended.isHolding();
+  }
+
   /** Nothing more is written; what the peer still sends is dropped until it ends, too. */
   private Runnable endOutput(ConnectionEnd cause) {
     state = ConnectionState.OUTPUT_ENDED;
@@ -450,14 +456,16 @@
   }
 
   private void endIfAtRest() {
-    Runnable end;
+    Runnable next = () -> {};
     synchronized (this) {
-      if (state != ConnectionState.OPEN || !isAtRest()) {
-        return;
+      if (state == ConnectionState.OPEN && isAtRest()) {
+        next = endOutput(ConnectionEnd.STOP);
+      } else if (turns.isEmpty() && suspended.isHolding()) {
+        // It may be less than a request, whose answer would end the connection.
+        next = () -> afterReading(this::endIfAtRest);
       }
-      end = endOutput(ConnectionEnd.STOP);
     }
-    end.run();
+    next.run();
   }
 
   /** Bytes of answers that the socket has not taken yet. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.proxy.inbound;
 
 import io.umberpath.node.proxy.loop.Arrival;
+import io.umberpath.node.proxy.loop.ReadAhead;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 
@@ -10,11 +11,13 @@
  */
 final class SuspendedReads {
   private final Arrival arrival;
+  private final ReadAhead ahead;
   private FilterChainContext head;
   private FilterChainContext body;
 
-  SuspendedReads(Arrival arrival) {
+  SuspendedReads(Arrival arrival, ReadAhead ahead) {
     this.arrival = arrival;
+    this.ahead = ahead;
   }
 
   /** Stands still at a head, which is seen again once it is resumed. */
@@ -33,6 +36,7 @@
     arrival.readingStops();
     NextAction action = context.getSuspendAction();
     context.suspend();
+    ahead.suspended(context);
     return action;
   }
 
@@ -40,6 +44,11 @@
     return head != null;
   }
 
+  /** Whether bytes behind what was suspended have been read and not been decoded. */
+  boolean isHolding() {
+    return ahead.isHolding();
+  }
+
   /** What reads on from the head; does nothing if reading does not stand there. */
   Runnable takeHead() {
     FilterChainContext waiting = head;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/Arrival.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/Arrival.java
@@ -40,6 +40,20 @@
     earliestNanos = isFirstSelection ? unreadSinceNanos : EventLoop.earliestArrivalNanos();
   }
 
+  /** Notes that the filter chain takes what was read ahead while it was suspended. */
+  public static void noteReadAhead(Connection<?> connection) {
+    Arrival arrival = ATTRIBUTE.get(connection);
+    if (arrival != null) {
+      arrival.readAhead();
+    }
+  }
+
+  private synchronized void readAhead() {
+    earliestNanos = unreadSinceNanos;
+    // What is left in the socket may have arrived as early.
+    readableSinceNanos = System.nanoTime();
+  }
+
   /** Nothing more is read for a while. */
   public synchronized void readingStops() {
     // Nothing can have been read since reading was resumed in this iteration.
--- /dev/null
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ReadAheadTest.java
@@ -0,0 +1,152 @@
+package io.umberpath.node.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What is read while the filter chain of a connection is suspended is passed on in its order. */
+@Timeout(60)
+class ReadAheadTest extends InboundFixtureTest {
+  private static final int MAX_PIPELINED = 16;
+  private static final int MAX_PIECE_BYTES = 500;
+  private static final int BODY_BYTES = 4 * 1024 * 1024;
+  private static final long SEED = 20;
+
+  private final ExecutorService origins = Executors.newCachedThreadPool();
+
+  @AfterEach
+  void stopOrigins() {
+    origins.shutdownNow();
+  }
+
+  /** More requests than run at once, in pieces of any length. */
+  @Test
+  void requestsReadAheadAreAnsweredInTheirOrder() throws Exception {
+    try (RawConnection caller = fixture.connect()) {
+      sendInPieces(caller, 10 * MAX_PIPELINED);
+      serveAll();
+
+      assertAnswered(caller, 10 * MAX_PIPELINED);
+    }
+  }
+
+  /** The end of the process must not take what was read and is not decoded. */
+  @Test
+  void requestsReadAheadAreAnsweredBeforeTheProcessEnds() throws Exception {
+    try (RawConnection caller = fixture.connect()) {
+      sendInPieces(caller, 3 * MAX_PIPELINED);
+      RawConnection first = fixture.acceptOrigin();
+      final CompletableFuture<Void> drained = CompletableFuture.runAsync(this::drain);
+      origins.execute(() -> serve(first));
+      serveAll();
+
+      assertAnswered(caller, 3 * MAX_PIPELINED);
+      caller.socket.close();
+      drained.join();
+    }
+  }
+
+  /** Longer than what the sockets on its way take while the origin reads nothing. */
+  @Test
+  void aBodyReadAheadReachesItsOriginUnchanged() throws Exception {
+    byte[] body = new byte[BODY_BYTES];
+    new Random(SEED).nextBytes(body);
+    try (RawConnection origin = fixture.restingOrigin();
+        RawConnection caller = fixture.connect()) {
+      final CompletableFuture<Void> sent =
+          CompletableFuture.runAsync(() -> sendUpload(caller, body));
+      assertThat(origin.readHead()).startsWith("POST /upload ");
+      assertThat(origin.input().readNBytes(BODY_BYTES)).isEqualTo(body);
+      origin.send("HTTP/1.1 204 No Content\r\n\r\n");
+
+      assertThat(caller.read().status()).isEqualTo(204);
+      sent.join();
+    }
+  }
+
+  /** The end lies behind bytes that no filter has taken. */
+  @Test
+  void theEndOfACallerIsNoticedBehindWhatWasReadAhead() throws Exception {
+    try (RawConnection origin = fixture.restingOrigin();
+        RawConnection caller = fixture.connect()) {
+      caller.send(InboundFixture.get("/abandoned").repeat(MAX_PIPELINED + 1));
+      assertThat(origin.readHead()).startsWith("GET /abandoned ");
+      caller.send(InboundFixture.get("/behind").repeat(2 * MAX_PIPELINED));
+      caller.socket.close();
+
+      assertThat(origin.endsNow()).isTrue();
+    }
+  }
+
+  private static void sendInPieces(RawConnection caller, int count) throws IOException {
+    StringBuilder requests = new StringBuilder();
+    for (int number = 0; number < count; number++) {
+      requests.append(InboundFixture.get("/" + number));
+    }
+    Random random = new Random(SEED);
+    int start = 0;
+    while (start < requests.length()) {
+      int end = Math.min(requests.length(), start + 1 + random.nextInt(MAX_PIECE_BYTES));
+      caller.send(requests.substring(start, end));
+      start = end;
+    }
+  }
+
+  private static void sendUpload(RawConnection caller, byte[] body) {
+    try {
+      caller.send(
+          "POST /upload HTTP/1.1\r\nHost: a\r\nContent-Length: " + body.length + "\r\n\r\n");
+      caller.send(body);
+    } catch (IOException lost) {
+      throw new UncheckedIOException(lost);
+    }
+  }
+
+  private static void assertAnswered(RawConnection caller, int count) throws IOException {
+    for (int number = 0; number < count; number++) {
+      assertThat(caller.read().body()).isEqualTo("/" + number);
+    }
+  }
+
+  /** Accepts all connections to the origin, and answers each request with its path. */
+  private void serveAll() {
+    origins.execute(
+        () -> {
+          try {
+            while (true) {
+              RawConnection accepted = fixture.acceptOrigin();
+              origins.execute(() -> serve(accepted));
+            }
+          } catch (IOException fixtureClosed) {
+            return;
+          }
+        });
+  }
+
+  private static void serve(RawConnection origin) {
+    try (origin) {
+      for (String head = origin.readHead(); head != null; head = origin.readHead()) {
+        String path = head.split(" ")[1];
+        origin.send("HTTP/1.1 200 OK\r\nContent-Length: " + path.length() + "\r\n\r\n" + path);
+      }
+    } catch (IOException ended) {
+      return;
+    }
+  }
+
+  private void drain() {
+    try {
+      fixture.drain(Long.MAX_VALUE);
+    } catch (InterruptedException interrupted) {
+      throw new IllegalStateException(interrupted);
+    }
+  }
+}
