Work is not broken off before its caller's deadline has surely passed

What callers saw: 504 from a node while a back end worked on their request and before their deadline. Around a planned stop that is a lost answer.

Cause: a request is dated by the earliest moment at which it can have arrived. That is safe for what is to begin; for work under way it ends the deadline too early, by up to the length of an iteration at the edge and again at the gate.

Ruled out: an answer unread at the timer's look, the stop's cut-off.

Change: the earliest arrival decides what begins and what is handed on; work that may have begun goes on until the latest deadline. The edge hands the unread time on (Umberpath-Unread-Ms), so that the gate gives up later than it.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -267,6 +267,7 @@
     HeaderNames names = settings.headers();
     long left = plan.deadlineMillis() - nowMillis;
     set(outgoing, names.deadline(), Long.toString(left));
+    Headers.addUnread(exchange, outgoing);
     set(outgoing, names.callerService(), settings.service());
     HopHeader hop =
         new HopHeader(
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -238,6 +238,7 @@
             requestId.get(),
             hop.get(),
             arrivedMillis + left.get(),
+            Headers.unreadMillis(head),
             arrivedMillis,
             Fingerprints.targetOf(head),
             replacedHeaders));
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
@@ -10,6 +10,7 @@
  * @param requestId the caller's id of its attempt
  * @param hop what the other node says
  * @param deadlineMillis when it is given up, on the proxy's clock
+ * @param unreadBeforeMillis for how long it may have lain unread at the node before
  * @param beganMillis when its head arrived, on the proxy's clock
  * @param target what makes it the same request as another, but for the body; see {@link
  *     RequestFingerprint#target}
@@ -19,6 +20,7 @@
     String requestId,
     HopHeader hop,
     long deadlineMillis,
+    long unreadBeforeMillis,
     long beganMillis,
     long target,
     Set<String> replacedHeaders)
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/EdgeHandler.java
@@ -130,6 +130,7 @@
         route.tier(),
         route.repeatableMethods().contains(head.method()),
         deadlineMillis,
+        0,
         route.secret().map(snapshot.secrets()::get).map(Secret::headerValue).map("Bearer "::concat),
         Optional.of(snapshot.pools().get(route.pool())),
         ChainBudget.ofRequest(head.field(ChainBudget.HEADER), RetrySettings.DEFAULT));
@@ -204,6 +205,7 @@
     PoolRequestPlan plan = planOf(exchange);
     long left = plan.deadlineMillis() - nowMillis;
     set(outgoing, ProxyHeaders.DEADLINE, Long.toString(left));
+    Headers.addUnread(exchange, outgoing);
     set(outgoing, ProxyHeaders.REQUEST_ID, attemptId(exchange));
     set(outgoing, ProxyHeaders.ATTEMPT, Integer.toString(exchange.history().count()));
     set(outgoing, ChainBudget.HEADER, plan.chain().forAttempt(exchange.history().count()).encode());
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/HopHandler.java
@@ -91,6 +91,7 @@
             tier(head),
             false,
             arrivedMillis + timeout,
+            Headers.unreadMillis(head),
             Optional.empty(),
             Optional.empty(),
             ChainBudget.ofRequest(head.field(ChainBudget.HEADER), RetrySettings.DEFAULT));
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ProxyHeaders.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ProxyHeaders.java
@@ -11,6 +11,12 @@
   /** Request: milliseconds until the caller gives up. */
   public static final String DEADLINE = "Umberpath-Deadline-Ms";
 
+  /**
+   * Request between nodes: milliseconds for which it may have lain unread at the nodes before. They
+   * count towards its deadline, though its caller may have sent it later.
+   */
+  public static final String UNREAD = "Umberpath-Unread-Ms";
+
   /**
    * Request to a node or back end, echoed in a node's answer: names one attempt of one request. A
    * back end may echo it too; an answer that names another request is refused.
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -249,7 +249,7 @@
   void checkDeadline(long nowMillis, boolean isLate) {
     synchronized (this) {
       boolean waits = isLate && stage.mayHaveReachedOrigin() || progress.isOnItsWay(nowMillis);
-      if (plan == null || plan.deadlineMillis() > nowMillis || waits) {
+      if (plan == null || waits || !age.isPastDeadline(plan, stage, nowMillis)) {
         return;
       }
       fail(asFirmAsPossible(Verdict.Reason.DEADLINE), false);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Headers.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Headers.java
@@ -4,6 +4,7 @@
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.vavr.control.Either;
 import java.util.Optional;
+import org.glassfish.grizzly.http.HttpRequestPacket;
 
 /** Reads the project's headers. */
 public final class Headers {
@@ -27,6 +28,19 @@
         : Either.left(ProxyHeaders.DEADLINE + " is not a number of milliseconds");
   }
 
+  /** How long the request may have lain unread at the nodes before; 0 if they do not say. */
+  public static long unreadMillis(MessageHead request) {
+    return request.field(ProxyHeaders.UNREAD).flatMap(Headers::number).orElse(0L);
+  }
+
+  /** Tells the next node how long the request may have lain unread here. */
+  public static void addUnread(Exchange exchange, HttpRequestPacket outgoing) {
+    long unreadMillis = exchange.age().unreadMillis();
+    if (unreadMillis > 0) {
+      outgoing.getHeaders().setValue(ProxyHeaders.UNREAD).setString(Long.toString(unreadMillis));
+    }
+  }
+
   /** How long a refusal of another node says to leave its back end alone; 0 if it does not say. */
   public static long retryAfterMillis(MessageHead refusal) {
     return refusal.field(ProxyHeaders.RETRY_AFTER_MILLIS).flatMap(Headers::number).orElse(0L);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/PoolRequestPlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/PoolRequestPlan.java
@@ -14,6 +14,7 @@
  * @param tier tier of the route
  * @param repeatable whether it may run more than once
  * @param deadlineMillis when its caller gives up, on the proxy's clock
+ * @param unreadBeforeMillis for how long it may have lain unread at the nodes before this one
  * @param authorization value of the Authorization header to send, if the route has a secret
  * @param pool the back ends to choose from, at an edge
  * @param chain retries its chain of calls may still make, when it arrived
@@ -25,6 +26,7 @@
     Tier tier,
     boolean repeatable,
     long deadlineMillis,
+    long unreadBeforeMillis,
     Optional<String> authorization,
     Optional<ProxySnapshot.PoolView> pool,
     ChainBudget chain)
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestAge.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestAge.java
@@ -19,6 +19,17 @@
     return (System.nanoTime() - readNanos) / NANOS_PER_MICRO;
   }
 
+  /**
+   * Whether its caller has given up. What has not begun is given up at the earliest deadline. Work
+   * that may have begun goes on until the latest one, that of a request sent just before it was
+   * read: its caller may still wait.
+   */
+  boolean isPastDeadline(RequestPlan plan, ExchangeStage stage, long nowMillis) {
+    long spreadMillis = plan.unreadBeforeMillis() + unreadMillis();
+    long graceMillis = stage.mayHaveReachedOrigin() ? spreadMillis : 0;
+    return nowMillis >= plan.deadlineMillis() + graceMillis;
+  }
+
   /** For how long it may have lain unread, milliseconds; an upper bound. */
   public long unreadMillis() {
     return (readNanos - arrivedNanos) / NANOS_PER_MILLI;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestPlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestPlan.java
@@ -14,9 +14,14 @@
   /** Name of its route. */
   String route();
 
-  /** When its caller gives up, on the proxy's clock, milliseconds. */
+  /** When its caller gives up at the earliest, on the proxy's clock, milliseconds. */
   long deadlineMillis();
 
+  /** For how long it may have lain unread at the nodes before this one, milliseconds. */
+  default long unreadBeforeMillis() {
+    return 0;
+  }
+
   /** Whether the origin is asked before a long body is sent to it. */
   default boolean asksBeforeBody() {
     return false;
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/LateReadTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateReadTest.java
@@ -84,6 +84,37 @@
     }
   }
 
+  /** The caller may have sent it late in the time for which it lay unread, and waits on. */
+  @Test
+  void workIsNotBrokenOffBeforeItsCallersDeadlineHasSurelyPassed() throws Exception {
+    try (RawConnection origin = fixture.restingOrigin();
+        RawConnection caller = fixture.connect()) {
+      fixture.exchange(caller);
+      sendUnread(caller, InboundFixture.get("/late", LONG_DEADLINE_MILLIS));
+      assertThat(origin.readHead()).startsWith("GET /late ");
+      fixture.advance(LONG_DEADLINE_MILLIS - 1);
+      fixture.keepDeadlines();
+      origin.send(NO_CONTENT);
+
+      assertThat(caller.read().status()).isEqualTo(204);
+    }
+  }
+
+  /** Whoever waits on holds a slot of its origin. */
+  @Test
+  void workIsBrokenOffOnceItsCallersDeadlineHasSurelyPassed() throws Exception {
+    try (RawConnection origin = fixture.restingOrigin();
+        RawConnection caller = fixture.connect()) {
+      fixture.exchange(caller);
+      sendUnread(caller, InboundFixture.get("/late", LONG_DEADLINE_MILLIS));
+      assertThat(origin.readHead()).startsWith("GET /late ");
+      fixture.advance(LONG_DEADLINE_MILLIS);
+      fixture.keepDeadlines();
+
+      assertThat(caller.read().status()).isEqualTo(504);
+    }
+  }
+
   /** Estimates of service times would make a back end look slow whose node is. */
   @Test
   void theTimeForWhichAnAnswerLayUnreadIsNotWorkOfItsOrigin() throws Exception {
