Lines: bytes dropped behind a last answer, where the time of a transfer went

Two questions that no line answered. What does a node wait for between two configurations? state-adopted splits a transfer into its steps.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -37,6 +37,11 @@
   private static final MetadataKey<String> POSITION = MetadataKey.single("position", String.class);
   private static final MetadataKey<Long> CONFIGURATION =
       MetadataKey.single("configuration", Long.class);
+  private static final MetadataKey<Long> BEHIND = MetadataKey.single("behindMillis", Long.class);
+  private static final MetadataKey<Long> CONNECT = MetadataKey.single("connectMillis", Long.class);
+  private static final MetadataKey<Long> ANSWER = MetadataKey.single("answerMillis", Long.class);
+  private static final MetadataKey<Long> READ = MetadataKey.single("readMillis", Long.class);
+  private static final MetadataKey<Long> TAKE = MetadataKey.single("takeMillis", Long.class);
   private static final MetadataKey<Long> MILLIS = MetadataKey.single("millis", Long.class);
   private static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
 
@@ -350,12 +355,17 @@
     line(MeshEvent.STORE_READER).with(CAUSE, inputs).log("%s", reads ? "begins" : "ends");
   }
 
-  void stateAdopted(String peer, long version, StateTransfer transfer) {
+  void stateAdopted(String peer, long version, StateTransfer transfer, TransferTimes times) {
     StoreChanges changes = transfer.changes();
     line(MeshEvent.STATE_ADOPTED)
         .with(LogFields.ADDRESS, peer)
         .with(CONFIGURATION, version)
         .with(POSITION, changes.at().toString())
+        .with(BEHIND, times.behind())
+        .with(CONNECT, times.connect())
+        .with(ANSWER, times.answer())
+        .with(READ, times.read())
+        .with(TAKE, times.take())
         .log(
             "%s: %d items, %d patches; facts: %d configurations, %d departures",
             changes.isWhole() ? "whole state" : "changes",
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestEvents.java
@@ -18,6 +18,8 @@
       MetadataKey.single("configuration", Long.class);
   private static final MetadataKey<Long> MILLIS = MetadataKey.single("millis", Long.class);
   private static final MetadataKey<Long> UNREAD = MetadataKey.single("unreadMillis", Long.class);
+  private static final MetadataKey<Long> PORT = MetadataKey.single("port", Long.class);
+  private static final MetadataKey<Long> DROPPED = MetadataKey.single("droppedBytes", Long.class);
   private static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
 
   private final MeshEvents events;
@@ -45,15 +47,19 @@
         .log("attempts %d, sent to back ends %d", attempts, plan.tally().arrivals());
   }
 
-  /** A connection ended, and requests that were read from it have no answer. */
+  /** A connection ended, and requests that were read from it, or bytes of some, have no answer. */
   void connectionEnded(UnansweredRequests unanswered) {
+    UnansweredRequests.Input input = unanswered.input();
     events
         .line(MeshEvent.CONNECTION_ENDED)
         .with(CAUSE, MeshEvents.label(unanswered.end()))
         .with(SOURCE, MeshEvents.label(unanswered.side()))
         .with(COUNT, (long) unanswered.requestIds().size())
         .with(LogFields.REQUEST_ID, String.join(" ", unanswered.requestIds()))
-        .log("sent on %d, not begun %d", unanswered.sentOn(), unanswered.notBegun());
+        .with(PORT, (long) input.peerPort())
+        .with(DROPPED, input.droppedBytes())
+        .with(MILLIS, input.droppedAfterMillis())
+        .log("sent on %d, not begun %d", unanswered.sentOn(), input.isHeadUnbegun() ? 1 : 0);
   }
 
   void requestServed(MeshEdgePlan plan, int attempts, long millis) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -5,6 +5,7 @@
 import io.umberpath.model.PeerAddress;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -130,13 +131,18 @@
   private synchronized void step() {
     schedule
         .next(clockMillis.getAsLong(), state.view(), readsStore.getAsBoolean(), isSilent)
-        .ifPresent(source -> workers.execute(() -> transfer(source)));
+        .ifPresent(this::begin);
   }
 
-  private void transfer(PeerAddress source) {
+  private void begin(PeerAddress source) {
+    long behindMillis = schedule.behindMillis(clockMillis.getAsLong());
+    workers.execute(() -> transfer(source, behindMillis));
+  }
+
+  private void transfer(PeerAddress source, long behindMillis) {
     boolean taken = false;
     try {
-      taken = pull(source);
+      taken = pull(source, new TransferTimes.Clock(clockMillis, behindMillis));
       if (taken) {
         takenListener.run();
       }
@@ -158,17 +164,17 @@
     schedule.answered(transfer.changes().at());
   }
 
-  private boolean pull(PeerAddress source) {
+  private boolean pull(PeerAddress source, TransferTimes.Clock times) {
     try (Socket socket = new Socket()) {
       socket.connect(new InetSocketAddress(source.host(), source.port()), TIMEOUT_MILLIS);
+      times.connected();
       socket.setSoTimeout(TIMEOUT_MILLIS);
       StateRequest held = wantsWhole ? StateRequest.WHOLE : state.request();
       TransferRequest request = new TransferRequest(held, state.view().version(), wantsFacts());
       BufferedOutputStream out = new BufferedOutputStream(socket.getOutputStream());
       StateChangesCodec.write(request, out);
       out.flush();
-      StateTransfer transfer =
-          StateChangesCodec.read(new BufferedInputStream(socket.getInputStream()));
+      StateTransfer transfer = read(socket, times);
       MeshState.Adoption adoption = state.adopt(transfer, source.toString());
       answered(transfer);
       if (adoption == MeshState.Adoption.NOT_NEWER) {
@@ -178,7 +184,7 @@
       if (wantsWhole) {
         throw new IOException("a patch does not fit the item that it is for");
       }
-      events.stateAdopted(source.toString(), state.view().version(), transfer);
+      events.stateAdopted(source.toString(), state.view().version(), transfer, times.taken());
       return true;
     } catch (IOException failure) {
       events.statePullFailed(source.toString(), failure);
@@ -186,6 +192,19 @@
     }
   }
 
+  private static StateTransfer read(Socket socket, TransferTimes.Clock times) throws IOException {
+    BufferedInputStream answer = new BufferedInputStream(socket.getInputStream());
+    answer.mark(1);
+    if (answer.read() < 0) {
+      throw new EOFException("no answer");
+    }
+    times.answerBegins();
+    answer.reset();
+    StateTransfer transfer = StateChangesCodec.read(answer);
+    times.answerRead();
+    return transfer;
+  }
+
   @Override
   public void close() {
     closed = true;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferSchedule.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferSchedule.java
@@ -109,6 +109,11 @@
     return behindSinceMillis != LEVEL;
   }
 
+  /** For how long this node has been behind, milliseconds. */
+  long behindMillis(long nowMillis) {
+    return isActive() ? nowMillis - behindSinceMillis : 0;
+  }
+
   /** Whether the next answer is to tell what an older copy of the store may not show. */
   boolean wantsFacts() {
     return !hasFacts;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/PendingAnswers.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/PendingAnswers.java
@@ -23,6 +23,9 @@
   /** Whether nothing more is written; what still arrives is dropped. */
   boolean isEnded();
 
+  /** Bytes have arrived since, and are dropped. */
+  void dropped(int bytes);
+
   /** Writes an answer after all that are owed, and ends the connection. */
   void writeLast(Object message);
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
@@ -57,7 +57,9 @@
   public NextAction handleRead(FilterChainContext context) throws IOException {
     PendingAnswers pending = PendingAnswers.of(context.getConnection());
     if (pending != null && pending.isEnded()) {
-      ((Buffer) context.getMessage()).tryDispose();
+      Buffer dropped = context.getMessage();
+      pending.dropped(dropped.remaining());
+      dropped.tryDispose();
       return context.getStopAction();
     }
     return super.handleRead(context);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OwnTurn;
 import io.umberpath.node.proxy.stats.ProxyStats;
+import java.net.InetSocketAddress;
 import java.util.List;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -34,6 +35,7 @@
   private final LostExchanges lost = new LostExchanges();
   private final Arrival arrival;
   private final SuspendedReads suspended;
+  private final DroppedInput dropped = new DroppedInput();
   private ConnectionState state = ConnectionState.OPEN;
   private ConnectionEnd endedBy = ConnectionEnd.PEER;
   private boolean advancing;
@@ -328,6 +330,7 @@
   /** Nothing more is written; what the peer still sends is dropped until it ends, too. */
   private Runnable endOutput(ConnectionEnd cause) {
     state = ConnectionState.OUTPUT_ENDED;
+    dropped.outputEnds();
     endsBy(cause);
     rest.restart();
     Runnable head = suspended.takeHead();
@@ -358,6 +361,11 @@
     return state.isOver();
   }
 
+  @Override
+  public synchronized void dropped(int bytes) {
+    dropped.add(bytes);
+  }
+
   @Override
   public void writeLast(Object message) {
     synchronized (this) {
@@ -383,7 +391,7 @@
   void closed() {
     List<Exchange> open;
     ConnectionEnd cause;
-    boolean isHeadUnbegun;
+    UnansweredRequests.Input input;
     synchronized (this) {
       state = ConnectionState.CLOSED;
       open = turns.takeAll();
@@ -391,16 +399,22 @@
           endedBy == ConnectionEnd.PEER
               ? ConnectionEnd.ofCloseReason(connection.getCloseReason())
               : endedBy;
-      isHeadUnbegun = suspended.isAtHead();
+      input =
+          new UnansweredRequests.Input(
+              suspended.isAtHead(), dropped.bytes(), dropped.afterMillis(), peerPort());
     }
     // Exchanges are asked for their own state, under their own locks.
-    UnansweredRequests unanswered = UnansweredRequests.of(side, cause, open, isHeadUnbegun);
+    UnansweredRequests unanswered = UnansweredRequests.of(side, cause, open, input);
     if (unanswered.isAny()) {
       log.ended(unanswered);
     }
     lost.end(open);
   }
 
+  private int peerPort() {
+    return connection.getPeerAddress() instanceof InetSocketAddress peer ? peer.getPort() : 0;
+  }
+
   /** Ends the exchanges that could not be ended under another's lock. */
   void endThoseLeft() {
     lost.endThoseLeft();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/UnansweredRequests.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/UnansweredRequests.java
@@ -4,28 +4,40 @@
 import java.util.List;
 
 /**
- * Requests that were read from a connection which ended before their answers were out.
+ * Requests that were read from a connection which ended before their answers were out, and what was
+ * read behind them.
  *
  * @param side the listener
  * @param end why the connection ended
  * @param requestIds ids of those that were begun; empty for one that has none
  * @param sentOn how many of these were offered to an origin
- * @param notBegun how many were read and not begun
+ * @param input what was read and not begun
  */
 public record UnansweredRequests(
-    ProxyStats.Side side, ConnectionEnd end, List<String> requestIds, int sentOn, int notBegun) {
+    ProxyStats.Side side, ConnectionEnd end, List<String> requestIds, int sentOn, Input input) {
+
+  /**
+   * What was read from a connection and belongs to no request that was begun.
+   *
+   * @param isHeadUnbegun whether the head of another request has been read
+   * @param droppedBytes bytes that arrived after the end of the output
+   * @param droppedAfterMillis time from that end until the first of them were read, milliseconds
+   * @param peerPort the port from which they came
+   */
+  public record Input(
+      boolean isHeadUnbegun, long droppedBytes, long droppedAfterMillis, int peerPort) {}
 
   /**
    * Tells them of a connection.
    *
    * @param begun exchanges whose answers are not out
-   * @param isHeadUnbegun whether the head of another request has been read
+   * @param input what else was read
    */
   static UnansweredRequests of(
-      ProxyStats.Side side, ConnectionEnd end, List<Exchange> begun, boolean isHeadUnbegun) {
+      ProxyStats.Side side, ConnectionEnd end, List<Exchange> begun, Input input) {
     List<String> ids = begun.stream().map(UnansweredRequests::idOf).toList();
     int sentOn = (int) begun.stream().filter(exchange -> exchange.history().count() > 0).count();
-    return new UnansweredRequests(side, end, ids, sentOn, isHeadUnbegun ? 1 : 0);
+    return new UnansweredRequests(side, end, ids, sentOn, input);
   }
 
   private static String idOf(Exchange exchange) {
@@ -35,6 +47,6 @@
 
   /** Whether there is one. */
   boolean isAny() {
-    return !requestIds.isEmpty() || notBegun > 0;
+    return !requestIds.isEmpty() || input.isHeadUnbegun() || input.droppedBytes() > 0;
   }
 }
