An error in a deferred request ends its connection in place of hanging it

What callers saw: no answer and an open connection, after an Error (not an exception) in the handling of a request that a late thread had deferred.

Cause: deferred tasks run outside of the filter chain, which would close the connection; only exceptions were caught there. The error also ended the turn of the selector thread ("doSelect exception").

Change: such a step ends its caller's connection wherever it runs; deferred tasks and tasks of a connection's own turn log errors and go on.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
@@ -19,6 +19,7 @@
   private static final long NANOS_PER_MICRO = 1_000;
 
   private final Exchange exchange;
+  private final AnswerTurn turn;
   private final ConnectionPool pool;
   private final String originId;
   private final int number;
@@ -31,8 +32,9 @@
 
   private OutgoingRequest outgoing;
 
-  Attempt(Exchange exchange, ConnectionPool pool, String originId, int number) {
+  Attempt(Exchange exchange, AnswerTurn turn, ConnectionPool pool, String originId, int number) {
     this.exchange = exchange;
+    this.turn = turn;
     this.pool = pool;
     this.originId = originId;
     this.number = number;
@@ -98,7 +100,7 @@
 
   @Override
   public void whenReadyForMore(Runnable resume) {
-    exchange.whenCallerTakesMore(resume);
+    turn.whenTakesMore(resume);
   }
 
   /** The request as it is sent, its headers still to be completed. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -232,6 +232,11 @@
     afterLock();
   }
 
+  /** Ends the connection after a fault that leaves no answer to give. */
+  void endConnection() {
+    caller.abort(ConnectionEnd.FAULT);
+  }
+
   /** Ends the request without another attempt. */
   void giveUp(Verdict.Reason reason) {
     synchronized (this) {
@@ -270,8 +275,7 @@
       }
       mayHaveRun = stage.mayHaveReachedOrigin();
       String route = plan == null ? "" : plan.route();
-      String id = plan == null ? "" : plan.requestId();
-      environment.attemptLog().cutOff(id, route, body.received());
+      environment.attemptLog().cutOff(UnansweredRequests.idOf(this), route, body.received());
       fail(asFirmAsPossible(Verdict.Reason.DRAINING), false);
     }
     afterLock();
@@ -294,7 +298,7 @@
         return false;
       }
       stage = ExchangeStage.CONNECTING;
-      next = new Attempt(this, pool, originId, history.begin(originId));
+      next = new Attempt(this, turn, pool, originId, history.begin(originId));
       attempt = next;
     }
     next.begin();
@@ -493,8 +497,4 @@
     }
     return part.last() || answer.canTakeMore();
   }
-
-  void whenCallerTakesMore(Runnable resume) {
-    turn.whenTakesMore(resume);
-  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestFaults.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestFaults.java
@@ -35,7 +35,8 @@
 
   /**
    * Takes a step of a request, which is given up if the step throws. An exception that left the
-   * filter would close the connection, without any answer.
+   * filter would close the connection, without any answer. An error does that here: deferred steps
+   * run outside of the filter.
    *
    * @return what the step returns; true if it throws
    */
@@ -46,6 +47,9 @@
       logger.atSevere().withCause(fault).log("a request was not handled");
       exchange.giveUp(Verdict.Reason.INTERNAL);
       return true;
+    } catch (Error fault) {
+      exchange.endConnection();
+      throw fault;
     }
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/UnansweredRequests.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/UnansweredRequests.java
@@ -40,7 +40,7 @@
     return new UnansweredRequests(side, end, ids, sentOn, input);
   }
 
-  private static String idOf(Exchange exchange) {
+  static String idOf(Exchange exchange) {
     RequestPlan plan = exchange.plan();
     return plan == null ? "" : plan.requestId();
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
@@ -55,7 +55,7 @@
   static void runGuarded(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException fault) {
+    } catch (RuntimeException | Error fault) {
       logger.atSevere().withCause(fault).log("deferred task failed");
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OwnTurn.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OwnTurn.java
@@ -40,7 +40,7 @@
   private static void runGuarded(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException fault) {
+    } catch (RuntimeException | Error fault) {
       logger.atSevere().withCause(fault).log("end of a connection was not handled");
     }
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/ConnectionEndedByAFaultTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/ConnectionEndedByAFaultTest.java
@@ -18,4 +18,20 @@
       assertThat(fixture.awaitEnded().end()).isEqualTo(ConnectionEnd.FAULT);
     }
   }
+
+  /** A thread that is late handles requests in tasks of their own. */
+  @Test
+  void aFaultInADeferredRequestEndsItsConnection() throws Exception {
+    try (RawConnection caller = fixture.connect();
+        RawConnection other = fixture.connect()) {
+      fixture.exchange(caller);
+      fixture.blockReading();
+      caller.send(InboundFixture.FAULTY);
+      fixture.readOnLate();
+
+      assertThat(caller.endsNow()).isTrue();
+      assertThat(fixture.awaitEnded().end()).isEqualTo(ConnectionEnd.FAULT);
+      fixture.exchange(other);
+    }
+  }
 }
