A last answer is not announced over requests that have arrived

What callers saw: around planned stops a connection ended in order, and requests sent up to 0.4 s before had no answer.

Cause: whether an answer is the last was judged by what had been decoded behind it. What lay in the socket while the thread was busy, and what the codec had in hand, were dropped. The end at rest was judged within the run that had more in hand.

Ruled out: the caller reading the announcement late.

Change: the codec's rest and a look into the socket count as behind an answer; the end at rest is judged after a whole round of reading.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ReadFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ReadFilter.java
@@ -25,7 +25,6 @@
     TCPNIOConnection connection = (TCPNIOConnection) context.getConnection();
     byte[] readAhead = ReadAhead.take(connection);
     if (readAhead.length > 0) {
-      Arrival.noteReadAhead(connection);
       return passOn(context, Buffers.wrap(connection.getMemoryManager(), readAhead));
     }
     Buffer buffer;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/PendingAnswers.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/PendingAnswers.java
@@ -23,6 +23,9 @@
   /** Whether nothing more is written; what still arrives is dropped. */
   boolean isEnded();
 
+  /** Whether the codec keeps bytes behind the message that it hands on. */
+  void keepsUndecoded(boolean isKept);
+
   /** Bytes have arrived since, and are dropped. */
   void dropped(int bytes);
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/ServerCodecFilter.java
@@ -62,7 +62,13 @@
       dropped.tryDispose();
       return context.getStopAction();
     }
-    return super.handleRead(context);
+    NextAction action = super.handleRead(context);
+    if (pending != null) {
+      // Actions that carry a rest are objects of their own.
+      pending.keepsUndecoded(
+          action != context.getInvokeAction() && action != context.getStopAction());
+    }
+    return action;
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -2,11 +2,9 @@
 
 import io.umberpath.node.proxy.http.PendingAnswers;
 import io.umberpath.node.proxy.loop.Arrival;
-import io.umberpath.node.proxy.loop.ReadAhead;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.OwnTurn;
 import io.umberpath.node.proxy.stats.ProxyStats;
-import java.net.InetSocketAddress;
 import java.util.List;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -58,7 +56,7 @@
     this.log = environment.connectionLog();
     this.rest = new RestTime(environment.clockMillis());
     this.arrival = Arrival.accepted(connection);
-    this.suspended = new SuspendedReads(arrival, ReadAhead.accepted(connection));
+    this.suspended = new SuspendedReads(connection, arrival);
     ATTRIBUTE.set(connection, this);
     PendingAnswers.attach(connection, this);
   }
@@ -182,13 +180,13 @@
   }
 
   /**
-   * Makes an answer the last if no request has been read behind it. From then on none is begun: it
+   * Makes an answer the last if no request has arrived behind it. From then on none is begun: it
    * would run, and have no answer.
    *
    * @return whether the answer is to say that the connection ends
    */
   synchronized boolean endsWith(AnswerTurn turn) {
-    boolean isBehind = !turns.isLast(turn) || beginning || isMoreRead();
+    boolean isBehind = !turns.isLast(turn) || beginning || suspended.isMoreBehind();
     if (!isBehind) {
       announceLast();
     }
@@ -313,20 +311,29 @@
 
   /** Another request may begin; or the connection ends, if it is to end at rest. */
   private Runnable readOn() {
-    return endsAtRest && isAtRest() ? endOutput(ConnectionEnd.STOP) : suspended.takeHead();
+    Runnable head = suspended.takeHead();
+    return () -> {
+      head.run();
+      endIfAtRestAfterReading();
+    };
+  }
+
+  private void endIfAtRestAfterReading() {
+    boolean isToEnd;
+    synchronized (this) {
+      isToEnd = endsAtRest;
+    }
+    if (isToEnd) {
+      afterReading(this::endIfAtRest);
+    }
   }
 
   /** Whether no request is under way, as far as has been read. */
   private boolean isAtRest() {
-    boolean isRequestUnderWay = !turns.isEmpty() || beginning || isMoreRead();
+    boolean isRequestUnderWay = !turns.isEmpty() || beginning || suspended.isMoreRead();
     return !isRequestUnderWay && discarding == null && lastAnswer == null;
   }
 
-  /** Whether something has been read behind the requests that have begun. */
-  private boolean isMoreRead() {
-    return suspended.isAtHead() || suspended.isHolding();
-  }
-
   /** Nothing more is written; what the peer still sends is dropped until it ends, too. */
   private Runnable endOutput(ConnectionEnd cause) {
     state = ConnectionState.OUTPUT_ENDED;
@@ -361,6 +368,11 @@
     return state.isOver();
   }
 
+  @Override
+  public synchronized void keepsUndecoded(boolean isKept) {
+    suspended.keepsUndecoded(isKept);
+  }
+
   @Override
   public synchronized void dropped(int bytes) {
     dropped.add(bytes);
@@ -399,9 +411,7 @@
           endedBy == ConnectionEnd.PEER
               ? ConnectionEnd.ofCloseReason(connection.getCloseReason())
               : endedBy;
-      input =
-          new UnansweredRequests.Input(
-              suspended.isAtHead(), dropped.bytes(), dropped.afterMillis(), peerPort());
+      input = dropped.input(connection, suspended.isAtHead());
     }
     // Exchanges are asked for their own state, under their own locks.
     UnansweredRequests unanswered = UnansweredRequests.of(side, cause, open, input);
@@ -411,10 +421,6 @@
     lost.end(open);
   }
 
-  private int peerPort() {
-    return connection.getPeerAddress() instanceof InetSocketAddress peer ? peer.getPort() : 0;
-  }
-
   /** Ends the exchanges that could not be ended under another's lock. */
   void endThoseLeft() {
     lost.endThoseLeft();
@@ -466,7 +472,7 @@
     synchronized (this) {
       endsAtRest = true;
     }
-    afterReading(this::endIfAtRest);
+    endIfAtRestAfterReading();
   }
 
   private void endIfAtRest() {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/DroppedInput.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/DroppedInput.java
@@ -1,6 +1,8 @@
 package io.umberpath.node.proxy.inbound;
 
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.Connection;
 
 /**
  * What a peer sent that was dropped, since its connection's output had ended. The connection's lock
@@ -24,12 +26,11 @@
     bytes += count;
   }
 
-  long bytes() {
-    return bytes;
-  }
-
-  /** Time from the end of the output until the first of them were read, milliseconds. */
-  long afterMillis() {
-    return bytes == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(firstNanos - endedNanos);
+  /** What was read and not begun, in all. */
+  UnansweredRequests.Input input(Connection<?> connection, boolean isHeadUnbegun) {
+    long afterNanos = bytes == 0 ? 0 : firstNanos - endedNanos;
+    int port = connection.getPeerAddress() instanceof InetSocketAddress peer ? peer.getPort() : 0;
+    return new UnansweredRequests.Input(
+        isHeadUnbegun, bytes, TimeUnit.NANOSECONDS.toMillis(afterNanos), port);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.node.proxy.loop.Arrival;
 import io.umberpath.node.proxy.loop.ReadAhead;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 
@@ -15,9 +16,12 @@
   private FilterChainContext head;
   private FilterChainContext body;
 
-  SuspendedReads(Arrival arrival, ReadAhead ahead) {
+  /** The codec keeps bytes behind the message that it has handed on last. */
+  private boolean isUndecoded;
+
+  SuspendedReads(Connection<?> connection, Arrival arrival) {
     this.arrival = arrival;
-    this.ahead = ahead;
+    this.ahead = ReadAhead.accepted(connection, arrival);
   }
 
   /** Stands still at a head, which is seen again once it is resumed. */
@@ -49,6 +53,20 @@
     return ahead.isHolding();
   }
 
+  void keepsUndecoded(boolean isKept) {
+    isUndecoded = isKept;
+  }
+
+  /** Whether something has been read behind the requests that have begun. */
+  boolean isMoreRead() {
+    return isAtHead() || isHolding();
+  }
+
+  /** The same within a run of the filter chain, which has more in hand and may be late. */
+  boolean isMoreBehind() {
+    return isMoreRead() || isUndecoded || ahead.look();
+  }
+
   /** What reads on from the head; does nothing if reading does not stand there. */
   Runnable takeHead() {
     FilterChainContext waiting = head;
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/Arrival.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/Arrival.java
@@ -40,15 +40,8 @@
     earliestNanos = isFirstSelection ? unreadSinceNanos : EventLoop.earliestArrivalNanos();
   }
 
-  /** Notes that the filter chain takes what was read ahead while it was suspended. */
-  public static void noteReadAhead(Connection<?> connection) {
-    Arrival arrival = ATTRIBUTE.get(connection);
-    if (arrival != null) {
-      arrival.readAhead();
-    }
-  }
-
-  private synchronized void readAhead() {
+  /** The filter chain takes what was read ahead while nothing else was. */
+  synchronized void takesReadAhead() {
     earliestNanos = unreadSinceNanos;
     // What is left in the socket may have arrived as early.
     readableSinceNanos = System.nanoTime();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
@@ -6,7 +6,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.nio.DefaultSelectorHandler;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.SelectorRunner;
 
 /**
@@ -64,6 +66,14 @@
     return ITERATION.get() != null;
   }
 
+  /** Whether the calling thread is the one that selects a connection. */
+  static boolean isOwnThread(Connection<?> connection) {
+    Iteration iteration = ITERATION.get();
+    return iteration != null
+        && connection instanceof NIOConnection nio
+        && nio.getSelectorRunner() == iteration.runner;
+  }
+
   /** When the present iteration's selection was made; now if the caller is no selector thread. */
   static long selectedNanos() {
     Iteration iteration = ITERATION.get();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/ReadAhead.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/ReadAhead.java
@@ -24,16 +24,18 @@
   private static final byte[] NOTHING = {};
 
   private final Connection<?> connection;
+  private final Arrival arrival;
   private boolean isSuspended;
   private byte[] held = NOTHING;
 
-  private ReadAhead(Connection<?> connection) {
+  private ReadAhead(Connection<?> connection, Arrival arrival) {
     this.connection = connection;
+    this.arrival = arrival;
   }
 
   /** Reads ahead from a connection that has just been accepted. */
-  public static ReadAhead accepted(Connection<?> connection) {
-    ReadAhead ahead = new ReadAhead(connection);
+  public static ReadAhead accepted(Connection<?> connection, Arrival arrival) {
+    ReadAhead ahead = new ReadAhead(connection, arrival);
     ATTRIBUTE.set(connection, ahead);
     return ahead;
   }
@@ -75,7 +77,36 @@
     return held.length > 0;
   }
 
+  /**
+   * Reads what has arrived, for the filter chain to take next. Does nothing on another thread than
+   * the connection's own, which may be reading.
+   *
+   * @return whether bytes have been read that the filter chain has not taken
+   */
+  public synchronized boolean look() {
+    if (held.length == 0 && !isSuspended && EventLoop.isOwnThread(connection)) {
+      lookNow();
+    }
+    return held.length > 0;
+  }
+
+  private void lookNow() {
+    try {
+      read();
+    } catch (IOException ended) {
+      // The next selection finds the end again, and reports it.
+      return;
+    }
+    if (held.length > 0) {
+      arrival.readingStops();
+      simulateRead();
+    }
+  }
+
   private synchronized byte[] takeHeld() {
+    if (held.length > 0) {
+      arrival.takesReadAhead();
+    }
     byte[] taken = held;
     held = NOTHING;
     return taken;
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/InboundFixture.java
@@ -64,6 +64,7 @@
   private final Set<Long> iterations = ConcurrentHashMap.newKeySet();
   private final BlockingQueue<Long> workMicros = new LinkedBlockingQueue<>();
   private final BlockingQueue<Exchange> heldBack = new LinkedBlockingQueue<>();
+  private volatile boolean isLeaving;
 
   InboundFixture() throws IOException {
     ExchangeEnvironment environment =
@@ -100,6 +101,11 @@
     return new RawConnection(port);
   }
 
+  /** From now on each answer is the last of its connection, if nothing is behind it. */
+  void leave() {
+    isLeaving = true;
+  }
+
   /** Returns once a connection has been accepted. */
   void awaitAccepted() throws InterruptedException {
     while (filter.accepted() == 0) {
@@ -243,6 +249,11 @@
       return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
     }
 
+    @Override
+    public boolean isLeaving() {
+      return isLeaving;
+    }
+
     @Override
     public void dispatch(Exchange exchange) {
       String path = ((Plan) exchange.plan()).path();
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/UnreadRequestTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/UnreadRequestTest.java
@@ -46,4 +46,56 @@
       assertThat(caller.endsNow()).isTrue();
     }
   }
+
+  /** It arrives while the thread that reads is busy with the request in front. */
+  @Test
+  void isAnsweredThoughTheNodeLeavesWithTheAnswerInFront() throws Exception {
+    try (RawConnection caller = fixture.connect()) {
+      fixture.exchange(caller);
+      fixture.leave();
+      fixture.blockReadingBehind(caller, "");
+      caller.send(InboundFixture.REFUSED);
+      fixture.readOn();
+
+      assertAnsweredLast(caller);
+    }
+  }
+
+  /** The codec has it in hand while the request in front is answered. */
+  @Test
+  void isAnsweredThoughItWasReadTogetherWithTheOneInFront() throws Exception {
+    try (RawConnection caller = fixture.connect()) {
+      fixture.leave();
+      caller.send(InboundFixture.REFUSED + InboundFixture.REFUSED);
+
+      assertAnsweredLast(caller);
+    }
+  }
+
+  /** The end of the process does not wait for what the codec has in hand. */
+  @Test
+  void isAnsweredThoughTheConnectionEndsAtRest() throws Exception {
+    try (RawConnection caller = fixture.connect()) {
+      fixture.exchange(caller);
+      fixture.blockReadingBehind(caller, "");
+      caller.send(InboundFixture.REFUSED + InboundFixture.REFUSED);
+      fixture.filter().endConnections();
+      fixture.readOn();
+
+      for (int count = 0; count < 3; count++) {
+        assertThat(caller.read().status()).isEqualTo(404);
+      }
+      assertThat(caller.read()).isNull();
+    }
+  }
+
+  private static void assertAnsweredLast(RawConnection caller) throws Exception {
+    RawConnection.Message first = caller.read();
+    assertThat(first.status()).isEqualTo(404);
+    assertThat(first.header("Connection")).isNull();
+    RawConnection.Message second = caller.read();
+    assertThat(second).as("the connection ended over a request").isNotNull();
+    assertThat(second.header("Connection")).isEqualTo("close");
+    assertThat(caller.read()).isNull();
+  }
 }
