A configuration is given on while it is still being read

What callers saw: 404 for routes more than 2 s after the store had acknowledged them, most behind a change by 1,400 routes.

Cause: a node held the state's lock while it read a configuration. Meanwhile it gave nothing to other nodes, had not announced what it held, and its timer, which settles the state each 0.1 s, stood still. On the way over readers of zones that time counts two or three times.

Ruled out: encoding anew for each node; a patch in place of the whole (as long).

Change: configurations are read before the lock is taken, once; what is held is announced and given on at once, and in force when it has been read. A node that is reading is not behind those that hold the same.

--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ConfigurationReader.java
@@ -0,0 +1,34 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.control.store.StoreItem;
+import io.umberpath.model.routing.RoutingConfiguration;
+import io.umberpath.traffic.routing.RoutingTable;
+import io.vavr.control.Either;
+
+/** Reads configurations, and keeps what it made of the last one. Thread-safe. */
+final class ConfigurationReader {
+  private final StoreDocuments documents;
+  private StoreItem lastItem;
+  private Either<String, RoutingConfiguration> lastRead;
+  private RoutingTable lastTable;
+
+  ConfigurationReader(StoreDocuments documents) {
+    this.documents = documents;
+  }
+
+  /** The configuration of an item, or what is wrong with it. */
+  synchronized Either<String, RoutingConfiguration> read(StoreItem item) {
+    if (!item.equals(lastItem)) {
+      lastRead = documents.configuration(item);
+      lastTable = lastRead.map(RoutingTable::of).getOrNull();
+      lastItem = item;
+    }
+    return lastRead;
+  }
+
+  /** The routes of a configuration. */
+  synchronized RoutingTable tableOf(RoutingConfiguration configuration) {
+    boolean isLast = lastRead != null && lastRead.getOrNull() == configuration;
+    return isLast ? lastTable : RoutingTable.of(configuration);
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -174,7 +174,7 @@
     }
     peers.onAhead(puller::ahead);
     puller.avoid(peers::isSilent);
-    puller.onTaken(this::announceAsReader);
+    state.onAdopted(this::announceAsReader);
     peers.start();
     puller.start();
     timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -287,7 +287,7 @@
         proxy.gate().load(),
         backendLeaving,
         view.version(),
-        view.position(),
+        view.held(),
         follower.reported(),
         quarantine.digest(),
         isListed(view) ? Optional.empty() : Optional.of(settings.zone()),
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -5,6 +5,7 @@
 import io.umberpath.control.store.BackendListing.Listed;
 import io.umberpath.control.store.BackendListing.Shown;
 import io.umberpath.control.store.StateRequest;
+import io.umberpath.control.store.StoreAnswer;
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreFacts;
 import io.umberpath.control.store.StoreItem;
@@ -30,6 +31,7 @@
  */
 final class MeshState {
   private final StoreDocuments documents;
+  private final ConfigurationReader configurations;
   private final StoreWatcher watcher;
   private final MeshEvents events;
 
@@ -51,6 +53,7 @@
   private StoreItem acceptedItem;
 
   private volatile MeshView view = MeshView.NOTHING;
+  private volatile Runnable adoptedListener = () -> {};
 
   /**
    * Creates a state that holds nothing.
@@ -60,6 +63,7 @@
   MeshState(
       StoreDocuments documents, StoreWatcher watcher, MeshEvents events, LongSupplier clockMillis) {
     this.documents = documents;
+    this.configurations = new ConfigurationReader(documents);
     this.watcher = watcher;
     this.events = events;
     this.clockMillis = clockMillis;
@@ -85,24 +89,60 @@
     UNFIT
   }
 
+  /** Is told when items of another node are held, before they are in force. */
+  void onAdopted(Runnable listener) {
+    adoptedListener = listener;
+  }
+
   /** Takes what of another node's state leads further than this node is. */
-  synchronized Adoption adopt(StateTransfer transfer, String peer) {
+  Adoption adopt(StateTransfer transfer, String peer) {
     final MeshView before = view;
-    boolean learned = learn(transfer.facts(), peer);
-    StoreWatcher.Adoption adoption = watcher.adopt(transfer.changes());
+    boolean learned;
+    StoreWatcher.Adoption adoption;
+    synchronized (this) {
+      learned = learn(transfer.facts(), peer);
+      adoption = watcher.adopt(transfer.changes());
+      hold(adoption == StoreWatcher.Adoption.CHANGED);
+    }
+    if (adoption == StoreWatcher.Adoption.CHANGED) {
+      adoptedListener.run();
+    }
     if (learned || adoption == StoreWatcher.Adoption.CHANGED) {
       refresh(peer);
-    } else if (!watcher.at().equals(view.position())) {
-      view = new MeshView(view.configuration(), view.table(), view.backends(), watcher.at());
     }
     if (adoption == StoreWatcher.Adoption.UNFIT) {
       return Adoption.UNFIT;
     }
-    boolean isNewer =
-        view.version() > before.version() || view.position().isAfter(before.position());
+    MeshView now = view;
+    boolean isNewer = now.version() > before.version() || now.position().isAfter(before.position());
     return isNewer ? Adoption.TAKEN : Adoption.NOT_NEWER;
   }
 
+  /**
+   * Notes how far the watcher is.
+   *
+   * @param isChanged whether its items have changed, which are put in force next
+   */
+  private void hold(boolean isChanged) {
+    boolean isInForce = !isChanged && view.isSettled();
+    view = isInForce ? view.at(watcher.at()) : view.holding(watcher.at());
+  }
+
+  /**
+   * Takes an answer of the store.
+   *
+   * @return whether it led further; {@link #refresh} is to follow then
+   */
+  synchronized boolean answered(long nowMillis, StoreAnswer answer) {
+    StorePosition before = watcher.at();
+    boolean isChanged = watcher.answered(nowMillis, answer);
+    boolean isFurther = isChanged || !watcher.at().equals(before);
+    if (isFurther) {
+      hold(true);
+    }
+    return isFurther;
+  }
+
   private boolean learn(StoreFacts facts, String peer) {
     boolean learned = listing.learn(clockMillis.getAsLong(), facts.departed());
     RoutingConfiguration before = accepted;
@@ -139,12 +179,24 @@
   /** Time alone may change what is believed of an older copy of the store. */
   synchronized void settle() {
     if (listing.isDue(clockMillis.getAsLong())) {
-      refresh("time");
+      putInForce("time");
     }
   }
 
   /** The watcher's items have changed. */
-  synchronized void refresh(String source) {
+  void refresh(String source) {
+    // Read before the lock is taken, which the timer and other nodes' requests for state wait for.
+    shownItem().ifPresent(configurations::read);
+    putInForce(source);
+  }
+
+  private synchronized Optional<StoreItem> shownItem() {
+    return watcher.items().stream()
+        .filter(item -> documents.isConfiguration(item.key()))
+        .findFirst();
+  }
+
+  private synchronized void putInForce(String source) {
     List<StoreItem> items = watcher.items();
     RoutingTable table = view.table();
     List<Listed> entries = new ArrayList<>();
@@ -160,7 +212,7 @@
     }
     parsed.keySet().retainAll(new HashSet<>(items));
     if (accepted != view.configuration()) {
-      table = RoutingTable.of(accepted);
+      table = configurations.tableOf(accepted);
     }
     BackendDirectory backends = view.backends();
     Believed believed = believe(new Shown(watcher.at(), entries, evacuated), source);
@@ -169,7 +221,7 @@
       backends = new BackendDirectory(believed.entries(), believed.evacuatedZones());
       events.backendsChanged(view.backends(), backends, watcher.at(), source);
     }
-    view = new MeshView(accepted, table, backends, watcher.at());
+    view = new MeshView(accepted, table, backends, watcher.at(), watcher.at());
   }
 
   private Believed believe(Shown shown, String source) {
@@ -207,7 +259,7 @@
    * @return its version; empty if it cannot be read
    */
   private OptionalLong take(StoreItem item, String source) {
-    Either<String, RoutingConfiguration> read = documents.configuration(item);
+    Either<String, RoutingConfiguration> read = configurations.read(item);
     if (read.isLeft()) {
       events.configurationRefused(item.revision(), read.getLeft(), source);
       return OptionalLong.empty();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshView.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshView.java
@@ -11,20 +11,44 @@
  * @param table its routes, or null before the first
  * @param backends the back ends
  * @param position the store's position of the back ends
+ * @param held the newest position whose items this node holds; they may not be in force yet
  */
 record MeshView(
     RoutingConfiguration configuration,
     RoutingTable table,
     BackendDirectory backends,
-    StorePosition position) {
+    StorePosition position,
+    StorePosition held) {
   static final MeshView NOTHING =
-      new MeshView(null, null, BackendDirectory.EMPTY, StorePosition.NOTHING);
+      new MeshView(
+          null, null, BackendDirectory.EMPTY, StorePosition.NOTHING, StorePosition.NOTHING);
 
   /** Whether requests can be routed. */
   boolean isComplete() {
     return configuration != null;
   }
 
+  /** The same at a newer position. */
+  MeshView at(StorePosition newPosition) {
+    return new MeshView(configuration, table, backends, newPosition, newPosition);
+  }
+
+  /** The same with newer items at hand. */
+  MeshView holding(StorePosition newHeld) {
+    return new MeshView(configuration, table, backends, position, newHeld);
+  }
+
+  /** Whether all that is held is in force. */
+  boolean isSettled() {
+    return held.equals(position);
+  }
+
+  /** Whether a node that states a version and a position holds something that this one lacks. */
+  boolean isBehind(long statedVersion, StorePosition stated) {
+    // Until it is in force, the version of what is held is not known.
+    return stated.isAfter(held) || isSettled() && statedVersion > version();
+  }
+
   /** Version of the configuration; -1 before the first. */
   long version() {
     return configuration == null ? -1 : configuration.version();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -202,7 +202,7 @@
         balancer.stated(atMillis, backend.id(), report.load());
       }
     }
-    if (report.version() > current.version() || report.position().isAfter(current.position())) {
+    if (current.isBehind(report.version(), report.position())) {
       aheadListener.ahead(host, watch.isNear(host), report.version(), report.position());
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -51,7 +51,6 @@
   private final TransferSchedule schedule;
 
   private volatile Predicate<String> isSilent = host -> false;
-  private volatile Runnable takenListener = () -> {};
 
   StatePuller(
       MeshSettings settings,
@@ -91,11 +90,6 @@
     return hasAsked;
   }
 
-  /** Is told when something newer was taken from another node. */
-  void onTaken(Runnable listener) {
-    takenListener = listener;
-  }
-
   /** Nodes that are not asked, since they are out of reach. */
   void avoid(Predicate<String> condition) {
     isSilent = condition;
@@ -143,9 +137,6 @@
     boolean taken = false;
     try {
       taken = pull(source, new TransferTimes.Clock(clockMillis, behindMillis));
-      if (taken) {
-        takenListener.run();
-      }
     } finally {
       ended(source, taken);
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
@@ -22,7 +22,7 @@
   /** What a node stated last. */
   private record Stated(String host, long version, StorePosition position) {
     boolean isAheadOf(MeshView view) {
-      return view.version() < version || position.isAfter(view.position());
+      return view.isBehind(version, position);
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -3,7 +3,6 @@
 import io.umberpath.control.membership.SilenceTimes;
 import io.umberpath.control.store.StoreAnswer;
 import io.umberpath.control.store.StoreCall;
-import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreWatcher.Step;
 import io.umberpath.control.store.StoreWatcherSettings;
 import java.util.function.LongSupplier;
@@ -156,21 +155,13 @@
     }
     long now = clockMillis.getAsLong();
     note(now, answer);
-    boolean advanced;
-    StorePosition held;
-    synchronized (state) {
-      StorePosition before = state.watcher().at();
-      boolean changed = state.watcher().answered(now, answer);
-      advanced = changed || !state.watcher().at().equals(before);
-      held = state.watcher().at();
-      if (advanced) {
-        state.refresh("store");
-      }
-    }
-    events.storeCalled(answer, held);
-    if (advanced) {
+    boolean isFurther = state.answered(now, answer);
+    if (isFurther) {
+      // Others need not wait until it is in force here.
       changeListener.run();
+      state.refresh("store");
     }
+    events.storeCalled(answer, state.view().held());
   }
 
   /** An answer of an era that is over is none: of a late one, or of one from an old instance. */
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
@@ -73,12 +73,17 @@
         configuration,
         null,
         new BackendDirectory(List.of(entries), evacuated),
+        new StorePosition(0, 1),
         new StorePosition(0, 1));
   }
 
   private static MeshView viewOf(BackendEntry... entries) {
     return new MeshView(
-        null, null, new BackendDirectory(List.of(entries), Set.of()), new StorePosition(0, 1));
+        null,
+        null,
+        new BackendDirectory(List.of(entries), Set.of()),
+        new StorePosition(0, 1),
+        new StorePosition(0, 1));
   }
 
   /** The entry of a back end that was replaced stands in the store for some seconds more. */
