An open connection does not show that a back end has not ended

Cause: a new connection that stayed open for 0.3 s counted as a sign of life.

Ruled out: a full queue of the listener, which counts as an end already.

Change: an answer to a request sent after the loss shows that the process goes on. If nothing is asked, the open connection counts after 3 s, less than back ends keep idle ones. No probe is added.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendCrashDetector.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendCrashDetector.java
@@ -12,15 +12,19 @@
 
 /**
  * Tells the end of the back end beside this node from the end of a connection to it: a new
- * connection is not accepted, or does not last, since a process that ends may still have accepted
- * it; and nothing that ran there before goes on. Thread-safe.
+ * connection is not accepted, or does not last, and nothing that ran there before goes on. A
+ * connection that is open proves nothing, since the kernel accepts it for a process that ends; an
+ * answer to a later request does. Thread-safe.
  */
 final class BackendCrashDetector {
   /** All connections of a process end with it; how long the last may take, milliseconds. */
   private static final long GATHER_MILLIS = 30;
 
-  /** How long a new connection has to last to show that the process goes on, milliseconds. */
-  private static final long LASTING_MILLIS = 300;
+  /**
+   * How long a new connection has to last to show that a process goes on that is asked nothing,
+   * milliseconds; less than back ends keep idle connections open.
+   */
+  private static final long LASTING_MILLIS = 3_000;
 
   /** Asks whether a request that was sent to that start of the back end earlier still runs. */
   interface Running {
@@ -90,6 +94,25 @@
     }
   }
 
+  /** The back end has answered a request that was sent at a moment: it had not ended by then. */
+  void answered(String backend, long sentMillis) {
+    OriginConnection unused;
+    synchronized (this) {
+      boolean isProof =
+          suspected != null
+              && suspected.backend.equals(backend)
+              && sentMillis > suspected.sinceMillis;
+      if (!isProof) {
+        return;
+      }
+      unused = suspected.opened;
+      suspected = null;
+    }
+    if (unused != null) {
+      pool.release(unused);
+    }
+  }
+
   /** Returns the back end's end once it is certain. */
   Optional<Crash> tick(Running running) {
     Suspected ripe;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGateHandler.java
@@ -375,6 +375,8 @@
     MeshGatePlan plan = planOf(exchange);
     failures.ended(clockMillis.getAsLong(), plan.instance(), refusal, exchange.answeredStatus());
     if (refusal == null) {
+      long sentMillis = clockMillis.getAsLong() - exchange.history().sentAgoMillis();
+      crashes.answered(plan.instance(), sentMillis);
       long usualMicros = speed.usualMicros(plan.route(), exchange.history().sinceSentMicros());
       synchronized (routeTimes) {
         routeTimes.add(plan.route(), usualMicros);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AttemptHistory.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/AttemptHistory.java
@@ -9,6 +9,7 @@
 /** The attempts of one exchange so far. Thread-safe. */
 public final class AttemptHistory {
   private static final long NANOS_PER_MICRO = 1_000;
+  private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final Set<String> triedOrigins = new HashSet<>();
   private int count;
@@ -65,6 +66,11 @@
     return sentNanos == 0 ? 0 : (endNanos - sentNanos) / NANOS_PER_MICRO;
   }
 
+  /** Milliseconds since the last attempt was handed to its connection, rounded up. */
+  public synchronized long sentAgoMillis() {
+    return (System.nanoTime() - sentNanos) / NANOS_PER_MILLI + 1;
+  }
+
   /** How the last attempt ended, if one did. */
   public synchronized Optional<Refusal> lastRefusal() {
     return Optional.ofNullable(lastRefusal);
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/BackendCrashDetectorTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/BackendCrashDetectorTest.java
@@ -87,4 +87,18 @@
         .singleElement()
         .satisfies(crash -> assertThat(crash.requests()).containsExactly(OTHER));
   }
+
+  /** An answer may be read after the end that came behind it. */
+  @Test
+  void onlyAnAnswerToALaterRequestShowsThatTheBackendGoesOn() {
+    detector.lost("i-1", ONE);
+    detector.answered("i-1", now);
+    refuse(0);
+    assertThat(tickAfter(100)).hasSize(1);
+
+    detector.lost("i-1", ONE);
+    detector.answered("i-1", now + 1);
+    refuse(1);
+    assertThat(tickAfter(100)).isEmpty();
+  }
 }
