--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/CallerConnection.java
@@ -481,7 +481,7 @@
       if (state == ConnectionState.OPEN && isAtRest()) {
         next = endOutput(ConnectionEnd.STOP);
       } else if (turns.isEmpty() && suspended.isHolding()) {
-        // It may be less than a request, whose answer would end the connection.
+        // Less than a whole request has no answer that would end the connection.
         next = () -> afterReading(this::endIfAtRest);
       }
     }
