Older copy of the store: what is held and not in force yet is not skipped

Callers could have seen an older configuration at a node that starts, or work sent to a leaving back end, after a restore of the store.

Cause: between holding and being in force the store can come back from an older copy. Then a departure that was held was never put in force, so it was never known; and a newer configuration was not told with the copy, as the view still showed it.

Change: what is held is put in force before items of another era are taken, and the accepted configuration is told while items of another era are held.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -100,6 +100,7 @@
     boolean learned;
     StoreWatcher.Adoption adoption;
     synchronized (this) {
+      settleBefore(transfer.changes().at().era());
       learned = learn(transfer.facts(), peer);
       adoption = watcher.adopt(transfer.changes());
       hold(adoption == StoreWatcher.Adoption.CHANGED);
@@ -118,6 +119,13 @@
     return isNewer ? Adoption.TAKEN : Adoption.NOT_NEWER;
   }
 
+  /** What an older copy of the store does not show has to be known before it is taken. */
+  private void settleBefore(long newEra) {
+    if (!view.isSettled() && newEra != watcher.at().era()) {
+      putInForce("a new era");
+    }
+  }
+
   /**
    * Notes how far the watcher is.
    *
@@ -134,6 +142,7 @@
    * @return whether it led further; {@link #refresh} is to follow then
    */
   synchronized boolean answered(long nowMillis, StoreAnswer answer) {
+    answer.era().ifPresent(this::settleBefore);
     StorePosition before = watcher.at();
     boolean isChanged = watcher.answered(nowMillis, answer);
     boolean isFurther = isChanged || !watcher.at().equals(before);
@@ -158,8 +167,11 @@
   /** What another node lacks, with what holds whatever the store shows. */
   synchronized StateTransfer transferFor(TransferRequest request) {
     StoreChanges changes = watcher.changesSince(request.state());
+    // Items that are not in force yet may be an older copy's.
+    boolean isOfShownEra = watcher.at().era() == view.position().era();
+    boolean isGiven = isShown(acceptedItem) && isOfShownEra;
     boolean needsConfiguration =
-        accepted != null && !isShown(acceptedItem) && request.version() < accepted.version();
+        accepted != null && !isGiven && request.version() < accepted.version();
     StoreFacts facts =
         new StoreFacts(
             needsConfiguration ? Optional.of(acceptedItem) : Optional.empty(),
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateLockTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateLockTest.java
@@ -43,6 +43,9 @@
   private final class SlowDocuments extends PortDocuments {
     @Override
     public Either<String, RoutingConfiguration> configuration(StoreItem item) {
+      if (!item.equals(CONFIGURATION)) {
+        return super.configuration(item);
+      }
       reading.countDown();
       try {
         mayEnd.await();
@@ -116,4 +119,44 @@
     assertThat(state.view().isBehind(8, new StorePosition(1, 6))).isTrue();
     assertTaken(adopted);
   }
+
+  /** A node that starts would go by the copy alone. */
+  @Test
+  void aNewerConfigurationIsToldWithAnOlderCopyThatIsBeingRead() throws Exception {
+    StoreItem newer = new StoreItem("configuration", "booking@9", 8);
+    take(new StorePosition(0, 8), newer, BACKEND);
+    CompletableFuture<Void> adopted = adopts();
+
+    TransferRequest request = new TransferRequest(StateRequest.WHOLE, -1, false);
+    assertThat(state.transferFor(request).facts().configuration()).contains(newer);
+    mayEnd.countDown();
+    adopted.join();
+    assertThat(state.view().version()).isEqualTo(9);
+  }
+
+  /** Its entry is replaced by that of the copy before it was in force. */
+  @Test
+  void aDepartureThatIsNotInForceYetOutlastsAnOlderCopy() throws Exception {
+    StoreItem ready = new StoreItem("a", "80@1000", 4);
+    take(new StorePosition(1, 4), ready);
+    StoreItem leaving = new StoreItem("a", "80@1000@booking@DRAINING", 5);
+    CompletableFuture<Void> adopted =
+        CompletableFuture.runAsync(() -> take(AT, CONFIGURATION, leaving));
+    reading.await();
+    Thread copy = new Thread(() -> take(new StorePosition(2, 4), ready));
+    copy.start();
+    while (copy.getState() != Thread.State.BLOCKED && copy.isAlive()) {
+      Thread.sleep(1);
+    }
+    mayEnd.countDown();
+    adopted.join();
+    copy.join();
+
+    assertThat(state.view().backends().ready("booking")).isEmpty();
+  }
+
+  private void take(StorePosition at, StoreItem... items) {
+    StoreChanges changes = new StoreChanges(StorePosition.NOTHING, at, List.of(items), List.of());
+    state.adopt(new StateTransfer(changes, StoreFacts.NONE), "peer");
+  }
 }
