One guard for the tasks of selector threads

SuspendedReads.isMoreBehind asks once whether bytes are held, which the look into the socket answers too.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/SuspendedReads.java
@@ -64,7 +64,7 @@
 
   /** The same within a run of the filter chain, which has more in hand and may be late. */
   boolean isMoreBehind() {
-    return isMoreRead() || isUndecoded || ahead.look();
+    return isAtHead() || isUndecoded || ahead.look();
   }
 
   /** What reads on from the head; does nothing if reading does not stand there. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
@@ -1,13 +1,10 @@
 package io.umberpath.node.proxy.loop;
 
-import com.google.common.flogger.FluentLogger;
 import java.util.ArrayDeque;
 import java.util.Queue;
 
 /** Tasks of one event loop that wait until a whole iteration of reading has followed them. */
 final class DeferredTasks {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   private record Entry(Runnable task, long iteration) {}
 
   private final Queue<Entry> entries = new ArrayDeque<>();
@@ -51,12 +48,7 @@
     return next != null && next.iteration() < iteration;
   }
 
-  /** A task that throws must not end the selector thread, nor what waits behind it. */
   static void runGuarded(Runnable task) {
-    try {
-      task.run();
-    } catch (RuntimeException | Error fault) {
-      logger.atSevere().withCause(fault).log("deferred task failed");
-    }
+    EventLoop.runGuarded(task, "deferred task failed");
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.proxy.loop;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -23,6 +24,8 @@
  * iteration of reading between them.
  */
 public final class EventLoop extends DefaultSelectorHandler {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** Iterations that end sooner keep nothing waiting for long enough to matter. */
   private static final long SHORT_ITERATION_NANOS = 5_000_000;
 
@@ -107,6 +110,19 @@
     }
   }
 
+  /**
+   * Runs a task that must not end its selector thread, nor what waits behind it, if it throws.
+   *
+   * @param failure what the log says then
+   */
+  public static void runGuarded(Runnable task, String failure) {
+    try {
+      task.run();
+    } catch (RuntimeException | Error fault) {
+      logger.atSevere().withCause(fault).log("%s", failure);
+    }
+  }
+
   /** Whether a thread has been busy for so long that what has arrived may lie unread. */
   public boolean isBehind() {
     for (Iteration iteration : iterations) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OwnTurn.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OwnTurn.java
@@ -1,6 +1,6 @@
 package io.umberpath.node.proxy.origin;
 
-import com.google.common.flogger.FluentLogger;
+import io.umberpath.node.proxy.loop.EventLoop;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.NIOTransport;
@@ -11,8 +11,6 @@
  * thread, never within the event or write that found out.
  */
 public final class OwnTurn {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   private OwnTurn() {}
 
   /** Runs the task soon; at once if the connection has no selector thread. */
@@ -30,18 +28,9 @@
         .enque(
             runner,
             () -> {
-              runGuarded(task);
+              EventLoop.runGuarded(task, "end of a connection was not handled");
               return true;
             },
             null);
   }
-
-  /** A task that throws must not end the selector thread, nor what waits behind it. */
-  private static void runGuarded(Runnable task) {
-    try {
-      task.run();
-    } catch (RuntimeException | Error fault) {
-      logger.atSevere().withCause(fault).log("end of a connection was not handled");
-    }
-  }
 }
