A stopping node refuses late requests that it might cut off

Cause: while the back end beside a stopping node works, callers are served until a second before the cut-off, since calls of that work look like callers' requests. They do differ: a call ends with the deadline of its work (PROTOCOL), and the gate knows all work under way. From 2.8 s on a request is taken if it ends before the cut-off by its own deadline or no later than the latest work (half a second of slack for the way); the rest is refused as not run, at once. The moment is judged when the request is handled; the thread of the stop polls, and comes late under load.

Weighed: refusing all from 3 s on (fails the work that waits for its calls); a shorter deadline handed on (has the back end break off in the node's place).

PlannedStopAnswersTest.aLateRequestThatTheStopMightCutOffIsRefused fails without the change (200 in place of 503) and passes; the class, LateRequestsTest and the soak's own tests pass.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -55,6 +55,7 @@
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
   private volatile boolean leaving;
   private volatile boolean refusing;
+  private volatile LateRequests lateRequests = LateRequests.NONE;
 
   /**
    * Creates the handler.
@@ -91,6 +92,11 @@
     leaving = true;
   }
 
+  /** Requests that come late in a planned stop are refused as not run. */
+  void refuseLate(LateRequests late) {
+    lateRequests = late;
+  }
+
   /** From now on requests are refused as not run. */
   void refuse() {
     refusing = true;
@@ -127,6 +133,9 @@
       return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
     }
     long timeout = Math.min(stated.get(), rule.get().timeoutMillis());
+    if (lateRequests.refuses(arrivedMillis + timeout, clockMillis.getAsLong())) {
+      return Either.left(draining());
+    }
     boolean returned = isReturned(rule.get(), stated.get());
     return Either.right(
         plan(
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshGatePlan.java
@@ -30,6 +30,11 @@
     return hop.route();
   }
 
+  /** When its caller gives up at the latest, on the proxy's clock, milliseconds. */
+  long latestDeadlineMillis() {
+    return deadlineMillis + unreadBeforeMillis;
+  }
+
   String instance() {
     return hop.instance();
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -157,6 +157,26 @@
     edge.leave();
   }
 
+  /** Latest deadline of the requests that the back end beside this node works on. */
+  private long latestWorkDeadlineMillis() {
+    return active
+        .plans()
+        .filter(MeshGatePlan.class::isInstance)
+        .mapToLong(plan -> ((MeshGatePlan) plan).latestDeadlineMillis())
+        .max()
+        .orElse(Long.MIN_VALUE);
+  }
+
+  /**
+   * Refuses callers' requests as not run from a moment on, but for those that end in time.
+   *
+   * @param fromMillis the moment, on the clock
+   * @param cutOffMillis when what is in flight is cut off, on the clock
+   */
+  void refuseLateCallers(long fromMillis, long cutOffMillis) {
+    edge.refuseLate(new LateRequests(fromMillis, cutOffMillis, this::latestWorkDeadlineMillis));
+  }
+
   /** From now on callers' requests are refused as not run. */
   void refuseCallers() {
     edge.refuse();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -19,8 +19,9 @@
   private static final long CALLER_NOTICE_MILLIS = 2_200;
 
   /**
-   * When callers that come all the same are refused: what they want might not finish. Not while the
-   * back end beside this node works on a request, which may depend on calls that it makes.
+   * When callers that come all the same are refused: what they want might not finish. While the
+   * back end beside this node works on a request, which may depend on calls that it makes, {@link
+   * LateRequests} tells which.
    */
   private static final long CALLERS_REFUSED_MILLIS = 2_800;
 
@@ -82,6 +83,7 @@
     events.stopping(proxy.inFlight());
     long cutOffReserve = Math.min(MAX_CUT_OFF_RESERVE_MILLIS, graceMillis / LAST_PART_DIVISOR);
     long cutOffMillis = began + graceMillis - cutOffReserve;
+    proxy.refuseLateCallers(began + CALLERS_REFUSED_MILLIS, cutOffMillis);
     awaitQuiet(began, cutOffMillis);
     // From here on nothing is sent on: it might have no time to be answered.
     backend.leave();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
@@ -1,8 +1,10 @@
 package io.umberpath.node.proxy.inbound;
 
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Stream;
 
 /** The exchanges in flight of a proxy. Thread-safe. */
 public final class ActiveExchanges {
@@ -33,6 +35,11 @@
     return exchanges.size();
   }
 
+  /** Plans of the exchanges in flight that have one. */
+  public Stream<RequestPlan> plans() {
+    return exchanges.stream().map(Exchange::plan).filter(Objects::nonNull);
+  }
+
   /** Ends exchanges whose deadline has passed. */
   public void expire(long nowMillis) {
     for (Exchange exchange : exchanges) {
