A node reads an example of a large configuration after its start

Change: a second after its start a node that holds no large configuration reads an example of 300 rules, in a thread of its own.

--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ConfigurationWarmUp.java
@@ -0,0 +1,53 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.traffic.routing.RoutingTable;
+import java.util.function.Supplier;
+
+/**
+ * Reads an example of a large configuration once. A process that has only read small ones reads its
+ * first large one with code that is not compiled yet, which takes many times as long.
+ */
+final class ConfigurationWarmUp {
+  /** Rules of the example, by which the code is compiled. */
+  static final int RULES = 300;
+
+  /** Start and first configuration come before it. */
+  private static final long DELAY_MILLIS = 1_000;
+
+  private final StoreDocuments documents;
+  private final Supplier<MeshView> view;
+  private final MeshEvents events;
+
+  ConfigurationWarmUp(StoreDocuments documents, Supplier<MeshView> view, MeshEvents events) {
+    this.documents = documents;
+    this.view = view;
+    this.events = events;
+  }
+
+  /** Begins in a thread of its own. */
+  void start() {
+    Thread thread = new Thread(this::run, "umberpath-warm-up");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void run() {
+    try {
+      Thread.sleep(DELAY_MILLIS);
+      readExample();
+    } catch (InterruptedException ended) {
+      Thread.currentThread().interrupt();
+    } catch (RuntimeException fault) {
+      events.fault("warm-up", fault);
+    }
+  }
+
+  /** Reads the example unless a large configuration has been read. */
+  void readExample() {
+    MeshView current = view.get();
+    boolean hasReadLarge = current.isComplete() && current.configuration().rules().size() >= RULES;
+    if (!hasReadLarge) {
+      RoutingTable.of(documents.readExample(RULES));
+    }
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -59,6 +59,7 @@
   private final MeshEvents events;
   private final LongSupplier clockMillis;
   private final MeshState state;
+  private final StoreDocuments documents;
   private final StoreFollower follower;
   private final StatePuller puller;
   private final GateBalancer balancer;
@@ -103,6 +104,7 @@
       LongSupplier clockMillis) {
     this.clockMillis = clockMillis;
     this.settings = settings;
+    this.documents = documents;
     this.events = events;
     this.readyPath = readyPath;
     StoreWatcher watcher =
@@ -178,6 +180,7 @@
     peers.start();
     puller.start();
     timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    new ConfigurationWarmUp(documents, state::view, events).start();
     // After the first ticks: a start serves nobody until it listens and holds a state.
     timer.schedule(() -> guarded(this::tellBudget), SECOND_MILLIS, TimeUnit.MILLISECONDS);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreDocuments.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreDocuments.java
@@ -24,6 +24,9 @@
   /** The configuration, or what is wrong with it: field and value. */
   Either<String, RoutingConfiguration> configuration(StoreItem item);
 
+  /** Reads an example of a configuration with as many rules, as one from the store. */
+  RoutingConfiguration readExample(int rules);
+
   /** A back end's entry, or what is wrong with it: field and value. */
   Either<String, BackendEntry> backend(StoreItem item);
 
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PortDocuments.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PortDocuments.java
@@ -56,6 +56,11 @@
             Map.of(service.name(), service)));
   }
 
+  @Override
+  public RoutingConfiguration readExample(int rules) {
+    return new RoutingConfiguration(1, new RequestLimits(1, 1, 1, 1), List.of(), Map.of());
+  }
+
   @Override
   public Either<String, BackendStatement> statement(String text) {
     return Either.left("none");
