A stopping node accepts no callers in its last second before the cut-off

Cause: the node refuses every caller from 4.0 s after SIGTERM on, but accepted connections until 5.0 s; closing the listener and ending the connections takes several turns of its thread, of 110 to 580 ms each there, and it has 0.3 s. All connections concerned had their first request 4.3 to 5.1 s after SIGTERM, and node-stopped says "connections open: 3, 12, 6, 2" after 5.30 s.

Change: callers' listener closes when all callers are refused, a second before the cut-off.

PlannedStopAnswersTest.noConnectionIsAcceptedShortlyBeforeTheCutOff failed without it and passes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -15,7 +15,6 @@
 import io.umberpath.traffic.AdmissionSettings;
 import io.umberpath.traffic.routing.GateBalancer;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -48,7 +47,8 @@
   private final MeshGateHandler gate;
   private final InboundFilter edgeFilter;
   private final InboundFilter gateFilter;
-  private final List<Listener> listeners = new ArrayList<>();
+  private Listener edgeListener;
+  private Listener gateListener;
   private final LongSupplier clockMillis;
   private final Runnable endOverdue = this::endOverdue;
   private final Runnable sweepNow = this::sweepNow;
@@ -120,8 +120,8 @@
   /** Opens the listeners. */
   void start() throws IOException {
     transport.start();
-    listeners.add(listen(settings.inbound(), gateFilter));
-    listeners.add(listen(settings.outbound(), edgeFilter));
+    gateListener = listen(settings.inbound(), gateFilter);
+    edgeListener = listen(settings.outbound(), edgeFilter);
   }
 
   private Listener listen(PeerAddress address, InboundFilter last) throws IOException {
@@ -182,13 +182,19 @@
     edge.refuse();
   }
 
+  /** Accepts no more connections of callers. */
+  void closeToCallers() {
+    edgeListener.closeWhenEmpty();
+  }
+
   /**
    * Accepts no more connections and ends those that are open, each with all its answers.
    *
    * @param endMillis when it returns at the latest, on the clock
    */
   void endConnections(long endMillis) throws InterruptedException {
-    listeners.forEach(Listener::closeWhenEmpty);
+    gateListener.closeWhenEmpty();
+    closeToCallers();
     new ConnectionDrain(List.of(edgeFilter, gateFilter), clockMillis).run(endMillis);
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -25,7 +25,10 @@
    */
   private static final long CALLERS_REFUSED_MILLIS = 2_800;
 
-  /** Time before the cut-off from which those calls are refused, too. */
+  /**
+   * Time before the cut-off from which those calls are refused, too, and callers' connections are
+   * not accepted any more.
+   */
   private static final long CALLS_REFUSED_RESERVE_MILLIS = 1_000;
 
   /** When other nodes are told; until then this node works on for its back end. */
@@ -112,6 +115,10 @@
       if (now >= began + PEERS_REFUSED_MILLIS) {
         backend.leave();
       }
+      if (now >= end - CALLS_REFUSED_RESERVE_MILLIS) {
+        // A connection that comes now may lie unread until the process has gone.
+        proxy.closeToCallers();
+      }
       boolean mayCall = now < end - CALLS_REFUSED_RESERVE_MILLIS && proxy.isBackendAtWork();
       if (now >= began + CALLERS_REFUSED_MILLIS && !mayCall) {
         proxy.refuseCallers();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/Listener.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/Listener.java
@@ -3,6 +3,7 @@
 import io.umberpath.node.proxy.inbound.InboundFilter;
 import io.umberpath.node.proxy.origin.OwnTurn;
 import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 
 /** An open listener whose connections a filter takes. */
@@ -12,6 +13,7 @@
 
   private final TCPNIOServerConnection server;
   private final InboundFilter filter;
+  private final AtomicBoolean closing = new AtomicBoolean();
 
   Listener(TCPNIOServerConnection server, InboundFilter filter) {
     this.server = server;
@@ -28,7 +30,9 @@
    * a listener closes are reset.
    */
   public void closeWhenEmpty() {
-    round(filter.accepted(), MAX_ROUNDS);
+    if (closing.compareAndSet(false, true)) {
+      round(filter.accepted(), MAX_ROUNDS);
+    }
   }
 
   private void round(long acceptedBefore, int roundsLeft) {
