--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyTransport.java
@@ -64,18 +64,18 @@
       IterationListener lateIterations) {
     this.maxHeaderBytes = maxHeaderBytes;
     this.eventLoop = new EventLoop(lateIterations);
-    AcceptingStrategy accepting = new AcceptingStrategy(BACKLOG);
+    SelectorEventStrategy strategy = new SelectorEventStrategy(BACKLOG);
     this.transport =
         TCPNIOTransportBuilder.newInstance()
             .setName("umberpath-proxy")
-            .setIOStrategy(accepting)
+            .setIOStrategy(strategy)
             .setSelectorHandler(eventLoop)
             .setSelectorRunnersCount(threads)
             .setReadBufferSize(READ_BUFFER_BYTES)
             .setTcpNoDelay(true)
             .setServerConnectionBackLog(BACKLOG)
             .build();
-    transport.getConnectionMonitoringConfig().addProbes(accepting);
+    transport.getConnectionMonitoringConfig().addProbes(strategy);
     transport.getAsyncQueueIO().getWriter().setMaxPendingBytesPerConnection(WRITE_QUEUE_BYTES);
     this.connector =
         TCPNIOConnectorHandler.builder(transport).processor(clientChain(onReusable)).build();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/AcceptingStrategy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/SelectorEventStrategy.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.proxy;
 
+import io.umberpath.node.proxy.loop.ReadAhead;
 import java.io.IOException;
 import java.util.concurrent.Executor;
 import org.glassfish.grizzly.Connection;
@@ -10,18 +11,20 @@
 import org.glassfish.grizzly.Transport;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /**
- * Handles events on the selector thread, and accepts all connections that wait. The transport by
- * itself accepts one in each iteration, so that the others wait the longer the busier the thread
- * is. It has to be a probe of the transport's connections, too.
+ * Handles events on the selector thread. It differs from the transport's own way in two points: it
+ * accepts all connections that wait, not one in each iteration; and it reads ahead where the filter
+ * chain of a connection is suspended, whose state belongs to the suspended run. It has to be a
+ * probe of the transport's connections, too.
  */
-final class AcceptingStrategy extends ConnectionProbe.Adapter implements IOStrategy {
+final class SelectorEventStrategy extends ConnectionProbe.Adapter implements IOStrategy {
   private static final Attribute<Long> ACCEPTED =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("umberpath.accepted", 0L);
 
-  private final IOStrategy strategy = new ReadAheadStrategy();
+  private final IOStrategy strategy = SameThreadIOStrategy.getInstance();
   private final int mostInIteration;
 
   /**
@@ -29,7 +32,7 @@
    *
    * @param mostInIteration connections of one listener that are accepted in one iteration
    */
-  AcceptingStrategy(int mostInIteration) {
+  SelectorEventStrategy(int mostInIteration) {
     this.mostInIteration = mostInIteration;
   }
 
@@ -49,15 +52,20 @@
   @SuppressWarnings("rawtypes") // Grizzly's own signature
   public boolean executeIoEvent(Connection connection, IOEvent event, boolean isEnabled)
       throws IOException {
-    if (event != IOEvent.SERVER_ACCEPT) {
-      return strategy.executeIoEvent(connection, event, isEnabled);
+    if (event == IOEvent.SERVER_ACCEPT) {
+      return acceptAll((TCPNIOServerConnection) connection, isEnabled);
     }
-    TCPNIOServerConnection server = (TCPNIOServerConnection) connection;
+    boolean isReadAhead =
+        event == IOEvent.READ && ReadAhead.handlesRead((Connection<?>) connection);
+    return isReadAhead || strategy.executeIoEvent(connection, event, isEnabled);
+  }
+
+  private boolean acceptAll(TCPNIOServerConnection server, boolean isEnabled) throws IOException {
     boolean goesOn = true;
     boolean hasAccepted = true;
     for (int count = 0; goesOn && hasAccepted && count < mostInIteration; count++) {
       long before = ACCEPTED.get(server);
-      goesOn = strategy.executeIoEvent(server, event, isEnabled);
+      goesOn = strategy.executeIoEvent(server, IOEvent.SERVER_ACCEPT, isEnabled);
       hasAccepted = ACCEPTED.get(server) > before;
     }
     return goesOn;
