Planned stop: callers are refused in one place

A grace time of less than 3.8 s closed callers' listener while they were still served; it stays open until the end there, as before. At 6 s nothing differs. The tests of planned stops, late requests, mesh paths and pipelining pass.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PlannedStop.java
@@ -115,13 +115,8 @@
       if (now >= began + PEERS_REFUSED_MILLIS) {
         backend.leave();
       }
-      if (now >= end - CALLS_REFUSED_RESERVE_MILLIS) {
-        // A connection that comes now may lie unread until the process has gone.
-        proxy.closeToCallers();
-      }
-      boolean mayCall = now < end - CALLS_REFUSED_RESERVE_MILLIS && proxy.isBackendAtWork();
-      if (now >= began + CALLERS_REFUSED_MILLIS && !mayCall) {
-        proxy.refuseCallers();
+      if (now >= began + CALLERS_REFUSED_MILLIS) {
+        refuseCallers(now >= end - CALLS_REFUSED_RESERVE_MILLIS);
       }
       quietSince = proxy.inFlight() > 0 ? now : quietSince;
       if (now >= began + CALLER_NOTICE_MILLIS && now >= quietSince + QUIET_MILLIS) {
@@ -130,4 +125,15 @@
       Thread.sleep(STOP_CHECK_MILLIS);
     }
   }
+
+  /** Refuses callers, unless the back end is at work and there is time for the calls it makes. */
+  private void refuseCallers(boolean isTooLateForCalls) {
+    if (isTooLateForCalls) {
+      // A connection that comes now may lie unread until the process has gone.
+      proxy.closeToCallers();
+    }
+    if (isTooLateForCalls || !proxy.isBackendAtWork()) {
+      proxy.refuseCallers();
+    }
+  }
 }
