The node's timer begins the warm-up; no thread sleeps for it

The warm-up had a thread of its own that slept for a second after the start, beside a timer that already does things a second after it. The timer begins the thread now, and does not where the node has stopped by then. The moment is the same.

ConfigurationWarmUpTest, LapsedEntryTest and CrashingRequestTest (whole nodes) pass.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ConfigurationWarmUp.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ConfigurationWarmUp.java
@@ -11,9 +11,6 @@
   /** Rules of the example, by which the code is compiled. */
   static final int RULES = 300;
 
-  /** Start and first configuration come before it. */
-  private static final long DELAY_MILLIS = 1_000;
-
   private final StoreDocuments documents;
   private final Supplier<MeshView> view;
   private final MeshEvents events;
@@ -24,7 +21,7 @@
     this.events = events;
   }
 
-  /** Begins in a thread of its own. */
+  /** Begins in a thread of its own, since it takes longer than a timer's task may. */
   void start() {
     Thread thread = new Thread(this::run, "umberpath-warm-up");
     thread.setDaemon(true);
@@ -33,10 +30,7 @@
 
   private void run() {
     try {
-      Thread.sleep(DELAY_MILLIS);
       readExample();
-    } catch (InterruptedException ended) {
-      Thread.currentThread().interrupt();
     } catch (RuntimeException fault) {
       events.fault("warm-up", fault);
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -59,7 +59,7 @@
   private final MeshEvents events;
   private final LongSupplier clockMillis;
   private final MeshState state;
-  private final StoreDocuments documents;
+  private final ConfigurationWarmUp warmUp;
   private final StoreFollower follower;
   private final StatePuller puller;
   private final GateBalancer balancer;
@@ -104,13 +104,13 @@
       LongSupplier clockMillis) {
     this.clockMillis = clockMillis;
     this.settings = settings;
-    this.documents = documents;
     this.events = events;
     this.readyPath = readyPath;
     StoreWatcher watcher =
         new StoreWatcher(
             documents.prefix(), WatchTimes.PROMPT, () -> ThreadLocalRandom.current().nextDouble());
     this.state = new MeshState(documents, watcher, events, clockMillis);
+    this.warmUp = new ConfigurationWarmUp(documents, state::view, events);
     this.follower = new StoreFollower(state, client, events, clockMillis);
     this.puller = new StatePuller(settings, state, follower::isReading, events, clockMillis);
     this.balancer =
@@ -180,9 +180,9 @@
     peers.start();
     puller.start();
     timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-    new ConfigurationWarmUp(documents, state::view, events).start();
     // After the first ticks: a start serves nobody until it listens and holds a state.
     timer.schedule(() -> guarded(this::tellBudget), SECOND_MILLIS, TimeUnit.MILLISECONDS);
+    timer.schedule(warmUp::start, SECOND_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void tellBudget() {
