One way to give up a suspicion of a crash; an edge's deadline is computed once

BackendCrashDetector gave an opened connection back by the same lines in two methods. MeshEdgeHandler computed a request's deadline for the stop's check and again for its plan. Behaviour is unchanged. BackendCrashDetectorTest, CrashingRequestTest, LateRequestsTest and LapsedEntryTest pass.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendCrashDetector.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendCrashDetector.java
@@ -77,18 +77,16 @@
   /** The connection of a request was lost while the back end had it. */
   void lost(String backend, RequestFingerprint request) {
     Suspected begun = null;
-    OriginConnection unused = null;
+    Suspected dropped = null;
     synchronized (this) {
       if (suspected == null || !suspected.backend.equals(backend)) {
-        unused = suspected == null ? null : suspected.opened;
+        dropped = suspected;
         begun = new Suspected(backend, clockMillis.getAsLong());
         suspected = begun;
       }
       suspected.requests.add(request);
     }
-    if (unused != null) {
-      pool.release(unused);
-    }
+    giveBack(dropped);
     if (begun != null) {
       pool.acquireNew(new Probe(begun));
     }
@@ -96,7 +94,7 @@
 
   /** The back end has answered a request that was sent at a moment: it had not ended by then. */
   void answered(String backend, long sentMillis) {
-    OriginConnection unused;
+    Suspected dropped;
     synchronized (this) {
       boolean isProof =
           suspected != null
@@ -105,11 +103,16 @@
       if (!isProof) {
         return;
       }
-      unused = suspected.opened;
+      dropped = suspected;
       suspected = null;
     }
-    if (unused != null) {
-      pool.release(unused);
+    giveBack(dropped);
+  }
+
+  /** Gives back the connection that was to tell, if one opened; not under the lock. */
+  private void giveBack(Suspected dropped) {
+    if (dropped != null && dropped.opened != null) {
+      pool.release(dropped.opened);
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEdgeHandler.java
@@ -132,8 +132,8 @@
     if (rule.isEmpty()) {
       return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
     }
-    long timeout = Math.min(stated.get(), rule.get().timeoutMillis());
-    if (lateRequests.refuses(arrivedMillis + timeout, clockMillis.getAsLong())) {
+    long deadlineMillis = arrivedMillis + Math.min(stated.get(), rule.get().timeoutMillis());
+    if (lateRequests.refuses(deadlineMillis, clockMillis.getAsLong())) {
       return Either.left(draining());
     }
     boolean returned = isReturned(rule.get(), stated.get());
@@ -144,7 +144,7 @@
             rule.get(),
             current.version(),
             arrivedMillis,
-            timeout,
+            deadlineMillis,
             returned));
   }
 
@@ -154,7 +154,7 @@
       RoutingRule rule,
       long version,
       long arrivedMillis,
-      long timeoutMillis,
+      long deadlineMillis,
       boolean returned) {
     String service;
     synchronized (split) {
@@ -166,7 +166,7 @@
         rule,
         service,
         version,
-        arrivedMillis + timeoutMillis,
+        deadlineMillis,
         arrivedMillis,
         Fingerprints.targetOf(head),
         returned,
