--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/LateReadTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/LateReadTest.java
@@ -89,11 +89,7 @@
   void workIsNotBrokenOffBeforeItsCallersDeadlineHasSurelyPassed() throws Exception {
     try (RawConnection origin = fixture.restingOrigin();
         RawConnection caller = fixture.connect()) {
-      fixture.exchange(caller);
-      sendUnread(caller, InboundFixture.get("/late", LONG_DEADLINE_MILLIS));
-      assertThat(origin.readHead()).startsWith("GET /late ");
-      fixture.advance(LONG_DEADLINE_MILLIS - 1);
-      fixture.keepDeadlines();
+      keepDeadlinesAtWork(caller, origin, LONG_DEADLINE_MILLIS - 1);
       origin.send(NO_CONTENT);
 
       assertThat(caller.read().status()).isEqualTo(204);
@@ -105,11 +101,7 @@
   void workIsBrokenOffOnceItsCallersDeadlineHasSurelyPassed() throws Exception {
     try (RawConnection origin = fixture.restingOrigin();
         RawConnection caller = fixture.connect()) {
-      fixture.exchange(caller);
-      sendUnread(caller, InboundFixture.get("/late", LONG_DEADLINE_MILLIS));
-      assertThat(origin.readHead()).startsWith("GET /late ");
-      fixture.advance(LONG_DEADLINE_MILLIS);
-      fixture.keepDeadlines();
+      keepDeadlinesAtWork(caller, origin, LONG_DEADLINE_MILLIS);
 
       assertThat(caller.read().status()).isEqualTo(504);
     }
@@ -148,6 +140,16 @@
     }
   }
 
+  /** Its origin works on a request that lay unread, and time goes on. */
+  private void keepDeadlinesAtWork(RawConnection caller, RawConnection origin, long millis)
+      throws Exception {
+    fixture.exchange(caller);
+    sendUnread(caller, InboundFixture.get("/late", LONG_DEADLINE_MILLIS));
+    assertThat(origin.readHead()).startsWith("GET /late ");
+    fixture.advance(millis);
+    fixture.keepDeadlines();
+  }
+
   private void sendUnread(RawConnection caller, String request) throws Exception {
     fixture.blockReading();
     caller.send(request);
