Log what a backend announces in its responses

The node beside a backend now reads the limit and the announced end from the head of each response and writes a line backend-notice when either changes; text that is no limit is logged as statement-refused.

--- a/umberpath-model/src/main/java/io/umberpath/model/routing/BackendStart.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/routing/BackendStart.java
@@ -12,6 +12,13 @@
   /** Start time of a backend that does not state one; such starts are not distinguished. */
   public static final long UNKNOWN_START_TIME_MILLIS = 0;
 
+  /** Whether this is known to be another start than the given one of the same backend id. */
+  public boolean isDifferentFrom(BackendStart other) {
+    return startTimeMillis != UNKNOWN_START_TIME_MILLIS
+        && other.startTimeMillis != UNKNOWN_START_TIME_MILLIS
+        && startTimeMillis != other.startTimeMillis;
+  }
+
   // Implemented explicitly, as it is a map key for each request and during startup; see
   // PeerAddress.
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/HeaderNames.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/HeaderNames.java
@@ -11,6 +11,10 @@
  * @param instance in a response: id of the backend that sent it
  * @param backendLoad in a response: the backend's own load report, see {@link
  *     StoreItemParser#parseStatement}
+ * @param requestLimit in a response: the most requests per second that the backend accepts from all
+ *     nodes together, see {@link StoreItemParser#parseRequestLimit}
+ * @param leaving in a response: the backend is about to end, see {@link
+ *     StoreItemParser#parseLeaving}
  */
 public record HeaderNames(
     String requestId,
@@ -19,4 +23,6 @@
     String callerService,
     String notExecuted,
     String instance,
-    String backendLoad) {}
+    String backendLoad,
+    String requestLimit,
+    String leaving) {}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -3,7 +3,10 @@
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.BackendStart;
 import io.umberpath.model.routing.ServiceDefinition;
+import io.umberpath.node.proxy.http.ResponseHead;
 import io.umberpath.traffic.ColdStartLimiter;
+import io.umberpath.traffic.CombinedStartLimiter;
+import io.umberpath.traffic.StartLimiter;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,8 +30,11 @@
   private final Map<String, BackendStart> lastKnownStarts = new ConcurrentHashMap<>();
 
   private final ColdStartLimiter coldStarts;
+  private final StartLimiter startLimiter;
+  private final LocalBackendNotices notices;
   private final LongSupplier clockMillis;
   private BackendEntry lastSeenEntry;
+  private BackendStart listedStart;
   private boolean wasEvacuated;
   private volatile boolean draining;
   private volatile int slots = DEFAULT_SLOTS;
@@ -40,6 +46,7 @@
    * @param isAttested whether a start of the backend is known to be alive although its entry has
    *     expired
    * @param speed speed of the backend
+   * @param notices what the backend has announced in its responses
    * @param clockMillis monotonic clock, milliseconds
    */
   LocalBackend(
@@ -47,6 +54,7 @@
       Supplier<MeshView> view,
       Predicate<String> isAttested,
       LocalBackendSpeed speed,
+      LocalBackendNotices notices,
       LongSupplier clockMillis) {
     this.settings = settings;
     this.view = view;
@@ -54,6 +62,8 @@
     this.speed = speed;
     this.clockMillis = clockMillis;
     this.coldStarts = new ColdStartLimiter(settings.coldStarts(), clockMillis.getAsLong());
+    this.notices = notices;
+    this.startLimiter = new CombinedStartLimiter(coldStarts);
   }
 
   /** From now on this node accepts no new work for its backend. */
@@ -93,6 +103,7 @@
     for (BackendEntry entry : entries) {
       lastKnownStarts.put(entry.id(), entry.start());
       startTimeMillis = entry.startTimeMillis();
+      refreshListedStart(entry.start());
     }
     int reportedSlots = entries.stream().mapToInt(BackendEntry::slots).max().orElse(slots);
     boolean changed = reportedSlots != slots;
@@ -107,6 +118,14 @@
     return changed;
   }
 
+  /** The backend at the address was replaced if another start is listed there. */
+  private void refreshListedStart(BackendStart listed) {
+    if (listedStart != null && !listed.equals(listedStart)) {
+      notices.startEnded(listedStart);
+    }
+    listedStart = listed;
+  }
+
   /** Returns the known start of a backend id, whether or not it is still listed. */
   BackendStart startOf(String instance) {
     return view.get()
@@ -153,6 +172,32 @@
     return coldStarts;
   }
 
+  /** Limits the request rate while the backend is cold, and to the rate that it announced. */
+  StartLimiter startLimiter() {
+    return startLimiter;
+  }
+
+  /**
+   * Records what an instance of the backend announces in a response.
+   *
+   * @param sentMillis when the request was sent to it
+   */
+  void recordNotice(String instance, ResponseHead head, long sentMillis) {
+    notices.recordResponse(startOf(instance), head, sentMillis);
+  }
+
+  /** Records what another node remembers of the announcements of an instance. */
+  void recordRememberedNotice(String instance, NoticeHeader remembered) {
+    if (acceptsNewWork(instance)) {
+      notices.recordRemembered(startOf(instance), remembered);
+    }
+  }
+
+  /** Returns what an instance has announced, for other nodes; empty if nothing. */
+  Optional<NoticeHeader> noticeOf(String instance) {
+    return notices.headerFor(startOf(instance));
+  }
+
   /**
    * Records which start of the backend responded. If it is not the expected one, the expected one
    * has ended.
--- /dev/null
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendNotices.java
@@ -0,0 +1,146 @@
+package io.umberpath.node.mesh;
+
+import io.umberpath.model.routing.BackendStart;
+import io.umberpath.node.mesh.NoticeParser.Announcement;
+import io.umberpath.node.proxy.http.ResponseHead;
+import io.umberpath.traffic.RequestRateLimiter;
+import io.umberpath.traffic.load.BackendNotice;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+/**
+ * The notice of the local backend, and the rate limit that it sets. This process has the newest
+ * notice as soon as it has read one response of the backend. Before that, it applies what other
+ * nodes remember from responses that an earlier process beside the backend has forwarded.
+ * Thread-safe.
+ */
+final class LocalBackendNotices {
+  private final BackendNotices notices;
+  private final NoticeParser parser;
+  private final RequestRateLimiter rateLimiter = new RequestRateLimiter();
+  private final MeshEvents events;
+  private final LongSupplier clockMillis;
+
+  /** The start to which the limit applies; null before any is known. */
+  private BackendStart current;
+
+  /** Whether this process has read a response of the current start. */
+  private boolean hasReadResponse;
+
+  /** When a response with a limit was last read. */
+  private long limitReadMillis = Long.MIN_VALUE;
+
+  /**
+   * Creates the state of a backend without a notice.
+   *
+   * @param notices the notices of all backends known to this node; updated with the local one
+   */
+  LocalBackendNotices(
+      BackendNotices notices, NoticeParser parser, MeshEvents events, LongSupplier clockMillis) {
+    this.notices = notices;
+    this.parser = parser;
+    this.events = events;
+    this.clockMillis = clockMillis;
+  }
+
+  /** Limits the requests to the local backend to the announced rate. */
+  RequestRateLimiter rateLimiter() {
+    return rateLimiter;
+  }
+
+  /**
+   * Records the head of a response.
+   *
+   * @param start the start that responded
+   * @param sentMillis when the request was sent to the backend
+   */
+  synchronized void recordResponse(BackendStart start, ResponseHead head, long sentMillis) {
+    Announcement announced = parser.parse(head);
+    selectStart(start);
+    BackendNotice before = notices.find(start);
+    double limit = announced.requestsPerSecond().orElse(before.requestsPerSecond());
+    boolean mayBeOutdated = sentMillis <= limitReadMillis;
+    if (mayBeOutdated && limit > before.requestsPerSecond()) {
+      // Responses overtake each other: this one may have been written before the limit in force.
+      limit = before.requestsPerSecond();
+    }
+    if (announced.isLimited()) {
+      limitReadMillis = clockMillis.getAsLong();
+    }
+    hasReadResponse = true;
+    boolean isLeaving = before.isLeaving() || announced.isLeaving();
+    BackendNotice now = new BackendNotice(before.order() + 1, limit, isLeaving);
+    if (!now.announcesSame(before)) {
+      apply(start, now, "backend");
+    }
+  }
+
+  /**
+   * Records the notice that another node remembers of a start of the local backend. It takes effect
+   * unless this process has read a response of that start itself.
+   */
+  synchronized void recordRemembered(BackendStart start, NoticeHeader remembered) {
+    BackendStart rememberedStart = new BackendStart(start.id(), remembered.startTimeMillis());
+    BackendNotice before = notices.find(start);
+    BackendNotice notice = remembered.notice();
+    if (notice.order() <= before.order() || start.isDifferentFrom(rememberedStart)) {
+      return;
+    }
+    if (hasReadResponse && start.equals(current)) {
+      // The order exceeds that of this process: it is from an earlier one, and so is the notice.
+      boolean isLeaving = before.isLeaving() || notice.isLeaving();
+      apply(
+          start,
+          new BackendNotice(notice.order() + 1, before.requestsPerSecond(), isLeaving),
+          "peer");
+    } else {
+      selectStart(start);
+      apply(start, before.merge(notice), "peer");
+    }
+  }
+
+  /** Removes the limit if it belongs to a start that has ended. */
+  synchronized void startEnded(BackendStart ended) {
+    if (ended.equals(current)) {
+      selectStart(null);
+    }
+  }
+
+  /** Returns the notice of a start to send to other nodes; empty if it has announced nothing. */
+  synchronized Optional<NoticeHeader> headerFor(BackendStart start) {
+    BackendNotice notice = notices.find(start);
+    if (notice.order() == 0) {
+      return Optional.empty();
+    }
+    long waitMillis = Math.round(rateLimiter.waitMillis(clockMillis.getAsLong(), 0));
+    return Optional.of(new NoticeHeader(start.startTimeMillis(), notice, waitMillis));
+  }
+
+  /** Returns whether a start has announced its end. */
+  boolean isLeaving(BackendStart start) {
+    return notices.isLeaving(start);
+  }
+
+  private void selectStart(BackendStart start) {
+    if (start != null && start.equals(current)) {
+      return;
+    }
+    current = start;
+    hasReadResponse = false;
+    limitReadMillis = Long.MIN_VALUE;
+    setRate(start == null ? BackendNotice.UNLIMITED : notices.find(start).requestsPerSecond());
+  }
+
+  private void apply(BackendStart start, BackendNotice notice, String source) {
+    BackendNotice before = notices.find(start);
+    notices.put(start, notice);
+    if (!notice.announcesSame(before)) {
+      setRate(notice.requestsPerSecond());
+      events.backendNotice(start, notice, source);
+    }
+  }
+
+  private void setRate(double perSecond) {
+    rateLimiter.setRate(clockMillis.getAsLong(), perSecond);
+  }
+}
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -60,6 +60,8 @@
   BACKEND_REFUSED(10),
   /** The load report of the local backend cannot be parsed. */
   STATEMENT_REFUSED(2),
+  /** What the local backend announces about the requests that it accepts has changed. */
+  BACKEND_NOTICE(10),
   /** The speed reported by the local backend is now trusted, or no longer. */
   STATEMENTS_BELIEVED(2),
   /** No report of another node was received for too long. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -7,9 +7,11 @@
 import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreResponse;
 import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.BackendStart;
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.umberpath.node.clock.BootClock;
 import io.umberpath.node.logs.LogFields;
+import io.umberpath.traffic.load.BackendNotice;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.io.IOException;
 import java.util.EnumMap;
@@ -29,6 +31,7 @@
   private static final MetadataKey<String> BACKEND = MetadataKey.single("backend", String.class);
   private static final MetadataKey<String> SERVICE = MetadataKey.single("service", String.class);
   private static final MetadataKey<String> SOURCE = MetadataKey.single("source", String.class);
+  private static final MetadataKey<String> LIMIT = MetadataKey.single("limit", String.class);
   private static final MetadataKey<String> ZONE = MetadataKey.single("zone", String.class);
   private static final MetadataKey<String> CAUSE = MetadataKey.single("cause", String.class);
   private static final MetadataKey<String> FINGERPRINT =
@@ -266,6 +269,20 @@
     line(MeshEvent.STATEMENT_REFUSED).with(CAUSE, problem).log("passed over");
   }
 
+  /**
+   * Logs what the local backend now announces.
+   *
+   * @param source whether its own response or the memory of another node tells
+   */
+  void backendNotice(BackendStart start, BackendNotice notice, String source) {
+    line(MeshEvent.BACKEND_NOTICE)
+        .with(BACKEND, start.id())
+        .with(SOURCE, source)
+        .with(COUNT, notice.order())
+        .with(LIMIT, notice.isLimited() ? Double.toString(notice.requestsPerSecond()) : "none")
+        .log("%s", notice.isLeaving() ? "leaving" : "in service");
+  }
+
   /** Logs whether the speed reported by the local backend is now trusted. */
   void statementsBelieved(boolean areTrusted, String inputs) {
     line(MeshEvent.STATEMENTS_BELIEVED)
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -203,7 +203,7 @@
     int slownessPercent = (int) Math.round(speed.slowdown() * BackendLoad.USUAL_PERCENT);
     long serviceMicros = admissionQueue.meanServiceMicros();
     int slots =
-        backend.coldStarts().usableSlots(clockMillis.getAsLong(), backend.slots(), serviceMicros);
+        backend.startLimiter().usableSlots(clockMillis.getAsLong(), backend.slots(), serviceMicros);
     return new BackendLoad(
         admissionQueue.running(),
         admissionQueue.queued() + uploads.waitingCount(),
@@ -269,6 +269,11 @@
   @Override
   public void dispatch(Exchange exchange) {
     MeshInboundPlan plan = planOf(exchange);
+    exchange
+        .request()
+        .field(NoticeHeader.HEADER)
+        .flatMap(NoticeHeader::decode)
+        .ifPresent(remembered -> backend.recordRememberedNotice(plan.instance(), remembered));
     if (!isAccepted(plan)) {
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return;
@@ -361,9 +366,17 @@
   public void addResponseHeaders(RequestPlan plan, HttpResponsePacket response) {
     BackendLoad load = plan == null ? load() : load().withRoute(expectedMicros(plan.route()));
     response.getHeaders().setValue(LOAD_HEADER).setString(load.encode());
-    if (plan != null && isNested(plan.route())) {
+    if (plan == null) {
+      return;
+    }
+    if (isNested(plan.route())) {
       response.getHeaders().setValue(NESTED_HEADER).setString("1");
     }
+    backend
+        .noticeOf(((MeshInboundPlan) plan).instance())
+        .ifPresent(
+            notice ->
+                response.getHeaders().setValue(NoticeHeader.HEADER).setString(notice.encode()));
   }
 
   @Override
@@ -371,6 +384,7 @@
     HeaderNames names = settings.headers();
     speed.recordLoadReport(head.field(names.backendLoad()).orElse(null));
     MeshInboundPlan plan = planOf(exchange);
+    recordNotice(exchange, head);
     Optional<String> echoedRequestId = head.field(names.requestId());
     if (echoedRequestId.isPresent() && !echoedRequestId.get().equals(plan.requestId())) {
       return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
@@ -389,6 +403,20 @@
     return Optional.empty();
   }
 
+  /** Records what a response announces, also if the response is not forwarded. */
+  private void recordNotice(Exchange exchange, ResponseHead head) {
+    HeaderNames names = settings.headers();
+    MeshInboundPlan plan = planOf(exchange);
+    boolean isOwnResponse =
+        head.field(names.requestId()).filter(id -> !id.equals(plan.requestId())).isEmpty();
+    Optional<String> instance = head.field(names.instance());
+    boolean isFromUnknownInstance = head.status() == MISDIRECTED && instance.isEmpty();
+    if (isOwnResponse && !isFromUnknownInstance) {
+      long sentMillis = clockMillis.getAsLong() - exchange.history().sinceSentMillis();
+      backend.recordNotice(instance.orElse(plan.instance()), head, sentMillis);
+    }
+  }
+
   @Override
   public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
     // The slot is released when the request ends; this side makes a single attempt.
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -68,6 +68,8 @@
   private final LatencyAwareBalancer balancer;
   private final RequestQuarantine quarantine;
   private final PeerExchange peers;
+  private final BackendNotices notices = new BackendNotices();
+  private final LocalBackendNotices localNotices;
   private final LocalBackend backend;
   private final MeshProxy proxy;
   private final LivenessAttester attester;
@@ -131,7 +133,10 @@
         new PeerExchange(
             settings, state::view, this::storeContact, balancer, quarantine, events, clockMillis);
     LocalBackendSpeed speed = new LocalBackendSpeed(parser::parseStatement, events, clockMillis);
-    this.backend = new LocalBackend(settings, state::view, this::isAttested, speed, clockMillis);
+    NoticeParser noticeParser = new NoticeParser(settings.headers(), parser, events);
+    this.localNotices = new LocalBackendNotices(notices, noticeParser, events, clockMillis);
+    this.backend =
+        new LocalBackend(settings, state::view, this::isAttested, speed, localNotices, clockMillis);
     this.proxy =
         new MeshProxy(
             settings, state::view, balancer, peers, backend, events, metrics, clockMillis);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -83,7 +83,8 @@
         new MeshInboundHandler(
             settings,
             backendPool,
-            AdmissionControllers.createInDueOrder(admission(backend.slots()), backend.coldStarts()),
+            AdmissionControllers.createInDueOrder(
+                admission(backend.slots()), backend.startLimiter()),
             backend,
             peers.quarantine(),
             events,
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreItemParser.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreItemParser.java
@@ -32,4 +32,13 @@
 
   /** Parses the statement that a backend adds to a response; the left side is the error. */
   Either<String, BackendStatement> parseStatement(String text);
+
+  /**
+   * Parses the limit that a backend announces in a response, requests per second, at least 0; the
+   * left side is the error.
+   */
+  Either<String, Double> parseRequestLimit(String text);
+
+  /** Parses whether a backend announces its end in a response; the left side is the error. */
+  Either<String, Boolean> parseLeaving(String text);
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/HeaderFields.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/HeaderFields.java
@@ -66,6 +66,21 @@
     return Optional.empty();
   }
 
+  /**
+   * Values of all header fields with the name, ignoring case, without surrounding whitespace and
+   * joined by commas, which is equivalent to repeating the field (RFC 9110, section 5.3).
+   */
+  public Optional<String> joined(String name) {
+    String joined = null;
+    for (Field field : fields) {
+      if (field.name().equalsIgnoreCase(name)) {
+        String value = field.value().strip();
+        joined = joined == null ? value : joined + ", " + value;
+      }
+    }
+    return Optional.ofNullable(joined);
+  }
+
   /** Whether there are no fields. */
   public boolean isEmpty() {
     return fields.isEmpty();
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/FakeStoreItemParser.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/FakeStoreItemParser.java
@@ -67,6 +67,16 @@
     return Either.left("none");
   }
 
+  @Override
+  public Either<String, Double> parseRequestLimit(String text) {
+    return Either.right(Double.parseDouble(text));
+  }
+
+  @Override
+  public Either<String, Boolean> parseLeaving(String text) {
+    return Either.right(text.equals("1"));
+  }
+
   @Override
   public Either<String, BackendEntry> parseBackend(StoreItem item) {
     if (item.value().isEmpty()) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
@@ -37,17 +37,31 @@
           2_000,
           6_000,
           new HeaderNames(
-              "Id", "Deadline", "Expected", "Caller", "Not-Executed", "Instance", "Load"));
+              "Id",
+              "Deadline",
+              "Expected",
+              "Caller",
+              "Not-Executed",
+              "Instance",
+              "Load",
+              "Limit",
+              "Leaving"));
 
   private MeshView view = viewOf(entry("first", BackendEntry.State.READY));
   private String attested;
   private long nowMillis = 50_000;
+  private final MeshEvents events = new MeshEvents(() -> 0);
   private final LocalBackend backend =
       new LocalBackend(
           SETTINGS,
           () -> view,
           id -> id.equals(attested),
-          new LocalBackendSpeed(Either::left, new MeshEvents(() -> 0), () -> nowMillis),
+          new LocalBackendSpeed(Either::left, events, () -> nowMillis),
+          new LocalBackendNotices(
+              new BackendNotices(),
+              new NoticeParser(SETTINGS.headers(), new FakeStoreItemParser(), events),
+              events,
+              () -> nowMillis),
           () -> nowMillis);
 
   private static BackendEntry entry(String id, BackendEntry.State state) {
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionControllers.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionControllers.java
@@ -12,10 +12,10 @@
   /**
    * Creates the controller of one backend that admits requests in due order.
    *
-   * @param coldStartLimiter limits the request rate while the backend is cold
+   * @param startLimiter limits when requests start in addition to the slots
    */
   public static AdmissionController createInDueOrder(
-      AdmissionSettings settings, ColdStartLimiter coldStartLimiter) {
-    return new DueOrderAdmissionController(settings, coldStartLimiter);
+      AdmissionSettings settings, StartLimiter startLimiter) {
+    return new DueOrderAdmissionController(settings, startLimiter);
   }
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/ColdStartLimiter.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/ColdStartLimiter.java
@@ -10,7 +10,7 @@
  * second. A warm backend is not limited, but its starts are recorded and count as soon as it turns
  * cold. Thread-safe.
  */
-public final class ColdStartLimiter {
+public final class ColdStartLimiter implements StartLimiter {
   /**
    * Limit of a cold backend in any second: {@code perSecond x overage + slack}.
    *
@@ -90,12 +90,12 @@
     return nowMillis < coldUntilMillis;
   }
 
-  /** Whether one more request may start. */
+  @Override
   public synchronized boolean canStart(long nowMillis) {
     return !isCold(nowMillis) || waitMillis(nowMillis, 0) <= 0;
   }
 
-  /** Records the start of a request. */
+  @Override
   public synchronized void recordStart(long nowMillis) {
     removeExpired(nowMillis);
     if (startTimesMillis.size() == MAX_START_TIMES) {
@@ -104,7 +104,7 @@
     startTimesMillis.addLast(nowMillis);
   }
 
-  /** Time until a request with that many others ahead of it may start, milliseconds. */
+  @Override
   public synchronized double waitMillis(long nowMillis, int requestsAhead) {
     if (!isCold(nowMillis)) {
       return 0;
@@ -140,12 +140,7 @@
     return (limitPerSecond + SLICES - 1) / SLICES;
   }
 
-  /**
-   * Concurrency that the limit allows: all slots while that many more requests may start at once,
-   * otherwise as many as its rate keeps busy.
-   *
-   * @param serviceMicros mean time that a request holds a slot, microseconds
-   */
+  @Override
   public synchronized int usableSlots(long nowMillis, int slots, long serviceMicros) {
     if (!isCold(nowMillis) || waitMillis(nowMillis, slots - 1) <= 0) {
       return slots;
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -16,7 +16,7 @@
  * waited too long. An overload thus makes some requests late or refused instead of all of them
  * late. The owner synchronizes access.
  *
- * <p>Invariant: a request waits only while every slot is taken or the backend is cold.
+ * <p>Invariant: a request waits only while every slot is taken or the rate of starts is limited.
  */
 final class DueOrderAdmissionController implements AdmissionController {
   private static final double MICROS_PER_MILLI = 1_000.0;
@@ -24,19 +24,20 @@
       Comparator.comparingLong(AdmissionRequest::dueMillis).thenComparingLong(AdmissionRequest::id);
 
   private final AdmissionSettings settings;
-  private final ColdStartLimiter coldStartLimiter;
+  private final StartLimiter startLimiter;
   private final ServiceTimeEstimate serviceTime;
   private final TreeSet<AdmissionRequest> nested = new TreeSet<>(DUE_FIRST);
   private final TreeSet<AdmissionRequest> onTime = new TreeSet<>(DUE_FIRST);
   private final TreeSet<AdmissionRequest> late = new TreeSet<>(DUE_FIRST);
   private final Set<Long> running = new HashSet<>();
   private final OverloadBackoff backoff;
+  private final RetrySchedule retrySchedule = new RetrySchedule();
   private int slots;
   private boolean draining;
 
-  DueOrderAdmissionController(AdmissionSettings settings, ColdStartLimiter coldStartLimiter) {
+  DueOrderAdmissionController(AdmissionSettings settings, StartLimiter startLimiter) {
     this.settings = settings;
-    this.coldStartLimiter = coldStartLimiter;
+    this.startLimiter = startLimiter;
     this.slots = settings.slots();
     this.backoff = new OverloadBackoff(settings.maxRetryAfterMillis());
     this.serviceTime = new ServiceTimeEstimate(settings.initialServiceMicros());
@@ -65,12 +66,12 @@
   }
 
   private boolean canStart(long nowMillis) {
-    return running.size() < slots && coldStartLimiter.canStart(nowMillis);
+    return running.size() < slots && startLimiter.canStart(nowMillis);
   }
 
   private void start(long nowMillis, AdmissionRequest request) {
     running.add(request.id());
-    coldStartLimiter.recordStart(nowMillis);
+    startLimiter.recordStart(nowMillis);
   }
 
   private Decision decideRegular(long nowMillis, AdmissionRequest request) {
@@ -261,14 +262,33 @@
   /** Expected wait behind that many requests plus the end of a running one. */
   private double waitMillis(long nowMillis, int ahead) {
     double slotWaitMillis = (ahead + 1) * serviceTime.meanMicros() / slots / MICROS_PER_MILLI;
-    return Math.max(slotWaitMillis, coldStartLimiter.waitMillis(nowMillis, ahead));
+    return Math.max(slotWaitMillis, startLimiter.waitMillis(nowMillis, ahead));
   }
 
   private Decision refusalOfOverload(long nowMillis, AdmissionRequest request) {
+    startLimiter.recordRefusal(nowMillis);
+    long retryAfterMillis =
+        startLimiter.intervalMillis() > 0
+            ? scheduleRetry(nowMillis, request)
+            : backOff(nowMillis, request);
+    return new Decision.Refused(request.id(), Reason.OVERLOADED, retryAfterMillis);
+  }
+
+  /** At a known rate, each refused client gets a time of its own at which a start is free. */
+  private long scheduleRetry(long nowMillis, AdmissionRequest request) {
+    double latestMillis = request.deadlineMillis() - expectedMillis(request);
+    double retryMillis =
+        retrySchedule.reserve(
+            nowMillis + waitMillis(nowMillis, queued()),
+            startLimiter.intervalMillis(),
+            latestMillis);
+    return Math.max(settings.minRetryAfterMillis(), Math.round(retryMillis - nowMillis));
+  }
+
+  private long backOff(long nowMillis, AdmissionRequest request) {
     long waitMillis = Math.round(waitMillis(nowMillis, nested.size() + onTime.size()));
-    long retryAfter =
+    long retryAfterMillis =
         Math.max(settings.minRetryAfterMillis(), waitMillis + backoff.backoffMillis(request.id()));
-    return new Decision.Refused(
-        request.id(), Reason.OVERLOADED, Math.min(settings.maxRetryAfterMillis(), retryAfter));
+    return Math.min(settings.maxRetryAfterMillis(), retryAfterMillis);
   }
 }
