Keep the request rate that a backend announces, at the node beside it

What backends saw: one that announced 2.4 requests a second got 242 in 4 s where 19 are allowed. Cause: no node read the announcement; only the cold limit was enforced where all requests to a backend pass.

The admission control of the node beside the backend now also takes its starts from a token bucket at the announced rate, with a burst of one second, which begins empty. Counter umberpath_gate_rate_limited_total, gauge umberpath_gate_rate_limit.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -63,7 +63,7 @@
     this.clockMillis = clockMillis;
     this.coldStarts = new ColdStartLimiter(settings.coldStarts(), clockMillis.getAsLong());
     this.notices = notices;
-    this.startLimiter = new CombinedStartLimiter(coldStarts);
+    this.startLimiter = new CombinedStartLimiter(coldStarts, notices.rateLimiter());
   }
 
   /** From now on this node accepts no new work for its backend. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshMetrics.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshMetrics.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Meter;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.config.MeterFilter;
@@ -40,11 +41,16 @@
    * Creates the registry and starts to count.
    *
    * @param gauges value suppliers by gauge name without the prefix
+   * @param counters suppliers of totals by counter name without the prefix
    */
-  void start(Map<String, Supplier<Number>> gauges) {
+  void start(Map<String, Supplier<Number>> gauges, Map<String, Supplier<Number>> counters) {
     PrometheusMeterRegistry created = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     created.config().meterFilter(new Histograms());
     gauges.forEach((name, value) -> created.gauge(PREFIX + name, value, each -> toDouble(each)));
+    counters.forEach(
+        (name, total) ->
+            FunctionCounter.builder(PREFIX + name, total, each -> toDouble(each))
+                .register(created));
     delegate = new MeterRegistryStats(created, inFlight);
     lateIterations = created.timer(PREFIX + "event.loop.late");
     registry = created;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -3,6 +3,7 @@
 import io.umberpath.control.membership.SilenceTimeouts;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.PeerAddress;
+import io.umberpath.traffic.RequestRateLimiter;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import io.umberpath.traffic.quarantine.SuspectRegistry;
 import io.umberpath.traffic.routing.LatencyAwareBalancer;
@@ -68,7 +69,6 @@
   private final LatencyAwareBalancer balancer;
   private final RequestQuarantine quarantine;
   private final PeerExchange peers;
-  private final BackendNotices notices = new BackendNotices();
   private final LocalBackendNotices localNotices;
   private final LocalBackend backend;
   private final MeshProxy proxy;
@@ -134,7 +134,7 @@
             settings, state::view, this::storeContact, balancer, quarantine, events, clockMillis);
     LocalBackendSpeed speed = new LocalBackendSpeed(parser::parseStatement, events, clockMillis);
     NoticeParser noticeParser = new NoticeParser(settings.headers(), parser, events);
-    this.localNotices = new LocalBackendNotices(notices, noticeParser, events, clockMillis);
+    this.localNotices = new LocalBackendNotices(peers.notices(), noticeParser, events, clockMillis);
     this.backend =
         new LocalBackend(settings, state::view, this::isAttested, speed, localNotices, clockMillis);
     this.proxy =
@@ -333,7 +333,8 @@
   private void startMetrics() {
     Map<String, Supplier<Number>> allGauges = new HashMap<>(gauges());
     allGauges.putAll(MemoryGauges.all());
-    metrics.start(allGauges);
+    metrics.start(
+        allGauges, Map.of("gate.rate.limited", () -> localNotices.rateLimiter().refusedCount()));
   }
 
   private Map<String, Supplier<Number>> gauges() {
@@ -349,6 +350,7 @@
         Map.entry("peers.silent", peers::silentNodeCount),
         Map.entry("gate.running", () -> proxy.inboundHandler().load().running()),
         Map.entry("gate.queued", () -> proxy.inboundHandler().load().queued()),
+        Map.entry("gate.rate.limit", this::announcedRateLimit),
         Map.entry("gate.slots", () -> proxy.inboundHandler().load().slots()),
         Map.entry("gate.slowness.percent", () -> proxy.inboundHandler().load().slownessPercent()),
         Map.entry(
@@ -356,6 +358,12 @@
             () -> proxy.inboundHandler().load().serviceMicros() / MICROS_PER_SECOND));
   }
 
+  /** Limit that the local backend announced, requests per second; -1 if there is none. */
+  private double announcedRateLimit() {
+    RequestRateLimiter limiter = localNotices.rateLimiter();
+    return limiter.isLimited() ? limiter.perSecond() : -1;
+  }
+
   private double storeAgeSeconds() {
     long heardAt;
     synchronized (state) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -46,6 +46,7 @@
   private final Set<String> drainingHosts = ConcurrentHashMap.newKeySet();
 
   private final RequestQuarantine quarantine;
+  private final BackendNotices notices = new BackendNotices();
   private final SuspectExchange suspects;
   private final ReportSocket socket;
   private volatile NewerStateListener newerStateListener = (host, near, version, position) -> {};
@@ -100,6 +101,11 @@
     return quarantine;
   }
 
+  /** What backends have announced in responses that passed through this node. */
+  BackendNotices notices() {
+    return notices;
+  }
+
   /** Sends the other nodes the requests during which backends crashed. */
   void sendSuspects() {
     suspects.sendUnsent();
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/RequestRateLimiter.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/RequestRateLimiter.java
@@ -41,6 +41,11 @@
     tokens = wasLimited ? Math.min(tokens, capacity()) : 0;
   }
 
+  /** The enforced rate, requests per second; {@link #UNLIMITED} if there is none. */
+  public synchronized double perSecond() {
+    return perSecond;
+  }
+
   /** Whether there is a limit. */
   public synchronized boolean isLimited() {
     return perSecond != UNLIMITED;
