Remember announced limits at the nodes that forward them

What backends saw: after its node restarts, a backend that answers slowly gets a full set of slots before the node has read a response with the limit: 30 requests in 4 s where 19 are allowed, by four restarts.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -3,6 +3,7 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.BackendStart;
 import io.umberpath.model.routing.RoutingRule;
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.RequestHead;
@@ -47,6 +48,7 @@
   private final OriginConnectionPools origins;
   private final LatencyAwareBalancer balancer;
   private final PeerExchange peers;
+  private final BackendNotices notices;
   private final RequestQuarantine quarantine;
   private final RequestEvents events;
   private final LongSupplier clockMillis;
@@ -80,6 +82,7 @@
     this.origins = origins;
     this.balancer = balancer;
     this.peers = peers;
+    this.notices = peers.notices();
     this.quarantine = peers.quarantine();
     this.events = events.requests();
     this.clockMillis = clockMillis;
@@ -302,6 +305,10 @@
             RequestTimes.startWithinMillis(plan, nowMillis),
             plan.retryState().possiblyDeliveredCount() > 0);
     set(outgoing, HopHeader.HEADER, hop.encode());
+    // The node beside the backend may have restarted since this one forwarded the announcement.
+    notices
+        .findLatest(exchange.currentOrigin())
+        .ifPresent(notice -> set(outgoing, NoticeHeader.HEADER, notice.encode()));
   }
 
   private static boolean mayBeRefusedForLoad(Exchange exchange, MeshOutboundPlan plan) {
@@ -333,6 +340,7 @@
   public Optional<Refusal> refusalInResponse(Exchange exchange, ResponseHead head) {
     MeshOutboundPlan plan = planOf(exchange);
     recordBackendLoad(exchange.currentOrigin(), plan.route(), head);
+    recordBackendNotice(exchange.currentOrigin(), head);
     Optional<String> verdict = head.field(ProxyHeaders.VERDICT);
     if (verdict.isPresent()) {
       return VerdictHeader.parse(verdict.get())
@@ -369,6 +377,15 @@
     }
   }
 
+  private void recordBackendNotice(String backend, ResponseHead head) {
+    head.field(NoticeHeader.HEADER)
+        .flatMap(NoticeHeader::decode)
+        .ifPresent(
+            header ->
+                notices.merge(
+                    new BackendStart(backend, header.startTimeMillis()), header.notice()));
+  }
+
   @Override
   public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
     Verdict verdict = refusal == null ? new Verdict.Completed() : refusal.verdict();
