Send no new work to a backend that announces its end in a response

What backends saw: after Server-Leaving they got new work for as long as their entry in the store said ready. Cause: a departure was only read from the store's entry.

The announced end is a fact of that start: the node beside the backend refuses new and queued requests as not run from the first response on, and each node that forwarded such a response no longer chooses that start, whatever the store's entry, an attestation or another node says. It is kept apart from the departures of the store, because a later entry of the store undoes those. The end of such a backend does not count as a crash.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendNotices.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendNotices.java
@@ -31,6 +31,11 @@
   /** Set before the first notice is visible, so that the request path can skip the lock. */
   private volatile boolean hasAny;
 
+  /** Whether no backend has announced anything since the start of this process. */
+  boolean isEmpty() {
+    return !hasAny;
+  }
+
   /** Returns the notice of a backend start; {@link BackendNotice#NONE} if there is none. */
   BackendNotice find(BackendStart start) {
     if (!hasAny) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -34,7 +34,7 @@
   private final LocalBackendNotices notices;
   private final LongSupplier clockMillis;
   private BackendEntry lastSeenEntry;
-  private BackendStart listedStart;
+  private volatile BackendStart listedStart;
   private boolean wasEvacuated;
   private volatile boolean draining;
   private volatile int slots = DEFAULT_SLOTS;
@@ -79,6 +79,12 @@
     return view.get().backends().isEvacuated(settings.zone());
   }
 
+  /** Returns whether the listed backend has announced its end in a response. */
+  boolean isLeaving() {
+    BackendStart start = listedStart;
+    return start != null && notices.isLeaving(start);
+  }
+
   /** Returns the number of requests that the backend runs concurrently. */
   int slots() {
     return slots;
@@ -213,6 +219,9 @@
    * is a crash.
    */
   boolean isServing(String instance) {
+    if (notices.isLeaving(startOf(instance))) {
+      return false;
+    }
     return view.get()
         .backends()
         .byId(instance)
@@ -222,7 +231,8 @@
 
   /** Returns whether new work for that start of the backend may be forwarded. */
   boolean acceptsNewWork(String instance) {
-    if (draining || endedStarts.contains(startOf(instance)) || isEvacuated()) {
+    BackendStart start = startOf(instance);
+    if (draining || endedStarts.contains(start) || notices.isLeaving(start) || isEvacuated()) {
       return false;
     }
     Optional<BackendEntry> entry = view.get().backends().byId(instance);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -254,7 +254,7 @@
     if (backend.refresh()) {
       proxy.inboundHandler().admissionQueue().resize(backend.slots());
     }
-    if (backend.isEvacuated()) {
+    if (backend.isEvacuated() || backend.isLeaving()) {
       proxy.inboundHandler().admissionQueue().refuseQueued();
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -242,16 +242,21 @@
     return attested.readyBackends(clockMillis.getAsLong(), view.get().backends(), contact, service);
   }
 
-  /** Ids of the candidates whose node is silent or draining. */
+  /**
+   * Ids of the candidates whose node is silent or draining, or that have announced their end in a
+   * response, whatever the store or other nodes say.
+   */
   Set<String> unavailableBackends(List<BackendEntry> candidates) {
     Set<String> silentHosts = failureDetector.peers().silent();
-    if (silentHosts.isEmpty() && drainingHosts.isEmpty()) {
+    if (silentHosts.isEmpty() && drainingHosts.isEmpty() && notices.isEmpty()) {
       return Set.of();
     }
     Set<String> ids = new HashSet<>();
     for (BackendEntry candidate : candidates) {
       String host = candidate.address().host();
-      if (silentHosts.contains(host) || drainingHosts.contains(host)) {
+      if (silentHosts.contains(host)
+          || drainingHosts.contains(host)
+          || notices.isLeaving(candidate.start())) {
         ids.add(candidate.id());
       }
     }
