Order announcements that two processes beside a backend have numbered alike

A node that restarts begins its order at 1 again. Another node that holds a notice of an earlier process with the same order kept it, although it contradicted the current one, and would have handed the outdated limit to the next process.

Of the same order the lower limit counts, and the node beside the backend, when it hears of one that contradicts its own, continues with a higher order. Announcements are parsed before they are ordered, so that the order is tested without heads.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -31,6 +31,7 @@
 
   private final ColdStartLimiter coldStarts;
   private final StartLimiter startLimiter;
+  private final NoticeParser noticeParser;
   private final LocalBackendNotices notices;
   private final LongSupplier clockMillis;
   private BackendEntry lastSeenEntry;
@@ -46,6 +47,7 @@
    * @param isAttested whether a start of the backend is known to be alive although its entry has
    *     expired
    * @param speed speed of the backend
+   * @param noticeParser parses what the backend announces in a response
    * @param notices what the backend has announced in its responses
    * @param clockMillis monotonic clock, milliseconds
    */
@@ -54,6 +56,7 @@
       Supplier<MeshView> view,
       Predicate<String> isAttested,
       LocalBackendSpeed speed,
+      NoticeParser noticeParser,
       LocalBackendNotices notices,
       LongSupplier clockMillis) {
     this.settings = settings;
@@ -62,6 +65,7 @@
     this.speed = speed;
     this.clockMillis = clockMillis;
     this.coldStarts = new ColdStartLimiter(settings.coldStarts(), clockMillis.getAsLong());
+    this.noticeParser = noticeParser;
     this.notices = notices;
     this.startLimiter = new CombinedStartLimiter(coldStarts, notices.rateLimiter());
   }
@@ -189,7 +193,7 @@
    * @param sentMillis when the request was sent to it
    */
   void recordNotice(String instance, ResponseHead head, long sentMillis) {
-    notices.recordResponse(startOf(instance), head, sentMillis);
+    notices.recordResponse(startOf(instance), noticeParser.parse(head), sentMillis);
   }
 
   /** Records what another node remembers of the announcements of an instance. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendNotices.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendNotices.java
@@ -2,7 +2,6 @@
 
 import io.umberpath.model.routing.BackendStart;
 import io.umberpath.node.mesh.NoticeParser.Announcement;
-import io.umberpath.node.proxy.http.ResponseHead;
 import io.umberpath.traffic.RequestRateLimiter;
 import io.umberpath.traffic.load.BackendNotice;
 import java.util.Optional;
@@ -15,8 +14,12 @@
  * Thread-safe.
  */
 final class LocalBackendNotices {
+  /** Sources of a notice, in logs. */
+  private static final String BACKEND = "backend";
+
+  private static final String PEER = "peer";
+
   private final BackendNotices notices;
-  private final NoticeParser parser;
   private final RequestRateLimiter rateLimiter = new RequestRateLimiter();
   private final MeshEvents events;
   private final LongSupplier clockMillis;
@@ -35,10 +38,8 @@
    *
    * @param notices the notices of all backends known to this node; updated with the local one
    */
-  LocalBackendNotices(
-      BackendNotices notices, NoticeParser parser, MeshEvents events, LongSupplier clockMillis) {
+  LocalBackendNotices(BackendNotices notices, MeshEvents events, LongSupplier clockMillis) {
     this.notices = notices;
-    this.parser = parser;
     this.events = events;
     this.clockMillis = clockMillis;
   }
@@ -49,13 +50,12 @@
   }
 
   /**
-   * Records the head of a response.
+   * Records what a response announces.
    *
    * @param start the start that responded
    * @param sentMillis when the request was sent to the backend
    */
-  synchronized void recordResponse(BackendStart start, ResponseHead head, long sentMillis) {
-    Announcement announced = parser.parse(head);
+  synchronized void recordResponse(BackendStart start, Announcement announced, long sentMillis) {
     selectStart(start);
     BackendNotice before = notices.find(start);
     double limit = announced.requestsPerSecond().orElse(before.requestsPerSecond());
@@ -71,7 +71,7 @@
     boolean isLeaving = before.isLeaving() || announced.isLeaving();
     BackendNotice now = new BackendNotice(before.order() + 1, limit, isLeaving);
     if (!now.announcesSame(before)) {
-      apply(start, now, "backend");
+      apply(start, now, BACKEND);
     }
   }
 
@@ -83,19 +83,18 @@
     BackendStart rememberedStart = new BackendStart(start.id(), remembered.startTimeMillis());
     BackendNotice before = notices.find(start);
     BackendNotice notice = remembered.notice();
-    if (notice.order() <= before.order() || start.isDifferentFrom(rememberedStart)) {
+    boolean isKnown = notice.order() < before.order() || notice.equals(before);
+    if (isKnown || start.isDifferentFrom(rememberedStart)) {
       return;
     }
     if (hasReadResponse && start.equals(current)) {
-      // The order exceeds that of this process: it is from an earlier one, and so is the notice.
+      // It is from an earlier process, whose order may have been ahead of that of this one.
       boolean isLeaving = before.isLeaving() || notice.isLeaving();
-      apply(
-          start,
-          new BackendNotice(notice.order() + 1, before.requestsPerSecond(), isLeaving),
-          "peer");
+      long order = notice.order() + 1;
+      apply(start, new BackendNotice(order, before.requestsPerSecond(), isLeaving), PEER);
     } else {
       selectStart(start);
-      apply(start, before.merge(notice), "peer");
+      apply(start, before.merge(notice), PEER);
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -134,9 +134,16 @@
             settings, state::view, this::storeContact, balancer, quarantine, events, clockMillis);
     LocalBackendSpeed speed = new LocalBackendSpeed(parser::parseStatement, events, clockMillis);
     NoticeParser noticeParser = new NoticeParser(settings.headers(), parser, events);
-    this.localNotices = new LocalBackendNotices(peers.notices(), noticeParser, events, clockMillis);
+    this.localNotices = new LocalBackendNotices(peers.notices(), events, clockMillis);
     this.backend =
-        new LocalBackend(settings, state::view, this::isAttested, speed, localNotices, clockMillis);
+        new LocalBackend(
+            settings,
+            state::view,
+            this::isAttested,
+            speed,
+            noticeParser,
+            localNotices,
+            clockMillis);
     this.proxy =
         new MeshProxy(
             settings, state::view, balancer, peers, backend, events, metrics, clockMillis);
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
@@ -57,11 +57,8 @@
           () -> view,
           id -> id.equals(attested),
           new LocalBackendSpeed(Either::left, events, () -> nowMillis),
-          new LocalBackendNotices(
-              new BackendNotices(),
-              new NoticeParser(SETTINGS.headers(), new FakeStoreItemParser(), events),
-              events,
-              () -> nowMillis),
+          new NoticeParser(SETTINGS.headers(), new FakeStoreItemParser(), events),
+          new LocalBackendNotices(new BackendNotices(), events, () -> nowMillis),
           () -> nowMillis);
 
   private static BackendEntry entry(String id, BackendEntry.State state) {
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/load/BackendNotice.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/load/BackendNotice.java
@@ -18,10 +18,17 @@
   /** A backend that has announced nothing. */
   public static final BackendNotice NONE = new BackendNotice(0, UNLIMITED, false);
 
-  /** Combines two notices about the same start: the limit of the newer one, the end of either. */
+  /**
+   * Combines two notices about the same start: the limit of the newer one, the end of either. Of
+   * the same order, which two processes may have given out, the lower limit counts.
+   */
   public BackendNotice merge(BackendNotice other) {
-    BackendNotice newer = other.order > order ? other : this;
-    return new BackendNotice(newer.order, newer.requestsPerSecond, isLeaving || other.isLeaving);
+    double lower = Math.min(requestsPerSecond, other.requestsPerSecond);
+    double newer = other.order > order ? other.requestsPerSecond : requestsPerSecond;
+    return new BackendNotice(
+        Math.max(order, other.order),
+        order == other.order ? lower : newer,
+        isLeaving || other.isLeaving);
   }
 
   /** Whether the announcements are the same, whatever their order. */
