Refuse only the queued requests of the backend start that takes no new work

Each queued request is now judged by its own instance; on an evacuation that is every one of them, as before. Looking up what a node remembers of a backend takes no lock where no backend has announced anything.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendNotices.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendNotices.java
@@ -50,9 +50,14 @@
   }
 
   /** Returns the latest known start of a backend that has a notice, with that notice. */
-  synchronized Optional<NoticeHeader> findLatest(String id) {
-    return Optional.ofNullable(byId.get(id))
-        .map(held -> new NoticeHeader(held.start().startTimeMillis(), held.notice(), 0));
+  Optional<NoticeHeader> findLatest(String id) {
+    if (!hasAny) {
+      return Optional.empty();
+    }
+    synchronized (this) {
+      return Optional.ofNullable(byId.get(id))
+          .map(held -> new NoticeHeader(held.start().startTimeMillis(), held.notice(), 0));
+    }
   }
 
   /** Whether a backend start has announced its end. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -125,6 +125,11 @@
     return admissionQueue;
   }
 
+  /** Refuses queued requests whose instance of the backend takes no new work any more. */
+  void refuseQueuedOfLeaving() {
+    admissionQueue.refuseQueued(exchange -> !isAccepted(exchange.plan()));
+  }
+
   /** Refuses requests that can no longer be served in time. */
   void tick(long nowMillis) {
     uploads.tick(nowMillis);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
@@ -94,11 +94,16 @@
     apply(decisions);
   }
 
-  /** Refuses all queued requests as not run, so that they are sent elsewhere at once. */
-  public void refuseQueued() {
+  /**
+   * Refuses queued requests as not run, so that they are sent elsewhere at once.
+   *
+   * @param isRefused selects the requests
+   */
+  public void refuseQueued(Predicate<Exchange> isRefused) {
     for (SlotRequest request : byExchange.values()) {
       // Skips a request that is being admitted: the refusal says that it did not run.
-      if (request.state().compareAndSet(SlotState.REQUESTED, SlotState.ENDED)) {
+      if (isRefused.test(request.exchange())
+          && request.state().compareAndSet(SlotState.REQUESTED, SlotState.ENDED)) {
         remove(request);
         cancel(request.id());
         request.exchange().refuse(Refusal.notRun(Verdict.Reason.DRAINING));
