Let no late request wait beside timely ones at a limited rate

limitsOfAllBackendsHoldAndAreUsedByTheMostUrgentRequests failed once at load 20: a caller was refused after 607 ms, target latency 600 ms. The last of the timely queue became late with nobody ahead, waited in the queue of late ones, and was displaced there. At a limited rate a start for a late request is always taken from a timely one, so late requests are refused while any timely one waits.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -232,12 +232,16 @@
         continue;
       }
       waiting.remove();
-      if (nowMillis <= request.refuseByMillis() || isRateLimited() && ahead > 0) {
+      if (nowMillis <= request.refuseByMillis()) {
         decisions.add(refusalOfOverload(nowMillis, request));
       } else {
         late.add(request);
       }
     }
+    if (isRateLimited() && !onTime.isEmpty()) {
+      late.forEach(request -> decisions.add(refusalOfOverload(nowMillis, request)));
+      late.clear();
+    }
   }
 
   private boolean isRateLimited() {
