Report the wait at a limited backend, and try backends without a limit before giving up

What callers saw: with five of six backends limited to 0.1 a second, 4 and 5 of 270 requests, sent one after the other, were refused although the sixth was free. Cause: a limited backend is idle, and looks like the best choice to each node that has not tried it yet; its refusal counts as a sign of a full service after the second.

The node beside a limited backend reports the time until the next start as the queue that would take as long. Refusals by a limited backend do not count towards that sign while one without a limit is untried. A limit also ends with the start that was known without its start time.

Measured: nobodyIsRefusedWhileABackendWithoutLimitHasRoom failed twice without the two changes and twice with the second alone (4 and 5 refused each), and passed three times with both; AnnouncingBackendTest passes whole (22 cases).

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -187,6 +187,11 @@
     return startLimiter;
   }
 
+  /** Limits the request rate to that which the backend announced. */
+  StartLimiter rateLimiter() {
+    return notices.rateLimiter();
+  }
+
   /**
    * Records what an instance of the backend announces in a response.
    *
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendNotices.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendNotices.java
@@ -100,7 +100,9 @@
 
   /** Removes the limit if it belongs to a start that has ended. */
   synchronized void startEnded(BackendStart ended) {
-    if (ended.equals(current)) {
+    boolean isCurrent =
+        current != null && current.id().equals(ended.id()) && !current.isDifferentFrom(ended);
+    if (isCurrent) {
       selectStart(null);
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -203,7 +203,23 @@
     return retriedWorkShare;
   }
 
-  /** Returns the load of the backend that this node reports. */
+  /**
+   * Returns the load of the backend that other nodes are told. The time until a rate limit allows
+   * the next start is stated as the queue that would take as long: an idle backend that may start
+   * nothing would look like the best choice.
+   */
+  BackendLoad reportedLoad() {
+    BackendLoad load = load();
+    double waitMillis =
+        backend.rateLimiter().waitMillis(clockMillis.getAsLong(), admissionQueue.queued());
+    if (waitMillis <= 0 || load.serviceMicros() <= 0) {
+      return load;
+    }
+    double equivalentQueue = waitMillis * MICROS_PER_MILLI * load.slots() / load.serviceMicros();
+    return load.withQueued((int) Math.max(load.queued(), Math.ceil(equivalentQueue)));
+  }
+
+  /** Returns the load of the backend. */
   BackendLoad load() {
     int slownessPercent = (int) Math.round(speed.slowdown() * BackendLoad.USUAL_PERCENT);
     long serviceMicros = admissionQueue.meanServiceMicros();
@@ -369,7 +385,8 @@
 
   @Override
   public void addResponseHeaders(RequestPlan plan, HttpResponsePacket response) {
-    BackendLoad load = plan == null ? load() : load().withRoute(expectedMicros(plan.route()));
+    BackendLoad load =
+        plan == null ? reportedLoad() : reportedLoad().withRoute(expectedMicros(plan.route()));
     response.getHeaders().setValue(LOAD_HEADER).setString(load.encode());
     if (plan == null) {
       return;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -309,7 +309,7 @@
   private PeerReport report() {
     MeshView view = state.view();
     return new PeerReport(
-        proxy.inboundHandler().load(),
+        proxy.inboundHandler().reportedLoad(),
         isBackendDraining,
         view.version(),
         view.heldPosition(),
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -402,12 +402,31 @@
     if (OutboundRetryPolicy.mayHaveReachedBackend(verdict)) {
       retryState.recordPossiblyDelivered(originId);
     } else if (((Verdict.NotRun) verdict).reason() == Verdict.Reason.OVERLOADED) {
-      retryState.recordOverloadRefusal(originId);
+      recordOverloadRefusal(planOf(exchange), originId);
     } else {
       retryState.recordNotDelivered(originId);
     }
   }
 
+  private void recordOverloadRefusal(MeshOutboundPlan plan, String backend) {
+    RetryState retryState = plan.retryState();
+    boolean isRateLimited =
+        notices.findLatest(backend).filter(held -> held.notice().isLimited()).isPresent();
+    if (isRateLimited && hasUntriedBackendWithoutLimit(plan)) {
+      retryState.recordRateLimitRefusal(backend);
+    } else {
+      retryState.recordOverloadRefusal(backend);
+    }
+  }
+
+  private boolean hasUntriedBackendWithoutLimit(MeshOutboundPlan plan) {
+    Set<String> tried = plan.retryState().excludedBackends(true);
+    return peers.readyBackends(plan.service()).stream()
+        .anyMatch(
+            candidate ->
+                !tried.contains(candidate.id()) && !notices.find(candidate.start()).isLimited());
+  }
+
   @Override
   public boolean mayRetry(Exchange exchange, Verdict verdict) {
     MeshOutboundPlan plan = planOf(exchange);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RetryState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RetryState.java
@@ -28,6 +28,14 @@
     overloadedBackends.add(backendId);
   }
 
+  /**
+   * Records that the backend's node refused the request because of a rate limit, which tells
+   * nothing about the load of backends without a limit.
+   */
+  synchronized void recordRateLimitRefusal(String backendId) {
+    overloadedBackends.add(backendId);
+  }
+
   /**
    * Returns the backends that the next attempt must not choose.
    *
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendLoad.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendLoad.java
@@ -67,6 +67,19 @@
         percent);
   }
 
+  /** Returns a copy with another number of queued requests. */
+  public BackendLoad withQueued(int newQueued) {
+    return new BackendLoad(
+        running,
+        newQueued,
+        slots,
+        serviceMicros,
+        slownessPercent,
+        routeMicros,
+        startTimeMillis,
+        failurePercent);
+  }
+
   /** Clamps a slowdown that another node reports, to limit the effect of a faulty report. */
   public static int clampSlowness(int percent) {
     return Math.min(MAX_PERCENT, Math.max(MIN_PERCENT, percent));
