--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendNotices.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendNotices.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 
 /**
- * The notices of backends whose responses have passed through this node. They are kept here too,
- * and not only at the node beside each backend, because that node may restart while its backend
+ * The notices that this node knows: of the local backend, and of backends whose responses it has
+ * forwarded. It keeps the latter because the node beside a backend may restart while the backend
  * continues to run. Bounded; thread-safe.
  */
 final class BackendNotices {
@@ -49,7 +49,7 @@
     }
   }
 
-  /** Returns the latest known start of a backend that has a notice, with that notice. */
+  /** Returns the notice of a backend, whatever its start, as it is sent to other nodes. */
   Optional<NoticeHeader> findLatest(String id) {
     if (!hasAny) {
       return Optional.empty();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendNotices.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendNotices.java
@@ -14,9 +14,10 @@
  * Thread-safe.
  */
 final class LocalBackendNotices {
-  /** Sources of a notice, in logs. */
+  /** Source of a notice in logs: a response of the backend. */
   private static final String BACKEND = "backend";
 
+  /** Source of a notice in logs: the memory of another node. */
   private static final String PEER = "peer";
 
   private final BackendNotices notices;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -125,8 +125,8 @@
     return admissionQueue;
   }
 
-  /** Refuses queued requests whose instance of the backend takes no new work any more. */
-  void refuseQueuedOfLeaving() {
+  /** Refuses queued requests for instances of the backend that take no new work any more. */
+  void refuseUnacceptedQueued() {
     admissionQueue.refuseQueued(exchange -> !isAccepted(exchange.plan()));
   }
 
@@ -290,11 +290,7 @@
   @Override
   public void dispatch(Exchange exchange) {
     MeshInboundPlan plan = planOf(exchange);
-    exchange
-        .request()
-        .field(NoticeHeader.HEADER)
-        .flatMap(NoticeHeader::decode)
-        .ifPresent(remembered -> backend.recordRememberedNotice(plan.instance(), remembered));
+    recordRememberedNotice(exchange, plan);
     if (!isAccepted(plan)) {
       exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
       return;
@@ -425,6 +421,15 @@
     return Optional.empty();
   }
 
+  /** Records what the sending node remembers of the backend, before its request is admitted. */
+  private void recordRememberedNotice(Exchange exchange, MeshInboundPlan plan) {
+    exchange
+        .request()
+        .field(NoticeHeader.HEADER)
+        .flatMap(NoticeHeader::decode)
+        .ifPresent(remembered -> backend.recordRememberedNotice(plan.instance(), remembered));
+  }
+
   /** Records what a response announces, also if the response is not forwarded. */
   private void recordNotice(Exchange exchange, ResponseHead head) {
     HeaderNames names = settings.headers();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -262,7 +262,7 @@
       proxy.inboundHandler().admissionQueue().resize(backend.slots());
     }
     if (backend.isEvacuated() || backend.isLeaving()) {
-      proxy.inboundHandler().refuseQueuedOfLeaving();
+      proxy.inboundHandler().refuseUnacceptedQueued();
     }
   }
 
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendLoad.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendLoad.java
@@ -4,7 +4,7 @@
  * Load of a backend as reported by the node beside it.
  *
  * @param running requests that hold a slot
- * @param queued requests that wait at that node
+ * @param queued requests that wait at that node; more if a rate limit delays the next start
  * @param slots requests that run concurrently
  * @param serviceMicros mean time that a request holds a slot, microseconds; 0 if not known
  * @param slownessPercent current response time relative to the usual one, percent; 100 as usual,
