Combine the limits of starts without streams, and skip notices where there are none

Admission control asks the limits for each queued request at each arrival, and the combination of both built several streams for each question, in code that runs after each restart before it is compiled. Two fields in place of a list; a node that knows no notice does not look for the start of an instance.

That this is the cause is suspected, not shown; the comparison beside the old code follows.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -210,7 +210,7 @@
 
   /** Returns what an instance has announced, for other nodes; empty if nothing. */
   Optional<NoticeHeader> noticeOf(String instance) {
-    return notices.headerFor(startOf(instance));
+    return notices.isEmpty() ? Optional.empty() : notices.headerFor(startOf(instance));
   }
 
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendNotices.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendNotices.java
@@ -118,6 +118,11 @@
     return Optional.of(new NoticeHeader(start.startTimeMillis(), notice, waitMillis));
   }
 
+  /** Returns whether no backend has announced anything, the usual case on the request path. */
+  boolean isEmpty() {
+    return notices.isEmpty();
+  }
+
   /** Returns whether a start has announced its end. */
   boolean isLeaving(BackendStart start) {
     return notices.isLeaving(start);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/CombinedStartLimiter.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/CombinedStartLimiter.java
@@ -1,49 +1,48 @@
 package io.umberpath.traffic;
 
-import java.util.List;
-
-/** Several limits that all have to allow a start. Thread-safe. */
+/** Two limits that both have to allow a start. Thread-safe. */
 public final class CombinedStartLimiter implements StartLimiter {
-  private final List<StartLimiter> limiters;
+  private final StartLimiter first;
+  private final StartLimiter second;
 
-  /** Combines limits. */
-  public CombinedStartLimiter(StartLimiter... limiters) {
-    this.limiters = List.of(limiters);
+  /** Combines two limits. */
+  public CombinedStartLimiter(StartLimiter first, StartLimiter second) {
+    this.first = first;
+    this.second = second;
   }
 
   @Override
   public boolean canStart(long nowMillis) {
-    return limiters.stream().allMatch(limiter -> limiter.canStart(nowMillis));
+    return first.canStart(nowMillis) && second.canStart(nowMillis);
   }
 
   @Override
   public void recordStart(long nowMillis) {
-    limiters.forEach(limiter -> limiter.recordStart(nowMillis));
+    first.recordStart(nowMillis);
+    second.recordStart(nowMillis);
   }
 
   @Override
   public double waitMillis(long nowMillis, int requestsAhead) {
-    return limiters.stream()
-        .mapToDouble(limiter -> limiter.waitMillis(nowMillis, requestsAhead))
-        .max()
-        .orElse(0);
+    return Math.max(
+        first.waitMillis(nowMillis, requestsAhead), second.waitMillis(nowMillis, requestsAhead));
   }
 
   @Override
   public int usableSlots(long nowMillis, int slots, long serviceMicros) {
-    return limiters.stream()
-        .mapToInt(limiter -> limiter.usableSlots(nowMillis, slots, serviceMicros))
-        .min()
-        .orElse(slots);
+    return Math.min(
+        first.usableSlots(nowMillis, slots, serviceMicros),
+        second.usableSlots(nowMillis, slots, serviceMicros));
   }
 
   @Override
   public double intervalMillis() {
-    return limiters.stream().mapToDouble(StartLimiter::intervalMillis).max().orElse(0);
+    return Math.max(first.intervalMillis(), second.intervalMillis());
   }
 
   @Override
   public void recordRefusal(long nowMillis) {
-    limiters.forEach(limiter -> limiter.recordRefusal(nowMillis));
+    first.recordRefusal(nowMillis);
+    second.recordRefusal(nowMillis);
   }
 }
