--- a/umberpath-model/src/main/java/io/umberpath/model/routing/BackendStart.java
+++ b/umberpath-model/src/main/java/io/umberpath/model/routing/BackendStart.java
@@ -14,9 +14,14 @@
 
   /** Whether this is known to be another start than the given one of the same backend id. */
   public boolean isDifferentFrom(BackendStart other) {
+    return areDifferentStarts(startTimeMillis, other.startTimeMillis);
+  }
+
+  /** Whether both start times of a backend are known and differ. */
+  public static boolean areDifferentStarts(long startTimeMillis, long otherStartTimeMillis) {
     return startTimeMillis != UNKNOWN_START_TIME_MILLIS
-        && other.startTimeMillis != UNKNOWN_START_TIME_MILLIS
-        && startTimeMillis != other.startTimeMillis;
+        && otherStartTimeMillis != UNKNOWN_START_TIME_MILLIS
+        && startTimeMillis != otherStartTimeMillis;
   }
 
   // Implemented explicitly, as it is a map key for each request and during startup; see
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendStats.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendStats.java
@@ -58,9 +58,7 @@
 
   /** Whether both start times are known and differ. */
   boolean isDifferentStart(long otherStartTimeMillis) {
-    return startTimeMillis != BackendStart.UNKNOWN_START_TIME_MILLIS
-        && otherStartTimeMillis != BackendStart.UNKNOWN_START_TIME_MILLIS
-        && startTimeMillis != otherStartTimeMillis;
+    return BackendStart.areDifferentStarts(startTimeMillis, otherStartTimeMillis);
   }
 
   /** Takes start time and slots from the entry of the backend. */
