--- a/review/standins/Backend.java
+++ b/review/standins/Backend.java
@@ -153,6 +153,11 @@
     record.ran(name, request, connection.requests);
   }
 
+  /** Records something else that this backend did. */
+  void note(String what, String details) {
+    record.add(what, name, details);
+  }
+
   static Request read(Connection connection) throws IOException {
     String line = line(connection.in);
     if (line == null) {
