--- a/review/standins/Mesh.java
+++ b/review/standins/Mesh.java
@@ -68,9 +68,10 @@
       record.add("start", "node-" + (index + 1), "process " + process.pid());
     }
 
-    void signal(String signal) throws IOException, InterruptedException {
-      record.add("signal", "node-" + (index + 1), signal);
-      new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    /** Sends SIGTERM. */
+    void stop() {
+      record.add("signal", "node-" + (index + 1), "SIGTERM");
+      process.toHandle().destroy();
     }
 
     boolean isReady() {
--- a/review/standins/NestedEntry.java
+++ b/review/standins/NestedEntry.java
@@ -103,7 +103,7 @@
   /** Not judged: whether a restart helps. */
   private void showRestart() throws IOException, InterruptedException {
     Mesh.Node node = mesh.nodes.get(0);
-    node.signal("TERM");
+    node.stop();
     node.process.waitFor();
     node.start();
     long end = record.millis() + 15_000;
--- a/review/standins/PlannedStop.java
+++ b/review/standins/PlannedStop.java
@@ -76,7 +76,7 @@
       clients.add(thread);
     }
     Thread.sleep(400);
-    stopped.signal("TERM");
+    stopped.stop();
     long begin = record.millis();
     boolean ended = stopped.process.waitFor(GRACE_MILLIS + 1_000, TimeUnit.MILLISECONDS);
     record.add("ended", "node-1", ended ? record.millis() - begin + " ms after SIGTERM" : "not in time");
