Log and count what a node does with the state requests of others

Change: lines state-request-slow (queued, request read, total) and state-connection-dropped, the duration of a failed transfer, a fault line for an exception in a transfer, and metrics for open connections, the oldest one, requests served and dropped, and how long the newest items have been held without being in force. Measured: StatePullerTest, StateSourcesTest, MeshStateLockTest, ChangeBudgetTest and MeshEventTest pass.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -76,6 +76,10 @@
   STATE_ADOPTED(20),
   /** Newer changes could not be fetched from another node. */
   STATE_PULL_FAILED(10),
+  /** A state request of another node took long at this one. */
+  STATE_REQUEST_SLOW(10),
+  /** A connection for a state request was accepted and is not served. */
+  STATE_CONNECTION_DROPPED(10),
   /** This node starts to read the store for its zone, or leaves that to others. */
   STORE_READER(10),
   /** A client's request ended without a response of a backend. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -45,6 +45,8 @@
   private static final MetadataKey<Long> RESPONSE = MetadataKey.single("answerMillis", Long.class);
   private static final MetadataKey<Long> READ = MetadataKey.single("readMillis", Long.class);
   private static final MetadataKey<Long> APPLY = MetadataKey.single("takeMillis", Long.class);
+  private static final MetadataKey<Long> QUEUED = MetadataKey.single("queuedMillis", Long.class);
+  private static final MetadataKey<Long> REQUEST = MetadataKey.single("requestMillis", Long.class);
   private static final MetadataKey<Long> MILLIS = MetadataKey.single("millis", Long.class);
   private static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
 
@@ -372,9 +374,15 @@
         .log("the next round sends again");
   }
 
-  void statePullFailed(String peer, IOException failure) {
+  /**
+   * Logs a transfer that failed.
+   *
+   * @param millis time since it began
+   */
+  void statePullFailed(String peer, IOException failure, long millis) {
     line(MeshEvent.STATE_PULL_FAILED)
         .with(LogFields.ADDRESS, peer)
+        .with(MILLIS, millis)
         .with(CAUSE, String.valueOf(failure.getMessage()))
         .log("trying another node");
   }
@@ -408,6 +416,31 @@
             transfer.facts().departed().size());
   }
 
+  /**
+   * Logs that a state request of another node took long at this one.
+   *
+   * @param outcome "served", or why the connection ended without an answer
+   * @param connections number of open connections of such requests
+   */
+  void stateRequestSlow(String peer, String outcome, StateRequestTimes times, int connections) {
+    line(MeshEvent.STATE_REQUEST_SLOW)
+        .with(LogFields.ADDRESS, peer)
+        .with(LogFields.OUTCOME, outcome)
+        .with(QUEUED, times.queuedMillis())
+        .with(REQUEST, times.requestMillis())
+        .with(MILLIS, times.totalMillis())
+        .with(COUNT, (long) connections)
+        .log("connections of state requests open");
+  }
+
+  /** Logs that this node does not serve a connection that it accepted for a state request. */
+  void stateConnectionDropped(String reason, int connections) {
+    line(MeshEvent.STATE_CONNECTION_DROPPED)
+        .with(CAUSE, reason)
+        .with(COUNT, (long) connections)
+        .log("connections of state requests open");
+  }
+
   static String label(Enum<?> value) {
     return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -187,9 +187,9 @@
     follower.start();
     proxy.start();
     proxy.listen(settings.ready(), new StatusFilter(this::readinessPage));
-    stateServers.add(StateServer.open(settings.exchange(), this::transferFor));
+    serveState(settings.exchange());
     if (settings.control().isPresent()) {
-      stateServers.add(StateServer.open(settings.control().get(), this::transferFor));
+      serveState(settings.control().get());
     }
     if (settings.metricsPort() > 0) {
       PeerAddress address = new PeerAddress(settings.ready().host(), settings.metricsPort());
@@ -206,6 +206,10 @@
     timer.schedule(warmUp::start, SECOND_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  private void serveState(PeerAddress address) throws IOException {
+    stateServers.add(StateServer.open(address, this::transferFor, events, clockMillis));
+  }
+
   private void logChangeBudget() {
     events.changeBudget(ChangeBudget.longest(), settings.changeBoundMillis());
   }
@@ -341,7 +345,14 @@
     Map<String, Supplier<Number>> allGauges = new HashMap<>(gauges());
     allGauges.putAll(MemoryGauges.all());
     metrics.start(
-        allGauges, Map.of("gate.rate.limited", () -> localNotices.rateLimiter().refusedCount()));
+        allGauges,
+        Map.of(
+            "gate.rate.limited",
+            () -> localNotices.rateLimiter().refusedCount(),
+            "state.requests.served",
+            () -> stateServers.stream().mapToLong(StateServer::servedCount).sum(),
+            "state.requests.dropped",
+            () -> stateServers.stream().mapToLong(StateServer::droppedCount).sum()));
   }
 
   private Map<String, Supplier<Number>> gauges() {
@@ -349,6 +360,12 @@
         Map.entry("quarantine.suspects", quarantine::suspectCount),
         Map.entry("quarantine.held", quarantine::quarantinedTargetCount),
         Map.entry("configuration.version", () -> state.view().version()),
+        Map.entry("configuration.pending.seconds", () -> toSeconds(state.pendingMillis())),
+        Map.entry(
+            "state.connections",
+            () -> stateServers.stream().mapToInt(StateServer::connectionCount).sum()),
+        Map.entry(
+            "state.connections.oldest.seconds", () -> toSeconds(oldestStateConnectionMillis())),
         Map.entry("store.revision", () -> state.view().position().revision()),
         Map.entry("configuration.shown.version", () -> state.storeVersion()),
         Map.entry("store.era", () -> state.view().position().era()),
@@ -365,6 +382,14 @@
             () -> proxy.inboundHandler().load().serviceMicros() / MICROS_PER_SECOND));
   }
 
+  private long oldestStateConnectionMillis() {
+    return stateServers.stream().mapToLong(StateServer::oldestConnectionMillis).max().orElse(0);
+  }
+
+  private static double toSeconds(long millis) {
+    return millis / (double) SECOND_MILLIS;
+  }
+
   /** Limit that the local backend announced, requests per second; -1 if there is none. */
   private double announcedRateLimit() {
     RequestRateLimiter limiter = localNotices.rateLimiter();
@@ -376,7 +401,7 @@
     synchronized (state) {
       heardAt = state.watcher().lastResponseMillis();
     }
-    return heardAt < 0 ? -1 : (clockMillis.getAsLong() - heardAt) / (double) SECOND_MILLIS;
+    return heardAt < 0 ? -1 : toSeconds(clockMillis.getAsLong() - heardAt);
   }
 
   private StatusFilter.StatusResponse readinessPage(String path) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -54,6 +54,10 @@
   private StoreItem acceptedItem;
 
   private volatile MeshView view = MeshView.EMPTY;
+
+  /** Since when items are held that are not in force; meaningful only while there are any. */
+  private volatile long pendingSinceMillis;
+
   private volatile Runnable adoptedListener = () -> {};
 
   /**
@@ -137,6 +141,9 @@
    */
   private void updateHeldPosition(boolean isChanged) {
     boolean isApplied = !isChanged && view.isFullyApplied();
+    if (!isApplied && view.isFullyApplied()) {
+      pendingSinceMillis = clockMillis.getAsLong();
+    }
     view =
         isApplied
             ? view.withPosition(watcher.position())
@@ -186,6 +193,11 @@
     return new StateTransfer(changes, facts);
   }
 
+  /** For how long items have been held that are not in force yet, milliseconds. */
+  long pendingMillis() {
+    return view.isFullyApplied() ? 0 : clockMillis.getAsLong() - pendingSinceMillis;
+  }
+
   /** Version of the configuration in the store; -1 before the first. */
   long storeVersion() {
     return storeVersion;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -138,6 +138,8 @@
     boolean isAdopted = false;
     try {
       isAdopted = pull(source, new TransferTimes.Stopwatch(clockMillis, behindMillis));
+    } catch (RuntimeException fault) {
+      events.fault("state transfer from " + source, fault);
     } finally {
       onTransferEnded(source, isAdopted);
     }
@@ -179,7 +181,7 @@
       events.stateAdopted(source.toString(), state.view().version(), transfer, times.adopted());
       return true;
     } catch (IOException failure) {
-      events.statePullFailed(source.toString(), failure);
+      events.statePullFailed(source.toString(), failure, times.elapsedMillis());
       return false;
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferTimes.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferTimes.java
@@ -18,6 +18,7 @@
   static final class Stopwatch {
     private final LongSupplier clockMillis;
     private final long behindMillis;
+    private final long startedMillis;
     private long lastMillis;
     private long connectMillis;
     private long responseMillis;
@@ -26,7 +27,13 @@
     Stopwatch(LongSupplier clockMillis, long behindMillis) {
       this.clockMillis = clockMillis;
       this.behindMillis = behindMillis;
-      this.lastMillis = clockMillis.getAsLong();
+      this.startedMillis = clockMillis.getAsLong();
+      this.lastMillis = startedMillis;
+    }
+
+    /** Time since the transfer started, milliseconds. */
+    long elapsedMillis() {
+      return clockMillis.getAsLong() - startedMillis;
     }
 
     private long lap() {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -132,11 +132,16 @@
             CLOCK);
     StateServer near =
         StateServer.open(
-            new PeerAddress("127.0.0.1", 0), request -> StateChangesCodec.encode(changesTo(4)));
+            new PeerAddress("127.0.0.1", 0),
+            request -> StateChangesCodec.encode(changesTo(4)),
+            events,
+            CLOCK);
     StateServer far =
         StateServer.open(
             new PeerAddress("127.0.0.2", near.port()),
-            request -> StateChangesCodec.encode(changesTo(5)));
+            request -> StateChangesCodec.encode(changesTo(5)),
+            events,
+            CLOCK);
     try (near;
         far;
         StatePuller puller =
@@ -193,7 +198,9 @@
         StateServer other =
             StateServer.open(
                 new PeerAddress("127.0.0.2", unresponsive.getLocalPort()),
-                request -> StateChangesCodec.encode(changesTo(5)));
+                request -> StateChangesCodec.encode(changesTo(5)),
+                events,
+                CLOCK);
         StatePuller puller =
             new StatePuller(settings(other.port()), state, () -> false, events, now::get)) {
       Thread thread = new Thread(() -> acceptWithoutResponse(unresponsive, asked));
