Serve state to other nodes without blocking on any of them

Callers got 404 on routes of an acknowledged configuration, 2.0 to 2.3 s after the acknowledgement. Cause: StateServer had one worker, since an executor without core threads starts a second one only when its queue is full. The worker waited up to 500 ms for the request of each client, and without limit for one that does not read its response. Peers that are paused, cut off, lose power or wait for a retransmission between connecting and reading are such clients; each delayed all nodes that fetch from the same source. Connections beyond the queue were neither answered nor closed, so that their clients waited for their own timeout of 2 s. Evidence: state-request-slow, requests of under 0.23 s queued for 1.6 s (median) to 4.3 s behind others. Change: one thread serves all connections through a selector. A client costs a descriptor and 33 bytes until its request is complete. Connections without progress for 2 s, as long as clients wait, are closed; beyond 256 the one without progress for longest is. A lack of descriptors no longer ends the loop or spins.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -78,8 +78,8 @@
   STATE_PULL_FAILED(10),
   /** A state request of another node took long at this one. */
   STATE_REQUEST_SLOW(10),
-  /** A connection for a state request was accepted and is not served. */
-  STATE_CONNECTION_DROPPED(10),
+  /** Connections for state requests cannot be accepted for a moment. */
+  STATE_ACCEPT_FAILED(2),
   /** This node starts to read the store for its zone, or leaves that to others. */
   STORE_READER(10),
   /** A client's request ended without a response of a backend. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -45,7 +45,7 @@
   private static final MetadataKey<Long> RESPONSE = MetadataKey.single("answerMillis", Long.class);
   private static final MetadataKey<Long> READ = MetadataKey.single("readMillis", Long.class);
   private static final MetadataKey<Long> APPLY = MetadataKey.single("takeMillis", Long.class);
-  private static final MetadataKey<Long> QUEUED = MetadataKey.single("queuedMillis", Long.class);
+  private static final MetadataKey<Long> ENCODE = MetadataKey.single("encodeMillis", Long.class);
   private static final MetadataKey<Long> REQUEST = MetadataKey.single("requestMillis", Long.class);
   private static final MetadataKey<Long> MILLIS = MetadataKey.single("millis", Long.class);
   private static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
@@ -420,23 +420,23 @@
    * Logs that a state request of another node took long at this one.
    *
    * @param outcome "served", or why the connection ended without an answer
-   * @param connections number of open connections of such requests
+   * @param connections number of other open connections of such requests
    */
-  void stateRequestSlow(String peer, String outcome, StateRequestTimes times, int connections) {
+  void stateRequestSlow(StateConnection connection, String outcome, int connections) {
     line(MeshEvent.STATE_REQUEST_SLOW)
-        .with(LogFields.ADDRESS, peer)
+        .with(LogFields.ADDRESS, connection.clientHost())
         .with(LogFields.OUTCOME, outcome)
-        .with(QUEUED, times.queuedMillis())
-        .with(REQUEST, times.requestMillis())
-        .with(MILLIS, times.totalMillis())
+        .with(REQUEST, connection.requestMillis())
+        .with(ENCODE, connection.encodeMillis())
+        .with(MILLIS, connection.ageMillis())
         .with(COUNT, (long) connections)
-        .log("connections of state requests open");
+        .log("other connections of state requests open");
   }
 
-  /** Logs that this node does not serve a connection that it accepted for a state request. */
-  void stateConnectionDropped(String reason, int connections) {
-    line(MeshEvent.STATE_CONNECTION_DROPPED)
-        .with(CAUSE, reason)
+  /** Logs that this node cannot accept connections of state requests for a moment. */
+  void stateAcceptFailed(IOException failure, int connections) {
+    line(MeshEvent.STATE_ACCEPT_FAILED)
+        .with(CAUSE, String.valueOf(failure.getMessage()))
         .with(COUNT, (long) connections)
         .log("connections of state requests open");
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateChangesCodec.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateChangesCodec.java
@@ -34,6 +34,9 @@
  * routes of 200 bytes each shrink to about a tenth).
  */
 final class StateChangesCodec {
+  /** Length of an encoded request. */
+  static final int REQUEST_BYTES = 4 * Long.BYTES + 1;
+
   private static final CBORFactory CBOR = new CBORFactory();
   private static final Departure[] DEPARTURES = Departure.values();
   private static final int MAX_ITEMS = 100_000;
@@ -70,7 +73,7 @@
     return bytes.toByteArray();
   }
 
-  /** Writes a request: four 8-byte numbers and a byte. */
+  /** Writes a request: four 8-byte numbers and a byte, {@link #REQUEST_BYTES} in all. */
   static void write(TransferRequest request, OutputStream stream) throws IOException {
     DataOutputStream out = new DataOutputStream(stream);
     out.writeLong(request.state().after().era());
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -31,7 +31,7 @@
    * Timeout of connecting and of each read, milliseconds: packets that are queued for two seconds
    * at a link come too late for the time within which a change is to be in force.
    */
-  private static final int TIMEOUT_MILLIS = 2_000;
+  static final int TIMEOUT_MILLIS = 2_000;
 
   private final MeshSettings settings;
   private final MeshState state;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
@@ -3,93 +3,101 @@
 import io.umberpath.model.PeerAddress;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.util.Map;
+import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.ThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 /**
  * Serves the state of this node to other nodes. A client sends the position of its own state (see
- * {@link StateChangesCodec#write}) and receives the encoded changes since then.
+ * {@link StateChangesCodec#write}) and receives the encoded changes since then. One thread serves
+ * all connections and blocks on none, so that a client that is paused, cut off or slow delays no
+ * other.
  */
 final class StateServer implements AutoCloseable {
-  private static final int BACKLOG = 64;
-  private static final int MAX_WORKERS = 2;
-  private static final int MAX_QUEUED = 64;
+  /** Nodes of a zone or more may connect at once, after a change or a restart. */
+  private static final int BACKLOG = 256;
 
-  /** How long a client may take to send its request, milliseconds. */
-  private static final int REQUEST_TIMEOUT_MILLIS = 500;
+  /** Limit of open connections, beyond which the one without progress for longest is closed. */
+  private static final int MAX_CONNECTIONS = 256;
 
-  /** Time from accepting a connection to its end from which on a log line is written. */
+  /** Time without progress after which a connection is closed: clients wait no longer either. */
+  private static final long IDLE_TIMEOUT_MILLIS = StatePuller.TIMEOUT_MILLIS;
+
+  /** Time between checks for idle connections while any is open, milliseconds. */
+  private static final long CHECK_MILLIS = 100;
+
+  /** Duration of a connection from which on a log line is written, milliseconds. */
   private static final long SLOW_MILLIS = 200;
 
-  private final ServerSocket server;
+  private static final long UNTIL_READY = 0;
+
+  private final ServerSocketChannel server;
+  private final Selector selector;
+  private final SelectionKey acceptKey;
   private final Function<TransferRequest, byte[]> transferFor;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
-
-  /** Times at which the open connections were accepted. */
-  private final Map<Socket, Long> acceptedMillis = new ConcurrentHashMap<>();
-
+  private final Set<StateConnection> connections = ConcurrentHashMap.newKeySet();
   private final AtomicLong servedCount = new AtomicLong();
   private final AtomicLong droppedCount = new AtomicLong();
-  private final ExecutorService workers =
-      new ThreadPoolExecutor(
-          0,
-          MAX_WORKERS,
-          1,
-          TimeUnit.SECONDS,
-          new LinkedBlockingQueue<>(MAX_QUEUED),
-          StateServer::daemon,
-          (task, executor) -> drop());
+  private long lastCheckMillis;
 
   private StateServer(
-      ServerSocket server,
+      PeerAddress address,
       Function<TransferRequest, byte[]> transferFor,
       MeshEvents events,
-      LongSupplier clockMillis) {
-    this.server = server;
+      LongSupplier clockMillis)
+      throws IOException {
     this.transferFor = transferFor;
     this.events = events;
     this.clockMillis = clockMillis;
+    this.selector = Selector.open();
+    this.server = ServerSocketChannel.open();
+    server.bind(new InetSocketAddress(address.host(), address.port()), BACKLOG);
+    server.configureBlocking(false);
+    this.acceptKey = server.register(selector, SelectionKey.OP_ACCEPT);
   }
 
-  /** Starts listening. */
+  /**
+   * Starts listening.
+   *
+   * @throws IOException if the address cannot be bound
+   */
   static StateServer open(
       PeerAddress address,
       Function<TransferRequest, byte[]> transferFor,
       MeshEvents events,
       LongSupplier clockMillis)
       throws IOException {
-    ServerSocket socket = new ServerSocket();
-    socket.setReuseAddress(true);
-    socket.bind(new InetSocketAddress(address.host(), address.port()), BACKLOG);
-    StateServer server = new StateServer(socket, transferFor, events, clockMillis);
-    daemon(server::accept).start();
-    return server;
+    StateServer opened = new StateServer(address, transferFor, events, clockMillis);
+    Thread thread = new Thread(opened::run, "umberpath-state");
+    thread.setDaemon(true);
+    thread.start();
+    return opened;
   }
 
   /** The port that it listens on. */
   int port() {
-    return server.getLocalPort();
+    return server.socket().getLocalPort();
   }
 
   /** Number of open connections. */
   int connectionCount() {
-    return acceptedMillis.size();
+    return connections.size();
   }
 
   /** Age of the oldest open connection, milliseconds; 0 if there is none. */
   long oldestConnectionMillis() {
-    long now = clockMillis.getAsLong();
-    return acceptedMillis.values().stream().mapToLong(accepted -> now - accepted).max().orElse(0);
+    return connections.stream().mapToLong(StateConnection::ageMillis).max().orElse(0);
   }
 
   /** Number of requests answered. */
@@ -97,71 +105,120 @@
     return servedCount.get();
   }
 
-  /** Number of connections that ended without an answer or were never served. */
+  /** Number of connections that ended without a complete answer. */
   long droppedCount() {
     return droppedCount.get();
   }
 
-  private static Thread daemon(Runnable task) {
-    Thread thread = new Thread(task, "umberpath-state");
-    thread.setDaemon(true);
-    return thread;
+  private void run() {
+    while (selector.isOpen()) {
+      try {
+        step();
+      } catch (ClosedSelectorException closed) {
+        return;
+      } catch (IOException | RuntimeException fault) {
+        events.fault("state server", fault);
+      }
+    }
+  }
+
+  private void step() throws IOException {
+    boolean isIdle = connections.isEmpty() && acceptKey.interestOps() != 0;
+    selector.select(isIdle ? UNTIL_READY : CHECK_MILLIS);
+    for (SelectionKey key : selector.selectedKeys()) {
+      if (key == acceptKey) {
+        accept();
+      } else if (key.isValid()) {
+        advance((StateConnection) key.attachment());
+      }
+    }
+    selector.selectedKeys().clear();
+    closeIdleConnections();
   }
 
   private void accept() {
-    while (!server.isClosed()) {
-      try {
-        Socket peer = server.accept();
-        acceptedMillis.put(peer, clockMillis.getAsLong());
-        workers.execute(() -> serve(peer));
-      } catch (IOException failed) {
-        if (server.isClosed()) {
-          return;
-        }
+    try {
+      SocketChannel client = server.accept();
+      if (client != null) {
+        add(client);
       }
+    } catch (IOException failure) {
+      // Usually a lack of descriptors; accepting resumes with the next check.
+      acceptKey.interestOps(0);
+      events.stateAcceptFailed(failure, connections.size());
     }
   }
 
-  private void drop() {
-    droppedCount.incrementAndGet();
-    events.stateConnectionDropped("queue is full", connectionCount());
-  }
-
-  private void serve(Socket peer) {
-    StateRequestTimes times = new StateRequestTimes(clockMillis, acceptedMillis.get(peer));
-    try (peer) {
-      times.started();
-      peer.setSoTimeout(REQUEST_TIMEOUT_MILLIS);
-      TransferRequest request = StateChangesCodec.readRequest(peer.getInputStream());
-      times.requestRead();
-      peer.getOutputStream().write(transferFor.apply(request));
-      servedCount.incrementAndGet();
-      logIfSlow(peer, times, "served");
+  private void add(SocketChannel client) throws IOException {
+    if (connections.size() >= MAX_CONNECTIONS) {
+      longestIdle().ifPresent(idle -> drop(idle, "too many connections"));
+    }
+    StateConnection connection = new StateConnection(client, selector, clockMillis);
+    connections.add(connection);
+    advance(connection);
+  }
+
+  private Optional<StateConnection> longestIdle() {
+    return connections.stream().max(Comparator.comparingLong(StateConnection::idleMillis));
+  }
+
+  private void advance(StateConnection connection) {
+    boolean hasFailed = true;
+    try {
+      boolean isComplete = connection.advance(transferFor);
+      hasFailed = false;
+      if (isComplete) {
+        servedCount.incrementAndGet();
+        end(connection, "served");
+      }
     } catch (IOException disconnected) {
       // The client logs the failed transfer and retries it, here or at another node.
-      droppedCount.incrementAndGet();
-      logIfSlow(peer, times, String.valueOf(disconnected.getMessage()));
+      hasFailed = false;
+      drop(connection, String.valueOf(disconnected.getMessage()));
     } finally {
-      acceptedMillis.remove(peer);
+      if (hasFailed) {
+        drop(connection, "internal error");
+      }
     }
   }
 
-  private void logIfSlow(Socket peer, StateRequestTimes times, String outcome) {
-    if (times.totalMillis() >= SLOW_MILLIS) {
-      events.stateRequestSlow(
-          peer.getInetAddress().getHostAddress(), outcome, times, connectionCount());
+  private void closeIdleConnections() {
+    long now = clockMillis.getAsLong();
+    if (now < lastCheckMillis + CHECK_MILLIS) {
+      return;
+    }
+    lastCheckMillis = now;
+    acceptKey.interestOps(SelectionKey.OP_ACCEPT);
+    for (StateConnection connection : connections) {
+      if (connection.idleMillis() >= IDLE_TIMEOUT_MILLIS) {
+        drop(connection, "no progress");
+      }
+    }
+  }
+
+  private void drop(StateConnection connection, String reason) {
+    droppedCount.incrementAndGet();
+    end(connection, reason);
+  }
+
+  private void end(StateConnection connection, String outcome) {
+    connections.remove(connection);
+    if (connection.ageMillis() >= SLOW_MILLIS) {
+      events.stateRequestSlow(connection, outcome, connections.size());
     }
+    connection.close();
   }
 
   @Override
   public void close() {
     try {
+      selector.close();
       server.close();
     } catch (IOException ignored) {
       // A failure to close the listener has no effect on the shutdown.
       return;
     } finally {
-      workers.shutdownNow();
+      connections.forEach(StateConnection::close);
     }
   }
 }
