Ask another zone after a source of the own zone that does not respond

A node runs three transfers at most, and asked sources of its own zone as long as any was left. When several of them had announced a change and were then paused or cut off together, all three transfers waited for 2 s, though other zones had the change. Change: once the wait for the own zone is over, a source of another zone follows each source of the own zone that did not respond.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
@@ -40,6 +40,11 @@
     advertisedByHost.put(host, new AdvertisedState(host, version, position));
   }
 
+  /** Whether a node is among the sources. */
+  boolean contains(String host) {
+    return advertisedByHost.containsKey(host);
+  }
+
   /** Whether any node has a newer state. */
   boolean hasNewer(MeshView view) {
     removeOutdated(view);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferSchedule.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferSchedule.java
@@ -191,7 +191,7 @@
     }
     if (behindMillis >= (isReadingStore ? READER_WAIT_MILLIS : OTHER_ZONE_WAIT_MILLIS)) {
       far.nextHost(view, lastSource, isSilent)
-          .ifPresent(host -> sources.add(exchangeAddress(host)));
+          .ifPresent(host -> sources.add(isFarNext() ? 0 : sources.size(), exchangeAddress(host)));
     }
     if (!view.isComplete()) {
       sources.addAll(shuffledSeeds());
@@ -199,6 +199,14 @@
     return sources;
   }
 
+  /**
+   * Whether it is the turn of the other zones: what keeps one node of this zone from responding may
+   * concern all of it, and few transfers run at a time.
+   */
+  private boolean isFarNext() {
+    return lastTried != null && near.contains(lastTried.host());
+  }
+
   private List<PeerAddress> shuffledSeeds() {
     List<PeerAddress> shuffled = new ArrayList<>(seeds);
     Collections.shuffle(shuffled, random.get());
