Keep long-lived threads running after exceptions and errors

Cause: the threads that follow the store, start transfers, serve state and receive reports, the workers of transfers and the tasks of the timer caught some exceptions, each in its own way, and no errors. A StackOverflowError or a lack of memory ended the thread, or the timer's task, for good; the node went on to say that it is ready, and its state was never updated again. Change: SupervisedThread runs steps until it is closed; what escapes from one is logged with its stack, counted in a metric with the task's name, and the next step runs after 1 s. Transfers, datagrams, state requests and tasks of the timer end alone. The lines of transfers move to TransferEvents.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ConfigurationWarmUp.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ConfigurationWarmUp.java
@@ -24,16 +24,14 @@
 
   /** Starts a thread for the warm-up, which takes too long for a task of the timer. */
   void start() {
-    Thread thread = new Thread(this::run, "umberpath-warm-up");
-    thread.setDaemon(true);
-    thread.start();
+    MeshTask.WARM_UP.newThread(this::run).start();
   }
 
   private void run() {
     try {
       parseExample();
-    } catch (RuntimeException fault) {
-      events.fault("warm-up", fault);
+    } catch (RuntimeException | Error fault) {
+      events.fault(MeshTask.WARM_UP, fault);
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.common.flogger.LogSite;
 import com.google.common.flogger.MetadataKey;
-import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreResponse;
 import io.umberpath.model.routing.BackendEntry;
@@ -19,6 +18,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
 /**
@@ -33,24 +33,17 @@
   private static final MetadataKey<String> SOURCE = MetadataKey.single("source", String.class);
   private static final MetadataKey<String> LIMIT = MetadataKey.single("limit", String.class);
   private static final MetadataKey<String> ZONE = MetadataKey.single("zone", String.class);
-  private static final MetadataKey<String> CAUSE = MetadataKey.single("cause", String.class);
+  static final MetadataKey<String> CAUSE = MetadataKey.single("cause", String.class);
   private static final MetadataKey<String> FINGERPRINT =
       MetadataKey.single("fingerprint", String.class);
   private static final MetadataKey<Long> REVISION = MetadataKey.single("revision", Long.class);
-  private static final MetadataKey<String> POSITION = MetadataKey.single("position", String.class);
-  private static final MetadataKey<Long> CONFIGURATION =
-      MetadataKey.single("configuration", Long.class);
-  private static final MetadataKey<Long> BEHIND = MetadataKey.single("behindMillis", Long.class);
-  private static final MetadataKey<Long> CONNECT = MetadataKey.single("connectMillis", Long.class);
-  private static final MetadataKey<Long> RESPONSE = MetadataKey.single("answerMillis", Long.class);
-  private static final MetadataKey<Long> READ = MetadataKey.single("readMillis", Long.class);
-  private static final MetadataKey<Long> APPLY = MetadataKey.single("takeMillis", Long.class);
-  private static final MetadataKey<Long> ENCODE = MetadataKey.single("encodeMillis", Long.class);
-  private static final MetadataKey<Long> REQUEST = MetadataKey.single("requestMillis", Long.class);
-  private static final MetadataKey<Long> MILLIS = MetadataKey.single("millis", Long.class);
-  private static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
+  static final MetadataKey<String> POSITION = MetadataKey.single("position", String.class);
+  static final MetadataKey<Long> CONFIGURATION = MetadataKey.single("configuration", Long.class);
+  static final MetadataKey<Long> MILLIS = MetadataKey.single("millis", Long.class);
+  static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
 
   private final LongSupplier clockMillis;
+  private final Map<MeshTask, AtomicLong> faultCounts = new EnumMap<>(MeshTask.class);
   private final Map<MeshEvent, LogRateLimiter> rateLimiters = new EnumMap<>(MeshEvent.class);
 
   /**
@@ -60,6 +53,9 @@
    */
   public MeshEvents(LongSupplier clockMillis) {
     this.clockMillis = clockMillis;
+    for (MeshTask task : MeshTask.values()) {
+      faultCounts.put(task, new AtomicLong());
+    }
     for (MeshEvent event : MeshEvent.values()) {
       rateLimiters.put(event, new LogRateLimiter(event.linesPerSecond()));
     }
@@ -70,6 +66,11 @@
     return new RequestEvents(this);
   }
 
+  /** Returns the log for state transfers between nodes; it shares this log's rate limits. */
+  TransferEvents transfers() {
+    return new TransferEvents(this);
+  }
+
   FluentLogger.Api line(MeshEvent event) {
     return line(event, tryAcquireLine(event));
   }
@@ -374,19 +375,6 @@
         .log("the next round sends again");
   }
 
-  /**
-   * Logs a transfer that failed.
-   *
-   * @param millis time since it began
-   */
-  void statePullFailed(String peer, IOException failure, long millis) {
-    line(MeshEvent.STATE_PULL_FAILED)
-        .with(LogFields.ADDRESS, peer)
-        .with(MILLIS, millis)
-        .with(CAUSE, String.valueOf(failure.getMessage()))
-        .log("trying another node");
-  }
-
   /**
    * Logs that this node starts or stops reading the store.
    *
@@ -396,51 +384,6 @@
     line(MeshEvent.STORE_READER).with(CAUSE, inputs).log("%s", reads ? "begins" : "ends");
   }
 
-  void stateAdopted(String peer, long version, StateTransfer transfer, TransferTimes times) {
-    StoreChanges changes = transfer.changes();
-    line(MeshEvent.STATE_ADOPTED)
-        .with(LogFields.ADDRESS, peer)
-        .with(CONFIGURATION, version)
-        .with(POSITION, changes.position().toString())
-        .with(BEHIND, times.behindMillis())
-        .with(CONNECT, times.connectMillis())
-        .with(RESPONSE, times.responseMillis())
-        .with(READ, times.readMillis())
-        .with(APPLY, times.adoptMillis())
-        .log(
-            "%s: %d items, %d patches; facts: %d configurations, %d departures",
-            changes.isWhole() ? "whole state" : "changes",
-            changes.items().size(),
-            changes.patches().size(),
-            transfer.facts().configuration().isPresent() ? 1 : 0,
-            transfer.facts().departed().size());
-  }
-
-  /**
-   * Logs that a state request of another node took long at this one.
-   *
-   * @param outcome "served", or why the connection ended without an answer
-   * @param connections number of other open connections of such requests
-   */
-  void stateRequestSlow(StateConnection connection, String outcome, int connections) {
-    line(MeshEvent.STATE_REQUEST_SLOW)
-        .with(LogFields.ADDRESS, connection.clientHost())
-        .with(LogFields.OUTCOME, outcome)
-        .with(REQUEST, connection.requestMillis())
-        .with(ENCODE, connection.encodeMillis())
-        .with(MILLIS, connection.ageMillis())
-        .with(COUNT, (long) connections)
-        .log("other connections of state requests open");
-  }
-
-  /** Logs that this node cannot accept connections of state requests for a moment. */
-  void stateAcceptFailed(IOException failure, int connections) {
-    line(MeshEvent.STATE_ACCEPT_FAILED)
-        .with(CAUSE, String.valueOf(failure.getMessage()))
-        .with(COUNT, (long) connections)
-        .log("connections of state requests open");
-  }
-
   static String label(Enum<?> value) {
     return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
@@ -484,7 +427,19 @@
     line(MeshEvent.REQUEST_TRIED).with(FINGERPRINT, request.text()).log("once more");
   }
 
-  void fault(String location, Throwable fault) {
-    line(MeshEvent.FAULT).withCause(fault).log("%s", location);
+  /** Logs and counts an exception or error that escaped from a task, which continues. */
+  void fault(MeshTask task, Throwable fault) {
+    faultCounts.get(task).incrementAndGet();
+    try {
+      line(MeshEvent.FAULT).withCause(fault).log("%s", task.label());
+    } catch (RuntimeException | Error unlogged) {
+      // For example a second lack of memory; the count remains.
+      return;
+    }
+  }
+
+  /** Returns how many exceptions and errors escaped from a task. */
+  long faultCount(MeshTask task) {
+    return faultCounts.get(task).get();
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -77,7 +77,7 @@
   private final String readyPath;
   private final List<StateServer> stateServers = new ArrayList<>();
   private final ScheduledExecutorService timer =
-      Executors.newSingleThreadScheduledExecutor(MeshNode::timerThread);
+      Executors.newSingleThreadScheduledExecutor(MeshTask.TIMER::newThread);
   private final AtomicBoolean isAnnouncementScheduled = new AtomicBoolean();
   private final EncodedTransferCache transferCache = new EncodedTransferCache();
   // Timer tasks, created once. Creating them for each tick allocated 120 objects a second, slowly
@@ -167,12 +167,6 @@
     return peers.isResponsibleFor(request.text());
   }
 
-  private static Thread timerThread(Runnable task) {
-    Thread thread = new Thread(task, "umberpath-timer");
-    thread.setDaemon(true);
-    return thread;
-  }
-
   /**
    * Starts listening and following the store.
    *
@@ -203,7 +197,7 @@
     timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     // Deferred, because a starting node serves no requests until it listens and has a state.
     timer.schedule(() -> runGuarded(this::logChangeBudget), SECOND_MILLIS, TimeUnit.MILLISECONDS);
-    timer.schedule(warmUp::start, SECOND_MILLIS, TimeUnit.MILLISECONDS);
+    timer.schedule(() -> runGuarded(warmUp::start), SECOND_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void serveState(PeerAddress address) throws IOException {
@@ -250,12 +244,12 @@
     }
   }
 
-  /** Keeps an exception from the timer, which would cancel the periodic task. */
+  /** Keeps exceptions and errors from the timer, which would cancel the periodic task. */
   private void runGuarded(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException fault) {
-      events.fault("timer", fault);
+    } catch (RuntimeException | Error fault) {
+      events.fault(MeshTask.TIMER, fault);
     }
   }
 
@@ -344,15 +338,22 @@
   private void startMetrics() {
     Map<String, Supplier<Number>> allGauges = new HashMap<>(gauges());
     allGauges.putAll(MemoryGauges.all());
-    metrics.start(
-        allGauges,
-        Map.of(
-            "gate.rate.limited",
-            () -> localNotices.rateLimiter().refusedCount(),
-            "state.requests.served",
-            () -> stateServers.stream().mapToLong(StateServer::servedCount).sum(),
-            "state.requests.dropped",
-            () -> stateServers.stream().mapToLong(StateServer::droppedCount).sum()));
+    metrics.start(allGauges, counters());
+  }
+
+  private Map<String, Supplier<Number>> counters() {
+    Map<String, Supplier<Number>> counters = new HashMap<>();
+    counters.put("gate.rate.limited", () -> localNotices.rateLimiter().refusedCount());
+    counters.put(
+        "state.requests.served",
+        () -> stateServers.stream().mapToLong(StateServer::servedCount).sum());
+    counters.put(
+        "state.requests.dropped",
+        () -> stateServers.stream().mapToLong(StateServer::droppedCount).sum());
+    for (MeshTask task : MeshTask.values()) {
+      counters.put("task." + task.label() + ".faults", () -> events.faultCount(task));
+    }
+    return counters;
   }
 
   private Map<String, Supplier<Number>> gauges() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ReportSocket.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ReportSocket.java
@@ -22,6 +22,9 @@
     void handle(PeerDatagram message) throws IOException;
   }
 
+  /** One byte more than allowed, so that a datagram that is too long is noticed. */
+  private static final int BUFFER_BYTES = PeerDatagram.MAX_BYTES + 1;
+
   private final PeerAddress listenAddress;
   private final Receiver receiver;
   private final MeshEvents events;
@@ -29,7 +32,11 @@
   /** Resolved socket addresses by host. */
   private final Map<String, InetSocketAddress> addresses = new ConcurrentHashMap<>();
 
-  private final Thread thread = new Thread(this::receive, "umberpath-reports");
+  private final SupervisedThread thread;
+
+  /** Confined to the thread. */
+  private final DatagramPacket packet = new DatagramPacket(new byte[BUFFER_BYTES], BUFFER_BYTES);
+
   private volatile DatagramSocket socket;
 
   /**
@@ -41,6 +48,7 @@
     this.listenAddress = listenAddress;
     this.receiver = receiver;
     this.events = events;
+    this.thread = new SupervisedThread(MeshTask.REPORTS, this::receive, events);
   }
 
   /**
@@ -50,7 +58,6 @@
    */
   void open() throws IOException {
     socket = new DatagramSocket(new InetSocketAddress(listenAddress.host(), listenAddress.port()));
-    thread.setDaemon(true);
     thread.start();
   }
 
@@ -87,35 +94,22 @@
             host, absent -> new InetSocketAddress(absent, listenAddress.port()));
   }
 
-  private void receive() {
-    int size = PeerDatagram.MAX_BYTES + 1;
-    DatagramPacket packet = new DatagramPacket(new byte[size], size);
-    while (!socket.isClosed()) {
-      try {
-        packet.setLength(size);
-        socket.receive(packet);
-        handle(packet);
-      } catch (IOException ended) {
-        if (socket.isClosed()) {
-          return;
-        }
-        events.fault("reports", ended);
-      } catch (RuntimeException fault) {
-        events.fault("peer report", fault);
-      }
-    }
-  }
-
-  private void handle(DatagramPacket packet) {
+  private void receive() throws IOException {
+    packet.setLength(BUFFER_BYTES);
+    socket.receive(packet);
     try {
       receiver.handle(PeerDatagram.decode(packet.getData(), packet.getLength()));
     } catch (IOException malformed) {
       events.reportRefused(packet.getAddress().getHostAddress(), malformed);
+    } catch (RuntimeException | Error fault) {
+      // Without the pause of the thread: one sender must not keep out the reports of all others.
+      events.fault(MeshTask.REPORTS, fault);
     }
   }
 
   @Override
   public void close() {
+    thread.close();
     DatagramSocket openSocket = socket;
     if (openSocket != null) {
       openSocket.close();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -38,9 +38,9 @@
   private final BooleanSupplier isReadingStore;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
-  private final Thread thread = new Thread(this::run, "umberpath-puller");
-  private final ExecutorService workers = Executors.newCachedThreadPool(StatePuller::daemon);
-  private volatile boolean closed;
+  private final SupervisedThread thread;
+  private final ExecutorService workers =
+      Executors.newCachedThreadPool(MeshTask.TRANSFER::newThread);
 
   /** Whether a patch of another node did not apply to an item of this one. */
   private volatile boolean needsFullState;
@@ -69,19 +69,13 @@
             settings.exchange().port(),
             settings.isFirstStart(),
             ThreadLocalRandom::current);
-  }
-
-  private static Thread daemon(Runnable task) {
-    Thread worker = new Thread(task, "umberpath-transfer");
-    worker.setDaemon(true);
-    return worker;
+    this.thread = new SupervisedThread(MeshTask.PULLER, this::step, events);
   }
 
   void start() {
     synchronized (this) {
       schedule.start(clockMillis.getAsLong());
     }
-    thread.setDaemon(true);
     thread.start();
   }
 
@@ -102,18 +96,10 @@
     notifyAll();
   }
 
-  private void run() {
-    while (!closed) {
-      try {
-        awaitBehind();
-        startDueTransfer();
-        Thread.sleep(CHECK_INTERVAL_MILLIS);
-      } catch (InterruptedException ended) {
-        return;
-      } catch (RuntimeException fault) {
-        events.fault("state puller", fault);
-      }
-    }
+  private void step() throws InterruptedException {
+    awaitBehind();
+    startDueTransfer();
+    Thread.sleep(CHECK_INTERVAL_MILLIS);
   }
 
   private synchronized void awaitBehind() throws InterruptedException {
@@ -138,8 +124,8 @@
     boolean isAdopted = false;
     try {
       isAdopted = pull(source, new TransferTimes.Stopwatch(clockMillis, behindMillis));
-    } catch (RuntimeException fault) {
-      events.fault("state transfer from " + source, fault);
+    } catch (RuntimeException | Error fault) {
+      events.fault(MeshTask.TRANSFER, fault);
     } finally {
       onTransferEnded(source, isAdopted);
     }
@@ -178,10 +164,12 @@
       if (needsFullState) {
         throw new IOException("a patch does not fit the item that it is for");
       }
-      events.stateAdopted(source.toString(), state.view().version(), transfer, times.adopted());
+      events
+          .transfers()
+          .adopted(source.toString(), state.view().version(), transfer, times.adopted());
       return true;
     } catch (IOException failure) {
-      events.statePullFailed(source.toString(), failure, times.elapsedMillis());
+      events.transfers().pullFailed(source.toString(), failure, times.elapsedMillis());
       return false;
     }
   }
@@ -202,8 +190,7 @@
 
   @Override
   public void close() {
-    closed = true;
-    thread.interrupt();
+    thread.close();
     workers.shutdownNow();
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
@@ -3,7 +3,6 @@
 import io.umberpath.model.PeerAddress;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.channels.ClosedSelectorException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -46,6 +45,7 @@
   private final Function<TransferRequest, byte[]> transferFor;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
+  private final SupervisedThread thread;
   private final Set<StateConnection> connections = ConcurrentHashMap.newKeySet();
   private final AtomicLong servedCount = new AtomicLong();
   private final AtomicLong droppedCount = new AtomicLong();
@@ -65,6 +65,7 @@
     server.bind(new InetSocketAddress(address.host(), address.port()), BACKLOG);
     server.configureBlocking(false);
     this.acceptKey = server.register(selector, SelectionKey.OP_ACCEPT);
+    this.thread = new SupervisedThread(MeshTask.STATE, this::step, events);
   }
 
   /**
@@ -79,9 +80,7 @@
       LongSupplier clockMillis)
       throws IOException {
     StateServer opened = new StateServer(address, transferFor, events, clockMillis);
-    Thread thread = new Thread(opened::run, "umberpath-state");
-    thread.setDaemon(true);
-    thread.start();
+    opened.thread.start();
     return opened;
   }
 
@@ -110,18 +109,6 @@
     return droppedCount.get();
   }
 
-  private void run() {
-    while (selector.isOpen()) {
-      try {
-        step();
-      } catch (ClosedSelectorException closed) {
-        return;
-      } catch (IOException | RuntimeException fault) {
-        events.fault("state server", fault);
-      }
-    }
-  }
-
   private void step() throws IOException {
     boolean isIdle = connections.isEmpty() && acceptKey.interestOps() != 0;
     selector.select(isIdle ? UNTIL_READY : CHECK_MILLIS);
@@ -145,7 +132,7 @@
     } catch (IOException failure) {
       // Usually a lack of descriptors; accepting resumes with the next check.
       acceptKey.interestOps(0);
-      events.stateAcceptFailed(failure, connections.size());
+      events.transfers().acceptFailed(failure, connections.size());
     }
   }
 
@@ -163,22 +150,17 @@
   }
 
   private void advance(StateConnection connection) {
-    boolean hasFailed = true;
     try {
-      boolean isComplete = connection.advance(transferFor);
-      hasFailed = false;
-      if (isComplete) {
+      if (connection.advance(transferFor)) {
         servedCount.incrementAndGet();
         end(connection, "served");
       }
     } catch (IOException disconnected) {
       // The client logs the failed transfer and retries it, here or at another node.
-      hasFailed = false;
       drop(connection, String.valueOf(disconnected.getMessage()));
-    } finally {
-      if (hasFailed) {
-        drop(connection, "internal error");
-      }
+    } catch (RuntimeException | Error fault) {
+      drop(connection, "internal error");
+      events.fault(MeshTask.STATE, fault);
     }
   }
 
@@ -204,13 +186,14 @@
   private void end(StateConnection connection, String outcome) {
     connections.remove(connection);
     if (connection.ageMillis() >= SLOW_MILLIS) {
-      events.stateRequestSlow(connection, outcome, connections.size());
+      events.transfers().requestSlow(connection, outcome, connections.size());
     }
     connection.close();
   }
 
   @Override
   public void close() {
+    thread.close();
     try {
       selector.close();
       server.close();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -36,16 +36,13 @@
    */
   private static final long WATCH_GRACE_MILLIS = 600;
 
-  /** Pause after an unexpected exception, so that a recurring one does not cause a busy loop. */
-  private static final long FAULT_PAUSE_MILLIS = 1_000;
-
   private static final long NEVER = -1;
 
   private final MeshState state;
   private final StoreClient client;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
-  private final Thread thread = new Thread(this::run, "umberpath-store");
+  private final SupervisedThread thread;
   private volatile boolean closed;
   private volatile StoreContact contact = StoreContact.FROM_START;
   private volatile Supplier<ReadDecision> readPolicy =
@@ -67,6 +64,7 @@
     this.client = client;
     this.events = events;
     this.clockMillis = clockMillis;
+    this.thread = new SupervisedThread(MeshTask.STORE, this::step, events);
   }
 
   /** Sets the policy that decides whether this node calls the store; without one it does. */
@@ -80,7 +78,6 @@
   }
 
   void start() {
-    thread.setDaemon(true);
     thread.start();
   }
 
@@ -108,27 +105,6 @@
     return ReportedContact.of(isLate ? new StoreContact(false, respondedAt) : contact, now);
   }
 
-  private void run() {
-    while (!closed) {
-      try {
-        step();
-      } catch (InterruptedException ended) {
-        return;
-      } catch (RuntimeException fault) {
-        events.fault("store follower", fault);
-        pauseAfterFault();
-      }
-    }
-  }
-
-  private void pauseAfterFault() {
-    try {
-      Thread.sleep(FAULT_PAUSE_MILLIS);
-    } catch (InterruptedException ended) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private void step() throws InterruptedException {
     if (!updateReading()) {
       boolean isStarting = !state.view().position().isKnown();
@@ -222,6 +198,6 @@
   public void close() {
     closed = true;
     client.close();
-    thread.interrupt();
+    thread.close();
   }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StoreFollowerTest.java
@@ -68,6 +68,35 @@
     }
   }
 
+  /** An error ended the thread, and the node never learned of any change again. */
+  @Test
+  void errorInACallDoesNotEndTheThread() throws Exception {
+    MeshEvents events = new MeshEvents(CLOCK);
+    StoreWatcher watcher = new StoreWatcher("", StoreWatchTimings.PROMPT, () -> 0.5);
+    MeshState state = new MeshState(new FakeStoreItemParser(), watcher, events, CLOCK);
+    AtomicBoolean isFirst = new AtomicBoolean(true);
+    CountingClient counting = new CountingClient();
+    StoreClient client =
+        new StoreClient() {
+          @Override
+          public StoreResponse call(StoreRequest call) {
+            if (isFirst.getAndSet(false)) {
+              throw new StackOverflowError("on purpose");
+            }
+            return counting.call(call);
+          }
+
+          @Override
+          public void close() {}
+        };
+    try (StoreFollower follower = new StoreFollower(state, client, events, CLOCK)) {
+      follower.start();
+
+      await(() -> counting.calls.get() > 0);
+      assertThat(events.faultCount(MeshTask.STORE)).isEqualTo(1);
+    }
+  }
+
   private static void await(BooleanSupplier condition) throws InterruptedException {
     long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
     while (!condition.getAsBoolean()) {
