Apply held items again after an attempt that failed

Cause: a configuration that is held counts as up to date, for this node and for others. If parsing it ended with an error, for example for lack of memory, nothing parsed it again until the next change; if that happened at the begin of a new era of the store, the item counted as applied, and was never in force. Change: the timer applies held items again, on a thread of its own, once nothing has applied them for 0.5 s. An item counts as seen only after it was parsed. A node whose held state is not in force for 10 s is not ready. Measured: MeshStateTest, two cases; with the item marked before it is parsed, configurationThatCouldNotBeParsedBeforeANewEraIsInForceAfterARetry fails.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -50,6 +50,12 @@
   /** Backend crashes during a request that quarantine it: the fewest that identify it alone. */
   static final int CRASHES_TO_QUARANTINE = 3;
 
+  /**
+   * How long a node that holds a newer state than the one in force counts as ready, milliseconds:
+   * several attempts to apply it.
+   */
+  private static final long MAX_PENDING_MILLIS = 10_000;
+
   private static final long SECOND_MILLIS = 1_000;
   private static final int TICKS_PER_SECOND = (int) (SECOND_MILLIS / TICK_MILLIS);
   private static final int OK = 200;
@@ -271,6 +277,9 @@
   }
 
   private void runEverySecond() {
+    if (state.isRefreshOverdue()) {
+      MeshTask.REFRESH.newThread(this::refreshAgain).start();
+    }
     events.logDroppedLines();
     quarantine.removeExpired();
     proxy.closeIdleConnections();
@@ -279,6 +288,15 @@
     }
   }
 
+  /** Applies held items again, on a thread of its own since parsing may take long. */
+  private void refreshAgain() {
+    try {
+      state.refresh("retry");
+    } catch (RuntimeException | Error fault) {
+      events.fault(MeshTask.REFRESH, fault);
+    }
+  }
+
   private void reportToPeers() {
     attester.tick();
     peers.tick(report());
@@ -409,7 +427,8 @@
     if (!path.equals(readyPath)) {
       return new StatusFilter.StatusResponse(NOT_FOUND, "");
     }
-    boolean isReady = state.view().isComplete() && !isStopping;
+    boolean isUpToDate = state.pendingMillis() < MAX_PENDING_MILLIS;
+    boolean isReady = state.view().isComplete() && isUpToDate && !isStopping;
     return new StatusFilter.StatusResponse(
         isReady ? OK : UNAVAILABLE, isReady ? "ready" : "not ready");
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 
 /**
@@ -31,6 +32,9 @@
  * {@link #view} never blocks.
  */
 final class MeshState {
+  /** How long items are held before they are applied again after a failed attempt, milliseconds. */
+  private static final long REFRESH_RETRY_MILLIS = 500;
+
   private final StoreItemParser parser;
   private final ConfigurationReader configurations;
   private final StoreWatcher watcher;
@@ -58,6 +62,7 @@
   /** Since when items are held that are not in force; meaningful only while there are any. */
   private volatile long pendingSinceMillis;
 
+  private final AtomicInteger activeRefreshes = new AtomicInteger();
   private volatile Runnable adoptedListener = () -> {};
 
   /**
@@ -216,9 +221,22 @@
 
   /** Applies the watcher's items after they have changed. */
   void refresh(String source) {
-    // Parsed before taking the lock, which the timer and state requests of peers wait for.
-    configurationItem().ifPresent(configurations::read);
-    applyItems(source);
+    activeRefreshes.incrementAndGet();
+    try {
+      // Parsed before taking the lock, which the timer and state requests of peers wait for.
+      configurationItem().ifPresent(configurations::read);
+      applyItems(source);
+    } finally {
+      activeRefreshes.decrementAndGet();
+    }
+  }
+
+  /**
+   * Whether items have been held for a while that nothing is applying, since an exception or error
+   * ended the attempt.
+   */
+  boolean isRefreshOverdue() {
+    return pendingMillis() >= REFRESH_RETRY_MILLIS && activeRefreshes.get() == 0;
   }
 
   private synchronized Optional<StoreItem> configurationItem() {
@@ -278,8 +296,9 @@
     if (item.equals(storeConfigurationItem)) {
       return;
     }
-    storeConfigurationItem = item;
     OptionalLong version = acceptIfNewer(item, source);
+    // Only now: an item whose parsing was interrupted by an error is to be parsed again.
+    storeConfigurationItem = item;
     storeVersion = version.orElse(storeVersion);
     if (version.isPresent() && version.getAsLong() < accepted.version()) {
       events.configurationOlder(accepted.version(), storeVersion, item.revision(), source);
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.mesh;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.umberpath.control.store.StoreChanges;
 import io.umberpath.control.store.StoreFacts;
@@ -8,6 +9,8 @@
 import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.RoutingConfiguration;
+import io.vavr.control.Either;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
@@ -116,4 +119,64 @@
     state.adopt(whole(6, List.of(new StoreItem("a", "80", 6))), "peer");
     assertThat(state.view().backends()).isNotSameAs(before);
   }
+
+  /** Fails to parse a configuration, as for lack of memory, a number of times. */
+  private static final class FailingParser extends FakeStoreItemParser {
+    private int failures;
+
+    FailingParser(int failures) {
+      this.failures = failures;
+    }
+
+    @Override
+    public Either<String, RoutingConfiguration> parseConfiguration(StoreItem item) {
+      if (failures-- > 0) {
+        throw new OutOfMemoryError("on purpose");
+      }
+      return super.parseConfiguration(item);
+    }
+  }
+
+  private MeshState stateWithFailingParser(int failures) {
+    return new MeshState(
+        new FailingParser(failures),
+        new StoreWatcher("", StoreWatchTimings.PROMPT, () -> 0.5),
+        new MeshEvents(() -> 0),
+        now::get);
+  }
+
+  private static void adoptWithError(MeshState target, StateTransfer transfer) {
+    assertThatThrownBy(() -> target.adopt(transfer, "peer")).isInstanceOf(OutOfMemoryError.class);
+  }
+
+  @Test
+  void configurationThatCouldNotBeParsedAtFirstIsInForceAfterARetry() {
+    MeshState failing = stateWithFailingParser(1);
+    adoptWithError(failing, whole(5, List.of(new StoreItem("configuration", "booking@7", 5))));
+    assertThat(failing.view().version()).isEqualTo(-1);
+    assertThat(failing.isRefreshOverdue()).isFalse();
+
+    now.addAndGet(1_000);
+    assertThat(failing.pendingMillis()).isEqualTo(1_000);
+    assertThat(failing.isRefreshOverdue()).isTrue();
+    failing.refresh("retry");
+
+    assertThat(failing.view().version()).isEqualTo(7);
+    assertThat(failing.pendingMillis()).isZero();
+    assertThat(failing.isRefreshOverdue()).isFalse();
+  }
+
+  /** The item counted as applied although it never was, and was not parsed again. */
+  @Test
+  void configurationThatCouldNotBeParsedBeforeANewEraIsInForceAfterARetry() {
+    MeshState failing = stateWithFailingParser(2);
+    List<StoreItem> items = List.of(new StoreItem("configuration", "booking@7", 5));
+    adoptWithError(failing, whole(new StorePosition(1, 5), items));
+    adoptWithError(failing, whole(new StorePosition(2, 5), items));
+
+    now.addAndGet(1_000);
+    failing.refresh("retry");
+
+    assertThat(failing.view().version()).isEqualTo(7);
+  }
 }
