--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -330,10 +330,19 @@
   }
 
   private Optional<BackendEntry> parseBackend(StoreItem item) {
-    Either<String, BackendEntry> parsed = parser.parseBackend(item);
+    Either<String, BackendEntry> parsed = parseBackendSafely(item);
     if (parsed.isLeft()) {
       events.backendRefused(item.key(), item.revision(), parsed.getLeft());
     }
     return parsed.toJavaOptional();
   }
+
+  /** Any client may have written the entry: one that breaks the parser must not affect others. */
+  private Either<String, BackendEntry> parseBackendSafely(StoreItem item) {
+    try {
+      return parser.parseBackend(item);
+    } catch (RuntimeException | StackOverflowError unexpected) {
+      return Either.left(item.key() + ": " + unexpected);
+    }
+  }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -179,4 +179,34 @@
 
     assertThat(failing.view().version()).isEqualTo(7);
   }
+
+  @Test
+  void entryThatBreaksTheParserDoesNotAffectOthers() {
+    MeshState robust =
+        new MeshState(
+            new FakeStoreItemParser() {
+              @Override
+              public Either<String, BackendEntry> parseBackend(StoreItem item) {
+                if (item.key().equals("foreign")) {
+                  throw new StackOverflowError("on purpose");
+                }
+                return super.parseBackend(item);
+              }
+            },
+            new StoreWatcher("", StoreWatchTimings.PROMPT, () -> 0.5),
+            new MeshEvents(() -> 0),
+            now::get);
+
+    robust.adopt(
+        whole(
+            5,
+            List.of(
+                new StoreItem("configuration", "booking@7", 5),
+                new StoreItem("foreign", "x", 3),
+                new StoreItem("a", "80", 4))),
+        "peer");
+
+    assertThat(robust.view().version()).isEqualTo(7);
+    assertThat(robust.view().backends().byId("a")).isPresent();
+  }
 }
