--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ConfigurationWarmUp.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ConfigurationWarmUp.java
@@ -24,15 +24,9 @@
 
   /** Starts a thread for the warm-up, which takes too long for a task of the timer. */
   void start() {
-    MeshTask.WARM_UP.newThread(this::run).start();
-  }
-
-  private void run() {
-    try {
-      parseExample();
-    } catch (RuntimeException | Error fault) {
-      events.fault(MeshTask.WARM_UP, fault);
-    }
+    MeshTask.WARM_UP
+        .newThread(() -> events.runGuarded(MeshTask.WARM_UP, this::parseExample))
+        .start();
   }
 
   /** Parses the example unless a large configuration has already been parsed. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/GracefulShutdown.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/GracefulShutdown.java
@@ -95,11 +95,12 @@
     long cutOffReserveMillis =
         Math.min(MAX_CUT_OFF_RESERVE_MILLIS, graceMillis / CUT_OFF_RESERVE_DIVISOR);
     long cutOffMillis = startMillis + graceMillis - cutOffReserveMillis;
-    proxy.refuseLateClientRequests(startMillis + CLIENTS_REFUSED_MILLIS, cutOffMillis);
+    attempt(
+        () -> proxy.refuseLateClientRequests(startMillis + CLIENTS_REFUSED_MILLIS, cutOffMillis));
     awaitIdle(startMillis, cutOffMillis);
     // No request is forwarded from here on: there might not be enough time for the response.
-    backend.startDraining();
-    proxy.refuseClientRequests();
+    attempt(backend::startDraining);
+    attempt(proxy::refuseClientRequests);
     proxy.endConnections(cutOffMillis);
     int inFlightAtEnd = proxy.inFlight();
     int cutOff = proxy.abortAll();
@@ -123,13 +124,14 @@
       long now = clockMillis.getAsLong();
       if (!peersNotified && now >= startMillis + PEERS_NOTIFIED_MILLIS) {
         peersNotified = true;
-        notifyPeers.run();
+        attempt(notifyPeers);
       }
       if (now >= startMillis + PEERS_REFUSED_MILLIS) {
-        backend.startDraining();
+        attempt(backend::startDraining);
       }
       if (now >= startMillis + CLIENTS_REFUSED_MILLIS) {
-        refuseClientRequests(now >= endMillis - NESTED_CALLS_REFUSED_RESERVE_MILLIS);
+        boolean isTooLateForNestedCalls = now >= endMillis - NESTED_CALLS_REFUSED_RESERVE_MILLIS;
+        attempt(() -> refuseClientRequests(isTooLateForNestedCalls));
       }
       idleSinceMillis = proxy.inFlight() > 0 ? now : idleSinceMillis;
       if (now >= startMillis + CLIENT_NOTICE_MILLIS && now >= idleSinceMillis + MIN_IDLE_MILLIS) {
@@ -139,6 +141,11 @@
     }
   }
 
+  /** Runs a step; one that fails must not keep requests in flight from being finished. */
+  private void attempt(Runnable step) {
+    events.runGuarded(MeshTask.SHUTDOWN, step);
+  }
+
   /**
    * Refuses clients' requests, unless the backend is busy and there is still time for its nested
    * calls.
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -368,7 +368,7 @@
         .log("datagram dropped");
   }
 
-  void reportUnsent(String host, IOException unreachable) {
+  void reportUnsent(String host, Exception unreachable) {
     line(MeshEvent.REPORT_UNSENT)
         .with(LogFields.ADDRESS, host)
         .with(CAUSE, String.valueOf(unreachable.getMessage()))
@@ -438,6 +438,20 @@
     }
   }
 
+  /** Logs that the shutdown ended early. */
+  public void stopFailed(RuntimeException fault) {
+    fault(MeshTask.SHUTDOWN, fault);
+  }
+
+  /** Runs an action; an exception or error in it is logged and counted for the task. */
+  void runGuarded(MeshTask task, Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException | Error fault) {
+      fault(task, fault);
+    }
+  }
+
   /** Returns how many exceptions and errors escaped from a task. */
   long faultCount(MeshTask task) {
     return faultCounts.get(task).get();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -252,11 +252,7 @@
 
   /** Keeps exceptions and errors from the timer, which would cancel the periodic task. */
   private void runGuarded(Runnable task) {
-    try {
-      task.run();
-    } catch (RuntimeException | Error fault) {
-      events.fault(MeshTask.TIMER, fault);
-    }
+    events.runGuarded(MeshTask.TIMER, task);
   }
 
   private void sweep() {
@@ -278,7 +274,9 @@
 
   private void runEverySecond() {
     if (state.isRefreshOverdue()) {
-      MeshTask.REFRESH.newThread(this::refreshAgain).start();
+      // On a thread of its own, since parsing may take long.
+      Runnable refresh = () -> state.refresh("retry");
+      MeshTask.REFRESH.newThread(() -> events.runGuarded(MeshTask.REFRESH, refresh)).start();
     }
     events.logDroppedLines();
     quarantine.removeExpired();
@@ -288,15 +286,6 @@
     }
   }
 
-  /** Applies held items again, on a thread of its own since parsing may take long. */
-  private void refreshAgain() {
-    try {
-      state.refresh("retry");
-    } catch (RuntimeException | Error fault) {
-      events.fault(MeshTask.REFRESH, fault);
-    }
-  }
-
   private void reportToPeers() {
     attester.tick();
     peers.tick(report());
@@ -439,7 +428,7 @@
    */
   public void stop() throws InterruptedException {
     // First, so that a client that sees this node as not ready gets no persistent connection.
-    proxy.startDraining();
+    events.runGuarded(MeshTask.SHUTDOWN, proxy::startDraining);
     isStopping = true;
     new GracefulShutdown(proxy, backend, this::reportBackendDraining, events, clockMillis)
         .run(settings.graceMillis());
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshTask.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshTask.java
@@ -19,7 +19,9 @@
   /** Parses an example configuration after the start. */
   WARM_UP,
   /** Applies held items again after a failed attempt. */
-  REFRESH;
+  REFRESH,
+  /** Shuts the node down. */
+  SHUTDOWN;
 
   private final String label = name().toLowerCase(Locale.ROOT).replace('_', '-');
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ReportSocket.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ReportSocket.java
@@ -79,7 +79,7 @@
     for (String host : hosts) {
       try {
         socket.send(new DatagramPacket(bytes, bytes.length, addressOf(host)));
-      } catch (IOException unreachable) {
+      } catch (IOException | IllegalArgumentException unreachable) {
         // The next report makes up for it; a node that receives none treats this one as silent.
         events.reportUnsent(host, unreachable);
       }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/SupervisedThreadTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/SupervisedThreadTest.java
@@ -57,6 +57,21 @@
     throw (Exception) fault;
   }
 
+  @ParameterizedTest
+  @MethodSource("faults")
+  void faultInAGuardedActionIsCounted(Throwable fault) {
+    events.runGuarded(MeshTask.SHUTDOWN, () -> throwUnchecked(fault));
+
+    assertThat(events.faultCount(MeshTask.SHUTDOWN)).isEqualTo(1);
+  }
+
+  private static void throwUnchecked(Throwable fault) {
+    if (fault instanceof Error error) {
+      throw error;
+    }
+    throw new IllegalStateException(fault);
+  }
+
   @Test
   void closingEndsTheThreadWithoutAFault() throws Exception {
     CountDownLatch started = new CountDownLatch(1);
