Believe only a response that carries the id of the request at work

Cause: MeshInboundHandler compared the id only if the response had one. Late surplus bytes that read as 400, 421, 429 or 503 without an id counted as a promise that the request at work had not run, and it was sent to a second backend; what they announced (limit, departure, load, instance) counted too. Change: a response without the id of the request says nothing: the request may have run, the connection is closed, and nothing in it is recorded.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -400,25 +400,21 @@
   @Override
   public Optional<Refusal> refusalInResponse(Exchange exchange, ResponseHead head) {
     HeaderNames names = settings.headers();
-    speed.recordLoadReport(head.field(names.backendLoad()).orElse(null));
     MeshInboundPlan plan = planOf(exchange);
-    recordNotice(exchange, head);
-    Optional<String> echoedRequestId = head.field(names.requestId());
-    if (echoedRequestId.isPresent() && !echoedRequestId.get().equals(plan.requestId())) {
+    if (!head.field(names.requestId()).equals(Optional.of(plan.requestId()))) {
+      // Surplus bytes of an earlier response, or no response at all: they say nothing of this one.
       return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
     }
+    speed.recordLoadReport(head.field(names.backendLoad()).orElse(null));
+    recordNotice(exchange, head);
     Optional<String> instance = head.field(names.instance());
     if (head.status() == MISDIRECTED) {
       instance.ifPresent(other -> backend.recordRespondingInstance(plan.instance(), other));
     }
     boolean notExecuted = head.field(names.notExecuted()).isPresent();
-    if (notExecuted || head.status() == MISDIRECTED) {
-      return Optional.of(new Refusal(new Verdict.NotRun(Verdict.Reason.REJECTED), 0, true));
-    }
-    if (echoedRequestId.isEmpty()) {
-      return Optional.of(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER));
-    }
-    return Optional.empty();
+    return notExecuted || head.status() == MISDIRECTED
+        ? Optional.of(new Refusal(new Verdict.NotRun(Verdict.Reason.REJECTED), 0, true))
+        : Optional.empty();
   }
 
   /** Records what the sending node remembers of the backend, before its request is admitted. */
@@ -430,15 +426,12 @@
         .ifPresent(remembered -> backend.recordRememberedNotice(plan.instance(), remembered));
   }
 
-  /** Records what a response announces, also if the response is not forwarded. */
+  /** Records what a response to the current request announces, also if it is not forwarded. */
   private void recordNotice(Exchange exchange, ResponseHead head) {
-    HeaderNames names = settings.headers();
     MeshInboundPlan plan = planOf(exchange);
-    boolean isOwnResponse =
-        head.field(names.requestId()).filter(id -> !id.equals(plan.requestId())).isEmpty();
-    Optional<String> instance = head.field(names.instance());
+    Optional<String> instance = head.field(settings.headers().instance());
     boolean isFromUnknownInstance = head.status() == MISDIRECTED && instance.isEmpty();
-    if (isOwnResponse && !isFromUnknownInstance) {
+    if (!isFromUnknownInstance) {
       long sentMillis = clockMillis.getAsLong() - exchange.history().sinceSentMillis();
       backend.recordNotice(instance.orElse(plan.instance()), head, sentMillis);
     }
