--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateConnection.java
@@ -3,7 +3,7 @@
 import java.io.ByteArrayInputStream;
 import java.io.EOFException;
 import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.net.InetAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -117,11 +117,8 @@
 
   /** Address of the client. */
   String clientHost() {
-    return channel.socket().getInetAddress() == null
-        ? "unknown"
-        : ((InetSocketAddress) channel.socket().getRemoteSocketAddress())
-            .getAddress()
-            .getHostAddress();
+    InetAddress address = channel.socket().getInetAddress();
+    return address == null ? "unknown" : address.getHostAddress();
   }
 
   void close() {
