State connections: say which calls other threads may make

Three fields were volatile though only the server's thread reads them; other threads use the age, from a final field. Measured: StateServerTest and StatePullerTest pass.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateConnection.java
@@ -13,7 +13,8 @@
 
 /**
  * A connection on which another node requests state: reading the request, then writing the
- * response, then closed. Only its times may be read by other threads.
+ * response, then closed. Confined to the thread of its server, except for {@link #ageMillis} and
+ * {@link #close}.
  */
 final class StateConnection {
   /** Limits the temporary buffer that a write of heap memory takes. */
@@ -30,9 +31,9 @@
   /** Null until the request is complete. */
   private ByteBuffer response;
 
-  private volatile long progressMillis;
-  private volatile long requestReadMillis = NOT_YET;
-  private volatile long encodedMillis = NOT_YET;
+  private long progressMillis;
+  private long requestReadMillis = NOT_YET;
+  private long encodedMillis = NOT_YET;
 
   /** Registers an accepted connection. */
   StateConnection(SocketChannel channel, Selector selector, LongSupplier clockMillis)
