Show in which phase a transfer fails, what a node holds, and the error of an encoding

Cause of the second: OutOfMemoryError is one shared instance. try-with-resources closed the generator, which wrote and ran out of memory again, and Throwable.addSuppressed refuses the same instance; its IllegalArgumentException hid the error. Change: the generator is closed on success alone. state-pull-failed names the phase. Gauges umberpath_state_items and umberpath_state_value_characters tell how much a node holds of the store and would send to a node that starts.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -374,6 +374,8 @@
             () -> stateServers.stream().mapToInt(StateServer::connectionCount).sum()),
         Map.entry(
             "state.connections.oldest.seconds", () -> toSeconds(oldestStateConnectionMillis())),
+        Map.entry("state.items", state::itemCount),
+        Map.entry("state.value.characters", state::valueCharacters),
         Map.entry("store.revision", () -> state.view().position().revision()),
         Map.entry("configuration.shown.version", () -> state.storeVersion()),
         Map.entry("store.era", () -> state.view().position().era()),
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -203,6 +203,16 @@
     return view.isFullyApplied() ? 0 : clockMillis.getAsLong() - pendingSinceMillis;
   }
 
+  /** Number of items held. */
+  synchronized int itemCount() {
+    return watcher.items().size();
+  }
+
+  /** Length of the values of the items held, characters. */
+  synchronized long valueCharacters() {
+    return watcher.items().stream().mapToLong(item -> item.value().length()).sum();
+  }
+
   /** Version of the configuration in the store; -1 before the first. */
   long storeVersion() {
     return storeVersion;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateChangesCodec.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateChangesCodec.java
@@ -47,24 +47,13 @@
   private StateChangesCodec() {}
 
   static byte[] encode(StateTransfer transfer) {
-    StoreChanges changes = transfer.changes();
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-    try (JsonGenerator out = CBOR.createGenerator(new DeflaterOutputStream(bytes, deflater))) {
-      out.writeStartArray();
-      write(out, changes.after());
-      write(out, changes.position());
-      write(out, transfer.facts());
-      for (StoreEvent.Delete deleted : changes.removed()) {
-        write(out, deleted.key(), null, deleted.revision());
-      }
-      for (StoreItem item : changes.items()) {
-        write(out, item.key(), item.value(), item.revision());
-      }
-      for (ItemPatch patch : changes.patches()) {
-        write(out, patch);
-      }
-      out.writeEndArray();
+    try {
+      // Closed only on success: closing also writes, and a second error would hide the first.
+      JsonGenerator out = CBOR.createGenerator(new DeflaterOutputStream(bytes, deflater));
+      write(out, transfer);
+      out.close();
     } catch (IOException impossible) {
       throw new IllegalStateException("failed to encode changes", impossible);
     } finally {
@@ -73,6 +62,24 @@
     return bytes.toByteArray();
   }
 
+  private static void write(JsonGenerator out, StateTransfer transfer) throws IOException {
+    StoreChanges changes = transfer.changes();
+    out.writeStartArray();
+    write(out, changes.after());
+    write(out, changes.position());
+    write(out, transfer.facts());
+    for (StoreEvent.Delete deleted : changes.removed()) {
+      write(out, deleted.key(), null, deleted.revision());
+    }
+    for (StoreItem item : changes.items()) {
+      write(out, item.key(), item.value(), item.revision());
+    }
+    for (ItemPatch patch : changes.patches()) {
+      write(out, patch);
+    }
+    out.writeEndArray();
+  }
+
   /** Writes a request: four 8-byte numbers and a byte, {@link #REQUEST_BYTES} in all. */
   static void write(TransferRequest request, OutputStream stream) throws IOException {
     DataOutputStream out = new DataOutputStream(stream);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -169,7 +169,7 @@
           .adopted(source.toString(), state.view().version(), transfer, times.adopted());
       return true;
     } catch (IOException failure) {
-      events.transfers().pullFailed(source.toString(), failure, times.elapsedMillis());
+      events.transfers().pullFailed(source.toString(), failure, times);
       return false;
     }
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferEvents.java
@@ -9,6 +9,7 @@
  * Writes the log lines of state transfers, at the node that requests and at the one that serves.
  */
 final class TransferEvents {
+  private static final MetadataKey<String> PHASE = MetadataKey.single("phase", String.class);
   private static final MetadataKey<Long> BEHIND = MetadataKey.single("behindMillis", Long.class);
   private static final MetadataKey<Long> CONNECT = MetadataKey.single("connectMillis", Long.class);
   private static final MetadataKey<Long> RESPONSE = MetadataKey.single("answerMillis", Long.class);
@@ -26,13 +27,14 @@
   /**
    * Logs a transfer that failed.
    *
-   * @param millis time since it began
+   * @param times of the transfer, which tell its phase
    */
-  void pullFailed(String peer, IOException failure, long millis) {
+  void pullFailed(String peer, IOException failure, TransferTimes.Stopwatch times) {
     events
         .line(MeshEvent.STATE_PULL_FAILED)
         .with(LogFields.ADDRESS, peer)
-        .with(MeshEvents.MILLIS, millis)
+        .with(MeshEvents.MILLIS, times.elapsedMillis())
+        .with(PHASE, MeshEvents.label(times.phase()))
         .with(MeshEvents.CAUSE, String.valueOf(failure.getMessage()))
         .log("trying another node");
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferTimes.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferTimes.java
@@ -14,11 +14,21 @@
 record TransferTimes(
     long behindMillis, long connectMillis, long responseMillis, long readMillis, long adoptMillis) {
 
+  /** Phase of a transfer. */
+  enum Phase {
+    CONNECT,
+    /** Waits for the first byte of the response. */
+    RESPONSE,
+    READ,
+    ADOPT
+  }
+
   /** Measures the phases of a transfer. */
   static final class Stopwatch {
     private final LongSupplier clockMillis;
     private final long behindMillis;
     private final long startedMillis;
+    private Phase phase = Phase.CONNECT;
     private long lastMillis;
     private long connectMillis;
     private long responseMillis;
@@ -36,6 +46,11 @@
       return clockMillis.getAsLong() - startedMillis;
     }
 
+    /** The phase that the transfer is in. */
+    Phase phase() {
+      return phase;
+    }
+
     private long lap() {
       long previousMillis = lastMillis;
       lastMillis = clockMillis.getAsLong();
@@ -44,14 +59,17 @@
 
     void connected() {
       connectMillis = lap();
+      phase = Phase.RESPONSE;
     }
 
     void responseStarted() {
       responseMillis = lap();
+      phase = Phase.READ;
     }
 
     void responseRead() {
       readMillis = lap();
+      phase = Phase.ADOPT;
     }
 
     TransferTimes adopted() {
