Neither hold nor pass on store items of no use

Callers saw nothing yet; a node that started while its own reads failed was not ready for 8 s and more, since its sources answered with "no response". Change: entries are parsed as they arrive. One that cannot be used counts as removed: the position advances, nothing is held, and nodes that are behind learn of a removal. A page names the key after which the next one begins, since its last usable item may not be its last. Why it works: what a node holds and sends is bounded by what it can use, whatever else the store has. Measured: MeshStateTest#itemOfNoUseIsNeitherHeldNorSentToOtherNodes failed before (4 items held in place of 1) and passes.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreEvent.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreEvent.java
@@ -21,6 +21,13 @@
     }
   }
 
+  /**
+   * An item was written that is of no use, which counts as removed.
+   *
+   * @param reason names the field and its value
+   */
+  record Unusable(String key, long revision, String reason) implements StoreEvent {}
+
   /** An item was removed. */
   record Delete(String key, long revision) implements StoreEvent {}
 }
--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreResponse.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreResponse.java
@@ -1,6 +1,7 @@
 package io.umberpath.control.store;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /** Outcome of a call to the store. */
@@ -16,12 +17,26 @@
   /**
    * A page of items; the pages of one read do not form a snapshot.
    *
-   * @param items in key order
-   * @param hasMore whether more pages follow
+   * @param items the usable items, in key order
+   * @param nextAfter key after which the next page begins; empty on the last page
    * @param position the store's position
    */
-  record Page(List<StoreItem> items, boolean hasMore, StorePosition position)
+  record Page(List<StoreItem> items, Optional<String> nextAfter, StorePosition position)
       implements StoreResponse {
+    /** A page that lists all its items. */
+    public Page(List<StoreItem> items, boolean hasMore, StorePosition position) {
+      this(items, hasMore ? lastKey(items) : Optional.empty(), position);
+    }
+
+    private static Optional<String> lastKey(List<StoreItem> items) {
+      return items.isEmpty() ? Optional.empty() : Optional.of(items.get(items.size() - 1).key());
+    }
+
+    /** Whether more pages follow. */
+    public boolean hasMore() {
+      return nextAfter.isPresent();
+    }
+
     @Override
     public OptionalLong era() {
       return OptionalLong.of(position.era());
--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -183,8 +183,8 @@
       firstPagePosition = page.position();
     }
     page.items().forEach(item -> pendingItems.put(item.key(), item));
-    if (page.hasMore() && !page.items().isEmpty()) {
-      lastKey = page.items().get(page.items().size() - 1).key();
+    if (page.hasMore()) {
+      lastKey = page.nextAfter().get();
       return false;
     }
     isReading = false;
@@ -259,7 +259,7 @@
       items.put(event.key(), put.item());
       return true;
     }
-    recordRemoval((StoreEvent.Delete) event);
+    recordRemoval(new StoreEvent.Delete(event.key(), event.revision()));
     return items.remove(event.key()) != null;
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -351,6 +351,7 @@
   private Map<String, Supplier<Number>> counters() {
     Map<String, Supplier<Number>> counters = new HashMap<>();
     counters.put("gate.rate.limited", () -> localNotices.rateLimiter().refusedCount());
+    counters.put("store.items.refused", state::refusedItemCount);
     counters.put(
         "state.requests.served",
         () -> stateServers.stream().mapToLong(StateServer::servedCount).sum());
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -11,15 +11,12 @@
 import io.umberpath.control.store.StorePosition;
 import io.umberpath.control.store.StoreResponse;
 import io.umberpath.control.store.StoreWatcher;
-import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.umberpath.traffic.routing.RoutingTable;
 import io.vavr.control.Either;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -40,9 +37,7 @@
   private final StoreWatcher watcher;
   private final MeshEvents events;
 
-  /** Parsed backend entries by item; empty for an item that cannot be parsed. */
-  private final Map<StoreItem, Optional<BackendEntry>> parsedEntries = new HashMap<>();
-
+  private final StoreItemValidator validator;
   private final BackendListing listing = new BackendListing();
   private final LongSupplier clockMillis;
 
@@ -74,6 +69,7 @@
       StoreItemParser parser, StoreWatcher watcher, MeshEvents events, LongSupplier clockMillis) {
     this.parser = parser;
     this.configurations = new ConfigurationReader(parser);
+    this.validator = new StoreItemValidator(parser, events);
     this.watcher = watcher;
     this.events = events;
     this.clockMillis = clockMillis;
@@ -163,7 +159,7 @@
   synchronized boolean handleResponse(long nowMillis, StoreResponse response) {
     response.era().ifPresent(this::applyBeforeNewEra);
     StorePosition before = watcher.position();
-    boolean isChanged = watcher.onResponse(nowMillis, response);
+    boolean isChanged = watcher.onResponse(nowMillis, validator.validate(response));
     boolean hasAdvanced = isChanged || !watcher.position().equals(before);
     if (hasAdvanced) {
       updateHeldPosition(true);
@@ -203,6 +199,11 @@
     return view.isFullyApplied() ? 0 : clockMillis.getAsLong() - pendingSinceMillis;
   }
 
+  /** Number of items of the store that were refused since the start. */
+  long refusedItemCount() {
+    return validator.refusedCount();
+  }
+
   /** Number of items held. */
   synchronized int itemCount() {
     return watcher.items().size();
@@ -264,12 +265,14 @@
       if (parser.isConfigurationKey(item.key())) {
         handleStoreConfiguration(item, source);
       } else if (parser.isBackendKey(item.key())) {
-        backendEntry(item).ifPresent(entry -> entries.add(new StoredEntry(entry, item.revision())));
+        validator
+            .backendEntry(item)
+            .peek(entry -> entries.add(new StoredEntry(entry, item.revision())));
       } else {
         parser.evacuatedZone(item.key()).ifPresent(evacuated::add);
       }
     }
-    parsedEntries.keySet().retainAll(new HashSet<>(items));
+    validator.retain(new HashSet<>(items));
     if (accepted != view.configuration()) {
       table = configurations.routingTable(accepted);
     }
@@ -334,25 +337,4 @@
     }
     return OptionalLong.of(configuration.version());
   }
-
-  private Optional<BackendEntry> backendEntry(StoreItem item) {
-    return parsedEntries.computeIfAbsent(item, this::parseBackend);
-  }
-
-  private Optional<BackendEntry> parseBackend(StoreItem item) {
-    Either<String, BackendEntry> parsed = parseBackendSafely(item);
-    if (parsed.isLeft()) {
-      events.backendRefused(item.key(), item.revision(), parsed.getLeft());
-    }
-    return parsed.toJavaOptional();
-  }
-
-  /** Any client may have written the entry: one that breaks the parser must not affect others. */
-  private Either<String, BackendEntry> parseBackendSafely(StoreItem item) {
-    try {
-      return parser.parseBackend(item);
-    } catch (RuntimeException | StackOverflowError unexpected) {
-      return Either.left(item.key() + ": " + unexpected);
-    }
-  }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -3,15 +3,21 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.umberpath.control.store.StateRequest;
 import io.umberpath.control.store.StoreChanges;
+import io.umberpath.control.store.StoreEvent;
 import io.umberpath.control.store.StoreFacts;
 import io.umberpath.control.store.StoreItem;
 import io.umberpath.control.store.StorePosition;
+import io.umberpath.control.store.StoreRequest;
+import io.umberpath.control.store.StoreResponse;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
@@ -209,4 +215,78 @@
     assertThat(robust.view().version()).isEqualTo(7);
     assertThat(robust.view().backends().byId("a")).isPresent();
   }
+
+  private static StoreItem ofNoUse(String key, long revision) {
+    return new StoreItem(key, "", revision);
+  }
+
+  private void receive(StoreResponse response) {
+    state.handleResponse(0, response);
+    state.refresh("store");
+  }
+
+  private static StoreResponse page(long at, StoreItem... items) {
+    return new StoreResponse.Page(
+        List.of(items), false, new StorePosition(StorePosition.NO_ERA, at));
+  }
+
+  private static StoreResponse events(long at, StoreItem... items) {
+    List<StoreEvent> events = new ArrayList<>();
+    for (StoreItem item : items) {
+      events.add(new StoreEvent.Put(item));
+    }
+    return new StoreResponse.Events(events, new StorePosition(StorePosition.NO_ERA, at));
+  }
+
+  private static TransferRequest requestSince(StorePosition held) {
+    return new TransferRequest(new StateRequest(held, StateRequest.NO_ITEM), -1, false);
+  }
+
+  /** Entries of another writer were held, and sent to other nodes before the configuration. */
+  @Test
+  void itemOfNoUseIsNeitherHeldNorSentToOtherNodes() {
+    StoreItem backend = new StoreItem("a", "80", 3);
+    receive(page(5, backend, ofNoUse("foreign-1", 4), ofNoUse("foreign-2", 5)));
+    receive(events(7, ofNoUse("foreign-3", 6), ofNoUse("foreign-1", 7)));
+
+    assertThat(state.itemCount()).isEqualTo(1);
+    StateTransfer transfer = state.transferFor(requestSince(StorePosition.UNKNOWN));
+    assertThat(transfer.changes().items()).containsExactly(backend);
+    assertThat(ready()).containsExactly("a");
+    assertThat(state.refusedItemCount()).isEqualTo(4);
+  }
+
+  @Test
+  void backendWhoseEntryIsOverwrittenByOneOfNoUseIsGoneAtOtherNodesToo() {
+    StoreItem other = new StoreItem("b", "81", 2);
+    receive(page(3, other, new StoreItem("a", "80", 3)));
+    MeshState peer =
+        new MeshState(
+            new FakeStoreItemParser(),
+            new StoreWatcher("", StoreWatchTimings.PROMPT, () -> 0.5),
+            new MeshEvents(() -> 0),
+            now::get);
+    peer.adopt(state.transferFor(requestSince(StorePosition.UNKNOWN)), "source");
+    assertThat(peer.itemCount()).isEqualTo(2);
+
+    receive(events(4, ofNoUse("a", 4)));
+    peer.adopt(state.transferFor(requestSince(peer.view().position())), "source");
+
+    assertThat(ready()).containsExactly("b");
+    assertThat(peer.view().backends().byId("a")).isEmpty();
+    assertThat(peer.view().backends().byId("b")).isPresent();
+  }
+
+  @Test
+  void readContinuesAfterAPageOfItemsOfNoUse() {
+    state.handleResponse(
+        0,
+        new StoreResponse.Page(
+            List.of(ofNoUse("foreign-1", 1), ofNoUse("foreign-2", 2)),
+            true,
+            new StorePosition(StorePosition.NO_ERA, 3)));
+
+    assertThat(state.watcher().nextStep(0))
+        .isEqualTo(new StoreWatcher.Step.Call(new StoreRequest.Read("", Optional.of("foreign-2"))));
+  }
 }
