--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreResponse.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreResponse.java
@@ -17,15 +17,20 @@
   /**
    * A page of items; the pages of one read do not form a snapshot.
    *
-   * @param items the usable items, in key order
+   * @param items the followed items, in key order
+   * @param unusable the followed items that are of no use
    * @param nextAfter key after which the next page begins; empty on the last page
    * @param position the store's position
    */
-  record Page(List<StoreItem> items, Optional<String> nextAfter, StorePosition position)
+  record Page(
+      List<StoreItem> items,
+      List<StoreEvent.Unusable> unusable,
+      Optional<String> nextAfter,
+      StorePosition position)
       implements StoreResponse {
-    /** A page that lists all its items. */
+    /** A page whose items are all of use. */
     public Page(List<StoreItem> items, boolean hasMore, StorePosition position) {
-      this(items, hasMore ? lastKey(items) : Optional.empty(), position);
+      this(items, List.of(), hasMore ? lastKey(items) : Optional.empty(), position);
     }
 
     private static Optional<String> lastKey(List<StoreItem> items) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreItemValidator.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreItemValidator.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 
 /**
  * Parses backend entries and removes those that are of no use from the store's responses, so that
@@ -82,11 +83,12 @@
   /** The response without the items that are of no use. */
   StoreResponse validate(StoreResponse response) {
     if (response instanceof StoreResponse.Page page) {
+      page.unusable().forEach(this::logUnusable);
       List<StoreItem> usable = page.items().stream().filter(this::isUsable).toList();
-      return new StoreResponse.Page(usable, page.nextAfter(), page.position());
+      return new StoreResponse.Page(usable, List.of(), page.nextAfter(), page.position());
     }
     if (response instanceof StoreResponse.Events changes) {
-      List<StoreEvent> valid = changes.events().stream().map(this::validate).toList();
+      List<StoreEvent> valid = changes.events().stream().flatMap(this::validate).toList();
       return new StoreResponse.Events(valid, changes.position());
     }
     return response;
@@ -96,11 +98,28 @@
     return !parser.isBackendKey(item.key()) || backendEntry(item).isRight();
   }
 
-  private StoreEvent validate(StoreEvent change) {
+  private Stream<StoreEvent> validate(StoreEvent change) {
+    if (change instanceof StoreEvent.Unusable unusable) {
+      logUnusable(unusable);
+      // A configuration stays until a usable one replaces it.
+      return parser.isConfigurationKey(unusable.key()) ? Stream.empty() : Stream.of(unusable);
+    }
     if (change instanceof StoreEvent.Put put && parser.isBackendKey(put.key())) {
-      return backendEntry(put.item())
-          .fold(reason -> new StoreEvent.Unusable(put.key(), put.revision(), reason), entry -> put);
+      return Stream.of(validateEntry(put));
+    }
+    return Stream.of(change);
+  }
+
+  private StoreEvent validateEntry(StoreEvent.Put put) {
+    return backendEntry(put.item())
+        .fold(reason -> new StoreEvent.Unusable(put.key(), put.revision(), reason), entry -> put);
+  }
+
+  private void logUnusable(StoreEvent.Unusable unusable) {
+    if (parser.isConfigurationKey(unusable.key())) {
+      events.configurationRefused(unusable.revision(), unusable.reason(), "store");
+    } else {
+      refuse(unusable.key(), unusable.revision(), unusable.reason());
     }
-    return change;
   }
 }
