Read the store by pages after a response to a watch that cannot be read

Callers got 404 on later routes while the store's response to a watch could not be read to its end: broken off, or malformed. Cause: the watcher took such a response for no response and repeated the watch from the same position, which got the same response; nothing else was tried. Change: a response that ends early or is malformed is Unreadable, a state of its own. After one to a watch the watcher reads all items by pages, which the store limits in size, and backs off between attempts while watches stay unreadable. Line `store-response-unreadable` with its cause.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreResponse.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreResponse.java
@@ -77,7 +77,14 @@
   record Throttled() implements StoreResponse {}
 
   /**
-   * No response, or an unusable one; the outcome is unknown.
+   * The store answered, but its response could not be read to the end.
+   *
+   * @param cause description for the log
+   */
+  record Unreadable(String cause) implements StoreResponse {}
+
+  /**
+   * No response, or an error.
    *
    * @param cause description for the log
    */
--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -11,9 +11,9 @@
 
 /**
  * Follows the items with a key prefix: reads all of them, then watches from the position of the
- * first page, and reads again when the store no longer has that position or is in a newer era.
- * Changes are applied by position, so duplicate or late ones have no effect. The owner synchronizes
- * access.
+ * first page, and reads again when the store no longer has that position, is in a newer era, or
+ * sends a response that cannot be read. Changes are applied by position, so duplicate or late ones
+ * have no effect. The owner synchronizes access.
  */
 public final class StoreWatcher {
   /** The next action of the caller. */
@@ -51,7 +51,7 @@
   /** Era of the position from which the last watch started. */
   private long watchedEra = StorePosition.NO_ERA;
 
-  /** Rejected watches since the last successful one. */
+  /** Watches that were rejected or unreadable since the last successful one. */
   private int consecutiveRejectedWatches;
 
   private boolean isReading = true;
@@ -113,10 +113,19 @@
       return applyEvents(nowMillis, events);
     }
     if (response instanceof StoreResponse.HistoryGone) {
-      onHistoryExpired(nowMillis);
+      lastResponseMillis = nowMillis;
+      onWatchRejected(nowMillis);
       return false;
     }
-    if (response instanceof StoreResponse.Unavailable && isReading) {
+    if (response instanceof StoreResponse.Unreadable && !isReading) {
+      // The same watch would get the same response, of any size. Pages are limited.
+      onWatchRejected(nowMillis);
+      return false;
+    }
+    boolean isReadBroken =
+        response instanceof StoreResponse.Unavailable
+            || response instanceof StoreResponse.Unreadable;
+    if (isReadBroken && isReading) {
       startRead();
     }
     backOff(nowMillis);
@@ -138,11 +147,10 @@
   }
 
   /**
-   * Starts a new read. Backs off if the store also rejects the position of a completed read, so
-   * that the watcher does not read in a tight loop.
+   * Starts a new read. Backs off if the watch after a completed read was rejected too, so that the
+   * watcher does not read in a tight loop.
    */
-  private void onHistoryExpired(long nowMillis) {
-    lastResponseMillis = nowMillis;
+  private void onWatchRejected(long nowMillis) {
     startRead();
     if (consecutiveRejectedWatches > 0) {
       failures = consecutiveRejectedWatches;
--- a/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
+++ b/umberpath-control/src/test/java/io/umberpath/control/store/StoreWatcherTest.java
@@ -289,4 +289,45 @@
     assertThat(other.adopt(watcher.changesSince(StateRequest.WHOLE))).isEqualTo(Adoption.CHANGED);
     assertThat(other.items()).containsExactlyInAnyOrderElementsOf(watcher.items());
   }
+
+  private static final StoreResponse UNREADABLE = new StoreResponse.Unreadable("cut off");
+
+  /** The watch was repeated with the same position, and got the same response, for good. */
+  @Test
+  void itemsAreReadByPagesAfterAWatchWhoseResponseCannotBeRead() {
+    watcher.onResponse(0, page(false, 10, item("a", "1", 3)));
+    assertThat(call(0)).isInstanceOf(StoreRequest.Watch.class);
+
+    watcher.onResponse(0, UNREADABLE);
+
+    assertThat(call(0)).isEqualTo(new StoreRequest.Read("", Optional.empty()));
+    assertThat(watcher.items()).containsExactly(item("a", "1", 3));
+    assertThat(watcher.onResponse(0, page(false, 20, item("a", "2", 15)))).isTrue();
+    assertThat(watcher.items()).containsExactly(item("a", "2", 15));
+  }
+
+  @Test
+  void readsAreSpacedWhileNoWatchCanBeRead() {
+    long now = 0;
+    int calls = 0;
+    while (now < 60_000) {
+      if (watcher.nextStep(now) instanceof Step.Call call) {
+        calls++;
+        boolean isRead = call.call() instanceof StoreRequest.Read;
+        watcher.onResponse(now, isRead ? page(false, 10, item("a", "1", 3)) : UNREADABLE);
+      }
+      now += 10;
+    }
+
+    assertThat(calls).isLessThan(200);
+  }
+
+  @Test
+  void readBeginsAnewAfterAPageThatCannotBeRead() {
+    watcher.onResponse(0, page(true, 10, item("a", "1", 3)));
+
+    watcher.onResponse(0, UNREADABLE);
+
+    assertThat(call(100_000)).isEqualTo(new StoreRequest.Read("", Optional.empty()));
+  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -31,6 +31,8 @@
   STORE_REGAINED(10),
   /** The store no longer has the changes that this node asked for. */
   STORE_HISTORY_GONE(5),
+  /** A response of the store could not be read to the end; its items are read by pages. */
+  STORE_RESPONSE_UNREADABLE(5),
   /** A full read of the store is older than this node's state, and is ignored. */
   STORE_READ_DROPPED(5),
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -201,6 +201,12 @@
           .with(POSITION, heldPosition.toString())
           .log("the store is at %s", page.position());
     }
+    if (response instanceof StoreResponse.Unreadable unreadable) {
+      line(MeshEvent.STORE_RESPONSE_UNREADABLE)
+          .with(POSITION, heldPosition.toString())
+          .with(CAUSE, unreadable.cause())
+          .log("reading by pages");
+    }
     if (response instanceof StoreResponse.Throttled) {
       line(MeshEvent.STORE_LOST).with(CAUSE, "throttled").log("store");
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StoreFollower.java
@@ -176,12 +176,18 @@
       return;
     }
     consecutiveThrottled = 0;
-    if (!(response instanceof StoreResponse.Unavailable)) {
-      lastResponseMillis = nowMillis;
-    }
     if (response instanceof StoreResponse.Unavailable unavailable) {
       recordLost(nowMillis, unavailable.cause());
-    } else if (!contact.reachable()) {
+    } else if (response instanceof StoreResponse.Unreadable unreadable) {
+      recordLost(nowMillis, unreadable.cause());
+    } else {
+      recordAnswered(nowMillis);
+    }
+  }
+
+  private void recordAnswered(long nowMillis) {
+    lastResponseMillis = nowMillis;
+    if (!contact.reachable()) {
       events.storeRegained(nowMillis - contact.sinceMillis());
       contact = new StoreContact(true, nowMillis);
     }
