Send the configuration in force to other nodes when the store no longer has it

Callers of a node that started from its peers got 503: it had no configuration, and its own reads had none either. Cause: a source adds the configuration in force to a transfer unless the store's items contain it. It compared with the last item that the store had, which stays after a read without one (an unusable or missing configuration). Change: without a configuration among the items, none counts as held. Measured: MeshStateTest#configurationInForceIsSentToOtherNodesWhenTheStoreNoLongerHasIt failed before (facts without a configuration) and passes. #unusableConfigurationLeavesThePreviousOneInForceAndHeld passes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -41,7 +41,7 @@
   private final BackendListing listing = new BackendListing();
   private final LongSupplier clockMillis;
 
-  /** The configuration item in the store; null before the first. */
+  /** The configuration item in the store; null if there is none. */
   private StoreItem storeConfigurationItem;
 
   private volatile long storeVersion = -1;
@@ -258,6 +258,9 @@
 
   private synchronized void applyItems(String source) {
     List<StoreItem> items = watcher.items();
+    if (configurationItem().isEmpty()) {
+      storeConfigurationItem = null;
+    }
     RoutingTable table = view.routingTable();
     List<StoredEntry> entries = new ArrayList<>();
     Set<String> evacuated = new HashSet<>();
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -289,4 +289,38 @@
     assertThat(state.watcher().nextStep(0))
         .isEqualTo(new StoreWatcher.Step.Call(new StoreRequest.Read("", Optional.of("foreign-2"))));
   }
+
+  private void readAgain(StoreResponse page) {
+    state.handleResponse(0, new StoreResponse.HistoryGone(StorePosition.NO_ERA));
+    receive(page);
+  }
+
+  /** A node that started from its peers got no configuration, and was never ready. */
+  @Test
+  void configurationInForceIsSentToOtherNodesWhenTheStoreNoLongerHasIt() {
+    StoreItem configuration = new StoreItem("configuration", "booking@7", 3);
+    receive(page(3, configuration));
+
+    readAgain(page(9, new StoreItem("a", "80", 4)));
+
+    assertThat(state.view().version()).isEqualTo(7);
+    StateTransfer transfer = state.transferFor(requestSince(StorePosition.UNKNOWN));
+    assertThat(transfer.facts().configuration()).contains(configuration);
+  }
+
+  @Test
+  void unusableConfigurationLeavesThePreviousOneInForceAndHeld() {
+    StoreItem configuration = new StoreItem("configuration", "booking@7", 3);
+    receive(page(3, configuration));
+
+    receive(
+        new StoreResponse.Events(
+            List.of(new StoreEvent.Unusable("configuration", 4, "too large")),
+            new StorePosition(StorePosition.NO_ERA, 4)));
+
+    assertThat(state.view().version()).isEqualTo(7);
+    assertThat(state.view().position().revision()).isEqualTo(4);
+    StateTransfer transfer = state.transferFor(requestSince(StorePosition.UNKNOWN));
+    assertThat(transfer.changes().items()).containsExactly(configuration);
+  }
 }
