Keep a long-lived thread running after an interrupt that nobody meant

Callers: none seen. A thread that follows the store, pulls or serves state ended for good on an InterruptedException, although the node was not closed, with no line and no metric. Cause: SupervisedThread took each InterruptedException for its own closing. Change: only `closed` ends the loop; any other interrupt is a fault like the rest. Measured: SupervisedThreadTest#stepsContinueAfterAFault[3] failed before (no further step in 20 s) and passes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/SupervisedThread.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/SupervisedThread.java
@@ -36,9 +36,8 @@
     while (!closed) {
       try {
         step.run();
-      } catch (InterruptedException ended) {
-        return;
       } catch (Exception | Error fault) {
+        // Only close interrupts this thread on purpose.
         if (!closed) {
           events.fault(task, fault);
           pause();
@@ -50,9 +49,9 @@
   private void pause() {
     try {
       Thread.sleep(FAULT_PAUSE_MILLIS);
-    } catch (InterruptedException ended) {
-      // Only close interrupts it, which ends the loop.
-      Thread.currentThread().interrupt();
+    } catch (InterruptedException interrupted) {
+      // The loop ends if this thread was closed.
+      return;
     }
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/SupervisedThreadTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/SupervisedThreadTest.java
@@ -24,6 +24,7 @@
     return List.of(
         new IllegalStateException("on purpose"),
         new IOException("on purpose"),
+        new InterruptedException("on purpose"),
         new StackOverflowError("on purpose"),
         new OutOfMemoryError("on purpose"));
   }
