Keep the log's thread writing after a fault

Operators would have seen no further line of a node: the thread that writes its lines ended with the first exception or error other than a closed output, for example for lack of memory, in no line and no metric. Cause: JsonLogHandler.writeLoop is a thread outside SupervisedThread and caught IOException and InterruptedException alone. Change: anything but a closed output costs the line at work, which is counted as dropped. The count of writes in progress goes down in any case, so that a flush does not wait for a line that failed.

--- a/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLogHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLogHandler.java
@@ -6,6 +6,7 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -33,24 +34,31 @@
   private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MAX_BUFFERED_LINES);
   private final AtomicLong droppedLines = new AtomicLong();
   private final AtomicInteger writesInProgress = new AtomicInteger();
-  private final FileOutputStream out = new FileOutputStream(FileDescriptor.out);
+  private final OutputStream out;
 
-  private JsonLogHandler() {}
+  JsonLogHandler(OutputStream out) {
+    this.out = out;
+  }
 
   /** Replaces the handlers of the root logger; must be called before anything is logged. */
   public static void install() {
     System.setProperty(NonResettingLogManager.PROPERTY, NonResettingLogManager.class.getName());
-    JsonLogHandler handler = new JsonLogHandler();
+    JsonLogHandler handler = new JsonLogHandler(new FileOutputStream(FileDescriptor.out));
     Logger root = Logger.getLogger("");
     for (Handler existing : root.getHandlers()) {
       root.removeHandler(existing);
     }
     root.setLevel(Level.INFO);
     root.addHandler(handler);
-    Thread thread = new Thread(handler::writeLoop, "umberpath-log");
+    handler.start();
+    installed = handler;
+  }
+
+  /** Starts the thread that writes; called once. */
+  void start() {
+    Thread thread = new Thread(this::writeLoop, "umberpath-log");
     thread.setDaemon(true);
     thread.start();
-    installed = handler;
   }
 
   /** Waits up to {@link #FLUSH_MILLIS} for buffered lines to be written. */
@@ -101,22 +109,31 @@
   private void writeLoop() {
     while (true) {
       try {
-        String line = lines.poll(1, TimeUnit.HOURS);
-        if (line == null) {
-          continue;
-        }
-        writesInProgress.incrementAndGet();
-        long droppedCount = droppedLines.getAndSet(0);
-        if (droppedCount > 0) {
-          line = "{\"event\":\"lines-dropped\",\"count\":" + droppedCount + "}\n" + line;
-        }
-        out.write(line.getBytes(StandardCharsets.UTF_8));
-        writesInProgress.decrementAndGet();
-      } catch (InterruptedException ended) {
-        return;
+        writeNext();
       } catch (IOException closed) {
+        // The output is closed for good; further lines are dropped.
         return;
+      } catch (InterruptedException | RuntimeException | Error fault) {
+        // Counted only, since a line about it could fail in the same way.
+        droppedLines.incrementAndGet();
+      }
+    }
+  }
+
+  private void writeNext() throws IOException, InterruptedException {
+    String line = lines.poll(1, TimeUnit.HOURS);
+    if (line == null) {
+      return;
+    }
+    writesInProgress.incrementAndGet();
+    try {
+      long droppedCount = droppedLines.getAndSet(0);
+      if (droppedCount > 0) {
+        line = "{\"event\":\"lines-dropped\",\"count\":" + droppedCount + "}\n" + line;
       }
+      out.write(line.getBytes(StandardCharsets.UTF_8));
+    } finally {
+      writesInProgress.decrementAndGet();
     }
   }
 
