Log an error that ends the stop hook

Cause: the hook caught RuntimeException alone. An Error in a planned stop ended it without its line, without the flush of the log, and with the exit status of the signal. Measured: not run; no test starts the hook with an error in it. Found by reading, as a thread outside SupervisedThread.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -445,7 +445,7 @@
   }
 
   /** Logs that the shutdown ended early. */
-  public void stopFailed(RuntimeException fault) {
+  public void stopFailed(Throwable fault) {
     fault(MeshTask.SHUTDOWN, fault);
   }
 
