Keep the standalone proxy's timer running after an Error

Cause: the timer's tasks ran in vavr's Try, which rethrows each VirtualMachineError as fatal. After a lack of memory or of stack in one run a task was not scheduled again, so that deadlines and idle timeouts were no longer enforced. Change: EventLoop.runGuarded, which logs exceptions and errors alike. `umberpath node` alone has this timer; the node on an external store has its own, guarded already. Measured: ProxyServer's tests pass; no test makes a task of the timer run out of memory. Found by reading.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/ProxyServer.java
@@ -1,6 +1,5 @@
 package io.umberpath.node.proxy;
 
-import com.google.common.flogger.FluentLogger;
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Tier;
 import io.umberpath.node.control.ControlService;
@@ -11,6 +10,7 @@
 import io.umberpath.node.proxy.inbound.ConnectionLog;
 import io.umberpath.node.proxy.inbound.ExchangeEnvironment;
 import io.umberpath.node.proxy.inbound.InboundFilter;
+import io.umberpath.node.proxy.loop.EventLoop;
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.origin.OriginConnectionPools;
 import io.umberpath.node.proxy.pool.ConnectionPool;
@@ -22,7 +22,6 @@
 import io.umberpath.traffic.LoadBalancers;
 import io.umberpath.traffic.RetryPolicies;
 import io.umberpath.traffic.RetrySettings;
-import io.vavr.control.Try;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -40,7 +39,6 @@
  * backend beside this node. Thread-safe; {@link #start} must be called once.
  */
 public final class ProxyServer implements AutoCloseable {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int NO_PORT = -1;
   private static final long DEADLINE_TICK_MILLIS = 10;
   private static final long BACKEND_STATE_TICK_MILLIS = 50;
@@ -181,14 +179,10 @@
 
   private void scheduleEvery(long millis, Runnable task) {
     // A task that throws would not be scheduled again, and deadlines would no longer be enforced.
-    Runnable guarded = () -> Try.run(task::run).onFailure(ProxyServer::logFault);
+    Runnable guarded = () -> EventLoop.runGuarded(task, "proxy timer task failed");
     timer.scheduleWithFixedDelay(guarded, millis, millis, TimeUnit.MILLISECONDS);
   }
 
-  private static void logFault(Throwable fault) {
-    logger.atSevere().withCause(fault).log("proxy timer task failed");
-  }
-
   private void expireRequests() {
     if (activeExchanges.size() == 0) {
       return;
