Report not ready when a reachable node's newer state cannot be pulled for 10 s

Callers of such a node were answered by an old configuration for as long as the cause lasted, while the node said that it was ready, so that the platform went on sending it clients. Change: a node is stuck while a reachable node is ahead and neither the store nor a transfer has advanced it. After 10 s, as for state held, it is not ready. Silent and departed nodes do not count, so that an announcement of a node that has died takes nobody out. Gauge umberpath_state_stuck_seconds. Measured: StatePullerTest#nodeIsStuckWhileItIsBehindAReachablePeerAndDoesNotAdvance.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -51,10 +51,10 @@
   static final int CRASHES_TO_QUARANTINE = 3;
 
   /**
-   * How long a node that holds a newer state than the one in force counts as ready, milliseconds:
-   * several attempts to apply it.
+   * How long a node counts as ready that knows of a newer state than the one in force, whether it
+   * holds that state or another node does, milliseconds: several attempts to apply or to pull it.
    */
-  private static final long MAX_PENDING_MILLIS = 10_000;
+  private static final long MAX_OUTDATED_MILLIS = 10_000;
 
   private static final long SECOND_MILLIS = 1_000;
   private static final int TICKS_PER_SECOND = (int) (SECOND_MILLIS / TICK_MILLIS);
@@ -370,6 +370,7 @@
         Map.entry("quarantine.held", quarantine::quarantinedTargetCount),
         Map.entry("configuration.version", () -> state.view().version()),
         Map.entry("configuration.pending.seconds", () -> toSeconds(state.pendingMillis())),
+        Map.entry("state.stuck.seconds", () -> toSeconds(puller.stuckMillis(peers::isReachable))),
         Map.entry(
             "state.connections",
             () -> stateServers.stream().mapToInt(StateServer::connectionCount).sum()),
@@ -419,7 +420,9 @@
     if (!path.equals(readyPath)) {
       return new StatusFilter.StatusResponse(NOT_FOUND, "");
     }
-    boolean isUpToDate = state.pendingMillis() < MAX_PENDING_MILLIS;
+    boolean isUpToDate =
+        state.pendingMillis() < MAX_OUTDATED_MILLIS
+            && puller.stuckMillis(peers::isReachable) < MAX_OUTDATED_MILLIS;
     boolean isReady = state.view().isComplete() && isUpToDate && !isStopping;
     return new StatusFilter.StatusResponse(
         isReady ? OK : UNAVAILABLE, isReady ? "ready" : "not ready");
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshState.java
@@ -57,6 +57,9 @@
   /** Since when items are held that are not in force; meaningful only while there are any. */
   private volatile long pendingSinceMillis;
 
+  /** When the position of the held items last advanced. */
+  private volatile long advancedMillis;
+
   private final AtomicInteger activeRefreshes = new AtomicInteger();
   private volatile Runnable adoptedListener = () -> {};
 
@@ -142,6 +145,9 @@
    */
   private void updateHeldPosition(boolean isChanged) {
     boolean isApplied = !isChanged && view.isFullyApplied();
+    if (!watcher.position().equals(view.heldPosition())) {
+      advancedMillis = clockMillis.getAsLong();
+    }
     if (!isApplied && view.isFullyApplied()) {
       pendingSinceMillis = clockMillis.getAsLong();
     }
@@ -199,6 +205,11 @@
     return view.isFullyApplied() ? 0 : clockMillis.getAsLong() - pendingSinceMillis;
   }
 
+  /** Time since the position of the held items last advanced, milliseconds. */
+  long sinceAdvanceMillis() {
+    return clockMillis.getAsLong() - advancedMillis;
+  }
+
   /** Number of items of the store that were refused since the start. */
   long refusedItemCount() {
     return validator.refusedCount();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -268,6 +268,11 @@
     return failureDetector.peers().silent().contains(host);
   }
 
+  /** Whether a node is known and not silent. */
+  boolean isReachable(String host) {
+    return failureDetector.peers().others().contains(host) && !isSilent(host);
+  }
+
   /** Number of nodes that have sent no reports for too long. */
   int silentNodeCount() {
     return failureDetector.peers().silent().size();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StatePuller.java
@@ -96,6 +96,18 @@
     notifyAll();
   }
 
+  /**
+   * For how long this node has been behind a reachable node without any progress, milliseconds; 0
+   * if none has a newer state.
+   */
+  synchronized long stuckMillis(Predicate<String> isReachable) {
+    if (!schedule.hasReachableNewer(state.view(), isReachable)) {
+      return 0;
+    }
+    long nowMillis = clockMillis.getAsLong();
+    return Math.min(schedule.behindMillis(nowMillis), state.sinceAdvanceMillis());
+  }
+
   private void step() throws InterruptedException {
     awaitBehind();
     startDueTransfer();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateSources.java
@@ -51,6 +51,12 @@
     return !advertisedByHost.isEmpty();
   }
 
+  /** Whether a reachable node has a newer state. */
+  boolean hasReachableNewer(MeshView view, Predicate<String> isReachable) {
+    removeOutdated(view);
+    return advertisedByHost.keySet().stream().anyMatch(isReachable);
+  }
+
   private void removeOutdated(MeshView view) {
     advertisedByHost.values().removeIf(advertised -> !advertised.isAheadOf(view));
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferSchedule.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/TransferSchedule.java
@@ -120,6 +120,11 @@
     return isActive() ? nowMillis - behindSinceMillis : 0;
   }
 
+  /** Whether a reachable node has a newer state. */
+  boolean hasReachableNewer(MeshView view, Predicate<String> isReachable) {
+    return near.hasReachableNewer(view, isReachable) || far.hasReachableNewer(view, isReachable);
+  }
+
   /** Whether the next request is to ask for facts that an older copy of the store may lack. */
   boolean wantsFacts() {
     return !hasFacts;
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/StatePullerTest.java
@@ -96,6 +96,35 @@
     }
   }
 
+  /** A node that could not pull its peers' newer state went on reporting itself as ready. */
+  @Test
+  void nodeIsStuckWhileItIsBehindAReachablePeerAndDoesNotAdvance() {
+    AtomicLong now = new AtomicLong();
+    MeshEvents events = new MeshEvents(now::get);
+    MeshState state =
+        new MeshState(
+            new FakeStoreItemParser(),
+            new StoreWatcher("", StoreWatchTimings.PROMPT, () -> 0.5),
+            events,
+            now::get);
+    try (StatePuller puller = new StatePuller(settings(1), state, () -> false, events, now::get)) {
+      assertThat(puller.stuckMillis(host -> true)).isZero();
+
+      puller.onNewerState("127.0.0.1", true, -1, position(9));
+      now.addAndGet(10_000);
+      assertThat(puller.stuckMillis(host -> true)).isEqualTo(10_000);
+      assertThat(puller.stuckMillis(host -> false)).isZero();
+
+      state.adopt(changesTo(4), "peer");
+      now.addAndGet(700);
+      assertThat(puller.stuckMillis(host -> true)).isEqualTo(700);
+
+      state.adopt(changesTo(9), "peer");
+      now.addAndGet(700);
+      assertThat(puller.stuckMillis(host -> true)).isZero();
+    }
+  }
+
   private static StorePosition position(long revision) {
     return new StorePosition(StorePosition.NO_ERA, revision);
   }
