Forward an interim response only if it carries the id of the request

Clients received, as a response to their own request, a 1xx response that belonged to an earlier one or to none. Cause: interim responses were forwarded as they came. Bytes of an earlier response that arrive while the next request runs, and read as 103, reached the client, also with the id of another request. Change: nodes of the mesh drop an interim response without the id of the request; the request goes on.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -4,6 +4,7 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendStart;
 import io.umberpath.node.proxy.SlotGate;
+import io.umberpath.node.proxy.http.RawHead;
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.ResponseHead;
 import io.umberpath.node.proxy.inbound.Exchange;
@@ -397,6 +398,12 @@
                 response.getHeaders().setValue(NoticeHeader.HEADER).setString(notice.encode()));
   }
 
+  @Override
+  public boolean forwardsInterimResponse(RequestPlan plan, byte[] head) {
+    // One without the id of the request may be surplus bytes of an earlier response.
+    return RawHead.hasField(head, settings.headers().requestId(), plan.requestId());
+  }
+
   @Override
   public Optional<Refusal> refusalInResponse(Exchange exchange, ResponseHead head) {
     HeaderNames names = settings.headers();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -6,6 +6,7 @@
 import io.umberpath.model.routing.BackendStart;
 import io.umberpath.model.routing.RoutingRule;
 import io.umberpath.node.proxy.http.ProxyHeaders;
+import io.umberpath.node.proxy.http.RawHead;
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.ResponseHead;
 import io.umberpath.node.proxy.http.VerdictHeader;
@@ -337,6 +338,12 @@
     return null;
   }
 
+  @Override
+  public boolean forwardsInterimResponse(RequestPlan plan, byte[] head) {
+    // One without the id of the request may be surplus bytes of an earlier response.
+    return RawHead.hasField(head, settings.headers().requestId(), plan.requestId());
+  }
+
   @Override
   public Optional<Refusal> refusalInResponse(Exchange exchange, ResponseHead head) {
     MeshOutboundPlan plan = planOf(exchange);
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -72,6 +72,15 @@
    */
   default void addResponseHeaders(RequestPlan plan, HttpResponsePacket response) {}
 
+  /**
+   * Whether an interim (1xx) response belongs to the request, so that it is forwarded.
+   *
+   * @param head its raw head
+   */
+  default boolean forwardsInterimResponse(RequestPlan plan, byte[] head) {
+    return true;
+  }
+
   /** Checks the head of a response; returns a refusal if another node refused the request. */
   Optional<Refusal> refusalInResponse(Exchange exchange, ResponseHead head);
 
