Refuse a response head that contains the status line of another response

Clients got 408, 421 or 503, which promise that a request has not run, for one that had run, and with a promise `not executed` the request ran on a second backend as well. Cause: a backend broke off a response within its head, and the next one followed on the same connection. The line at which it was broken off and the status line of the next one read as one line, so that both heads counted as one: the status and the promises of the first with the id of the second, which the check of the id accepts. Change: a head that contains a second status line is malformed; the connection closes, and the request may have run. Measured: SurplusResponseTest#responseThatIsBrokenOffInItsHeadDoesNotLendItsStatusToTheNext, four cases, failed before (408, 503, 503, 421) and pass.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/http/MessageHeadValidator.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/http/MessageHeadValidator.java
@@ -19,6 +19,9 @@
   private static final int STATUS_DIGITS = 3;
   private static final int MAX_LENGTH_DIGITS = 18;
 
+  /** Length of a status line without a reason. */
+  private static final int STATUS_LINE_BYTES = HTTP_1_PREFIX.length + 2 + STATUS_DIGITS;
+
   private final Buffer buffer;
   private final int limit;
   private int contentLengthCount;
@@ -89,6 +92,7 @@
     int end = validator.findLineEnd(start);
     validator.checkStatusLine(start, end);
     validator.checkHeaders(end + 2);
+    validator.checkSingleStatusLine(start + 1);
   }
 
   private void checkRequestLine(int start, int end) {
@@ -132,6 +136,32 @@
     }
   }
 
+  /**
+   * Rejects a head within which another response begins: a backend has broken off one response and
+   * sent the next on the same connection, and the fields of both would count as one response.
+   */
+  private void checkSingleStatusLine(int start) {
+    for (int index = start; index < limit - STATUS_LINE_BYTES; index++) {
+      if (isStatusLineStart(index)) {
+        throw new MalformedMessageException("head contains the status line of another response");
+      }
+    }
+  }
+
+  private boolean isStatusLineStart(int start) {
+    for (int index = 0; index < HTTP_1_PREFIX.length; index++) {
+      if (buffer.get(start + index) != HTTP_1_PREFIX[index]) {
+        return false;
+      }
+    }
+    int statusStart = start + HTTP_1_PREFIX.length + 2;
+    boolean isStatus = isDigit(buffer.get(statusStart - 2)) && buffer.get(statusStart - 1) == ' ';
+    for (int index = statusStart; index < statusStart + STATUS_DIGITS; index++) {
+      isStatus &= isDigit(buffer.get(index));
+    }
+    return isStatus;
+  }
+
   private void checkVersion(int start) {
     for (int index = 0; index < HTTP_1_PREFIX.length; index++) {
       if (buffer.get(start + index) != HTTP_1_PREFIX[index]) {
