--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -442,7 +442,9 @@
   void attemptReceivedInterimResponse(Attempt current, byte[] head) {
     synchronized (this) {
       if (attempt == current && stage == ExchangeStage.SENT) {
-        forwardInterimResponse(head);
+        if (handler.forwardsInterimResponse(plan, head)) {
+          responseWriter.writeInterimResponse(head);
+        }
       } else if (isStillWanted(current, ExchangeStage.HEAD_SENT)) {
         stage = ExchangeStage.SENT;
         current.sendBody(body);
@@ -451,12 +453,6 @@
     runDeferredActions();
   }
 
-  private void forwardInterimResponse(byte[] head) {
-    if (handler.forwardsInterimResponse(plan, head)) {
-      responseWriter.writeInterimResponse(head);
-    }
-  }
-
   /** Takes a part of the response; returns whether to keep reading. */
   boolean attemptReceivedPart(Attempt current, ResponsePart part) {
     boolean keepReading;
