Close a state connection that cannot be registered

Cause: an exception while an accepted connection was registered with the selector left it open for good, without an owner; several use up descriptors. Change: it is closed, and the fault goes on as before. Measured: StateServerTest passes; no test makes the registration fail.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/StateServer.java
@@ -140,11 +140,20 @@
     if (connections.size() >= MAX_CONNECTIONS) {
       longestIdle().ifPresent(idle -> drop(idle, "too many connections"));
     }
-    StateConnection connection = new StateConnection(client, selector, clockMillis);
+    StateConnection connection = register(client);
     connections.add(connection);
     advance(connection);
   }
 
+  private StateConnection register(SocketChannel client) throws IOException {
+    try {
+      return new StateConnection(client, selector, clockMillis);
+    } catch (IOException | RuntimeException | Error failure) {
+      client.close();
+      throw failure;
+    }
+  }
+
   private Optional<StateConnection> longestIdle() {
     return connections.stream().max(Comparator.comparingLong(StateConnection::idleMillis));
   }
