Reserve one return time for all attempts of a refused request

Cause, as traced when it was listed: the only node refuses a request in each of its attempts, and each refusal reserved a time, until the times within the deadlines were used up and all later clients were told the same one. Change: the schedule remembers the time of a request by its id, bounded; an attempt of the same request gets that time.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -319,6 +319,7 @@
         id ->
             new AdmissionRequest(
                 id,
+                plan.requestId(),
                 "",
                 Tier.STANDARD,
                 deadlineMillis,
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -12,7 +12,8 @@
   /**
    * A request for a slot.
    *
-   * @param id unique per request in this process
+   * @param id unique per attempt in this process
+   * @param requestId id of the client's request, the same for all attempts
    * @param tenant tenant of the route
    * @param tier tier of the route
    * @param deadlineMillis deadline of the client, on the clock of {@code nowMillis}
@@ -31,6 +32,7 @@
    */
   record AdmissionRequest(
       long id,
+      String requestId,
       String tenant,
       Tier tier,
       long deadlineMillis,
@@ -47,6 +49,36 @@
       this(id, tenant, tier, deadlineMillis, 0, Long.MAX_VALUE, deadlineMillis);
     }
 
+    /** Creates the only attempt of a request. */
+    public AdmissionRequest(
+        long id,
+        String tenant,
+        Tier tier,
+        long deadlineMillis,
+        long expectedMicros,
+        long likelyMicros,
+        long toleratedWaitMillis,
+        long dueMillis,
+        long targetMillis,
+        long refuseByMillis,
+        long startByMillis,
+        boolean nested) {
+      this(
+          id,
+          Long.toString(id),
+          tenant,
+          tier,
+          deadlineMillis,
+          expectedMicros,
+          likelyMicros,
+          toleratedWaitMillis,
+          dueMillis,
+          targetMillis,
+          refuseByMillis,
+          startByMillis,
+          nested);
+    }
+
     /** Creates a request that is in time, and may start, until its deadline. */
     public AdmissionRequest(
         long id,
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -307,6 +307,7 @@
     double latestMillis = request.deadlineMillis() - expectedMillis(request);
     double retryMillis =
         retrySchedule.reserve(
+            request.requestId(),
             nowMillis + waitMillis(nowMillis, queued()),
             startLimiter.intervalMillis(),
             latestMillis);
