Admission requests: one constructor with all fields

Checkstyle allows 8 parameters of a constructor; the tests of the two classes that use all fields name the request's id themselves. Their checks are the same.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -44,42 +44,15 @@
       long refuseByMillis,
       long startByMillis,
       boolean nested) {
-    /** Creates a request without an expected duration that waits as long as its deadline allows. */
+    /**
+     * Creates the only attempt of a request without an expected duration that waits as long as its
+     * deadline allows.
+     */
     public AdmissionRequest(long id, String tenant, Tier tier, long deadlineMillis) {
       this(id, tenant, tier, deadlineMillis, 0, Long.MAX_VALUE, deadlineMillis);
     }
 
-    /** Creates the only attempt of a request. */
-    public AdmissionRequest(
-        long id,
-        String tenant,
-        Tier tier,
-        long deadlineMillis,
-        long expectedMicros,
-        long likelyMicros,
-        long toleratedWaitMillis,
-        long dueMillis,
-        long targetMillis,
-        long refuseByMillis,
-        long startByMillis,
-        boolean nested) {
-      this(
-          id,
-          Long.toString(id),
-          tenant,
-          tier,
-          deadlineMillis,
-          expectedMicros,
-          likelyMicros,
-          toleratedWaitMillis,
-          dueMillis,
-          targetMillis,
-          refuseByMillis,
-          startByMillis,
-          nested);
-    }
-
-    /** Creates a request that is in time, and may start, until its deadline. */
+    /** Creates the only attempt of a request that is in time, and may start, until its deadline. */
     public AdmissionRequest(
         long id,
         String tenant,
@@ -90,6 +63,7 @@
         long dueMillis) {
       this(
           id,
+          Long.toString(id),
           tenant,
           tier,
           deadlineMillis,
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
@@ -91,6 +91,7 @@
       long id, long dueMillis, long targetMillis, long startByMillis) {
     return new AdmissionRequest(
         id,
+        Long.toString(id),
         "",
         Tier.STANDARD,
         FAR_DEADLINE_MILLIS,
@@ -147,6 +148,7 @@
   private static AdmissionRequest nested(long id, long dueMillis, long deadlineMillis) {
     return new AdmissionRequest(
         id,
+        Long.toString(id),
         "",
         Tier.STANDARD,
         deadlineMillis,
@@ -225,6 +227,7 @@
     boolean nested = random.nextInt(4) == 0;
     return new AdmissionRequest(
         id,
+        Long.toString(id),
         "",
         Tier.BASIC,
         due + 100,
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/RateLimitedAdmissionTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/RateLimitedAdmissionTest.java
@@ -36,6 +36,7 @@
   private static AdmissionRequest request(long id, long nowMillis, long dueInMillis) {
     return new AdmissionRequest(
         id,
+        Long.toString(id),
         "",
         Tier.STANDARD,
         nowMillis + DEADLINE_MILLIS,
