Give the meters of the state a class of their own, and split long methods

StoreWatcher.onResponse is in two methods. A line that cannot be written no longer takes the count of dropped lines before it with it.

--- a/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
+++ b/umberpath-control/src/main/java/io/umberpath/control/store/StoreWatcher.java
@@ -115,21 +115,20 @@
     if (response instanceof StoreResponse.HistoryGone) {
       lastResponseMillis = nowMillis;
       onWatchRejected(nowMillis);
-      return false;
-    }
-    if (response instanceof StoreResponse.Unreadable && !isReading) {
-      // The same watch would get the same response, of any size. Pages are limited.
+    } else if (response instanceof StoreResponse.Unreadable && !isReading) {
+      // The same watch would get the same response. Pages are limited in size.
       onWatchRejected(nowMillis);
-      return false;
+    } else {
+      onCallFailed(nowMillis, response);
     }
-    boolean isReadBroken =
-        response instanceof StoreResponse.Unavailable
-            || response instanceof StoreResponse.Unreadable;
-    if (isReadBroken && isReading) {
+    return false;
+  }
+
+  private void onCallFailed(long nowMillis, StoreResponse response) {
+    if (isReading && !(response instanceof StoreResponse.Throttled)) {
       startRead();
     }
     backOff(nowMillis);
-    return false;
   }
 
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLogHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/logs/JsonLogHandler.java
@@ -127,11 +127,12 @@
     }
     writesInProgress.incrementAndGet();
     try {
-      long droppedCount = droppedLines.getAndSet(0);
+      long droppedCount = droppedLines.get();
       if (droppedCount > 0) {
         line = "{\"event\":\"lines-dropped\",\"count\":" + droppedCount + "}\n" + line;
       }
       out.write(line.getBytes(StandardCharsets.UTF_8));
+      droppedLines.addAndGet(-droppedCount);
     } finally {
       writesInProgress.decrementAndGet();
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -343,21 +343,19 @@
   }
 
   private void startMetrics() {
+    StateMeters stateMeters =
+        new StateMeters(state, puller, stateServers, peers::isReachable, clockMillis);
     Map<String, Supplier<Number>> allGauges = new HashMap<>(gauges());
+    allGauges.putAll(stateMeters.gauges());
     allGauges.putAll(MemoryGauges.all());
-    metrics.start(allGauges, counters());
+    Map<String, Supplier<Number>> allCounters = new HashMap<>(counters());
+    allCounters.putAll(stateMeters.counters());
+    metrics.start(allGauges, allCounters);
   }
 
   private Map<String, Supplier<Number>> counters() {
     Map<String, Supplier<Number>> counters = new HashMap<>();
     counters.put("gate.rate.limited", () -> localNotices.rateLimiter().refusedCount());
-    counters.put("store.items.refused", state::refusedItemCount);
-    counters.put(
-        "state.requests.served",
-        () -> stateServers.stream().mapToLong(StateServer::servedCount).sum());
-    counters.put(
-        "state.requests.dropped",
-        () -> stateServers.stream().mapToLong(StateServer::droppedCount).sum());
     for (MeshTask task : MeshTask.values()) {
       counters.put("task." + task.label() + ".faults", () -> events.faultCount(task));
     }
@@ -368,20 +366,6 @@
     return Map.ofEntries(
         Map.entry("quarantine.suspects", quarantine::suspectCount),
         Map.entry("quarantine.held", quarantine::quarantinedTargetCount),
-        Map.entry("configuration.version", () -> state.view().version()),
-        Map.entry("configuration.pending.seconds", () -> toSeconds(state.pendingMillis())),
-        Map.entry("state.stuck.seconds", () -> toSeconds(puller.stuckMillis(peers::isReachable))),
-        Map.entry(
-            "state.connections",
-            () -> stateServers.stream().mapToInt(StateServer::connectionCount).sum()),
-        Map.entry(
-            "state.connections.oldest.seconds", () -> toSeconds(oldestStateConnectionMillis())),
-        Map.entry("state.items", state::itemCount),
-        Map.entry("state.value.characters", state::valueCharacters),
-        Map.entry("store.revision", () -> state.view().position().revision()),
-        Map.entry("configuration.shown.version", () -> state.storeVersion()),
-        Map.entry("store.era", () -> state.view().position().era()),
-        Map.entry("store.heard.age.seconds", this::storeAgeSeconds),
         Map.entry("peers.known", peers::nodeCount),
         Map.entry("peers.silent", peers::silentNodeCount),
         Map.entry("gate.running", () -> proxy.inboundHandler().load().running()),
@@ -394,28 +378,12 @@
             () -> proxy.inboundHandler().load().serviceMicros() / MICROS_PER_SECOND));
   }
 
-  private long oldestStateConnectionMillis() {
-    return stateServers.stream().mapToLong(StateServer::oldestConnectionMillis).max().orElse(0);
-  }
-
-  private static double toSeconds(long millis) {
-    return millis / (double) SECOND_MILLIS;
-  }
-
   /** Limit that the local backend announced, requests per second; -1 if there is none. */
   private double announcedRateLimit() {
     RequestRateLimiter limiter = localNotices.rateLimiter();
     return limiter.isLimited() ? limiter.perSecond() : -1;
   }
 
-  private double storeAgeSeconds() {
-    long heardAt;
-    synchronized (state) {
-      heardAt = state.watcher().lastResponseMillis();
-    }
-    return heardAt < 0 ? -1 : toSeconds(clockMillis.getAsLong() - heardAt);
-  }
-
   private StatusFilter.StatusResponse readinessPage(String path) {
     if (!path.equals(readyPath)) {
       return new StatusFilter.StatusResponse(NOT_FOUND, "");
