Log and count request bodies that wait for the link

What callers see: uploads that are late, with nothing that tells whether their bodies waited for the link, or the requests for a slot.

A sampled line upload-received tells how long a body was queued and how long its transfer took; the load in gate-refused and gate-failed names bodies received and queued; two gauges count them. No change of behavior.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BodyUploadScheduler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BodyUploadScheduler.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.glassfish.grizzly.http.util.Header;
 
@@ -29,23 +30,42 @@
 
   private static final long RETRY_AFTER_MILLIS = 100;
 
-  /** Bytes received of a body, and the time at which that number last changed. */
-  private record Progress(long receivedBytes, long sinceMillis) {}
+  /** A body that is queued, since and until when. */
+  private record Waiting(long sinceMillis, long startByMillis) {}
 
-  /** Progress of a body that has not been checked yet. */
-  private static final Progress NOT_OBSERVED = new Progress(-1, 0);
+  /**
+   * A body that is being received.
+   *
+   * @param queuedMillis how long it was queued
+   * @param startedMillis when the sender was asked for it
+   * @param receivedBytes bytes received when last checked; -1 before the first check
+   * @param progressMillis when that number last changed
+   */
+  private record Transfer(
+      long queuedMillis, long startedMillis, long receivedBytes, long progressMillis) {
+    Transfer update(long bytes, long nowMillis) {
+      return bytes == receivedBytes
+          ? this
+          : new Transfer(queuedMillis, startedMillis, bytes, nowMillis);
+    }
+  }
 
-  private final Map<Exchange, Long> waiting = new LinkedHashMap<>();
-  private final Map<Exchange, Progress> activeUploads = new HashMap<>();
+  private final Map<Exchange, Waiting> waiting = new LinkedHashMap<>();
+  private final Map<Exchange, Transfer> activeUploads = new HashMap<>();
   private final Predicate<Exchange> isAccepted;
+  private final RequestEvents events;
+  private final LongSupplier clockMillis;
 
   /**
    * Creates a scheduler without uploads.
    *
    * @param isAccepted whether the backend still accepts a request
    */
-  BodyUploadScheduler(Predicate<Exchange> isAccepted) {
+  BodyUploadScheduler(
+      Predicate<Exchange> isAccepted, RequestEvents events, LongSupplier clockMillis) {
     this.isAccepted = isAccepted;
+    this.events = events;
+    this.clockMillis = clockMillis;
   }
 
   /**
@@ -58,20 +78,29 @@
       return;
     }
     synchronized (this) {
-      waiting.put(exchange, startByMillis);
+      waiting.put(exchange, new Waiting(clockMillis.getAsLong(), startByMillis));
     }
     startWaitingUploads();
   }
 
   /** Frees the place of a request whose body has been received or that has ended. */
   void release(Exchange exchange) {
-    remove(exchange);
+    Transfer transfer = remove(exchange);
+    if (transfer != null && exchange.body().isBuffered()) {
+      events.uploadReceived(
+          (MeshInboundPlan) exchange.plan(),
+          exchange.body().received(),
+          transfer.queuedMillis(),
+          clockMillis.getAsLong() - transfer.startedMillis(),
+          waitingCount());
+    }
     startWaitingUploads();
   }
 
-  private synchronized void remove(Exchange exchange) {
+  /** Removes a request; returns its transfer if its body was being received, otherwise null. */
+  private synchronized Transfer remove(Exchange exchange) {
     waiting.remove(exchange);
-    activeUploads.remove(exchange);
+    return activeUploads.remove(exchange);
   }
 
   /**
@@ -88,8 +117,8 @@
 
   private synchronized List<Exchange> removeExpired(long nowMillis) {
     List<Exchange> expired = new ArrayList<>();
-    for (Map.Entry<Exchange, Long> each : waiting.entrySet()) {
-      if (each.getValue() < nowMillis) {
+    for (Map.Entry<Exchange, Waiting> each : waiting.entrySet()) {
+      if (each.getValue().startByMillis() < nowMillis) {
         expired.add(each.getKey());
       }
     }
@@ -98,14 +127,14 @@
   }
 
   private synchronized void dropStalled(long nowMillis) {
-    activeUploads.replaceAll((exchange, before) -> updatedProgress(exchange, before, nowMillis));
-    activeUploads.values().removeIf(each -> each.sinceMillis() + STALLED_MILLIS <= nowMillis);
+    activeUploads.replaceAll(
+        (exchange, before) -> before.update(exchange.body().received(), nowMillis));
+    activeUploads.values().removeIf(each -> each.progressMillis() + STALLED_MILLIS <= nowMillis);
   }
 
-  private static Progress updatedProgress(Exchange exchange, Progress before, long nowMillis) {
-    long receivedBytes = exchange.body().received();
-    boolean isSame = before.receivedBytes() == receivedBytes;
-    return isSame ? before : new Progress(receivedBytes, nowMillis);
+  /** Returns the number of requests whose bodies are being received. */
+  synchronized int activeCount() {
+    return activeUploads.size();
   }
 
   /** Returns the number of requests whose bodies are queued. */
@@ -125,13 +154,15 @@
   }
 
   private synchronized Exchange activateNext() {
-    Iterator<Exchange> first = waiting.keySet().iterator();
+    Iterator<Map.Entry<Exchange, Waiting>> first = waiting.entrySet().iterator();
     if (!first.hasNext() || activeUploads.size() >= MAX_CONCURRENT_UPLOADS) {
       return null;
     }
-    Exchange next = first.next();
+    Map.Entry<Exchange, Waiting> next = first.next();
     first.remove();
-    activeUploads.put(next, NOT_OBSERVED);
-    return next;
+    long nowMillis = clockMillis.getAsLong();
+    long queuedMillis = nowMillis - next.getValue().sinceMillis();
+    activeUploads.put(next.getKey(), new Transfer(queuedMillis, nowMillis, -1, nowMillis));
+    return next.getKey();
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -94,6 +94,8 @@
   ATTEMPT_FAILED(40),
   /** The backend's node refused a request as not run. */
   GATE_REFUSED(40),
+  /** The body of a large request from another node was received; only a sample is logged. */
+  UPLOAD_RECEIVED(5),
   /** A request of another node lacks a mandatory header. */
   GATE_HEAD_REFUSED(5),
   /** The local backend failed a request that may have run. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -60,8 +60,7 @@
   private final MeshSettings settings;
   private final ConnectionPool pool;
   private final SlotGate admissionQueue;
-  private final BodyUploadScheduler uploads =
-      new BodyUploadScheduler(exchange -> isAccepted(exchange.plan()));
+  private final BodyUploadScheduler uploads;
   private final LocalBackend backend;
   private final RequestQuarantine quarantine;
   private final BackendCrashDetector crashDetector;
@@ -72,6 +71,7 @@
   private final RouteAverages routeTimes = new RouteAverages(MIN_TIME_SAMPLES);
   private final NestedRouteDetector nestedRouteDetector = new NestedRouteDetector();
   private final LocalBackendFailures failures;
+  private final LocalBackendLoad load;
   private volatile double retriedWorkShare;
   private long observedStartTimeMillis = BackendStart.UNKNOWN_START_TIME_MILLIS;
   private final RefusalStyle style = new MeshRefusalStyle();
@@ -96,6 +96,10 @@
     this.failures = new LocalBackendFailures(events);
     this.clockMillis = clockMillis;
     this.admissionQueue = new SlotGate(admission, this::send, clockMillis);
+    this.uploads =
+        new BodyUploadScheduler(
+            exchange -> isAccepted(exchange.plan()), requestEvents, clockMillis);
+    this.load = new LocalBackendLoad(backend, admissionQueue, uploads, failures, clockMillis);
     replacedHeaders.add(settings.headers().deadline());
     replacedHeaders.add(settings.headers().expectedInstance());
     replacedHeaders.add(Header.Expect.toString());
@@ -204,37 +208,9 @@
     return retriedWorkShare;
   }
 
-  /**
-   * Returns the load of the backend that other nodes are told. The time until a rate limit allows
-   * the next start is stated as the queue that would take as long: an idle backend that may start
-   * nothing would look like the best choice.
-   */
-  BackendLoad reportedLoad() {
-    BackendLoad load = load();
-    double waitMillis =
-        backend.rateLimiter().waitMillis(clockMillis.getAsLong(), admissionQueue.queued());
-    if (waitMillis <= 0 || load.serviceMicros() <= 0) {
-      return load;
-    }
-    double equivalentQueue = waitMillis * MICROS_PER_MILLI * load.slots() / load.serviceMicros();
-    return load.withQueued((int) Math.max(load.queued(), Math.ceil(equivalentQueue)));
-  }
-
-  /** Returns the load of the backend. */
-  BackendLoad load() {
-    int slownessPercent = (int) Math.round(speed.slowdown() * BackendLoad.USUAL_PERCENT);
-    long serviceMicros = admissionQueue.meanServiceMicros();
-    int slots =
-        backend.startLimiter().usableSlots(clockMillis.getAsLong(), backend.slots(), serviceMicros);
-    return new BackendLoad(
-        admissionQueue.running(),
-        admissionQueue.queued() + uploads.waitingCount(),
-        slots,
-        serviceMicros,
-        slownessPercent,
-        0,
-        backend.startTimeMillis(),
-        failures.percent(clockMillis.getAsLong()));
+  /** Returns the load of the backend and of the link to this machine. */
+  LocalBackendLoad backendLoad() {
+    return load;
   }
 
   private long expectedMicros(String route) {
@@ -383,9 +359,9 @@
 
   @Override
   public void addResponseHeaders(RequestPlan plan, HttpResponsePacket response) {
-    BackendLoad load =
-        plan == null ? reportedLoad() : reportedLoad().withRoute(expectedMicros(plan.route()));
-    response.getHeaders().setValue(LOAD_HEADER).setString(load.encode());
+    BackendLoad reported =
+        plan == null ? load.reported() : load.reported().withRoute(expectedMicros(plan.route()));
+    response.getHeaders().setValue(LOAD_HEADER).setString(reported.encode());
     if (plan == null) {
       return;
     }
@@ -483,7 +459,7 @@
           plan,
           Fingerprints.logText(exchange, plan.targetHash(), verdict),
           verdict,
-          load().encode(),
+          load.describe(),
           millis,
           exchange.age().unreadMillis());
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -314,7 +314,7 @@
   private PeerReport report() {
     MeshView view = state.view();
     return new PeerReport(
-        proxy.inboundHandler().reportedLoad(),
+        backendLoad().reported(),
         isBackendDraining,
         view.version(),
         view.heldPosition(),
@@ -368,14 +368,20 @@
         Map.entry("quarantine.held", quarantine::quarantinedTargetCount),
         Map.entry("peers.known", peers::nodeCount),
         Map.entry("peers.silent", peers::silentNodeCount),
-        Map.entry("gate.running", () -> proxy.inboundHandler().load().running()),
-        Map.entry("gate.queued", () -> proxy.inboundHandler().load().queued()),
+        Map.entry("gate.running", () -> backendLoad().current().running()),
+        Map.entry("gate.queued", () -> backendLoad().current().queued()),
+        Map.entry("gate.uploads.active", () -> backendLoad().activeUploads()),
+        Map.entry("gate.uploads.queued", () -> backendLoad().queuedUploads()),
         Map.entry("gate.rate.limit", this::announcedRateLimit),
-        Map.entry("gate.slots", () -> proxy.inboundHandler().load().slots()),
-        Map.entry("gate.slowness.percent", () -> proxy.inboundHandler().load().slownessPercent()),
+        Map.entry("gate.slots", () -> backendLoad().current().slots()),
+        Map.entry("gate.slowness.percent", () -> backendLoad().current().slownessPercent()),
         Map.entry(
             "gate.service.seconds",
-            () -> proxy.inboundHandler().load().serviceMicros() / MICROS_PER_SECOND));
+            () -> backendLoad().current().serviceMicros() / MICROS_PER_SECOND));
+  }
+
+  private LocalBackendLoad backendLoad() {
+    return proxy.inboundHandler().backendLoad();
   }
 
   /** Limit that the local backend announced, requests per second; -1 if there is none. */
@@ -450,6 +456,6 @@
 
   /** Requests queued at this node for a slot of the local backend. */
   public int queuedRequests() {
-    return proxy.inboundHandler().load().queued();
+    return backendLoad().current().queued();
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestEvents.java
@@ -20,6 +20,8 @@
   private static final MetadataKey<Long> UNREAD = MetadataKey.single("unreadMillis", Long.class);
   private static final MetadataKey<Long> PORT = MetadataKey.single("port", Long.class);
   private static final MetadataKey<Long> DROPPED = MetadataKey.single("droppedBytes", Long.class);
+  private static final MetadataKey<Long> QUEUED = MetadataKey.single("queuedMillis", Long.class);
+  private static final MetadataKey<Long> BYTES = MetadataKey.single("bytes", Long.class);
   private static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
 
   private final MeshEvents events;
@@ -124,6 +126,28 @@
         .log("load %s", load);
   }
 
+  /**
+   * Logs that the body of an upload was received.
+   *
+   * @param queuedMillis from the arrival of the request until the sender was asked for the body
+   * @param transferMillis from then on until it was received
+   * @param queued bodies still queued
+   */
+  void uploadReceived(
+      MeshInboundPlan plan, long bytes, long queuedMillis, long transferMillis, int queued) {
+    if (!events.tryAcquireLine(MeshEvent.UPLOAD_RECEIVED)) {
+      return;
+    }
+    MeshEvents.line(MeshEvent.UPLOAD_RECEIVED, true)
+        .with(LogFields.REQUEST_ID, plan.requestId())
+        .with(ROUTE, plan.route())
+        .with(BYTES, bytes)
+        .with(QUEUED, queuedMillis)
+        .with(MILLIS, transferMillis)
+        .with(COUNT, (long) queued)
+        .log("bodies queued %d", queued);
+  }
+
   /**
    * Logs that a request of another node cannot be read: a bug in the software of that node or this
    * one.
