Admit request bodies to the link by due time, and refuse early what would be late

What callers saw: uploads that were late or refused after seconds, while other nodes of the same service had nothing queued.

Cause: long bodies were asked for first come, first served, up to 0.45 of the client's timeout, whatever could still be in time. On a full link all of them were late. A node that sent one on stated any wait as tolerable, so that it was never refused early, although a refusal before 100 (Continue) costs a few hundred bytes; the refusal after the wait named 100 ms as retry time for all.

Change: the link is admitted to by the same controller as the slots (due order, requests that can be in time first, early refusal with a retry time that follows queue and refusals). The tolerated wait of a request with a long body holds for the link; after the transfer it waits for a slot as long as before. When a backend starts to drain, bodies that are queued are refused at once.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BodyUploadScheduler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BodyUploadScheduler.java
@@ -1,22 +1,25 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.model.Verdict;
+import io.umberpath.node.proxy.SlotGate;
 import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.Refusal;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.List;
+import io.umberpath.traffic.AdmissionController.AdmissionRequest;
+import io.umberpath.traffic.AdmissionControllers;
+import io.umberpath.traffic.AdmissionSettings;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.glassfish.grizzly.http.util.Header;
 
 /**
- * Limits how many request bodies other nodes send at the same time, in the order in which they
- * asked for {@code 100 Continue}. If all were sent at once, they would delay every small request on
- * a link with little bandwidth. Thread-safe.
+ * Limits how many request bodies other nodes send at the same time. If all were sent at once, they
+ * would delay every small request on a link with little bandwidth. Senders ask with {@code Expect:
+ * 100-continue}; the link is then admitted to as a backend's slots are: bodies of requests that can
+ * still be in time go first, in due order, and a request that would wait too long is refused before
+ * its body is sent. Thread-safe.
  */
 final class BodyUploadScheduler {
   /** Bodies sent at the same time: with two, the next one starts to arrive while one ends. */
@@ -28,30 +31,33 @@
    */
   private static final long STALLED_MILLIS = 1_000;
 
-  private static final long RETRY_AFTER_MILLIS = 100;
+  private static final int QUEUE_LIMIT = 256;
+  private static final int STARVATION_BOUND = 32;
+  private static final long INITIAL_TRANSFER_MICROS = 50_000;
+  private static final long MIN_RETRY_AFTER_MILLIS = 100;
+  private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
 
-  /** A body that is queued, since and until when. */
-  private record Waiting(long sinceMillis, long startByMillis) {}
+  private static final long MICROS_PER_MILLI = 1_000;
 
   /**
    * A body that is being received.
    *
-   * @param queuedMillis how long it was queued
    * @param startedMillis when the sender was asked for it
-   * @param receivedBytes bytes received when last checked; -1 before the first check
+   * @param receivedBytes bytes received when last checked
    * @param progressMillis when that number last changed
    */
-  private record Transfer(
-      long queuedMillis, long startedMillis, long receivedBytes, long progressMillis) {
+  private record Transfer(long startedMillis, long receivedBytes, long progressMillis) {
     Transfer update(long bytes, long nowMillis) {
-      return bytes == receivedBytes
-          ? this
-          : new Transfer(queuedMillis, startedMillis, bytes, nowMillis);
+      return bytes == receivedBytes ? this : new Transfer(startedMillis, bytes, nowMillis);
+    }
+
+    boolean isStalled(long nowMillis) {
+      return progressMillis + STALLED_MILLIS <= nowMillis;
     }
   }
 
-  private final Map<Exchange, Waiting> waiting = new LinkedHashMap<>();
-  private final Map<Exchange, Transfer> activeUploads = new HashMap<>();
+  private final SlotGate link;
+  private final Map<Exchange, Transfer> transfers = new ConcurrentHashMap<>();
   private final Predicate<Exchange> isAccepted;
   private final RequestEvents events;
   private final LongSupplier clockMillis;
@@ -66,103 +72,106 @@
     this.isAccepted = isAccepted;
     this.events = events;
     this.clockMillis = clockMillis;
+    AdmissionSettings settings =
+        new AdmissionSettings(
+            MAX_CONCURRENT_UPLOADS,
+            QUEUE_LIMIT,
+            STARVATION_BOUND,
+            INITIAL_TRANSFER_MICROS,
+            MIN_RETRY_AFTER_MILLIS,
+            MAX_RETRY_AFTER_MILLIS);
+    this.link =
+        new SlotGate(
+            AdmissionControllers.createInDueOrder(settings),
+            this::start,
+            clockMillis,
+            this::transferMicros);
+  }
+
+  /** Whether the sender of a request waits to be asked for its body. */
+  static boolean isAwaited(Exchange exchange) {
+    return exchange.request().field(Header.Expect.toString()).isPresent();
   }
 
   /**
-   * Queues the request's body if the sender expects {@code 100 Continue}; does nothing otherwise.
+   * Asks for the request's body now or later, or refuses the request.
    *
-   * @param startByMillis time at which the request is refused if its body is still queued
+   * @param requestFactory creates the admission request with the given id; the time that it holds
+   *     its slot is that of the transfer and of all that follows
    */
-  void enqueue(Exchange exchange, long startByMillis) {
-    if (exchange.request().field(Header.Expect.toString()).isEmpty()) {
-      return;
+  void enqueue(Exchange exchange, LongFunction<AdmissionRequest> requestFactory) {
+    link.requestSlot(exchange, requestFactory);
+  }
+
+  private boolean start(Exchange exchange) {
+    if (!isAccepted.test(exchange)) {
+      exchange.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
+      return false;
     }
-    synchronized (this) {
-      waiting.put(exchange, new Waiting(clockMillis.getAsLong(), startByMillis));
+    long nowMillis = clockMillis.getAsLong();
+    transfers.put(exchange, new Transfer(nowMillis, exchange.body().received(), nowMillis));
+    boolean waits = exchange.sendContinue();
+    if (!waits) {
+      transfers.remove(exchange);
     }
-    startWaitingUploads();
+    return waits;
   }
 
   /** Frees the place of a request whose body has been received or that has ended. */
   void release(Exchange exchange) {
-    Transfer transfer = remove(exchange);
+    link.ended(exchange);
+    Transfer transfer = transfers.remove(exchange);
     if (transfer != null && exchange.body().isBuffered()) {
+      long arrivedMillis = ((MeshInboundPlan) exchange.plan()).arrivedMillis();
       events.uploadReceived(
           (MeshInboundPlan) exchange.plan(),
           exchange.body().received(),
-          transfer.queuedMillis(),
+          transfer.startedMillis() - arrivedMillis,
           clockMillis.getAsLong() - transfer.startedMillis(),
-          waitingCount());
+          queuedCount());
     }
-    startWaitingUploads();
   }
 
-  /** Removes a request; returns its transfer if its body was being received, otherwise null. */
-  private synchronized Transfer remove(Exchange exchange) {
-    waiting.remove(exchange);
-    return activeUploads.remove(exchange);
+  /** Time that a body needed the link, microseconds; 0 if it was not received completely. */
+  private long transferMicros(Exchange exchange) {
+    Transfer transfer = transfers.get(exchange);
+    return transfer == null || !exchange.body().isBuffered()
+        ? 0
+        : Math.max(1, clockMillis.getAsLong() - transfer.startedMillis()) * MICROS_PER_MILLI;
   }
 
   /**
    * Refuses requests that were queued too long, and stops counting bodies that make no progress.
    */
   void tick(long nowMillis) {
-    for (Exchange expired : removeExpired(nowMillis)) {
-      expired.refuse(
-          new Refusal(new Verdict.NotRun(Verdict.Reason.OVERLOADED), RETRY_AFTER_MILLIS));
-    }
-    dropStalled(nowMillis);
-    startWaitingUploads();
+    link.tick(nowMillis);
+    transfers.replaceAll(
+        (exchange, before) -> before.update(exchange.body().received(), nowMillis));
+    transfers.forEach(
+        (exchange, transfer) -> {
+          if (transfer.isStalled(nowMillis)) {
+            link.ended(exchange);
+          }
+        });
   }
 
-  private synchronized List<Exchange> removeExpired(long nowMillis) {
-    List<Exchange> expired = new ArrayList<>();
-    for (Map.Entry<Exchange, Waiting> each : waiting.entrySet()) {
-      if (each.getValue().startByMillis() < nowMillis) {
-        expired.add(each.getKey());
-      }
-    }
-    waiting.keySet().removeAll(expired);
-    return expired;
+  /** Refuses queued requests that the backend no longer accepts. */
+  void refuseUnacceptedQueued() {
+    link.refuseQueued(exchange -> !isAccepted.test(exchange));
   }
 
-  private synchronized void dropStalled(long nowMillis) {
-    activeUploads.replaceAll(
-        (exchange, before) -> before.update(exchange.body().received(), nowMillis));
-    activeUploads.values().removeIf(each -> each.progressMillis() + STALLED_MILLIS <= nowMillis);
+  /** Mean time from asking for a body until it is received, microseconds. */
+  long meanTransferMicros() {
+    return link.meanServiceMicros();
   }
 
   /** Returns the number of requests whose bodies are being received. */
-  synchronized int activeCount() {
-    return activeUploads.size();
+  int activeCount() {
+    return link.running();
   }
 
   /** Returns the number of requests whose bodies are queued. */
-  synchronized int waitingCount() {
-    return waiting.size();
-  }
-
-  private void startWaitingUploads() {
-    for (Exchange next = activateNext(); next != null; next = activateNext()) {
-      if (!isAccepted.test(next)) {
-        remove(next);
-        next.refuse(Refusal.notRun(Verdict.Reason.DRAINING));
-      } else if (!next.sendContinue()) {
-        remove(next);
-      }
-    }
-  }
-
-  private synchronized Exchange activateNext() {
-    Iterator<Map.Entry<Exchange, Waiting>> first = waiting.entrySet().iterator();
-    if (!first.hasNext() || activeUploads.size() >= MAX_CONCURRENT_UPLOADS) {
-      return null;
-    }
-    Map.Entry<Exchange, Waiting> next = first.next();
-    first.remove();
-    long nowMillis = clockMillis.getAsLong();
-    long queuedMillis = nowMillis - next.getValue().sinceMillis();
-    activeUploads.put(next.getKey(), new Transfer(queuedMillis, nowMillis, -1, nowMillis));
-    return next.getKey();
+  int queuedCount() {
+    return link.queued();
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendLoad.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendLoad.java
@@ -51,7 +51,7 @@
         backend.startLimiter().usableSlots(clockMillis.getAsLong(), backend.slots(), serviceMicros);
     return new BackendLoad(
         admissionQueue.running(),
-        admissionQueue.queued() + uploads.waitingCount(),
+        admissionQueue.queued() + uploads.queuedCount(),
         slots,
         serviceMicros,
         slownessPercent,
@@ -60,6 +60,13 @@
         failures.percent(clockMillis.getAsLong()));
   }
 
+  /** Expected wait of a further request for a slot, microseconds. */
+  long slotWaitMicros() {
+    BackendLoad load = current();
+    int ahead = Math.max(0, admissionQueue.running() + admissionQueue.queued() + 1 - load.slots());
+    return ahead * load.serviceMicros() / load.slots();
+  }
+
   /** Returns the number of request bodies that are being received. */
   int activeUploads() {
     return uploads.activeCount();
@@ -67,7 +74,7 @@
 
   /** Returns the number of request bodies that wait for the link. */
   int queuedUploads() {
-    return uploads.waitingCount();
+    return uploads.queuedCount();
   }
 
   /** Returns the load as text for logs. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -18,6 +18,7 @@
 import io.umberpath.traffic.AdmissionController;
 import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.routing.BackendLoad;
+import io.umberpath.traffic.routing.LatencyAwareBalancer;
 import io.umberpath.traffic.routing.NestedRouteDetector;
 import io.umberpath.traffic.routing.RouteAverages;
 import io.umberpath.traffic.routing.SlowdownDetector;
@@ -133,6 +134,7 @@
   /** Refuses queued requests for instances of the backend that take no new work any more. */
   void refuseUnacceptedQueued() {
     admissionQueue.refuseQueued(exchange -> !isAccepted(exchange.plan()));
+    uploads.refuseUnacceptedQueued();
   }
 
   /** Refuses requests that can no longer be served in time. */
@@ -278,35 +280,62 @@
     }
     if (!exchange.body().isBuffered()) {
       // A slot that waits for a body does no work, so the request is not queued for a slot yet.
-      uploads.enqueue(exchange, plan.arrivedMillis() + plan.hop().startWithinMillis());
+      if (BodyUploadScheduler.isAwaited(exchange)) {
+        uploads.enqueue(exchange, id -> bodyAdmission(id, exchange));
+      }
       exchange.dispatchOnceBodyBuffered();
       return;
     }
     uploads.release(exchange);
+    admissionQueue.requestSlot(exchange, id -> slotAdmission(id, exchange));
+  }
+
+  /**
+   * The request for a slot of the backend. Once a long body has been received, the request is
+   * better queued here than sent again to another node.
+   */
+  private AdmissionRequest slotAdmission(long id, Exchange exchange) {
+    long toleratedWaitMillis =
+        BodyUploadScheduler.isAwaited(exchange)
+            ? LatencyAwareBalancer.ANY_WAIT_MILLIS
+            : planOf(exchange).hop().toleratedWaitMillis();
+    recordCaller(exchange);
+    return admission(id, exchange, toleratedWaitMillis, 0, 0);
+  }
+
+  /** The request for the link, which is followed by the wait for a slot and the work. */
+  private AdmissionRequest bodyAdmission(long id, Exchange exchange) {
+    long toleratedWaitMillis = planOf(exchange).hop().toleratedWaitMillis();
+    long transferMicros = uploads.meanTransferMicros();
+    return admission(id, exchange, toleratedWaitMillis, transferMicros, load.slotWaitMicros());
+  }
+
+  private AdmissionRequest admission(
+      long id,
+      Exchange exchange,
+      long toleratedWaitMillis,
+      long transferMicros,
+      long slotWaitMicros) {
+    MeshInboundPlan plan = planOf(exchange);
+    HopHeader hop = plan.hop();
     double slowdown = speed.slowdown();
     long expectedMicros = Math.round(slowdown * expectedMicros(plan.route()));
     long likelyMaxMicros = Math.round(slowdown * likelyMaxMicros(plan.route()));
-    long deadlineMillis = plan.deadlineMillis() - RESPONSE_TRANSIT_MILLIS;
-    HopHeader hop = plan.hop();
     long arrivedMillis = plan.arrivedMillis();
-    boolean isNested = isNested(exchange);
-    admissionQueue.requestSlot(
-        exchange,
-        id ->
-            new AdmissionRequest(
-                id,
-                plan.requestId(),
-                "",
-                Tier.STANDARD,
-                deadlineMillis,
-                expectedMicros,
-                likelyMaxMicros,
-                hop.toleratedWaitMillis(),
-                arrivedMillis + hop.dueInMillis(),
-                arrivedMillis + hop.targetInMillis(),
-                arrivedMillis + hop.refuseWithinMillis(),
-                arrivedMillis + hop.startWithinMillis(),
-                isNested));
+    return new AdmissionRequest(
+        id,
+        plan.requestId(),
+        "",
+        Tier.STANDARD,
+        plan.deadlineMillis() - RESPONSE_TRANSIT_MILLIS,
+        transferMicros + expectedMicros,
+        transferMicros + slotWaitMicros + likelyMaxMicros,
+        toleratedWaitMillis,
+        arrivedMillis + hop.dueInMillis(),
+        arrivedMillis + hop.targetInMillis(),
+        arrivedMillis + hop.refuseWithinMillis(),
+        arrivedMillis + hop.startWithinMillis(),
+        isNested(plan.route()));
   }
 
   /**
@@ -320,12 +349,10 @@
             .isPresent();
   }
 
-  private boolean isNested(Exchange exchange) {
+  private void recordCaller(Exchange exchange) {
     String callerService = exchange.request().field(settings.headers().callerService()).orElse("");
-    String route = planOf(exchange).route();
     synchronized (nestedRouteDetector) {
-      nestedRouteDetector.recordRequest(route, callerService);
-      return nestedRouteDetector.isNested(route);
+      nestedRouteDetector.recordRequest(planOf(exchange).route(), callerService);
     }
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -39,9 +39,6 @@
  * sends the request to the backend's node. Metrics and logs call this side {@code edge}.
  */
 final class MeshOutboundHandler implements RequestHandler {
-  /** Largest body sent to a node that may refuse the request because its backend is full, bytes. */
-  private static final long MAX_OPTIMISTIC_BODY_BYTES = 16 * 1024;
-
   private static final long RETRY_AFTER_NOT_READY_MILLIS = 300;
   private static final long RETRY_AFTER_NO_BACKEND_MILLIS = 100;
 
@@ -313,9 +310,9 @@
         .ifPresent(notice -> set(outgoing, NoticeHeader.HEADER, notice.encode()));
   }
 
+  /** A refusal for load costs little: long bodies are sent only after 100 (Continue). */
   private static boolean mayBeRefusedForLoad(Exchange exchange, MeshOutboundPlan plan) {
     return plan.retryState().overloadRefusalCount() < OutboundRetryPolicy.MAX_OVERLOAD_REFUSALS
-        && exchange.request().contentLength() <= MAX_OPTIMISTIC_BODY_BYTES
         && exchange.body().isReplayable();
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/SlotGate.java
@@ -18,10 +18,11 @@
 import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 
 /**
- * Assigns the concurrency slots of the backend beside this node to exchanges. A request that is
- * refused here certainly did not run: nothing of it has been sent. Thread-safe.
+ * Assigns concurrency slots, such as those of the backend beside this node, to exchanges. A request
+ * that is refused here certainly did not run: nothing of it has been sent. Thread-safe.
  */
 public final class SlotGate {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -39,6 +40,7 @@
   private final AdmissionController admission;
   private final Predicate<Exchange> send;
   private final LongSupplier clockMillis;
+  private final ToLongFunction<Exchange> serviceMicros;
   private final AtomicLong lastId = new AtomicLong();
   private final Map<Long, SlotRequest> byId = new ConcurrentHashMap<>();
   private final Map<Exchange, SlotRequest> byExchange = new ConcurrentHashMap<>();
@@ -52,9 +54,26 @@
    */
   public SlotGate(
       AdmissionController admission, Predicate<Exchange> send, LongSupplier clockMillis) {
+    this(admission, send, clockMillis, exchange -> exchange.history().sinceSentMicros());
+  }
+
+  /**
+   * Creates a gate with all slots free.
+   *
+   * @param send starts the use of a slot; false if the exchange has ended
+   * @param clockMillis monotonic clock, milliseconds
+   * @param serviceMicros how long an exchange that ends has used its slot, microseconds; 0 if that
+   *     tells nothing about others
+   */
+  public SlotGate(
+      AdmissionController admission,
+      Predicate<Exchange> send,
+      LongSupplier clockMillis,
+      ToLongFunction<Exchange> serviceMicros) {
     this.admission = admission;
     this.send = send;
     this.clockMillis = clockMillis;
+    this.serviceMicros = serviceMicros;
   }
 
   /**
@@ -160,7 +179,7 @@
     }
     remove(request);
     if (request.state().getAndSet(SlotState.ENDED) == SlotState.ADMITTED) {
-      release(request.id(), exchange.history().sinceSentMicros());
+      release(request.id(), serviceMicros.applyAsLong(exchange));
       return;
     }
     cancel(request.id());
@@ -236,10 +255,10 @@
     }
   }
 
-  private void release(long id, long serviceMicros) {
+  private void release(long id, long usedMicros) {
     List<Decision> decisions;
     synchronized (admission) {
-      decisions = admission.release(clockMillis.getAsLong(), id, serviceMicros);
+      decisions = admission.release(clockMillis.getAsLong(), id, usedMicros);
     }
     apply(decisions);
   }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionControllers.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionControllers.java
@@ -9,6 +9,11 @@
     return new SlotAdmissionController(settings);
   }
 
+  /** Creates a controller that admits requests in due order as soon as a slot is free. */
+  public static AdmissionController createInDueOrder(AdmissionSettings settings) {
+    return createInDueOrder(settings, StartLimiter.UNLIMITED);
+  }
+
   /**
    * Creates the controller of one backend that admits requests in due order.
    *
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/StartLimiter.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/StartLimiter.java
@@ -2,6 +2,28 @@
 
 /** Limits when requests may start at a backend, in addition to its slots. Thread-safe. */
 public interface StartLimiter {
+  /** Allows every start. */
+  StartLimiter UNLIMITED =
+      new StartLimiter() {
+        @Override
+        public boolean canStart(long nowMillis) {
+          return true;
+        }
+
+        @Override
+        public void recordStart(long nowMillis) {}
+
+        @Override
+        public double waitMillis(long nowMillis, int requestsAhead) {
+          return 0;
+        }
+
+        @Override
+        public int usableSlots(long nowMillis, int slots, long serviceMicros) {
+          return slots;
+        }
+      };
+
   /** Whether one more request may start now. */
   boolean canStart(long nowMillis);
 
