State the wait for the link in load reports, apart from the queue for slots

What callers saw: uploads late behind the one link of a node, while links of other nodes were idle.

Cause: queued bodies were added to the requests that wait for a slot. The choice of a backend priced each at a service time divided by the slots, and at nothing while slots were free; the link carries bodies one after the other, at 50 to 80 ms each. Requests without a body were charged for the same queue, although they do not wait for it.

The expected response time of an upload has the wait for the link and its own transfer as a term; a node's own uploads since the last report count, and the wait passes with time. Reports without the field are read as before.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BodyUploadScheduler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BodyUploadScheduler.java
@@ -7,6 +7,7 @@
 import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.AdmissionControllers;
 import io.umberpath.traffic.AdmissionSettings;
+import io.umberpath.traffic.routing.UploadLoad;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongFunction;
@@ -61,6 +62,7 @@
   private final Predicate<Exchange> isAccepted;
   private final RequestEvents events;
   private final LongSupplier clockMillis;
+  private volatile boolean hasReceived;
 
   /**
    * Creates a scheduler without uploads.
@@ -122,6 +124,7 @@
     link.ended(exchange);
     Transfer transfer = transfers.remove(exchange);
     if (transfer != null && exchange.body().isBuffered()) {
+      hasReceived = true;
       long arrivedMillis = ((MeshInboundPlan) exchange.plan()).arrivedMillis();
       events.uploadReceived(
           (MeshInboundPlan) exchange.plan(),
@@ -165,6 +168,12 @@
     return link.meanServiceMicros();
   }
 
+  /** Returns the load of the link. */
+  UploadLoad load() {
+    long bodyMicros = hasReceived ? link.meanServiceMicros() / MAX_CONCURRENT_UPLOADS : 0;
+    return new UploadLoad(activeCount() + queuedCount(), bodyMicros);
+  }
+
   /** Returns the number of requests whose bodies are being received. */
   int activeCount() {
     return link.running();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendLoad.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendLoad.java
@@ -51,13 +51,14 @@
         backend.startLimiter().usableSlots(clockMillis.getAsLong(), backend.slots(), serviceMicros);
     return new BackendLoad(
         admissionQueue.running(),
-        admissionQueue.queued() + uploads.queuedCount(),
+        admissionQueue.queued(),
         slots,
         serviceMicros,
         slownessPercent,
         0,
         backend.startTimeMillis(),
-        failures.percent(clockMillis.getAsLong()));
+        failures.percent(clockMillis.getAsLong()),
+        uploads.load());
   }
 
   /** Expected wait of a further request for a slot, microseconds. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -222,7 +222,7 @@
         Set<String> failed = plan.retryState().excludedBackends(false);
         choice = balancer.pick(now, candidates, constraints, failed, silent);
       }
-      choice.ifPresent(chosen -> balancer.started(now, chosen.backend().id()));
+      choice.ifPresent(chosen -> recordStart(now, chosen.backend().id(), constraints.isUpload()));
     }
     if (choice.isEmpty()) {
       exchange.refuse(exchange.history().lastRefusal().orElseGet(MeshOutboundHandler::noBackend));
@@ -242,6 +242,14 @@
     }
   }
 
+  private void recordStart(long nowMillis, String backendId, boolean isUpload) {
+    if (isUpload) {
+      balancer.startedUpload(nowMillis, backendId);
+    } else {
+      balancer.started(nowMillis, backendId);
+    }
+  }
+
   /** Waits for the whole body, so that the body can be sent as soon as a backend is chosen. */
   private static void awaitBody(Exchange exchange) {
     if (exchange.request().field(Header.Expect.toString()).isPresent()) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerReport.java
@@ -7,6 +7,7 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.traffic.routing.BackendLoad;
+import io.umberpath.traffic.routing.UploadLoad;
 import java.io.IOException;
 import java.util.Optional;
 
@@ -48,6 +49,7 @@
     out.writeNumber(load.serviceMicros());
     out.writeNumber(load.slownessPercent());
     out.writeNumber(load.failurePercent());
+    write(out, load.uploads());
     out.writeBoolean(isDraining);
     out.writeNumber(version);
     out.writeNumber(position.era());
@@ -63,6 +65,13 @@
     out.writeEndArray();
   }
 
+  private static void write(JsonGenerator out, UploadLoad uploads) throws IOException {
+    if (uploads.isKnown()) {
+      out.writeNumber(uploads.outstanding());
+      out.writeNumber(uploads.bodyMicros());
+    }
+  }
+
   /**
    * Reads a report whose list has begun.
    *
@@ -77,8 +86,9 @@
     int failurePercent = BackendLoad.clampPercent(readNumber(in));
     BackendLoad load =
         new BackendLoad(running, queued, slots, serviceMicros, slownessPercent, 0)
-            .withFailures(failurePercent);
-    boolean isDraining = Boolean.TRUE.equals(in.nextBooleanValue());
+            .withFailures(failurePercent)
+            .withUploads(readUploads(in));
+    boolean isDraining = in.currentToken() == JsonToken.VALUE_TRUE;
     long version = readNumber(in);
     long era = readNumber(in);
     StorePosition position = new StorePosition(era, readNumber(in));
@@ -96,6 +106,17 @@
         load, isDraining, version, position, storeContact, suspectsDigest, unlistedZone, attested);
   }
 
+  /** Reads the load of uploads if there is one; the parser is at the value behind it. */
+  private static UploadLoad readUploads(JsonParser in) throws IOException {
+    if (in.nextToken() != JsonToken.VALUE_NUMBER_INT) {
+      return UploadLoad.NONE;
+    }
+    int outstanding = in.getIntValue();
+    UploadLoad uploads = new UploadLoad(outstanding, readNumber(in));
+    in.nextToken();
+    return uploads;
+  }
+
   private static ReportedContact readContact(JsonParser in) throws IOException {
     long state = readNumber(in);
     if (state < 0 || state >= CONTACT_STATES.length) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestCosts.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestCosts.java
@@ -43,9 +43,16 @@
     synchronized (responseBytes) {
       bytes += responseBytes.average(plan.route());
     }
-    double share = bytes / CROSS_ZONE_BYTES_PER_REQUEST;
-    double crossZoneCost = Math.min(MAX_CROSS_ZONE_COST, share * share);
     return new LatencyAwareBalancer.RequestConstraints(
-        plan.route(), RequestTimes.targetInMillis(plan, nowMillis), crossZoneCost);
+        plan.route(),
+        RequestTimes.targetInMillis(plan, nowMillis),
+        crossZoneCost(bytes),
+        exchange.body().needsContinue());
+  }
+
+  /** Returns the cost of transferring that many bytes between zones, as a share of a request. */
+  static double crossZoneCost(double bytes) {
+    double share = bytes / CROSS_ZONE_BYTES_PER_REQUEST;
+    return Math.min(MAX_CROSS_ZONE_COST, share * share);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestBody.java
@@ -121,7 +121,7 @@
   }
 
   /** Whether the body is incomplete, or too long to send without waiting for 100 (Continue). */
-  synchronized boolean needsContinue() {
+  public synchronized boolean needsContinue() {
     return !isComplete || buffered.size() > MAX_BYTES_WITHOUT_CONTINUE;
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/PeerMessagesTest.java
@@ -20,6 +20,7 @@
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import io.umberpath.traffic.quarantine.SuspectReport;
 import io.umberpath.traffic.routing.BackendLoad;
+import io.umberpath.traffic.routing.UploadLoad;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -40,8 +41,13 @@
   private static final PeerMessage.Stamp STAMP = new PeerMessage.Stamp(-1_234_567_890, 70_000);
 
   private static PeerReport report(boolean isDraining, Optional<BackendEntry> attested) {
+    return report(new BackendLoad(5, 2, 6, 61_000, 400, 0), isDraining, attested);
+  }
+
+  private static PeerReport report(
+      BackendLoad load, boolean isDraining, Optional<BackendEntry> attested) {
     return new PeerReport(
-        new BackendLoad(5, 2, 6, 61_000, 400, 0),
+        load,
         isDraining,
         42,
         new StorePosition(3, 1_000_000_007),
@@ -60,6 +66,16 @@
             .toList());
   }
 
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void loadOfUploadsRoundTrips(boolean isDraining) throws IOException {
+    BackendLoad load =
+        new BackendLoad(5, 2, 6, 61_000, 400, 0).withUploads(new UploadLoad(25, 48_000));
+    PeerReport report = report(load, isDraining, Optional.of(ENTRY));
+
+    assertThat(EncodedReport.of(report).decode()).isEqualTo(report);
+  }
+
   @Test
   void zoneOfAnUnlistedNodeRoundTrips() throws IOException {
     PeerReport listed = report(false, Optional.empty());
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendLoad.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendLoad.java
@@ -14,6 +14,7 @@
  * @param startTimeMillis start time of the backend, as {@link
  *     io.umberpath.model.routing.BackendEntry#startTimeMillis}; 0 if not known
  * @param failurePercent share of its recent responses that failed, percent
+ * @param uploads load of the link over which it receives long request bodies
  */
 public record BackendLoad(
     int running,
@@ -23,13 +24,17 @@
     int slownessPercent,
     long routeMicros,
     long startTimeMillis,
-    int failurePercent) {
+    int failurePercent,
+    UploadLoad uploads) {
   /** Slowdown of a backend at its usual speed. */
   public static final int USUAL_PERCENT = 100;
 
   private static final int MIN_PERCENT = 10;
   private static final int MAX_PERCENT = 2_000;
-  private static final int FIELD_COUNT = 8;
+  private static final int FIELD_COUNT = 10;
+
+  /** Fields of a report without the load of uploads. */
+  private static final int MIN_FIELD_COUNT = 8;
 
   /** Creates a report without a start time and without failures. */
   public BackendLoad(
@@ -54,6 +59,42 @@
     this(running, queued, slots, serviceMicros, slownessPercent, routeMicros, startTimeMillis, 0);
   }
 
+  /** Creates a report without uploads. */
+  public BackendLoad(
+      int running,
+      int queued,
+      int slots,
+      long serviceMicros,
+      int slownessPercent,
+      long routeMicros,
+      long startTimeMillis,
+      int failurePercent) {
+    this(
+        running,
+        queued,
+        slots,
+        serviceMicros,
+        slownessPercent,
+        routeMicros,
+        startTimeMillis,
+        failurePercent,
+        UploadLoad.NONE);
+  }
+
+  /** Returns a copy with that load of uploads. */
+  public BackendLoad withUploads(UploadLoad newUploads) {
+    return new BackendLoad(
+        running,
+        queued,
+        slots,
+        serviceMicros,
+        slownessPercent,
+        routeMicros,
+        startTimeMillis,
+        failurePercent,
+        newUploads);
+  }
+
   /** Returns a copy with that share of failed responses. */
   public BackendLoad withFailures(int percent) {
     return new BackendLoad(
@@ -64,7 +105,8 @@
         slownessPercent,
         routeMicros,
         startTimeMillis,
-        percent);
+        percent,
+        uploads);
   }
 
   /** Returns a copy with another number of queued requests. */
@@ -77,7 +119,8 @@
         slownessPercent,
         routeMicros,
         startTimeMillis,
-        failurePercent);
+        failurePercent,
+        uploads);
   }
 
   /** Clamps a slowdown that another node reports, to limit the effect of a faulty report. */
@@ -95,7 +138,8 @@
         slownessPercent,
         newRouteMicros,
         startTimeMillis,
-        failurePercent);
+        failurePercent,
+        uploads);
   }
 
   /** Encodes the report for a header: numbers joined by commas. */
@@ -114,13 +158,17 @@
         + ","
         + startTimeMillis
         + ","
-        + failurePercent;
+        + failurePercent
+        + (uploads.isKnown() ? "," + uploads.outstanding() + "," + uploads.bodyMicros() : "");
   }
 
-  /** Decodes the text form; null if it is malformed. */
+  /**
+   * Decodes the text form; null if it is malformed. A node that has received no long bodies, or is
+   * of an earlier version, leaves the load of uploads out.
+   */
   public static BackendLoad decode(String text) {
     String[] fields = text.split(",", FIELD_COUNT + 1);
-    if (fields.length != FIELD_COUNT) {
+    if (fields.length != FIELD_COUNT && fields.length != MIN_FIELD_COUNT) {
       return null;
     }
     try {
@@ -132,7 +180,10 @@
           clampSlowness(Integer.parseInt(fields[4])),
           Long.parseLong(fields[5]),
           Long.parseLong(fields[6]),
-          clampPercent(Long.parseLong(fields[7])));
+          clampPercent(Long.parseLong(fields[7])),
+          fields.length == MIN_FIELD_COUNT
+              ? UploadLoad.NONE
+              : new UploadLoad(Integer.parseInt(fields[8]), Long.parseLong(fields[9])));
     } catch (NumberFormatException malformed) {
       return null;
     }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendStats.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendStats.java
@@ -37,6 +37,8 @@
   private double failureRate;
   private double nextStartMillis = Double.NEGATIVE_INFINITY;
   private double startIntervalMillis;
+  private double linkFreeAtMillis = Double.NEGATIVE_INFINITY;
+  private double bodyMillis;
   private long avoidUntilMillis;
   private long lastActiveMillis;
 
@@ -87,6 +89,12 @@
     nextStartMillis = Math.max(nowMillis, nextStartMillis) + startIntervalMillis;
   }
 
+  /** Records that a request with a long body was sent to the backend. */
+  void recordUploadStart(long nowMillis) {
+    recordRequestStart(nowMillis);
+    linkFreeAtMillis = Math.max(nowMillis, linkFreeAtMillis) + bodyMillis;
+  }
+
   /** Records the end of a request that was sent to the backend. */
   void recordRequestEnd(long nowMillis, Verdict verdict) {
     ownInFlight = Math.max(0, ownInFlight - 1);
@@ -132,6 +140,21 @@
     serviceMillis = load.serviceMicros() / MICROS_PER_MILLI;
     slowdown.update(atMillis, load.slownessPercent() / (double) BackendLoad.USUAL_PERCENT);
     failureRate = load.failurePercent() / (double) BackendLoad.USUAL_PERCENT;
+    bodyMillis = load.uploads().bodyMicros() / MICROS_PER_MILLI;
+    linkFreeAtMillis = atMillis + load.uploads().outstanding() * bodyMillis;
+  }
+
+  /**
+   * Time until the link has carried the bodies that were outstanding at the last report or that
+   * this node has sent since, milliseconds.
+   */
+  double linkWaitMillis(long nowMillis) {
+    return Math.max(0, linkFreeAtMillis - nowMillis);
+  }
+
+  /** Time that the link needs for a long body, milliseconds; 0 if not known. */
+  double bodyMillis() {
+    return bodyMillis;
   }
 
   /**
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/ExpectedResponseTimes.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/ExpectedResponseTimes.java
@@ -5,9 +5,9 @@
 import java.util.List;
 
 /**
- * Expected response times of one route at the backends of a service: the wait for a slot, or for
- * the start that a rate limit allows, plus the work. Unknown values of a backend are replaced by
- * the mean of the others.
+ * Expected response times of one route at the backends of a service: the transfer of a long body,
+ * the wait for a slot, or for the start that a rate limit allows, plus the work. Unknown values of
+ * a backend are replaced by the mean of the others.
  */
 final class ExpectedResponseTimes {
   private static final double DEFAULT_SERVICE_MILLIS = 60;
@@ -18,6 +18,7 @@
 
   private final BackendStatsTable statsTable;
   private final String route;
+  private final boolean isUpload;
   private final double meanServiceMillis;
   private final double meanRouteMillis;
   private final double meanOutstanding;
@@ -27,10 +28,13 @@
    * Computes the means over the candidates.
    *
    * @param route the request's route
+   * @param isUpload whether the request has a long body
    */
-  ExpectedResponseTimes(BackendStatsTable statsTable, List<BackendEntry> candidates, String route) {
+  ExpectedResponseTimes(
+      BackendStatsTable statsTable, List<BackendEntry> candidates, String route, boolean isUpload) {
     this.statsTable = statsTable;
     this.route = route;
+    this.isUpload = isUpload;
     Average service = new Average();
     Average routeTime = new Average();
     Average outstanding = new Average();
@@ -72,7 +76,21 @@
     double waitMillis = Math.max(slotWaitMillis, stats.startWaitMillis(nowMillis));
     double utilizationMillis =
         UTILIZATION_WEIGHT * workMillis * Math.min(1, outstanding / stats.slots());
-    return workMillis + waitMillis + utilizationMillis + stats.remainingAvoidMillis(nowMillis);
+    return transferMillis(nowMillis, stats)
+        + workMillis
+        + waitMillis
+        + utilizationMillis
+        + stats.remainingAvoidMillis(nowMillis);
+  }
+
+  /** Expected time until the backend's node has received the body, milliseconds. */
+  private double transferMillis(long nowMillis, BackendStats stats) {
+    return isUpload ? stats.linkWaitMillis(nowMillis) + stats.bodyMillis() : 0;
+  }
+
+  /** Expected time that the request takes at a backend that has nothing else to do. */
+  double unloadedMillis(long nowMillis, BackendStats stats) {
+    return workMillis(nowMillis, stats) + (isUpload ? stats.bodyMillis() : 0);
   }
 
   /**
@@ -87,7 +105,7 @@
   }
 
   /** Expected time that the backend works on the request once it has a slot, milliseconds. */
-  double workMillis(long nowMillis, BackendStats stats) {
+  private double workMillis(long nowMillis, BackendStats stats) {
     Double known = stats.routeMillis(route);
     return (known == null ? meanRouteMillis * stats.speedRatio() : known)
         * stats.slowdown(nowMillis);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/LatencyAwareBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/LatencyAwareBalancer.java
@@ -12,7 +12,7 @@
  * cost of cross-zone traffic. The expected response time is the wait reported by the node beside
  * the backend, adjusted by this node's own requests since then, plus the time of the work. The work
  * is estimated by the mean of the route at that backend, because the mean over all its requests
- * depends on which routes it happens to serve.
+ * depends on which routes it happens to serve. Long bodies have to wait for the backend's link too.
  *
  * <p>The best of two random choices is taken if it is likely in time; only otherwise are all
  * candidates compared. Load reports are some tenths of a second old, and nodes that all compare the
@@ -37,14 +37,21 @@
    * @param route name of its route
    * @param targetMillis remaining time within which the response has its full value, milliseconds
    * @param otherZoneLoss cost of a response from another zone, as a share of its value
+   * @param isUpload whether its body is sent only once the backend's node asks for it
    */
-  public record RequestConstraints(String route, double targetMillis, double otherZoneLoss) {
+  public record RequestConstraints(
+      String route, double targetMillis, double otherZoneLoss, boolean isUpload) {
     /**
      * Lower bound on the target, milliseconds: with none left every backend would look equally
      * late.
      */
     private static final double MIN_TARGET_MILLIS = 10;
 
+    /** Creates the requirements of a request without a long body. */
+    public RequestConstraints(String route, double targetMillis, double otherZoneLoss) {
+      this(route, targetMillis, otherZoneLoss, false);
+    }
+
     /** Raises a target that is too short or has passed to the lower bound. */
     public RequestConstraints {
       targetMillis = Math.max(MIN_TARGET_MILLIS, targetMillis);
@@ -146,7 +153,9 @@
     Comparison(long nowMillis, List<BackendEntry> candidates, RequestConstraints constraints) {
       this.nowMillis = nowMillis;
       this.constraints = constraints;
-      this.times = new ExpectedResponseTimes(statsTable, candidates, constraints.route());
+      this.times =
+          new ExpectedResponseTimes(
+              statsTable, candidates, constraints.route(), constraints.isUpload());
     }
 
     Ranking rank(List<BackendEntry> compared) {
@@ -182,9 +191,9 @@
       if (ranking.secondLoss() == Double.MAX_VALUE) {
         return new Choice(best, ANY_WAIT_MILLIS);
       }
-      double workMillis = times.workMillis(nowMillis, statsTable.find(best));
+      double unloadedMillis = times.unloadedMillis(nowMillis, statsTable.find(best));
       double limitMillis = constraints.millisAtLoss(ranking.secondLoss() - zoneLoss(best));
-      return new Choice(best, Math.max(0, Math.round(limitMillis - workMillis)));
+      return new Choice(best, Math.max(0, Math.round(limitMillis - unloadedMillis)));
     }
   }
 
@@ -202,6 +211,11 @@
     statsTable.getOrCreate(nowMillis, id).recordRequestStart(nowMillis);
   }
 
+  /** Records that a request with a long body was sent to the backend. */
+  public void startedUpload(long nowMillis, String id) {
+    statsTable.getOrCreate(nowMillis, id).recordUploadStart(nowMillis);
+  }
+
   /**
    * Records the end of a request that was sent to the backend.
    *
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/BackendLoadTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/BackendLoadTest.java
@@ -15,6 +15,15 @@
     assertThat(BackendLoad.decode(load.encode())).isEqualTo(load);
   }
 
+  @Test
+  void decodesTheLoadOfUploads() {
+    BackendLoad load =
+        new BackendLoad(5, 2, 6, 61_250, 250, 15_000).withUploads(new UploadLoad(25, 48_000));
+
+    assertThat(BackendLoad.decode(load.encode())).isEqualTo(load);
+    assertThat(BackendLoad.decode("1,2,3,4,5,6,7,8").uploads()).isEqualTo(UploadLoad.NONE);
+  }
+
   @ParameterizedTest
   @ValueSource(
       strings = {"", "1,2,3,4,5,6,7", "1,2,3,4,5,6,7,8,9", "a,2,3,4,5,6,7,8", "1,2,3,4,5,6,7,"})
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/LatencyAwareBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/LatencyAwareBalancerTest.java
@@ -95,6 +95,43 @@
         .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("near"));
   }
 
+  private Optional<String> pickForUpload(long nowMillis) {
+    LatencyAwareBalancer.RequestConstraints upload =
+        new LatencyAwareBalancer.RequestConstraints(ROUTE, 200, 0.2, true);
+    return balancer
+        .pick(nowMillis, List.of(LOCAL, REMOTE), upload, Set.of(), Set.of())
+        .map(choice -> choice.backend().id());
+  }
+
+  private void reportUploads(BackendEntry backend, int outstanding) {
+    BackendLoad idle = new BackendLoad(0, 0, 6, 60_000, 100, 0);
+    balancer.updateLoad(NOW, backend.id(), idle.withUploads(new UploadLoad(outstanding, 50_000)));
+    balancer.updateRouteTime(backend.id(), ROUTE, 60_000);
+  }
+
+  @Test
+  void uploadsAvoidAFullLinkAlthoughTheSlotsAreFree() {
+    reportUploads(LOCAL, 4);
+    reportUploads(REMOTE, 0);
+
+    assertThat(pickForUpload(NOW)).contains("far");
+    assertThat(pick(List.of(LOCAL, REMOTE), Set.of())).as("short request").contains("near");
+    assertThat(pickForUpload(NOW + 200)).as("after the link has had the time").contains("near");
+  }
+
+  @Test
+  void uploadsOfThisNodeCountBeforeTheNextReport() {
+    reportUploads(LOCAL, 0);
+    reportUploads(REMOTE, 0);
+    assertThat(pickForUpload(NOW)).contains("near");
+
+    for (int sent = 0; sent < 4; sent++) {
+      balancer.startedUpload(NOW, "near");
+    }
+
+    assertThat(pickForUpload(NOW)).contains("far");
+  }
+
   @Test
   void staysInTheZoneWhileTheWaitIsShort() {
     reportLoad(LOCAL, 6, 3, 60);
