Leave the zone with an upload that is likely late there

What callers saw: uploads late in the zone with the most clients and the fewest links, while two thirds of the links of another zone were idle.

Cause: a request of 60 kB was charged 0.8 of its value for leaving its zone, so that another zone was chosen only once being late at home was nearly certain.

Change: the cost is limited to 0.3 of the value, which a request that is likely late at home always exceeds. Traffic between zones is worth less than the response in time; what fits into the zone stays there.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -1,6 +1,5 @@
 package io.umberpath.node.mesh;
 
-import io.umberpath.model.Tier;
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendStart;
 import io.umberpath.node.proxy.SlotGate;
@@ -18,7 +17,6 @@
 import io.umberpath.traffic.AdmissionController;
 import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.routing.BackendLoad;
-import io.umberpath.traffic.routing.LatencyAwareBalancer;
 import io.umberpath.traffic.routing.NestedRouteDetector;
 import io.umberpath.traffic.routing.RouteAverages;
 import io.umberpath.traffic.routing.SlowdownDetector;
@@ -52,9 +50,6 @@
       new Verdict.MayHaveRun(Verdict.Reason.CONNECTION_LOST);
   private static final long MICROS_PER_MILLI = 1_000;
 
-  /** Least time that a response takes back to the client, milliseconds. */
-  private static final long RESPONSE_TRANSIT_MILLIS = 8;
-
   /** Requests of a route after which its mean duration is used. */
   private static final int MIN_TIME_SAMPLES = 5;
 
@@ -221,9 +216,12 @@
     }
   }
 
-  private long likelyMaxMicros(String route) {
+  private AdmissionRequests.WorkTime workTime(String route) {
+    double slowdown = speed.slowdown();
     synchronized (routeTimes) {
-      return routeTimes.upperEstimate(route);
+      return new AdmissionRequests.WorkTime(
+          Math.round(slowdown * routeTimes.average(route)),
+          Math.round(slowdown * routeTimes.upperEstimate(route)));
     }
   }
 
@@ -290,51 +288,25 @@
     admissionQueue.requestSlot(exchange, id -> slotAdmission(id, exchange));
   }
 
-  /**
-   * The request for a slot of the backend. Once a long body has been received, the request is
-   * better queued here than sent again to another node.
-   */
   private AdmissionRequest slotAdmission(long id, Exchange exchange) {
-    long toleratedWaitMillis =
-        BodyUploadScheduler.isAwaited(exchange)
-            ? LatencyAwareBalancer.ANY_WAIT_MILLIS
-            : planOf(exchange).hop().toleratedWaitMillis();
+    MeshInboundPlan plan = planOf(exchange);
     recordCaller(exchange);
-    return admission(id, exchange, toleratedWaitMillis, 0, 0);
+    return AdmissionRequests.forSlot(
+        id,
+        plan,
+        workTime(plan.route()),
+        BodyUploadScheduler.isAwaited(exchange),
+        isNested(plan.route()));
   }
 
-  /** The request for the link, which is followed by the wait for a slot and the work. */
   private AdmissionRequest bodyAdmission(long id, Exchange exchange) {
-    long toleratedWaitMillis = planOf(exchange).hop().toleratedWaitMillis();
-    long transferMicros = uploads.meanTransferMicros();
-    return admission(id, exchange, toleratedWaitMillis, transferMicros, load.slotWaitMicros());
-  }
-
-  private AdmissionRequest admission(
-      long id,
-      Exchange exchange,
-      long toleratedWaitMillis,
-      long transferMicros,
-      long slotWaitMicros) {
     MeshInboundPlan plan = planOf(exchange);
-    HopHeader hop = plan.hop();
-    double slowdown = speed.slowdown();
-    long expectedMicros = Math.round(slowdown * expectedMicros(plan.route()));
-    long likelyMaxMicros = Math.round(slowdown * likelyMaxMicros(plan.route()));
-    long arrivedMillis = plan.arrivedMillis();
-    return new AdmissionRequest(
+    return AdmissionRequests.forBody(
         id,
-        plan.requestId(),
-        "",
-        Tier.STANDARD,
-        plan.deadlineMillis() - RESPONSE_TRANSIT_MILLIS,
-        transferMicros + expectedMicros,
-        transferMicros + slotWaitMicros + likelyMaxMicros,
-        toleratedWaitMillis,
-        arrivedMillis + hop.dueInMillis(),
-        arrivedMillis + hop.targetInMillis(),
-        arrivedMillis + hop.refuseWithinMillis(),
-        arrivedMillis + hop.startWithinMillis(),
+        plan,
+        workTime(plan.route()),
+        uploads.meanTransferMicros(),
+        load.slotWaitMicros(),
         isNested(plan.route()));
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestCosts.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestCosts.java
@@ -14,10 +14,10 @@
   private static final double CROSS_ZONE_BYTES_PER_REQUEST = 8 * 1024;
 
   /**
-   * Upper limit of the cross-zone cost as a share of a request; below 1, since a request may still
-   * be served better in another zone.
+   * Upper limit of the cross-zone cost as a share of a request; well below one half, so that a
+   * request which is likely late in its zone leaves it for one where it is likely in time.
    */
-  private static final double MAX_CROSS_ZONE_COST = 0.8;
+  private static final double MAX_CROSS_ZONE_COST = 0.3;
 
   /** Assumed size of the request and response heads between two nodes, bytes. */
   private static final long HEAD_BYTES = 700;
