Limit the interim responses of an attempt to 64 KiB

What callers see: a backend that sends interim responses (103) without end keeps its request until the deadline, and the client gets megabytes of them.

Cause: each interim response has the limit of a head, their number has none.

Change: interim responses count together against the limit of a response head, also those that are not forwarded; beyond it the attempt fails as a bad answer and the connection is closed.

Evidence: EndlessResponseTest with ten forms of responses that do not end; two of them failed before (504 at the deadline; more than 128 KiB without a final response), all hold after, twice. The other eight held before.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
@@ -18,6 +18,9 @@
 final class Attempt implements ConnectionWaiter, ResponseListener {
   private static final long NANOS_PER_MICRO = 1_000;
 
+  /** Most bytes of interim responses, as many as a response head may have. */
+  private static final int MAX_INTERIM_BYTES = 64 * 1024;
+
   private final Exchange exchange;
   private final PipelinedResponse pipelined;
   private final ConnectionPool pool;
@@ -34,6 +37,7 @@
   private OriginConnection awaitingContinue;
 
   private OutgoingRequest outgoing;
+  private int interimBytes;
 
   Attempt(
       Exchange exchange,
@@ -111,6 +115,12 @@
     pipelined.runWhenWritable(resume);
   }
 
+  /** Counts an interim response; returns whether there may be as many. */
+  boolean countInterimResponse(byte[] head) {
+    interimBytes += head.length;
+    return interimBytes <= MAX_INTERIM_BYTES;
+  }
+
   /** Creates the outgoing request; the handler still adds its own headers. */
   OutgoingRequest prepare() {
     outgoing = OutgoingRequest.of(exchange.request(), exchange.plan(), pool.address());
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -441,7 +441,9 @@
 
   void attemptReceivedInterimResponse(Attempt current, byte[] head) {
     synchronized (this) {
-      if (attempt == current && stage == ExchangeStage.SENT) {
+      if (attempt == current && !current.countInterimResponse(head)) {
+        fail(refusalForStage(Verdict.Reason.BAD_ANSWER), true);
+      } else if (attempt == current && stage == ExchangeStage.SENT) {
         if (handler.forwardsInterimResponse(plan, head)) {
           responseWriter.writeInterimResponse(head);
         }
