--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/UploadsOverUnevenZonesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/UploadsOverUnevenZonesTest.java
@@ -6,7 +6,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * 74 nodes in three zones upload to seven backends behind links of 10 Mbit/s. The zone that sends
+ * 75 nodes in three zones upload to seven backends behind links of 10 Mbit/s. The zone that sends
  * most has the fewest links.
  */
 final class UploadsOverUnevenZonesTest {
