--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BodyUploadScheduler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BodyUploadScheduler.java
@@ -16,11 +16,12 @@
 import org.glassfish.grizzly.http.util.Header;
 
 /**
- * Limits how many request bodies other nodes send at the same time. If all were sent at once, they
- * would delay every small request on a link with little bandwidth. Senders ask with {@code Expect:
- * 100-continue}; the link is then admitted to as a backend's slots are: bodies of requests that can
- * still be in time go first, in due order, and a request that would wait too long is refused before
- * its body is sent. Thread-safe.
+ * Limits how many long request bodies other nodes send at the same time. If all were sent at once,
+ * they would delay every small request on a link with little bandwidth.
+ *
+ * <p>Senders ask with {@code Expect: 100-continue}. The link has admission control like the slots
+ * of a backend: bodies of requests that can still be in time go first, in due order, and a request
+ * that would wait too long is refused before its body is sent. Thread-safe.
  */
 final class BodyUploadScheduler {
   /** Bodies sent at the same time: with two, the next one starts to arrive while one ends. */
@@ -98,8 +99,8 @@
   /**
    * Asks for the request's body now or later, or refuses the request.
    *
-   * @param requestFactory creates the admission request with the given id; the time that it holds
-   *     its slot is that of the transfer and of all that follows
+   * @param requestFactory creates the admission request with the given id; its expected time covers
+   *     the transfer and all that follows
    */
   void enqueue(Exchange exchange, LongFunction<AdmissionRequest> requestFactory) {
     link.requestSlot(exchange, requestFactory);
