Use a link again that was slow once it is idle

Cause: the transfer of an upload was expected to take as long as the last ones at that node. A node whose transfers had been slow for a while (lost packets, a start) got no bodies any more, and without bodies it does not measure its link again.

Change: the wait behind outstanding bodies is priced by the node's own figure, the transfer itself by the mean of the service.

Evidence: LatencyAwareBalancerTest.idleLinkThatWasSlowIsUsedAgain.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/ExpectedResponseTimes.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/ExpectedResponseTimes.java
@@ -21,6 +21,7 @@
   private final boolean isUpload;
   private final double meanServiceMillis;
   private final double meanRouteMillis;
+  private final double meanBodyMillis;
   private final double meanOutstanding;
   private final double meanFailureRate;
 
@@ -37,6 +38,7 @@
     this.isUpload = isUpload;
     Average service = new Average();
     Average routeTime = new Average();
+    Average body = new Average();
     Average outstanding = new Average();
     Average failures = new Average();
     for (BackendEntry candidate : candidates) {
@@ -51,12 +53,16 @@
         outstanding.add(stats.outstanding());
         failures.add(stats.failureRate());
       }
+      if (stats.bodyMillis() > 0) {
+        body.add(stats.bodyMillis());
+      }
       if (stats.routeMillis(route) != null) {
         routeTime.add(stats.routeMillis(route));
       }
     }
     meanServiceMillis = service.orElse(DEFAULT_SERVICE_MILLIS);
     meanRouteMillis = routeTime.orElse(meanServiceMillis);
+    meanBodyMillis = body.orElse(0);
     meanOutstanding = outstanding.orElse(0);
     meanFailureRate = failures.orElse(0);
   }
@@ -83,14 +89,18 @@
         + stats.remainingAvoidMillis(nowMillis);
   }
 
-  /** Expected time until the backend's node has received the body, milliseconds. */
+  /**
+   * Expected time until the backend's node has received the body, milliseconds. The transfer itself
+   * is taken to be the same everywhere: a link that was slow gets bodies again once it is idle,
+   * which is how its recovery shows.
+   */
   private double transferMillis(long nowMillis, BackendStats stats) {
-    return isUpload ? stats.linkWaitMillis(nowMillis) + stats.bodyMillis() : 0;
+    return isUpload ? stats.linkWaitMillis(nowMillis) + meanBodyMillis : 0;
   }
 
   /** Expected time that the request takes at a backend that has nothing else to do. */
   double unloadedMillis(long nowMillis, BackendStats stats) {
-    return workMillis(nowMillis, stats) + (isUpload ? stats.bodyMillis() : 0);
+    return workMillis(nowMillis, stats) + (isUpload ? meanBodyMillis : 0);
   }
 
   /**
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/LatencyAwareBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/LatencyAwareBalancerTest.java
@@ -104,8 +104,13 @@
   }
 
   private void reportUploads(BackendEntry backend, int outstanding) {
+    reportUploads(backend, outstanding, 50);
+  }
+
+  private void reportUploads(BackendEntry backend, int outstanding, int bodyMillis) {
     BackendLoad idle = new BackendLoad(0, 0, 6, 60_000, 100, 0);
-    balancer.updateLoad(NOW, backend.id(), idle.withUploads(new UploadLoad(outstanding, 50_000)));
+    UploadLoad uploads = new UploadLoad(outstanding, bodyMillis * 1_000L);
+    balancer.updateLoad(NOW, backend.id(), idle.withUploads(uploads));
     balancer.updateRouteTime(backend.id(), ROUTE, 60_000);
   }
 
@@ -119,6 +124,17 @@
     assertThat(pickForUpload(NOW + 200)).as("after the link has had the time").contains("near");
   }
 
+  /** Without bodies its node would not measure the link again. */
+  @Test
+  void idleLinkThatWasSlowIsUsedAgain() {
+    reportUploads(LOCAL, 0, 400);
+    reportUploads(REMOTE, 0, 10);
+
+    assertThat(pickForUpload(NOW)).contains("near");
+    balancer.startedUpload(NOW, "near");
+    assertThat(pickForUpload(NOW)).contains("far");
+  }
+
   @Test
   void uploadsOfThisNodeCountBeforeTheNextReport() {
     reportUploads(LOCAL, 0);
