Ask for a body only if the rate limit of the backend lets the request start in time

What was wrong: the wait for a slot that decides on asking for a body left out the wait for the start that an announced rate limit allows. The body was received, and the request refused or late behind it.

Change: the wait is that of the load which other nodes are told, with the limit in it. No test of its own; AnnouncingBackendTest covers limits with short requests.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendLoad.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendLoad.java
@@ -61,10 +61,10 @@
         uploads.load());
   }
 
-  /** Expected wait of a further request for a slot, microseconds. */
+  /** Expected wait of a further request for a slot and for the rate limit, microseconds. */
   long slotWaitMicros() {
-    BackendLoad load = current();
-    int ahead = Math.max(0, admissionQueue.running() + admissionQueue.queued() + 1 - load.slots());
+    BackendLoad load = reported();
+    int ahead = Math.max(0, load.running() + load.queued() + 1 - load.slots());
     return ahead * load.serviceMicros() / load.slots();
   }
 
