--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendLoad.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendLoad.java
@@ -77,4 +77,10 @@
   int queuedUploads() {
     return uploads.queuedCount();
   }
+
+  /** Returns the load as text for logs. */
+  String describe() {
+    return "%s, uploads active %d, queued %d"
+        .formatted(current().encode(), activeUploads(), queuedUploads());
+  }
 }
