One computation of the wait for a slot, and one constructor less

The wait behind running and queued requests stood in LocalBackendLoad and again in the model of uploads; BackendLoad has all it needs and computes it for both. The constructor of BackendLoad without uploads had no caller but another constructor. No change of behavior; tests of both modules that use them pass.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendLoad.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackendLoad.java
@@ -61,13 +61,6 @@
         uploads.load());
   }
 
-  /** Expected wait of a further request for a slot and for the rate limit, microseconds. */
-  long slotWaitMicros() {
-    BackendLoad load = reported();
-    int ahead = Math.max(0, load.running() + load.queued() + 1 - load.slots());
-    return ahead * load.serviceMicros() / load.slots();
-  }
-
   /** Returns the number of request bodies that are being received. */
   int activeUploads() {
     return uploads.activeCount();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -306,7 +306,7 @@
         plan,
         workTime(plan.route()),
         uploads.meanTransferMicros(),
-        load.slotWaitMicros(),
+        load.reported().slotWaitMicros(),
         isNested(plan.route()));
   }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/UploadModel.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/UploadModel.java
@@ -374,8 +374,7 @@
     void receiveHead(Upload upload) {
       long id = ++lastId;
       uploads.put(id, upload);
-      int ahead = Math.max(0, slots.running() + slots.queued() + 1 - SLOTS);
-      long slotWaitMicros = ahead * slots.meanServiceMicros() / SLOTS;
+      long slotWaitMicros = load().slotWaitMicros();
       apply(
           link.submit(
               now(),
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendLoad.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendLoad.java
@@ -36,7 +36,7 @@
   /** Fields of a report without the load of uploads. */
   private static final int MIN_FIELD_COUNT = 8;
 
-  /** Creates a report without a start time and without failures. */
+  /** Creates a report without a start time, failures and uploads. */
   public BackendLoad(
       int running,
       int queued,
@@ -47,7 +47,7 @@
     this(running, queued, slots, serviceMicros, slownessPercent, routeMicros, 0);
   }
 
-  /** Creates a report without failures. */
+  /** Creates a report without failures and uploads. */
   public BackendLoad(
       int running,
       int queued,
@@ -56,19 +56,6 @@
       int slownessPercent,
       long routeMicros,
       long startTimeMillis) {
-    this(running, queued, slots, serviceMicros, slownessPercent, routeMicros, startTimeMillis, 0);
-  }
-
-  /** Creates a report without uploads. */
-  public BackendLoad(
-      int running,
-      int queued,
-      int slots,
-      long serviceMicros,
-      int slownessPercent,
-      long routeMicros,
-      long startTimeMillis,
-      int failurePercent) {
     this(
         running,
         queued,
@@ -77,10 +64,16 @@
         slownessPercent,
         routeMicros,
         startTimeMillis,
-        failurePercent,
+        0,
         UploadLoad.NONE);
   }
 
+  /** Expected wait of a further request for a slot, microseconds. */
+  public long slotWaitMicros() {
+    int ahead = Math.max(0, running + queued + 1 - slots);
+    return ahead * serviceMicros / slots;
+  }
+
   /** Returns a copy with that load of uploads. */
   public BackendLoad withUploads(UploadLoad newUploads) {
     return new BackendLoad(
