Format the load of refused requests only for lines that are written

The text of gate-refused and gate-failed was built for each refusal, also above the rate limit of the lines, when refusals are most frequent. Flogger's LazyArgs builds it for the written lines alone; their text is the same (seen in SurplusResponseTest and EarlyResponseTest, which pass).

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -458,7 +458,7 @@
           plan,
           Fingerprints.logText(exchange, plan.targetHash(), verdict),
           verdict,
-          load.describe(),
+          load,
           millis,
           exchange.age().unreadMillis());
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestEvents.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import com.google.common.flogger.LazyArgs;
 import com.google.common.flogger.MetadataKey;
 import io.umberpath.model.Verdict;
 import io.umberpath.node.logs.LogFields;
@@ -111,7 +112,7 @@
       MeshInboundPlan plan,
       String fingerprint,
       Verdict verdict,
-      String load,
+      LocalBackendLoad load,
       long millis,
       long unreadMillis) {
     boolean refused = verdict instanceof Verdict.NotRun;
@@ -123,7 +124,7 @@
         .with(FINGERPRINT, fingerprint)
         .with(MILLIS, millis)
         .with(UNREAD, unreadMillis)
-        .log("load %s", load);
+        .log("load %s", LazyArgs.lazy(load::describe));
   }
 
   /**
