One place for the limits of admission to slots and to the link

Queue limit, first service time and longest retry time stood in MeshProxy, again in BodyUploadScheduler and a third time in the model of uploads, with the same values. The shortest retry time differs (30 and 100 ms) and stays with each. No change of behavior; UploadsOverUnevenZonesTest passes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BodyUploadScheduler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BodyUploadScheduler.java
@@ -6,7 +6,6 @@
 import io.umberpath.node.proxy.inbound.Refusal;
 import io.umberpath.traffic.AdmissionController.AdmissionRequest;
 import io.umberpath.traffic.AdmissionControllers;
-import io.umberpath.traffic.AdmissionSettings;
 import io.umberpath.traffic.routing.UploadLoad;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -33,11 +32,7 @@
    */
   private static final long STALLED_MILLIS = 1_000;
 
-  private static final int QUEUE_LIMIT = 256;
-  private static final int STARVATION_BOUND = 32;
-  private static final long INITIAL_TRANSFER_MICROS = 50_000;
   private static final long MIN_RETRY_AFTER_MILLIS = 100;
-  private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
 
   private static final long MICROS_PER_MILLI = 1_000;
 
@@ -75,17 +70,10 @@
     this.isAccepted = isAccepted;
     this.events = events;
     this.clockMillis = clockMillis;
-    AdmissionSettings settings =
-        new AdmissionSettings(
-            MAX_CONCURRENT_UPLOADS,
-            QUEUE_LIMIT,
-            STARVATION_BOUND,
-            INITIAL_TRANSFER_MICROS,
-            MIN_RETRY_AFTER_MILLIS,
-            MAX_RETRY_AFTER_MILLIS);
     this.link =
         new SlotGate(
-            AdmissionControllers.createInDueOrder(settings),
+            AdmissionControllers.createInDueOrder(
+                AdmissionLimits.settings(MAX_CONCURRENT_UPLOADS, MIN_RETRY_AFTER_MILLIS)),
             this::start,
             clockMillis,
             this::transferMicros);
@@ -126,11 +114,11 @@
     Transfer transfer = transfers.remove(exchange);
     if (transfer != null && exchange.body().isBuffered()) {
       hasReceived = true;
-      long arrivedMillis = ((MeshInboundPlan) exchange.plan()).arrivedMillis();
+      MeshInboundPlan plan = (MeshInboundPlan) exchange.plan();
       events.uploadReceived(
-          (MeshInboundPlan) exchange.plan(),
+          plan,
           exchange.body().received(),
-          transfer.startedMillis() - arrivedMillis,
+          transfer.startedMillis() - plan.arrivedMillis(),
           clockMillis.getAsLong() - transfer.startedMillis(),
           queuedCount());
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -12,7 +12,6 @@
 import io.umberpath.node.proxy.origin.OriginConnectionPools;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.traffic.AdmissionControllers;
-import io.umberpath.traffic.AdmissionSettings;
 import io.umberpath.traffic.routing.LatencyAwareBalancer;
 import java.io.IOException;
 import java.util.List;
@@ -31,11 +30,7 @@
   private static final long IDLE_PEER_MILLIS = 20_000;
   private static final long IDLE_HOP_MILLIS = 60_000;
   private static final long LINGER_MILLIS = 2_000;
-  private static final int INITIAL_SERVICE_TIME_MICROS = 50_000;
-  private static final int QUEUE_LIMIT = 256;
-  private static final int STARVATION_BOUND = 32;
   private static final long MIN_RETRY_AFTER_MILLIS = 30;
-  private static final long MAX_RETRY_AFTER_MILLIS = 2_000;
 
   private final MeshSettings settings;
   private final Supplier<MeshView> view;
@@ -84,7 +79,8 @@
             settings,
             backendPool,
             AdmissionControllers.createInDueOrder(
-                admission(backend.slots()), backend.startLimiter()),
+                AdmissionLimits.settings(backend.slots(), MIN_RETRY_AFTER_MILLIS),
+                backend.startLimiter()),
             backend,
             peers.quarantine(),
             events,
@@ -111,16 +107,6 @@
     this.inboundFilter = new InboundFilter(inbound, environment);
   }
 
-  private static AdmissionSettings admission(int slots) {
-    return new AdmissionSettings(
-        slots,
-        QUEUE_LIMIT,
-        STARVATION_BOUND,
-        INITIAL_SERVICE_TIME_MICROS,
-        MIN_RETRY_AFTER_MILLIS,
-        MAX_RETRY_AFTER_MILLIS);
-  }
-
   private long maxBodyBytes() {
     MeshView current = view.get();
     return current.isComplete()
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/UploadModel.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/UploadModel.java
@@ -9,7 +9,6 @@
 import io.umberpath.traffic.AdmissionController;
 import io.umberpath.traffic.AdmissionController.Decision;
 import io.umberpath.traffic.AdmissionControllers;
-import io.umberpath.traffic.AdmissionSettings;
 import io.umberpath.traffic.routing.BackendLoad;
 import io.umberpath.traffic.routing.LatencyAwareBalancer;
 import io.umberpath.traffic.routing.UploadLoad;
@@ -35,6 +34,7 @@
   private static final int NODES_PER_ZONE = 25;
   private static final int SLOTS = 8;
   private static final int CONCURRENT_TRANSFERS = 2;
+  private static final long MIN_RETRY_AFTER_MILLIS = 100;
   private static final double LINK_BYTES_PER_MILLI = 1_250;
   private static final double MEAN_BODY_BYTES = 60_000;
   private static final double BODY_SPREAD = 0.6;
@@ -352,7 +352,7 @@
 
     private static AdmissionController admission(int slots) {
       return AdmissionControllers.createInDueOrder(
-          new AdmissionSettings(slots, 256, 32, 50_000, 100, 2_000));
+          AdmissionLimits.settings(slots, MIN_RETRY_AFTER_MILLIS));
     }
 
     double meanWorkMillis() {
