--- a/review/standins-2/Backend.java
+++ b/review/standins-2/Backend.java
@@ -7,7 +7,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -33,9 +36,12 @@
 
   /** Makes a call of the backend through the node beside it. */
   interface Caller {
-    int call(String target, String id, long deadlineMillis);
+    Client.Outcome call(String target, String id, long deadlineMillis);
   }
 
+  /** A call that the backend has made through the node beside it, and how it ended. */
+  record Call(String id, long sentMillis, long deadlineMillis, Client.Outcome outcome) {}
+
   /** Answers a request in a way of its own; returns whether it has done so. */
   interface Fault {
     boolean answer(Message request, Socket connection, OutputStream out) throws IOException;
@@ -45,12 +51,12 @@
   private static final int QUEUE = 24;
 
   final Map<String, Run> runs = new ConcurrentHashMap<>();
+  final Queue<Call> calls = new ConcurrentLinkedQueue<>();
   private final Record record;
   private final String instance;
   private final ServerSocket server;
   private final AtomicInteger held = new AtomicInteger();
-  private final java.util.concurrent.Semaphore slots =
-      new java.util.concurrent.Semaphore(SLOTS, true);
+  private final Semaphore slots = new Semaphore(SLOTS, true);
   private volatile Caller caller;
   private volatile Fault fault = (request, connection, out) -> false;
 
@@ -168,8 +174,11 @@
     if (callAfterMillis >= 0) {
       Thread.sleep(callAfterMillis);
       String target = "/other/?work=" + request.parameter("callwork", "20");
-      long left = deadlineMillis - (record.now() - start);
-      if (caller.call(target, id + "-call", left) != 200) {
+      long sent = record.now();
+      long left = deadlineMillis - (sent - start);
+      Client.Outcome outcome = caller.call(target, id + "-call", left);
+      calls.add(new Call(id + "-call", sent, left, outcome));
+      if (outcome.status() != 200) {
         write(out, "500 Call failed", stamp, "a call failed");
         return "answered 500, since its call failed";
       }
--- a/review/standins-2/StopCutsOff.java
+++ b/review/standins-2/StopCutsOff.java
@@ -9,8 +9,8 @@
 /**
  * A planned stop (SIGTERM, grace 6 s) of the only node of its zone. Its backend works on a request
  * that ends before the cut-off. Clients beside it go on sending, since fewer than half of the
- * zone's nodes are in. Requests sent more than 3 s after the SIGTERM must not be broken off while
- * their backend is at work.
+ * zone's nodes are in, and the backend makes calls. Requests sent more than 3 s after the SIGTERM
+ * must not be broken off while their backend is at work.
  */
 final class StopCutsOff {
   private static final long GRACE_MILLIS = 6_000;
@@ -68,6 +68,12 @@
       String id = "long-" + index;
       all.add(threads.submit(send(record, elsewhere, "GET", "/desk/?work=3900", id, 6_000)));
     }
+    // Those that run beside the node that stops make a call through it 3.4 s after the SIGTERM.
+    for (int index = 0; index < 4; index++) {
+      String id = "parent-" + index;
+      String target = "/desk/?work=3900&call=2600&callwork=1700";
+      all.add(threads.submit(send(record, elsewhere, "GET", target, id, 6_000)));
+    }
     // From 3.1 s after the SIGTERM to 3.9 s after it.
     List<Future<Sent>> late = new ArrayList<>();
     for (int index = 0; index < 9; index++) {
@@ -89,12 +95,20 @@
     for (Future<Sent> each : all) {
       each.get();
     }
-    int brokenOff = 0;
+    int requests = 0;
     for (Future<Sent> each : late) {
-      brokenOff += isBrokenOff(record, mesh, each.get(), stopMillis) ? 1 : 0;
+      requests += isBrokenOff(record, mesh, each.get(), stopMillis) ? 1 : 0;
+    }
+    int calls = 0;
+    for (Backend.Call call : mesh.machines.get(STOPPED).backend.calls) {
+      Sent sent = new Sent(call.id(), call.sentMillis(), call.deadlineMillis(), call.outcome());
+      calls += isBrokenOff(record, mesh, sent, stopMillis) ? 1 : 0;
     }
-    record.line("%d requests were broken off while their backend was at work", brokenOff);
-    return brokenOff > 0;
+    record.line(
+        "%d requests of clients and %d calls of the backend were broken off while a backend was at"
+            + " work on them",
+        requests, calls);
+    return requests + calls > 0;
   }
 
   private static Callable<Sent> send(
@@ -142,6 +156,9 @@
         {"name":"r-hub","kind":"safe","targetLatency":"2500ms","priority":2,
          "match":{"pathPrefix":"/hub/"},
          "action":{"service":"hub","timeout":"6000ms","maxAttempts":2}},
+        {"name":"r-other","kind":"safe","targetLatency":"2500ms","priority":2,
+         "match":{"pathPrefix":"/other/"},
+         "action":{"service":"hub","timeout":"6000ms","maxAttempts":2}},
         {"name":"r-order","kind":"non_idempotent","targetLatency":"2500ms","priority":1,
          "match":{"pathPrefix":"/order/"},
          "action":{"service":"hub","timeout":"6000ms","maxAttempts":2}}]}],
