Review: changed settings are not taken over on SIGHUP

What breaks: the platform moves its store to another address, serves at both for 10 s, changes the settings files and sends SIGHUP.

Cause: PlatformMain.reload reads the file and logs that it has changed, but nothing takes the new settings over before the next start.

--- a/review/standins-2/Mesh.java
+++ b/review/standins-2/Mesh.java
@@ -54,6 +54,7 @@
   private final int backendPort;
   private final int firstRangePort;
   private final String prefix;
+  private String storeHost;
 
   Mesh(Record record, Path folder, List<Place> places) throws IOException {
     this.record = record;
@@ -68,7 +69,8 @@
     backendPort = base + 4;
     storePort = base + 5;
     firstRangePort = base + 6;
-    store = new Store(prefix + "250", storePort);
+    storeHost = prefix + "250";
+    store = new Store(storeHost, storePort);
     for (int index = 0; index < places.size(); index++) {
       Place place = places.get(index);
       String host = host(index);
@@ -76,7 +78,7 @@
       Machine machine = new Machine(host, place, backend);
       machines.add(machine);
       Client own = client(index, "backend " + backend.instance());
-      backend.setCaller((target, id, left) -> own.send("GET", target, id, left, null).status());
+      backend.setCaller((target, id, left) -> own.send("GET", target, id, left, null));
       list(machine, "ready");
     }
   }
@@ -97,7 +99,7 @@
   /** The first of 22 ports that are free at all addresses. */
   private int freeBase(int machineCount) throws IOException {
     for (int base = 21_000 + (int) (System.nanoTime() % 400) * 22; base < 31_000; base += 22) {
-      boolean free = areFree(prefix + "250", base);
+      boolean free = areFree(prefix + "250", base) && areFree(prefix + "251", base);
       for (int index = 0; free && index < machineCount; index++) {
         free = areFree(host(index), base);
       }
@@ -193,6 +195,21 @@
     throw new IOException("node " + (index + 1) + " did not get ready in 30 s");
   }
 
+  /**
+   * Opens the store at another address, writes it into all settings files and tells the nodes by
+   * SIGHUP; returns an action that ends the service at the former address.
+   */
+  Runnable moveStore() throws IOException, InterruptedException {
+    storeHost = prefix + "251";
+    Runnable end = store.openAt(storeHost, storePort);
+    record.line("the store serves at %s too, all settings files name it now", storeHost);
+    for (int index = 0; index < machines.size(); index++) {
+      Files.writeString(machines.get(index).settings, settings(index, false));
+      signal(index, "HUP");
+    }
+    return end;
+  }
+
   /** Sends a signal to a node, by its process id. */
   void signal(int index, String signal) throws IOException, InterruptedException {
     record.line("node %d gets SIG%s", index + 1, signal);
@@ -227,7 +244,7 @@
             Map.entry("APP", Integer.toString(backendPort)),
             Map.entry("LOW", Integer.toString(firstRangePort)),
             Map.entry("HIGH", Integer.toString(firstRangePort + 15)),
-            Map.entry("STORE", prefix + "250:" + storePort));
+            Map.entry("STORE", storeHost + ":" + storePort));
     String text = TEMPLATE;
     for (Map.Entry<String, String> value : values.entrySet()) {
       text = text.replace("<" + value.getKey() + ">", value.getValue());
