Review: entries of other services use up the heap of all nodes

What breaks: another writer keeps 6,500 whole entries of 16,000 bytes in the store, of a service that the configuration does not name.

Cause: every entry that can be parsed is held with its text, whatever its service, without a bound on their sum.

--- a/review/standins-2/Mesh.java
+++ b/review/standins-2/Mesh.java
@@ -54,7 +54,6 @@
   private final int backendPort;
   private final int firstRangePort;
   private final String prefix;
-  private String storeHost;
 
   Mesh(Record record, Path folder, List<Place> places) throws IOException {
     this.record = record;
@@ -69,8 +68,7 @@
     backendPort = base + 4;
     storePort = base + 5;
     firstRangePort = base + 6;
-    storeHost = prefix + "250";
-    store = new Store(storeHost, storePort);
+    store = new Store(prefix + "250", storePort);
     for (int index = 0; index < places.size(); index++) {
       Place place = places.get(index);
       String host = host(index);
@@ -99,7 +97,7 @@
   /** The first of 22 ports that are free at all addresses. */
   private int freeBase(int machineCount) throws IOException {
     for (int base = 21_000 + (int) (System.nanoTime() % 400) * 22; base < 31_000; base += 22) {
-      boolean free = areFree(prefix + "250", base) && areFree(prefix + "251", base);
+      boolean free = areFree(prefix + "250", base);
       for (int index = 0; free && index < machineCount; index++) {
         free = areFree(host(index), base);
       }
@@ -195,21 +193,6 @@
     throw new IOException("node " + (index + 1) + " did not get ready in 30 s");
   }
 
-  /**
-   * Opens the store at another address, writes it into all settings files and tells the nodes by
-   * SIGHUP; returns an action that ends the service at the former address.
-   */
-  Runnable moveStore() throws IOException, InterruptedException {
-    storeHost = prefix + "251";
-    Runnable end = store.openAt(storeHost, storePort);
-    record.line("the store serves at %s too, all settings files name it now", storeHost);
-    for (int index = 0; index < machines.size(); index++) {
-      Files.writeString(machines.get(index).settings, settings(index, false));
-      signal(index, "HUP");
-    }
-    return end;
-  }
-
   /** Sends a signal to a node, by its process id. */
   void signal(int index, String signal) throws IOException, InterruptedException {
     record.line("node %d gets SIG%s", index + 1, signal);
@@ -244,7 +227,7 @@
             Map.entry("APP", Integer.toString(backendPort)),
             Map.entry("LOW", Integer.toString(firstRangePort)),
             Map.entry("HIGH", Integer.toString(firstRangePort + 15)),
-            Map.entry("STORE", storeHost + ":" + storePort));
+            Map.entry("STORE", prefix + "250:" + storePort));
     String text = TEMPLATE;
     for (Map.Entry<String, String> value : values.entrySet()) {
       text = text.replace("<" + value.getKey() + ">", value.getValue());
--- a/review/standins-2/StoreMoves.java
+++ b/review/standins-2/OtherServices.java
@@ -1,26 +1,31 @@
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 
 /**
- * The platform moves its store to another address. It serves at both for 10 s, changes all settings
- * files at the beginning of that time and sends SIGHUP. Then the operator moves a route to another
+ * Another writer keeps the servers of its own services in the same store: whole entries, of which
+ * the service is not named in the configuration. Meanwhile the operator moves a route to another
  * service. Requests sent later than configApply (2 s) after the store's acknowledgement must not be
  * run by the old service.
  */
-final class StoreMoves {
-  private static final long OVERLAP_MILLIS = 10_000;
+final class OtherServices {
+  private static final int ENTRIES = 6_500;
+  private static final int ENTRY_BYTES = 16_000;
 
-  /** The time after which a machine is in touch again. */
-  private static final long CONTACT_MILLIS = 3_000;
+  /** The store takes 400 writes a second. */
+  private static final int WRITES_PER_SECOND = 400;
 
   private static final long CONFIG_APPLY_MILLIS = 2_000;
   private static final long DEADLINE_MILLIS = 2_000;
-  private static final int ROUNDS = 20;
+  private static final int ROUNDS = 10;
 
-  private StoreMoves() {}
+  private OtherServices() {}
 
   public static void main(String[] arguments) throws Exception {
-    Mesh.main(arguments, StoreMoves::isBroken);
+    Mesh.main(arguments, OtherServices::isBroken);
   }
 
   private static boolean isBroken(Record record, Path folder, boolean trouble) throws Exception {
@@ -38,15 +43,19 @@
       if (before == 0) {
         throw new IllegalStateException("the first configuration was not in force");
       }
-      Runnable end = trouble ? mesh.moveStore() : () -> {};
-      Thread.sleep(OVERLAP_MILLIS);
-      end.run();
-      record.line("the service at the former address has ended, if the store has moved");
-      Thread.sleep(2 * CONTACT_MILLIS);
+      if (trouble) {
+        writeOthers(mesh);
+        record.line("another writer has put %d entries of %d bytes", ENTRIES, ENTRY_BYTES);
+        Thread.sleep(5_000);
+      }
       mesh.store.put("op/config", configuration(8, "new"));
       record.line("the store has acknowledged r8: /move/ goes to 'new'");
       Thread.sleep(CONFIG_APPLY_MILLIS + 1_000);
       int after = play(mesh, "after");
+      for (int index = 0; index < mesh.machines.size(); index++) {
+        record.line("node %d: alive %s, ready %s", index + 1,
+            mesh.machines.get(index).process.isAlive(), mesh.isReady(index));
+      }
       record.line(
           "from 3 s after the acknowledgement the old service ran %d of %d requests",
           after, ROUNDS * places.size());
@@ -54,15 +63,35 @@
     }
   }
 
-  /** Sends a request at each machine in turn; returns how many the old service ran. */
-  private static int play(Mesh mesh, String name) throws InterruptedException {
+  private static void writeOthers(Mesh mesh) throws InterruptedException {
+    for (int index = 0; index < ENTRIES; index++) {
+      String entry =
+          ("{\"address\":\"10.77.%d.%d:8080\",\"info\":{\"service\":\"elsewhere\",\"version\":\"%s\","
+                  + "\"zone\":\"far\",\"slots\":6},\"status\":{\"state\":\"ready\",\"sequence\":1,"
+                  + "\"warmupLeft\":\"0ms\"}}")
+              .formatted(index / 250, index % 250 + 1, "v".repeat(ENTRY_BYTES - 200));
+      mesh.store.put("servers/other-" + index, entry);
+      if (index % (WRITES_PER_SECOND / 10) == 0) {
+        Thread.sleep(100);
+      }
+    }
+  }
+
+  /** Sends requests at all machines at once, round by round; returns how many the old one ran. */
+  private static int play(Mesh mesh, String name) throws Exception {
+    ExecutorService threads = Executors.newCachedThreadPool();
     for (int round = 0; round < ROUNDS; round++) {
+      List<Future<?>> sent = new ArrayList<>();
       for (int index = 0; index < mesh.machines.size(); index++) {
         Client client = mesh.client(index, "client " + (index + 1));
-        client.send("GET", "/move/", id(name, index, round), DEADLINE_MILLIS, null);
+        String id = id(name, index, round);
+        sent.add(threads.submit(() -> client.send("GET", "/move/", id, DEADLINE_MILLIS, null)));
+      }
+      for (Future<?> each : sent) {
+        each.get();
       }
-      Thread.sleep(100);
     }
+    threads.shutdownNow();
     int ranByOld = 0;
     for (int round = 0; round < ROUNDS; round++) {
       for (int index = 0; index < mesh.machines.size(); index++) {
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -25,7 +25,7 @@
     }
   }
 
-  private HttpServer server;
+  private final HttpServer server;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final TreeMap<String, Change> items = new TreeMap<>();
   private final List<Change> changes = new ArrayList<>();
@@ -33,26 +33,12 @@
   private boolean closed;
 
   Store(String host, int port) throws IOException {
-    server = listen(host, port);
-  }
-
-  private HttpServer listen(String host, int port) throws IOException {
-    HttpServer listening = HttpServer.create(new InetSocketAddress(host, port), 200);
-    listening.setExecutor(threads);
-    listening.createContext("/v1/kv-range", exchange -> answer(exchange, this::range));
-    listening.createContext("/v1/kv-watch", exchange -> answer(exchange, this::watch));
-    listening.createContext("/v1/kv-key", exchange -> answer(exchange, this::key));
-    listening.start();
-    return listening;
-  }
-
-  /**
-   * Serves at another address too; returns an action that ends the service at the former address.
-   */
-  Runnable openAt(String host, int port) throws IOException {
-    HttpServer former = server;
-    server = listen(host, port);
-    return () -> former.stop(0);
+    server = HttpServer.create(new InetSocketAddress(host, port), 200);
+    server.setExecutor(threads);
+    server.createContext("/v1/kv-range", exchange -> answer(exchange, this::range));
+    server.createContext("/v1/kv-watch", exchange -> answer(exchange, this::watch));
+    server.createContext("/v1/kv-key", exchange -> answer(exchange, this::key));
+    server.start();
   }
 
   synchronized long put(String key, String value) {
