Review: case 7 with 7,000 entries; stand-ins choose free addresses

The stand-ins now also look whether the port of the metrics is free, and the player has 3 GB of heap for the store's responses.

--- a/review/standins-2/Mesh.java
+++ b/review/standins-2/Mesh.java
@@ -41,6 +41,9 @@
 
   private static final long LIMIT_MILLIS = 105_000;
 
+  /** The port in the command of the deploy file. */
+  private static final int METRICS_PORT = 8199;
+
   final Record record;
   final Store store;
   final List<Machine> machines = new ArrayList<>();
@@ -59,7 +62,7 @@
     this.record = record;
     this.folder = folder;
     this.command = command();
-    this.prefix = "127." + (100 + ProcessHandle.current().pid() % 100) + ".7.";
+    this.prefix = freePrefix(places.size());
     int base = freeBase(places.size());
     inboundPort = base;
     outboundPort = base + 1;
@@ -94,6 +97,30 @@
     return prefix + (index + 1);
   }
 
+  /** The first loopback addresses at which the port of the metrics is free. */
+  private static String freePrefix(int machineCount) throws IOException {
+    long first = ProcessHandle.current().pid();
+    for (long number = first; number < first + 100; number++) {
+      String prefix = "127." + (100 + number % 100) + ".7.";
+      boolean free = true;
+      for (int index = 0; free && index < machineCount; index++) {
+        free = isFree(prefix + (index + 1), METRICS_PORT);
+      }
+      if (free) {
+        return prefix;
+      }
+    }
+    throw new IOException("no free addresses");
+  }
+
+  private static boolean isFree(String host, int port) {
+    try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+      return probe.isBound();
+    } catch (IOException taken) {
+      return false;
+    }
+  }
+
   /** The first of 22 ports that are free at all addresses. */
   private int freeBase(int machineCount) throws IOException {
     for (int base = 21_000 + (int) (System.nanoTime() % 400) * 22; base < 31_000; base += 22) {
@@ -110,9 +137,7 @@
 
   private static boolean areFree(String host, int base) {
     for (int port = base; port < base + 22; port++) {
-      try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(host))) {
-        continue;
-      } catch (IOException taken) {
+      if (!isFree(host, port)) {
         return false;
       }
     }
--- a/review/standins-2/OtherServices.java
+++ b/review/standins-2/OtherServices.java
@@ -12,7 +12,7 @@
  * run by the old service.
  */
 final class OtherServices {
-  private static final int ENTRIES = 6_500;
+  private static final int ENTRIES = 7_000;
   private static final int ENTRY_BYTES = 16_000;
 
   /** The store takes 400 writes a second. */
--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -23,7 +23,7 @@
 }
 trap finish EXIT
 trap 'exit 2' HUP INT TERM
-java -cp target/review-2 "$class" "$folder/record.txt" "$work" &
+java -Xmx3g -cp target/review-2 "$class" "$folder/record.txt" "$work" &
 player=$!
 wait "$player"
 result=$?
