Count refused configurations and show the version in force

Cause: a node that refuses a configuration keeps the previous one and says so in one log line. Neither the metrics nor the readiness page told an operator that a version is not in force.

Change: umberpath_configuration_refused_total, and the readiness page names the configuration in force.

Result: MeshStateTest#refusedConfigurationIsCounted.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -45,6 +45,7 @@
   private final LongSupplier clockMillis;
   private final Map<MeshTask, AtomicLong> faultCounts = new EnumMap<>(MeshTask.class);
   private final Map<MeshEvent, LogRateLimiter> rateLimiters = new EnumMap<>(MeshEvent.class);
+  private final AtomicLong refusedConfigurations = new AtomicLong();
 
   /**
    * Creates a log.
@@ -257,7 +258,13 @@
         .log("stays in force: the store has version %d", shown);
   }
 
+  /** Number of times a configuration was refused since the start. */
+  long refusedConfigurationCount() {
+    return refusedConfigurations.get();
+  }
+
   void configurationRefused(long revision, String problem, String source) {
+    refusedConfigurations.incrementAndGet();
     line(MeshEvent.CONFIGURATION_REFUSED)
         .with(REVISION, revision)
         .with(SOURCE, source)
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -356,6 +356,7 @@
   private Map<String, Supplier<Number>> counters() {
     Map<String, Supplier<Number>> counters = new HashMap<>();
     counters.put("gate.rate.limited", () -> localNotices.rateLimiter().refusedCount());
+    counters.put("configuration.refused", events::refusedConfigurationCount);
     for (MeshTask task : MeshTask.values()) {
       counters.put("task." + task.label() + ".faults", () -> events.faultCount(task));
     }
@@ -399,7 +400,8 @@
             && puller.stuckMillis(peers::isReachable) < MAX_OUTDATED_MILLIS;
     boolean isReady = state.view().isComplete() && isUpToDate && !isStopping;
     return new StatusFilter.StatusResponse(
-        isReady ? OK : UNAVAILABLE, isReady ? "ready" : "not ready");
+        isReady ? OK : UNAVAILABLE,
+        (isReady ? "ready" : "not ready") + ", configuration " + state.view().version());
   }
 
   /**
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/MeshStateTest.java
@@ -143,6 +143,27 @@
     }
   }
 
+  /** Nothing but one log line told that a node kept an older configuration in force. */
+  @Test
+  void refusedConfigurationIsCounted() {
+    MeshEvents events = new MeshEvents(() -> 0);
+    FakeStoreItemParser refusing =
+        new FakeStoreItemParser() {
+          @Override
+          public Either<String, RoutingConfiguration> parseConfiguration(StoreItem item) {
+            return Either.left("limits.maxBodyBytes = \"none\"");
+          }
+        };
+    MeshState refusingState =
+        new MeshState(
+            refusing, new StoreWatcher("", StoreWatchTimings.PROMPT, () -> 0.5), events, now::get);
+
+    refusingState.adopt(whole(4, List.of(new StoreItem("configuration", "booking", 2))), "peer");
+
+    assertThat(events.refusedConfigurationCount()).isEqualTo(1);
+    assertThat(refusingState.view().isComplete()).isFalse();
+  }
+
   private MeshState stateWithFailingParser(int failures) {
     return new MeshState(
         new FailingParser(failures),
