--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestTimes.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestTimes.java
@@ -31,6 +31,9 @@
   /** Share of the client's timeout that its request may wait for a slot. */
   private static final double WAIT_SHARE_OF_TIMEOUT = 0.45;
 
+  /** Longest due time; keeps sums of a very low priority and a long target from overflowing. */
+  private static final double MAX_DUE_MILLIS = Integer.MAX_VALUE;
+
   private RequestTimes() {}
 
   /**
@@ -42,10 +45,8 @@
     double dueShare =
         priority <= MAX_URGENT_PRIORITY ? URGENT_DUE_SHARE : priority * DUE_SHARE_PER_PRIORITY;
     double clientRetryShare = plan.isClientRetry() ? CLIENT_RETRY_DUE_SHARE : 0;
-    long dueMillis =
-        plan.arrivedMillis()
-            + Math.round(plan.rule().targetLatencyMillis() * (dueShare + clientRetryShare));
-    return dueMillis - nowMillis;
+    double dueMillis = plan.rule().targetLatencyMillis() * (dueShare + clientRetryShare);
+    return plan.arrivedMillis() + Math.round(Math.min(dueMillis, MAX_DUE_MILLIS)) - nowMillis;
   }
 
   /**
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/RequestTimesTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/RequestTimesTest.java
@@ -14,6 +14,11 @@
 
   /** A request with a target latency of 400 ms and a client timeout of 1,200 ms. */
   private static MeshOutboundPlan plan(int priority, boolean isClientRetry) {
+    return plan(priority, isClientRetry, 400);
+  }
+
+  private static MeshOutboundPlan plan(
+      int priority, boolean isClientRetry, long targetLatencyMillis) {
     RoutingRule rule =
         new RoutingRule(
             "r",
@@ -23,7 +28,7 @@
             List.of(new WeightedService("s", 1)),
             1_200,
             2,
-            400,
+            targetLatencyMillis,
             priority);
     return new MeshOutboundPlan(
         "id", rule, "s", 1, ARRIVED + 1_200, ARRIVED, 0, isClientRetry, Set.of(), new RetryState());
@@ -47,4 +52,12 @@
     assertThat(RequestTimes.dueInMillis(plan(1, true), ARRIVED)).isEqualTo(440);
     assertThat(RequestTimes.dueInMillis(plan(2, true), ARRIVED)).isEqualTo(800);
   }
+
+  /** The due time overflowed and put the request before all others. */
+  @Test
+  void leastUrgentRequestWithLongestTargetIsDueLast() {
+    MeshOutboundPlan plan = plan(Integer.MAX_VALUE, true, 1_000_000_000_000_000L);
+
+    assertThat(RequestTimes.dueInMillis(plan, ARRIVED)).isEqualTo(Integer.MAX_VALUE);
+  }
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/WeightedRoundRobin.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/WeightedRoundRobin.java
@@ -16,20 +16,30 @@
 
   private static final class RouteCredits {
     private final List<WeightedService> targets;
-    private final long[] credits;
+    private final double[] weights;
+    private final double[] credits;
 
     RouteCredits(List<WeightedService> targets) {
       this.targets = targets;
-      this.credits = new long[targets.size()];
+      this.weights = scaledWeights(targets);
+      this.credits = new double[weights.length];
+    }
+
+    /** Scales by a power of two, which keeps the ratios exact, so that sums do not overflow. */
+    private static double[] scaledWeights(List<WeightedService> targets) {
+      double largest = targets.stream().mapToDouble(WeightedService::weight).max().orElse(1);
+      int exponent = Math.getExponent(largest);
+      return targets.stream()
+          .mapToDouble(target -> Math.scalb(target.weight(), -exponent))
+          .toArray();
     }
 
     String next() {
-      long total = 0;
+      double total = 0;
       int best = 0;
       for (int index = 0; index < credits.length; index++) {
-        int weight = targets.get(index).weight();
-        total += weight;
-        credits[index] += weight;
+        total += weights[index];
+        credits[index] += weights[index];
         if (credits[index] > credits[best]) {
           best = index;
         }
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/WeightedRoundRobinTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/WeightedRoundRobinTest.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 final class WeightedRoundRobinTest {
   private static RoutingRule rule(WeightedService... targets) {
@@ -34,6 +36,17 @@
         .containsEntry("b", 30);
   }
 
+  @ParameterizedTest
+  @CsvSource({"0.9, 0.1", "1.35e308, 1.5e307", "9e-300, 1e-300"})
+  void distributesByWeightsOfAnyScale(double first, double second) {
+    RoutingRule rule = rule(new WeightedService("a", first), new WeightedService("b", second));
+
+    Map<String, Integer> counts = distribute(new WeightedRoundRobin(), rule, 300);
+
+    assertThat(counts.get("a")).isBetween(269, 271);
+    assertThat(counts.get("b")).isEqualTo(300 - counts.get("a"));
+  }
+
   @Test
   void aTargetWithZeroWeightGetsNoRequests() {
     RoutingRule rule = rule(new WeightedService("a", 1), new WeightedService("b", 0));
