Forward a response in part only if nothing behind it has been sent on

Cause: whether a response goes out in part and whether requests behind it are sent on was decided in two places that did not know of each other.

Change: a response is forwarded once it is complete, or when no request behind it has been sent on; while it is streamed, requests behind it wait. A response that fails before that is a refusal, or another attempt, of its own request. Responses of more than 128 KB behind which others run fail at once, and requests behind later ones of the same route wait for their turn. Deadline and drain checks move to ExchangeTimeouts, unchanged.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -55,6 +55,7 @@
   private final OutboundRetryPolicy retryPolicy;
   private final RequestAgeEstimator requestAges = new RequestAgeEstimator();
   private final RequestCosts costs = new RequestCosts();
+  private final LongResponseRoutes longResponseRoutes = new LongResponseRoutes();
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
   private volatile boolean draining;
@@ -330,7 +331,13 @@
 
   @Override
   public boolean mayRunConcurrently(RequestPlan plan) {
-    return ((MeshOutboundPlan) plan).rule().kind().isRepeatable();
+    return ((MeshOutboundPlan) plan).rule().kind().isRepeatable()
+        && !longResponseRoutes.contains(plan.route(), clockMillis.getAsLong());
+  }
+
+  @Override
+  public void onLongResponse(RequestPlan plan) {
+    longResponseRoutes.record(plan.route(), clockMillis.getAsLong());
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ActiveExchanges.java
@@ -43,14 +43,14 @@
   /** Fails the exchanges whose deadline has passed. */
   public void expire(long nowMillis) {
     for (Exchange exchange : exchanges) {
-      exchange.checkDeadline(nowMillis, false);
+      ExchangeTimeouts.checkDeadline(exchange, nowMillis, false);
     }
   }
 
   /** Fails the exchanges whose deadline has passed and of which nothing has reached an origin. */
   public void expireUnsent(long nowMillis) {
     for (Exchange exchange : exchanges) {
-      exchange.checkDeadline(nowMillis, true);
+      ExchangeTimeouts.checkDeadline(exchange, nowMillis, true);
     }
   }
 
@@ -79,7 +79,7 @@
   public int abortAll() {
     int mayHaveRun = 0;
     for (Exchange exchange : exchanges) {
-      mayHaveRun += exchange.abortAtDrainTimeout() ? 1 : 0;
+      mayHaveRun += ExchangeTimeouts.abortAtDrainTimeout(exchange) ? 1 : 0;
     }
     return mayHaveRun;
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Attempt.java
@@ -3,9 +3,9 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.origin.OriginConnection;
 import io.umberpath.node.proxy.origin.RequestAttempt;
+import io.umberpath.node.proxy.origin.ResponseBuffer;
 import io.umberpath.node.proxy.origin.ResponseListener;
 import io.umberpath.node.proxy.origin.ResponsePart;
-import io.umberpath.node.proxy.origin.ShortResponseBuffer;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.pool.ConnectionWaiter;
 import java.util.Optional;
@@ -27,7 +27,7 @@
   private final String originId;
   private final int number;
   private final long startNanos = System.nanoTime();
-  private final ShortResponseBuffer responseBuffer = new ShortResponseBuffer();
+  private final ResponseBuffer responseBuffer = new ResponseBuffer();
   private OriginConnection origin;
 
   /**
@@ -170,7 +170,29 @@
 
   /** Takes a part of the response and returns what can be forwarded of the response now. */
   Optional<ResponsePart> partToForward(ResponsePart part) {
-    return responseBuffer.add(part);
+    Optional<ResponsePart> ready = responseBuffer.add(part, pipelined::tryStartStreaming);
+    pipelined.setBufferedBytes(responseBuffer.size());
+    return ready;
+  }
+
+  /** Returns the buffered parts of the response if they may be forwarded now. */
+  Optional<ResponsePart> bufferedPartToForward() {
+    Optional<ResponsePart> ready = responseBuffer.takeBuffered(pipelined::tryStartStreaming);
+    pipelined.setBufferedBytes(responseBuffer.size());
+    return ready;
+  }
+
+  /**
+   * Whether the response can be neither buffered further nor streamed, because requests behind it
+   * have been started.
+   */
+  boolean isResponseTooLong() {
+    return pipelined.isCurrent() && responseBuffer.size() >= ResponseBuffer.MAX_BYTES;
+  }
+
+  /** Whether to read more of a response of which nothing can be forwarded yet. */
+  boolean mayBufferMore() {
+    return pipelined.isCurrent() || pipelined.canWrite();
   }
 
   /** Called when the response is complete: the attempt no longer owns the connection. */
@@ -180,8 +202,9 @@
     exchange.history().recordResponseComplete();
   }
 
-  /** Closes the connection if the attempt still owns it. */
+  /** Closes the connection if the attempt still owns it, and drops what is buffered. */
   void abandon() {
+    pipelined.setBufferedBytes(0);
     if (origin != null) {
       origin.abandon();
     } else if (awaitingContinue != null) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ClientConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ClientConnection.java
@@ -110,17 +110,23 @@
   }
 
   /**
-   * Whether a request may start now. If not, it starts when its response becomes the current one.
+   * Whether a request may start now. If not, it starts once those ahead of it allow it.
    *
    * @param mayRunConcurrently whether it may run at the same time as others, and more than once
    */
   synchronized boolean mayStart(PipelinedResponse response, boolean mayRunConcurrently) {
     response.setConcurrent(mayRunConcurrently);
-    boolean startsNow = pipeline.mayStartConcurrently(response);
-    if (!startsNow) {
-      response.deferStart();
-    }
-    return startsNow;
+    return pipeline.startOrDefer(response);
+  }
+
+  /** See {@link PipelinedResponse#tryStartStreaming}. */
+  synchronized boolean tryStartStreaming(PipelinedResponse response) {
+    return pipeline.tryStartStreaming(response);
+  }
+
+  /** See {@link PipelinedResponse#setBufferedBytes}. */
+  synchronized void setBufferedBytes(PipelinedResponse response, int bytes) {
+    pipeline.setBufferedBytes(response, bytes);
   }
 
   /** Suspends reading within a body until {@link #resume} is called with the same context. */
@@ -159,13 +165,8 @@
     return true;
   }
 
-  boolean canWrite(PipelinedResponse response) {
-    synchronized (this) {
-      if (!response.isCurrent()) {
-        return pipeline.canHoldMore();
-      }
-    }
-    return connection.canWrite();
+  synchronized boolean canWrite(PipelinedResponse response) {
+    return response.isCurrent() ? connection.canWrite() : pipeline.canHoldMore();
   }
 
   /** Keeps an action until the response is the current one; false if it already is. */
@@ -279,12 +280,11 @@
   private Runnable makeCurrent(PipelinedResponse response) {
     response.makeCurrent();
     List<Runnable> waiters = response.takeWaiters();
-    boolean starts = response.takeDeferredStart();
+    List<Exchange> started = pipeline.startDeferred();
     return () -> {
+      response.exchange().forwardBufferedPart();
       waiters.forEach(this::runWhenWritable);
-      if (starts) {
-        response.exchange().onBecameCurrent();
-      }
+      started.forEach(Exchange::startDeferred);
     };
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -92,6 +92,20 @@
     return age;
   }
 
+  ExchangeEnvironment environment() {
+    return environment;
+  }
+
+  /** The stage of the request. Guarded by this exchange's lock. */
+  ExchangeStage stage() {
+    return stage;
+  }
+
+  /** How much of the response has been forwarded. Guarded by this exchange's lock. */
+  ResponseProgress progress() {
+    return progress;
+  }
+
   /** The origin of the current attempt; null if there is none. */
   public synchronized String currentOrigin() {
     return attempt == null ? null : attempt.originId();
@@ -99,8 +113,7 @@
 
   /** Starts with the head and the first body part; returns whether to keep reading. */
   boolean begin(HttpContent first) {
-    environment.stats().inFlight(handler.side(), 1);
-    environment.active().add(this);
+    environment.exchangeBegun(this, handler.side());
     boolean isMalformed = first instanceof HttpBrokenContent;
     Either<Refusal, RequestPlan> decision =
         isMalformed
@@ -133,11 +146,21 @@
     responseWriter.beforeHeldResponseWritten();
   }
 
-  /** Starts a request that was deferred until its response became the current one. */
-  void onBecameCurrent() {
+  /** Starts a request whose start was deferred. */
+  void startDeferred() {
     EventLoop.runOrDefer(this::dispatchIfWanted);
   }
 
+  /** Forwards what is buffered of the response, if it may be forwarded now. */
+  void forwardBufferedPart() {
+    synchronized (this) {
+      if (attempt != null) {
+        attempt.bufferedPartToForward().ifPresent(part -> forwardPart(attempt, part));
+      }
+    }
+    runDeferredActions();
+  }
+
   private void dispatchIfWanted() {
     boolean isWanted;
     synchronized (this) {
@@ -224,7 +247,7 @@
     synchronized (this) {
       responseWriter.closeAfterResponse();
       client.requestBodyComplete(pipelined);
-      fail(refusalForStage(Verdict.Reason.BAD_REQUEST), false);
+      failWithoutRetry(Verdict.Reason.BAD_REQUEST);
     }
     runDeferredActions();
   }
@@ -242,43 +265,6 @@
     runDeferredActions();
   }
 
-  /**
-   * Fails the request if its deadline has passed. A response that is being sent continues:
-   * truncating it would close the connection and lose the responses behind it.
-   *
-   * @param isLate whether reading is late: a response may have arrived unread and is waited for
-   */
-  void checkDeadline(long nowMillis, boolean isLate) {
-    synchronized (this) {
-      boolean waits = isLate && stage.mayHaveReachedOrigin() || progress.isActive(nowMillis);
-      if (plan == null || waits || !age.isPastDeadline(plan, stage, nowMillis)) {
-        return;
-      }
-      fail(refusalForStage(Verdict.Reason.DEADLINE), false);
-    }
-    runDeferredActions();
-  }
-
-  /**
-   * Fails the request at the drain timeout, unless its response is being sent.
-   *
-   * @return whether the request may have run
-   */
-  boolean abortAtDrainTimeout() {
-    boolean mayHaveRun;
-    synchronized (this) {
-      if (stage == ExchangeStage.DONE || progress.isActive(environment.nowMillis())) {
-        return false;
-      }
-      mayHaveRun = stage.mayHaveReachedOrigin();
-      String route = plan == null ? "" : plan.route();
-      environment.attemptLog().logCutOff(UnansweredRequests.idOf(this), route, body.received());
-      fail(refusalForStage(Verdict.Reason.DRAINING), false);
-    }
-    runDeferredActions();
-    return mayHaveRun;
-  }
-
   private Refusal refusalForStage(Verdict.Reason reason) {
     return stage.mayHaveReachedOrigin() ? Refusal.mayHaveRun(reason) : Refusal.notRun(reason);
   }
@@ -367,7 +353,7 @@
   }
 
   /** Runs the pending actions that must not run under this exchange's lock. */
-  private void runDeferredActions() {
+  void runDeferredActions() {
     if (Thread.holdsLock(this)) {
       return;
     }
@@ -396,9 +382,7 @@
       } else {
         client.responseComplete(pipelined, responseWriter.isKeepAlive());
       }
-      environment.active().remove(this);
-      environment.stats().inFlight(handler.side(), -1);
-      environment.stats().requestEnded(handler.side(), ended, age.sinceReadMicros());
+      environment.exchangeEnded(this, handler.side(), ended);
       handler.requestEnded(this, ended);
     }
     client.cancelDeferred();
@@ -478,11 +462,22 @@
       }
     }
     Optional<ResponsePart> ready = current.partToForward(part);
-    return ready.isEmpty() || forwardPart(current, ready.get());
+    if (ready.isPresent()) {
+      return forwardPart(current, ready.get());
+    }
+    if (current.isResponseTooLong()) {
+      handler.onLongResponse(plan);
+      fail(Refusal.mayHaveRun(Verdict.Reason.BAD_ANSWER), false);
+      return true;
+    }
+    return current.mayBufferMore();
   }
 
   private boolean forwardPart(Attempt current, ResponsePart part) {
     progress.onPart(part, environment.nowMillis());
+    if (progress.isLong()) {
+      handler.onLongResponse(plan);
+    }
     stage = ExchangeStage.RESPONDING;
     responseWriter.writePart(part, plan);
     if (attempt != current) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeEnvironment.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeEnvironment.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.proxy.inbound;
 
+import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.origin.AttemptLog;
 import io.umberpath.node.proxy.stats.ProxyStats;
 import java.util.function.LongSupplier;
@@ -24,4 +25,17 @@
   long nowMillis() {
     return clockMillis.getAsLong();
   }
+
+  /** Counts an exchange as in flight. */
+  void exchangeBegun(Exchange exchange, ProxyStats.Side side) {
+    stats.inFlight(side, 1);
+    active.add(exchange);
+  }
+
+  /** Counts an exchange by its verdict; it is no longer in flight. */
+  void exchangeEnded(Exchange exchange, ProxyStats.Side side, Verdict verdict) {
+    active.remove(exchange);
+    stats.inFlight(side, -1);
+    stats.requestEnded(side, verdict, exchange.age().sinceReadMicros());
+  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/PipelinedResponse.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/PipelinedResponse.java
@@ -19,7 +19,10 @@
   private final Deque<Object> held = new ArrayDeque<>();
   private final List<Runnable> waiters = new ArrayList<>();
   private long heldBytes;
+  private int bufferedBytes;
   private boolean isCurrent;
+  private boolean isStarted;
+  private boolean isStreaming;
   private boolean isConcurrent;
   private boolean isStartDeferred;
   private boolean ended;
@@ -58,6 +61,21 @@
     }
   }
 
+  /**
+   * Allows the response to be written before it is complete, unless a request behind it has been
+   * started: failing later ends the connection. From then on no request behind it is started.
+   *
+   * @return whether it may be written
+   */
+  boolean tryStartStreaming() {
+    return connection.tryStartStreaming(this);
+  }
+
+  /** Sets how much of the response is buffered before it is written, bytes. */
+  void setBufferedBytes(int bytes) {
+    connection.setBufferedBytes(this, bytes);
+  }
+
   /** Whether messages are written at once instead of being held. */
   boolean isCurrent() {
     synchronized (connection) {
@@ -100,6 +118,36 @@
     isCurrent = true;
   }
 
+  /**
+   * Records the size of the buffered part.
+   *
+   * @return by how much it has grown, bytes
+   */
+  int recordBufferedBytes(int bytes) {
+    int growth = bytes - bufferedBytes;
+    bufferedBytes = bytes;
+    return growth;
+  }
+
+  void startStreaming() {
+    isStreaming = true;
+  }
+
+  /** Whether an incomplete response has been written in part. */
+  boolean isStreaming() {
+    return isStreaming && !ended;
+  }
+
+  void markStarted() {
+    isStartDeferred = false;
+    isStarted = true;
+  }
+
+  /** Whether the request may have been sent to an origin, or may still be. */
+  boolean mayReachOrigin() {
+    return isStarted && !(ended && exchange.history().count() == 0);
+  }
+
   void hold(Object message, long bytes) {
     held.add(message);
     heldBytes += bytes;
@@ -139,25 +187,12 @@
     return ended || isConcurrent;
   }
 
-  /** Whether all the responses allow concurrent requests. */
-  static boolean allAllowConcurrency(Iterable<PipelinedResponse> responses) {
-    for (PipelinedResponse response : responses) {
-      if (!response.allowsConcurrency()) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   void deferStart() {
     isStartDeferred = true;
   }
 
-  /** Returns whether the start of the request was deferred, and clears that flag. */
-  boolean takeDeferredStart() {
-    boolean wasDeferred = isStartDeferred;
-    isStartDeferred = false;
-    return wasDeferred;
+  boolean isStartDeferred() {
+    return isStartDeferred;
   }
 
   void end(boolean keepAliveAfter) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -46,6 +46,12 @@
     return false;
   }
 
+  /**
+   * Called when a response is longer than what can be buffered: requests behind one of this route
+   * should not be started before its response is complete.
+   */
+  default void onLongResponse(RequestPlan plan) {}
+
   /**
    * Whether the node is draining: responses then close their connections, so that clients send the
    * next request to another node.
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ResponsePipeline.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ResponsePipeline.java
@@ -1,7 +1,9 @@
 package io.umberpath.node.proxy.inbound;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import org.glassfish.grizzly.http.HttpContent;
 
@@ -13,7 +15,7 @@
   /** Most requests that are read before the first of them is answered. */
   private static final int MAX_PIPELINED = 16;
 
-  /** Total size of held messages at which reading stops, bytes. */
+  /** Total size of held messages and buffered responses at which reading stops, bytes. */
   private static final long MAX_HELD_BYTES = 128 * 1024;
 
   private final Deque<PipelinedResponse> responses = new ArrayDeque<>();
@@ -62,9 +64,63 @@
     return belongs ? last.exchange() : null;
   }
 
-  /** Whether a request may run at the same time as all requests in flight on the connection. */
-  boolean mayStartConcurrently(PipelinedResponse response) {
-    return response == responses.peekFirst() || PipelinedResponse.allAllowConcurrency(responses);
+  /** Starts a request if it may run at the same time as those ahead of it, or defers its start. */
+  boolean startOrDefer(PipelinedResponse response) {
+    boolean starts = mayStart(response);
+    if (starts) {
+      response.markStarted();
+    } else {
+      response.deferStart();
+    }
+    return starts;
+  }
+
+  /**
+   * Whether a request may run at the same time as those ahead of it. Not behind a response that is
+   * being streamed: if that one fails, the connection ends.
+   */
+  private boolean mayStart(PipelinedResponse response) {
+    PipelinedResponse first = responses.peekFirst();
+    if (response == first) {
+      return true;
+    }
+    boolean mayStart = !first.isStreaming();
+    for (Iterator<PipelinedResponse> each = responses.iterator(); mayStart && each.hasNext(); ) {
+      PipelinedResponse next = each.next();
+      mayStart = next.allowsConcurrency();
+      if (next == response) {
+        break;
+      }
+    }
+    return mayStart;
+  }
+
+  /** Starts the deferred requests that may run now; returns their exchanges. */
+  List<Exchange> startDeferred() {
+    List<Exchange> started = new ArrayList<>();
+    for (PipelinedResponse response : responses) {
+      if (response.isStartDeferred() && mayStart(response)) {
+        response.markStarted();
+        started.add(response.exchange());
+      }
+    }
+    return started;
+  }
+
+  /** See {@link PipelinedResponse#tryStartStreaming}. */
+  boolean tryStartStreaming(PipelinedResponse response) {
+    boolean mayStream =
+        response.isCurrent()
+            && responses.stream().skip(1).noneMatch(PipelinedResponse::mayReachOrigin);
+    if (mayStream) {
+      response.startStreaming();
+    }
+    return mayStream;
+  }
+
+  /** Records how much of a response is buffered before it is written, bytes. */
+  void setBufferedBytes(PipelinedResponse response, int bytes) {
+    heldBytes += response.recordBufferedBytes(bytes);
   }
 
   void hold(PipelinedResponse response, Object message, long bytes) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ResponseProgress.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ResponseProgress.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.proxy.inbound;
 
+import io.umberpath.node.proxy.origin.ResponseBuffer;
 import io.umberpath.node.proxy.origin.ResponsePart;
 
 /** Tracks how much of an exchange's response has been forwarded. Guarded by the exchange's lock. */
@@ -9,10 +10,12 @@
 
   private int status;
   private long lastPartMillis;
+  private long forwardedBytes;
 
   /** Called before a part of the response is forwarded. */
   void onPart(ResponsePart part, long nowMillis) {
     lastPartMillis = nowMillis;
+    forwardedBytes += part.content() == null ? 0 : part.content().remaining();
     if (part.first()) {
       status = part.head().status();
     }
@@ -23,6 +26,11 @@
     return status;
   }
 
+  /** Whether the response is too long to be buffered. */
+  boolean isLong() {
+    return forwardedBytes > ResponseBuffer.MAX_BYTES;
+  }
+
   /** Whether the response has started and a part was forwarded recently. */
   boolean isActive(long nowMillis) {
     return status != 0 && nowMillis - lastPartMillis < STALL_MILLIS;
