End a response that is still being sent after its deadline

Cause: the deadline check left a response alone while parts of it arrived, at both nodes of the path, without a bound, because truncating it lost the requests behind it.

Change: such a response has 320 ms after its deadline; the rest of the half second is left for detection and the way to the client.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeTimeouts.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ExchangeTimeouts.java
@@ -7,8 +7,8 @@
   private ExchangeTimeouts() {}
 
   /**
-   * Fails a request if its deadline has passed. A response that is being sent continues: truncating
-   * it would close the connection.
+   * Fails a request if its deadline has passed. A response that is being sent may take a little
+   * longer, since truncating it closes the connection.
    *
    * @param isLate whether reading is late: a response may have arrived unread and is waited for
    */
@@ -30,7 +30,8 @@
   }
 
   private static boolean mayCompleteLate(Exchange exchange, long nowMillis) {
-    return exchange.progress().isActive(nowMillis);
+    return exchange.progress().isActive(nowMillis)
+        && !exchange.age().isPastOverrun(exchange.plan(), exchange.stage(), nowMillis);
   }
 
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestAge.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestAge.java
@@ -10,6 +10,13 @@
   private static final long NANOS_PER_MICRO = 1_000;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  /**
+   * Time after the deadline for the rest of a response that is being sent, milliseconds. A request
+   * has to end within half a second after the timeout of its route; the difference is left for
+   * detection and the way to the client.
+   */
+  private static final long MAX_OVERRUN_MILLIS = 320;
+
   static RequestAge readNow(long arrivedNanos) {
     return new RequestAge(arrivedNanos, System.nanoTime());
   }
@@ -30,6 +37,11 @@
     return nowMillis >= plan.deadlineMillis() + graceMillis;
   }
 
+  /** Whether also the time for the rest of a response that is being sent has passed. */
+  boolean isPastOverrun(RequestPlan plan, ExchangeStage stage, long nowMillis) {
+    return isPastDeadline(plan, stage, nowMillis - MAX_OVERRUN_MILLIS);
+  }
+
   /** Upper bound of the time for which the request was waiting unread, milliseconds. */
   public long unreadMillis() {
     return (readNanos - arrivedNanos) / NANOS_PER_MILLI;
