Refuse late requests in a shutdown unless they are known to end in time

Cause: a request with a deadline like that of the local backend's work was accepted as a possible nested call, whether or not it could end before the cut-off.

Change: such a request is accepted only if those of its route are known to end before the cut-off (mean and four mean deviations of the durations seen at this node). Further attempts of late requests are checked again, and the node beside the backend must start them in time.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -55,6 +55,7 @@
   private final OutboundRetryPolicy retryPolicy;
   private final RequestAgeEstimator requestAges = new RequestAgeEstimator();
   private final RequestCosts costs = new RequestCosts();
+  private final RouteDurations durations = new RouteDurations();
   private final LongResponseRoutes longResponseRoutes = new LongResponseRoutes();
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
@@ -99,6 +100,11 @@
     draining = true;
   }
 
+  /** How long requests of each route take. */
+  RouteDurations durations() {
+    return durations;
+  }
+
   /** Sets which requests are refused as not run in a graceful shutdown. */
   void setShutdownRefusals(ShutdownRefusalPolicy policy) {
     shutdownRefusals = policy;
@@ -140,7 +146,7 @@
       return Either.left(Refusal.notRun(Verdict.Reason.NO_ROUTE));
     }
     long deadlineMillis = arrivedMillis + Math.min(clientTimeout.get(), rule.get().timeoutMillis());
-    if (shutdownRefusals.shouldRefuse(deadlineMillis, clockMillis.getAsLong())) {
+    if (shutdownRefusals.shouldRefuse(rule.get().name(), deadlineMillis, clockMillis.getAsLong())) {
       return Either.left(draining());
     }
     boolean isClientRetry = isClientRetry(rule.get(), clientTimeout.get());
@@ -288,7 +294,7 @@
 
   @Override
   public Optional<Refusal> refusalBeforeSending(RequestPlan plan, long nowMillis) {
-    if (refusingRequests) {
+    if (refusingRequests || shutdownRefusals.isTooLate((MeshOutboundPlan) plan, nowMillis)) {
       return Optional.of(draining());
     }
     return RequestHandler.super.refusalBeforeSending(plan, nowMillis);
@@ -310,7 +316,9 @@
             plan.retryState().toleratedWaitMillis(),
             RequestTimes.targetInMillis(plan, nowMillis),
             RequestTimes.refuseWithinMillis(plan, nowMillis),
-            RequestTimes.startWithinMillis(plan, nowMillis),
+            Math.min(
+                RequestTimes.startWithinMillis(plan, nowMillis),
+                shutdownRefusals.startWithinMillis(plan, nowMillis)),
             plan.retryState().possiblyDeliveredCount() > 0);
     set(outgoing, HopHeader.HEADER, hop.encode());
     // The node beside the backend may have restarted since this one forwarded the announcement.
@@ -469,6 +477,9 @@
     }
     long millis = clockMillis.getAsLong() - plan.arrivedMillis();
     if (verdict instanceof Verdict.Completed) {
+      if (exchange.responseStatus() < LocalBackendFailures.FIRST_SERVER_ERROR) {
+        durations.record(plan.route(), millis);
+      }
       events.requestServed(plan, exchange.history().count(), millis);
     } else {
       boolean isQuarantined = VerdictHeader.reasonOf(verdict) == Verdict.Reason.QUARANTINED;
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -171,7 +171,8 @@
    */
   void refuseLateClientRequests(long fromMillis, long cutOffMillis) {
     outbound.setShutdownRefusals(
-        new ShutdownRefusalPolicy(fromMillis, cutOffMillis, this::latestBackendDeadlineMillis));
+        new ShutdownRefusalPolicy(
+            fromMillis, cutOffMillis, this::latestBackendDeadlineMillis, outbound.durations()));
   }
 
   /** From now on clients' requests are refused as not run. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ShutdownRefusalPolicy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ShutdownRefusalPolicy.java
@@ -1,16 +1,20 @@
 package io.umberpath.node.mesh;
 
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 
 /**
  * Decides which requests a node refuses late in a graceful shutdown because it might have to cut
- * them off. Requests whose deadline is before the cut-off are accepted, and so are requests that
- * may be nested calls of the local backend, which end with the request that makes them.
+ * them off. Requests whose deadline is before the cut-off are accepted. So are requests that may be
+ * nested calls of the local backend, which end with the request that makes them, if those of their
+ * route are known to end before the cut-off. A call that would be cut off is better refused: the
+ * request that makes it fails in any case, and so fails sooner.
  */
 final class ShutdownRefusalPolicy {
   /** Policy of a node that is not shutting down. */
   static final ShutdownRefusalPolicy REFUSE_NONE =
-      new ShutdownRefusalPolicy(Long.MAX_VALUE, 0, () -> Long.MAX_VALUE);
+      new ShutdownRefusalPolicy(
+          Long.MAX_VALUE, Long.MAX_VALUE, () -> Long.MAX_VALUE, new RouteDurations());
 
   /**
    * How much later than the deadline of the backend's request the deadline of its nested call may
@@ -21,6 +25,7 @@
   private final long refuseFromMillis;
   private final long cutOffMillis;
   private final LongSupplier latestBackendDeadlineMillis;
+  private final RouteDurations durations;
 
   /**
    * Creates a policy.
@@ -28,22 +33,52 @@
    * @param refuseFromMillis time from which requests are refused, on the node's clock
    * @param cutOffMillis time at which requests in flight are cut off, on the node's clock
    * @param latestBackendDeadlineMillis latest deadline of the requests running on the local backend
+   * @param durations how long requests take
    */
   ShutdownRefusalPolicy(
-      long refuseFromMillis, long cutOffMillis, LongSupplier latestBackendDeadlineMillis) {
+      long refuseFromMillis,
+      long cutOffMillis,
+      LongSupplier latestBackendDeadlineMillis,
+      RouteDurations durations) {
     this.refuseFromMillis = refuseFromMillis;
     this.cutOffMillis = cutOffMillis;
     this.latestBackendDeadlineMillis = latestBackendDeadlineMillis;
+    this.durations = durations;
   }
 
   /**
-   * Returns whether a request is refused.
+   * Returns whether a request that has just arrived is refused.
    *
    * @param deadlineMillis time at which the client gives up, on the node's clock
    */
-  boolean shouldRefuse(long deadlineMillis, long nowMillis) {
-    return nowMillis >= refuseFromMillis
-        && deadlineMillis > cutOffMillis
-        && deadlineMillis - NESTED_CALL_SLACK_MILLIS > latestBackendDeadlineMillis.getAsLong();
+  boolean shouldRefuse(String route, long deadlineMillis, long nowMillis) {
+    if (nowMillis < refuseFromMillis || deadlineMillis <= cutOffMillis) {
+      return false;
+    }
+    boolean mayBeNestedCall =
+        deadlineMillis - NESTED_CALL_SLACK_MILLIS <= latestBackendDeadlineMillis.getAsLong();
+    return !mayBeNestedCall || slackMillis(route, nowMillis) < 0;
+  }
+
+  /** Returns whether another attempt for a request that arrived late would be cut off. */
+  boolean isTooLate(MeshOutboundPlan plan, long nowMillis) {
+    return plan.arrivedMillis() >= refuseFromMillis
+        && shouldRefuse(plan.route(), plan.deadlineMillis(), nowMillis);
+  }
+
+  /**
+   * Returns the time within which a request has to start at its backend to end before the cut-off,
+   * milliseconds; a very long one if it ends in any case.
+   */
+  long startWithinMillis(MeshOutboundPlan plan, long nowMillis) {
+    boolean mayBeCutOff =
+        plan.arrivedMillis() >= refuseFromMillis && plan.deadlineMillis() > cutOffMillis;
+    return mayBeCutOff ? slackMillis(plan.route(), nowMillis) : Integer.MAX_VALUE;
+  }
+
+  /** Expected time between the end of a request and the cut-off; negative if it is not known. */
+  private long slackMillis(String route, long nowMillis) {
+    OptionalLong duration = durations.upperBoundMillis(route);
+    return duration.isPresent() ? cutOffMillis - nowMillis - duration.getAsLong() : -1;
   }
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/RouteAverages.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/RouteAverages.java
@@ -52,9 +52,14 @@
    * too few samples.
    */
   public long upperEstimate(String route) {
+    return upperEstimate(route, 1);
+  }
+
+  /** Mean plus a number of mean absolute deviations; 0 if there are too few samples. */
+  public long upperEstimate(String route, int deviations) {
     MovingAverage mean = byRoute.get(route);
     boolean known = mean != null && mean.samples >= minSamples;
-    return known ? Math.round(mean.value + mean.deviation) : 0;
+    return known ? Math.round(mean.value + deviations * mean.deviation) : 0;
   }
 
   /** The moving average; 0 if there are too few samples. */
