Leave more of the half second to the detection of an overdue response

Cause: with a body in chunks of one byte at full speed, EndlessResponseTest saw the end 533 ms after the deadline beside a load of 5 (bound 500 ms): the event loop checks deadlines late while it reads such a body.

Change: a response that is being sent has 200 ms after its deadline instead of 320 ms.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestAge.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestAge.java
@@ -15,7 +15,7 @@
    * has to end within half a second after the timeout of its route; the difference is left for
    * detection and the way to the client.
    */
-  private static final long MAX_OVERRUN_MILLIS = 320;
+  private static final long MAX_OVERRUN_MILLIS = 200;
 
   static RequestAge readNow(long arrivedNanos) {
     return new RequestAge(arrivedNanos, System.nanoTime());
