Name and log what the pipelining rule decides

Nothing told an operator that a request failed because its response was too long to be held: the line long-responses names the request and the route, once for each route while it is remembered. ClientConnection.startOrDefer says that it starts the request; the walk over the requests ahead is a method of its own. No decision changes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LongResponseRoutes.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LongResponseRoutes.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.node.proxy.inbound.RequestPlan;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** Remembers the routes that had a response too long to buffer. Thread-safe. */
@@ -9,10 +10,19 @@
 
   private static final int MAX_ROUTES = 1_000;
 
+  private final RequestEvents events;
   private final ConcurrentHashMap<String, Long> lastSeenMillis = new ConcurrentHashMap<>();
 
-  /** Records a response of a route that is too long to buffer. */
-  void record(String route, long nowMillis) {
+  LongResponseRoutes(RequestEvents events) {
+    this.events = events;
+  }
+
+  /** Records that the response to a request is too long to buffer. */
+  void record(RequestPlan plan, long nowMillis) {
+    String route = plan.route();
+    if (!contains(route, nowMillis)) {
+      events.longResponses(plan);
+    }
     if (lastSeenMillis.size() >= MAX_ROUTES) {
       lastSeenMillis.values().removeIf(seen -> nowMillis - seen >= RETENTION_MILLIS);
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -86,6 +86,8 @@
   STORE_READER(10),
   /** A client's request ended without a response of a backend. */
   REQUEST_FAILED(40),
+  /** Responses of a route are too long to be held while requests behind them run. */
+  LONG_RESPONSES(5),
   /** A connection ended while requests read from it were unanswered. */
   CONNECTION_ENDED(40),
   /** A client's request was answered; only a sample is logged. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -56,7 +56,7 @@
   private final RequestAgeEstimator requestAges = new RequestAgeEstimator();
   private final RequestCosts costs = new RequestCosts();
   private final RouteDurations durations = new RouteDurations();
-  private final LongResponseRoutes longResponseRoutes = new LongResponseRoutes();
+  private final LongResponseRoutes longResponseRoutes;
   private final RefusalStyle style = new MeshRefusalStyle();
   private final Set<String> replacedHeaders = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
   private volatile boolean draining;
@@ -86,6 +86,7 @@
     this.notices = peers.notices();
     this.quarantine = peers.quarantine();
     this.events = events.requests();
+    this.longResponseRoutes = new LongResponseRoutes(this.events);
     this.clockMillis = clockMillis;
     this.retryPolicy =
         new OutboundRetryPolicy(settings.retry(), peers::nodeCount, retriedWorkShare);
@@ -100,7 +101,6 @@
     draining = true;
   }
 
-  /** How long requests of each route take. */
   RouteDurations durations() {
     return durations;
   }
@@ -345,7 +345,7 @@
 
   @Override
   public void onLongResponse(RequestPlan plan) {
-    longResponseRoutes.record(plan.route(), clockMillis.getAsLong());
+    longResponseRoutes.record(plan, clockMillis.getAsLong());
   }
 
   @Override
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestEvents.java
@@ -5,6 +5,7 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.node.logs.LogFields;
 import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.node.proxy.inbound.RequestPlan;
 import io.umberpath.node.proxy.inbound.UnansweredRequests;
 
 /** Logs the outcomes of requests. Thread-safe; never blocks. */
@@ -52,6 +53,14 @@
             attempts, plan.retryState().possiblyDeliveredCount());
   }
 
+  void longResponses(RequestPlan plan) {
+    events
+        .line(MeshEvent.LONG_RESPONSES)
+        .with(LogFields.REQUEST_ID, plan.requestId())
+        .with(ROUTE, plan.route())
+        .log("pipelined requests behind one of this route wait until it is answered");
+  }
+
   /**
    * Logs that a connection ended while requests, or bytes of requests, read from it were
    * unanswered.
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ClientConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ClientConnection.java
@@ -110,11 +110,11 @@
   }
 
   /**
-   * Whether a request may start now. If not, it starts once those ahead of it allow it.
+   * Returns whether a request starts now. If not, it starts once those ahead of it allow it.
    *
    * @param mayRunConcurrently whether it may run at the same time as others, and more than once
    */
-  synchronized boolean mayStart(PipelinedResponse response, boolean mayRunConcurrently) {
+  synchronized boolean startOrDefer(PipelinedResponse response, boolean mayRunConcurrently) {
     response.setConcurrent(mayRunConcurrently);
     return pipeline.startOrDefer(response);
   }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -134,7 +134,7 @@
     }
     if (decision.isRight()
         && !refuseIfTooLarge()
-        && client.mayStart(pipelined, handler.mayRunConcurrently(plan))) {
+        && client.startOrDefer(pipelined, handler.mayRunConcurrently(plan))) {
       EventLoop.runOrDefer(this::dispatchIfWanted);
     }
     runDeferredActions();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ResponsePipeline.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ResponsePipeline.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.Iterator;
 import java.util.List;
 import org.glassfish.grizzly.http.HttpContent;
 
@@ -64,7 +63,11 @@
     return belongs ? last.exchange() : null;
   }
 
-  /** Starts a request if it may run at the same time as those ahead of it, or defers its start. */
+  /**
+   * Starts a request if it may run at the same time as those ahead of it, or defers its start.
+   *
+   * @return whether it starts now
+   */
   boolean startOrDefer(PipelinedResponse response) {
     boolean starts = mayStart(response);
     if (starts) {
@@ -81,18 +84,19 @@
    */
   private boolean mayStart(PipelinedResponse response) {
     PipelinedResponse first = responses.peekFirst();
-    if (response == first) {
-      return true;
-    }
-    boolean mayStart = !first.isStreaming();
-    for (Iterator<PipelinedResponse> each = responses.iterator(); mayStart && each.hasNext(); ) {
-      PipelinedResponse next = each.next();
-      mayStart = next.allowsConcurrency();
-      if (next == response) {
+    return response == first || !first.isStreaming() && allAllowConcurrencyUpTo(response);
+  }
+
+  private boolean allAllowConcurrencyUpTo(PipelinedResponse last) {
+    for (PipelinedResponse response : responses) {
+      if (!response.allowsConcurrency()) {
+        return false;
+      }
+      if (response == last) {
         break;
       }
     }
-    return mayStart;
+    return true;
   }
 
   /** Starts the deferred requests that may run now; returns their exchanges. */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/ResponseBuffer.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/ResponseBuffer.java
@@ -23,8 +23,12 @@
   private static final long MAX_SHORT_BYTES = 16 * 1024;
 
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+  /** The latest part that is buffered; null if there is none. */
   private ResponsePart lastAdded;
-  private boolean isPassing;
+
+  /** Whether parts are forwarded as they arrive. */
+  private boolean isForwarding;
 
   /**
    * Adds a part; returns what to forward now, or empty while the response is being buffered.
@@ -33,12 +37,12 @@
    *     later parts are no longer buffered
    */
   public Optional<ResponsePart> add(ResponsePart part, BooleanSupplier mayStream) {
-    if (isPassing) {
+    if (isForwarding) {
       return Optional.of(part);
     }
     boolean isUnbuffered = part.first() && (part.last() || canStream(part, mayStream));
     if (isUnbuffered) {
-      isPassing = true;
+      isForwarding = true;
       return Optional.of(part);
     }
     if (part.content() != null) {
@@ -55,7 +59,7 @@
       return Optional.empty();
     }
     lastAdded = null;
-    isPassing = true;
+    isForwarding = true;
     Buffer content = Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, body.toByteArray());
     body.reset();
     return Optional.of(new ResponsePart(last.head(), true, content, last.last(), last.trailers()));
