Accept late repeatable calls of unknown duration in a shutdown

The work that makes it then fails.

Change: such a call is accepted if its route may be repeated; an order of unknown duration is still refused.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ShutdownRefusalPolicy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ShutdownRefusalPolicy.java
@@ -1,5 +1,6 @@
 package io.umberpath.node.mesh;
 
+import io.umberpath.model.routing.RoutingRule;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 
@@ -7,8 +8,8 @@
  * Decides which requests a node refuses late in a graceful shutdown because it might have to cut
  * them off. Requests whose deadline is before the cut-off are accepted. So are requests that may be
  * nested calls of the local backend, which end with the request that makes them, if those of their
- * route are known to end before the cut-off. A call that would be cut off is better refused: the
- * request that makes it fails in any case, and so fails sooner.
+ * route usually end before the cut-off. A call that would be cut off is better refused: the request
+ * that makes it fails in any case, and so fails sooner.
  */
 final class ShutdownRefusalPolicy {
   /** Policy of a node that is not shutting down. */
@@ -51,34 +52,42 @@
    *
    * @param deadlineMillis time at which the client gives up, on the node's clock
    */
-  boolean shouldRefuse(String route, long deadlineMillis, long nowMillis) {
+  boolean shouldRefuse(RoutingRule rule, long deadlineMillis, long nowMillis) {
     if (nowMillis < refuseFromMillis || deadlineMillis <= cutOffMillis) {
       return false;
     }
     boolean mayBeNestedCall =
         deadlineMillis - NESTED_CALL_SLACK_MILLIS <= latestBackendDeadlineMillis.getAsLong();
-    return !mayBeNestedCall || slackMillis(route, nowMillis) < 0;
+    return !mayBeNestedCall || !isExpectedToEndInTime(rule, nowMillis);
+  }
+
+  /**
+   * A call of unknown duration is accepted if it may be repeated: refusing it makes the request
+   * that waits for it fail in any case.
+   */
+  private boolean isExpectedToEndInTime(RoutingRule rule, long nowMillis) {
+    OptionalLong duration = durations.upperBoundMillis(rule.name());
+    return duration.isPresent()
+        ? nowMillis + duration.getAsLong() <= cutOffMillis
+        : rule.kind().isRepeatable();
   }
 
   /** Returns whether another attempt for a request that arrived late would be cut off. */
   boolean isTooLate(MeshOutboundPlan plan, long nowMillis) {
     return plan.arrivedMillis() >= refuseFromMillis
-        && shouldRefuse(plan.route(), plan.deadlineMillis(), nowMillis);
+        && shouldRefuse(plan.rule(), plan.deadlineMillis(), nowMillis);
   }
 
   /**
    * Returns the time within which a request has to start at its backend to end before the cut-off,
-   * milliseconds; a very long one if it ends in any case.
+   * milliseconds; a very long one if it need not, or its duration is not known.
    */
   long startWithinMillis(MeshOutboundPlan plan, long nowMillis) {
     boolean mayBeCutOff =
         plan.arrivedMillis() >= refuseFromMillis && plan.deadlineMillis() > cutOffMillis;
-    return mayBeCutOff ? slackMillis(plan.route(), nowMillis) : Integer.MAX_VALUE;
-  }
-
-  /** Expected time between the end of a request and the cut-off; negative if it is not known. */
-  private long slackMillis(String route, long nowMillis) {
-    OptionalLong duration = durations.upperBoundMillis(route);
-    return duration.isPresent() ? cutOffMillis - nowMillis - duration.getAsLong() : -1;
+    OptionalLong duration = durations.upperBoundMillis(plan.route());
+    return mayBeCutOff && duration.isPresent()
+        ? cutOffMillis - nowMillis - duration.getAsLong()
+        : Integer.MAX_VALUE;
   }
 }
