Look up a route's duration only in a shutdown

ShutdownRefusalPolicy.startWithinMillis took the lock of the durations and computed a bound for each attempt, also while the node is not stopping, where the result is not used. It now asks for the bound only for requests that may be cut off. No decision changes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/ShutdownRefusalPolicy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/ShutdownRefusalPolicy.java
@@ -85,8 +85,11 @@
   long startWithinMillis(MeshOutboundPlan plan, long nowMillis) {
     boolean mayBeCutOff =
         plan.arrivedMillis() >= refuseFromMillis && plan.deadlineMillis() > cutOffMillis;
+    if (!mayBeCutOff) {
+      return Integer.MAX_VALUE;
+    }
     OptionalLong duration = durations.upperBoundMillis(plan.route());
-    return mayBeCutOff && duration.isPresent()
+    return duration.isPresent()
         ? cutOffMillis - nowMillis - duration.getAsLong()
         : Integer.MAX_VALUE;
   }
