A backend that is full and resets new connections is no crash

Cause: after a request's connection was lost, the node beside the backend opens a probe connection and takes the backend for crashed if that is refused or closed and no request sent earlier is still running. A backend that resets connections beyond its limit resets the probe too, and at the next look (30 ms or more later) short requests have often ended, so that idle connections were all that showed that the process lives, and nobody looked at them. Three such crashes at three backends quarantine a request, and a route whose requests have one path and no body is one request.

Change: the end of a process closes every connection to it. If one that was open when the first was lost is still open at the decision, the backend has not crashed.

Measured: FullBackendTest, listeners on real sockets that reset what is beyond their limit. Without the condition two of its three tests fail: the backend is taken for crashed, and after three of them the whole route is quarantined. With it all pass, as do BackendCrashDetectorTest, QuarantineFleetTest, SuspectExchangeTest, BackendFaultTest. A process that ends with all its connections is still a crash (third test).

A backend that resets all its connections at once, those of running requests among them, and refuses new ones cannot be told from a crash.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendCrashDetector.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendCrashDetector.java
@@ -12,10 +12,11 @@
 
 /**
  * Distinguishes a crash of the local backend from the loss of a single connection to it. After a
- * crash, a new connection is refused or closes soon, and no request that was sent to the process
- * earlier is still running. An open connection alone does not prove that the process is alive,
- * because the kernel still accepts connections for a process that is exiting; a response to a later
- * request does. Thread-safe.
+ * crash, a new connection is refused or closes soon, and every connection that was open before is
+ * closed, so that no request sent on one is still running. A backend that is full resets new
+ * connections too, but keeps others. A new connection that is accepted does not prove that the
+ * process is alive, because the kernel still accepts connections for a process that is exiting; a
+ * response to a later request does. Thread-safe.
  */
 final class BackendCrashDetector {
   /** Longest time over which the connections of an exiting process close, milliseconds. */
@@ -47,14 +48,25 @@
     private final String backend;
     private final long sinceMillis;
     private final Set<RequestFingerprint> requests = new HashSet<>();
+
+    /**
+     * Connections that were open when the first one was lost; the end of the process closes all.
+     */
+    private final Set<OriginConnection> earlierConnections;
+
     private boolean unreachable;
 
     /** The probe connection; null until it is established. */
     private OriginConnection probeConnection;
 
-    SuspectedCrash(String backend, long sinceMillis) {
+    SuspectedCrash(String backend, long sinceMillis, Set<OriginConnection> earlierConnections) {
       this.backend = backend;
       this.sinceMillis = sinceMillis;
+      this.earlierConnections = earlierConnections;
+    }
+
+    boolean hasOpenEarlierConnection() {
+      return earlierConnections.stream().anyMatch(OriginConnection::isOpen);
     }
 
     boolean isDecidable(long nowMillis) {
@@ -88,7 +100,7 @@
     synchronized (this) {
       if (suspected == null || !suspected.backend.equals(backend)) {
         abandoned = suspected;
-        started = new SuspectedCrash(backend, clockMillis.getAsLong());
+        started = new SuspectedCrash(backend, clockMillis.getAsLong(), pool.openConnections());
         suspected = started;
       }
       suspected.requests.add(request);
@@ -137,12 +149,18 @@
       suspected = null;
     }
     if (releaseIfStillOpen(decided)
+        || decided.hasOpenEarlierConnection()
         || running.isAnySentBefore(decided.backend, decided.sinceMillis)) {
       return Optional.empty();
     }
     return Optional.of(new Crash(decided.backend, decided.requests));
   }
 
+  /** Returns whether it is open whether the backend has crashed. */
+  synchronized boolean isCrashSuspected() {
+    return suspected != null;
+  }
+
   /**
    * Returns whether the probe connection is still open; if so, hands it to the pool in place of the
    * lost connection.
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/origin/OriginConnection.java
@@ -73,6 +73,11 @@
     return stage == Stage.IDLE && connection.isOpen();
   }
 
+  /** Whether the connection is open, as far as this node has read. */
+  public boolean isOpen() {
+    return connection.isOpen();
+  }
+
   /**
    * Runs work on a selector thread, immediately if that thread has already read all received data.
    */
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/pool/ConnectionPool.java
@@ -29,7 +29,7 @@
   private final long connectTimeoutMillis;
   private final Deque<OriginConnection> idle = new ArrayDeque<>();
   private final Set<PendingConnection> pendingConnections = new HashSet<>();
-  private int openCount;
+  private final Set<OriginConnection> open = new HashSet<>();
   private long lastUsedMillis;
 
   /**
@@ -91,7 +91,7 @@
     PendingConnection pending = null;
     synchronized (this) {
       lastUsedMillis = clockMillis.getAsLong();
-      if (openCount + pendingConnections.size() < maxConnections) {
+      if (open.size() + pendingConnections.size() < maxConnections) {
         pending = new PendingConnection(waiter, lastUsedMillis);
         pendingConnections.add(pending);
       }
@@ -109,7 +109,7 @@
   public void preconnect(int count) {
     List<PendingConnection> started = new ArrayList<>();
     synchronized (this) {
-      int missing = Math.min(count, maxConnections) - openCount - pendingConnections.size();
+      int missing = Math.min(count, maxConnections) - open.size() - pendingConnections.size();
       for (int index = 0; index < missing; index++) {
         PendingConnection pending = new PendingConnection(null, clockMillis.getAsLong());
         pendingConnections.add(pending);
@@ -171,14 +171,19 @@
    * Whether the pool has not been used for the given time, and has no open or pending connections.
    */
   public synchronized boolean isUnused(long unusedMillis) {
-    return openCount == 0
+    return open.isEmpty()
         && pendingConnections.isEmpty()
         && lastUsedMillis + unusedMillis <= clockMillis.getAsLong();
   }
 
   /** Number of open connections, including those in use. */
   public synchronized int openCount() {
-    return openCount;
+    return open.size();
+  }
+
+  /** The open connections, including those in use. */
+  public synchronized Set<OriginConnection> openConnections() {
+    return Set.copyOf(open);
   }
 
   private OriginConnection pollIdle() {
@@ -190,7 +195,7 @@
   }
 
   private synchronized void onClosed(OriginConnection connection) {
-    openCount--;
+    open.remove(connection);
     idle.remove(connection);
   }
 
@@ -213,10 +218,10 @@
           connection.terminateSilently();
           return;
         }
-        openCount++;
         origin =
             new OriginConnection(
                 connection, ConnectionPool.this::release, ConnectionPool.this::onClosed);
+        open.add(origin);
       }
       if (!connection.isOpen()) {
         // It may have closed before it was wrapped, when no handler was registered for its end.
