A route's measured duration expires when nothing measures it any more

Cause: the node beside a backend expects each request to take as long as the responses of its route did, without regard to their age. While others wait for a slot, a request expected to end after its deadline is refused, so that none shows how long they take now. Calls between services, with the shortest deadline, are the first: where they were slow for a time, they are refused for as long as anything waits at that backend. And an average of samples from before a pause follows by a tenth a response.

Change: samples lose half of their weight with each second without another one, and an average without a sample for four seconds is not used until the next, as before the first.

RouteAveragesTest; `mvn verify` of the traffic module passes.

A route with fewer than one response in four seconds at a backend has no estimate when its next request arrives.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -171,6 +171,9 @@
    */
   void observe() {
     resetAfterRestart();
+    synchronized (routeTimes) {
+      routeTimes.expire(clockMillis.getAsLong());
+    }
     List<SlowdownDetector.Running> running = new ArrayList<>();
     int retries = 0;
     for (Exchange exchange : admissionQueue.exchangesHoldingSlot()) {
@@ -431,7 +434,7 @@
       crashDetector.responseReceived(plan.instance(), sentMillis);
       long usualMicros = speed.recordDuration(plan.route(), exchange.history().sinceSentMicros());
       synchronized (routeTimes) {
-        routeTimes.add(plan.route(), usualMicros);
+        routeTimes.add(clockMillis.getAsLong(), plan.route(), usualMicros);
       }
       if (exchange.responseStatus() < LocalBackendFailures.FIRST_SERVER_ERROR) {
         Fingerprints.of(exchange, plan.targetHash()).ifPresent(quarantine::recordSuccess);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/RouteAverages.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/RouteAverages.java
@@ -1,5 +1,6 @@
 package io.umberpath.traffic.routing;
 
+import io.umberpath.traffic.DecayingValue;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -11,10 +12,18 @@
   private static final double SAMPLE_WEIGHT = 0.1;
   private static final int MAX_ROUTES = 4_096;
 
+  /** Time without a sample after which the earlier ones count half, milliseconds. */
+  private static final double HALF_LIFE_MILLIS = 1_000;
+
+  /** Time without a sample after which an average is not used, milliseconds. */
+  private static final long EXPIRY_MILLIS = 4_000;
+
   private static final class MovingAverage {
     private double value;
     private double deviation;
     private int samples;
+    private long updatedMillis;
+    private boolean isExpired;
   }
 
   private final int minSamples;
@@ -34,15 +43,34 @@
     byRoute.clear();
   }
 
-  /** Adds a sample. */
+  /** Adds a sample; earlier ones count whatever their age. */
   public void add(String route, long value) {
+    add(meanOf(route), value, 0);
+  }
+
+  /** Adds a sample; earlier ones count less the longer there was none. */
+  public void add(long nowMillis, String route, long value) {
+    MovingAverage mean = meanOf(route);
+    double forgotten =
+        1 - DecayingValue.decayFactor(nowMillis - mean.updatedMillis, HALF_LIFE_MILLIS);
+    mean.updatedMillis = nowMillis;
+    mean.isExpired = false;
+    add(mean, value, forgotten);
+  }
+
+  private MovingAverage meanOf(String route) {
     if (byRoute.size() >= MAX_ROUTES && !byRoute.containsKey(route)) {
       byRoute.clear();
     }
-    MovingAverage mean = byRoute.computeIfAbsent(route, absent -> new MovingAverage());
+    return byRoute.computeIfAbsent(route, absent -> new MovingAverage());
+  }
+
+  private static void add(MovingAverage mean, long value, double forgotten) {
     mean.samples++;
-    double weight = Math.max(SAMPLE_WEIGHT, 1.0 / mean.samples);
-    mean.deviation += weight * (Math.abs(value - mean.value) - mean.deviation);
+    double weight = Math.max(Math.max(SAMPLE_WEIGHT, 1.0 / mean.samples), forgotten);
+    // What is left of an old mean does not predict the sample, so its error shows no deviation.
+    double deviation = (1 - forgotten) * Math.abs(value - mean.value);
+    mean.deviation += weight * (deviation - mean.deviation);
     mean.value += weight * (value - mean.value);
   }
 
@@ -58,13 +86,26 @@
   /** Mean plus a number of mean absolute deviations; 0 if there are too few samples. */
   public long upperEstimate(String route, int deviations) {
     MovingAverage mean = byRoute.get(route);
-    boolean known = mean != null && mean.samples >= minSamples;
-    return known ? Math.round(mean.value + deviations * mean.deviation) : 0;
+    return isUsable(mean) ? Math.round(mean.value + deviations * mean.deviation) : 0;
   }
 
   /** The moving average; 0 if there are too few samples. */
   public long average(String route) {
     MovingAverage mean = byRoute.get(route);
-    return mean == null || mean.samples < minSamples ? 0 : Math.round(mean.value);
+    return isUsable(mean) ? Math.round(mean.value) : 0;
+  }
+
+  private boolean isUsable(MovingAverage mean) {
+    return mean != null && mean.samples >= minSamples && !mean.isExpired;
+  }
+
+  /**
+   * Takes averages without a recent sample out of use until their next one. If they were used to
+   * refuse requests of their route, there would never be another sample.
+   */
+  public void expire(long nowMillis) {
+    for (MovingAverage mean : byRoute.values()) {
+      mean.isExpired = nowMillis - mean.updatedMillis >= EXPIRY_MILLIS;
+    }
   }
 }
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/RouteAveragesTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/RouteAveragesTest.java
@@ -37,4 +37,40 @@
 
     assertThat(averages.average("read")).isGreaterThan(800_000);
   }
+
+  @Test
+  void samplesFromBeforeAPauseCountLess() {
+    for (int index = 0; index < 10; index++) {
+      averages.add(index * 50, "read", 720_000);
+    }
+    averages.add(5_500, "read", 60_000);
+
+    assertThat(averages.average("read")).isBetween(60_000L, 90_000L);
+    assertThat(averages.upperEstimate("read")).isLessThan(120_000L);
+  }
+
+  @Test
+  void samplesInShortSuccessionCountAlike() {
+    for (int index = 0; index < 20; index++) {
+      averages.add(index * 50, "read", index % 2 == 0 ? 80_000 : 120_000);
+    }
+
+    assertThat(averages.average("read")).isBetween(95_000L, 105_000L);
+  }
+
+  @Test
+  void averageWithoutARecentSampleIsNotUsedUntilTheNextOne() {
+    for (int index = 0; index < 10; index++) {
+      averages.add(index * 50, "read", 720_000);
+    }
+    averages.expire(4_000);
+    assertThat(averages.average("read")).isEqualTo(720_000);
+
+    averages.expire(4_500);
+    assertThat(averages.average("read")).isZero();
+    assertThat(averages.upperEstimate("read")).isZero();
+
+    averages.add(5_500, "read", 60_000);
+    assertThat(averages.average("read")).isLessThan(90_000);
+  }
 }
