A backend that was slow for a time gets requests again

Cause: nodes choose a backend by its measured response times, which only its responses change. A backend that was slow and does not state it (the load header of some services has no speed) is expected to be as slow as its last responses, gets no request, and so shows nothing else. Statistics expire only without activity, and reports count as such.

Change: trust in a measured response time ends with its age: half after two seconds, a fortieth after five. What is expected then is the mean of the other backends, weighted by the age of their measurements, times the backend's speed relative to others, which ages alike. Once a request has been sent, the old measurement counts in full until the response, so that one request at a time checks it.

`mvn verify` of the traffic module passes.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -400,7 +400,7 @@
     if (load != null) {
       synchronized (balancer) {
         balancer.updateLoad(clockMillis.getAsLong(), backend, load);
-        balancer.updateRouteTime(backend, route, load.routeMicros());
+        balancer.updateRouteTime(clockMillis.getAsLong(), backend, route, load.routeMicros());
       }
     }
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/UploadModel.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/UploadModel.java
@@ -302,7 +302,7 @@
       String id = backend.entry.id();
       balancer.finished(now(), id, new Verdict.Completed());
       balancer.updateLoad(now(), id, load);
-      balancer.updateRouteTime(id, ROUTE, Math.round(backend.meanWorkMillis() * 1_000));
+      balancer.updateRouteTime(now(), id, ROUTE, Math.round(backend.meanWorkMillis() * 1_000));
       upload.end(true);
     }
 
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendStats.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendStats.java
@@ -17,6 +17,9 @@
   /** Weight of one response in the moving average of the relative speed. */
   private static final double SPEED_SAMPLE_WEIGHT = 0.2;
 
+  /** Age at which a measured response time counts half, milliseconds. */
+  private static final double HALF_TRUST_AGE_MILLIS = 2_000;
+
   private static final long AVOID_UNREACHABLE_MILLIS = 300;
   private static final long AVOID_REFUSING_MILLIS = 1_000;
 
@@ -31,8 +34,9 @@
   private int ownInFlight;
   private int slots = 1;
   private double serviceMillis;
-  private final Map<String, Double> routeMillis = new HashMap<>();
-  private double speedRatio = 1;
+  private final Map<String, RouteTime> routeTimes = new HashMap<>();
+  private double lastSpeedRatio = 1;
+  private long speedRatioAtMillis;
   private final DecayingSlowdown slowdown = new DecayingSlowdown();
   private double failureRate;
   private double nextStartMillis = Double.NEGATIVE_INFINITY;
@@ -42,6 +46,13 @@
   private long avoidUntilMillis;
   private long lastActiveMillis;
 
+  /**
+   * Response time of a route.
+   *
+   * @param atMillis when it was measured, or when a request was sent that measures it anew
+   */
+  private record RouteTime(double millis, long atMillis) {}
+
   /** Creates statistics for a backend that was not known before. */
   BackendStats(long nowMillis) {
     firstSeenMillis = nowMillis;
@@ -179,13 +190,35 @@
    * @param usualMicros response time of the route averaged over the backends of the service,
    *     microseconds
    */
-  void updateRouteTime(String route, long micros, long usualMicros) {
-    if (routeMillis.size() >= MAX_ROUTES) {
-      routeMillis.clear();
+  void updateRouteTime(long nowMillis, String route, long micros, long usualMicros) {
+    if (routeTimes.size() >= MAX_ROUTES) {
+      routeTimes.clear();
     }
-    routeMillis.put(route, micros / MICROS_PER_MILLI);
+    routeTimes.put(route, new RouteTime(micros / MICROS_PER_MILLI, nowMillis));
     double ratio = micros / (double) usualMicros;
-    speedRatio += SPEED_SAMPLE_WEIGHT * (ratio - speedRatio);
+    double current = speedRatio(nowMillis);
+    lastSpeedRatio = current + SPEED_SAMPLE_WEIGHT * (ratio - current);
+    speedRatioAtMillis = nowMillis;
+  }
+
+  /**
+   * Records that a request of the route will measure its response time again. Until it ends, or
+   * fails to, the last measurements count in full: one request is enough to check them.
+   */
+  void recordRouteCheck(long nowMillis, String route) {
+    routeTimes.computeIfPresent(
+        route, (name, time) -> new RouteTime(time.millis(), Math.max(nowMillis, time.atMillis())));
+    speedRatioAtMillis = Math.max(nowMillis, speedRatioAtMillis);
+  }
+
+  /**
+   * Trust in a measurement, 1 to 0. It must end without another measurement: a backend that looks
+   * slow gets no requests that could show that it is fast again.
+   */
+  private static double trust(long nowMillis, long atMillis) {
+    double ratio = Math.max(0, nowMillis - atMillis) / HALF_TRUST_AGE_MILLIS;
+    // Steep, so that backends of unequal speeds are told apart although they are used rarely.
+    return 1 / (1 + ratio * ratio * ratio * ratio);
   }
 
   /** Whether the backend was first seen less than {@code ageMillis} ago. */
@@ -222,12 +255,19 @@
 
   /** Response time of the route at this backend, milliseconds; null if not known. */
   Double routeMillis(String route) {
-    return routeMillis.get(route);
+    RouteTime time = routeTimes.get(route);
+    return time == null ? null : time.millis();
+  }
+
+  /** Trust in {@link #routeMillis}, 1 to 0. */
+  double routeTrust(long nowMillis, String route) {
+    RouteTime time = routeTimes.get(route);
+    return time == null ? 0 : trust(nowMillis, time.atMillis());
   }
 
-  /** Response time relative to other backends, over all routes; 1 is average. */
-  double speedRatio() {
-    return speedRatio;
+  /** Response time relative to other backends, over all routes; 1 is average or not known. */
+  double speedRatio(long nowMillis) {
+    return 1 + (lastSpeedRatio - 1) * trust(nowMillis, speedRatioAtMillis);
   }
 
   /**
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/ExpectedResponseTimes.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/ExpectedResponseTimes.java
@@ -28,11 +28,16 @@
   /**
    * Computes the means over the candidates.
    *
+   * @param nowMillis time for which the means are computed
    * @param route the request's route
    * @param isUpload whether the request has a long body
    */
   ExpectedResponseTimes(
-      BackendStatsTable statsTable, List<BackendEntry> candidates, String route, boolean isUpload) {
+      long nowMillis,
+      BackendStatsTable statsTable,
+      List<BackendEntry> candidates,
+      String route,
+      boolean isUpload) {
     this.statsTable = statsTable;
     this.route = route;
     this.isUpload = isUpload;
@@ -57,7 +62,7 @@
         body.add(stats.bodyMillis());
       }
       if (stats.routeMillis(route) != null) {
-        routeTime.add(stats.routeMillis(route));
+        routeTime.add(stats.routeMillis(route), stats.routeTrust(nowMillis, route));
       }
     }
     meanServiceMillis = service.orElse(DEFAULT_SERVICE_MILLIS);
@@ -116,9 +121,13 @@
 
   /** Expected time that the backend works on the request once it has a slot, milliseconds. */
   private double workMillis(long nowMillis, BackendStats stats) {
+    double unmeasured = meanRouteMillis * stats.speedRatio(nowMillis);
     Double known = stats.routeMillis(route);
-    return (known == null ? meanRouteMillis * stats.speedRatio() : known)
-        * stats.slowdown(nowMillis);
+    double usual =
+        known == null
+            ? unmeasured
+            : unmeasured + (known - unmeasured) * stats.routeTrust(nowMillis, route);
+    return usual * stats.slowdown(nowMillis);
   }
 
   /**
@@ -135,15 +144,19 @@
 
   private static final class Average {
     private double sum;
-    private int count;
+    private double weights;
 
     void add(double value) {
-      sum += value;
-      count++;
+      add(value, 1);
+    }
+
+    void add(double value, double weight) {
+      sum += weight * value;
+      weights += weight;
     }
 
     double orElse(double defaultValue) {
-      return count == 0 ? defaultValue : sum / count;
+      return weights == 0 ? defaultValue : sum / weights;
     }
   }
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/LatencyAwareBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/LatencyAwareBalancer.java
@@ -155,7 +155,7 @@
       this.constraints = constraints;
       this.times =
           new ExpectedResponseTimes(
-              statsTable, candidates, constraints.route(), constraints.isUpload());
+              nowMillis, statsTable, candidates, constraints.route(), constraints.isUpload());
     }
 
     Ranking rank(List<BackendEntry> compared) {
@@ -188,6 +188,7 @@
 
     Choice toChoice(Ranking ranking) {
       BackendEntry best = ranking.best();
+      statsTable.find(best).recordRouteCheck(nowMillis, constraints.route());
       if (ranking.secondLoss() == Double.MAX_VALUE) {
         return new Choice(best, ANY_WAIT_MILLIS);
       }
@@ -239,13 +240,13 @@
    *
    * @param routeMicros mean response time there, microseconds; 0 if not known
    */
-  public void updateRouteTime(String id, String route, long routeMicros) {
+  public void updateRouteTime(long nowMillis, String id, String route, long routeMicros) {
     BackendStats stats = statsTable.find(id);
     if (stats == null || routeMicros <= 0) {
       return;
     }
     routeTimes.add(route, routeMicros);
-    stats.updateRouteTime(route, routeMicros, routeTimes.average(route));
+    stats.updateRouteTime(nowMillis, route, routeMicros, routeTimes.average(route));
   }
 
   /**
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/BalancingWithStaleStatsTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/BalancingWithStaleStatsTest.java
@@ -193,7 +193,8 @@
     inTime += nowMillis - arrived <= TARGET_MILLIS ? 1 : 0;
     node.finished((long) nowMillis, server.entry.id(), new Verdict.Completed());
     node.updateLoad((long) nowMillis, server.entry.id(), server.load());
-    node.updateRouteTime(server.entry.id(), ROUTE, server.load().routeMicros());
+    node.updateRouteTime(
+        Math.round(nowMillis), server.entry.id(), ROUTE, server.load().routeMicros());
     serve(server);
   }
 
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/LatencyAwareBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/LatencyAwareBalancerTest.java
@@ -41,7 +41,7 @@
   private void reportLoad(BackendEntry backend, int running, int queued, int serviceMillis) {
     balancer.updateLoad(
         NOW, backend.id(), new BackendLoad(running, queued, 6, serviceMillis * 1_000L, 100, 0));
-    balancer.updateRouteTime(backend.id(), ROUTE, serviceMillis * 1_000L);
+    balancer.updateRouteTime(NOW, backend.id(), ROUTE, serviceMillis * 1_000L);
   }
 
   private static BackendEntry localStartedAt(long startTimeMillis) {
@@ -111,7 +111,7 @@
     BackendLoad idle = new BackendLoad(0, 0, 6, 60_000, 100, 0);
     UploadLoad uploads = new UploadLoad(outstanding, bodyMillis * 1_000L);
     balancer.updateLoad(NOW, backend.id(), idle.withUploads(uploads));
-    balancer.updateRouteTime(backend.id(), ROUTE, 60_000);
+    balancer.updateRouteTime(NOW, backend.id(), ROUTE, 60_000);
   }
 
   @Test
@@ -209,8 +209,8 @@
   void comparesTheTimeOfTheRouteNotTheMeanOverAllRoutes() {
     balancer.updateLoad(NOW, "near", new BackendLoad(1, 0, 6, 800_000, 100, 0));
     balancer.updateLoad(NOW, "far", new BackendLoad(1, 0, 6, 40_000, 100, 0));
-    balancer.updateRouteTime("near", ROUTE, 60_000);
-    balancer.updateRouteTime("far", ROUTE, 40_000);
+    balancer.updateRouteTime(NOW, "near", ROUTE, 60_000);
+    balancer.updateRouteTime(NOW, "far", ROUTE, 40_000);
 
     assertThat(pick(List.of(LOCAL, REMOTE), Set.of())).contains("near");
   }
@@ -250,8 +250,8 @@
     reportLoad(LOCAL, 0, 0, 30);
     reportLoad(SECOND_LOCAL, 0, 0, 90);
     for (int response = 0; response < 20; response++) {
-      balancer.updateRouteTime("near", ROUTE, 30_000);
-      balancer.updateRouteTime("near-too", ROUTE, 90_000);
+      balancer.updateRouteTime(NOW, "near", ROUTE, 30_000);
+      balancer.updateRouteTime(NOW, "near-too", ROUTE, 90_000);
     }
 
     LatencyAwareBalancer.RequestConstraints other =
@@ -350,7 +350,7 @@
       candidates.add(backend);
       boolean free = index % 7 != 0 || index == 28;
       large.updateLoad(NOW, backend.id(), new BackendLoad(free ? 0 : 30, 0, 6, 60_000, 100, 0));
-      large.updateRouteTime(backend.id(), ROUTE, 60_000);
+      large.updateRouteTime(NOW, backend.id(), ROUTE, 60_000);
     }
 
     for (int request = 0; request < 200; request++) {
