Tell which ready backends a node leaves out, why and since when

Cause: whether a node refuses requests as quarantined, or sends a ready backend nothing because it is taken for slow, failing, limited or silent, could be put together from several lines at best; of what the choice believes there was no line and no figure.

Change: counter umberpath_quarantine_refused_total; gauge umberpath_backends_left_out; line backend-left-out when a cause begins or ends, looked at once a second, ten lines a second at most; page /left-out on the metrics port with cause and duration.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -106,6 +106,8 @@
   BACKEND_ENDED(20),
   /** Many responses of the local backend fail, or no longer do. */
   BACKEND_FAILING(5),
+  /** This node sends a ready backend fewer requests or none, or no longer does. */
+  BACKEND_LEFT_OUT(10),
   /** A request is quarantined: it is kept from all backends. */
   REQUEST_HELD(20),
   /** A request is no longer quarantined. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -424,6 +424,19 @@
         .log("%s", isFailing ? "begins" : "ends");
   }
 
+  /**
+   * Logs that this node sends a ready backend fewer requests or none, or no longer does.
+   *
+   * @param millis for how long it has lasted
+   */
+  void backendLeftOut(String backend, String cause, boolean isLeftOut, long millis) {
+    line(MeshEvent.BACKEND_LEFT_OUT)
+        .with(BACKEND, backend)
+        .with(CAUSE, cause)
+        .with(MILLIS, millis)
+        .log("%s", isLeftOut ? "begins" : "ends");
+  }
+
   /**
    * Logs that a request is now quarantined, or no longer.
    *
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -3,6 +3,7 @@
 import io.umberpath.control.membership.SilenceTimeouts;
 import io.umberpath.control.store.StoreWatcher;
 import io.umberpath.model.PeerAddress;
+import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.traffic.RequestRateLimiter;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import io.umberpath.traffic.quarantine.SuspectRegistry;
@@ -63,6 +64,7 @@
   private static final int NOT_FOUND = 404;
   private static final String METRICS_PATH = "/metrics";
   private static final String QUARANTINE_PATH = "/quarantine";
+  private static final String LEFT_OUT_PATH = "/left-out";
   private static final double MICROS_PER_SECOND = 1_000_000;
 
   private final MeshSettings settings;
@@ -79,6 +81,7 @@
   private final LocalBackend backend;
   private final MeshProxy proxy;
   private final LivenessAttester attester;
+  private final LeftOutBackends leftOut;
   private final MeshMetrics metrics = new MeshMetrics();
   private final String readyPath;
   private final List<StateServer> stateServers = new ArrayList<>();
@@ -156,6 +159,18 @@
     this.attester =
         new LivenessAttester(
             settings, state::view, this::storeContact, proxy.backendPool(), events, clockMillis);
+    this.leftOut = new LeftOutBackends(balancer, events, clockMillis);
+  }
+
+  /** Updates which ready backends this node leaves out. */
+  private void updateLeftOut() {
+    BackendDirectory directory = state.view().backends();
+    List<BackendEntry> ready =
+        directory.all().stream()
+            .filter(entry -> entry.state() == BackendEntry.State.READY)
+            .filter(entry -> !directory.isEvacuated(entry.zone()))
+            .toList();
+    leftOut.update(ready, peers.unavailableBackends(ready));
   }
 
   /** Contact with the store: this node's own while it calls the store, else that of its zone. */
@@ -280,6 +295,7 @@
     }
     events.logDroppedLines();
     quarantine.removeExpired();
+    updateLeftOut();
     proxy.closeIdleConnections();
     synchronized (balancer) {
       balancer.removeExpired(clockMillis.getAsLong());
@@ -338,6 +354,7 @@
           new StatusFilter.StatusResponse(
               OK, metrics.scrape(() -> timer.execute(() -> runGuarded(this::startMetrics))));
       case QUARANTINE_PATH -> new StatusFilter.StatusResponse(OK, quarantine.statusPage());
+      case LEFT_OUT_PATH -> new StatusFilter.StatusResponse(OK, leftOut.statusPage());
       default -> new StatusFilter.StatusResponse(NOT_FOUND, "");
     };
   }
@@ -356,6 +373,7 @@
   private Map<String, Supplier<Number>> counters() {
     Map<String, Supplier<Number>> counters = new HashMap<>();
     counters.put("gate.rate.limited", () -> localNotices.rateLimiter().refusedCount());
+    counters.put("quarantine.refused", quarantine::refusedCount);
     counters.put("configuration.refused", events::refusedConfigurationCount);
     for (MeshTask task : MeshTask.values()) {
       counters.put("task." + task.label() + ".faults", () -> events.faultCount(task));
@@ -367,6 +385,7 @@
     return Map.ofEntries(
         Map.entry("quarantine.suspects", quarantine::suspectCount),
         Map.entry("quarantine.held", quarantine::quarantinedTargetCount),
+        Map.entry("backends.left.out", leftOut::count),
         Map.entry("peers.known", peers::nodeCount),
         Map.entry("peers.silent", peers::silentNodeCount),
         Map.entry("gate.running", () -> backendLoad().current().running()),
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
@@ -12,6 +12,7 @@
 import java.util.LongSummaryStatistics;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -34,6 +35,7 @@
   private volatile Set<Long> quarantinedTargets = Set.of();
   private volatile int suspectCount;
   private volatile long digest;
+  private final AtomicLong refusedCount = new AtomicLong();
 
   /**
    * Creates an empty quarantine.
@@ -73,6 +75,7 @@
         return false;
       }
       if (!registry.isTrialDue(now, request) || !isTrialOwner.test(request)) {
+        refusedCount.incrementAndGet();
         return true;
       }
       registry.beginTrial(now, request);
@@ -85,7 +88,11 @@
   boolean blocksInbound(RequestFingerprint request) {
     long now = clockMillis.getAsLong();
     synchronized (this) {
-      return registry.isQuarantined(request) && !registry.isTrialDue(now, request);
+      boolean isBlocked = registry.isQuarantined(request) && !registry.isTrialDue(now, request);
+      if (isBlocked) {
+        refusedCount.incrementAndGet();
+      }
+      return isBlocked;
     }
   }
 
@@ -204,6 +211,14 @@
     return suspectCount;
   }
 
+  /**
+   * Returns how often a request was refused as quarantined since the start, of clients and of other
+   * nodes.
+   */
+  long refusedCount() {
+    return refusedCount.get();
+  }
+
   /** Returns the number of distinct targets of quarantined requests. */
   int quarantinedTargetCount() {
     return quarantinedTargets.size();
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendStats.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendStats.java
@@ -4,8 +4,10 @@
 import io.umberpath.model.routing.BackendEntry;
 import io.umberpath.model.routing.BackendStart;
 import io.umberpath.traffic.load.DecayingSlowdown;
+import io.umberpath.traffic.outlier.FailureRateOutlier;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /** Statistics that a node keeps about one start of a backend. The owner synchronizes access. */
 final class BackendStats {
@@ -20,6 +22,12 @@
   /** Age at which a measured response time counts half, milliseconds. */
   private static final double HALF_TRUST_AGE_MILLIS = 2_000;
 
+  /** Response time relative to other backends from which a backend counts as slow. */
+  private static final double SLOW_FACTOR = 3;
+
+  /** Wait for a start from which a backend counts as limited, milliseconds. */
+  private static final double LONG_START_WAIT_MILLIS = 500;
+
   private static final long AVOID_UNREACHABLE_MILLIS = 300;
   private static final long AVOID_REFUSING_MILLIS = 1_000;
 
@@ -287,4 +295,26 @@
   double remainingAvoidMillis(long nowMillis) {
     return Math.max(0, avoidUntilMillis - nowMillis);
   }
+
+  /**
+   * Why the backend gets fewer requests now; empty if it does not.
+   *
+   * @param meanFailureRate mean over the backends of its service
+   */
+  Optional<LatencyAwareBalancer.Avoidance> avoidance(long nowMillis, double meanFailureRate) {
+    FailureRateOutlier.FailureRates failures =
+        new FailureRateOutlier.FailureRates(failureRate(), meanFailureRate);
+    if (remainingAvoidMillis(nowMillis) > 0) {
+      return Optional.of(LatencyAwareBalancer.Avoidance.REFUSING);
+    }
+    if (startWaitMillis(nowMillis) >= LONG_START_WAIT_MILLIS) {
+      return Optional.of(LatencyAwareBalancer.Avoidance.RATE_LIMITED);
+    }
+    if (FailureRateOutlier.excessLoss(failures) > 0) {
+      return Optional.of(LatencyAwareBalancer.Avoidance.FAILING);
+    }
+    return speedRatio(nowMillis) * slowdown(nowMillis) >= SLOW_FACTOR
+        ? Optional.of(LatencyAwareBalancer.Avoidance.SLOW)
+        : Optional.empty();
+  }
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/LatencyAwareBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/LatencyAwareBalancer.java
@@ -2,7 +2,9 @@
 
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
@@ -259,6 +261,39 @@
     statsTable.getOrCreate(nowMillis, id).updateRateLimit(nowMillis, waitMillis, intervalMillis);
   }
 
+  /** Why fewer requests than usual are sent to a backend, or none. */
+  public enum Avoidance {
+    /** It was unreachable, or its node refused a request as draining or not ready. */
+    REFUSING,
+    /** Its announced rate allows no start now. */
+    RATE_LIMITED,
+    /** It fails more often than the other backends of its service. */
+    FAILING,
+    /** It is expected to take several times as long as the others. */
+    SLOW
+  }
+
+  /** Returns the backends of a service that are avoided now, by id. */
+  public Map<String, Avoidance> avoided(long nowMillis, List<BackendEntry> candidates) {
+    double failureSum = 0;
+    int known = 0;
+    for (BackendEntry candidate : candidates) {
+      BackendStats stats = statsTable.find(candidate);
+      failureSum += stats == null ? 0 : stats.failureRate();
+      known += stats == null ? 0 : 1;
+    }
+    Map<String, Avoidance> avoided = new HashMap<>();
+    for (BackendEntry candidate : candidates) {
+      BackendStats stats = statsTable.find(candidate);
+      if (stats != null) {
+        stats
+            .avoidance(nowMillis, failureSum / known)
+            .ifPresent(cause -> avoided.put(candidate.id(), cause));
+      }
+    }
+    return avoided;
+  }
+
   /** Removes backends that have been inactive for too long. */
   public void removeExpired(long nowMillis) {
     statsTable.removeExpired(nowMillis);
