A quarantined request is tried again where it arrives

Cause: a quarantined request is tried again by one node, chosen among all by rendezvous hashing, when it next arrives there. A call between services arrives only at the nodes beside its callers, a client's request at the nodes of its zone.

Change: while a trial is due and none has ended, twice as many nodes may begin one every ten seconds.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -183,9 +183,9 @@
     return attester.isAttested(instance);
   }
 
-  /** Whether this node is the only reachable one that may retry a quarantined request. */
-  private boolean isElectedToRetry(RequestFingerprint request) {
-    return peers.isResponsibleFor(request.text());
+  /** Whether this node is among that many reachable ones that may retry a quarantined request. */
+  private boolean isElectedToRetry(RequestFingerprint request, int nodes) {
+    return peers.isResponsibleFor(request.text(), nodes);
   }
 
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -278,9 +278,9 @@
     return failureDetector.peers().silent().size();
   }
 
-  /** Whether this is the one reachable node that is responsible for a task. */
-  boolean isResponsibleFor(String task) {
-    return failureDetector.isResponsibleFor(task);
+  /** Whether this node is among that many reachable ones that are responsible for a task. */
+  boolean isResponsibleFor(String task, int nodes) {
+    return failureDetector.isResponsibleFor(task, nodes);
   }
 
   /** Number of known nodes, this one included. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerFailureDetector.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerFailureDetector.java
@@ -126,12 +126,16 @@
     }
   }
 
-  /** Whether this node ranks first for a task by rendezvous hashing over the reachable nodes. */
-  boolean isResponsibleFor(String task) {
+  /**
+   * Whether this node is among the first for a task by rendezvous hashing over the reachable nodes.
+   *
+   * @param nodes how many of them
+   */
+  boolean isResponsibleFor(String task, int nodes) {
     PeerView current = peers;
     Set<String> reachable = new HashSet<>(current.others());
     reachable.removeAll(current.silent());
     reachable.add(self);
-    return RendezvousHash.select(1, reachable, task).contains(self);
+    return RendezvousHash.select(nodes, reachable, task).contains(self);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 /**
@@ -24,8 +23,20 @@
 final class RequestQuarantine {
   private static final long MILLIS_PER_SECOND = 1_000;
 
+  /** Time after which twice as many nodes may start a trial that is due, milliseconds. */
+  private static final long ELECTION_STEP_MILLIS = 10_000;
+
+  /** Doublings after which all nodes of any fleet may start it. */
+  private static final int MAX_ELECTION_STEPS = 16;
+
+  /** Decides which nodes may retry a quarantined request as a trial. */
+  interface TrialElection {
+    /** Returns whether this node is among that many nodes which may. */
+    boolean isElected(RequestFingerprint request, int nodes);
+  }
+
   private final SuspectRegistry registry;
-  private final Predicate<RequestFingerprint> isTrialOwner;
+  private final TrialElection trialElection;
   private final MeshEvents events;
   private final LongSupplier clockMillis;
 
@@ -41,16 +52,15 @@
    * Creates an empty quarantine.
    *
    * @param registry an empty registry
-   * @param isTrialOwner whether this node is the one that may retry a given quarantined request as
-   *     a trial
+   * @param trialElection decides whether this node may retry a quarantined request as a trial
    */
   RequestQuarantine(
       SuspectRegistry registry,
-      Predicate<RequestFingerprint> isTrialOwner,
+      TrialElection trialElection,
       MeshEvents events,
       LongSupplier clockMillis) {
     this.registry = registry;
-    this.isTrialOwner = isTrialOwner;
+    this.trialElection = trialElection;
     this.events = events;
     this.clockMillis = clockMillis;
   }
@@ -74,7 +84,7 @@
       if (!registry.isQuarantined(request)) {
         return false;
       }
-      if (!registry.isTrialDue(now, request) || !isTrialOwner.test(request)) {
+      if (!registry.isTrialDue(now, request) || !isElectedForTrial(now, request)) {
         refusedCount.incrementAndGet();
         return true;
       }
@@ -84,6 +94,16 @@
     }
   }
 
+  /**
+   * Returns whether this node may start a trial. The first node elected may never receive the
+   * request, for example a call that only the backends of other machines make.
+   */
+  private boolean isElectedForTrial(long nowMillis, RequestFingerprint request) {
+    long steps = registry.trialOverdueMillis(nowMillis, request) / ELECTION_STEP_MILLIS;
+    int nodes = 1 << Math.min(MAX_ELECTION_STEPS, steps);
+    return trialElection.isElected(request, nodes);
+  }
+
   /** Returns whether a request of another node is kept from the local backend. */
   boolean blocksInbound(RequestFingerprint request) {
     long now = clockMillis.getAsLong();
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/FullBackendTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/FullBackendTest.java
@@ -166,7 +166,7 @@
     RequestQuarantine quarantine =
         new RequestQuarantine(
             new SuspectRegistry(QUARANTINE_THRESHOLD),
-            request -> true,
+            (request, count) -> true,
             new MeshEvents(() -> nowMillis),
             () -> nowMillis);
     for (int index = 0; index < QUARANTINE_THRESHOLD; index++) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineSimulation.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineSimulation.java
@@ -124,7 +124,7 @@
 
     private void clearSuspects() {
       registry = new SuspectRegistry(policy.crashesToQuarantine());
-      quarantine = new RequestQuarantine(registry, request -> false, EVENTS, () -> now);
+      quarantine = new RequestQuarantine(registry, (request, count) -> false, EVENTS, () -> now);
       exchange = new SuspectExchange(quarantine, () -> hosts, this::send, () -> now);
     }
 
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/SuspectExchangeTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/SuspectExchangeTest.java
@@ -36,7 +36,10 @@
   private final class Node {
     private final RequestQuarantine quarantine =
         new RequestQuarantine(
-            new SuspectRegistry(3), request -> false, new MeshEvents(() -> now), () -> now);
+            new SuspectRegistry(3),
+            (request, count) -> false,
+            new MeshEvents(() -> now),
+            () -> now);
     private final SuspectExchange exchange;
 
     Node(int index) {
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/quarantine/SuspectRegistry.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/quarantine/SuspectRegistry.java
@@ -169,6 +169,13 @@
     return isQuarantined(request) && suspects.get(request).isTrialDue(nowMillis);
   }
 
+  /** For how long a trial of a quarantined request has been due, milliseconds; 0 if it is not. */
+  public long trialOverdueMillis(long nowMillis, RequestFingerprint request) {
+    return isQuarantined(request)
+        ? Math.max(0, nowMillis - suspects.get(request).trialDueMillis())
+        : 0;
+  }
+
   /** Records that a quarantined request is tried once more. */
   public void beginTrial(long nowMillis, RequestFingerprint request) {
     suspects.get(request).beginTrial(nowMillis);
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/quarantine/SuspectRequest.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/quarantine/SuspectRequest.java
@@ -113,6 +113,11 @@
 
   /** Whether a quarantined request may be tried again. */
   boolean isTrialDue(long nowMillis) {
+    return nowMillis >= trialDueMillis() && nowMillis >= trialUntilMillis;
+  }
+
+  /** When a quarantined request may be tried again; {@link Long#MAX_VALUE} if never. */
+  long trialDueMillis() {
     long[] crashMillis =
         marks.values().stream()
             .filter(mark -> !mark.cleared())
@@ -122,10 +127,9 @@
     long propagatedMillis = crashMillis[quarantineThreshold - 1] + PROPAGATION_MILLIS;
     int failedTrials =
         (int) LongStream.of(crashMillis).filter(crash -> crash > propagatedMillis).count();
-    boolean hasTrialLeft = failedTrials < TRIAL_DELAYS_MILLIS.length;
-    return hasTrialLeft
-        && nowMillis >= crashMillis[crashMillis.length - 1] + TRIAL_DELAYS_MILLIS[failedTrials]
-        && nowMillis >= trialUntilMillis;
+    return failedTrials < TRIAL_DELAYS_MILLIS.length
+        ? crashMillis[crashMillis.length - 1] + TRIAL_DELAYS_MILLIS[failedTrials]
+        : Long.MAX_VALUE;
   }
 
   void beginTrial(long nowMillis) {
