A backend is cold once for each entry, not for as long as two are listed

Cause: each look at the entries at the backend's address (every 100 ms) compared them with the last one seen, by identity. While the entry of an earlier start is still listed beside that of the new one, each looked new in turn, and the cold period began again with each look until the old one expired; so it did when a transfer decoded the same entry again. While a backend is cold its rate of requests is limited, where its service has such a limit.

Change: the entries are compared with all of the last look, by value.

Measured: LocalBackendTest; its two new tests fail without the change: the backend is still cold after its warm-up of 1.5 s.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LocalBackend.java
@@ -34,7 +34,10 @@
   private final NoticeParser noticeParser;
   private final LocalBackendNotices notices;
   private final LongSupplier clockMillis;
-  private BackendEntry lastSeenEntry;
+
+  /** The entries at the backend's address, as of the last look at them. */
+  private List<BackendEntry> lastSeenEntries = List.of();
+
   private volatile BackendStart listedStart;
   private boolean wasEvacuated;
   private volatile boolean draining;
@@ -118,7 +121,7 @@
     int reportedSlots = entries.stream().mapToInt(BackendEntry::slots).max().orElse(slots);
     boolean changed = reportedSlots != slots;
     slots = reportedSlots;
-    entries.forEach(this::refreshColdStart);
+    refreshColdStart(entries);
     boolean evacuated = isEvacuated();
     if (wasEvacuated && !evacuated) {
       // A backend may become cold while its zone is evacuated, and its entry may report that later.
@@ -147,14 +150,16 @@
   }
 
   /**
-   * Starts a cold period if the entry was written anew; the entry tells how long the backend is
-   * cold.
+   * Starts a cold period for each entry that was written anew; the entry tells how long the backend
+   * is cold. There are two entries until that of an earlier start has expired.
    */
-  private void refreshColdStart(BackendEntry entry) {
-    if (entry != lastSeenEntry) {
-      lastSeenEntry = entry;
-      startColdPeriod(entry.warmupMillis());
+  private void refreshColdStart(List<BackendEntry> entries) {
+    for (BackendEntry entry : entries) {
+      if (!lastSeenEntries.contains(entry)) {
+        startColdPeriod(entry.warmupMillis());
+      }
     }
+    lastSeenEntries = entries;
   }
 
   private void startColdPeriod(long millis) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/LocalBackendTest.java
@@ -188,6 +188,35 @@
     assertThat(backend.coldStarts().isCold(nowMillis)).isFalse();
   }
 
+  /** The entry of a start that ended without notice stays listed until it expires. */
+  @Test
+  void backendIsColdOnceAlthoughTheEntryOfItsEarlierStartIsStillListed() {
+    view =
+        viewOf(
+            Set.of(),
+            entry("first", BackendEntry.State.READY),
+            entry("second", BackendEntry.State.READY, 1_500));
+    backend.refresh();
+    assertThat(backend.coldStarts().isCold(nowMillis)).isTrue();
+
+    nowMillis += 1_400;
+    backend.refresh();
+    nowMillis += 100;
+    assertThat(backend.coldStarts().isCold(nowMillis)).isFalse();
+  }
+
+  /** A state transfer decodes all entries again. */
+  @Test
+  void sameEntryDecodedAgainDoesNotMakeTheBackendCold() {
+    view = viewOf(Set.of(), entry("first", BackendEntry.State.READY, 1_500));
+    backend.refresh();
+
+    nowMillis += 1_500;
+    view = viewOf(Set.of(), entry("first", BackendEntry.State.READY, 1_500));
+    backend.refresh();
+    assertThat(backend.coldStarts().isCold(nowMillis)).isFalse();
+  }
+
   /** Another node may learn of a new start first and send requests to it. */
   @Test
   void aStartThatIsNotListedYetIsAssumedCold() {
