--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/LatencyAwareBalancerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/routing/LatencyAwareBalancerTest.java
@@ -95,6 +95,52 @@
         .hasValueSatisfying(choice -> assertThat(choice.backend().id()).isEqualTo("near"));
   }
 
+  /** The limit is lifted by a response, which needs a request. */
+  @Test
+  void backendWithTheLeastRateIsUsedAgainOnceItAllowsAStart() {
+    reportLoad(LOCAL, 0, 0, 60);
+    reportLoad(REMOTE, 0, 0, 60);
+    balancer.updateRateLimit(NOW, "near", 5_000, 5_000);
+
+    assertThat(pickAt(NOW + 4_500)).isEqualTo("far");
+    assertThat(pickAt(NOW + 5_000)).isEqualTo("near");
+    balancer.started(NOW + 5_000, "near");
+    assertThat(pickAt(NOW + 5_000)).isEqualTo("far");
+    balancer.finished(NOW + 5_500, "near", new Verdict.NotRun(Verdict.Reason.OVERLOADED));
+    assertThat(pickAt(NOW + 10_000)).isEqualTo("near");
+  }
+
+  @Test
+  void backendThatRefusedAsNotReadyIsUsedAgainAfterASecond() {
+    reportLoad(LOCAL, 0, 0, 60);
+    reportLoad(REMOTE, 0, 0, 60);
+    balancer.finished(NOW, "near", new Verdict.NotRun(Verdict.Reason.NOT_READY));
+
+    assertThat(pickAt(NOW + 500)).isEqualTo("far");
+    assertThat(pickAt(NOW + 1_000)).isEqualTo("near");
+  }
+
+  /** All are avoided alike, so that the best of them is still used. */
+  @Test
+  void allBackendsAvoidedAtOnceAreStillUsed() {
+    for (BackendEntry backend : List.of(LOCAL, REMOTE)) {
+      balancer.finished(NOW, backend.id(), new Verdict.NotRun(Verdict.Reason.UNREACHABLE));
+      balancer.updateLoad(
+          NOW, backend.id(), new BackendLoad(0, 0, 6, 60_000, 2_000, 0).withFailures(100));
+      balancer.updateRateLimit(NOW, backend.id(), 5_000, 5_000);
+    }
+
+    assertThat(pickAt(NOW)).isEqualTo("near");
+  }
+
+  private String pickAt(long nowMillis) {
+    return balancer
+        .pick(nowMillis, List.of(LOCAL, REMOTE), CONSTRAINTS, Set.of(), Set.of())
+        .orElseThrow()
+        .backend()
+        .id();
+  }
+
   private Optional<String> pickForUpload(long nowMillis) {
     LatencyAwareBalancer.RequestConstraints upload =
         new LatencyAwareBalancer.RequestConstraints(ROUTE, 200, 0.2, true);
