Count how requests end by route, zone, node and second

The nodes' lines told only what was lost, at most 40 a second, without the zone; what was served in time was nowhere to be counted, so that the causes of too little being served could not be told apart from logs.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -92,6 +92,8 @@
   CONNECTION_ENDED(40),
   /** A client's request was answered; only a sample is logged. */
   REQUEST_SERVED(2),
+  /** How the requests of a route ended in the last second. */
+  ROUTE_SUMMARY(40),
   /** An attempt failed; the line tells whether it is retried. */
   ATTEMPT_FAILED(40),
   /** The backend's node refused a request as not run. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -122,6 +122,10 @@
     return backend.acceptsNewWork(((MeshInboundPlan) plan).instance());
   }
 
+  RouteSummaries summaries() {
+    return requestEvents.summaries();
+  }
+
   SlotGate admissionQueue() {
     return admissionQueue;
   }
@@ -452,8 +456,12 @@
     uploads.release(exchange);
     admissionQueue.ended(exchange);
     MeshInboundPlan plan = planOf(exchange);
-    if (plan != null && !(verdict instanceof Verdict.Completed)) {
-      long millis = clockMillis.getAsLong() - plan.arrivedMillis();
+    if (plan == null) {
+      return;
+    }
+    long millis = clockMillis.getAsLong() - plan.arrivedMillis();
+    requestEvents.gateRequestEnded(exchange, plan, verdict, millis);
+    if (!(verdict instanceof Verdict.Completed)) {
       requestEvents.gateFailed(
           plan,
           Fingerprints.logText(exchange, plan.targetHash(), verdict),
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -78,6 +78,7 @@
   private final LocalBackendNotices localNotices;
   private final LocalBackend backend;
   private final MeshProxy proxy;
+  private final RouteSummaryLog routeSummaries;
   private final LivenessAttester attester;
   private final MeshMetrics metrics = new MeshMetrics();
   private final String readyPath;
@@ -94,6 +95,7 @@
   private final Runnable sweep = this::sweep;
   private final Runnable reportToPeers = this::reportToPeers;
   private final Runnable runEverySecond = this::runEverySecond;
+  private final Runnable writeRouteSummaries = this::writeRouteSummaries;
   private long ticks;
   private long lastTickMillis;
   private boolean isTickLate;
@@ -153,6 +155,7 @@
     this.proxy =
         new MeshProxy(
             settings, state::view, balancer, peers, backend, events, metrics, clockMillis);
+    this.routeSummaries = proxy.createRouteSummaryLog(events, clockMillis);
     this.attester =
         new LivenessAttester(
             settings, state::view, this::storeContact, proxy.backendPool(), events, clockMillis);
@@ -278,6 +281,7 @@
       Runnable refresh = () -> state.refresh("retry");
       MeshTask.REFRESH.newThread(() -> events.runGuarded(MeshTask.REFRESH, refresh)).start();
     }
+    runGuarded(writeRouteSummaries);
     events.logDroppedLines();
     quarantine.removeExpired();
     proxy.closeIdleConnections();
@@ -286,6 +290,10 @@
     }
   }
 
+  private void writeRouteSummaries() {
+    routeSummaries.write();
+  }
+
   private void reportToPeers() {
     attester.tick();
     peers.tick(report());
@@ -414,6 +422,7 @@
     isStopping = true;
     new GracefulShutdown(proxy, backend, this::reportBackendDraining, events, clockMillis)
         .run(settings.graceMillis());
+    events.runGuarded(MeshTask.SHUTDOWN, routeSummaries::write);
   }
 
   private void reportBackendDraining() {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -105,6 +105,10 @@
     return durations;
   }
 
+  RouteSummaries summaries() {
+    return events.summaries();
+  }
+
   /** Sets which requests are refused as not run in a graceful shutdown. */
   void setShutdownRefusals(ShutdownRefusalPolicy policy) {
     shutdownRefusals = policy;
@@ -473,25 +477,15 @@
   public void requestEnded(Exchange exchange, Verdict verdict) {
     MeshOutboundPlan plan = planOf(exchange);
     if (plan == null) {
+      events.requestWithoutPlanEnded(exchange, verdict);
       return;
     }
     long millis = clockMillis.getAsLong() - plan.arrivedMillis();
-    if (verdict instanceof Verdict.Completed) {
-      if (exchange.responseStatus() < LocalBackendFailures.FIRST_SERVER_ERROR) {
-        durations.record(plan.route(), millis);
-      }
-      events.requestServed(plan, exchange.history().count(), millis);
-    } else {
-      boolean isQuarantined = VerdictHeader.reasonOf(verdict) == Verdict.Reason.QUARANTINED;
-      String fingerprint = isQuarantined ? Fingerprints.logText(exchange, plan.targetHash()) : "";
-      events.requestFailed(
-          plan,
-          fingerprint,
-          exchange.history().count(),
-          verdict,
-          millis,
-          exchange.age().unreadMillis());
+    boolean isCompleted = verdict instanceof Verdict.Completed;
+    if (isCompleted && exchange.responseStatus() < LocalBackendFailures.FIRST_SERVER_ERROR) {
+      durations.record(plan.route(), millis);
     }
+    events.requestEnded(exchange, plan, verdict, millis);
   }
 
   private static MeshOutboundPlan planOf(Exchange exchange) {
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshProxy.java
@@ -138,6 +138,17 @@
     return inbound;
   }
 
+  /** Creates the log of how the requests of each route end. */
+  RouteSummaryLog createRouteSummaryLog(MeshEvents events, LongSupplier clockMillis) {
+    return new RouteSummaryLog(
+        events,
+        settings.zone(),
+        outbound.summaries(),
+        inbound.summaries(),
+        () -> inbound.backendLoad().current(),
+        clockMillis);
+  }
+
   /** Returns the number of requests in flight. */
   int inFlight() {
     return active.size();
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestEvents.java
@@ -5,10 +5,11 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.node.logs.LogFields;
 import io.umberpath.node.proxy.http.VerdictHeader;
+import io.umberpath.node.proxy.inbound.Exchange;
 import io.umberpath.node.proxy.inbound.RequestPlan;
 import io.umberpath.node.proxy.inbound.UnansweredRequests;
 
-/** Logs the outcomes of requests. Thread-safe; never blocks. */
+/** Logs and counts the outcomes of requests. Thread-safe; never blocks. */
 final class RequestEvents {
   private static final MetadataKey<String> BACKEND = MetadataKey.single("backend", String.class);
   private static final MetadataKey<String> SOURCE = MetadataKey.single("source", String.class);
@@ -27,12 +28,52 @@
   private static final MetadataKey<Long> COUNT = MetadataKey.single("count", Long.class);
 
   private final MeshEvents events;
+  private final RouteSummaries summaries = new RouteSummaries();
 
   RequestEvents(MeshEvents events) {
     this.events = events;
   }
 
-  void requestFailed(
+  /** Returns the counts of ended requests for the next summary of each route. */
+  RouteSummaries summaries() {
+    return summaries;
+  }
+
+  /** Counts a request that was refused before it had a plan. */
+  void requestWithoutPlanEnded(Exchange exchange, Verdict verdict) {
+    summaries.record(
+        RouteSummaries.NO_ROUTE, EndedRequest.of(exchange, verdict, 0, Long.MAX_VALUE, false));
+  }
+
+  /** Counts the end of another node's request for the local backend. */
+  void gateRequestEnded(Exchange exchange, MeshInboundPlan plan, Verdict verdict, long millis) {
+    HopHeader hop = plan.hop();
+    summaries.record(
+        plan.route(),
+        EndedRequest.of(exchange, verdict, millis, hop.targetInMillis(), hop.isRetry()));
+  }
+
+  /** Counts and logs the end of a client's request. */
+  void requestEnded(Exchange exchange, MeshOutboundPlan plan, Verdict verdict, long millis) {
+    long targetMillis = plan.rule().targetLatencyMillis();
+    summaries.record(
+        plan.route(),
+        EndedRequest.of(exchange, verdict, millis, targetMillis, plan.isClientRetry()));
+    if (verdict instanceof Verdict.Completed) {
+      requestServed(plan, exchange.history().count(), millis);
+      return;
+    }
+    boolean isQuarantined = VerdictHeader.reasonOf(verdict) == Verdict.Reason.QUARANTINED;
+    requestFailed(
+        plan,
+        isQuarantined ? Fingerprints.logText(exchange, plan.targetHash()) : "",
+        exchange.history().count(),
+        verdict,
+        millis,
+        exchange.age().unreadMillis());
+  }
+
+  private void requestFailed(
       MeshOutboundPlan plan,
       String fingerprint,
       int attempts,
@@ -79,7 +120,7 @@
         .log("sent on %d, not begun %d", unanswered.sentToOrigin(), input.isHeadUnbegun() ? 1 : 0);
   }
 
-  void requestServed(MeshOutboundPlan plan, int attempts, long millis) {
+  private void requestServed(MeshOutboundPlan plan, int attempts, long millis) {
     // Called for every request, and nearly all lines are above the rate limit.
     if (!events.tryAcquireLine(MeshEvent.REQUEST_SERVED)) {
       return;
