FullBackendTest: end a process only after its connections are accepted

A connection that the test's listener accepted after the others had been closed stayed open, so that the test waited for its end: one timeout in a run of 542 tests beside other work. What is asserted is unchanged.

--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/FullBackendTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/FullBackendTest.java
@@ -189,6 +189,7 @@
       OriginConnection idle = backend.connect();
       OriginConnection running = backend.connect();
       backend.pool.release(idle);
+      await(() -> backend.accepted.size() == 2);
 
       backend.crash();
       await(() -> !running.isOpen());
