A full backend that refuses a health probe keeps its attestation

Cause: while the store does not answer, a node attests that its backend is alive by health probes. Each probe without a 200 of the same instance withdrew that until the store lists the backend again. A full backend refuses probes as it refuses requests (503 that says not executed), or resets their connections; one such moment took it out of service for the rest of the store's outage.

Change: a probe that was not executed, or whose connection fails while other connections to the backend are open, tells nothing; the attestation lapses after its 1.5 s and comes back with the next probe that succeeds. Draining, another instance, the end of all connections and a crash withdraw it as before.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LivenessAttester.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LivenessAttester.java
@@ -13,8 +13,9 @@
 /**
  * Attests that the local backend is alive although its entry in the store has expired: a store that
  * does not answer this machine does not receive the backend's heartbeats either. The attestation is
- * based on health probes, which a backend that drains, has terminated or was replaced fails.
- * Thread-safe.
+ * based on health probes, which a backend that drains, has terminated or was replaced fails. A full
+ * backend refuses a probe as it refuses requests, which tells nothing: the attestation lapses
+ * unless a later probe succeeds. Thread-safe.
  */
 final class LivenessAttester {
   private static final long PROBE_INTERVAL_MILLIS = 400;
@@ -111,11 +112,14 @@
             pool,
             service.healthPath(),
             (head, body) -> onProbeResponse(id, nowMillis, head),
-            () -> withdraw(id));
+            () -> onProbeFailure(id));
     probe.start();
   }
 
   private synchronized void onProbeResponse(String id, long sentMillis, ResponseHead head) {
+    if (head.field(settings.headers().notExecuted()).isPresent()) {
+      return;
+    }
     boolean isSameInstance =
         head.field(settings.headers().instance()).filter(id::equals).isPresent();
     boolean isHealthy = head.status() == OK && isSameInstance;
@@ -126,6 +130,13 @@
     }
   }
 
+  /** A backend that is full may reset a probe's connection; one that has ended closes all. */
+  private void onProbeFailure(String id) {
+    if (pool.openCount() == 0) {
+      withdraw(id);
+    }
+  }
+
   /** Ends the attestation: a backend restarted under the same id would pass the same probe. */
   void onBackendEnded(String id) {
     withdraw(id);
