--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/OutboundRetryPolicy.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/OutboundRetryPolicy.java
@@ -70,13 +70,21 @@
 
   /** Returns the reason why the request is not retried; empty if it is retried. */
   String noRetryReason(Exchange exchange, MeshOutboundPlan plan, Verdict verdict, long nowMillis) {
-    if (!exchange.body().isReplayable()) {
-      return "body not buffered";
-    }
+    return exchange.body().isReplayable()
+        ? noRetryReason(exchange.history().count(), plan, verdict, nowMillis)
+        : "body not buffered";
+  }
+
+  /**
+   * Returns the reason why a request that could be sent again is not retried; empty if it is.
+   *
+   * @param attempts attempts made so far
+   */
+  String noRetryReason(int attempts, MeshOutboundPlan plan, Verdict verdict, long nowMillis) {
     if (nowMillis + MIN_REMAINING_MILLIS > plan.deadlineMillis()) {
       return "not enough time left";
     }
-    if (exchange.history().count() >= MAX_ATTEMPTS) {
+    if (attempts >= MAX_ATTEMPTS) {
       return "attempt limit reached";
     }
     if (verdict instanceof Verdict.NotRun notRun && !mayHaveReachedBackend(verdict)) {
