Keep as many slots for nested requests as these hold on average

Cause: a nested request goes first in the queue, but where long requests hold all slots, one becomes free only every 200 ms (six of 1.25 s). The request that waits for it holds a slot of its own service meanwhile, so the shortage of one service made the other short too, and went on after its cause had ended.

Change: NestedSlotReserve averages over a second how many slots nested requests hold; other requests leave that many free, rounded, and always get at least one. Where no nested requests come, nothing is kept.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -16,7 +16,8 @@
  * waited too long. An overload thus makes some requests late or refused instead of all of them
  * late. The owner synchronizes access.
  *
- * <p>Invariant: a request waits only while every slot is taken or the rate of starts is limited.
+ * <p>Invariant: a request waits only while every slot is taken or kept for nested requests, or the
+ * rate of starts is limited.
  */
 final class DueOrderAdmissionController implements AdmissionController {
   private static final double MICROS_PER_MILLI = 1_000.0;
@@ -30,6 +31,7 @@
   private final TreeSet<AdmissionRequest> onTime = new TreeSet<>(DUE_FIRST);
   private final TreeSet<AdmissionRequest> late = new TreeSet<>(DUE_FIRST);
   private final Set<Long> running = new HashSet<>();
+  private final NestedSlotReserve nestedReserve = new NestedSlotReserve();
   private final OverloadBackoff backoff;
   private final RetrySchedule retrySchedule = new RetrySchedule();
   private int slots;
@@ -51,7 +53,7 @@
     if (request.deadlineMillis() <= nowMillis) {
       return List.of(new Decision.Refused(request.id(), Reason.DEADLINE, 0));
     }
-    if (queued() == 0 && canStart(nowMillis)) {
+    if (isNext(request) && canStart(nowMillis, request.nested())) {
       start(nowMillis, request);
       backoff.recordOutcome(false);
       return List.of(new Decision.Admitted(request.id()));
@@ -65,12 +67,27 @@
     return decisions;
   }
 
-  private boolean canStart(long nowMillis) {
-    return running.size() < slots && startLimiter.canStart(nowMillis);
+  /** Whether a new request goes before all that are queued. */
+  private boolean isNext(AdmissionRequest request) {
+    return request.nested() ? nested.isEmpty() : queued() == 0;
+  }
+
+  private boolean canStart(long nowMillis, boolean isNested) {
+    return running.size() < slots
+        && (isNested || hasSlotForOthers(nowMillis))
+        && startLimiter.canStart(nowMillis);
+  }
+
+  private boolean hasSlotForOthers(long nowMillis) {
+    int others = running.size() - nestedReserve.running();
+    return others < nestedReserve.slotsForOthers(nowMillis, slots);
   }
 
   private void start(long nowMillis, AdmissionRequest request) {
     running.add(request.id());
+    if (request.nested()) {
+      nestedReserve.recordStart(nowMillis, request.id());
+    }
     startLimiter.recordStart(nowMillis);
   }
 
@@ -118,6 +135,7 @@
     if (!running.remove(id)) {
       return List.of();
     }
+    nestedReserve.recordEnd(nowMillis, id);
     if (serviceMicros > 0) {
       serviceTime.add(serviceMicros);
     }
@@ -200,7 +218,7 @@
   private List<Decision> dispatch(long nowMillis) {
     List<Decision> decisions = new ArrayList<>();
     demote(nowMillis, decisions);
-    while (queued() > 0 && canStart(nowMillis)) {
+    while (queued() > 0 && canStart(nowMillis, !nested.isEmpty())) {
       AdmissionRequest next = pollNext();
       if (canStartInTime(nowMillis, next, 0)) {
         start(nowMillis, next);
