Serve late urgent requests before less urgent ones that are on time

Cause: an urgent request that could not be in time was refused at once, or waited behind all others until it was refused; less urgent ones with a longer target were always on time and went first. A shortage so served uploads (priority 1) no better than quotes (priority 2).

Change: late requests that are due before their target, as those of a high priority are, go before requests that are less urgent, and are not refused early because of these. While an urgent request that is on time waits, all is as before: else urgent requests alone could fill the slots with late work.

--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/AdmissionController.java
@@ -21,7 +21,8 @@
    * @param likelyMicros time that it holds its slot at most in about four cases of five,
    *     microseconds; 0 if not known
    * @param toleratedWaitMillis expected wait above which it is refused rather than queued
-   * @param dueMillis due time; the earliest goes first in controllers that admit in due order
+   * @param dueMillis due time; the earliest goes first in controllers that admit in due order. A
+   *     request that is due before its target is urgent
    * @param targetMillis when its work has to be done for the response to be in time, on the same
    *     clock; requests that can still meet it go before those that cannot
    * @param refuseByMillis until when it is refused rather than served late, on the same clock: a
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -13,8 +13,9 @@
  * Admission control with slots and a bounded queue. Nested requests go first, since another request
  * holds a slot for each of them. Of the rest, requests that can still meet their target latency go
  * first, in due order; the others are served with the remaining capacity and refused once they have
- * waited too long. An overload thus makes some requests late or refused instead of all of them
- * late. The owner synchronizes access.
+ * waited too long. A late request that is urgent still goes before less urgent ones: else the most
+ * urgent requests would be the ones that a shortage leaves unserved. An overload thus makes some
+ * requests late or refused instead of all of them late. The owner synchronizes access.
  *
  * <p>Invariant: a request waits only while every slot is taken or kept for nested requests, or the
  * rate of starts is limited.
@@ -29,6 +30,7 @@
   private final ServiceTimeEstimate serviceTime;
   private final TreeSet<AdmissionRequest> nested = new TreeSet<>(DUE_FIRST);
   private final TreeSet<AdmissionRequest> onTime = new TreeSet<>(DUE_FIRST);
+  private final TreeSet<AdmissionRequest> lateUrgent = new TreeSet<>(DUE_FIRST);
   private final TreeSet<AdmissionRequest> late = new TreeSet<>(DUE_FIRST);
   private final Set<Long> running = new HashSet<>();
   private final NestedSlotReserve nestedReserve = new NestedSlotReserve();
@@ -92,23 +94,49 @@
   }
 
   private Decision decideRegular(long nowMillis, AdmissionRequest request) {
-    double waitMillis = waitMillis(nowMillis, nested.size() + onTime.headSet(request).size());
+    int lateAhead = isUrgent(request) ? 0 : lateUrgent.size();
+    int ahead = nested.size() + lateAhead + onTime.headSet(request).size();
+    double waitMillis = waitMillis(nowMillis, ahead);
     boolean isTimely = canMeetTarget(nowMillis, request, waitMillis);
     boolean isRefused =
         !isTimely
+            && !outranksOnTime(request)
             && (nowMillis <= request.refuseByMillis() || isRateLimited() && !onTime.isEmpty());
     backoff.recordOutcome(isRefused);
     if (isRefused) {
       return refusalOfOverload(nowMillis, request);
     }
+    TreeSet<AdmissionRequest> queue = isTimely ? onTime : lateQueue(request);
     if (!isTimely) {
-      waitMillis =
-          waitMillis(nowMillis, nested.size() + onTime.size() + late.headSet(request).size());
+      waitMillis = waitMillis(nowMillis, lateRequestsAhead(queue, request));
     }
     if (!canStartInTime(nowMillis, request, waitMillis)) {
       return refusalOfOverload(nowMillis, request);
     }
-    return enqueue(nowMillis, isTimely ? onTime : late, request, waitMillis);
+    return enqueue(nowMillis, queue, request, waitMillis);
+  }
+
+  /** Whether the request is due before its target, as its route has a high priority. */
+  private static boolean isUrgent(AdmissionRequest request) {
+    return request.dueMillis() < request.targetMillis();
+  }
+
+  /** Whether a late request goes before those that are on time, none of which is as urgent. */
+  private boolean outranksOnTime(AdmissionRequest request) {
+    return isUrgent(request) && !isUrgentOnTimeQueued();
+  }
+
+  private boolean isUrgentOnTimeQueued() {
+    return onTime.stream().anyMatch(DueOrderAdmissionController::isUrgent);
+  }
+
+  private TreeSet<AdmissionRequest> lateQueue(AdmissionRequest request) {
+    return outranksOnTime(request) ? lateUrgent : late;
+  }
+
+  private int lateRequestsAhead(TreeSet<AdmissionRequest> queue, AdmissionRequest request) {
+    int onTimeAhead = queue == late ? lateUrgent.size() + onTime.size() : 0;
+    return nested.size() + onTimeAhead + queue.headSet(request).size();
   }
 
   private Decision decideNested(long nowMillis, AdmissionRequest request) {
@@ -154,7 +182,8 @@
     List<Decision> decisions = new ArrayList<>();
     demote(nowMillis, decisions);
     refuseExpired(nowMillis, nested, 0, decisions);
-    refuseExpired(nowMillis, late, nested.size() + onTime.size(), decisions);
+    refuseExpired(nowMillis, lateUrgent, nested.size(), decisions);
+    refuseExpired(nowMillis, late, nested.size() + lateUrgent.size() + onTime.size(), decisions);
     decisions.addAll(dispatch(nowMillis));
     return decisions;
   }
@@ -178,7 +207,7 @@
 
   /** The queues, in the order in which they are served. */
   private List<TreeSet<AdmissionRequest>> queues() {
-    return List.of(nested, onTime, late);
+    return List.of(nested, lateUrgent, onTime, late);
   }
 
   @Override
@@ -207,7 +236,7 @@
 
   @Override
   public int queued() {
-    return nested.size() + onTime.size() + late.size();
+    return nested.size() + lateUrgent.size() + onTime.size() + late.size();
   }
 
   @Override
@@ -231,18 +260,20 @@
   }
 
   private AdmissionRequest pollNext() {
-    if (!nested.isEmpty()) {
-      return nested.pollFirst();
+    for (TreeSet<AdmissionRequest> queue : queues()) {
+      if (!queue.isEmpty()) {
+        return queue.pollFirst();
+      }
     }
-    return onTime.isEmpty() ? late.pollFirst() : onTime.pollFirst();
+    throw new IllegalStateException("no request is queued");
   }
 
   /**
-   * Refuses requests that can no longer meet their target, or moves them to the late queue. At a
+   * Refuses requests that can no longer meet their target, or moves them to a late queue. At a
    * limited rate, a start for a late request would be taken from one that is on time.
    */
   private void demote(long nowMillis, List<Decision> decisions) {
-    int ahead = nested.size();
+    int ahead = nested.size() + lateUrgent.size();
     for (Iterator<AdmissionRequest> waiting = onTime.iterator(); waiting.hasNext(); ) {
       AdmissionRequest request = waiting.next();
       if (canMeetTarget(nowMillis, request, certainWaitMillis(nowMillis, ahead))) {
@@ -250,12 +281,16 @@
         continue;
       }
       waiting.remove();
-      if (nowMillis <= request.refuseByMillis()) {
+      if (nowMillis <= request.refuseByMillis() && !outranksOnTime(request)) {
         decisions.add(refusalOfOverload(nowMillis, request));
       } else {
-        late.add(request);
+        lateQueue(request).add(request);
       }
     }
+    if (isUrgentOnTimeQueued()) {
+      late.addAll(lateUrgent);
+      lateUrgent.clear();
+    }
     if (isRateLimited() && !onTime.isEmpty()) {
       late.forEach(request -> decisions.add(refusalOfOverload(nowMillis, request)));
       late.clear();
--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
@@ -124,6 +124,52 @@
     assertThat(controller.release(5, -1, 10_000)).containsExactly(new Admitted(2));
   }
 
+  /** Urgent requests that were late waited behind all less urgent ones until they were refused. */
+  @Test
+  void lateUrgentRequestGoesBeforeLessUrgentOnes() {
+    fillSlots();
+    controller.submit(0, withTarget(1, 10, 30, 500));
+    controller.submit(0, withTarget(2, 200, 100, 500));
+
+    assertThat(controller.release(25, -1, 10_000)).containsExactly(new Admitted(1));
+    assertThat(controller.release(25, -2, 10_000)).containsExactly(new Admitted(2));
+  }
+
+  /** A request that takes 10 ms, has to be done by 12 ms and is refused early rather than late. */
+  private static AdmissionRequest refusedEarly(long id, long dueMillis) {
+    return new AdmissionRequest(
+        id,
+        Long.toString(id),
+        "",
+        Tier.STANDARD,
+        FAR_DEADLINE_MILLIS,
+        10_000,
+        10_000,
+        FAR_DEADLINE_MILLIS,
+        dueMillis,
+        12,
+        100,
+        500,
+        false);
+  }
+
+  @Test
+  void lateUrgentRequestIsNotRefusedWhileOnlyLessUrgentOnesWait() {
+    fillSlots();
+    controller.submit(0, withTarget(1, 200, 100, 500));
+
+    assertThat(controller.submit(0, refusedEarly(2, 20)).get(0)).isInstanceOf(Refused.class);
+    assertThat(controller.submit(0, refusedEarly(3, 5))).containsExactly(new Queued(3));
+  }
+
+  @Test
+  void lateUrgentRequestIsRefusedEarlyWhileUrgentOnesAreOnTime() {
+    fillSlots();
+    controller.submit(0, withTarget(1, 90, 100, 500));
+
+    assertThat(controller.submit(0, refusedEarly(2, 5)).get(0)).isInstanceOf(Refused.class);
+  }
+
   @Test
   void aRequestThatWaitedTooLongIsRefusedWithARetryAfter() {
     fillSlots();
