Refuse late requests while others wait that are on time

Cause: a request that could not be in time waited behind all that could until it had used 0.45 of its time (quotes 1.8 s, 70 of them at one backend), and took each slot that was free for a moment for its whole time (1.25 s), so that requests that came after it were late too. This went on for five seconds after the end of a shortage. Where the rate of starts is limited, such requests were refused at once already.

Change: the same rule for slots. A late request waits only while no request waits that is on time; urgent ones as before it, only while none is as urgent.

--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/ShortageOfSlotsTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/ShortageOfSlotsTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.LongFunction;
 import java.util.function.Predicate;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -23,8 +25,16 @@
   /** Share served of a kind, or of the nested calls, relative to that of all requests. */
   private static final double MIN_RELATIVE_SHARE = 0.25;
 
+  /** Share of its value that each kind earns once the shortage is over. */
+  private static final double MIN_VALUE_AFTERWARDS = 0.9;
+
+  private static final long BACK_AFTER_MILLIS = 2_000;
+  private static final long JUDGED_MILLIS = 3_000;
   private static final long MILLIS_PER_SECOND = 1_000;
 
+  /** Results of the runs, which both tests judge. */
+  private static final Map<ShortageScenario, ShortageTally> TALLIES = new HashMap<>();
+
   private enum Trouble {
     LOAD_OF_1_5(seed -> ShortageScenario.burst(1.5, seed)),
     LOAD_OF_2(seed -> ShortageScenario.burst(2, seed)),
@@ -58,6 +68,10 @@
   }
 
   private static ShortageTally run(ShortageScenario scenario) {
+    return TALLIES.computeIfAbsent(scenario, ShortageOfSlotsTest::runModel);
+  }
+
+  private static ShortageTally runModel(ShortageScenario scenario) {
     boolean isPrinted = PRINTS_TABLE && scenario.seed() == 1;
     ShortageModel model = new ShortageModel(isPrinted ? scenario.printed() : scenario);
     model.run();
@@ -99,4 +113,23 @@
         .as("share served of nested calls, %s", description)
         .isGreaterThanOrEqualTo(least);
   }
+
+  /** Long requests that were late held slots for seconds after the shortage. */
+  @ParameterizedTest
+  @EnumSource
+  void eachKindIsBackTwoSecondsAfterTheShortage(Trouble trouble) {
+    ShortageTally total = new ShortageTally();
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      total.add(run(trouble.scenario.apply(seed)));
+    }
+
+    long fromMillis = trouble.scenario.apply(1).causeEndMillis() + BACK_AFTER_MILLIS;
+    Predicate<ShortageTally.End> judged =
+        ShortageTally.sentBetween(fromMillis, fromMillis + JUDGED_MILLIS);
+    for (ShortageKind kind : ShortageKind.OF_CLIENTS) {
+      assertThat(total.valueShare(judged.and(end -> end.kind() == kind)))
+          .as("value of %s from 2 to 5 s after the end", kind)
+          .isGreaterThanOrEqualTo(MIN_VALUE_AFTERWARDS);
+    }
+  }
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -12,10 +12,10 @@
 /**
  * Admission control with slots and a bounded queue. Nested requests go first, since another request
  * holds a slot for each of them. Of the rest, requests that can still meet their target latency go
- * first, in due order; the others are served with the remaining capacity and refused once they have
- * waited too long. A late request that is urgent still goes before less urgent ones: else the most
- * urgent requests would be the ones that a shortage leaves unserved. An overload thus makes some
- * requests late or refused instead of all of them late. The owner synchronizes access.
+ * first, in due order; the others are served with the remaining capacity and refused once requests
+ * wait that can still be in time. An overload thus makes some requests late or refused instead of
+ * all of them late. A late request that is urgent still goes before less urgent ones: else the most
+ * urgent requests would be the ones that a shortage leaves unserved. The owner synchronizes access.
  *
  * <p>Invariant: a request waits only while every slot is taken or kept for nested requests, or the
  * rate of starts is limited.
@@ -101,7 +101,7 @@
     boolean isRefused =
         !isTimely
             && !outranksOnTime(request)
-            && (nowMillis <= request.refuseByMillis() || isRateLimited() && !onTime.isEmpty());
+            && (nowMillis <= request.refuseByMillis() || !onTime.isEmpty());
     backoff.recordOutcome(isRefused);
     if (isRefused) {
       return refusalOfOverload(nowMillis, request);
@@ -269,8 +269,9 @@
   }
 
   /**
-   * Refuses requests that can no longer meet their target, or moves them to a late queue. At a
-   * limited rate, a start for a late request would be taken from one that is on time.
+   * Refuses requests that can no longer meet their target, or moves them to a late queue. Late
+   * requests are refused while others wait that are on time: a slot would be taken from these for
+   * the whole time of the late request, and its client learns sooner that it has to come back.
    */
   private void demote(long nowMillis, List<Decision> decisions) {
     int ahead = nested.size() + lateUrgent.size();
@@ -291,7 +292,7 @@
       late.addAll(lateUrgent);
       lateUrgent.clear();
     }
-    if (isRateLimited() && !onTime.isEmpty()) {
+    if (!onTime.isEmpty()) {
       late.forEach(request -> decisions.add(refusalOfOverload(nowMillis, request)));
       late.clear();
     }
