--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/DueOrderAdmissionController.java
@@ -12,11 +12,13 @@
 /**
  * Admission control with slots and a bounded queue. Nested requests go first, since another request
  * holds a slot for each of them. Of the rest, requests that can still meet their target latency go
- * first, in due order; the others are served with the remaining capacity and refused once they have
- * waited too long. An overload thus makes some requests late or refused instead of all of them
- * late. The owner synchronizes access.
+ * first, in due order; the others are served with the remaining capacity and refused once requests
+ * wait that can still be in time. An overload thus makes some requests late or refused instead of
+ * all of them late. A late request that is urgent still goes before less urgent ones: else the most
+ * urgent requests would be the ones that a shortage leaves unserved. The owner synchronizes access.
  *
- * <p>Invariant: a request waits only while every slot is taken or the rate of starts is limited.
+ * <p>Invariant: a request waits only while every slot is taken or kept for nested requests, or the
+ * rate of starts is limited.
  */
 final class DueOrderAdmissionController implements AdmissionController {
   private static final double MICROS_PER_MILLI = 1_000.0;
@@ -28,8 +30,10 @@
   private final ServiceTimeEstimate serviceTime;
   private final TreeSet<AdmissionRequest> nested = new TreeSet<>(DUE_FIRST);
   private final TreeSet<AdmissionRequest> onTime = new TreeSet<>(DUE_FIRST);
+  private final TreeSet<AdmissionRequest> lateUrgent = new TreeSet<>(DUE_FIRST);
   private final TreeSet<AdmissionRequest> late = new TreeSet<>(DUE_FIRST);
   private final Set<Long> running = new HashSet<>();
+  private final NestedSlotReserve nestedReserve = new NestedSlotReserve();
   private final OverloadBackoff backoff;
   private final RetrySchedule retrySchedule = new RetrySchedule();
   private int slots;
@@ -51,7 +55,7 @@
     if (request.deadlineMillis() <= nowMillis) {
       return List.of(new Decision.Refused(request.id(), Reason.DEADLINE, 0));
     }
-    if (queued() == 0 && canStart(nowMillis)) {
+    if (isNext(request) && canStart(nowMillis, request.nested())) {
       start(nowMillis, request);
       backoff.recordOutcome(false);
       return List.of(new Decision.Admitted(request.id()));
@@ -65,33 +69,74 @@
     return decisions;
   }
 
-  private boolean canStart(long nowMillis) {
-    return running.size() < slots && startLimiter.canStart(nowMillis);
+  /** Whether a new request goes before all that are queued. */
+  private boolean isNext(AdmissionRequest request) {
+    return request.nested() ? nested.isEmpty() : queued() == 0;
+  }
+
+  private boolean canStart(long nowMillis, boolean isNested) {
+    return running.size() < slots
+        && (isNested || hasSlotForOthers(nowMillis))
+        && startLimiter.canStart(nowMillis);
+  }
+
+  private boolean hasSlotForOthers(long nowMillis) {
+    int others = running.size() - nestedReserve.running();
+    return others < nestedReserve.slotsForOthers(nowMillis, slots);
   }
 
   private void start(long nowMillis, AdmissionRequest request) {
     running.add(request.id());
+    if (request.nested()) {
+      nestedReserve.recordStart(nowMillis, request.id());
+    }
     startLimiter.recordStart(nowMillis);
   }
 
   private Decision decideRegular(long nowMillis, AdmissionRequest request) {
-    double waitMillis = waitMillis(nowMillis, nested.size() + onTime.headSet(request).size());
+    int lateAhead = isUrgent(request) ? 0 : lateUrgent.size();
+    int ahead = nested.size() + lateAhead + onTime.headSet(request).size();
+    double waitMillis = waitMillis(nowMillis, ahead);
     boolean isTimely = canMeetTarget(nowMillis, request, waitMillis);
     boolean isRefused =
         !isTimely
-            && (nowMillis <= request.refuseByMillis() || isRateLimited() && !onTime.isEmpty());
+            && !outranksOnTime(request)
+            && (nowMillis <= request.refuseByMillis() || !onTime.isEmpty());
     backoff.recordOutcome(isRefused);
     if (isRefused) {
       return refusalOfOverload(nowMillis, request);
     }
+    TreeSet<AdmissionRequest> queue = isTimely ? onTime : lateQueue(request);
     if (!isTimely) {
-      waitMillis =
-          waitMillis(nowMillis, nested.size() + onTime.size() + late.headSet(request).size());
+      waitMillis = waitMillis(nowMillis, lateRequestsAhead(queue, request));
     }
     if (!canStartInTime(nowMillis, request, waitMillis)) {
       return refusalOfOverload(nowMillis, request);
     }
-    return enqueue(nowMillis, isTimely ? onTime : late, request, waitMillis);
+    return enqueue(nowMillis, queue, request, waitMillis);
+  }
+
+  /** Whether the request is due before its target, as its route has a high priority. */
+  private static boolean isUrgent(AdmissionRequest request) {
+    return request.dueMillis() < request.targetMillis();
+  }
+
+  /** Whether a late request goes before those that are on time, none of which is as urgent. */
+  private boolean outranksOnTime(AdmissionRequest request) {
+    return isUrgent(request) && !isUrgentOnTimeQueued();
+  }
+
+  private boolean isUrgentOnTimeQueued() {
+    return onTime.stream().anyMatch(DueOrderAdmissionController::isUrgent);
+  }
+
+  private TreeSet<AdmissionRequest> lateQueue(AdmissionRequest request) {
+    return outranksOnTime(request) ? lateUrgent : late;
+  }
+
+  private int lateRequestsAhead(TreeSet<AdmissionRequest> queue, AdmissionRequest request) {
+    int onTimeAhead = queue == late ? lateUrgent.size() + onTime.size() : 0;
+    return nested.size() + onTimeAhead + queue.headSet(request).size();
   }
 
   private Decision decideNested(long nowMillis, AdmissionRequest request) {
@@ -118,6 +163,7 @@
     if (!running.remove(id)) {
       return List.of();
     }
+    nestedReserve.recordEnd(nowMillis, id);
     if (serviceMicros > 0) {
       serviceTime.add(serviceMicros);
     }
@@ -136,7 +182,8 @@
     List<Decision> decisions = new ArrayList<>();
     demote(nowMillis, decisions);
     refuseExpired(nowMillis, nested, 0, decisions);
-    refuseExpired(nowMillis, late, nested.size() + onTime.size(), decisions);
+    refuseExpired(nowMillis, lateUrgent, nested.size(), decisions);
+    refuseExpired(nowMillis, late, nested.size() + lateUrgent.size() + onTime.size(), decisions);
     decisions.addAll(dispatch(nowMillis));
     return decisions;
   }
@@ -160,7 +207,7 @@
 
   /** The queues, in the order in which they are served. */
   private List<TreeSet<AdmissionRequest>> queues() {
-    return List.of(nested, onTime, late);
+    return List.of(nested, lateUrgent, onTime, late);
   }
 
   @Override
@@ -189,7 +236,7 @@
 
   @Override
   public int queued() {
-    return nested.size() + onTime.size() + late.size();
+    return nested.size() + lateUrgent.size() + onTime.size() + late.size();
   }
 
   @Override
@@ -200,7 +247,7 @@
   private List<Decision> dispatch(long nowMillis) {
     List<Decision> decisions = new ArrayList<>();
     demote(nowMillis, decisions);
-    while (queued() > 0 && canStart(nowMillis)) {
+    while (queued() > 0 && canStart(nowMillis, !nested.isEmpty())) {
       AdmissionRequest next = pollNext();
       if (canStartInTime(nowMillis, next, 0)) {
         start(nowMillis, next);
@@ -213,18 +260,21 @@
   }
 
   private AdmissionRequest pollNext() {
-    if (!nested.isEmpty()) {
-      return nested.pollFirst();
+    for (TreeSet<AdmissionRequest> queue : queues()) {
+      if (!queue.isEmpty()) {
+        return queue.pollFirst();
+      }
     }
-    return onTime.isEmpty() ? late.pollFirst() : onTime.pollFirst();
+    throw new IllegalStateException("no request is queued");
   }
 
   /**
-   * Refuses requests that can no longer meet their target, or moves them to the late queue. At a
-   * limited rate, a start for a late request would be taken from one that is on time.
+   * Refuses requests that can no longer meet their target, or moves them to a late queue. Late
+   * requests are refused while others wait that are on time: a slot would be taken from these for
+   * the whole time of the late request, and its client learns sooner that it has to come back.
    */
   private void demote(long nowMillis, List<Decision> decisions) {
-    int ahead = nested.size();
+    int ahead = nested.size() + lateUrgent.size();
     for (Iterator<AdmissionRequest> waiting = onTime.iterator(); waiting.hasNext(); ) {
       AdmissionRequest request = waiting.next();
       if (canMeetTarget(nowMillis, request, certainWaitMillis(nowMillis, ahead))) {
@@ -232,13 +282,17 @@
         continue;
       }
       waiting.remove();
-      if (nowMillis <= request.refuseByMillis()) {
+      if (nowMillis <= request.refuseByMillis() && !outranksOnTime(request)) {
         decisions.add(refusalOfOverload(nowMillis, request));
       } else {
-        late.add(request);
+        lateQueue(request).add(request);
       }
     }
-    if (isRateLimited() && !onTime.isEmpty()) {
+    if (isUrgentOnTimeQueued()) {
+      late.addAll(lateUrgent);
+      lateUrgent.clear();
+    }
+    if (!onTime.isEmpty()) {
       late.forEach(request -> decisions.add(refusalOfOverload(nowMillis, request)));
       late.clear();
     }
