Serve the newest request first while the event loop is behind

An event loop that was behind began deferred requests in the order of arrival. When more arrived than it could serve, each waited for as long as it may take at all: the node worked on requests that it then refused as late, at the edge and again beside the backend, and stayed in that state after the overload.

New requests now wait in a backlog for each origin. Once one has not been emptied for 100 ms, the newest request is begun first, and requests that have waited for as long are refused as not run, with the time for which they waited as Retry-After. Work under way and calls of the local backend go first, then requests of other nodes, then those of clients. A time slice of deferred work is 5 ms in place of 20 to 100 ms, since each step of a request waits for whole iterations.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -135,7 +135,7 @@
     if (decision.isRight()
         && !refuseIfTooLarge()
         && client.startOrDefer(pipelined, handler.mayRunConcurrently(plan))) {
-      EventLoop.runOrDefer(this::dispatchIfWanted);
+      start();
     }
     runDeferredActions();
     return keepReading;
@@ -146,9 +146,9 @@
     responseWriter.beforeHeldResponseWritten();
   }
 
-  /** Starts a request whose start was deferred. */
-  void startDeferred() {
-    EventLoop.runOrDefer(this::dispatchIfWanted);
+  /** Starts the request once those ahead of it on its connection allow it. */
+  void start() {
+    EventLoop.beginOrDefer(new PendingDispatch(this), handler.originOf(plan));
   }
 
   /** Forwards what is buffered of the response, if it may be forwarded now. */
@@ -161,7 +161,8 @@
     runDeferredActions();
   }
 
-  private void dispatchIfWanted() {
+  /** Dispatches the request unless it has ended or its client is gone. */
+  void dispatchIfWanted() {
     boolean isWanted;
     synchronized (this) {
       isWanted = stage == ExchangeStage.PENDING && !cancelIfClientGone();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
@@ -1,25 +1,55 @@
 package io.umberpath.node.proxy.loop;
 
 import java.util.ArrayDeque;
-import java.util.Queue;
+import java.util.Deque;
+import java.util.function.LongSupplier;
 
 /**
  * Tasks of one event loop that wait until a complete read iteration has followed their submission.
+ * Work under way goes first, then new requests of other nodes, which have already spent work on
+ * them, and then those of clients.
  */
 final class DeferredTasks {
-  private record Entry(Runnable task, long iteration) {}
+  /**
+   * Time slice for deferred work between two read iterations. While input arrives faster than it is
+   * served, the share of reading does not depend on the slice, but the delay of every step does.
+   */
+  private static final long SLICE_NANOS = EventLoop.SHORT_ITERATION_NANOS;
 
-  private final Queue<Entry> entries = new ArrayDeque<>();
-  private long iteration;
+  private final LongSupplier nanoTime;
+  private final IterationListener listener;
+  private final Deque<Runnable> due = new ArrayDeque<>();
+  private final Deque<Runnable> added = new ArrayDeque<>();
+  private final RequestBacklog peers = new RequestBacklog();
+  private final RequestBacklog clients = new RequestBacklog();
   private boolean isRunning;
 
+  DeferredTasks(LongSupplier nanoTime, IterationListener listener) {
+    this.nanoTime = nanoTime;
+    this.listener = listener;
+  }
+
+  /** Adds a step of work under way. */
   void add(Runnable task) {
-    entries.add(new Entry(task, iteration));
+    added.add(task);
+  }
+
+  /** Adds a new request. */
+  void add(NewRequest request, RequestOrigin origin) {
+    if (origin == RequestOrigin.LOCAL_BACKEND) {
+      add(request::begin);
+    } else {
+      backlogOf(origin).add(request, nanoTime.getAsLong());
+    }
+  }
+
+  private RequestBacklog backlogOf(RequestOrigin origin) {
+    return origin == RequestOrigin.PEER ? peers : clients;
   }
 
   /** Whether any task is waiting. */
   boolean hasTasks() {
-    return !entries.isEmpty();
+    return !(due.isEmpty() && added.isEmpty() && peers.isEmpty() && clients.isEmpty());
   }
 
   /** Whether the caller is one of the tasks. */
@@ -29,25 +59,64 @@
 
   /** Called when sockets have been selected and are about to be read. */
   void onIterationStart() {
-    iteration++;
+    due.addAll(added);
+    added.clear();
+    peers.onIterationStart();
+    clients.onIterationStart();
   }
 
-  /** Runs the tasks that were added before the last iteration, for at most about the given time. */
-  void run(long sliceNanos) {
-    long startNanos = System.nanoTime();
+  /**
+   * Runs the tasks that were added before the last iteration, for at most about a time slice, and
+   * refuses requests that were overtaken, for at most as long.
+   */
+  void run() {
     isRunning = true;
     try {
-      while (isNextTaskDue() && System.nanoTime() - startNanos < sliceNanos) {
-        runGuarded(entries.remove().task());
-      }
+      serve();
+      refuseOvertaken(RequestOrigin.PEER);
+      refuseOvertaken(RequestOrigin.CLIENT);
     } finally {
       isRunning = false;
     }
   }
 
-  private boolean isNextTaskDue() {
-    Entry next = entries.peek();
-    return next != null && next.iteration() < iteration;
+  private void serve() {
+    long startNanos = nanoTime.getAsLong();
+    long nowNanos = startNanos;
+    while (hasDue() && nowNanos - startNanos < SLICE_NANOS) {
+      runGuarded(takeNext(nowNanos));
+      nowNanos = nanoTime.getAsLong();
+    }
+    peers.onSliceEnd(nowNanos);
+    clients.onSliceEnd(nowNanos);
+  }
+
+  private boolean hasDue() {
+    return !due.isEmpty() || peers.hasDue() || clients.hasDue();
+  }
+
+  private Runnable takeNext(long nowNanos) {
+    if (!due.isEmpty()) {
+      return due.remove();
+    }
+    RequestBacklog backlog = peers.hasDue() ? peers : clients;
+    return backlog.takeNext(nowNanos)::begin;
+  }
+
+  private void refuseOvertaken(RequestOrigin origin) {
+    RequestBacklog backlog = backlogOf(origin);
+    long startNanos = nanoTime.getAsLong();
+    long nowNanos = startNanos;
+    int count = 0;
+    long longestMillis = 0;
+    while (backlog.hasOvertaken(nowNanos) && nowNanos - startNanos < SLICE_NANOS) {
+      longestMillis = Math.max(longestMillis, backlog.refuseOldest(nowNanos));
+      count++;
+      nowNanos = nanoTime.getAsLong();
+    }
+    if (count > 0) {
+      listener.requestsOvertaken(origin, count, longestMillis);
+    }
   }
 
   static void runGuarded(Runnable task) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
@@ -28,20 +28,11 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Iterations shorter than this do not delay input noticeably. */
-  private static final long SHORT_ITERATION_NANOS = 5_000_000;
+  static final long SHORT_ITERATION_NANOS = 5_000_000;
 
   /** Read delay from which work is deferred by an iteration. */
   private static final long LATE_THRESHOLD_NANOS = 20_000_000;
 
-  /**
-   * Shortest time slice for deferred work between two read iterations; the slice is as long as the
-   * last read phase, within the two limits.
-   */
-  private static final long MIN_SLICE_NANOS = 20_000_000;
-
-  /** Longest time slice for deferred work; after that, the input read before is stale. */
-  private static final long MAX_SLICE_NANOS = 100_000_000;
-
   private static final long NANOS_PER_MICRO = 1_000;
   private static final ThreadLocal<Iteration> ITERATION = new ThreadLocal<>();
 
@@ -101,7 +92,22 @@
   }
 
   /**
-   * Runs work at once, or, if this thread is late, after it has read the input that has arrived.
+   * Begins a request at once, or, if this thread is late, after it has read the input that has
+   * arrived. If the thread is behind for longer, it begins the newest request first and refuses
+   * those that it has overtaken.
+   */
+  public static void beginOrDefer(NewRequest request, RequestOrigin origin) {
+    Iteration iteration = ITERATION.get();
+    if (iteration == null || !iteration.isLate()) {
+      request.begin();
+    } else {
+      iteration.deferred.add(request, origin);
+    }
+  }
+
+  /**
+   * Runs a step of work under way at once, or, if this thread is late, after it has read the input
+   * that has arrived.
    */
   public static void runOrDefer(Runnable work) {
     Iteration iteration = ITERATION.get();
@@ -180,7 +186,7 @@
   public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
     Iteration iteration = ITERATION.get();
     if (iteration == null) {
-      iteration = new Iteration(runner);
+      iteration = new Iteration(runner, listener);
       ITERATION.set(iteration);
       iterations.add(iteration);
     }
@@ -204,7 +210,7 @@
 
   /** The current iteration of one selector thread. */
   private static final class Iteration {
-    private final DeferredTasks deferred = new DeferredTasks();
+    private final DeferredTasks deferred;
     private final SelectorRunner runner;
     private volatile boolean isSelecting;
     private volatile long selectedNanos = System.nanoTime();
@@ -212,8 +218,9 @@
     private volatile long earliestArrivalNanos = selectedNanos;
     private int sockets;
 
-    Iteration(SelectorRunner runner) {
+    Iteration(SelectorRunner runner, IterationListener listener) {
       this.runner = runner;
+      this.deferred = new DeferredTasks(System::nanoTime, listener);
     }
 
     boolean isBusyTooLong() {
@@ -237,8 +244,7 @@
     }
 
     void runDeferred() {
-      long readingNanos = System.nanoTime() - selectedNanos;
-      deferred.run(Math.min(MAX_SLICE_NANOS, Math.max(MIN_SLICE_NANOS, readingNanos)));
+      deferred.run();
     }
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/IterationListener.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/IterationListener.java
@@ -1,7 +1,6 @@
 package io.umberpath.node.proxy.loop;
 
-/** Is notified of selector thread iterations that delayed the reading of input. */
-@FunctionalInterface
+/** Is notified when a selector thread is behind. */
 public interface IterationListener {
   /** Ignores all notifications. */
   IterationListener NONE = (micros, sockets) -> {};
@@ -13,4 +12,12 @@
    * @param sockets number of sockets that it served
    */
   void iterationEnded(long micros, int sockets);
+
+  /**
+   * Called when requests were refused because the thread is behind.
+   *
+   * @param count number of requests
+   * @param longestMillis how long one of them has waited for the thread at most, milliseconds
+   */
+  default void requestsOvertaken(RequestOrigin origin, int count, long longestMillis) {}
 }
