Tell the nodes that send to a gate that its event loop is behind

A node that is behind leaves its backend's slots free, so its load report made it look like the best choice, and other nodes sent it more. Its responses now carry Umberpath-Delay-Ms while requests of other nodes wait in a standing backlog. The delay counts in the expected response time of the backend for as long as it is itself.

What it changes between processes was not measured apart.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerResponseRecorder.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerResponseRecorder.java
@@ -2,6 +2,7 @@
 
 import io.umberpath.model.routing.BackendStart;
 import io.umberpath.node.proxy.http.ResponseHead;
+import io.umberpath.node.proxy.inbound.Headers;
 import io.umberpath.traffic.RequestRateLimiter;
 import io.umberpath.traffic.routing.BackendLoad;
 import io.umberpath.traffic.routing.LatencyAwareBalancer;
@@ -28,6 +29,7 @@
   void record(String backend, String route, ResponseHead head) {
     recordLoad(backend, route, head);
     recordNotice(backend, head);
+    recordDelay(backend, head);
     if (head.field(MeshInboundHandler.NESTED_HEADER).isPresent()) {
       nestedRoutes.add(route);
     }
@@ -49,6 +51,16 @@
     }
   }
 
+  private void recordDelay(String backend, ResponseHead head) {
+    Optional<Long> delayMillis =
+        head.field(MeshInboundHandler.DELAY_HEADER).flatMap(Headers::number);
+    if (delayMillis.isPresent()) {
+      synchronized (balancer) {
+        balancer.updateNodeDelay(clockMillis.getAsLong(), backend, delayMillis.get());
+      }
+    }
+  }
+
   private void recordNotice(String backend, ResponseHead head) {
     Optional<NoticeHeader> received = head.field(NoticeHeader.HEADER).flatMap(NoticeHeader::decode);
     if (received.isEmpty()) {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
@@ -47,6 +47,11 @@
     return origin == RequestOrigin.PEER ? peers : clients;
   }
 
+  /** How long a request of another node has waited while the backlog stands; otherwise 0. */
+  long peerWaitNanos() {
+    return peers.standingWaitNanos(nanoTime.getAsLong());
+  }
+
   /** Whether any task is waiting. */
   boolean hasTasks() {
     return !(due.isEmpty() && added.isEmpty() && peers.isEmpty() && clients.isEmpty());
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
@@ -6,6 +6,7 @@
 import java.nio.channels.Selector;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.nio.DefaultSelectorHandler;
@@ -132,6 +133,15 @@
     }
   }
 
+  /**
+   * How long this thread, being behind, keeps a new request of another node waiting, milliseconds;
+   * 0 if it is not behind, and on other threads.
+   */
+  public static long peerDelayMillis() {
+    Iteration iteration = ITERATION.get();
+    return iteration == null ? 0 : TimeUnit.NANOSECONDS.toMillis(iteration.peerDelayNanos());
+  }
+
   /** Whether a selector thread has been busy for so long that input may be waiting unread. */
   public boolean isBehind() {
     for (Iteration iteration : iterations) {
@@ -243,6 +253,12 @@
               || System.nanoTime() - earliestArrivalNanos >= LATE_THRESHOLD_NANOS);
     }
 
+    /** The wait in the backlog after the time for which input can have been unread. */
+    long peerDelayNanos() {
+      long waitNanos = deferred.peerWaitNanos();
+      return waitNanos == 0 ? 0 : waitNanos + selectedNanos - earliestArrivalNanos;
+    }
+
     void runDeferred() {
       deferred.run();
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/RequestBacklog.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/RequestBacklog.java
@@ -63,6 +63,12 @@
     return hasLeftovers && nowNanos - leftoversSinceNanos >= STANDING_NANOS;
   }
 
+  /** How long the oldest request has waited if the backlog stands; otherwise 0. */
+  long standingWaitNanos(long nowNanos) {
+    boolean isWaiting = !due.isEmpty() && isStanding(nowNanos);
+    return isWaiting ? nowNanos - due.getFirst().addedNanos() : 0;
+  }
+
   /** Whether the oldest request has been overtaken for so long that it is refused. */
   boolean hasOvertaken(long nowNanos) {
     return !due.isEmpty()
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/LatencyAwareBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/LatencyAwareBalancer.java
@@ -258,6 +258,11 @@
     statsTable.getOrCreate(nowMillis, id).updateRateLimit(nowMillis, waitMillis, intervalMillis);
   }
 
+  /** Records how far the node beside a backend is behind with new requests, milliseconds. */
+  public void updateNodeDelay(long nowMillis, String id, double delayMillis) {
+    statsTable.getOrCreate(nowMillis, id).updateNodeDelay(nowMillis, delayMillis);
+  }
+
   /** Removes backends that have been inactive for too long. */
   public void removeExpired(long nowMillis) {
     statsTable.removeExpired(nowMillis);
