Do not prefer sockets that are read last in a standing backlog

A selector reports its sockets in the same order in each iteration. With the newest request first, connections at the end of that order were always served and those at its start always refused. Requests that were read in the same iteration of a standing backlog are now shuffled.

A request that starts when the one ahead of it on its connection is refused waits in the backlog too, and no longer begins within the refusal.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Random;
 import java.util.function.LongSupplier;
 
 /**
@@ -20,13 +21,20 @@
   private final IterationListener listener;
   private final Deque<Runnable> due = new ArrayDeque<>();
   private final Deque<Runnable> added = new ArrayDeque<>();
-  private final RequestBacklog peers = new RequestBacklog();
-  private final RequestBacklog clients = new RequestBacklog();
+  private final RequestBacklog peers;
+  private final RequestBacklog clients;
   private boolean isRunning;
 
-  DeferredTasks(LongSupplier nanoTime, IterationListener listener) {
+  /**
+   * Creates an empty queue.
+   *
+   * @param random decides among requests that were read in the same iteration
+   */
+  DeferredTasks(LongSupplier nanoTime, Random random, IterationListener listener) {
     this.nanoTime = nanoTime;
     this.listener = listener;
+    this.peers = new RequestBacklog(random);
+    this.clients = new RequestBacklog(random);
   }
 
   /** Adds a step of work under way. */
@@ -52,6 +60,12 @@
     return peers.standingWaitNanos(nanoTime.getAsLong());
   }
 
+  /** Whether new requests from there wait in a standing backlog. */
+  boolean isStanding(RequestOrigin origin) {
+    return origin != RequestOrigin.LOCAL_BACKEND
+        && backlogOf(origin).isStanding(nanoTime.getAsLong());
+  }
+
   /** Whether any task is waiting. */
   boolean hasTasks() {
     return !(due.isEmpty() && added.isEmpty() && peers.isEmpty() && clients.isEmpty());
@@ -66,8 +80,9 @@
   void onIterationStart() {
     due.addAll(added);
     added.clear();
-    peers.onIterationStart();
-    clients.onIterationStart();
+    long nowNanos = nanoTime.getAsLong();
+    peers.onIterationStart(nowNanos);
+    clients.onIterationStart(nowNanos);
   }
 
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -99,7 +100,7 @@
    */
   public static void beginOrDefer(NewRequest request, RequestOrigin origin) {
     Iteration iteration = ITERATION.get();
-    if (iteration == null || !iteration.isLate()) {
+    if (iteration == null || !iteration.isLate() && !iteration.deferred.isStanding(origin)) {
       request.begin();
     } else {
       iteration.deferred.add(request, origin);
@@ -230,7 +231,7 @@
 
     Iteration(SelectorRunner runner, IterationListener listener) {
       this.runner = runner;
-      this.deferred = new DeferredTasks(System::nanoTime, listener);
+      this.deferred = new DeferredTasks(System::nanoTime, new Random(), listener);
     }
 
     boolean isBusyTooLong() {
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/RequestBacklog.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/RequestBacklog.java
@@ -1,7 +1,11 @@
 package io.umberpath.node.proxy.loop;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
+import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -21,10 +25,15 @@
   private record Entry(NewRequest request, long addedNanos) {}
 
   private final Deque<Entry> due = new ArrayDeque<>();
-  private final Deque<Entry> added = new ArrayDeque<>();
+  private final List<Entry> added = new ArrayList<>();
+  private final Random random;
   private boolean hasLeftovers;
   private long leftoversSinceNanos;
 
+  RequestBacklog(Random random) {
+    this.random = random;
+  }
+
   void add(NewRequest request, long nowNanos) {
     added.add(new Entry(request, nowNanos));
   }
@@ -37,8 +46,14 @@
     return !due.isEmpty();
   }
 
-  /** Called when input is about to be read: what was added before can be served after that. */
-  void onIterationStart() {
+  /**
+   * Called when input is about to be read: what was added before can be served after that. Sockets
+   * are read in the same order in each iteration; those read last must not always be preferred.
+   */
+  void onIterationStart(long nowNanos) {
+    if (isStanding(nowNanos)) {
+      Collections.shuffle(added, random);
+    }
     due.addAll(added);
     added.clear();
   }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/loop/EventLoopModel.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/loop/EventLoopModel.java
@@ -23,6 +23,7 @@
   private static final long REFUSE_NANOS = 300_000;
   private static final long LATE_NANOS = 20 * MILLI;
   private static final long IDLE_STEP_NANOS = MILLI;
+  private static final long SHUFFLE_SEED = 25;
 
   /** Time of the event loops of both nodes for one request. */
   static final long REQUEST_NANOS = 2 * (READ_NANOS + SEND_NANOS + RESPONSE_NANOS);
@@ -171,7 +172,7 @@
     private final PriorityQueue<Message> input =
         new PriorityQueue<>(Comparator.comparingLong(Message::atNanos));
     private final DeferredTasks deferred =
-        new DeferredTasks(() -> this.nowNanos, IterationListener.NONE);
+        new DeferredTasks(() -> this.nowNanos, new Random(SHUFFLE_SEED), IterationListener.NONE);
     private long nowNanos;
     private long selectedNanos;
     private long lastSelectedNanos;
