Refuse overtaken requests as fast as requests are read

Cause: refusals had a time slice of 5 ms between two read phases. On a thread so slow that one step takes longer, each iteration refused one request, however many it had read, and the others waited until their deadlines.

Change: refusing may take as long as the reading did; a refusal takes less time than reading a request.

Measured: DeferredTasksTest, steps of 9 to 30 ms: 803 of 1000 requests wait at the end without the change, fewer than 30 with it.

--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/DeferredTasks.java
@@ -87,14 +87,19 @@
 
   /**
    * Runs the tasks that were added before the last iteration, for at most about a time slice, and
-   * refuses requests that were overtaken, for at most as long.
+   * refuses requests that were overtaken, for at most as long as the reading took: refusing a
+   * request takes less time than reading it, so that refusals keep up with the reading however slow
+   * the thread is.
+   *
+   * @param readingNanos duration of the read phase before
    */
-  void run() {
+  void run(long readingNanos) {
     isRunning = true;
     try {
       serve();
-      refuseOvertaken(RequestOrigin.PEER);
-      refuseOvertaken(RequestOrigin.CLIENT);
+      long limitNanos = Math.max(SLICE_NANOS, readingNanos);
+      refuseOvertaken(RequestOrigin.PEER, limitNanos);
+      refuseOvertaken(RequestOrigin.CLIENT, limitNanos);
     } finally {
       isRunning = false;
     }
@@ -123,13 +128,13 @@
     return backlog.takeNext(nowNanos)::begin;
   }
 
-  private void refuseOvertaken(RequestOrigin origin) {
+  private void refuseOvertaken(RequestOrigin origin, long limitNanos) {
     RequestBacklog backlog = backlogOf(origin);
     long startNanos = nanoTime.getAsLong();
     long nowNanos = startNanos;
     int count = 0;
     long longestMillis = 0;
-    while (backlog.hasOvertaken(nowNanos) && nowNanos - startNanos < SLICE_NANOS) {
+    while (backlog.hasOvertaken(nowNanos) && nowNanos - startNanos < limitNanos) {
       longestMillis = Math.max(longestMillis, backlog.refuseOldest(nowNanos));
       count++;
       nowNanos = nanoTime.getAsLong();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
@@ -261,7 +261,7 @@
     }
 
     void runDeferred() {
-      deferred.run();
+      deferred.run(System.nanoTime() - selectedNanos);
     }
   }
 }
--- a/umberpath-node/src/test/java/io/umberpath/node/proxy/loop/EventLoopModel.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/proxy/loop/EventLoopModel.java
@@ -193,7 +193,7 @@
       while (!input.isEmpty() && input.peek().atNanos() <= selectedNanos) {
         input.remove().handler().run();
       }
-      deferred.run();
+      deferred.run(nowNanos - selectedNanos);
       if (nowNanos == selectedNanos) {
         nowNanos += IDLE_STEP_NANOS;
       }
