--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/ShortageEdge.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/ShortageEdge.java
@@ -217,7 +217,8 @@
       BackendLoad load,
       boolean isNestedRoute) {
     updateLoad(attempt.backendId(), load);
-    balancer.updateRouteTime(attempt.backendId(), request.plan.route(), load.routeMicros());
+    balancer.updateRouteTime(
+        time.millis(), attempt.backendId(), request.plan.route(), load.routeMicros());
     if (isNestedRoute) {
       retryPolicy.addNestedRoute(request.plan.route());
     }
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/ShortageGate.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/ShortageGate.java
@@ -164,7 +164,8 @@
           new BackendStatement(admission.running(), 0, SLOTS, BackendStatement.USUAL_PERCENT));
       failures.recordResult(
           time.millis(), isSuccess ? AttemptResult.SERVED : AttemptResult.SERVER_ERROR);
-      routeTimes.add(plan.route(), speed.recordResponse(time.millis(), plan.route(), micros));
+      routeTimes.add(
+          time.millis(), plan.route(), speed.recordResponse(time.millis(), plan.route(), micros));
       leave();
       respond(new Verdict.Completed(), isSuccess, 0);
     }
@@ -341,6 +342,7 @@
 
   /** Estimates the slowdown from what runs. */
   void observe() {
+    routeTimes.expire(time.millis());
     List<SlowdownDetector.Running> running = new ArrayList<>();
     int retries = 0;
     for (Attempt attempt : byId.values()) {
