--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/EventLoopDelayListener.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/EventLoopDelayListener.java
@@ -1,12 +1,8 @@
 package io.umberpath.node.mesh;
 
 import io.umberpath.node.proxy.loop.IterationListener;
-import io.umberpath.node.proxy.loop.RequestOrigin;
 
-/**
- * Records how long event loop iterations delayed reading, and which requests were refused since the
- * event loop is behind. Logs the long iterations and the refusals.
- */
+/** Records how long event loop iterations delayed reading, and logs the long ones. */
 record EventLoopDelayListener(MeshMetrics metrics, MeshEvents events) implements IterationListener {
   /** Duration from which an iteration is logged, microseconds. */
   private static final long LOG_THRESHOLD_MICROS = 100_000;
@@ -20,10 +16,4 @@
       events.readingLate(micros / MICROS_PER_MILLI, sockets);
     }
   }
-
-  @Override
-  public void requestsOvertaken(RequestOrigin origin, int count, long longestMillis) {
-    metrics.recordOvertaken(origin, count, longestMillis);
-    events.requestsOvertaken(origin, count, longestMillis);
-  }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvent.java
@@ -13,8 +13,6 @@
   NODE_PAUSED(5),
   /** Received data was read late because the event loop thread was busy. */
   READING_LATE(10),
-  /** New requests were refused because the event loop thread is behind. */
-  REQUESTS_OVERTAKEN(10),
   /** The longest time that a change takes by design to reach the last node. */
   CHANGE_BUDGET(10),
   /** The process accepts requests. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshEvents.java
@@ -10,7 +10,6 @@
 import io.umberpath.model.routing.RoutingConfiguration;
 import io.umberpath.node.clock.BootClock;
 import io.umberpath.node.logs.LogFields;
-import io.umberpath.node.proxy.loop.RequestOrigin;
 import io.umberpath.traffic.load.BackendNotice;
 import io.umberpath.traffic.quarantine.RequestFingerprint;
 import java.io.IOException;
@@ -130,19 +129,6 @@
         .log("sockets served in one iteration");
   }
 
-  /**
-   * Logs that requests were refused because the event loop is behind.
-   *
-   * @param longestMillis how long one of them has waited for the event loop at most
-   */
-  void requestsOvertaken(RequestOrigin origin, int count, long longestMillis) {
-    line(MeshEvent.REQUESTS_OVERTAKEN)
-        .with(SOURCE, label(origin))
-        .with(COUNT, (long) count)
-        .with(MILLIS, longestMillis)
-        .log("refused in one iteration");
-  }
-
   /**
    * Logs the longest time that a change may take according to the node's own intervals, and its
    * bound.
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshInboundHandler.java
@@ -12,7 +12,6 @@
 import io.umberpath.node.proxy.inbound.RefusalStyle;
 import io.umberpath.node.proxy.inbound.RequestHandler;
 import io.umberpath.node.proxy.inbound.RequestPlan;
-import io.umberpath.node.proxy.loop.EventLoop;
 import io.umberpath.node.proxy.pool.ConnectionPool;
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.umberpath.traffic.AdmissionController;
@@ -45,12 +44,6 @@
   /** Set in responses of routes whose requests are sent by backends, not by external clients. */
   static final String NESTED_HEADER = "Umberpath-Nested";
 
-  /**
-   * How long the event loop keeps a new request of another node waiting, milliseconds; in responses
-   * while it is behind. Earlier versions neither send nor read it.
-   */
-  static final String DELAY_HEADER = "Umberpath-Delay-Ms";
-
   private static final int MISDIRECTED = 421;
 
   private static final Verdict CONNECTION_LOST =
@@ -375,10 +368,6 @@
     BackendLoad reported =
         plan == null ? load.reported() : load.reported().withRoute(expectedMicros(plan.route()));
     response.getHeaders().setValue(LOAD_HEADER).setString(reported.encode());
-    long delayMillis = EventLoop.peerDelayMillis();
-    if (delayMillis > 0) {
-      response.getHeaders().setValue(DELAY_HEADER).setString(Long.toString(delayMillis));
-    }
     if (plan == null) {
       return;
     }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshMetrics.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshMetrics.java
@@ -1,22 +1,18 @@
 package io.umberpath.node.mesh;
 
-import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Meter;
-import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.config.MeterFilter;
 import io.micrometer.core.instrument.distribution.DistributionStatisticConfig;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.umberpath.model.Verdict;
-import io.umberpath.node.proxy.loop.RequestOrigin;
 import io.umberpath.node.proxy.stats.InFlightCounts;
 import io.umberpath.node.proxy.stats.MeterRegistryStats;
 import io.umberpath.node.proxy.stats.ProxyStats;
 import java.time.Duration;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
@@ -40,8 +36,6 @@
   private volatile PrometheusMeterRegistry registry;
   private volatile ProxyStats delegate = ProxyStats.NONE;
   private volatile Timer lateIterations;
-  private volatile Timer overtaken;
-  private final Map<RequestOrigin, Counter> overtakenRequests = new ConcurrentHashMap<>();
 
   /**
    * Creates the registry and starts to count.
@@ -59,18 +53,9 @@
                 .register(created));
     delegate = new MeterRegistryStats(created, inFlight);
     lateIterations = created.timer(PREFIX + "event.loop.late");
-    overtaken = created.timer(PREFIX + "event.loop.overtaken");
-    for (RequestOrigin origin : RequestOrigin.values()) {
-      overtakenRequests.put(origin, overtakenCounter(created, origin));
-    }
     registry = created;
   }
 
-  private static Counter overtakenCounter(MeterRegistry registry, RequestOrigin origin) {
-    return registry.counter(
-        PREFIX + "event.loop.overtaken.requests", "origin", MeshEvents.label(origin));
-  }
-
   private static double toDouble(Supplier<Number> value) {
     return value.get().doubleValue();
   }
@@ -98,19 +83,6 @@
     }
   }
 
-  /**
-   * Records that requests were refused because the event loop is behind.
-   *
-   * @param longestMillis how long one of them has waited for the event loop at most
-   */
-  void recordOvertaken(RequestOrigin origin, int count, long longestMillis) {
-    Counter requests = overtakenRequests.get(origin);
-    if (requests != null) {
-      requests.increment(count);
-      overtaken.record(longestMillis, TimeUnit.MILLISECONDS);
-    }
-  }
-
   @Override
   public void requestEnded(Side side, Verdict verdict, long micros) {
     delegate.requestEnded(side, verdict, micros);
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshOutboundHandler.java
@@ -3,6 +3,7 @@
 import io.umberpath.model.PeerAddress;
 import io.umberpath.model.Verdict;
 import io.umberpath.model.routing.BackendEntry;
+import io.umberpath.model.routing.BackendStart;
 import io.umberpath.model.routing.RoutingRule;
 import io.umberpath.node.proxy.http.ProxyHeaders;
 import io.umberpath.node.proxy.http.RawHead;
@@ -15,9 +16,10 @@
 import io.umberpath.node.proxy.inbound.RefusalStyle;
 import io.umberpath.node.proxy.inbound.RequestHandler;
 import io.umberpath.node.proxy.inbound.RequestPlan;
-import io.umberpath.node.proxy.loop.RequestOrigin;
 import io.umberpath.node.proxy.origin.OriginConnectionPools;
 import io.umberpath.node.proxy.stats.ProxyStats;
+import io.umberpath.traffic.RequestRateLimiter;
+import io.umberpath.traffic.routing.BackendLoad;
 import io.umberpath.traffic.routing.LatencyAwareBalancer;
 import io.umberpath.traffic.routing.RequestAgeEstimator;
 import io.umberpath.traffic.routing.WeightedRoundRobin;
@@ -47,7 +49,6 @@
   private final PeerExchange peers;
   private final BackendNotices notices;
   private final RequestQuarantine quarantine;
-  private final PeerResponseRecorder peerResponses;
   private final RequestEvents events;
   private final LongSupplier clockMillis;
   private final WeightedRoundRobin weightedRoundRobin = new WeightedRoundRobin();
@@ -84,7 +85,6 @@
     this.peers = peers;
     this.notices = peers.notices();
     this.quarantine = peers.quarantine();
-    this.peerResponses = new PeerResponseRecorder(balancer, notices, clockMillis);
     this.events = events.requests();
     this.longResponseRoutes = new LongResponseRoutes(this.events);
     this.clockMillis = clockMillis;
@@ -124,13 +124,6 @@
     return ProxyStats.Side.EDGE;
   }
 
-  @Override
-  public RequestOrigin originOf(RequestPlan plan) {
-    return peerResponses.isNested(plan.route())
-        ? RequestOrigin.LOCAL_BACKEND
-        : RequestOrigin.CLIENT;
-  }
-
   @Override
   public RefusalStyle refusalStyle() {
     return style;
@@ -378,10 +371,8 @@
   @Override
   public Optional<Refusal> refusalInResponse(Exchange exchange, ResponseHead head) {
     MeshOutboundPlan plan = planOf(exchange);
-    peerResponses.record(exchange.currentOrigin(), plan.route(), head);
-    if (peerResponses.isNested(plan.route())) {
-      retryPolicy.addNestedRoute(plan.route());
-    }
+    recordBackendLoad(exchange.currentOrigin(), plan.route(), head);
+    recordBackendNotice(exchange.currentOrigin(), head);
     Optional<String> verdict = head.field(ProxyHeaders.VERDICT);
     if (verdict.isPresent()) {
       return VerdictHeader.parse(verdict.get())
@@ -404,6 +395,34 @@
     return isUnreadable ? new Verdict.NotRun(Verdict.Reason.UNREADABLE) : verdict;
   }
 
+  private void recordBackendLoad(String backend, String route, ResponseHead head) {
+    BackendLoad load =
+        head.field(MeshInboundHandler.LOAD_HEADER).map(BackendLoad::decode).orElse(null);
+    if (head.field(MeshInboundHandler.NESTED_HEADER).isPresent()) {
+      retryPolicy.addNestedRoute(route);
+    }
+    if (load != null) {
+      synchronized (balancer) {
+        balancer.updateLoad(clockMillis.getAsLong(), backend, load);
+        balancer.updateRouteTime(clockMillis.getAsLong(), backend, route, load.routeMicros());
+      }
+    }
+  }
+
+  private void recordBackendNotice(String backend, ResponseHead head) {
+    Optional<NoticeHeader> received = head.field(NoticeHeader.HEADER).flatMap(NoticeHeader::decode);
+    if (received.isEmpty()) {
+      return;
+    }
+    NoticeHeader header = received.get();
+    notices.merge(new BackendStart(backend, header.startTimeMillis()), header.notice());
+    double intervalMillis = RequestRateLimiter.intervalMillis(header.notice().requestsPerSecond());
+    synchronized (balancer) {
+      balancer.updateRateLimit(
+          clockMillis.getAsLong(), backend, header.startWaitMillis(), intervalMillis);
+    }
+  }
+
   @Override
   public void attemptEnded(Exchange exchange, String originId, Refusal refusal, long micros) {
     Verdict verdict = refusal == null ? new Verdict.Completed() : refusal.verdict();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ClientConnection.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/ClientConnection.java
@@ -284,7 +284,7 @@
     return () -> {
       response.exchange().forwardBufferedPart();
       waiters.forEach(this::runWhenWritable);
-      started.forEach(Exchange::start);
+      started.forEach(Exchange::startDeferred);
     };
   }
 
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/Exchange.java
@@ -135,7 +135,7 @@
     if (decision.isRight()
         && !refuseIfTooLarge()
         && client.startOrDefer(pipelined, handler.mayRunConcurrently(plan))) {
-      start();
+      EventLoop.runOrDefer(this::dispatchIfWanted);
     }
     runDeferredActions();
     return keepReading;
@@ -146,9 +146,9 @@
     responseWriter.beforeHeldResponseWritten();
   }
 
-  /** Starts the request once those ahead of it on its connection allow it. */
-  void start() {
-    EventLoop.beginOrDefer(new PendingDispatch(this), handler.originOf(plan));
+  /** Starts a request whose start was deferred. */
+  void startDeferred() {
+    EventLoop.runOrDefer(this::dispatchIfWanted);
   }
 
   /** Forwards what is buffered of the response, if it may be forwarded now. */
@@ -161,8 +161,7 @@
     runDeferredActions();
   }
 
-  /** Dispatches the request unless it has ended or its client is gone. */
-  void dispatchIfWanted() {
+  private void dispatchIfWanted() {
     boolean isWanted;
     synchronized (this) {
       isWanted = stage == ExchangeStage.PENDING && !cancelIfClientGone();
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/inbound/RequestHandler.java
@@ -3,7 +3,6 @@
 import io.umberpath.model.Verdict;
 import io.umberpath.node.proxy.http.RequestHead;
 import io.umberpath.node.proxy.http.ResponseHead;
-import io.umberpath.node.proxy.loop.RequestOrigin;
 import io.umberpath.node.proxy.stats.ProxyStats;
 import io.vavr.control.Either;
 import java.util.Optional;
@@ -28,11 +27,6 @@
    */
   void dispatch(Exchange exchange);
 
-  /** Where a request comes from, which decides how it waits for an event loop that is behind. */
-  default RequestOrigin originOf(RequestPlan plan) {
-    return side() == ProxyStats.Side.HOP ? RequestOrigin.PEER : RequestOrigin.CLIENT;
-  }
-
   /** Called right before an attempt is sent; returns a refusal if it must not be sent any more. */
   default Optional<Refusal> refusalBeforeSending(RequestPlan plan, long nowMillis) {
     return plan.deadlineMillis() <= nowMillis
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/EventLoop.java
@@ -4,10 +4,8 @@
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
-import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.nio.DefaultSelectorHandler;
@@ -30,11 +28,20 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Iterations shorter than this do not delay input noticeably. */
-  static final long SHORT_ITERATION_NANOS = 5_000_000;
+  private static final long SHORT_ITERATION_NANOS = 5_000_000;
 
   /** Read delay from which work is deferred by an iteration. */
   private static final long LATE_THRESHOLD_NANOS = 20_000_000;
 
+  /**
+   * Shortest time slice for deferred work between two read iterations; the slice is as long as the
+   * last read phase, within the two limits.
+   */
+  private static final long MIN_SLICE_NANOS = 20_000_000;
+
+  /** Longest time slice for deferred work; after that, the input read before is stale. */
+  private static final long MAX_SLICE_NANOS = 100_000_000;
+
   private static final long NANOS_PER_MICRO = 1_000;
   private static final ThreadLocal<Iteration> ITERATION = new ThreadLocal<>();
 
@@ -94,22 +101,7 @@
   }
 
   /**
-   * Begins a request at once, or, if this thread is late, after it has read the input that has
-   * arrived. If the thread is behind for longer, it begins the newest request first and refuses
-   * those that it has overtaken.
-   */
-  public static void beginOrDefer(NewRequest request, RequestOrigin origin) {
-    Iteration iteration = ITERATION.get();
-    if (iteration == null || !iteration.isLate() && !iteration.deferred.isStanding(origin)) {
-      request.begin();
-    } else {
-      iteration.deferred.add(request, origin);
-    }
-  }
-
-  /**
-   * Runs a step of work under way at once, or, if this thread is late, after it has read the input
-   * that has arrived.
+   * Runs work at once, or, if this thread is late, after it has read the input that has arrived.
    */
   public static void runOrDefer(Runnable work) {
     Iteration iteration = ITERATION.get();
@@ -134,15 +126,6 @@
     }
   }
 
-  /**
-   * How long this thread, being behind, keeps a new request of another node waiting, milliseconds;
-   * 0 if it is not behind, and on other threads.
-   */
-  public static long peerDelayMillis() {
-    Iteration iteration = ITERATION.get();
-    return iteration == null ? 0 : TimeUnit.NANOSECONDS.toMillis(iteration.peerDelayNanos());
-  }
-
   /** Whether a selector thread has been busy for so long that input may be waiting unread. */
   public boolean isBehind() {
     for (Iteration iteration : iterations) {
@@ -197,7 +180,7 @@
   public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
     Iteration iteration = ITERATION.get();
     if (iteration == null) {
-      iteration = new Iteration(runner, listener);
+      iteration = new Iteration(runner);
       ITERATION.set(iteration);
       iterations.add(iteration);
     }
@@ -221,7 +204,7 @@
 
   /** The current iteration of one selector thread. */
   private static final class Iteration {
-    private final DeferredTasks deferred;
+    private final DeferredTasks deferred = new DeferredTasks();
     private final SelectorRunner runner;
     private volatile boolean isSelecting;
     private volatile long selectedNanos = System.nanoTime();
@@ -229,9 +212,8 @@
     private volatile long earliestArrivalNanos = selectedNanos;
     private int sockets;
 
-    Iteration(SelectorRunner runner, IterationListener listener) {
+    Iteration(SelectorRunner runner) {
       this.runner = runner;
-      this.deferred = new DeferredTasks(System::nanoTime, new Random(), listener);
     }
 
     boolean isBusyTooLong() {
@@ -254,14 +236,9 @@
               || System.nanoTime() - earliestArrivalNanos >= LATE_THRESHOLD_NANOS);
     }
 
-    /** The wait in the backlog after the time for which input can have been unread. */
-    long peerDelayNanos() {
-      long waitNanos = deferred.peerWaitNanos();
-      return waitNanos == 0 ? 0 : waitNanos + selectedNanos - earliestArrivalNanos;
-    }
-
     void runDeferred() {
-      deferred.run(System.nanoTime() - selectedNanos);
+      long readingNanos = System.nanoTime() - selectedNanos;
+      deferred.run(Math.min(MAX_SLICE_NANOS, Math.max(MIN_SLICE_NANOS, readingNanos)));
     }
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/IterationListener.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/proxy/loop/IterationListener.java
@@ -1,6 +1,7 @@
 package io.umberpath.node.proxy.loop;
 
-/** Is notified when a selector thread is behind. */
+/** Is notified of selector thread iterations that delayed the reading of input. */
+@FunctionalInterface
 public interface IterationListener {
   /** Ignores all notifications. */
   IterationListener NONE = (micros, sockets) -> {};
@@ -12,12 +13,4 @@
    * @param sockets number of sockets that it served
    */
   void iterationEnded(long micros, int sockets);
-
-  /**
-   * Called when requests were refused because the thread is behind.
-   *
-   * @param count number of requests
-   * @param longestMillis how long one of them has waited for the thread at most, milliseconds
-   */
-  default void requestsOvertaken(RequestOrigin origin, int count, long longestMillis) {}
 }
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendStats.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/BackendStats.java
@@ -51,7 +51,6 @@
   private double startIntervalMillis;
   private double linkFreeAtMillis = Double.NEGATIVE_INFINITY;
   private double bodyMillis;
-  private double nodeFreeAtMillis = Double.NEGATIVE_INFINITY;
   private long avoidUntilMillis;
   private long lastActiveMillis;
 
@@ -193,19 +192,6 @@
     return Math.max(0, nextStartMillis - nowMillis);
   }
 
-  /** Records how far the node beside the backend is behind with new requests. */
-  void updateNodeDelay(long nowMillis, double delayMillis) {
-    nodeFreeAtMillis = nowMillis + delayMillis;
-  }
-
-  /**
-   * Time until the node beside the backend begins a new request, milliseconds. What it reported is
-   * believed for as long as the delay that it reported.
-   */
-  double nodeDelayMillis(long nowMillis) {
-    return Math.max(0, nodeFreeAtMillis - nowMillis);
-  }
-
   /**
    * Updates the response time of a route at this backend.
    *
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/ExpectedResponseTimes.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/ExpectedResponseTimes.java
@@ -6,8 +6,8 @@
 
 /**
  * Expected response times of one route at the backends of a service: the transfer of a long body,
- * the wait for a slot, or for the start that a rate limit allows, the delay of the node beside the
- * backend, plus the work. Unknown values of a backend are replaced by the mean of the others.
+ * the wait for a slot, or for the start that a rate limit allows, plus the work. Unknown values of
+ * a backend are replaced by the mean of the others.
  */
 final class ExpectedResponseTimes {
   private static final double DEFAULT_SERVICE_MILLIS = 60;
@@ -91,7 +91,6 @@
         + workMillis
         + waitMillis
         + utilizationMillis
-        + stats.nodeDelayMillis(nowMillis)
         + stats.remainingAvoidMillis(nowMillis);
   }
 
--- a/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/LatencyAwareBalancer.java
+++ b/umberpath-traffic/src/main/java/io/umberpath/traffic/routing/LatencyAwareBalancer.java
@@ -294,11 +294,6 @@
     return avoided;
   }
 
-  /** Records how far the node beside a backend is behind with new requests, milliseconds. */
-  public void updateNodeDelay(long nowMillis, String id, double delayMillis) {
-    statsTable.getOrCreate(nowMillis, id).updateNodeDelay(nowMillis, delayMillis);
-  }
-
   /** Removes backends that have been inactive for too long. */
   public void removeExpired(long nowMillis) {
     statsTable.removeExpired(nowMillis);
