A refusal of another instance ends the attestation

Cause: a probe's response that says that it was not executed told nothing, since a full backend refuses probes too. Where the address has gone to another backend, its 421 or 503 says the same, and the entry of the earlier one stayed attested for up to 1.5 s. Found by review.

Change: a response of another instance, and each 421, ends the attestation at once.

Measured: LivenessAttesterTest, a listener on a real socket. In the review's trial both responses left the entry attested before; both end it now.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/LivenessAttester.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/LivenessAttester.java
@@ -25,6 +25,7 @@
   private static final long PROBE_VALID_MILLIS = 1_500;
 
   private static final int OK = 200;
+  private static final int MISDIRECTED = 421;
 
   private final MeshSettings settings;
   private final Supplier<MeshView> view;
@@ -117,12 +118,15 @@
   }
 
   private synchronized void onProbeResponse(String id, long sentMillis, ResponseHead head) {
-    if (head.field(settings.headers().notExecuted()).isPresent()) {
+    Optional<String> instance = head.field(settings.headers().instance());
+    boolean isOtherInstance =
+        head.status() == MISDIRECTED || instance.filter(other -> !other.equals(id)).isPresent();
+    boolean isRefusal = head.field(settings.headers().notExecuted()).isPresent();
+    if (isRefusal && !isOtherInstance) {
+      // A full backend refuses probes too.
       return;
     }
-    boolean isSameInstance =
-        head.field(settings.headers().instance()).filter(id::equals).isPresent();
-    boolean isHealthy = head.status() == OK && isSameInstance;
+    boolean isHealthy = head.status() == OK && instance.equals(Optional.of(id));
     if (!isHealthy) {
       withdraw(id);
     } else if (lastListed != null && lastListed.id().equals(id)) {
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/LivenessAttesterTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/LivenessAttesterTest.java
@@ -26,6 +26,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A backend on a real socket whose entry has expired while the store does not answer. */
 @Timeout(60)
@@ -223,4 +225,15 @@
 
     assertThat(probeUntil(() -> !attester.isEntryMissing())).isTrue();
   }
+
+  /** The address went to another backend, whose refusal looked like one of a full backend. */
+  @ParameterizedTest
+  @ValueSource(strings = {"503 Full", "421 Misdirected"})
+  void refusalOfAnotherInstanceEndsTheAttestation(String status) throws Exception {
+    assertThat(probeUntil(this::isAttested)).isTrue();
+
+    response = "HTTP/1.1 " + status + "\r\nInstance: second\r\nNot-Executed: 1\r\n";
+    assertThat(probeUntil(() -> !isAttested())).isTrue();
+    assertThat(attester.isEntryMissing()).isFalse();
+  }
 }
