One node at a time tries a quarantined request

Cause: while a trial was due, twice as many nodes were elected every ten seconds.

Change: the nodes take turns, ten seconds each, in the order of their ranking.

Measured: QuarantineTrialTest: at each second up to three minutes after a trial is due one node of twelve is let through; a request that never arrives at the first one is still tried from 70 s on.

--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -186,9 +186,9 @@
     return attester.isAttested(instance);
   }
 
-  /** Whether this node is among that many reachable ones that may retry a quarantined request. */
-  private boolean isElectedToRetry(RequestFingerprint request, int nodes) {
-    return peers.isResponsibleFor(request.text(), nodes);
+  /** Whether this node is the one that may retry a quarantined request in a round. */
+  private boolean isElectedToRetry(RequestFingerprint request, long round) {
+    return peers.isResponsibleFor(request.text(), round);
   }
 
   /**
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerExchange.java
@@ -278,9 +278,9 @@
     return failureDetector.peers().silent().size();
   }
 
-  /** Whether this node is among that many reachable ones that are responsible for a task. */
-  boolean isResponsibleFor(String task, int nodes) {
-    return failureDetector.isResponsibleFor(task, nodes);
+  /** Whether this node is the one responsible for a task in a round. */
+  boolean isResponsibleFor(String task, long round) {
+    return failureDetector.isResponsibleFor(task, round);
   }
 
   /** Number of known nodes, this one included. */
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerFailureDetector.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/PeerFailureDetector.java
@@ -5,6 +5,7 @@
 import io.umberpath.control.membership.SilenceTimeouts;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -127,15 +128,15 @@
   }
 
   /**
-   * Whether this node is among the first for a task by rendezvous hashing over the reachable nodes.
-   *
-   * @param nodes how many of them
+   * Whether this node is the one responsible for a task in a round. The reachable nodes take turns,
+   * in their order by rendezvous hashing.
    */
-  boolean isResponsibleFor(String task, int nodes) {
+  boolean isResponsibleFor(String task, long round) {
     PeerView current = peers;
     Set<String> reachable = new HashSet<>(current.others());
     reachable.removeAll(current.silent());
     reachable.add(self);
-    return RendezvousHash.select(nodes, reachable, task).contains(self);
+    List<String> ranking = RendezvousHash.select(reachable.size(), reachable, task);
+    return ranking.get((int) (round % ranking.size())).equals(self);
   }
 }
--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/RequestQuarantine.java
@@ -23,16 +23,16 @@
 final class RequestQuarantine {
   private static final long MILLIS_PER_SECOND = 1_000;
 
-  /** Time after which twice as many nodes may start a trial that is due, milliseconds. */
-  private static final long ELECTION_STEP_MILLIS = 10_000;
+  /** Time after which the next node may start a trial that is due, milliseconds. */
+  private static final long ELECTION_ROUND_MILLIS = 10_000;
 
-  /** Doublings after which all nodes of any fleet may start it. */
-  private static final int MAX_ELECTION_STEPS = 16;
-
-  /** Decides which nodes may retry a quarantined request as a trial. */
+  /**
+   * Decides which node may retry a quarantined request as a trial: one in each round, and in turn
+   * all that are reachable.
+   */
   interface TrialElection {
-    /** Returns whether this node is among that many nodes which may. */
-    boolean isElected(RequestFingerprint request, int nodes);
+    /** Returns whether this node is the one of a round; the first round is 0. */
+    boolean isElected(RequestFingerprint request, long round);
   }
 
   private final SuspectRegistry registry;
@@ -99,9 +99,8 @@
    * request, for example a call that only the backends of other machines make.
    */
   private boolean isElectedForTrial(long nowMillis, RequestFingerprint request) {
-    long steps = registry.trialOverdueMillis(nowMillis, request) / ELECTION_STEP_MILLIS;
-    int nodes = 1 << Math.min(MAX_ELECTION_STEPS, steps);
-    return trialElection.isElected(request, nodes);
+    long round = registry.trialOverdueMillis(nowMillis, request) / ELECTION_ROUND_MILLIS;
+    return trialElection.isElected(request, round);
   }
 
   /** Returns whether a request of another node is kept from the local backend. */
--- a/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineTrialTest.java
+++ b/umberpath-node/src/test/java/io/umberpath/node/mesh/QuarantineTrialTest.java
@@ -30,21 +30,29 @@
   private RequestQuarantine quarantineOf(String host) {
     return new RequestQuarantine(
         new SuspectRegistry(THRESHOLD),
-        (request, count) -> RendezvousHash.select(count, hosts, request.text()).contains(host),
+        (request, round) -> ranking(request).get((int) (round % NODES)).equals(host),
         new MeshEvents(() -> nowMillis),
         () -> nowMillis);
   }
 
+  private List<String> ranking(RequestFingerprint request) {
+    return RendezvousHash.select(NODES, hosts, request.text());
+  }
+
   private int firstElected() {
-    return hosts.indexOf(RendezvousHash.select(1, hosts, REQUEST.text()).get(0));
+    return hosts.indexOf(ranking(REQUEST).get(0));
   }
 
-  /** Quarantines the request, which then arrives each second at some of the nodes. */
-  private List<Trial> trialsWithin(long millis, IntPredicate arrivesAt) {
+  private static void quarantine(List<RequestQuarantine> nodes) {
     for (int crash = 0; crash < THRESHOLD; crash++) {
       BackendStart backend = new BackendStart("i-" + crash, 0);
       nodes.forEach(node -> node.recordBackendCrash(backend, List.of(REQUEST)));
     }
+  }
+
+  /** Quarantines the request, which then arrives each second at some of the nodes. */
+  private List<Trial> trialsWithin(long millis, IntPredicate arrivesAt) {
+    quarantine(nodes);
     List<Trial> trials = new ArrayList<>();
     for (long after = 0; after < millis; after += SECOND_MILLIS) {
       for (int index = 0; index < NODES; index++) {
@@ -74,4 +82,18 @@
 
     assertThat(trials).containsExactly(new Trial(firstElected(), TRIAL_DELAY_MILLIS));
   }
+
+  /** Until the crash of a trial is told, each node that may try sends the request to a backend. */
+  @Test
+  void requestThatReturnsLateAtAllNodesIsTriedByOne() {
+    for (long overdue = 0; overdue < 3 * TRIAL_DELAY_MILLIS; overdue += SECOND_MILLIS) {
+      List<RequestQuarantine> unaware = hosts.stream().map(this::quarantineOf).toList();
+      quarantine(unaware);
+      nowMillis += TRIAL_DELAY_MILLIS + overdue;
+
+      assertThat(unaware.stream().filter(node -> !node.blocksOutbound(REQUEST)))
+          .as("%d ms after the trial was due", overdue)
+          .hasSize(1);
+    }
+  }
 }
