--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/MeshNode.java
@@ -299,7 +299,7 @@
     runGuarded(writeRouteSummaries);
     events.logDroppedLines();
     quarantine.removeExpired();
-    updateLeftOut();
+    runGuarded(this::updateLeftOut);
     proxy.closeIdleConnections();
     synchronized (balancer) {
       balancer.removeExpired(clockMillis.getAsLong());
