--- a/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendCrashDetector.java
+++ b/umberpath-node/src/main/java/io/umberpath/node/mesh/BackendCrashDetector.java
@@ -156,7 +156,7 @@
     return Optional.of(new Crash(decided.backend, decided.requests));
   }
 
-  /** Returns whether it is open whether the backend has crashed. */
+  /** Whether a crash is suspected and not decided yet. */
   synchronized boolean isCrashSuspected() {
     return suspected != null;
   }
