--- a/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
+++ b/umberpath-traffic/src/test/java/io/umberpath/traffic/DueOrderAdmissionControllerTest.java
@@ -89,6 +89,11 @@
   /** A request that takes 10 ms and is in time if its work is done by {@code targetMillis}. */
   private static AdmissionRequest withTarget(
       long id, long dueMillis, long targetMillis, long startByMillis) {
+    return withTarget(id, dueMillis, targetMillis, -1, startByMillis);
+  }
+
+  private static AdmissionRequest withTarget(
+      long id, long dueMillis, long targetMillis, long refuseByMillis, long startByMillis) {
     return new AdmissionRequest(
         id,
         Long.toString(id),
@@ -100,7 +105,7 @@
         FAR_DEADLINE_MILLIS,
         dueMillis,
         targetMillis,
-        -1,
+        refuseByMillis,
         startByMillis,
         false);
   }
@@ -148,20 +153,7 @@
 
   /** A request that takes 10 ms, has to be done by 12 ms and is refused early rather than late. */
   private static AdmissionRequest refusedEarly(long id, long dueMillis) {
-    return new AdmissionRequest(
-        id,
-        Long.toString(id),
-        "",
-        Tier.STANDARD,
-        FAR_DEADLINE_MILLIS,
-        10_000,
-        10_000,
-        FAR_DEADLINE_MILLIS,
-        dueMillis,
-        12,
-        100,
-        500,
-        false);
+    return withTarget(id, dueMillis, 12, 100, 500);
   }
 
   @Test
